--- /dev/null
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -0,0 +1,220 @@
+#include "batch/daemon/batch_daemon.h"
+
+#include "batch/store/tables.h"
+
+#include <ctime>
+#include <utility>
+#include <variant>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// Confirms the configuration about once a second, and brings changes at once.
+constexpr FollowRhythm configurationRhythm { Milliseconds(800), Milliseconds(0) };
+// The leader rewrites its lease with every commit; a candidate needs to see that it does, not each time.
+constexpr FollowRhythm leaseRhythm { Milliseconds(1'000), Milliseconds(300) };
+constexpr FollowRhythm jobRhythm { Milliseconds(1'000), Milliseconds(0) };
+// Workers report every 1.5 s each; many reports are read together.
+constexpr FollowRhythm workerRhythm { Milliseconds(1'000), Milliseconds(400) };
+
+WallTime wallTime() { return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now()); }
+
+} // namespace
+
+TimePoint BatchDaemon::now()
+{
+    timespec reading {};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return TimePoint(std::chrono::duration_cast<Milliseconds>(
+        std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec)));
+}
+
+BatchDaemon::BatchDaemon(net::EventLoop& loop, RowStore& store, WorkerGateway& workers,
+    const RecordReader& records, telemetry::EventLog& log, telemetry::MetricsRegistry& metrics,
+    BatchSettings settings)
+    : m_store(store)
+    , m_workers(workers)
+    , m_records(records)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_loop(loop)
+    , m_reducer(std::move(settings))
+    , m_random(std::random_device {}())
+    , m_ticks(loop)
+{
+    m_ticks.startRepeating(tickInterval, [this] { dispatch(Tick {}); });
+    followConfiguration();
+    followLease();
+}
+
+BatchDaemon::~BatchDaemon() { *m_isAlive = false; }
+
+void BatchDaemon::followConfiguration()
+{
+    m_configurationFollower = std::make_unique<TableFollower>(m_loop, m_store,
+        RowKey { m_records.configurationTable(), {}, {} }, configurationRhythm, now,
+        [this](TableFollower::News news) { configurationNews(std::move(news)); });
+}
+
+void BatchDaemon::followLease()
+{
+    RowKey start = leaseKey();
+    start.key.clear();
+    m_leaseFollower = std::make_unique<TableFollower>(
+        m_loop, m_store, start, leaseRhythm, now, [this](TableFollower::News news) {
+            dispatch(RowsFollowed { OwnTable::Lease, news.isComplete, std::move(news.rows), news.knownAt });
+        });
+}
+
+void BatchDaemon::configurationNews(TableFollower::News news)
+{
+    ConfigurationFollowed followed { {}, news.knownAt };
+    for (const Row& row : news.rows) {
+        if (row.isDeleted || !m_records.isConfiguration(row))
+            continue;
+        auto configuration = m_records.configuration(row);
+        if (configuration)
+            followed.versions.push_back(std::move(*configuration));
+        else
+            m_log.log(telemetry::LogLevel::Error, "configuration.unreadable",
+                { { "reason", configuration.error() } });
+    }
+    dispatch(std::move(followed));
+}
+
+void BatchDaemon::workerNews(TableFollower::News news)
+{
+    WorkersFollowed followed { news.isComplete, {}, {}, news.knownAt };
+    for (const Row& row : news.rows) {
+        if (row.isDeleted) {
+            followed.removed.emplace_back(row.key.key);
+            continue;
+        }
+        auto worker = m_records.worker(row);
+        if (worker)
+            followed.changed.push_back(std::move(*worker));
+        else
+            m_log.log(telemetry::LogLevel::Warning, "worker.unreadable_entry",
+                { { "worker", row.key.key }, { "reason", worker.error() } });
+    }
+    dispatch(std::move(followed));
+}
+
+CallerHandle BatchDaemon::request(CallerRequest request, Answer answer)
+{
+    request.caller = ++m_lastCaller;
+    const CallerHandle caller = request.caller;
+    m_callers.emplace(caller, std::move(answer));
+    dispatch(std::move(request));
+    return caller;
+}
+
+void BatchDaemon::callerGone(CallerHandle caller)
+{
+    if (m_callers.erase(caller))
+        dispatch(CallerGone { caller });
+}
+
+void BatchDaemon::shutdown() { dispatch(ShutdownRequested {}); }
+
+bool BatchDaemon::isReady() const { return m_reducer.isReady(now()); }
+
+void BatchDaemon::onStopped(std::function<void()> callback) { m_onStopped = std::move(callback); }
+
+void BatchDaemon::dispatch(EventPayload payload)
+{
+    const Event event { now(), wallTime(), m_random(), std::move(payload) };
+    for (Effect& effect : m_reducer.handle(event))
+        carryOut(effect);
+}
+
+void BatchDaemon::carryOut(Effect& effect)
+{
+    std::visit([this](auto& each) { carryOut(each); }, effect);
+}
+
+void BatchDaemon::carryOut(StartRun& order)
+{
+    m_workers.start(order, [this, isAlive = m_isAlive](StartAnswered answer) {
+        if (*isAlive)
+            dispatch(std::move(answer));
+    });
+}
+
+void BatchDaemon::carryOut(StopRun& order)
+{
+    m_workers.stop(order, [this, isAlive = m_isAlive](StopAnswered answer) {
+        if (*isAlive)
+            dispatch(std::move(answer));
+    });
+}
+
+void BatchDaemon::carryOut(HoldWorker& order)
+{
+    m_workers.hold(order, [this, isAlive = m_isAlive](HoldAnswered answer) {
+        if (*isAlive)
+            dispatch(std::move(answer));
+    });
+}
+
+void BatchDaemon::carryOut(Commit& commit)
+{
+    m_store.commit(std::move(commit.transaction),
+        [this, isAlive = m_isAlive, operation = commit.operation](CommitReply reply) {
+            if (*isAlive)
+                dispatch(CommitAnswered { operation, std::move(reply) });
+        });
+}
+
+void BatchDaemon::carryOut(ReadRows& read)
+{
+    m_store.read(std::move(read.from), std::move(read.until),
+        [this, isAlive = m_isAlive, operation = read.operation](TableSnapshot snapshot) {
+            if (*isAlive)
+                dispatch(ReadAnswered { operation, { snapshot.isOk, std::move(snapshot.rows) } });
+        });
+}
+
+void BatchDaemon::carryOut(FollowLeaderTables& follow)
+{
+    // A follower may be on the stack; it ends once its callback has returned.
+    m_loop.post([old = std::shared_ptr<TableFollower>(std::move(m_jobFollower))] {});
+    m_loop.post([old = std::shared_ptr<TableFollower>(std::move(m_workerFollower))] {});
+    if (!follow.isFollowing)
+        return;
+    RowKey start = jobKey(JobId());
+    start.key.clear();
+    m_jobFollower = std::make_unique<TableFollower>(
+        m_loop, m_store, start, jobRhythm, now, [this](TableFollower::News news) {
+            dispatch(RowsFollowed { OwnTable::Jobs, news.isComplete, std::move(news.rows), news.knownAt });
+        });
+    m_workerFollower
+        = std::make_unique<TableFollower>(m_loop, m_store, RowKey { m_records.workerTable(), {}, {} },
+            workerRhythm, now, [this](TableFollower::News news) { workerNews(std::move(news)); });
+}
+
+void BatchDaemon::carryOut(AnswerCaller& answer)
+{
+    const auto found = m_callers.find(answer.caller);
+    if (found == m_callers.end())
+        return;
+    const Answer respond = std::move(found->second);
+    m_callers.erase(found);
+    respond(answer);
+}
+
+void BatchDaemon::carryOut(StopDaemon&)
+{
+    if (m_onStopped)
+        m_loop.post(m_onStopped);
+}
+
+void BatchDaemon::carryOut(RecordEvent& event)
+{
+    m_metrics.counter("anvilmoor_events_total", "Events by name", { { "event", event.name } }).add();
+    const bool isWarning = event.level == RecordLevel::Warning;
+    m_log.log(isWarning ? telemetry::LogLevel::Warning : telemetry::LogLevel::Info, event.name, event.fields);
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/daemon/table_follower.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "batch/daemon/ports.h"
+#include "net/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvilmoor::batch {
+
+struct FollowRhythm {
+    Milliseconds wait { 800 }; // that the store holds an answer back for news
+    Milliseconds pause { 0 }; // between an answer and the next question
+};
+
+// Keeps up with one table: reads it once, then asks for changes, and reads it anew when the store has dropped
+// its history. Destroying it ends the following.
+class TableFollower {
+public:
+    struct News {
+        bool isComplete = false;
+        std::vector<Row> rows;
+        TimePoint knownAt {}; // when the question was sent
+    };
+    using Callback = std::function<void(News)>;
+    using Clock = std::function<TimePoint()>;
+
+    // The read covers the part; changes of other parts of the table are reported too.
+    TableFollower(net::EventLoop&, RowStore&, RowKey start, FollowRhythm, Clock, Callback);
+    ~TableFollower();
+    TableFollower(const TableFollower&) = delete;
+    TableFollower& operator=(const TableFollower&) = delete;
+
+    bool isInTouch() const { return m_isInTouch; }
+
+private:
+    void ask();
+    void list();
+    void feed();
+    void later(Milliseconds);
+
+    RowStore& m_store;
+    RowKey m_start;
+    FollowRhythm m_rhythm;
+    Clock m_clock;
+    Callback m_callback;
+    net::Timer m_timer;
+    RowVersion m_version = 0;
+    bool m_isListed = false;
+    bool m_isInTouch = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/intake/configuration_view.cpp
@@ -0,0 +1,51 @@
+#include "batch/intake/configuration_view.h"
+
+#include <algorithm>
+
+namespace anvilmoor::batch {
+
+ConfigurationView::ConfigurationView(Milliseconds longestUnconfirmed)
+    : m_longestUnconfirmed(longestUnconfirmed)
+{
+}
+
+bool ConfigurationView::followed(const ConfigurationFollowed& news)
+{
+    bool isNewer = false;
+    for (const Configuration& configuration : news.versions) {
+        if (configuration.version <= m_configuration.version)
+            continue;
+        m_configuration = configuration;
+        isNewer = true;
+    }
+    m_knownAt = std::max(m_knownAt.value_or(news.knownAt), news.knownAt);
+    return isNewer;
+}
+
+bool ConfigurationView::isConfirmed(TimePoint now) const
+{
+    return hasConfiguration() && m_knownAt && now < *m_knownAt + m_longestUnconfirmed;
+}
+
+const QueueConfiguration* ConfigurationView::findQueue(std::string_view host, std::string_view path) const
+{
+    const QueueConfiguration* best = nullptr;
+    for (const QueueConfiguration& queue : m_configuration.queues) {
+        if (queue.host != host || !path.starts_with(queue.pathPrefix))
+            continue;
+        if (!best || queue.pathPrefix.size() > best->pathPrefix.size())
+            best = &queue;
+    }
+    return best;
+}
+
+const ClientAccountConfiguration* ConfigurationView::findAccount(std::string_view apiKey) const
+{
+    for (const ClientAccountConfiguration& account : m_configuration.accounts) {
+        if (std::find(account.apiKeys.begin(), account.apiKeys.end(), apiKey) != account.apiKeys.end())
+            return &account;
+    }
+    return nullptr;
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/intake/job_intake.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "anvilmoor/batch/effect.h"
+#include "anvilmoor/batch/event.h"
+#include "batch/intake/configuration_view.h"
+#include "batch/reducer/step.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace anvilmoor::batch {
+
+// Tells what the leader knows of jobs, where the leader runs in this process.
+class JobStates {
+public:
+    virtual ~JobStates() = default;
+
+    // Empty if not known here; the store knows.
+    virtual std::optional<JobState> stateOf(const JobId&, TimePoint now) const = 0;
+    // Accepted jobs of the queue that have not begun, as last published by the leader.
+    virtual std::uint64_t waitingJobs(const std::string& queue) const = 0;
+};
+
+// Serves callers on any daemon. A job is accepted by storing its row, so that an accepted job needs no daemon
+// to survive. Only the store says whether a job exists: a caller is told "not accepted" or "no such job" on
+// its word alone, and "unknown" where it does not answer in time.
+class JobIntake {
+public:
+    JobIntake(const ConfigurationView&, const JobStates&);
+
+    void requested(const CallerRequest&, Step&);
+    void callerGone(const CallerGone&);
+    void commitAnswered(const CommitAnswered&, Step&);
+    void readAnswered(const ReadAnswered&, Step&);
+    void tick(Step&);
+
+    std::size_t openRequests() const { return m_requests.size(); }
+
+private:
+    enum class Stage {
+        Storing, // the job's row or the cancel request
+        ReadingProgress,
+        ReadingJob,
+    };
+
+    struct Request {
+        CallerHandle caller = 0;
+        CallerAction action = CallerAction::Query;
+        JobId job;
+        Stage stage = Stage::Storing;
+        Transaction transaction;
+        TimePoint receivedAt {};
+        TimePoint answerBy {};
+        OperationId operation = 0;
+        std::optional<TimePoint> repeatAt;
+        int attempts = 0;
+    };
+
+    // Empty if the request was answered.
+    const QueueConfiguration* admit(const CallerRequest&, Step&) const;
+    void submit(const CallerRequest&, const QueueConfiguration&, JobId, Step&);
+    void query(const CallerRequest&, JobId, Step&);
+    void cancel(const CallerRequest&, JobId, Step&);
+    void open(Request, Step&);
+    void send(Request&, Step&);
+    void failed(Request&, Step&);
+    void answer(const Request&, AnswerKind, Step&, JobState = JobState::Pending);
+    void finish(OperationId);
+    void jobRead(Request&, bool exists, Step&);
+
+    const ConfigurationView& m_configuration;
+    const JobStates& m_states;
+    std::map<OperationId, Request> m_requests; // by the operation that is awaited
+    std::map<JobId, JobState> m_endStates; // of jobs that were seen to have ended; these do not change
+    OperationId m_lastOperation = 0;
+};
+
+// Operations of the intake have this bit.
+constexpr OperationId intakeOperationBit = OperationId { 1 } << 60U;
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/jobs/job_book.cpp
@@ -0,0 +1,127 @@
+#include "batch/jobs/job_book.h"
+
+#include "batch/store/tables.h"
+
+#include <utility>
+
+namespace anvilmoor::batch {
+
+JobBook::Entry* JobBook::add(AcceptedJob job)
+{
+    const JobId id = job.specification.id;
+    const auto [position, isNew] = m_entries.try_emplace(id, std::move(job));
+    if (!isNew)
+        return nullptr;
+    m_open.insert(id);
+    return &position->second;
+}
+
+JobBook::Entry* JobBook::find(const JobId& job)
+{
+    const auto found = m_entries.find(job);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const JobBook::Entry* JobBook::find(const JobId& job) const
+{
+    const auto found = m_entries.find(job);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void JobBook::requestCancel(const JobId& job) { m_cancelRequests.insert(job); }
+
+void JobBook::noteChange(Entry& entry, TimePoint now)
+{
+    const JobId& job = entry.progress.job().specification.id;
+    m_changed.erase(entry.change);
+    entry.change = ++m_lastChange;
+    m_changed.emplace(entry.change, job);
+    noteEnd(entry, now);
+}
+
+void JobBook::noteRestored(Entry& entry, TimePoint now)
+{
+    entry.storedState = entry.progress.state();
+    noteEnd(entry, now);
+}
+
+void JobBook::noteEnd(Entry& entry, TimePoint now)
+{
+    if (!isTerminal(entry.progress.state()))
+        return;
+    const JobId& job = entry.progress.job().specification.id;
+    if (!entry.endedAt) {
+        entry.endedAt = now;
+        m_ended.insert(job);
+    }
+    if (!entry.progress.hasAssignments())
+        m_open.erase(job);
+}
+
+bool JobBook::isExpired(const Entry& entry, TimePoint now) const
+{
+    return entry.endedAt && now >= *entry.endedAt + jobRetention && entry.isStored()
+        && !entry.progress.hasAssignments();
+}
+
+JobBook::Changes JobBook::collectChanges(std::size_t limit, TimePoint now) const
+{
+    Changes changes;
+    for (const auto& [change, job] : m_changed) {
+        if (changes.writes.size() >= limit)
+            return changes;
+        const JobProgress& progress = m_entries.at(job).progress;
+        changes.jobs.push_back({ job, change, progress.state() });
+        changes.writes.push_back({ progressKey(job), progress.encodeProgress() });
+    }
+    for (const JobId& job : m_ended) {
+        if (changes.writes.size() + changes.removals.size() + 3 > limit)
+            return changes;
+        if (!isExpired(m_entries.at(job), now))
+            continue;
+        changes.expired.push_back(job);
+        changes.removals.push_back(jobKey(job));
+        changes.removals.push_back(cancelKey(job));
+        changes.removals.push_back(progressKey(job));
+    }
+    return changes;
+}
+
+void JobBook::noteStored(const Changes& changes)
+{
+    for (const Changes::Job& job : changes.jobs) {
+        Entry* entry = find(job.id);
+        if (!entry)
+            continue;
+        entry->storedChange = job.change;
+        entry->storedState = job.state;
+        m_changed.erase(job.change);
+    }
+    for (const JobId& job : changes.expired) {
+        m_entries.erase(job);
+        m_ended.erase(job);
+        m_open.erase(job);
+        m_cancelRequests.erase(job);
+    }
+}
+
+std::vector<JobBook::Entry*> JobBook::openEntries()
+{
+    std::vector<Entry*> entries;
+    for (const JobId& job : m_open)
+        entries.push_back(&m_entries.at(job));
+    return entries;
+}
+
+std::map<std::string, std::uint64_t> JobBook::waitingJobs() const
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (const JobId& job : m_open) {
+        const JobProgress& progress = m_entries.at(job).progress;
+        if (!progress.hasBegun() && !isTerminal(progress.state()))
+            ++counts[progress.job().terms.queue];
+    }
+    return counts;
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/jobs/job_codec.cpp
@@ -0,0 +1,192 @@
+#include "batch/jobs/job_codec.h"
+
+#include "batch/jobs/job_progress.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+enum StepFlag : unsigned {
+    Gang = 1U,
+    OneRack = 2U,
+    Checkpoints = 4U,
+    Copies = 8U,
+    UntilCancelled = 16U,
+    SpareCpu = 32U,
+};
+
+std::string toBytes(const Json& document)
+{
+    const std::vector<std::uint8_t> bytes = Json::to_msgpack(document);
+    return { bytes.begin(), bytes.end() };
+}
+
+unsigned flagsOf(const StepSpecification& step)
+{
+    return (step.isGang ? Gang : 0U) | (step.needsOneRack ? OneRack : 0U)
+        | (step.savesCheckpoints ? Checkpoints : 0U) | (step.allowsCopies ? Copies : 0U)
+        | (step.runsUntilCancelled ? UntilCancelled : 0U) | (step.usesSpareCpu ? SpareCpu : 0U);
+}
+
+Json encodeStep(const StepSpecification& step)
+{
+    return Json::array({ step.taskCount, step.perTask.cpuMillicores, step.perTask.memoryMb,
+        step.perTask.accelerators, step.estimatedDuration.count(), step.dependsOn, flagsOf(step),
+        step.requiredLabel, step.dataRack, step.maxTasksPerWorker });
+}
+
+StepSpecification decodeStep(const Json& row)
+{
+    StepSpecification step;
+    step.taskCount = row.at(0).get<int>();
+    step.perTask
+        = { row.at(1).get<std::int64_t>(), row.at(2).get<std::int64_t>(), row.at(3).get<std::int64_t>() };
+    step.estimatedDuration = Milliseconds(row.at(4).get<std::int64_t>());
+    step.dependsOn = row.at(5).get<std::vector<int>>();
+    const auto flags = row.at(6).get<unsigned>();
+    step.isGang = (flags & Gang) != 0U;
+    step.needsOneRack = (flags & OneRack) != 0U;
+    step.savesCheckpoints = (flags & Checkpoints) != 0U;
+    step.allowsCopies = (flags & Copies) != 0U;
+    step.runsUntilCancelled = (flags & UntilCancelled) != 0U;
+    step.usesSpareCpu = (flags & SpareCpu) != 0U;
+    step.requiredLabel = row.at(7).get<std::string>();
+    step.dataRack = row.at(8).get<std::string>();
+    step.maxTasksPerWorker = row.at(9).get<int>();
+    return step;
+}
+
+Json encodeTask(const TaskProgress& task)
+{
+    Json row = Json::array({ task.isDone, task.lastRun, task.failures, task.lastFailedRun, task.checkpoint });
+    if (task.assignment) {
+        row.push_back(task.assignment->run);
+        row.push_back(task.assignment->worker.id.value());
+        row.push_back(task.assignment->worker.bornAt);
+    }
+    return row;
+}
+
+TaskProgress decodeTask(const Json& row)
+{
+    TaskProgress task { row.at(0).get<bool>(), row.at(1).get<int>(), row.at(2).get<int>(),
+        row.at(3).get<int>(), row.at(4).get<std::string>(), std::nullopt };
+    if (row.size() > 5) {
+        const WorkerLifetime worker { WorkerId(row.at(6).get<std::string>()), row.at(7).get<std::int64_t>() };
+        task.assignment = Assignment { worker, row.at(5).get<int>() };
+    }
+    return task;
+}
+
+Json encodeOccurrence(const std::vector<StepProgress>& steps)
+{
+    Json rows = Json::array();
+    for (const StepProgress& step : steps) {
+        Json tasks = Json::array();
+        for (const TaskProgress& task : step.tasks)
+            tasks.push_back(encodeTask(task));
+        rows.push_back(std::move(tasks));
+    }
+    return rows;
+}
+
+std::vector<StepProgress> decodeOccurrence(const Json& rows)
+{
+    std::vector<StepProgress> steps;
+    for (const Json& tasks : rows) {
+        StepProgress step;
+        for (const Json& task : tasks)
+            step.tasks.push_back(decodeTask(task));
+        steps.push_back(std::move(step));
+    }
+    return steps;
+}
+
+bool hasShapeOf(const std::vector<StepProgress>& steps, const std::vector<StepProgress>& expected)
+{
+    return std::equal(steps.begin(), steps.end(), expected.begin(), expected.end(),
+        [](const StepProgress& a, const StepProgress& b) { return a.tasks.size() == b.tasks.size(); });
+}
+
+} // namespace
+
+std::string encodeJob(const AcceptedJob& job)
+{
+    Json steps = Json::array();
+    for (const StepSpecification& step : job.specification.steps)
+        steps.push_back(encodeStep(step));
+    const Schedule& schedule = job.specification.schedule;
+    return toBytes(Json::array({ job.specification.id.value(), job.specification.payload, std::move(steps),
+        schedule.firstDue.time_since_epoch().count(), schedule.interval.count(), schedule.occurrences,
+        job.terms.queue, job.terms.service.value(), job.terms.account.value(), job.terms.priority,
+        job.terms.maxAttempts, job.terms.stretch, job.terms.latencyTarget.count(),
+        job.acceptedAt.time_since_epoch().count() }));
+}
+
+tl::expected<AcceptedJob, RowCodecError> decodeJob(std::string_view bytes)
+{
+    try {
+        const Json row = Json::from_msgpack(bytes.begin(), bytes.end());
+        AcceptedJob job;
+        job.specification.id = JobId(row.at(0).get<std::string>());
+        job.specification.payload = row.at(1).get<std::string>();
+        for (const Json& step : row.at(2))
+            job.specification.steps.push_back(decodeStep(step));
+        job.specification.schedule = { WallTime(Milliseconds(row.at(3).get<std::int64_t>())),
+            Milliseconds(row.at(4).get<std::int64_t>()), row.at(5).get<int>() };
+        job.terms = { row.at(6).get<std::string>(), ServiceId(row.at(7).get<std::string>()),
+            ClientAccountId(row.at(8).get<std::string>()), row.at(9).get<int>(), row.at(10).get<int>(),
+            row.at(11).get<double>(), Milliseconds(row.at(12).get<std::int64_t>()) };
+        job.acceptedAt = WallTime(Milliseconds(row.at(13).get<std::int64_t>()));
+        return job;
+    } catch (const Json::exception& error) {
+        return tl::unexpected(RowCodecError { fmt::format("row of a job: {}", error.what()) });
+    }
+}
+
+std::string JobProgress::encodeProgress() const
+{
+    Json occurrences = Json::array();
+    for (const auto& [number, steps] : m_occurrences)
+        occurrences.push_back(encodeOccurrence(steps));
+    return toBytes(Json::array({ static_cast<int>(m_state), m_hasBegun, std::move(occurrences) }));
+}
+
+std::optional<std::string> JobProgress::restoreProgress(std::string_view bytes)
+{
+    try {
+        const Json row = Json::from_msgpack(bytes.begin(), bytes.end());
+        std::map<int, std::vector<StepProgress>> occurrences;
+        for (const Json& steps : row.at(2)) {
+            std::vector<StepProgress> occurrence = decodeOccurrence(steps);
+            if (!hasShapeOf(occurrence, emptyOccurrence()))
+                return "the stored steps are not those of the job";
+            occurrences.emplace(static_cast<int>(occurrences.size()), std::move(occurrence));
+        }
+        m_state = static_cast<JobState>(row.at(0).get<int>());
+        m_hasBegun = row.at(1).get<bool>();
+        m_occurrences = std::move(occurrences);
+        m_assignments = static_cast<int>(assignedRuns().size());
+        return std::nullopt;
+    } catch (const Json::exception& error) {
+        return fmt::format("row of a job's progress: {}", error.what());
+    }
+}
+
+tl::expected<JobState, RowCodecError> decodeJobState(std::string_view bytes)
+{
+    try {
+        const Json row = Json::from_msgpack(bytes.begin(), bytes.end());
+        return static_cast<JobState>(row.at(0).get<int>());
+    } catch (const Json::exception& error) {
+        return tl::unexpected(RowCodecError { fmt::format("row of a job's progress: {}", error.what()) });
+    }
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/jobs/job_progress.cpp
@@ -0,0 +1,291 @@
+#include "batch/jobs/job_progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+const std::string noCheckpoint;
+
+RunId runOf(const TaskId& sibling, int index, int run)
+{
+    TaskId task = sibling;
+    task.index = index;
+    return { std::move(task), run };
+}
+
+} // namespace
+
+bool StepProgress::isDone() const
+{
+    return std::all_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) { return task.isDone; });
+}
+
+JobProgress::JobProgress(AcceptedJob job)
+    : m_job(std::move(job))
+{
+}
+
+std::vector<StepProgress> JobProgress::emptyOccurrence() const
+{
+    std::vector<StepProgress> steps;
+    for (const StepSpecification& step : m_job.specification.steps)
+        steps.push_back({ std::vector<TaskProgress>(static_cast<std::size_t>(step.taskCount)) });
+    return steps;
+}
+
+bool JobProgress::openDueOccurrences(WallTime now)
+{
+    if (isTerminal(m_state))
+        return false;
+    bool hasOpened = false;
+    while (true) {
+        const std::optional<WallTime> due = nextDue();
+        if (!due || *due > now)
+            return hasOpened;
+        m_occurrences.emplace(static_cast<int>(m_occurrences.size()), emptyOccurrence());
+        hasOpened = true;
+    }
+}
+
+std::optional<WallTime> JobProgress::nextDue() const
+{
+    const int next = static_cast<int>(m_occurrences.size());
+    if (next >= m_job.occurrenceCount())
+        return std::nullopt;
+    // A job without a schedule is due whatever the clocks of its hosts say.
+    if (!m_job.specification.schedule.occurrences)
+        return WallTime::min();
+    return m_job.dueAt(next);
+}
+
+bool JobProgress::isReady(
+    const std::vector<StepProgress>& occurrence, const StepSpecification& specification) const
+{
+    return std::all_of(specification.dependsOn.begin(), specification.dependsOn.end(),
+        [&](int earlier) { return occurrence[static_cast<std::size_t>(earlier)].isDone(); });
+}
+
+void JobProgress::addReadyUnits(
+    std::vector<PlacementUnit>& units, int occurrence, int step, const std::vector<StepProgress>& steps) const
+{
+    const StepProgress& progress = steps[static_cast<std::size_t>(step)];
+    PlacementUnit gang { m_job.specification.id, occurrence, step, {}, 1 };
+    for (std::size_t index = 0; index < progress.tasks.size(); ++index) {
+        const TaskProgress& task = progress.tasks[index];
+        if (specificationOf(step).isGang) {
+            if (task.isDone || task.assignment)
+                return;
+            gang.tasks.push_back(static_cast<int>(index));
+            gang.run = std::max(gang.run, task.lastRun + 1);
+            continue;
+        }
+        if (task.isDone || task.assignment)
+            continue;
+        units.push_back(
+            { m_job.specification.id, occurrence, step, { static_cast<int>(index) }, task.lastRun + 1 });
+    }
+    if (specificationOf(step).isGang)
+        units.push_back(std::move(gang));
+}
+
+std::vector<PlacementUnit> JobProgress::readyUnits() const
+{
+    std::vector<PlacementUnit> units;
+    if (isTerminal(m_state))
+        return units;
+    for (const auto& [occurrence, steps] : m_occurrences) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            if (!isReady(steps, m_job.specification.steps[step]))
+                continue;
+            addReadyUnits(units, occurrence, static_cast<int>(step), steps);
+        }
+    }
+    return units;
+}
+
+const TaskProgress* JobProgress::find(const TaskId& task) const
+{
+    const auto occurrence = m_occurrences.find(task.occurrence);
+    if (occurrence == m_occurrences.end() || task.step < 0 || task.index < 0)
+        return nullptr;
+    if (static_cast<std::size_t>(task.step) >= occurrence->second.size())
+        return nullptr;
+    const StepProgress& step = occurrence->second[static_cast<std::size_t>(task.step)];
+    if (static_cast<std::size_t>(task.index) >= step.tasks.size())
+        return nullptr;
+    return &step.tasks[static_cast<std::size_t>(task.index)];
+}
+
+StepProgress* JobProgress::stepOf(const TaskId& task)
+{
+    if (!find(task))
+        return nullptr;
+    return &m_occurrences.at(task.occurrence)[static_cast<std::size_t>(task.step)];
+}
+
+// The task that holds failures and checkpoint: a gang's first one.
+TaskProgress& JobProgress::holderOf(StepProgress& step, const TaskId& task)
+{
+    return step.tasks[specificationOf(task.step).isGang ? 0 : static_cast<std::size_t>(task.index)];
+}
+
+const std::string& JobProgress::checkpointOf(const TaskId& task) const
+{
+    TaskId holder = task;
+    if (specificationOf(task.step).isGang)
+        holder.index = 0;
+    const TaskProgress* progress = find(holder);
+    return progress ? progress->checkpoint : noCheckpoint;
+}
+
+void JobProgress::assign(const PlacementUnit& unit, std::span<const WorkerLifetime> workers)
+{
+    std::vector<StepProgress>& steps = m_occurrences.at(unit.occurrence);
+    StepProgress& step = steps[static_cast<std::size_t>(unit.step)];
+    for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
+        TaskProgress& task = step.tasks[static_cast<std::size_t>(unit.tasks[i])];
+        task.lastRun = unit.run;
+        task.assignment = Assignment { workers[i], unit.run };
+        ++m_assignments;
+    }
+    m_hasBegun = true;
+    if (m_state == JobState::Pending)
+        m_state = JobState::Running;
+}
+
+void JobProgress::clearAssignment(TaskProgress& task)
+{
+    task.assignment.reset();
+    --m_assignments;
+}
+
+RunConsequence JobProgress::runEnded(const RunId& run, RunEnd end, const std::string& checkpoint)
+{
+    RunConsequence consequence;
+    StepProgress* step = stepOf(run.task);
+    if (!step)
+        return consequence;
+    TaskProgress& task = step->tasks[static_cast<std::size_t>(run.task.index)];
+    const bool isCurrent = task.assignment && task.assignment->run == run.run;
+    consequence.isKnown = isCurrent;
+    if (!isCurrent && end != RunEnd::Done)
+        return consequence;
+    if (isCurrent) {
+        noteCheckpoint(run, checkpoint);
+        clearAssignment(task);
+    }
+    if (isTerminal(m_state) || task.isDone)
+        return consequence;
+    if (end == RunEnd::Done)
+        endDone(*step, run, consequence);
+    else if (end == RunEnd::Failed)
+        endFailed(*step, run, consequence);
+    if (end != RunEnd::Done && !consequence.newState)
+        stopGangMates(*step, run, consequence);
+    return consequence;
+}
+
+// A late "done" of an earlier run counts too; the later run is stopped.
+void JobProgress::endDone(StepProgress& step, const RunId& run, RunConsequence& consequence)
+{
+    if (specificationOf(run.task.step).runsUntilCancelled)
+        return;
+    const bool isGang = specificationOf(run.task.step).isGang;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        TaskProgress& task = step.tasks[index];
+        if (!isGang && static_cast<int>(index) != run.task.index)
+            continue;
+        task.isDone = true;
+        if (task.assignment && task.assignment->run != run.run)
+            consequence.toStop.push_back(runOf(run.task, static_cast<int>(index), task.assignment->run));
+    }
+    consequence.isKnown = true;
+    finishIfAllDone(consequence);
+}
+
+void JobProgress::endFailed(StepProgress& step, const RunId& run, RunConsequence& consequence)
+{
+    TaskProgress& holder = holderOf(step, run.task);
+    if (holder.lastFailedRun == run.run)
+        return;
+    holder.lastFailedRun = run.run;
+    ++holder.failures;
+    if (specificationOf(run.task.step).runsUntilCancelled || holder.failures < m_job.terms.maxAttempts)
+        return;
+    consequence = conclude(JobState::Failed);
+}
+
+// A gang works only as a whole, so the rest of it is of no use.
+void JobProgress::stopGangMates(const StepProgress& step, const RunId& run, RunConsequence& consequence) const
+{
+    if (!specificationOf(run.task.step).isGang)
+        return;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const auto& assignment = step.tasks[index].assignment;
+        if (!assignment || assignment->run != run.run)
+            continue;
+        consequence.toStop.push_back(runOf(run.task, static_cast<int>(index), run.run));
+    }
+}
+
+void JobProgress::finishIfAllDone(RunConsequence& consequence)
+{
+    if (static_cast<int>(m_occurrences.size()) < m_job.occurrenceCount())
+        return;
+    for (const auto& [number, steps] : m_occurrences) {
+        for (const StepProgress& step : steps) {
+            if (!step.isDone())
+                return;
+        }
+    }
+    m_state = JobState::Completed;
+    consequence.newState = m_state;
+}
+
+RunConsequence JobProgress::conclude(JobState state)
+{
+    m_state = state;
+    return { true, assignedRuns(), state };
+}
+
+RunConsequence JobProgress::cancel()
+{
+    if (isTerminal(m_state))
+        return {};
+    return conclude(JobState::Cancelled);
+}
+
+void JobProgress::noteCheckpoint(const RunId& run, const std::string& checkpoint)
+{
+    if (checkpoint.empty())
+        return;
+    StepProgress* step = stepOf(run.task);
+    if (!step)
+        return;
+    const TaskProgress& task = step->tasks[static_cast<std::size_t>(run.task.index)];
+    if (task.assignment && task.assignment->run == run.run)
+        holderOf(*step, run.task).checkpoint = checkpoint;
+}
+
+std::vector<RunId> JobProgress::assignedRuns() const
+{
+    std::vector<RunId> runs;
+    for (const auto& [occurrence, steps] : m_occurrences) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            const std::vector<TaskProgress>& tasks = steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (!tasks[index].assignment)
+                    continue;
+                const TaskId task { m_job.specification.id, occurrence, static_cast<int>(step),
+                    static_cast<int>(index) };
+                runs.push_back({ task, tasks[index].assignment->run });
+            }
+        }
+    }
+    return runs;
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/leader/scheduler.cpp
@@ -0,0 +1,275 @@
+#include "batch/leader/scheduler.h"
+
+#include "batch/jobs/job_codec.h"
+#include "batch/store/tables.h"
+
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// Looks at all that waits come at least this far apart; events in between are looked at together.
+constexpr Milliseconds placementInterval { 10 };
+// Room may also appear with time alone: an occurrence falls due, a suspect worker is due for a trial.
+constexpr Milliseconds idlePlacementInterval { 250 };
+constexpr Milliseconds readRetryDelay { 100 };
+constexpr OperationId progressReadBit = OperationId { 1 } << 61U;
+
+} // namespace
+
+Scheduler::Scheduler(LeaderLease& lease, const Configuration& configuration, const PlacementPolicy& placement,
+    const QueueOrder& order, WorkerLeaseSettings settings)
+    : m_lease(lease)
+    , m_configuration(configuration)
+    , m_runs(m_workers, m_jobs, settings)
+    , m_placement(placement, order)
+    , m_pipeline(lease)
+{
+}
+
+void Scheduler::tick(Step& step)
+{
+    if (auto repeated = m_pipeline.repeat(step.now))
+        step.emit(std::move(*repeated));
+    if (m_phase == Phase::Following) {
+        if (!m_isRetiring && !m_pipeline.isBusy() && m_lease.isFree(step.now))
+            step.emit(m_pipeline.claim(step.now));
+        return;
+    }
+    if (m_isRetiring && !m_pipeline.isBusy()) {
+        step.emit(m_pipeline.release(step.now));
+        return;
+    }
+    if (m_phase == Phase::Loading && m_readAgainAt && step.now >= *m_readAgainAt)
+        requestProgress(step);
+    if (m_phase == Phase::Leading && m_lease.mayAct(step.now))
+        m_runs.tick(step);
+    if (step.now >= m_placedAt + idlePlacementInterval)
+        m_isPlacementDue = true;
+}
+
+void Scheduler::claimed(Step& step)
+{
+    step.record("leader.claimed", { { "epoch", std::to_string(m_lease.epoch()) } });
+    m_phase = Phase::Loading;
+    m_runs.begin(m_lease.epoch(), step.now);
+    step.emit(FollowLeaderTables { true });
+    requestProgress(step);
+}
+
+void Scheduler::requestProgress(Step& step)
+{
+    m_readAgainAt.reset();
+    m_progressRead = (m_progressRead + 1) | progressReadBit;
+    step.emit(ReadRows { m_progressRead, progressKey(JobId()), {} });
+}
+
+void Scheduler::readAnswered(const ReadAnswered& answer, Step& step)
+{
+    if (m_phase != Phase::Loading || answer.operation != m_progressRead)
+        return;
+    if (!answer.reply.isOk) {
+        m_readAgainAt = step.now + readRetryDelay;
+        return;
+    }
+    m_loadedProgress = answer.reply.rows;
+    finishLoading(step);
+}
+
+void Scheduler::finishLoading(Step& step)
+{
+    if (m_phase != Phase::Loading || !m_hasJobs || !m_hasWorkers || !m_loadedProgress)
+        return;
+    for (const Row& row : *m_loadedProgress) {
+        const JobId job(row.key.key);
+        JobBook::Entry* entry = m_jobs.find(job);
+        if (!entry) {
+            step.warn("store.progress_without_job", { { "job", job.value() } });
+            continue;
+        }
+        if (auto problem = entry->progress.restoreProgress(row.value)) {
+            step.warn("store.unreadable_row", { { "job", job.value() }, { "reason", *problem } });
+            continue;
+        }
+        for (const RunId& run : entry->progress.assignedRuns()) {
+            const auto& assignment = entry->progress.find(run.task)->assignment;
+            m_runs.adopt(entry->progress, run, assignment->worker, step.now);
+        }
+        m_jobs.noteRestored(*entry, step.now);
+    }
+    m_loadedProgress.reset();
+    m_phase = Phase::Leading;
+    m_isPlacementDue = true;
+    step.record("leader.loaded",
+        { { "epoch", std::to_string(m_lease.epoch()) }, { "jobs", std::to_string(m_jobs.size()) },
+            { "workers", std::to_string(m_workers.all().size()) } });
+    for (JobBook::Entry* entry : m_jobs.openEntries())
+        applyCancel(entry->progress.job().specification.id, step);
+}
+
+void Scheduler::leadershipLost(Step& step)
+{
+    step.warn("leader.lost", { { "epoch", std::to_string(m_lease.epoch()) } });
+    m_phase = Phase::Following;
+    m_jobs = JobBook();
+    m_workers = WorkerPool();
+    m_placement.clear();
+    m_batch.reset();
+    m_hasJobs = false;
+    m_hasWorkers = false;
+    m_loadedProgress.reset();
+    m_readAgainAt.reset();
+    step.emit(FollowLeaderTables { false });
+}
+
+void Scheduler::rowsFollowed(const RowsFollowed& news, Step& step)
+{
+    if (m_phase == Phase::Following || news.table != OwnTable::Jobs)
+        return;
+    for (const Row& row : news.rows)
+        jobRow(row, step);
+    m_hasJobs = m_hasJobs || news.isComplete;
+    m_isPlacementDue = true;
+    finishLoading(step);
+}
+
+void Scheduler::jobRow(const Row& row, Step& step)
+{
+    const auto name = parseJobKey(row.key.key);
+    if (row.isDeleted || !name)
+        return;
+    if (name->kind == JobRowKind::CancelRequest) {
+        m_jobs.requestCancel(name->job);
+        applyCancel(name->job, step);
+        return;
+    }
+    auto job = decodeJob(row.value);
+    if (!job) {
+        step.warn("store.unreadable_row", { { "job", name->job.value() }, { "reason", job.error().detail } });
+        return;
+    }
+    if (m_jobs.add(std::move(*job)))
+        applyCancel(name->job, step);
+}
+
+void Scheduler::applyCancel(const JobId& job, Step& step)
+{
+    JobBook::Entry* entry = m_jobs.find(job);
+    if (m_phase != Phase::Leading || !entry || !m_jobs.isCancelRequested(job))
+        return;
+    const RunConsequence consequence = entry->progress.cancel();
+    if (!consequence.newState)
+        return;
+    step.record(
+        "job.cancelled", { { "job", job.value() }, { "runs", std::to_string(consequence.toStop.size()) } });
+    m_jobs.noteChange(*entry, step.now);
+    m_runs.stopAll(consequence.toStop, step);
+}
+
+void Scheduler::workersFollowed(const WorkersFollowed& news, Step& step)
+{
+    if (m_phase == Phase::Following)
+        return;
+    m_runs.workersFollowed(news, step);
+    m_hasWorkers = m_hasWorkers || news.isComplete;
+    finishLoading(step);
+}
+
+void Scheduler::startAnswered(const StartAnswered& answer, Step& step) { m_runs.startAnswered(answer, step); }
+
+void Scheduler::stopAnswered(const StopAnswered& answer, Step& step) { m_runs.stopAnswered(answer, step); }
+
+void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step) { m_runs.holdAnswered(answer, step); }
+
+void Scheduler::commitAnswered(const CommitAnswered& answer, Step& step)
+{
+    switch (m_pipeline.answered(answer, step.now).result) {
+    case CommitPipeline::Result::None:
+        return;
+    case CommitPipeline::Result::Claimed:
+        claimed(step);
+        return;
+    case CommitPipeline::Result::Applied:
+        batchStored(step);
+        return;
+    case CommitPipeline::Result::Released:
+        leadershipLost(step);
+        return;
+    case CommitPipeline::Result::LeaseLost:
+        if (m_phase != Phase::Following)
+            leadershipLost(step);
+        return;
+    }
+}
+
+void Scheduler::batchStored(Step& step)
+{
+    if (!m_batch)
+        return;
+    const Batch batch = std::move(*m_batch);
+    m_batch.reset();
+    m_jobs.noteStored(batch.changes);
+    m_runs.endsStored(batch.ends);
+    for (const JobBook::Changes::Job& job : batch.changes.jobs)
+        m_runs.progressStored(job.id, job.change, step);
+    if (m_phase == Phase::Leading && m_lease.mayAct(step.now))
+        m_runs.tick(step);
+}
+
+void Scheduler::finishEvent(Step& step)
+{
+    if (m_phase == Phase::Following || m_isRetiring)
+        return;
+    m_isPlacementDue = m_runs.takeRoomChanged() || m_isPlacementDue;
+    const bool mayPlace = m_phase == Phase::Leading && m_lease.mayAct(step.now);
+    if (mayPlace && m_isPlacementDue && step.now >= m_placedAt + placementInterval)
+        place(step);
+    commit(step);
+}
+
+void Scheduler::place(Step& step)
+{
+    m_isPlacementDue = false;
+    m_placedAt = step.now;
+    const PlacementOutcome outcome
+        = m_placement.run(m_jobs, m_workers, m_configuration, step.now, step.wallTime);
+    for (const PlacementDecision& decision : outcome.placed) {
+        JobBook::Entry* entry = m_jobs.find(decision.unit.job);
+        entry->progress.assign(decision.unit, decision.workers);
+        m_jobs.noteChange(*entry, step.now);
+        m_runs.attach(entry->progress, decision.unit, decision.workers, entry->change, step.now);
+        step.record("run.assigned",
+            { { "job", decision.unit.job.value() }, { "step", std::to_string(decision.unit.step) },
+                { "task", std::to_string(decision.unit.tasks.front()) },
+                { "tasks", std::to_string(decision.unit.tasks.size()) },
+                { "run", std::to_string(decision.unit.run) },
+                { "worker", decision.workers.front().id.value() } });
+    }
+    for (const RunId& victim : outcome.victims)
+        step.record(
+            "run.evicted", { { "job", victim.task.job.value() }, { "run", std::to_string(victim.run) } });
+    m_runs.stopAll(outcome.victims, step);
+}
+
+void Scheduler::commit(Step& step)
+{
+    if (m_pipeline.isBusy() || (!m_jobs.hasChanges() && !m_pipeline.isRenewalDue(step.now)))
+        return;
+    Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit, step.now), m_runs.processedEnds() };
+    CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
+    // The rows are not needed here any more.
+    batch.changes.writes.clear();
+    m_batch = std::move(batch);
+    step.emit(m_pipeline.submit(std::move(commit), m_jobs.waitingJobs(), step.now));
+}
+
+std::optional<JobState> Scheduler::stateOf(const JobId& job, TimePoint now) const
+{
+    const JobBook::Entry* entry = m_jobs.find(job);
+    if (m_phase != Phase::Leading || !m_lease.mayAct(now) || !entry)
+        return std::nullopt;
+    return entry->storedState;
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/leader/scheduler.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "anvilmoor/batch/configuration.h"
+#include "anvilmoor/batch/event.h"
+#include "batch/jobs/job_book.h"
+#include "batch/placement/placement_round.h"
+#include "batch/reducer/step.h"
+#include "batch/store/commit_pipeline.h"
+#include "batch/store/leader_lease.h"
+#include "batch/workers/run_supervisor.h"
+#include "batch/workers/worker_pool.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvilmoor::batch {
+
+// What the daemon that holds the lease does: it reads what the last leader stored, follows jobs and workers,
+// places tasks, stores each assignment before the worker hears of it, and stores each end before the worker
+// may forget it.
+class Scheduler {
+public:
+    Scheduler(
+        LeaderLease&, const Configuration&, const PlacementPolicy&, const QueueOrder&, WorkerLeaseSettings);
+
+    void tick(Step&);
+    // Gives the lease up once nothing is in flight, and never claims it again.
+    void retire() { m_isRetiring = true; }
+    bool isRetired() const { return m_isRetiring && !m_lease.isLeader() && !m_pipeline.isBusy(); }
+
+    void rowsFollowed(const RowsFollowed&, Step&);
+    void workersFollowed(const WorkersFollowed&, Step&);
+    void commitAnswered(const CommitAnswered&, Step&);
+    void readAnswered(const ReadAnswered&, Step&);
+    void startAnswered(const StartAnswered&, Step&);
+    void stopAnswered(const StopAnswered&, Step&);
+    void holdAnswered(const HoldAnswered&, Step&);
+    // Places and commits what the event at hand has made possible.
+    void finishEvent(Step&);
+
+    bool isServing() const { return m_phase == Phase::Leading; }
+    // The stored state of a job, as callers may be told; empty if this daemon does not know.
+    std::optional<JobState> stateOf(const JobId&, TimePoint now) const;
+
+private:
+    enum class Phase { Following, Loading, Leading };
+
+    struct Batch {
+        std::uint64_t number = 0;
+        JobBook::Changes changes;
+        std::vector<RunSupervisor::EndMark> ends;
+    };
+
+    void claimed(Step&);
+    void leadershipLost(Step&);
+    void requestProgress(Step&);
+    void finishLoading(Step&);
+    void jobRow(const Row&, Step&);
+    void applyCancel(const JobId&, Step&);
+    void place(Step&);
+    void commit(Step&);
+    void batchStored(Step&);
+
+    LeaderLease& m_lease;
+    const Configuration& m_configuration;
+    JobBook m_jobs;
+    WorkerPool m_workers;
+    RunSupervisor m_runs;
+    PlacementRound m_placement;
+    CommitPipeline m_pipeline;
+    Phase m_phase = Phase::Following;
+    bool m_isRetiring = false;
+    bool m_hasJobs = false;
+    bool m_hasWorkers = false;
+    std::optional<std::vector<Row>> m_loadedProgress;
+    OperationId m_progressRead = 0;
+    std::optional<TimePoint> m_readAgainAt;
+    bool m_isPlacementDue = false;
+    TimePoint m_placedAt {};
+    std::optional<Batch> m_batch; // in the commit that is in flight
+    std::uint64_t m_lastBatch = 0;
+};
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/placement/packing_placement.cpp
@@ -0,0 +1,143 @@
+#include "batch/placement/packing_placement.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+int timesThatFit(std::int64_t need, std::int64_t room, int limit)
+{
+    if (need <= 0)
+        return limit;
+    return static_cast<int>(std::clamp<std::int64_t>(room / need, 0, limit));
+}
+
+bool isLocal(const PlacementRequest& request, const RackId& rack)
+{
+    return request.step.dataRack.empty() || rack.value() == request.step.dataRack;
+}
+
+} // namespace
+
+int tasksThatFit(const PlacementRequest& request, const WorkerCapacity& worker, const Resources& room)
+{
+    if (!request.step.requiredLabel.empty() && !worker.hasLabel(request.step.requiredLabel))
+        return 0;
+    int limit = worker.isOnTrial ? 1 : request.tasks;
+    if (request.step.maxTasksPerWorker) {
+        const auto siblings = request.siblings.find(worker.lifetime);
+        const int present = siblings == request.siblings.end() ? 0 : siblings->second;
+        limit = std::min(limit, std::max(request.step.maxTasksPerWorker - present, 0));
+    }
+    limit = timesThatFit(request.perTask.cpuMillicores, room.cpuMillicores, limit);
+    limit = timesThatFit(request.perTask.memoryMb, room.memoryMb, limit);
+    return timesThatFit(request.perTask.accelerators, room.accelerators, limit);
+}
+
+bool couldEverFit(const PlacementRequest& request, const CapacityView& view)
+{
+    int total = 0;
+    for (const WorkerCapacity& worker : view.workers())
+        total += tasksThatFit(request, worker, worker.whole);
+    return total >= request.tasks;
+}
+
+std::vector<PackingPlacement::Fit> PackingPlacement::fitsOn(
+    const PlacementRequest& request, const CapacityView& view, std::span<const std::size_t> workers)
+{
+    std::vector<Fit> fits;
+    for (const std::size_t index : workers) {
+        const WorkerCapacity& worker = view.workers()[index];
+        if (!isLocal(request, worker.rack) && !request.mayUseSlowPlaces)
+            continue;
+        const int tasks = tasksThatFit(request, worker, worker.room);
+        if (tasks > 0)
+            fits.push_back({ index, tasks });
+    }
+    return fits;
+}
+
+std::optional<std::vector<PackingPlacement::Fit>> PackingPlacement::choose(
+    const PlacementRequest& request, const CapacityView& view, std::vector<Fit> fits)
+{
+    const int available = std::accumulate(
+        fits.begin(), fits.end(), 0, [](int sum, const Fit& fit) { return sum + fit.tasks; });
+    if (available < request.tasks)
+        return std::nullopt;
+    // Near the data first; then the workers with the least room left.
+    std::sort(fits.begin(), fits.end(), [&](const Fit& a, const Fit& b) {
+        const auto rank = [&](const Fit& fit) {
+            const WorkerCapacity& worker = view.workers()[fit.worker];
+            return std::tuple(!isLocal(request, worker.rack), worker.room.accelerators, worker.room.memoryMb,
+                worker.room.cpuMillicores, fit.worker);
+        };
+        return rank(a) < rank(b);
+    });
+    int missing = request.tasks;
+    std::vector<Fit> chosen;
+    for (Fit& fit : fits) {
+        if (!missing)
+            break;
+        fit.tasks = std::min(fit.tasks, missing);
+        missing -= fit.tasks;
+        chosen.push_back(fit);
+    }
+    return chosen;
+}
+
+std::vector<WorkerLifetime> PackingPlacement::take(
+    const PlacementRequest& request, CapacityView& view, std::span<const Fit> chosen)
+{
+    std::vector<WorkerLifetime> workers;
+    for (const Fit& fit : chosen) {
+        WorkerCapacity& worker = view.workers()[fit.worker];
+        for (int i = 0; i < fit.tasks; ++i) {
+            worker.room -= request.perTask;
+            workers.push_back(worker.lifetime);
+        }
+        if (worker.isOnTrial)
+            worker.room = {};
+    }
+    return workers;
+}
+
+std::optional<std::vector<WorkerLifetime>> PackingPlacement::place(
+    const PlacementRequest& request, CapacityView& view) const
+{
+    if (request.tasks > 1 && request.step.needsOneRack) {
+        // The rack with the fewest places that still takes all.
+        std::optional<std::vector<Fit>> best;
+        int fewest = 0;
+        for (const auto& [rack, workers] : view.racks()) {
+            std::vector<Fit> fits = fitsOn(request, view, workers);
+            const Resources unlimited = request.perTask;
+            int places = 0;
+            for (const Fit& fit : fits) {
+                PlacementRequest wide { request.step, unlimited, 64 };
+                places += tasksThatFit(wide, view.workers()[fit.worker], view.workers()[fit.worker].room);
+            }
+            if (best && places >= fewest)
+                continue;
+            auto chosen = choose(request, view, std::move(fits));
+            if (!chosen)
+                continue;
+            best = std::move(chosen);
+            fewest = places;
+        }
+        if (best)
+            return take(request, view, *best);
+        if (!request.mayUseSlowPlaces)
+            return std::nullopt;
+    }
+    std::vector<std::size_t> all(view.workers().size());
+    std::iota(all.begin(), all.end(), 0U);
+    const auto chosen = choose(request, view, fitsOn(request, view, all));
+    if (!chosen)
+        return std::nullopt;
+    return take(request, view, *chosen);
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/placement/placement_round.cpp
@@ -0,0 +1,245 @@
+#include "batch/placement/placement_round.h"
+
+#include "batch/placement/packing_placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// Victims are gone after their stop; room that is not there by then is offered to all again.
+constexpr Milliseconds reservationTime { 2'500 };
+
+// An accelerator counts as this many cores in the price of lost work.
+constexpr double coresPerAccelerator = 8;
+
+// What a checkpointed run loses by a stop: the time to restore it.
+constexpr double restoreSeconds = 0.2;
+
+Resources countedResources(const StepSpecification& step)
+{
+    Resources resources = step.perTask;
+    if (step.usesSpareCpu)
+        resources.cpuMillicores = 0;
+    return resources;
+}
+
+double coresOf(const Resources& resources)
+{
+    return static_cast<double>(resources.cpuMillicores) / 1'000
+        + coresPerAccelerator * static_cast<double>(resources.accelerators);
+}
+
+std::int64_t acceleratorsOf(const AcceptedJob& job)
+{
+    std::int64_t most = 0;
+    for (const StepSpecification& step : job.specification.steps)
+        most = std::max(most, step.perTask.accelerators * step.taskCount);
+    return most;
+}
+
+} // namespace
+
+PlacementRound::PlacementRound(const PlacementPolicy& placement, const QueueOrder& order)
+    : m_placement(placement)
+    , m_order(order)
+{
+}
+
+PlacementRound::UnitKey PlacementRound::keyOf(const PlacementUnit& unit)
+{
+    return { unit.job, unit.occurrence, unit.step, unit.tasks.front() };
+}
+
+PlacementRound::UnitKey PlacementRound::stepKeyOf(const PlacementUnit& unit)
+{
+    return { unit.job, unit.occurrence, unit.step, 0 };
+}
+
+PlacementOutcome PlacementRound::run(JobBook& jobs, const WorkerPool& workers,
+    const Configuration& configuration, TimePoint now, WallTime wallTime)
+{
+    m_workers = &workers;
+    m_jobs = &jobs;
+    m_failed.clear();
+    m_victims.clear();
+    m_siblings.clear();
+    PlacementOutcome outcome;
+    std::vector<WaitingUnit> waiting = collect(jobs, configuration, wallTime);
+    if (waiting.empty())
+        return outcome;
+    Views views = capacityOf(workers, now);
+    applyReservations(views, now);
+    m_order.sort(waiting, wallTime);
+    for (const WaitingUnit& unit : waiting)
+        placeUnit(unit, views, outcome, now, wallTime);
+    return outcome;
+}
+
+std::vector<WaitingUnit> PlacementRound::collect(
+    JobBook& jobs, const Configuration& configuration, WallTime wallTime) const
+{
+    std::map<ClientAccountId, std::int64_t> unused;
+    for (const ClientAccountConfiguration& account : configuration.accounts)
+        unused[account.name] = account.guaranteedAccelerators;
+    std::vector<JobBook::Entry*> entries = jobs.openEntries();
+    std::sort(entries.begin(), entries.end(), [](const JobBook::Entry* a, const JobBook::Entry* b) {
+        return a->progress.job().acceptedAt < b->progress.job().acceptedAt;
+    });
+    std::vector<WaitingUnit> waiting;
+    for (JobBook::Entry* entry : entries) {
+        const AcceptedJob& job = entry->progress.job();
+        if (isTerminal(entry->progress.state()))
+            continue;
+        entry->progress.openDueOccurrences(wallTime);
+        bool isGuaranteed = false;
+        if (!job.terms.priority) {
+            std::int64_t& left = unused[job.terms.account];
+            const std::int64_t need = acceleratorsOf(job);
+            isGuaranteed = need <= left;
+            if (isGuaranteed)
+                left -= need;
+        }
+        for (PlacementUnit& unit : entry->progress.readyUnits())
+            waiting.push_back({ std::move(unit), &entry->progress, isGuaranteed });
+    }
+    return waiting;
+}
+
+void PlacementRound::reserve(CapacityView& view, const Reservation& reservation, bool isTaken)
+{
+    for (const WorkerLifetime& lifetime : reservation.workers) {
+        WorkerCapacity* worker = view.find(lifetime);
+        if (!worker)
+            continue;
+        if (isTaken)
+            worker->room -= reservation.perTask;
+        else
+            worker->room += reservation.perTask;
+    }
+}
+
+void PlacementRound::applyReservations(Views& views, TimePoint now)
+{
+    std::erase_if(m_reservations, [now](const auto& entry) { return now >= entry.second.until; });
+    for (const auto& [key, reservation] : m_reservations)
+        reserve(views[reservation.service], reservation, true);
+}
+
+PlacementRequest PlacementRound::requestFor(
+    const WaitingUnit& waiting, const CapacityView& view, WallTime wallTime) const
+{
+    const StepSpecification& step = waiting.job->specificationOf(waiting.unit.step);
+    PlacementRequest request { step, countedResources(step), static_cast<int>(waiting.unit.tasks.size()) };
+    if (step.maxTasksPerWorker) {
+        const auto placed = m_siblings.find(stepKeyOf(waiting.unit));
+        if (placed != m_siblings.end())
+            request.siblings = placed->second;
+        for (const RunId& run : waiting.job->assignedRuns()) {
+            if (run.task.occurrence == waiting.unit.occurrence && run.task.step == waiting.unit.step)
+                ++request.siblings[waiting.job->find(run.task)->assignment->worker];
+        }
+    }
+    if (!step.needsOneRack && step.dataRack.empty())
+        return request;
+    // A slow place is worth it only if the fast ones can never take the unit, or for a step that has waited
+    // so long that even a slow run would have been done.
+    const Milliseconds waited = wallTime - waiting.job->job().dueAt(waiting.unit.occurrence);
+    request.mayUseSlowPlaces = waited > waiting.job->job().objective();
+    if (request.mayUseSlowPlaces)
+        return request;
+    CapacityView idle = view;
+    for (WorkerCapacity& worker : idle.workers())
+        worker.room = worker.whole;
+    request.mayUseSlowPlaces = !m_placement.place(request, idle);
+    return request;
+}
+
+void PlacementRound::placeUnit(
+    const WaitingUnit& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
+{
+    const ServiceId& service = waiting.job->job().terms.service;
+    CapacityView& view = views[service];
+    if (view.workers().empty())
+        return;
+    const PlacementRequest request = requestFor(waiting, view, wallTime);
+    const Shape shape { service, request.tasks, request.perTask, request.step.needsOneRack,
+        request.mayUseSlowPlaces, request.step.requiredLabel, request.step.dataRack };
+    const auto reservation = m_reservations.find(keyOf(waiting.unit));
+    const bool isReserved = reservation != m_reservations.end();
+    if (!isReserved && !request.step.maxTasksPerWorker && m_failed.contains(shape))
+        return;
+    if (isReserved)
+        reserve(view, reservation->second, false);
+    auto workers = m_placement.place(request, view);
+    if (workers) {
+        if (isReserved)
+            m_reservations.erase(reservation);
+        if (request.step.maxTasksPerWorker) {
+            for (const WorkerLifetime& worker : *workers)
+                ++m_siblings[stepKeyOf(waiting.unit)][worker];
+        }
+        outcome.placed.push_back({ waiting.unit, std::move(*workers) });
+        return;
+    }
+    if (isReserved) {
+        reserve(view, reservation->second, true);
+        return;
+    }
+    const bool mayEvict = !waiting.job->job().terms.priority;
+    const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
+    if (!hasMadeRoom && !request.step.maxTasksPerWorker)
+        m_failed.insert(shape);
+}
+
+std::vector<EvictionCandidate> PlacementRound::candidatesFor(const WaitingUnit& waiting, TimePoint now) const
+{
+    std::map<UnitKey, EvictionCandidate> candidates;
+    std::set<UnitKey> excluded;
+    for (const auto& [lifetime, worker] : m_workers->all()) {
+        if (worker.record.service != waiting.job->job().terms.service)
+            continue;
+        for (const auto& [task, run] : worker.runs) {
+            const JobBook::Entry* entry = m_jobs->find(task.job);
+            if (!entry || run.priority <= waiting.job->job().terms.priority)
+                continue;
+            const StepSpecification& step = entry->progress.specificationOf(task.step);
+            const UnitKey key { task.job, task.occurrence, task.step, step.isGang ? 0 : task.index };
+            if (run.phase == RunPhase::Stopping || run.phase == RunPhase::AwaitingCommit
+                || m_victims.contains(run.id))
+                excluded.insert(key);
+            EvictionCandidate& candidate = candidates[key];
+            candidate.runs.push_back(run.id);
+            candidate.room.emplace_back(lifetime, run.resources);
+            const TimePoint since = run.acceptedAt.value_or(now);
+            const double worked = static_cast<double>((now - since).count()) / 1'000;
+            const double lost = step.savesCheckpoints ? std::min(worked, restoreSeconds) : worked;
+            candidate.lostWork += lost * coresOf(run.resources);
+        }
+    }
+    std::vector<EvictionCandidate> result;
+    for (auto& [key, candidate] : candidates) {
+        if (!excluded.contains(key))
+            result.push_back(std::move(candidate));
+    }
+    return result;
+}
+
+bool PlacementRound::evictFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view,
+    PlacementOutcome& outcome, TimePoint now)
+{
+    auto plan = planEviction(request, view, candidatesFor(waiting, now), m_placement);
+    if (!plan)
+        return false;
+    m_victims.insert(plan->victims.begin(), plan->victims.end());
+    outcome.victims.insert(outcome.victims.end(), plan->victims.begin(), plan->victims.end());
+    Reservation reservation { std::move(plan->workers), request.perTask, waiting.job->job().terms.service,
+        now + reservationTime };
+    reserve(view, reservation, true);
+    m_reservations.emplace(keyOf(waiting.unit), std::move(reservation));
+    return true;
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/placement/placement_round.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "anvilmoor/batch/configuration.h"
+#include "batch/jobs/job_book.h"
+#include "batch/placement/eviction.h"
+#include "batch/placement/placement_policy.h"
+#include "batch/placement/queue_order.h"
+#include "batch/workers/worker_pool.h"
+
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace anvilmoor::batch {
+
+struct PlacementDecision {
+    PlacementUnit unit;
+    std::vector<WorkerLifetime> workers; // one for each task
+};
+
+struct PlacementOutcome {
+    std::vector<PlacementDecision> placed;
+    std::vector<RunId> victims; // to be stopped
+};
+
+// One look at everything that waits: offers room in the order of the queue, and makes room for urgent work by
+// evicting other work. Room that is made is kept for the unit for which it was made until it arrives there.
+class PlacementRound {
+public:
+    PlacementRound(const PlacementPolicy&, const QueueOrder&);
+
+    PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
+    // Forgets all reserved room.
+    void clear() { m_reservations.clear(); }
+
+private:
+    struct UnitKey {
+        JobId job;
+        int occurrence = 0;
+        int step = 0;
+        int firstTask = 0;
+
+        auto operator<=>(const UnitKey&) const = default;
+    };
+    struct Reservation {
+        std::vector<WorkerLifetime> workers;
+        Resources perTask;
+        ServiceId service;
+        TimePoint until {};
+    };
+    // Of a unit that found no room; units that need as much are passed over without another search.
+    struct Shape {
+        ServiceId service;
+        int tasks = 0;
+        Resources perTask;
+        bool needsOneRack = false;
+        bool mayUseSlowPlaces = false;
+        std::string label;
+        std::string dataRack;
+
+        auto key() const
+        {
+            return std::tie(service, tasks, perTask.cpuMillicores, perTask.memoryMb, perTask.accelerators,
+                needsOneRack, mayUseSlowPlaces, label, dataRack);
+        }
+        bool operator<(const Shape& other) const { return key() < other.key(); }
+    };
+    using Views = std::map<ServiceId, CapacityView>;
+
+    static UnitKey keyOf(const PlacementUnit&);
+    static UnitKey stepKeyOf(const PlacementUnit&);
+    std::vector<WaitingUnit> collect(JobBook&, const Configuration&, WallTime) const;
+    void applyReservations(Views&, TimePoint now);
+    static void reserve(CapacityView&, const Reservation&, bool isTaken);
+    PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime) const;
+    void placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
+    // False if no eviction makes room.
+    bool evictFor(
+        const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
+    std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
+
+    const PlacementPolicy& m_placement;
+    const QueueOrder& m_order;
+    std::map<UnitKey, Reservation> m_reservations;
+    // Of the round at hand.
+    const WorkerPool* m_workers = nullptr;
+    JobBook* m_jobs = nullptr;
+    std::set<Shape> m_failed;
+    std::set<RunId> m_victims;
+    // Tasks of steps with a limit per worker that this round has placed.
+    std::map<UnitKey, std::map<WorkerLifetime, int>> m_siblings;
+};
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/placement/queue_order.cpp
@@ -0,0 +1,55 @@
+#include "batch/placement/queue_order.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+struct Rank {
+    bool isNotGuaranteed = false;
+    int priority = 0;
+    int lateness = 0; // 0: in time, 1: late, 2: worth nothing any more
+    WallTime deadline {};
+    const JobId* job = nullptr;
+    int step = 0;
+    int task = 0;
+
+    auto key() const { return std::tie(isNotGuaranteed, priority, lateness, deadline, *job, step, task); }
+};
+
+Rank rankOf(const WaitingUnit& waiting, WallTime now)
+{
+    // A job is worth little after its objective, and nothing after three times that.
+    constexpr int worthlessAfter = 3;
+    const AcceptedJob& job = waiting.job->job();
+    const WallTime start = job.dueAt(waiting.unit.occurrence);
+    const Milliseconds objective = job.objective();
+    const Milliseconds remaining = waiting.job->specificationOf(waiting.unit.step).estimatedDuration;
+    Rank rank { !waiting.isGuaranteed, job.terms.priority, 0, start + objective, &job.specification.id,
+        waiting.unit.step, waiting.unit.tasks.front() };
+    if (now + remaining > start + objective)
+        rank.lateness = 1;
+    if (now + remaining > start + objective * worthlessAfter)
+        rank.lateness = 2;
+    return rank;
+}
+
+} // namespace
+
+void ObjectiveOrder::sort(std::vector<WaitingUnit>& units, WallTime now) const
+{
+    std::vector<std::pair<Rank, std::size_t>> ranks;
+    for (std::size_t i = 0; i < units.size(); ++i)
+        ranks.emplace_back(rankOf(units[i], now), i);
+    std::sort(ranks.begin(), ranks.end(),
+        [](const auto& a, const auto& b) { return a.first.key() < b.first.key(); });
+    std::vector<WaitingUnit> sorted;
+    for (const auto& [rank, index] : ranks)
+        sorted.push_back(std::move(units[index]));
+    units = std::move(sorted);
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/placement/queue_order.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "anvilmoor/batch/job.h"
+#include "batch/jobs/job_progress.h"
+
+#include <vector>
+
+namespace anvilmoor::batch {
+
+// A unit whose turn has come, waiting for room.
+struct WaitingUnit {
+    PlacementUnit unit;
+    const JobProgress* job = nullptr;
+    bool isGuaranteed = false; // covered by its client account's guarantee
+};
+
+// Decides who is offered room first.
+class QueueOrder {
+public:
+    virtual ~QueueOrder() = default;
+
+    virtual void sort(std::vector<WaitingUnit>&, WallTime now) const = 0;
+};
+
+// Guaranteed work first, then by priority. Within a priority, jobs that can still meet their objective come
+// before those that are late anyway, and the one whose objective ends first leads.
+class ObjectiveOrder : public QueueOrder {
+public:
+    void sort(std::vector<WaitingUnit>&, WallTime now) const override;
+};
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -0,0 +1,124 @@
+#include "batch/reducer/batch_reducer.h"
+
+#include "batch/store/tables.h"
+
+#include <utility>
+#include <variant>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// After SIGTERM the balancer needs two failed probes, a second apart, to send connections elsewhere.
+constexpr Milliseconds shutdownLinger { 2'600 };
+// Before SIGKILL, so that the last answers leave the host.
+constexpr Milliseconds shutdownMargin { 700 };
+
+} // namespace
+
+BatchReducer::BatchReducer(BatchSettings settings)
+    : m_settings(std::move(settings))
+    , m_configuration(m_settings.longestUnconfirmed)
+    , m_lease(m_settings.daemonName, m_settings.claimDelay)
+    , m_scheduler(m_lease, m_configuration.current(), m_placement, m_order, m_settings.workerLeases)
+    , m_intake(m_configuration, *this)
+{
+}
+
+std::vector<Effect> BatchReducer::handle(const Event& event)
+{
+    std::vector<Effect> effects;
+    Step step(event, effects);
+    std::visit([&](const auto& payload) { on(payload, step); }, event.payload);
+    m_scheduler.finishEvent(step);
+    return effects;
+}
+
+bool BatchReducer::isReady(TimePoint now) const { return !m_shutdownAt && m_configuration.isConfirmed(now); }
+
+std::optional<JobState> BatchReducer::stateOf(const JobId& job, TimePoint now) const
+{
+    return m_scheduler.stateOf(job, now);
+}
+
+std::uint64_t BatchReducer::waitingJobs(const std::string& queue) const
+{
+    const auto& counts = m_lease.record().waitingJobs;
+    const auto found = counts.find(queue);
+    return found == counts.end() ? 0 : found->second;
+}
+
+void BatchReducer::on(const Tick&, Step& step)
+{
+    m_intake.tick(step);
+    m_scheduler.tick(step);
+    if (!m_shutdownAt || m_hasStopped)
+        return;
+    const bool hasLingered = step.now >= *m_shutdownAt + shutdownLinger;
+    const bool isDone = hasLingered && m_scheduler.isRetired() && !m_intake.openRequests();
+    if (!isDone && step.now < *m_shutdownAt + m_settings.shutdownGrace - shutdownMargin)
+        return;
+    m_hasStopped = true;
+    step.emit(StopDaemon {});
+}
+
+void BatchReducer::on(const ShutdownRequested&, Step& step)
+{
+    if (m_shutdownAt)
+        return;
+    step.record("daemon.shutdown", { { "leads", m_lease.isLeader() ? "yes" : "no" } });
+    m_shutdownAt = step.now;
+    m_scheduler.retire();
+}
+
+void BatchReducer::on(const CallerRequest& request, Step& step) { m_intake.requested(request, step); }
+
+void BatchReducer::on(const CallerGone& gone, Step&) { m_intake.callerGone(gone); }
+
+void BatchReducer::on(const ConfigurationFollowed& news, Step& step)
+{
+    if (m_configuration.followed(news))
+        step.record("configuration.in_force",
+            { { "version", std::to_string(m_configuration.current().version) },
+                { "queues", std::to_string(m_configuration.current().queues.size()) } });
+}
+
+void BatchReducer::on(const WorkersFollowed& news, Step& step) { m_scheduler.workersFollowed(news, step); }
+
+void BatchReducer::on(const RowsFollowed& news, Step& step)
+{
+    if (news.table != OwnTable::Lease) {
+        m_scheduler.rowsFollowed(news, step);
+        return;
+    }
+    if (news.isComplete && news.rows.empty())
+        m_lease.observe(std::nullopt, step.now);
+    for (const Row& row : news.rows) {
+        if (row.key == leaseKey() && !m_lease.isLeader())
+            m_lease.observe(row, step.now);
+    }
+}
+
+void BatchReducer::on(const CommitAnswered& answer, Step& step)
+{
+    if (answer.operation & commitOperationBit)
+        m_scheduler.commitAnswered(answer, step);
+    else
+        m_intake.commitAnswered(answer, step);
+}
+
+void BatchReducer::on(const ReadAnswered& answer, Step& step)
+{
+    if (answer.operation & intakeOperationBit)
+        m_intake.readAnswered(answer, step);
+    else
+        m_scheduler.readAnswered(answer, step);
+}
+
+void BatchReducer::on(const StartAnswered& answer, Step& step) { m_scheduler.startAnswered(answer, step); }
+
+void BatchReducer::on(const StopAnswered& answer, Step& step) { m_scheduler.stopAnswered(answer, step); }
+
+void BatchReducer::on(const HoldAnswered& answer, Step& step) { m_scheduler.holdAnswered(answer, step); }
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/store/commit_pipeline.cpp
@@ -0,0 +1,125 @@
+#include "batch/store/commit_pipeline.h"
+
+#include "batch/store/tables.h"
+
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// Between an answer that failed and the next copy; the call's own time limit comes before it.
+constexpr Milliseconds repeatDelay { 60 };
+
+const Row* findRow(const std::vector<Row>& rows, const RowKey& key)
+{
+    for (const Row& row : rows) {
+        if (row.key == key && row.version)
+            return &row;
+    }
+    return nullptr;
+}
+
+bool isSameCommit(const LeaseRecord& stored, const LeaseRecord& attempted)
+{
+    return stored.holder == attempted.holder && stored.epoch == attempted.epoch
+        && stored.sequence == attempted.sequence;
+}
+
+} // namespace
+
+CommitPipeline::CommitPipeline(LeaderLease& lease)
+    : m_lease(lease)
+{
+}
+
+Effect CommitPipeline::claim(TimePoint now) { return send(Purpose::Claim, m_lease.next({}), {}, now); }
+
+Effect CommitPipeline::release(TimePoint now) { return send(Purpose::Release, m_lease.released(), {}, now); }
+
+Effect CommitPipeline::submit(
+    CommitBatch batch, std::map<std::string, std::uint64_t> waitingJobs, TimePoint now)
+{
+    return send(Purpose::Batch, m_lease.next(std::move(waitingJobs)), std::move(batch), now);
+}
+
+Effect CommitPipeline::send(Purpose purpose, LeaseRecord record, CommitBatch batch, TimePoint now)
+{
+    InFlight inFlight;
+    inFlight.purpose = purpose;
+    inFlight.batch = batch.number;
+    inFlight.transaction.expected.push_back({ leaseKey(), m_lease.version() });
+    inFlight.transaction.writes = std::move(batch.writes);
+    inFlight.transaction.writes.push_back({ leaseKey(), encodeLease(record) });
+    inFlight.transaction.removals = std::move(batch.removals);
+    inFlight.record = std::move(record);
+    inFlight.operation = ++m_lastOperation | commitOperationBit;
+    inFlight.firstSentAt = now;
+    inFlight.lastSentAt = now;
+    m_lastSentAt = now;
+    m_inFlight = std::move(inFlight);
+    return Commit { m_inFlight->operation, m_inFlight->transaction };
+}
+
+std::optional<Effect> CommitPipeline::repeat(TimePoint now)
+{
+    if (!m_inFlight || !m_inFlight->repeatAt || now < *m_inFlight->repeatAt)
+        return std::nullopt;
+    m_inFlight->repeatAt.reset();
+    m_inFlight->operation = ++m_lastOperation | commitOperationBit;
+    m_inFlight->lastSentAt = now;
+    m_lastSentAt = now;
+    return Commit { m_inFlight->operation, m_inFlight->transaction };
+}
+
+CommitPipeline::Answer CommitPipeline::answered(const CommitAnswered& answer, TimePoint now)
+{
+    if (!m_inFlight || answer.operation != m_inFlight->operation)
+        return {};
+    switch (answer.reply.outcome) {
+    case CommitOutcome::Applied:
+        return applied(answer.reply.version, m_inFlight->lastSentAt);
+    case CommitOutcome::Conflict:
+        return conflict(answer.reply, now);
+    case CommitOutcome::Unknown:
+        m_inFlight->mayHaveBeenApplied = true;
+        break;
+    case CommitOutcome::Refused:
+        // Another daemon may be free to claim; a refused claim leaves no trace.
+        if (m_inFlight->purpose == Purpose::Claim && !m_inFlight->mayHaveBeenApplied) {
+            m_inFlight.reset();
+            return {};
+        }
+        break;
+    }
+    m_inFlight->repeatAt = now + repeatDelay;
+    return {};
+}
+
+CommitPipeline::Answer CommitPipeline::conflict(const CommitReply& reply, TimePoint now)
+{
+    const Row* row = findRow(reply.current, leaseKey());
+    if (row) {
+        const auto stored = decodeLease(row->value);
+        if (stored && isSameCommit(*stored, m_inFlight->record))
+            return applied(row->version, m_inFlight->firstSentAt);
+    }
+    m_inFlight.reset();
+    m_lease.lose();
+    m_lease.observe(row ? std::optional<Row>(*row) : std::nullopt, now);
+    return { Result::LeaseLost };
+}
+
+CommitPipeline::Answer CommitPipeline::applied(RowVersion version, TimePoint sentAt)
+{
+    const InFlight done = std::move(*m_inFlight);
+    m_inFlight.reset();
+    m_lease.committed(done.record, version, sentAt);
+    if (done.purpose == Purpose::Claim)
+        return { Result::Claimed };
+    if (done.purpose == Purpose::Release)
+        return { Result::Released };
+    return { Result::Applied, done.batch };
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/store/commit_pipeline.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "anvilmoor/batch/effect.h"
+#include "anvilmoor/batch/event.h"
+#include "anvilmoor/batch/rows.h"
+#include "batch/store/leader_lease.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvilmoor::batch {
+
+// Entries of one transaction, of which the platform takes 100; the lease takes one.
+constexpr std::size_t maxRowsPerCommit = 90;
+
+// What one commit of the leader stores, beside the lease.
+struct CommitBatch {
+    std::uint64_t number = 0; // as given to submit()
+    std::vector<Row> writes;
+    std::vector<RowKey> removals;
+};
+
+// Commits for the holder of the lease, or for one that claims it, one at a time. A commit without an answer
+// is sent again as it is: if the first copy was applied, the second meets its own lease record.
+class CommitPipeline {
+public:
+    enum class Result { None, Claimed, Applied, Released, LeaseLost };
+
+    struct Answer {
+        Result result = Result::None;
+        std::uint64_t batch = 0; // if applied
+    };
+
+    explicit CommitPipeline(LeaderLease&);
+
+    bool isBusy() const { return m_inFlight.has_value(); }
+    bool isRenewalDue(TimePoint now) const { return now >= m_lastSentAt + leaseRenewalInterval; }
+
+    Effect claim(TimePoint now);
+    Effect release(TimePoint now);
+    Effect submit(CommitBatch, std::map<std::string, std::uint64_t> waitingJobs, TimePoint now);
+    Answer answered(const CommitAnswered&, TimePoint now);
+    // The copy of a commit that is due to be sent again, if there is one.
+    std::optional<Effect> repeat(TimePoint now);
+
+private:
+    enum class Purpose { Claim, Batch, Release };
+
+    struct InFlight {
+        Purpose purpose = Purpose::Batch;
+        LeaseRecord record;
+        std::uint64_t batch = 0;
+        Transaction transaction;
+        OperationId operation = 0;
+        TimePoint firstSentAt {};
+        TimePoint lastSentAt {};
+        std::optional<TimePoint> repeatAt; // empty while an answer is awaited
+        bool mayHaveBeenApplied = false;
+    };
+
+    Effect send(Purpose, LeaseRecord, CommitBatch, TimePoint now);
+    Answer conflict(const CommitReply&, TimePoint now);
+    Answer applied(RowVersion, TimePoint sentAt);
+
+    LeaderLease& m_lease;
+    std::optional<InFlight> m_inFlight;
+    OperationId m_lastOperation = 0;
+    TimePoint m_lastSentAt {};
+};
+
+// Operations of the pipeline have this bit, so that their answers find their way.
+constexpr OperationId commitOperationBit = OperationId { 1 } << 62U;
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/store/tables.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "anvilmoor/batch/job.h"
+#include "anvilmoor/batch/rows.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+// The names of the scheduler's own tables and keys.
+
+namespace anvilmoor::batch {
+
+// One part holds all of it, so that each commit of the leader can depend on the lease's row.
+constexpr std::string_view ownPart = "scheduler";
+constexpr std::string_view leaseTable = "lease";
+constexpr std::string_view jobTable = "job"; // accepted jobs and cancel requests
+constexpr std::string_view progressTable = "progress";
+
+RowKey leaseKey();
+RowKey jobKey(const JobId&);
+RowKey cancelKey(const JobId&);
+RowKey progressKey(const JobId&);
+
+enum class JobRowKind { Submission, CancelRequest };
+
+struct JobRowName {
+    JobRowKind kind = JobRowKind::Submission;
+    JobId job;
+};
+
+// Empty if the key is none of those above.
+std::optional<JobRowName> parseJobKey(std::string_view key);
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/workers/run_supervisor.cpp
@@ -0,0 +1,566 @@
+#include "batch/workers/run_supervisor.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// A worker's clock is up to 2% slow; the rest covers the time an order travels.
+constexpr double slowestClock = 0.97;
+constexpr Milliseconds leaseSlack { 300 };
+
+// The lease that a draining worker gets: it may leave at any time, and its runs are missed only then.
+constexpr Milliseconds drainingLease { 2'500 };
+
+// A worker's answer to a look waits this long for an end. Shorter waits renew leases more often, so that runs
+// outlive a longer cut.
+constexpr Milliseconds holdWait { 500 };
+// Ends that are not stored yet would be listed again at once.
+constexpr Milliseconds storeWait { 200 };
+constexpr Milliseconds retryDelay { 100 };
+// An order that the store holds may be on its way for this long; then the run is stopped instead.
+constexpr Milliseconds startTimeout { 1'800 };
+constexpr Milliseconds stopRetryDelay { 300 };
+// After this many looks without an answer the worker gets no longer lease: it may be gone.
+constexpr int unansweredUntilLost = 3;
+constexpr Milliseconds lostHoldInterval { 400 };
+
+Milliseconds inRealTime(Milliseconds onWorkerClock)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(onWorkerClock.count()) / slowestClock))
+        + leaseSlack;
+}
+
+Resources resourcesOf(const StepSpecification& step)
+{
+    Resources resources = step.perTask;
+    if (step.usesSpareCpu)
+        resources.cpuMillicores = 0;
+    return resources;
+}
+
+std::string_view nameOf(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::LeaseExpired:
+        return "lease expired";
+    case RunEnd::GangBroken:
+        return "gang broken";
+    case RunEnd::GangIncomplete:
+        return "gang incomplete";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RunSupervisor::RunSupervisor(WorkerPool& workers, JobBook& jobs, WorkerLeaseSettings settings)
+    : m_workers(workers)
+    , m_jobs(jobs)
+    , m_settings(settings)
+{
+}
+
+void RunSupervisor::begin(std::uint64_t epoch, TimePoint now)
+{
+    m_epoch = epoch;
+    for (auto& [lifetime, worker] : m_workers.all())
+        extendLease(worker, m_settings.longest, now);
+}
+
+void RunSupervisor::adopt(
+    const JobProgress& job, const RunId& run, const WorkerLifetime& lifetime, TimePoint now)
+{
+    Worker& worker = m_workers.require(lifetime);
+    extendLease(worker, m_settings.longest, now);
+    LiveRun live { run, resourcesOf(job.specificationOf(run.task.step)), job.job().terms.priority };
+    live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
+    live.assignedAt = now;
+    live.acceptedAt = now;
+    live.percentSince = now;
+    m_workers.attach(worker, std::move(live));
+}
+
+void RunSupervisor::attach(const JobProgress& job, const PlacementUnit& unit,
+    std::span<const WorkerLifetime> workers, std::uint64_t change, TimePoint now)
+{
+    for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
+        const RunId run { { unit.job, unit.occurrence, unit.step, unit.tasks[i] }, unit.run };
+        LiveRun live { run, resourcesOf(job.specificationOf(unit.step)), job.job().terms.priority };
+        live.assignedChange = change;
+        live.assignedAt = now;
+        Worker& worker = m_workers.require(workers[i]);
+        if (!worker.health.isTrusted(now))
+            worker.health.trialStarted();
+        m_workers.attach(worker, std::move(live));
+    }
+}
+
+void RunSupervisor::progressStored(const JobId& job, std::uint64_t change, Step& step)
+{
+    const JobBook::Entry* entry = m_jobs.find(job);
+    if (!entry)
+        return;
+    for (const RunId& run : entry->progress.assignedRuns()) {
+        const TaskProgress* task = entry->progress.find(run.task);
+        Worker* worker = m_workers.find(task->assignment->worker);
+        LiveRun* live = worker ? findRun(*worker, run) : nullptr;
+        if (!live || live->phase != RunPhase::AwaitingCommit || live->assignedChange > change)
+            continue;
+        // tick() sends it.
+        live->phase = RunPhase::Starting;
+        live->assignedAt = step.now;
+        live->orderedAt = step.now - retryDelay;
+    }
+}
+
+std::vector<RunSupervisor::EndMark> RunSupervisor::processedEnds() const
+{
+    std::vector<EndMark> marks;
+    for (const auto& [lifetime, worker] : m_workers.all()) {
+        if (worker.processedEnd > worker.storedEnd)
+            marks.push_back({ lifetime, worker.processedEnd });
+    }
+    return marks;
+}
+
+void RunSupervisor::endsStored(std::span<const EndMark> marks)
+{
+    for (const EndMark& mark : marks) {
+        Worker* worker = m_workers.find(mark.worker);
+        if (!worker)
+            continue;
+        worker->storedEnd = std::max(worker->storedEnd, mark.end);
+        worker->nextHoldAt = std::min(worker->nextHoldAt, worker->holdSentAt);
+    }
+}
+
+void RunSupervisor::workersFollowed(const WorkersFollowed& news, Step& step)
+{
+    std::vector<WorkerId> gone = news.removed;
+    if (news.isComplete) {
+        for (const WorkerId& id : m_workers.listedIds()) {
+            const auto isNamed = [&id](const WorkerRecord& record) { return record.lifetime.id == id; };
+            if (std::none_of(news.changed.begin(), news.changed.end(), isNamed))
+                gone.push_back(id);
+        }
+    }
+    for (const WorkerId& id : gone)
+        m_workers.unlist(id);
+    for (const WorkerRecord& record : news.changed) {
+        for (const WorkerLifetime& over : m_workers.update(record, step.now)) {
+            if (Worker* worker = m_workers.find(over))
+                lifetimeOver(*worker, "born again", step);
+        }
+    }
+    m_hasRoomChanged = true;
+}
+
+LiveRun* RunSupervisor::findRun(Worker& worker, const RunId& run)
+{
+    const auto found = worker.runs.find(run.task);
+    return found != worker.runs.end() && found->second.id.run == run.run ? &found->second : nullptr;
+}
+
+// Answers to orders of an earlier leadership mean nothing to this one.
+Worker* RunSupervisor::addressee(const WorkerLifetime& lifetime, std::uint64_t token)
+{
+    return token == m_epoch ? m_workers.find(lifetime) : nullptr;
+}
+
+void RunSupervisor::noteClock(Worker& worker, WorkerClock clock, TimePoint now)
+{
+    // Answers may overtake each other; the reading that is furthest ahead is the best one.
+    if (!clock || (worker.clock && clock < worker.clockAt(now)))
+        return;
+    worker.clock = clock;
+    worker.clockReadAt = now;
+}
+
+Milliseconds RunSupervisor::leaseFor(const Worker& worker) const
+{
+    return worker.record.isDraining ? std::min(drainingLease, m_settings.longest) : m_settings.longest;
+}
+
+void RunSupervisor::extendLease(Worker& worker, Milliseconds lease, TimePoint now)
+{
+    worker.leaseBound = std::max(worker.leaseBound, now + inRealTime(lease));
+}
+
+void RunSupervisor::sendStart(Worker& worker, LiveRun& run, Step& step)
+{
+    const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
+    if (!entry)
+        return;
+    const Milliseconds lease = leaseFor(worker);
+    run.isOrderInFlight = true;
+    run.orderedAt = step.now;
+    extendLease(worker, lease, step.now);
+    step.emit(StartRun { worker.record.lifetime, worker.record.address, run.id,
+        entry->progress.job().specification.payload, entry->progress.checkpointOf(run.id.task),
+        worker.clockAt(step.now) + lease.count(), m_epoch });
+}
+
+void RunSupervisor::sendStop(Worker& worker, LiveRun& run, Step& step)
+{
+    run.isOrderInFlight = true;
+    run.orderedAt = step.now;
+    step.emit(StopRun { worker.record.lifetime, worker.record.address, run.id, m_epoch });
+}
+
+void RunSupervisor::stop(const RunId& id, Step& step)
+{
+    const JobBook::Entry* entry = m_jobs.find(id.task.job);
+    const TaskProgress* task = entry ? entry->progress.find(id.task) : nullptr;
+    Worker* worker = task && task->assignment ? m_workers.find(task->assignment->worker) : nullptr;
+    LiveRun* run = worker ? findRun(*worker, id) : nullptr;
+    if (!run || run->phase == RunPhase::Stopping)
+        return;
+    if (run->phase == RunPhase::AwaitingCommit) {
+        finish(*worker, id, RunEnd::Stopped, {}, step);
+        return;
+    }
+    run->phase = RunPhase::Stopping;
+    sendStop(*worker, *run, step);
+}
+
+void RunSupervisor::stopAll(std::span<const RunId> runs, Step& step)
+{
+    for (const RunId& run : runs)
+        stop(run, step);
+}
+
+void RunSupervisor::tick(Step& step)
+{
+    std::vector<WorkerLifetime> expired;
+    for (auto& [lifetime, worker] : m_workers.all()) {
+        tickWorker(worker, step);
+        if (!worker.runs.empty() && step.now > worker.leaseBound)
+            expired.push_back(lifetime);
+        else if (!worker.isListed && worker.runs.empty())
+            expired.push_back(lifetime);
+    }
+    for (const WorkerLifetime& lifetime : expired) {
+        Worker* worker = m_workers.find(lifetime);
+        if (!worker)
+            continue;
+        if (worker->runs.empty())
+            forgetIfGone(lifetime);
+        else
+            giveUpRuns(*worker, "every lease has passed", step);
+    }
+}
+
+void RunSupervisor::tickWorker(Worker& worker, Step& step)
+{
+    if (worker.record.address.empty())
+        return;
+    for (auto& [task, run] : worker.runs)
+        tickRun(worker, run, step);
+    if (!worker.isHoldInFlight && step.now >= worker.nextHoldAt)
+        hold(worker, step);
+}
+
+void RunSupervisor::tickRun(Worker& worker, LiveRun& run, Step& step)
+{
+    if (run.isOrderInFlight)
+        return;
+    if (run.phase == RunPhase::Starting && step.now >= run.orderedAt + retryDelay) {
+        if (step.now < run.assignedAt + startTimeout) {
+            sendStart(worker, run, step);
+            return;
+        }
+        step.warn("run.start_timeout",
+            { { "job", run.id.task.job.value() }, { "worker", worker.record.lifetime.id.value() } });
+        run.phase = RunPhase::Stopping;
+        sendStop(worker, run, step);
+        return;
+    }
+    if (run.phase != RunPhase::Stopping || run.stopAcceptedAt)
+        return;
+    if (step.now >= run.orderedAt + stopRetryDelay)
+        sendStop(worker, run, step);
+}
+
+void RunSupervisor::hold(Worker& worker, Step& step)
+{
+    const bool isStoring = worker.processedEnd > worker.storedEnd;
+    if (isStoring && step.now < worker.holdSentAt + storeWait)
+        return;
+    const bool hasNews = worker.storedEnd > worker.acknowledgedEnd;
+    if (worker.runs.empty() && worker.isConfirmed && !hasNews)
+        return;
+    if (!worker.isListed && worker.runs.empty())
+        return;
+    const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
+    HoldWorker look { worker.record.lifetime, worker.record.address, m_epoch, worker.storedEnd };
+    const bool isWaiting = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+        return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
+    });
+    if (!worker.runs.empty() && worker.isConfirmed && !isLost) {
+        const Milliseconds lease = leaseFor(worker);
+        look.leaseUntil = worker.clockAt(step.now) + lease.count();
+        extendLease(worker, lease, step.now);
+        look.wait = isWaiting || isStoring ? Milliseconds(0) : holdWait;
+    }
+    worker.isHoldInFlight = true;
+    worker.holdSentAt = step.now;
+    worker.holdAcknowledges = worker.storedEnd;
+    step.emit(std::move(look));
+}
+
+void RunSupervisor::holdAnswered(const HoldAnswered& answer, Step& step)
+{
+    Worker* worker = addressee(answer.worker, answer.token);
+    if (!worker)
+        return;
+    worker->isHoldInFlight = false;
+    const bool isOther = answer.outcome == OrderOutcome::OtherLifetime
+        || (answer.outcome == OrderOutcome::Accepted && answer.status.bornAt
+            && answer.status.bornAt != answer.worker.bornAt);
+    if (isOther) {
+        lifetimeOver(*worker, "another lifetime answers", step);
+        return;
+    }
+    if (answer.outcome != OrderOutcome::Accepted) {
+        ++worker->unansweredHolds;
+        const bool isLost = worker->unansweredHolds >= unansweredUntilLost;
+        worker->nextHoldAt = step.now + (isLost ? lostHoldInterval : retryDelay);
+        if (worker->unansweredHolds == unansweredUntilLost)
+            step.warn("worker.silent",
+                { { "worker", answer.worker.id.value() }, { "runs", std::to_string(worker->runs.size()) } });
+        return;
+    }
+    if (worker->unansweredHolds >= unansweredUntilLost)
+        step.record("worker.answers", { { "worker", answer.worker.id.value() } });
+    worker->unansweredHolds = 0;
+    worker->nextHoldAt = step.now;
+    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->holdAcknowledges);
+    if (!worker->isConfirmed)
+        m_hasRoomChanged = true;
+    worker->isConfirmed = true;
+    noteClock(*worker, answer.status.clock, step.now);
+    processEnds(*worker, answer.status.ended, step);
+    processActive(*worker, answer.status.active, step);
+    findVanished(*worker, answer.status.active, step);
+    findStalled(*worker, step);
+    // Stops whose end is awaited are looked for at short intervals.
+    const bool isStopping = std::any_of(worker->runs.begin(), worker->runs.end(),
+        [](const auto& entry) { return entry.second.phase == RunPhase::Stopping; });
+    if (isStopping)
+        worker->nextHoldAt = step.now + std::min(m_settings.stopTimeout / 4, retryDelay);
+}
+
+void RunSupervisor::processEnds(Worker& worker, std::span<const EndedRun> ends, Step& step)
+{
+    for (const EndedRun& ended : ends) {
+        if (ended.sequence <= worker.processedEnd)
+            continue;
+        worker.processedEnd = ended.sequence;
+        if (ended.end == RunEnd::Done)
+            worker.health.runSucceeded();
+        else if (ended.end == RunEnd::Failed)
+            worker.health.runFailed(step.now);
+        else
+            worker.health.trialAborted();
+        if (findRun(worker, ended.run))
+            finish(worker, ended.run, ended.end, ended.checkpoint, step);
+        else
+            applyEnd(ended.run, ended.end, ended.checkpoint, step);
+    }
+}
+
+void RunSupervisor::noteProgress(LiveRun& run, const ActiveRun& active, TimePoint now)
+{
+    if (run.phase == RunPhase::Starting)
+        run.phase = RunPhase::Running;
+    if (!run.acceptedAt)
+        run.acceptedAt = now;
+    if (!run.activeSince)
+        run.activeSince = now;
+    if (run.percent == active.percent && run.percentSince != TimePoint {})
+        return;
+    run.percent = active.percent;
+    run.percentSince = now;
+}
+
+void RunSupervisor::processActive(Worker& worker, std::span<const ActiveRun> runs, Step& step)
+{
+    for (const ActiveRun& active : runs) {
+        LiveRun* run = findRun(worker, active.run);
+        if (!run) {
+            // A start that was carried out late, or one of an earlier leader.
+            step.warn("run.unexpected",
+                { { "job", active.run.task.job.value() }, { "run", std::to_string(active.run.run) },
+                    { "worker", worker.record.lifetime.id.value() } });
+            step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, m_epoch });
+            continue;
+        }
+        noteProgress(*run, active, step.now);
+        if (JobBook::Entry* entry = m_jobs.find(active.run.task.job))
+            entry->progress.noteCheckpoint(active.run, active.checkpoint);
+    }
+}
+
+// A run is over without an end if it was confirmed, or its stop was, before the worker was asked, and the
+// worker does not list it.
+void RunSupervisor::findVanished(Worker& worker, std::span<const ActiveRun> active, Step& step)
+{
+    std::vector<RunId> vanished;
+    for (const auto& [task, run] : worker.runs) {
+        const auto isListed = [&run](const ActiveRun& listed) { return listed.run == run.id; };
+        if (std::any_of(active.begin(), active.end(), isListed))
+            continue;
+        const auto& confirmedAt
+            = run.phase == RunPhase::Stopping && run.stopAcceptedAt ? run.stopAcceptedAt : run.acceptedAt;
+        if (confirmedAt && *confirmedAt < worker.holdSentAt && run.phase != RunPhase::Starting)
+            vanished.push_back(run.id);
+    }
+    for (const RunId& run : vanished)
+        finish(worker, run, RunEnd::Stopped, {}, step);
+}
+
+void RunSupervisor::findStalled(Worker& worker, Step& step)
+{
+    (void)worker;
+    (void)step;
+}
+
+void RunSupervisor::startAnswered(const StartAnswered& answer, Step& step)
+{
+    Worker* worker = addressee(answer.worker, answer.token);
+    LiveRun* run = worker ? findRun(*worker, answer.run) : nullptr;
+    if (!run)
+        return;
+    run->isOrderInFlight = false;
+    noteClock(*worker, answer.clock, step.now);
+    switch (answer.outcome) {
+    case OrderOutcome::Accepted:
+        if (run->phase == RunPhase::Starting)
+            run->phase = RunPhase::Running;
+        if (!run->acceptedAt)
+            run->acceptedAt = step.now;
+        return;
+    case OrderOutcome::Unknown:
+        run->mayStartLate = true;
+        return;
+    case OrderOutcome::OtherLifetime:
+        lifetimeOver(*worker, "another lifetime answers", step);
+        return;
+    case OrderOutcome::Rejected:
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::Outdated:
+        rejected(*worker, *run, answer.outcome, step);
+        return;
+    }
+}
+
+void RunSupervisor::rejected(Worker& worker, LiveRun& run, OrderOutcome outcome, Step& step)
+{
+    constexpr Milliseconds roomDoubt { 1'000 };
+    step.warn("run.rejected",
+        { { "job", run.id.task.job.value() }, { "run", std::to_string(run.id.run) },
+            { "worker", worker.record.lifetime.id.value() },
+            { "reason",
+                outcome == OrderOutcome::NoRoom         ? "room"
+                    : outcome == OrderOutcome::Outdated ? "outdated"
+                                                        : "unhealthy" } });
+    if (outcome == OrderOutcome::NoRoom)
+        worker.roomDoubtedUntil = step.now + roomDoubt;
+    if (outcome == OrderOutcome::Rejected)
+        worker.health.runStalled(step.now);
+    if (run.phase == RunPhase::Stopping)
+        return;
+    if (run.mayStartLate) {
+        run.phase = RunPhase::Stopping;
+        sendStop(worker, run, step);
+        return;
+    }
+    finish(worker, RunId(run.id), RunEnd::Stopped, {}, step);
+}
+
+void RunSupervisor::stopAnswered(const StopAnswered& answer, Step& step)
+{
+    Worker* worker = addressee(answer.worker, answer.token);
+    LiveRun* run = worker ? findRun(*worker, answer.run) : nullptr;
+    if (!run)
+        return;
+    run->isOrderInFlight = false;
+    noteClock(*worker, answer.clock, step.now);
+    if (answer.outcome == OrderOutcome::OtherLifetime)
+        lifetimeOver(*worker, "another lifetime answers", step);
+    else if (answer.outcome == OrderOutcome::Accepted && !run->stopAcceptedAt)
+        run->stopAcceptedAt = step.now;
+}
+
+void RunSupervisor::finish(
+    Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
+{
+    m_workers.detach(worker, run.task);
+    m_hasRoomChanged = true;
+    applyEnd(run, end, checkpoint, step);
+}
+
+void RunSupervisor::applyEnd(const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
+{
+    JobBook::Entry* entry = m_jobs.find(run.task.job);
+    if (!entry)
+        return;
+    const RunConsequence consequence = entry->progress.runEnded(run, end, checkpoint);
+    if (!consequence.isKnown)
+        return;
+    m_jobs.noteChange(*entry, step.now);
+    m_hasRoomChanged = true;
+    if (end != RunEnd::Done)
+        step.record("run.ended",
+            { { "job", run.task.job.value() }, { "step", std::to_string(run.task.step) },
+                { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
+                { "end", std::string(nameOf(end)) } });
+    if (consequence.newState)
+        step.record("job.ended",
+            { { "job", run.task.job.value() },
+                { "state", *consequence.newState == JobState::Completed ? "completed" : "failed" } });
+    stopAll(consequence.toStop, step);
+}
+
+void RunSupervisor::lifetimeOver(Worker& worker, std::string_view reason, Step& step)
+{
+    worker.isListed = false;
+    giveUpRuns(worker, reason, step);
+}
+
+void RunSupervisor::giveUpRuns(Worker& worker, std::string_view reason, Step& step)
+{
+    step.warn("worker.runs_lost",
+        { { "worker", worker.record.lifetime.id.value() },
+            { "born_ms", std::to_string(worker.record.lifetime.bornAt) }, { "reason", std::string(reason) },
+            { "runs", std::to_string(worker.runs.size()) } });
+    std::vector<RunId> runs;
+    for (const auto& [task, run] : worker.runs)
+        runs.push_back(run.id);
+    for (const RunId& run : runs) {
+        if (findRun(worker, run))
+            finish(worker, run, RunEnd::LeaseExpired, {}, step);
+    }
+    // It has to answer before it gets anything again.
+    worker.isConfirmed = false;
+    forgetIfGone(WorkerLifetime(worker.record.lifetime));
+}
+
+void RunSupervisor::forgetIfGone(const WorkerLifetime& lifetime)
+{
+    const Worker* worker = m_workers.find(lifetime);
+    if (worker && !worker->isListed && worker->runs.empty())
+        m_workers.erase(lifetime);
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/workers/worker_health.cpp
@@ -0,0 +1,50 @@
+#include "batch/workers/worker_health.h"
+
+#include <algorithm>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// One or two runs on end may fail through their own fault.
+constexpr int failuresUntilSuspect = 3;
+constexpr Milliseconds firstSuspension { 3'000 };
+constexpr int mostDoublings = 3;
+
+} // namespace
+
+void WorkerHealth::runSucceeded()
+{
+    m_failuresOnEnd = 0;
+    m_suspicions = 0;
+    m_isSuspect = false;
+    m_isOnTrial = false;
+}
+
+void WorkerHealth::runFailed(TimePoint now)
+{
+    ++m_failuresOnEnd;
+    if (m_isOnTrial || m_failuresOnEnd >= failuresUntilSuspect)
+        suspect(now);
+}
+
+void WorkerHealth::runStalled(TimePoint now) { suspect(now); }
+
+void WorkerHealth::suspect(TimePoint now)
+{
+    const int doublings = std::min(m_suspicions, mostDoublings);
+    if (!m_isSuspect || m_isOnTrial)
+        ++m_suspicions;
+    m_isSuspect = true;
+    m_isOnTrial = false;
+    m_suspectUntil = now + firstSuspension * (1 << doublings);
+}
+
+bool WorkerHealth::isTrusted(TimePoint) const { return !m_isSuspect; }
+
+bool WorkerHealth::isDueForTrial(TimePoint now) const
+{
+    return m_isSuspect && !m_isOnTrial && now >= m_suspectUntil;
+}
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/workers/worker_health.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "anvilmoor/time.h"
+
+#include <optional>
+
+namespace anvilmoor::batch {
+
+// Judges a worker by the runs that it had, not by what it says of itself: some workers fail or stall all that
+// they start while their reports look sound. One that fails several runs on end gets nothing for a while,
+// then one run as a trial, and waits longer each time the trial fails.
+class WorkerHealth {
+public:
+    void runSucceeded();
+    void runFailed(TimePoint now);
+    // A run stood still, or the worker refused an order as unhealthy. Counts more than a failure, which may
+    // be the run's own fault.
+    void runStalled(TimePoint now);
+
+    bool isTrusted(TimePoint now) const;
+    // Not trusted, but due for one run that shows whether it has recovered.
+    bool isDueForTrial(TimePoint now) const;
+    void trialStarted() { m_isOnTrial = true; }
+    void trialAborted() { m_isOnTrial = false; }
+
+private:
+    void suspect(TimePoint now);
+
+    int m_failuresOnEnd = 0;
+    int m_suspicions = 0;
+    bool m_isSuspect = false;
+    bool m_isOnTrial = false;
+    TimePoint m_suspectUntil {};
+};
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/workers/worker_pool.cpp
@@ -0,0 +1,79 @@
+#include "batch/workers/worker_pool.h"
+
+#include <utility>
+
+namespace anvilmoor::batch {
+
+Resources Worker::room() const
+{
+    Resources room = record.capacity;
+    room -= used;
+    return room;
+}
+
+Worker* WorkerPool::find(const WorkerLifetime& lifetime)
+{
+    const auto found = m_workers.find(lifetime);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::vector<WorkerLifetime> WorkerPool::update(const WorkerRecord& record, TimePoint now)
+{
+    std::vector<WorkerLifetime> over;
+    for (auto& [lifetime, worker] : m_workers) {
+        if (lifetime.id != record.lifetime.id || lifetime.bornAt == record.lifetime.bornAt)
+            continue;
+        worker.isListed = false;
+        over.push_back(lifetime);
+    }
+    const auto [position, isNew] = m_workers.try_emplace(record.lifetime);
+    Worker& worker = position->second;
+    worker.record = record;
+    worker.isListed = true;
+    if (isNew)
+        worker.nextHoldAt = now;
+    return over;
+}
+
+void WorkerPool::unlist(const WorkerId& id)
+{
+    for (auto& [lifetime, worker] : m_workers) {
+        if (lifetime.id == id)
+            worker.isListed = false;
+    }
+}
+
+std::vector<WorkerId> WorkerPool::listedIds() const
+{
+    std::vector<WorkerId> ids;
+    for (const auto& [lifetime, worker] : m_workers) {
+        if (worker.isListed)
+            ids.push_back(lifetime.id);
+    }
+    return ids;
+}
+
+Worker& WorkerPool::require(const WorkerLifetime& lifetime)
+{
+    Worker& worker = m_workers[lifetime];
+    worker.record.lifetime = lifetime;
+    return worker;
+}
+
+LiveRun& WorkerPool::attach(Worker& worker, LiveRun run)
+{
+    worker.used += run.resources;
+    const TaskId task = run.id.task;
+    return worker.runs.insert_or_assign(task, std::move(run)).first->second;
+}
+
+void WorkerPool::detach(Worker& worker, const TaskId& task)
+{
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end())
+        return;
+    worker.used -= found->second.resources;
+    worker.runs.erase(found);
+}
+
+} // namespace anvilmoor::batch
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -16,6 +16,8 @@
 HttpRequest requestOf(const h2o_req_t& raw)
 {
     HttpRequest request { textOf(raw.input.method), textOf(raw.input.path), {}, textOf(raw.entity) };
+    // h2o keeps this header apart from the others.
+    request.headers.push_back({ "Host", textOf(raw.input.authority) });
     for (std::size_t i = 0; i < raw.headers.size; ++i) {
         const h2o_header_t& header = raw.headers.entries[i];
         request.headers.push_back({ textOf(*header.name), textOf(header.value) });
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace anvilmoor::telemetry {
@@ -89,6 +90,36 @@
     log(level, event, std::span<const LogField>(fields.begin(), fields.size()));
 }
 
+namespace {
+
+// Lines up to PIPE_BUF bytes are written whole if the pipe has room.
+bool hasRoomForLine(int descriptor)
+{
+    pollfd state { descriptor, POLLOUT, 0 };
+    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+void EventLog::writeToStandardOutput(std::string_view line)
+{
+    static std::uint64_t dropped = 0;
+    if (!hasRoomForLine(STDOUT_FILENO)) {
+        ++dropped;
+        return;
+    }
+    if (dropped) {
+        JsonLine note;
+        note.add("event", "log.dropped").add("lines", static_cast<std::int64_t>(dropped));
+        const std::string text = note.finish();
+        dropped = 0;
+        // The count is for the reader; if even this line is lost, the next loss is counted anew.
+        (void)!::write(STDOUT_FILENO, text.data(), text.size());
+    }
+    if (::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+        ++dropped;
+}
+
 void EventLog::writeToStandardError(std::string_view line)
 {
     // A reader that stalls blocks the daemon here; a short write is finished, an error gives the line up.
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -45,6 +45,9 @@
     // One write per line, so that lines of several processes on one pipe do not mix. A line that cannot be
     // written is dropped.
     static void writeToStandardError(std::string_view line);
+    // Never waits for the reader: a line that does not fit into the pipe is dropped, and the next line that
+    // does is preceded by one with the number of dropped lines.
+    static void writeToStandardOutput(std::string_view line);
 
 private:
     Process m_process;
