Evict by cost per worker, with a penalty for repeated stops

A gang that had just been restarted had lost little work, so it was the cheapest victim again; some gangs were stopped five times. Work that had already missed its objective evicted too.

Ruled out: room that is too small for urgent work (it starts at once when nothing waits).

The search now frees room worker by worker at the least cost; a candidate's cost is its lost work and a fifth of its whole work, three times as much for priority 1, and rises with each stop that its job has suffered.

Acceptance is logged with shape and account.

--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -4,6 +4,7 @@
 #include "batch/store/tables.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,16 @@
 constexpr std::size_t jobIdLength = 16;
 constexpr std::size_t mostEndStates = 4'096;
 
+// "4x8" for a step of four tasks with eight accelerators each; "g" marks a gang, "r" one that needs one rack.
+std::string shapeOf(const JobSpecification& job)
+{
+    std::string shape;
+    for (const StepSpecification& step : job.steps)
+        shape += fmt::format("{}{}x{}{}{}", shape.empty() ? "" : "+", step.taskCount,
+            step.perTask.accelerators, step.isGang ? "g" : "", step.needsOneRack ? "r" : "");
+    return shape;
+}
+
 bool isJobId(std::string_view text)
 {
     return text.size() == jobIdLength && std::all_of(text.begin(), text.end(), [](char c) {
@@ -103,6 +114,10 @@
     job.terms = { queue.name, queue.service, account ? account->name : ClientAccountId(), queue.priority,
         queue.maxAttempts, queue.stretch, queue.latencyTarget };
     Request request { caller.caller, CallerAction::Submit, id };
+    request.queue = queue.name;
+    request.priority = queue.priority;
+    request.account = job.terms.account;
+    request.shape = shapeOf(job.specification);
     request.transaction.expected.push_back({ jobKey(id), 0 });
     request.transaction.writes.push_back({ jobKey(id), encodeJob(job) });
     request.answerBy = step.now + (caller.timeout.count() ? caller.timeout : defaultCallerTimeout);
@@ -176,6 +191,15 @@
 
 void JobIntake::failed(Request& request, Step& step) { request.repeatAt = step.now + repeatDelay; }
 
+void JobIntake::recordAcceptance(const Request& request, Step& step)
+{
+    step.record("job.accepted",
+        { { "job", request.job.value() }, { "queue", request.queue },
+            { "priority", std::to_string(request.priority) }, { "account", request.account.value() },
+            { "shape", request.shape }, { "attempts", std::to_string(request.attempts) },
+            { "waited_ms", std::to_string((step.now - request.receivedAt).count()) } });
+}
+
 void JobIntake::commitAnswered(const CommitAnswered& answered, Step& step)
 {
     const auto found = m_requests.find(answered.operation);
@@ -190,9 +214,7 @@
         return;
     }
     if (request.action == CallerAction::Submit)
-        step.record("job.accepted",
-            { { "job", request.job.value() },
-                { "waited_ms", std::to_string((step.now - request.receivedAt).count()) } });
+        recordAcceptance(request, step);
     answer(
         request, request.action == CallerAction::Submit ? AnswerKind::Accepted : AnswerKind::Cancelled, step);
     finish(answered.operation);
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -52,6 +52,11 @@
         JobId job;
         Stage stage = Stage::Storing;
         Transaction transaction;
+        // Of a submission, for its log line.
+        std::string queue;
+        int priority = 0;
+        ClientAccountId account;
+        std::string shape;
         TimePoint receivedAt {};
         TimePoint answerBy {};
         OperationId operation = 0;
@@ -64,6 +69,7 @@
     void submit(const CallerRequest&, const QueueConfiguration&, JobId, Step&);
     void query(const CallerRequest&, JobId, Step&);
     void cancel(const CallerRequest&, JobId, Step&);
+    static void recordAcceptance(const Request&, Step&);
     void open(Request, Step&);
     void send(Request&, Step&);
     void failed(Request&, Step&);
--- a/src/batch/placement/eviction.cpp
+++ b/src/batch/placement/eviction.cpp
@@ -2,118 +2,154 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <set>
 #include <utility>
 
 namespace anvilmoor::batch {
 
 namespace {
 
-// The search for one group of workers: candidates go, cheapest for the room that they add first, until the
-// unit fits.
+constexpr double unaffordable = std::numeric_limits<double>::max();
+
+// Frees room for one task after the other within a group of workers, each time on the worker where that costs
+// least. Room that a chosen gang frees on other workers counts for the tasks that follow.
 class GroupSearch {
 public:
     GroupSearch(const PlacementRequest& request, const CapacityView& view,
         const std::vector<EvictionCandidate>& candidates, const std::vector<std::size_t>& workers)
         : m_request(request)
-        , m_view(view)
         , m_candidates(candidates)
     {
-        for (const std::size_t index : workers)
-            m_rooms.emplace(view.workers()[index].lifetime, &view.workers()[index]);
+        for (const std::size_t index : workers) {
+            const WorkerCapacity& worker = view.workers()[index];
+            m_places.emplace(worker.lifetime, Place { &worker, worker.room, {}, 0 });
+        }
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            for (const auto& [lifetime, resources] : candidates[i].room) {
+                const auto place = m_places.find(lifetime);
+                if (place != m_places.end())
+                    place->second.candidates.insert(i);
+            }
+        }
     }
 
-    // Indices of the candidates that go; empty if they do not suffice.
-    std::optional<std::vector<std::size_t>> run(double& lostWork)
+    // Stops early once the cost exceeds the limit.
+    std::optional<EvictionPlan> run(double limit)
     {
-        for (const auto& [lifetime, worker] : m_rooms)
-            m_room[lifetime] = worker->room;
-        std::vector<std::size_t> chosen;
-        std::set<std::size_t> left;
-        for (std::size_t i = 0; i < m_candidates.size(); ++i)
-            left.insert(i);
-        int fitting = countFitting(m_room);
-        while (fitting < m_request.tasks) {
-            const auto next = cheapest(left, fitting);
-            if (!next)
+        for (int task = 0; task < m_request.tasks; ++task) {
+            Place* best = nullptr;
+            Step cheapest;
+            cheapest.cost = unaffordable;
+            for (auto& [lifetime, place] : m_places) {
+                Step step = stepFor(lifetime, place);
+                if (step.cost >= cheapest.cost)
+                    continue;
+                cheapest = std::move(step);
+                best = &place;
+            }
+            if (!best || m_plan.cost + cheapest.cost >= limit)
                 return std::nullopt;
-            free(m_room, m_candidates[*next]);
-            lostWork += m_candidates[*next].lostWork;
-            chosen.push_back(*next);
-            left.erase(*next);
-            fitting = countFitting(m_room);
+            take(*best, cheapest);
         }
-        return chosen;
+        return std::move(m_plan);
     }
 
 private:
-    using Rooms = std::map<WorkerLifetime, Resources>;
-
-    int fittingOn(const WorkerLifetime& lifetime, const Resources& room) const
-    {
-        return tasksThatFit(m_request, *m_rooms.at(lifetime), room);
-    }
-
-    int countFitting(const Rooms& rooms) const
+    struct Place {
+        const WorkerCapacity* worker = nullptr;
+        Resources room;
+        std::set<std::size_t> candidates;
+        int taken = 0; // tasks of the unit
+    };
+    struct Step {
+        double cost = unaffordable;
+        std::vector<std::size_t> victims;
+    };
+
+    bool fitsOneMore(const Place& place, const Resources& room) const
     {
-        int fitting = 0;
-        for (const auto& [lifetime, room] : rooms)
-            fitting += fittingOn(lifetime, room);
-        return fitting;
+        // The limit of tasks per worker counts those that this plan puts here.
+        Resources free = room;
+        for (int i = 0; i < place.taken; ++i)
+            free += m_request.perTask;
+        return tasksThatFit(m_request, *place.worker, free) > place.taken;
     }
 
-    static void free(Rooms& rooms, const EvictionCandidate& candidate)
+    Resources freedHere(const WorkerLifetime& lifetime, std::size_t candidate) const
     {
-        for (const auto& [lifetime, resources] : candidate.room) {
-            const auto room = rooms.find(lifetime);
-            if (room != rooms.end())
-                room->second += resources;
+        Resources freed;
+        for (const auto& [where, resources] : m_candidates[candidate].room) {
+            if (where == lifetime)
+                freed += resources;
         }
+        return freed;
     }
 
-    // A candidate that makes no task fit yet still counts by the part of one that it frees.
-    double gainOf(const EvictionCandidate& candidate) const
+    // Cheapest first for the accelerators that a candidate frees here; those that prove needless are left
+    // out.
+    Step stepFor(const WorkerLifetime& lifetime, const Place& place) const
     {
-        double gain = 0;
-        for (const auto& [lifetime, resources] : candidate.room) {
-            const auto room = m_room.find(lifetime);
-            if (room == m_room.end())
+        Step step;
+        step.cost = 0;
+        Resources room = place.room;
+        if (fitsOneMore(place, room))
+            return step;
+        std::vector<std::size_t> order(place.candidates.begin(), place.candidates.end());
+        const auto price = [&](std::size_t candidate) {
+            const auto freed = static_cast<double>(freedHere(lifetime, candidate).accelerators);
+            return m_candidates[candidate].cost / std::max(freed, 0.5);
+        };
+        std::sort(order.begin(), order.end(),
+            [&](std::size_t a, std::size_t b) { return std::pair(price(a), a) < std::pair(price(b), b); });
+        for (const std::size_t candidate : order) {
+            room += freedHere(lifetime, candidate);
+            step.victims.push_back(candidate);
+            if (fitsOneMore(place, room))
+                break;
+        }
+        if (!fitsOneMore(place, room)) {
+            step.cost = unaffordable;
+            return step;
+        }
+        for (std::size_t i = 0; i + 1 < step.victims.size();) {
+            Resources less = room;
+            less -= freedHere(lifetime, step.victims[i]);
+            if (!fitsOneMore(place, less)) {
+                ++i;
                 continue;
-            Resources freed = room->second;
-            const int before = fittingOn(lifetime, freed);
-            freed += resources;
-            gain += fittingOn(lifetime, freed) - before;
-            if (m_request.perTask.accelerators && m_rooms.at(lifetime)->whole.accelerators)
-                gain += partialWeight * static_cast<double>(resources.accelerators)
-                    / static_cast<double>(m_request.perTask.accelerators);
+            }
+            room = less;
+            step.victims.erase(step.victims.begin() + static_cast<std::ptrdiff_t>(i));
         }
-        return gain;
+        for (const std::size_t candidate : step.victims)
+            step.cost += m_candidates[candidate].cost;
+        return step;
     }
 
-    std::optional<std::size_t> cheapest(const std::set<std::size_t>& left, int) const
+    void take(Place& place, const Step& step)
     {
-        std::optional<std::size_t> best;
-        double bestPrice = std::numeric_limits<double>::max();
-        for (const std::size_t index : left) {
-            const double gain = gainOf(m_candidates[index]);
-            if (gain <= 0)
-                continue;
-            const double price = (m_candidates[index].lostWork + smallestLoss) / gain;
-            if (price >= bestPrice)
-                continue;
-            best = index;
-            bestPrice = price;
+        for (const std::size_t candidate : step.victims) {
+            const EvictionCandidate& victim = m_candidates[candidate];
+            m_plan.victims.insert(m_plan.victims.end(), victim.runs.begin(), victim.runs.end());
+            for (const auto& [lifetime, resources] : victim.room) {
+                const auto freed = m_places.find(lifetime);
+                if (freed == m_places.end())
+                    continue;
+                freed->second.room += resources;
+                freed->second.candidates.erase(candidate);
+            }
         }
-        return best;
+        place.room -= m_request.perTask;
+        ++place.taken;
+        m_plan.cost += step.cost;
+        m_plan.workers.push_back(place.worker->lifetime);
     }
 
-    static constexpr double partialWeight = 0.3;
-    static constexpr double smallestLoss = 1; // core-seconds; a stop is never free
-
     const PlacementRequest& m_request;
-    const CapacityView& m_view;
     const std::vector<EvictionCandidate>& m_candidates;
-    std::map<WorkerLifetime, const WorkerCapacity*> m_rooms;
-    Rooms m_room;
+    std::map<WorkerLifetime, Place> m_places;
+    EvictionPlan m_plan;
 };
 
 std::vector<std::vector<std::size_t>> groupsFor(const PlacementRequest& request, const CapacityView& view)
@@ -138,35 +174,15 @@
 } // namespace
 
 std::optional<EvictionPlan> planEviction(const PlacementRequest& request, const CapacityView& view,
-    std::vector<EvictionCandidate> candidates, const PlacementPolicy& placement)
+    const std::vector<EvictionCandidate>& candidates)
 {
-    std::optional<std::vector<std::size_t>> best;
-    double leastLost = std::numeric_limits<double>::max();
+    std::optional<EvictionPlan> best;
     for (const std::vector<std::size_t>& group : groupsFor(request, view)) {
-        double lost = 0;
-        auto chosen = GroupSearch(request, view, candidates, group).run(lost);
-        if (!chosen || lost >= leastLost)
-            continue;
-        best = std::move(chosen);
-        leastLost = lost;
-    }
-    if (!best)
-        return std::nullopt;
-    CapacityView freed = view;
-    EvictionPlan plan;
-    for (const std::size_t index : *best) {
-        const EvictionCandidate& candidate = candidates[index];
-        plan.victims.insert(plan.victims.end(), candidate.runs.begin(), candidate.runs.end());
-        for (const auto& [lifetime, resources] : candidate.room) {
-            if (WorkerCapacity* worker = freed.find(lifetime))
-                worker->room += resources;
-        }
+        auto plan = GroupSearch(request, view, candidates, group).run(best ? best->cost : unaffordable);
+        if (plan)
+            best = std::move(plan);
     }
-    auto workers = placement.place(request, freed);
-    if (!workers)
-        return std::nullopt;
-    plan.workers = std::move(*workers);
-    return plan;
+    return best;
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/eviction.h
+++ b/src/batch/placement/eviction.h
@@ -2,9 +2,8 @@
 
 #include "batch/placement/placement_policy.h"
 
-#include <map>
 #include <optional>
-#include <set>
+#include <utility>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -12,17 +11,18 @@
 // Runs that can only be stopped together: a single one, or a gang.
 struct EvictionCandidate {
     std::vector<RunId> runs;
-    std::vector<std::pair<WorkerLifetime, Resources>> room; // that it would free
-    double lostWork = 0; // core-seconds that would have to be done again
+    std::vector<std::pair<WorkerLifetime, Resources>> room; // that it would free, for each run
+    double cost = 0; // what the stop loses, in core-seconds
 };
 
 struct EvictionPlan {
     std::vector<WorkerLifetime> workers; // one for each task of the unit
     std::vector<RunId> victims;
+    double cost = 0;
 };
 
-// Chooses what to stop so that the unit fits, with the least work lost. Empty if nothing helps.
+// Chooses what to stop so that the unit fits, at the least cost. Empty if nothing helps.
 std::optional<EvictionPlan> planEviction(
-    const PlacementRequest&, const CapacityView&, std::vector<EvictionCandidate>, const PlacementPolicy&);
+    const PlacementRequest&, const CapacityView&, const std::vector<EvictionCandidate>&);
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -18,6 +18,12 @@
 // What a checkpointed run loses by a stop: the time to restore it.
 constexpr double restoreSeconds = 0.2;
 
+// A stopped run has to find room again: part of its work counts as lost with it, more with each stop that its
+// job has suffered, and less urgent work counts less.
+constexpr double replacementShare = 0.2;
+constexpr double stopPenalty = 1.0;
+constexpr double weightOfPriorityOne = 3;
+
 Resources countedResources(const StepSpecification& step)
 {
     Resources resources = step.perTask;
@@ -66,6 +72,7 @@
     m_failed.clear();
     m_victims.clear();
     m_siblings.clear();
+    std::erase_if(m_stops, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
     std::vector<WaitingUnit> waiting = collect(jobs, configuration, wallTime);
     if (waiting.empty())
@@ -188,7 +195,11 @@
         reserve(view, reservation->second, true);
         return;
     }
-    const bool mayEvict = !waiting.job->job().terms.priority;
+    // Late work gains little by a stop.
+    const AcceptedJob& job = waiting.job->job();
+    const bool isInTime
+        = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
+    const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
     if (!hasMadeRoom && !request.step.maxTasksPerWorker)
         m_failed.insert(shape);
@@ -216,7 +227,12 @@
             const TimePoint since = run.acceptedAt.value_or(now);
             const double worked = static_cast<double>((now - since).count()) / 1'000;
             const double lost = step.savesCheckpoints ? std::min(worked, restoreSeconds) : worked;
-            candidate.lostWork += lost * coresOf(run.resources);
+            const double estimate = static_cast<double>(step.estimatedDuration.count()) / 1'000;
+            const double weight = run.priority > 1 ? 1 : weightOfPriorityOne;
+            const double price = (lost + replacementShare * estimate) * coresOf(run.resources);
+            const auto stops = m_stops.find(task.job);
+            candidate.cost
+                += weight * price * (1 + stopPenalty * (stops == m_stops.end() ? 0 : stops->second));
         }
     }
     std::vector<EvictionCandidate> result;
@@ -230,9 +246,14 @@
 bool PlacementRound::evictFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view,
     PlacementOutcome& outcome, TimePoint now)
 {
-    auto plan = planEviction(request, view, candidatesFor(waiting, now), m_placement);
+    auto plan = planEviction(request, view, candidatesFor(waiting, now));
     if (!plan)
         return false;
+    std::set<JobId> stopped;
+    for (const RunId& victim : plan->victims)
+        stopped.insert(victim.task.job);
+    for (const JobId& job : stopped)
+        ++m_stops[job];
     m_victims.insert(plan->victims.begin(), plan->victims.end());
     outcome.victims.insert(outcome.victims.end(), plan->victims.begin(), plan->victims.end());
     Reservation reservation { std::move(plan->workers), request.perTask, waiting.job->job().terms.service,
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -34,7 +34,11 @@
 
     PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
     // Forgets all reserved room.
-    void clear() { m_reservations.clear(); }
+    void clear()
+    {
+        m_reservations.clear();
+        m_stops.clear();
+    }
 
 private:
     struct UnitKey {
@@ -85,6 +89,7 @@
     const PlacementPolicy& m_placement;
     const QueueOrder& m_order;
     std::map<UnitKey, Reservation> m_reservations;
+    std::map<JobId, int> m_stops; // evictions that a job has suffered
     // Of the round at hand.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
