Keep idle workers in each rack for urgent gangs

Each stop also throws work away.

Ruled out: slower stores or commits; an urgent job that finds room starts within 30 ms of its acceptance.

Work of priority 1 leaves one idle worker a rack, lower work two, while 60% of the accelerators are in use.

--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -1,5 +1,6 @@
 #include "batch/placement/capacity_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -18,6 +19,39 @@
     return found == m_index.end() ? nullptr : &m_workers[found->second];
 }
 
+double CapacityView::usedShare() const
+{
+    std::int64_t whole = 0;
+    std::int64_t free = 0;
+    for (const WorkerCapacity& worker : m_workers) {
+        whole += worker.whole.accelerators;
+        free += std::max<std::int64_t>(worker.room.accelerators, 0);
+    }
+    return whole ? 1 - static_cast<double>(free) / static_cast<double>(whole) : 0;
+}
+
+CapacityView::Hidden CapacityView::hideIdleWorkers(std::size_t count)
+{
+    Hidden hidden;
+    for (const auto& [rack, workers] : m_racks) {
+        std::size_t left = count;
+        for (const std::size_t index : workers) {
+            WorkerCapacity& worker = m_workers[index];
+            if (!left || worker.room != worker.whole)
+                continue;
+            hidden.emplace_back(index, std::exchange(worker.room, Resources {}));
+            --left;
+        }
+    }
+    return hidden;
+}
+
+void CapacityView::restore(const Hidden& hidden)
+{
+    for (const auto& [index, room] : hidden)
+        m_workers[index].room = room;
+}
+
 std::map<ServiceId, CapacityView> capacityOf(const WorkerPool& pool, TimePoint now)
 {
     std::map<ServiceId, CapacityView> services;
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -31,6 +32,12 @@
     const std::vector<WorkerCapacity>& workers() const { return m_workers; }
     // Indices into workers().
     const std::map<RackId, std::vector<std::size_t>>& racks() const { return m_racks; }
+    // Of the accelerators of all workers, the share that is in use.
+    double usedShare() const;
+    // Takes the room of up to `count` idle workers of each rack out of the view, until it is restored.
+    using Hidden = std::vector<std::pair<std::size_t, Resources>>;
+    Hidden hideIdleWorkers(std::size_t count);
+    void restore(const Hidden&);
     // Null if the worker gets no new runs.
     WorkerCapacity* find(const WorkerLifetime&);
 
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -12,6 +12,11 @@
 // Victims are gone after their stop; room that is not there by then is offered to all again.
 constexpr Milliseconds reservationTime { 2'500 };
 
+// Idle workers that each rack keeps, for each step down in priority.
+constexpr int headroomPerPriority = 1;
+// Of the accelerators.
+constexpr double headroomFromShare = 0.6;
+
 // An accelerator counts as this many cores in the price of lost work.
 constexpr double coresPerAccelerator = 8;
 
@@ -180,7 +185,7 @@
         return;
     if (isReserved)
         reserve(view, reservation->second, false);
-    auto workers = m_placement.place(request, view);
+    auto workers = placeWithHeadroom(waiting, request, view);
     if (workers) {
         if (isReserved)
             m_reservations.erase(reservation);
@@ -205,6 +210,21 @@
         m_failed.insert(shape);
 }
 
+// Less urgent work leaves idle workers in each rack, so that urgent gangs start without a stop; but only
+// while most of the service is in use.
+std::optional<std::vector<WorkerLifetime>> PlacementRound::placeWithHeadroom(
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view) const
+{
+    const int priority = waiting.job->job().terms.priority;
+    const auto keep = static_cast<std::size_t>(std::min(priority, 2) * headroomPerPriority);
+    if (!keep || view.usedShare() < headroomFromShare)
+        return m_placement.place(request, view);
+    const CapacityView::Hidden hidden = view.hideIdleWorkers(keep);
+    auto workers = m_placement.place(request, view);
+    view.restore(hidden);
+    return workers;
+}
+
 std::vector<EvictionCandidate> PlacementRound::candidatesFor(const WaitingUnit& waiting, TimePoint now) const
 {
     std::map<UnitKey, EvictionCandidate> candidates;
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -84,6 +85,8 @@
     // False if no eviction makes room.
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
+    std::optional<std::vector<WorkerLifetime>> placeWithHeadroom(
+        const WaitingUnit&, const PlacementRequest&, CapacityView&) const;
     std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
 
     const PlacementPolicy& m_placement;
