--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds reservationTime { 2'500 };
 
 // Idle workers that each rack keeps, for each step down in priority.
-constexpr int headroomPerPriority = 1;
+constexpr int headroomPerPriority = 2;
 // Of the accelerators.
 constexpr double headroomFromShare = 0.6;
 
