--- a/src/batch/intake/configuration_view.cpp
+++ b/src/batch/intake/configuration_view.cpp
@@ -22,9 +22,11 @@
     return isNewer;
 }
 
-bool ConfigurationView::isConfirmed(TimePoint now) const
+bool ConfigurationView::isConfirmed(TimePoint now) const { return isFresh(now, m_longestUnconfirmed); }
+
+bool ConfigurationView::isFresh(TimePoint now, Milliseconds age) const
 {
-    return hasConfiguration() && m_knownAt && now < *m_knownAt + m_longestUnconfirmed;
+    return hasConfiguration() && m_knownAt && now < *m_knownAt + age;
 }
 
 const QueueConfiguration* ConfigurationView::findQueue(std::string_view host, std::string_view path) const
--- a/src/batch/intake/configuration_view.h
+++ b/src/batch/intake/configuration_view.h
@@ -21,6 +21,8 @@
 
     bool hasConfiguration() const { return m_configuration.version != 0; }
     bool isConfirmed(TimePoint now) const;
+    // Confirmed within this time.
+    bool isFresh(TimePoint now, Milliseconds age) const;
     const Configuration& current() const { return m_configuration; }
 
     // The queue with the longest prefix of the path. Null if there is none.
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -13,6 +13,9 @@
 constexpr Milliseconds shutdownLinger { 2'600 };
 // Before SIGKILL, so that the last answers leave the host.
 constexpr Milliseconds shutdownMargin { 700 };
+// The configuration is confirmed every 0.8 s. A daemon that misses this has most likely lost the store, and
+// new connections are better served elsewhere.
+constexpr Milliseconds readyWithin { 2'000 };
 
 } // namespace
 
@@ -34,7 +37,10 @@
     return effects;
 }
 
-bool BatchReducer::isReady(TimePoint now) const { return !m_shutdownAt && m_configuration.isConfirmed(now); }
+bool BatchReducer::isReady(TimePoint now) const
+{
+    return !m_shutdownAt && m_configuration.isFresh(now, readyWithin);
+}
 
 std::optional<JobState> BatchReducer::stateOf(const JobId& job, TimePoint now) const
 {
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -13,11 +13,11 @@
 namespace anvilmoor::batch {
 
 // How long a leader may act on its last commit, on its own clock.
-constexpr Milliseconds leaseDuration { 2'500 };
+constexpr Milliseconds leaseDuration { 1'600 };
 // A candidate waits this much longer: its reading of the row's change, and clocks that differ by 2%.
-constexpr Milliseconds leaseMargin { 400 };
+constexpr Milliseconds leaseMargin { 300 };
 // A leader commits at least this often.
-constexpr Milliseconds leaseRenewalInterval { 500 };
+constexpr Milliseconds leaseRenewalInterval { 350 };
 
 // The row that names the leader. Every commit of the leader rewrites it.
 struct LeaseRecord {
