--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -16,6 +16,8 @@
 constexpr int headroomPerPriority = 2;
 // Of the accelerators.
 constexpr double headroomFromShare = 0.6;
+// Room is kept for urgent work only while such work comes.
+constexpr Milliseconds urgentMemory { 3'000 };
 
 // An accelerator counts as this many cores in the price of lost work.
 constexpr double coresPerAccelerator = 8;
@@ -79,7 +81,7 @@
     m_siblings.clear();
     std::erase_if(m_stops, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
-    std::vector<WaitingUnit> waiting = collect(jobs, configuration, wallTime);
+    std::vector<WaitingUnit> waiting = collect(jobs, configuration, now, wallTime);
     if (waiting.empty())
         return outcome;
     Views views = capacityOf(workers, now);
@@ -91,7 +93,7 @@
 }
 
 std::vector<WaitingUnit> PlacementRound::collect(
-    JobBook& jobs, const Configuration& configuration, WallTime wallTime) const
+    JobBook& jobs, const Configuration& configuration, TimePoint now, WallTime wallTime)
 {
     std::map<ClientAccountId, std::int64_t> unused;
     for (const ClientAccountConfiguration& account : configuration.accounts)
@@ -108,6 +110,7 @@
         entry->progress.openDueOccurrences(wallTime);
         bool isGuaranteed = false;
         if (!job.terms.priority) {
+            m_urgentSeenAt = now;
             std::int64_t& left = unused[job.terms.account];
             const std::int64_t need = acceleratorsOf(job);
             isGuaranteed = need <= left;
@@ -185,7 +188,7 @@
         return;
     if (isReserved)
         reserve(view, reservation->second, false);
-    auto workers = placeWithHeadroom(waiting, request, view);
+    auto workers = placeWithHeadroom(waiting, request, view, now);
     if (workers) {
         if (isReserved)
             m_reservations.erase(reservation);
@@ -213,11 +216,12 @@
 // Less urgent work leaves idle workers in each rack, so that urgent gangs start without a stop; but only
 // while most of the service is in use.
 std::optional<std::vector<WorkerLifetime>> PlacementRound::placeWithHeadroom(
-    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view) const
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now) const
 {
     const int priority = waiting.job->job().terms.priority;
     const auto keep = static_cast<std::size_t>(std::min(priority, 2) * headroomPerPriority);
-    if (!keep || view.usedShare() < headroomFromShare)
+    const bool isUrgentWorkDue = m_urgentSeenAt && now < *m_urgentSeenAt + urgentMemory;
+    if (!keep || !isUrgentWorkDue || view.usedShare() < headroomFromShare)
         return m_placement.place(request, view);
     const CapacityView::Hidden hidden = view.hideIdleWorkers(keep);
     auto workers = m_placement.place(request, view);
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -77,7 +77,7 @@
 
     static UnitKey keyOf(const PlacementUnit&);
     static UnitKey stepKeyOf(const PlacementUnit&);
-    std::vector<WaitingUnit> collect(JobBook&, const Configuration&, WallTime) const;
+    std::vector<WaitingUnit> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
     void applyReservations(Views&, TimePoint now);
     static void reserve(CapacityView&, const Reservation&, bool isTaken);
     PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime) const;
@@ -86,13 +86,14 @@
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeWithHeadroom(
-        const WaitingUnit&, const PlacementRequest&, CapacityView&) const;
+        const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
 
     const PlacementPolicy& m_placement;
     const QueueOrder& m_order;
     std::map<UnitKey, Reservation> m_reservations;
     std::map<JobId, int> m_stops; // evictions that a job has suffered
+    std::optional<TimePoint> m_urgentSeenAt; // a job of priority 0 that had not ended
     // Of the round at hand.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
--- a/src/platform/codec_error.h
+++ b/src/clients/codec_error.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 // A message that does not have its documented form.
 struct CodecError {
@@ -15,4 +15,4 @@
 
 template <typename Message> using Decoded = tl::expected<Message, CodecError>;
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/endpoint_client.cpp
+++ b/src/clients/endpoint_client.cpp
@@ -1,9 +1,9 @@
-#include "platform/endpoint_client.h"
+#include "clients/endpoint_client.h"
 
 #include <unordered_map>
 #include <utility>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -55,4 +55,4 @@
     return std::make_unique<HttpEndpointClient>(client);
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/endpoint_client.h
+++ b/src/clients/endpoint_client.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "anvilmoor/effect.h"
+#include "clients/endpoint_codec.h"
 #include "net/http.h"
-#include "platform/endpoint_codec.h"
 
 #include <functional>
 #include <memory>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using EndpointCallback = std::function<void(EndpointOutcome)>;
 
@@ -24,4 +24,4 @@
 
 std::unique_ptr<EndpointClient> makeEndpointClient(net::HttpClient&);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/endpoint_codec.cpp
+++ b/src/clients/endpoint_codec.cpp
@@ -1,10 +1,10 @@
-#include "platform/endpoint_codec.h"
+#include "clients/endpoint_codec.h"
 
 #include "net/url_path.h"
 
 #include <fmt/format.h>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -80,4 +80,4 @@
     return EndpointAnswered { call.call, identity, result->body };
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/endpoint_codec.h
+++ b/src/clients/endpoint_codec.h
@@ -2,12 +2,12 @@
 
 #include "anvilmoor/effect.h"
 #include "anvilmoor/event.h"
+#include "clients/codec_error.h"
 #include "net/http.h"
-#include "platform/codec_error.h"
 
 #include <variant>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using EndpointOutcome = std::variant<EndpointAnswered, EndpointFailed>;
 
@@ -24,4 +24,4 @@
 // response without length or with another identity is Lost.
 EndpointOutcome decodeEndpointResponse(const net::HttpResult&, const CallEndpoint&);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/host_list_client.cpp
+++ b/src/clients/host_list_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/host_list_client.h"
+#include "clients/host_list_client.h"
 
-#include "platform/host_list_codec.h"
+#include "clients/host_list_codec.h"
 
 #include <fmt/format.h>
 #include <utility>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -68,4 +68,4 @@
     return std::make_unique<HttpHostListClient>(client, std::move(address), timeout);
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/host_list_client.h
+++ b/src/clients/host_list_client.h
@@ -9,7 +9,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 struct HostListError {
     std::string detail;
@@ -31,4 +31,4 @@
 std::unique_ptr<HostListClient> makeHostListClient(
     net::HttpClient&, net::SocketAddress, Milliseconds timeout = hostListTimeout);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/host_list_codec.cpp
+++ b/src/clients/host_list_codec.cpp
@@ -1,10 +1,10 @@
-#include "platform/host_list_codec.h"
+#include "clients/host_list_codec.h"
 
-#include "platform/json_reader.h"
+#include "clients/json_reader.h"
 
 #include <array>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -35,4 +35,4 @@
     return reader.result(std::move(hosts));
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/json_reader.cpp
+++ b/src/clients/json_reader.cpp
@@ -1,9 +1,9 @@
-#include "platform/json_reader.h"
+#include "clients/json_reader.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -223,4 +223,4 @@
     }
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/json_reader.h
+++ b/src/clients/json_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "anvilmoor/time.h"
-#include "platform/codec_error.h"
+#include "clients/codec_error.h"
 
 #include <cstdint>
 #include <limits>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 // Reads the fields of a JSON object. A missing field or one of a wrong type gives a neutral value and
 // records a problem, which every reader of the same document shares; the first one is kept.
@@ -81,4 +81,4 @@
 
 Encoded toText(const nlohmann::json&);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/object_client.cpp
+++ b/src/clients/object_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/object_client.h"
+#include "clients/object_client.h"
 
 #include "net/url_path.h"
 
 #include <fmt/format.h>
 #include <utility>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -80,4 +80,4 @@
     return std::make_unique<HttpObjectClient>(client, std::move(address), timeout);
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/object_client.h
+++ b/src/clients/object_client.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 enum class ObjectErrorKind {
     NotFound,
@@ -40,4 +40,4 @@
 std::unique_ptr<ObjectClient> makeObjectClient(
     net::HttpClient&, net::SocketAddress, Milliseconds timeout = objectTimeout);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/table_client.cpp
+++ b/src/clients/table_client.cpp
@@ -1,10 +1,10 @@
-#include "platform/table_client.h"
+#include "clients/table_client.h"
 
-#include "platform/table_codec.h"
+#include "clients/table_codec.h"
 
 #include <utility>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -74,4 +74,4 @@
     return std::make_unique<HttpTableClient>(client, std::move(address), timeout);
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/table_client.h
+++ b/src/clients/table_client.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <memory>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using TableCallback = std::function<void(TableReply)>;
 
@@ -26,4 +26,4 @@
 std::unique_ptr<TableClient> makeTableClient(
     net::HttpClient&, net::SocketAddress, Milliseconds timeout = tableTimeout);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/table_codec.cpp
+++ b/src/clients/table_codec.cpp
@@ -1,10 +1,10 @@
-#include "platform/table_codec.h"
+#include "clients/table_codec.h"
 
-#include "platform/json_reader.h"
+#include "clients/json_reader.h"
 
 #include <algorithm>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using nlohmann::json;
 
@@ -112,4 +112,4 @@
     return reader.result(std::move(reply));
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/table_codec.h
+++ b/src/clients/table_codec.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "anvilmoor/table.h"
-#include "platform/codec_error.h"
+#include "clients/codec_error.h"
 
 #include <string_view>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 // Both directions of the table's messages (design page, section 6). A commit's answer also holds
 // `written:[{key,version}]`.
@@ -24,4 +24,4 @@
 Encoded encodeReadReply(const TableReply&, RowVersion revision);
 Decoded<TableReply> decodeReadReply(std::string_view);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/worker_client.cpp
+++ b/src/clients/worker_client.cpp
@@ -1,12 +1,12 @@
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 
+#include "clients/worker_codec.h"
 #include "net/url_path.h"
-#include "platform/worker_codec.h"
 
 #include <fmt/format.h>
 #include <utility>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 namespace {
 
@@ -71,4 +71,4 @@
     return std::make_unique<HttpWorkerClient>(client);
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/worker_client.h
+++ b/src/clients/worker_client.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <variant>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using RackSyncOutcome = std::variant<RackSynced, RackSyncFailed>;
 using RackSyncCallback = std::function<void(RackSyncOutcome)>;
@@ -34,4 +34,4 @@
 
 std::unique_ptr<WorkerClient> makeWorkerClient(net::HttpClient&);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/worker_codec.cpp
+++ b/src/clients/worker_codec.cpp
@@ -1,11 +1,11 @@
-#include "platform/worker_codec.h"
+#include "clients/worker_codec.h"
 
-#include "platform/json_reader.h"
+#include "clients/json_reader.h"
 
 #include <algorithm>
 #include <array>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using nlohmann::json;
 
@@ -160,4 +160,4 @@
     return reader.result(reader.oneOf<WorkerCommandResult>("result", resultNames));
 }
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/platform/worker_codec.h
+++ b/src/clients/worker_codec.h
@@ -3,11 +3,11 @@
 #include "anvilmoor/effect.h"
 #include "anvilmoor/event.h"
 #include "anvilmoor/job.h"
-#include "platform/codec_error.h"
+#include "clients/codec_error.h"
 
 #include <string_view>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 // The rack and the worker are named by the path, not by the message.
 
@@ -25,4 +25,4 @@
 Encoded encodeCommandResult(WorkerCommandResult);
 Decoded<WorkerCommandResult> decodeCommandResult(std::string_view);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -73,11 +73,11 @@
 tl::expected<void, net::NetError> Daemon::start(peer::KjUvEventPort& port)
 {
     m_client = net::makeHttpClient(m_loop);
-    m_table = platform::makeTableClient(*m_client, m_options.platform);
-    m_objects = platform::makeObjectClient(*m_client, m_options.platform);
-    m_hostList = platform::makeHostListClient(*m_client, m_options.platform);
-    m_workers = platform::makeWorkerClient(*m_client);
-    m_endpoints = platform::makeEndpointClient(*m_client);
+    m_table = clients::makeTableClient(*m_client, m_options.platform);
+    m_objects = clients::makeObjectClient(*m_client, m_options.platform);
+    m_hostList = clients::makeHostListClient(*m_client, m_options.platform);
+    m_workers = clients::makeWorkerClient(*m_client);
+    m_endpoints = clients::makeEndpointClient(*m_client);
 
     peer::PeerNetworkOptions peerOptions;
     peerOptions.host = m_options.settings.host;
@@ -277,7 +277,7 @@
 {
     if (std::exchange(m_isPollingHosts, true))
         return;
-    m_hostList->fetch([this](platform::HostListResult result) {
+    m_hostList->fetch([this](clients::HostListResult result) {
         m_isPollingHosts = false;
         if (result)
             m_events.push(HostListReceived { std::move(*result) });
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clients/host_list_client.h"
 #include "core/views.h"
 #include "entry/address_book.h"
 #include "entry/decision_engine.h"
@@ -11,7 +12,6 @@
 #include "net/http.h"
 #include "net/net_error.h"
 #include "peer/rpc_peer_network.h"
-#include "platform/host_list_client.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 
@@ -84,11 +84,11 @@
     std::vector<Effect> m_effects; // of the event at hand; kept to reuse its memory
 
     std::unique_ptr<net::HttpClient> m_client;
-    std::unique_ptr<platform::TableClient> m_table;
-    std::unique_ptr<platform::ObjectClient> m_objects;
-    std::unique_ptr<platform::HostListClient> m_hostList;
-    std::unique_ptr<platform::WorkerClient> m_workers;
-    std::unique_ptr<platform::EndpointClient> m_endpoints;
+    std::unique_ptr<clients::TableClient> m_table;
+    std::unique_ptr<clients::ObjectClient> m_objects;
+    std::unique_ptr<clients::HostListClient> m_hostList;
+    std::unique_ptr<clients::WorkerClient> m_workers;
+    std::unique_ptr<clients::EndpointClient> m_endpoints;
     std::unique_ptr<peer::RpcPeerNetwork> m_peers;
     std::optional<EffectExecutor> m_executor;
     std::unique_ptr<net::HttpServer> m_server;
--- a/src/entry/effect_executor.cpp
+++ b/src/entry/effect_executor.cpp
@@ -48,7 +48,7 @@
             "no address is known for endpoint " + effect.endpoint.value() });
         return;
     }
-    m_parts.endpoints.call(*address, effect, guarded([this](platform::EndpointOutcome outcome) {
+    m_parts.endpoints.call(*address, effect, guarded([this](clients::EndpointOutcome outcome) {
         std::visit([this](auto& event) { m_parts.events.push(std::move(event)); }, outcome);
     }));
 }
@@ -72,7 +72,7 @@
 void EffectExecutor::carryOut(const PutObject& effect)
 {
     m_parts.objects.put(effect.key, effect.value,
-        guarded([this, operation = effect.operation](const platform::ObjectResult& result) {
+        guarded([this, operation = effect.operation](const clients::ObjectResult& result) {
             m_parts.events.push(ObjectReplied { operation, result.has_value(), {} });
         }));
 }
@@ -80,7 +80,7 @@
 void EffectExecutor::carryOut(const GetObject& effect)
 {
     m_parts.objects.get(
-        effect.key, guarded([this, operation = effect.operation](const platform::ObjectResult& result) {
+        effect.key, guarded([this, operation = effect.operation](const clients::ObjectResult& result) {
             m_parts.events.push(ObjectReplied { operation, result.has_value(), result.value_or("") });
         }));
 }
@@ -88,9 +88,9 @@
 void EffectExecutor::carryOut(const DeleteObject& effect)
 {
     m_parts.objects.remove(
-        effect.key, guarded([this, operation = effect.operation](const platform::ObjectResult& result) {
+        effect.key, guarded([this, operation = effect.operation](const clients::ObjectResult& result) {
             const bool isAbsent
-                = !result.has_value() && result.error().kind == platform::ObjectErrorKind::NotFound;
+                = !result.has_value() && result.error().kind == clients::ObjectErrorKind::NotFound;
             m_parts.events.push(ObjectReplied { operation, result.has_value() || isAbsent, {} });
         }));
 }
@@ -102,7 +102,7 @@
         m_parts.events.push(RackSyncFailed { effect.rack, false });
         return;
     }
-    m_parts.workers.sync(*address, effect, guarded([this](platform::RackSyncOutcome outcome) {
+    m_parts.workers.sync(*address, effect, guarded([this](clients::RackSyncOutcome outcome) {
         std::visit([this](auto& event) { m_parts.events.push(std::move(event)); }, outcome);
     }));
 }
--- a/src/entry/effect_executor.h
+++ b/src/entry/effect_executor.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "anvilmoor/effect.h"
+#include "clients/endpoint_client.h"
+#include "clients/object_client.h"
+#include "clients/table_client.h"
+#include "clients/worker_client.h"
 #include "entry/address_book.h"
 #include "entry/event_queue.h"
 #include "entry/waiting_callers.h"
 #include "peer/peer_network.h"
-#include "platform/endpoint_client.h"
-#include "platform/object_client.h"
-#include "platform/table_client.h"
-#include "platform/worker_client.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metrics.h"
 
@@ -19,10 +19,10 @@
 
 // What the executor works with. All outlive it.
 struct ExecutorParts {
-    platform::TableClient& table;
-    platform::ObjectClient& objects;
-    platform::WorkerClient& workers;
-    platform::EndpointClient& endpoints;
+    clients::TableClient& table;
+    clients::ObjectClient& objects;
+    clients::WorkerClient& workers;
+    clients::EndpointClient& endpoints;
     peer::PeerNetwork& peers;
     EventQueue& events; // gets the replies
     WaitingCallers& callers;
--- a/standins/common/declared_layout.cpp
+++ b/standins/common/declared_layout.cpp
@@ -7,28 +7,27 @@
 
 namespace {
 
-platform::Decoded<Configuration> readFiles(std::span<const std::string> files)
+clients::Decoded<Configuration> readFiles(std::span<const std::string> files)
 {
     const auto declaration = ctl::readDeclarationFiles(files);
     if (!declaration)
-        return tl::unexpected(platform::CodecError { declaration.error().front().text() });
+        return tl::unexpected(clients::CodecError { declaration.error().front().text() });
     auto configuration = readConfiguration(declaration->document);
     if (!configuration)
-        return tl::unexpected(platform::CodecError { configuration.error().front().text() });
+        return tl::unexpected(clients::CodecError { configuration.error().front().text() });
     return std::move(*configuration);
 }
 
 } // namespace
 
-platform::Decoded<ZoneLayout> declaredLayout(std::span<const std::string> files, const AvailabilityZoneId& id)
+clients::Decoded<ZoneLayout> declaredLayout(std::span<const std::string> files, const AvailabilityZoneId& id)
 {
     const auto configuration = readFiles(files);
     if (!configuration)
         return tl::unexpected(configuration.error());
     const AvailabilityZoneConfiguration* zone = configuration->findZone(id);
     if (!zone)
-        return tl::unexpected(
-            platform::CodecError { "the configuration has no zone \"" + id.value() + "\"" });
+        return tl::unexpected(clients::CodecError { "the configuration has no zone \"" + id.value() + "\"" });
     ZoneLayout layout;
     for (const ServiceConfiguration& service : configuration->services) {
         layout.services.push_back(service.id.value());
@@ -43,7 +42,7 @@
     return layout;
 }
 
-platform::Decoded<std::string> declaredHosts(std::span<const std::string> files)
+clients::Decoded<std::string> declaredHosts(std::span<const std::string> files)
 {
     const auto configuration = readFiles(files);
     if (!configuration)
--- a/standins/common/declared_layout.h
+++ b/standins/common/declared_layout.h
@@ -9,9 +9,9 @@
 namespace anvilmoor::standin {
 
 // The layout of a zone as declared by a base file and its overlays.
-platform::Decoded<ZoneLayout> declaredLayout(std::span<const std::string> files, const AvailabilityZoneId&);
+clients::Decoded<ZoneLayout> declaredLayout(std::span<const std::string> files, const AvailabilityZoneId&);
 
 // All workers of all zones, as "WORKER:ZONE,...".
-platform::Decoded<std::string> declaredHosts(std::span<const std::string> files);
+clients::Decoded<std::string> declaredHosts(std::span<const std::string> files);
 
 } // namespace anvilmoor::standin
--- a/standins/platform/fault_switch.cpp
+++ b/standins/platform/fault_switch.cpp
@@ -22,14 +22,14 @@
 
 } // namespace
 
-FaultSwitch::Setting FaultSwitch::read(platform::JsonReader& control, const std::string& service)
+FaultSwitch::Setting FaultSwitch::read(clients::JsonReader& control, const std::string& service)
 {
     Setting setting;
     if (control.isText(service)) {
         setting.mode = control.oneOf<FaultMode>(service, modeNames);
         return setting;
     }
-    platform::JsonReader reader = control.object(service);
+    clients::JsonReader reader = control.object(service);
     reader.allowOnly({ "mode", "delay_ms", "count", "key_prefix", "only" });
     setting.mode = reader.oneOf<FaultMode>("mode", modeNames);
     if (reader.has("delay_ms"))
--- a/standins/platform/fault_switch.h
+++ b/standins/platform/fault_switch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "anvilmoor/time.h"
-#include "platform/json_reader.h"
+#include "clients/json_reader.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -32,7 +32,7 @@
     };
 
     // A mode's name, or {mode, delay_ms, count, key_prefix, only: "reads" or "writes"}.
-    static Setting read(platform::JsonReader& control, const std::string& service);
+    static Setting read(clients::JsonReader& control, const std::string& service);
 
     void set(Setting setting) { m_setting = std::move(setting); }
     // What happens to a request with these keys. Counts it if it is affected.
--- a/standins/platform/host_directory.cpp
+++ b/standins/platform/host_directory.cpp
@@ -43,7 +43,7 @@
 
 std::vector<HostListEntry> HostDirectory::actual() const { return entries(m_actual); }
 
-platform::Decoded<std::vector<HostListEntry>> parseHosts(std::string_view text)
+clients::Decoded<std::vector<HostListEntry>> parseHosts(std::string_view text)
 {
     constexpr std::string_view separators = ", \t\r\n";
     std::vector<HostListEntry> hosts;
@@ -55,7 +55,7 @@
             continue;
         const std::size_t colon = item.find(':');
         if (colon == std::string_view::npos || colon == 0 || colon + 1 == item.size())
-            return tl::unexpected(platform::CodecError { fmt::format("\"{}\" is not WORKER:ZONE", item) });
+            return tl::unexpected(clients::CodecError { fmt::format("\"{}\" is not WORKER:ZONE", item) });
         hosts.push_back({ std::string(item.substr(0, colon)),
             AvailabilityZoneId(std::string(item.substr(colon + 1))), HostState::Live });
     }
--- a/standins/platform/host_directory.h
+++ b/standins/platform/host_directory.h
@@ -2,7 +2,7 @@
 
 #include "anvilmoor/event.h"
 #include "anvilmoor/time.h"
-#include "platform/codec_error.h"
+#include "clients/codec_error.h"
 
 #include <deque>
 #include <map>
@@ -51,6 +51,6 @@
 };
 
 // Reads "worker:zone,worker:zone,...", also with line breaks as separators.
-platform::Decoded<std::vector<HostListEntry>> parseHosts(std::string_view);
+clients::Decoded<std::vector<HostListEntry>> parseHosts(std::string_view);
 
 } // namespace anvilmoor::standin
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -1,10 +1,10 @@
 #include "platform/platform_service.h"
 
+#include "clients/host_list_codec.h"
+#include "clients/table_codec.h"
 #include "common/answers.h"
 #include "common/log_line.h"
 #include "net/url_path.h"
-#include "platform/host_list_codec.h"
-#include "platform/table_codec.h"
 
 #include <array>
 #include <fmt/format.h>
@@ -15,7 +15,7 @@
 
 namespace {
 
-net::HttpResponse jsonResponse(const platform::Encoded& body)
+net::HttpResponse jsonResponse(const clients::Encoded& body)
 {
     if (!body)
         return { 500, {}, body.error().detail };
@@ -27,7 +27,7 @@
     HostDirectory::State state;
 };
 
-HostDirectory::State readHostState(platform::JsonReader& reader)
+HostDirectory::State readHostState(clients::JsonReader& reader)
 {
     const std::string state = reader.text("state");
     if (state == "live")
@@ -110,7 +110,7 @@
 
 void PlatformService::handleTransaction(const Exchange& exchange)
 {
-    auto transaction = platform::decodeTransaction(exchange->request().body);
+    auto transaction = clients::decodeTransaction(exchange->request().body);
     if (!transaction) {
         answerError(*exchange, 400, transaction.error().detail);
         return;
@@ -122,13 +122,13 @@
         const TableReply reply = m_table.execute(transaction);
         ++m_counters.transactions;
         m_counters.conflicts += reply.status == TableStatus::Conflict ? 1 : 0;
-        return jsonResponse(platform::encodeTransactionReply(reply, m_table.revision()));
+        return jsonResponse(clients::encodeTransactionReply(reply, m_table.revision()));
     });
 }
 
 void PlatformService::handleRead(const Exchange& exchange)
 {
-    auto read = platform::decodeRead(exchange->request().body);
+    auto read = clients::decodeRead(exchange->request().body);
     if (!read) {
         answerError(*exchange, 400, read.error().detail);
         return;
@@ -137,7 +137,7 @@
     keys.insert(keys.end(), read->prefixes.begin(), read->prefixes.end());
     applyFault(exchange, m_tableFault, keys, false, [this, read = std::move(*read)] {
         ++m_counters.reads;
-        return jsonResponse(platform::encodeReadReply(m_table.read(read), m_table.revision()));
+        return jsonResponse(clients::encodeReadReply(m_table.read(read), m_table.revision()));
     });
 }
 
@@ -174,7 +174,7 @@
     std::string known(exchange->request().header("If-None-Match"));
     applyFault(exchange, m_hostFault, {}, false, [this, known = std::move(known)] {
         ++m_counters.hostLists;
-        net::HttpResponse response = jsonResponse(platform::encodeHostList(m_hosts.list(m_loop.now())));
+        net::HttpResponse response = jsonResponse(clients::encodeHostList(m_hosts.list(m_loop.now())));
         std::string tag = fmt::format("\"{:016x}\"", XXH3_64bits(response.body.data(), response.body.size()));
         if (tag == known) {
             response.status = 304;
@@ -187,7 +187,7 @@
 
 void PlatformService::handleControl(const Exchange& exchange)
 {
-    platform::JsonReader reader(exchange->request().body);
+    clients::JsonReader reader(exchange->request().body);
     reader.allowOnly({ "table", "objects", "hosts", "set_hosts", "host_list_lag_ms" });
     std::vector<std::pair<FaultSwitch*, FaultSwitch::Setting>> faults;
     const std::array<std::pair<const char*, FaultSwitch*>, 3> services { { { "table", &m_tableFault },
@@ -198,7 +198,7 @@
     }
     std::vector<HostChange> changes;
     if (reader.has("set_hosts")) {
-        for (platform::JsonReader& item : reader.items("set_hosts")) {
+        for (clients::JsonReader& item : reader.items("set_hosts")) {
             changes.push_back({ item.text("id"), readHostState(item) });
             if (!m_hosts.knows(changes.back().id))
                 item.fail("id", "names an unknown host");
@@ -236,7 +236,7 @@
                 { "object_reads", m_counters.objectReads }, { "object_writes", m_counters.objectWrites },
                 { "host_lists", m_counters.hostLists }, { "refused", m_counters.refused },
                 { "answers_lost", m_counters.answersLost }, { "slowed", m_counters.slowed } } } };
-    return platform::toText(state).value_or("{}");
+    return clients::toText(state).value_or("{}");
 }
 
 } // namespace anvilmoor::standin
--- a/standins/workers/endpoint_host.cpp
+++ b/standins/workers/endpoint_host.cpp
@@ -1,7 +1,7 @@
 #include "workers/endpoint_host.h"
 
+#include "clients/endpoint_codec.h"
 #include "common/answers.h"
-#include "platform/endpoint_codec.h"
 
 #include <utility>
 #include <vector>
@@ -18,14 +18,14 @@
 {
     if (!m_model.begin()) {
         ++m_refusals;
-        exchange->respond(platform::endpointResponse(call.identity, 503, "every slot is taken"));
+        exchange->respond(clients::endpointResponse(call.identity, 503, "every slot is taken"));
         return;
     }
     const EndpointReply reply = m_model.execute(call.identity, call.operation, call.body);
     const std::uint64_t id = ++m_lastId;
     OpenCall& open = m_open[id];
     open.exchange = exchange;
-    open.response = platform::endpointResponse(call.identity, reply.isError ? 500 : 200, reply.body);
+    open.response = clients::endpointResponse(call.identity, reply.isError ? 500 : 200, reply.body);
     if (m_isHolding)
         return;
     if (!serviceTime.count()) {
--- a/standins/workers/layout.cpp
+++ b/standins/workers/layout.cpp
@@ -1,14 +1,14 @@
 #include "workers/layout.h"
 
-#include "platform/json_reader.h"
+#include "clients/json_reader.h"
 
 #include <set>
 
 namespace anvilmoor::standin {
 
-platform::Decoded<ZoneLayout> parseLayout(std::string_view text)
+clients::Decoded<ZoneLayout> parseLayout(std::string_view text)
 {
-    platform::JsonReader reader(text);
+    clients::JsonReader reader(text);
     reader.allowOnly({ "service", "services", "slots", "racks" });
     ZoneLayout layout;
     if (reader.has("service"))
@@ -18,12 +18,12 @@
     layout.slots = reader.smallNumber("slots");
     std::set<std::string> racks;
     std::set<std::string> workers;
-    for (platform::JsonReader& item : reader.items("racks")) {
+    for (clients::JsonReader& item : reader.items("racks")) {
         item.allowOnly({ "id", "workers" });
         RackLayout rack { item.text("id"), {} };
         if (!racks.insert(rack.id).second)
             item.fail("id", "repeats a rack");
-        for (platform::JsonReader& worker : item.items("workers")) {
+        for (clients::JsonReader& worker : item.items("workers")) {
             worker.allowOnly({ "id", "accelerators" });
             rack.workers.push_back({ worker.text("id"), worker.smallNumber("accelerators") });
             if (!workers.insert(rack.workers.back().id).second)
--- a/standins/workers/layout.h
+++ b/standins/workers/layout.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/codec_error.h"
+#include "clients/codec_error.h"
 
 #include <string>
 #include <string_view>
@@ -26,6 +26,6 @@
 
 // Reads {"services":["..."],"slots":8,"racks":[{"id":"...","workers":[{"id":"...","accelerators":8}]}]}.
 // "service":"..." may stand for "services" with one item. Rack and worker ids are unique.
-platform::Decoded<ZoneLayout> parseLayout(std::string_view);
+clients::Decoded<ZoneLayout> parseLayout(std::string_view);
 
 } // namespace anvilmoor::standin
--- a/standins/workers/main.cpp
+++ b/standins/workers/main.cpp
@@ -21,7 +21,7 @@
 
 using namespace anvilmoor;
 
-platform::Decoded<standin::ZoneLayout> readLayout()
+clients::Decoded<standin::ZoneLayout> readLayout()
 {
     if (const auto files = absl::GetFlag(FLAGS_configuration); !files.empty())
         return standin::declaredLayout(files, AvailabilityZoneId(absl::GetFlag(FLAGS_zone)));
@@ -29,7 +29,7 @@
     std::ifstream file(name);
     const std::string text(std::istreambuf_iterator<char>(file), {});
     if (!file)
-        return tl::unexpected(platform::CodecError { "cannot read the file of --layout: " + name });
+        return tl::unexpected(clients::CodecError { "cannot read the file of --layout: " + name });
     return standin::parseLayout(text);
 }
 
--- a/standins/workers/worker_control.cpp
+++ b/standins/workers/worker_control.cpp
@@ -1,8 +1,8 @@
 #include "workers/worker_service.h"
 
+#include "clients/json_reader.h"
 #include "common/answers.h"
 #include "common/log_line.h"
-#include "platform/json_reader.h"
 
 #include <utility>
 
@@ -100,7 +100,7 @@
 
 void WorkerService::handleControl(const Exchange& exchange)
 {
-    platform::JsonReader reader(exchange->request().body);
+    clients::JsonReader reader(exchange->request().body);
     reader.allowOnly(
         { "workers", "endpoints", "racks", "service_ms", "hold", "checkpoints_lost", "usage_report_lag_ms" });
     std::vector<Change> changes;
@@ -122,7 +122,7 @@
     answerWaitingSyncs();
 }
 
-void WorkerService::readZoneChanges(platform::JsonReader& reader, std::vector<Change>& changes)
+void WorkerService::readZoneChanges(clients::JsonReader& reader, std::vector<Change>& changes)
 {
     if (reader.has("service_ms")) {
         const Milliseconds time = reader.milliseconds("service_ms");
@@ -154,9 +154,9 @@
     }
 }
 
-void WorkerService::readWorkerChanges(platform::JsonReader& reader, std::vector<Change>& changes)
+void WorkerService::readWorkerChanges(clients::JsonReader& reader, std::vector<Change>& changes)
 {
-    for (platform::JsonReader& item : reader.items("workers")) {
+    for (clients::JsonReader& item : reader.items("workers")) {
         item.allowOnly({ "id", "state", "fails_everything", "loses_checkpoints", "speed" });
         const std::string id = item.text("id");
         const auto found = m_places.find(id);
@@ -182,9 +182,9 @@
     }
 }
 
-void WorkerService::readEndpointChanges(platform::JsonReader& reader, std::vector<Change>& changes)
+void WorkerService::readEndpointChanges(clients::JsonReader& reader, std::vector<Change>& changes)
 {
-    for (platform::JsonReader& item : reader.items("endpoints")) {
+    for (clients::JsonReader& item : reader.items("endpoints")) {
         item.allowOnly({ "worker", "fails_everything", "service_ms", "hold" });
         const std::string worker = item.text("worker");
         if (!m_places.contains(worker))
@@ -202,9 +202,9 @@
     }
 }
 
-void WorkerService::readRackChanges(platform::JsonReader& reader, std::vector<Change>& changes)
+void WorkerService::readRackChanges(clients::JsonReader& reader, std::vector<Change>& changes)
 {
-    for (platform::JsonReader& item : reader.items("racks")) {
+    for (clients::JsonReader& item : reader.items("racks")) {
         item.allowOnly({ "id", "silent" });
         const auto found = m_rackIndex.find(item.text("id"));
         const bool isSilent = item.flag("silent");
--- a/standins/workers/worker_service.cpp
+++ b/standins/workers/worker_service.cpp
@@ -1,10 +1,10 @@
 #include "workers/worker_service.h"
 
+#include "clients/endpoint_codec.h"
+#include "clients/json_reader.h"
+#include "clients/worker_codec.h"
 #include "common/answers.h"
 #include "net/url_path.h"
-#include "platform/endpoint_codec.h"
-#include "platform/json_reader.h"
-#include "platform/worker_codec.h"
 
 #include <algorithm>
 #include <chrono>
@@ -27,7 +27,7 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(sinceEpoch).count()) * 1'000;
 }
 
-void answerEncoded(net::HttpExchange& exchange, const platform::Encoded& body)
+void answerEncoded(net::HttpExchange& exchange, const clients::Encoded& body)
 {
     if (body)
         answerJson(exchange, *body);
@@ -97,7 +97,7 @@
         return;
     }
     Rack& rack = m_racks[found->second];
-    const auto sync = platform::decodeSync(exchange->request().body, rack.id());
+    const auto sync = clients::decodeSync(exchange->request().body, rack.id());
     if (!sync) {
         answerError(*exchange, 400, sync.error().detail);
         return;
@@ -130,7 +130,7 @@
     if (waiting.sync.token && waiting.sync.token < rack.highestToken())
         answerError(*waiting.exchange, 409, "stale_token");
     else
-        answerEncoded(*waiting.exchange, platform::encodeRackReport(rack.report(waiting.sync.since)));
+        answerEncoded(*waiting.exchange, clients::encodeRackReport(rack.report(waiting.sync.since)));
 }
 
 void WorkerService::answerWaitingSyncs()
@@ -170,7 +170,7 @@
         answerError(*exchange, 404, "no such worker");
         return;
     }
-    const auto command = platform::decodeCommand(exchange->request().body);
+    const auto command = clients::decodeCommand(exchange->request().body);
     if (!command) {
         answerError(*exchange, 400, command.error().detail);
         return;
@@ -181,7 +181,7 @@
     Rack& rack = m_racks[found->second.rack];
     const WorkerCommandResult result = rack.command(found->second.worker, *command, m_loop.now());
     checkWorker(rack.worker(found->second.worker));
-    answerEncoded(*exchange, platform::encodeCommandResult(result));
+    answerEncoded(*exchange, clients::encodeCommandResult(result));
     answerWaitingSyncs();
 }
 
@@ -192,7 +192,7 @@
         answerError(*exchange, 404, "no such endpoint");
         return;
     }
-    const auto call = platform::decodeEndpointRequest(exchange->request(), EndpointId(endpoint));
+    const auto call = clients::decodeEndpointRequest(exchange->request(), EndpointId(endpoint));
     if (!call) {
         answerError(*exchange, 400, call.error().detail);
         return;
--- a/standins/workers/worker_service.h
+++ b/standins/workers/worker_service.h
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 class JsonReader;
 }
 
@@ -69,10 +69,10 @@
     void answerWaitingSyncs();
 
     void handleControl(const Exchange&);
-    void readWorkerChanges(platform::JsonReader&, std::vector<Change>&);
-    void readEndpointChanges(platform::JsonReader&, std::vector<Change>&);
-    void readRackChanges(platform::JsonReader&, std::vector<Change>&);
-    void readZoneChanges(platform::JsonReader&, std::vector<Change>&);
+    void readWorkerChanges(clients::JsonReader&, std::vector<Change>&);
+    void readEndpointChanges(clients::JsonReader&, std::vector<Change>&);
+    void readRackChanges(clients::JsonReader&, std::vector<Change>&);
+    void readZoneChanges(clients::JsonReader&, std::vector<Change>&);
     void setWorkerState(const std::string& worker, const std::string& state);
     void setRackSilent(std::size_t rack, bool isSilent);
     void updateEndpoints(const std::string& worker);
--- /dev/null
+++ b/test/batch_cluster_test.cpp
@@ -0,0 +1,551 @@
+#include "support/batch_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace anvilmoor::testing {
+
+// Whole deployments in virtual time: daemons, store and workers, and what callers and workers see.
+class BatchClusterTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BatchClusterTest);
+    CPPUNIT_TEST(testAcceptedJobCompletesOnCalmDay);
+    CPPUNIT_TEST(testSubmissionIsStoredBeforeItIsAccepted);
+    CPPUNIT_TEST(testRepeatedSubmissionRemainsOneJob);
+    CPPUNIT_TEST(testStoreOutageLeavesOutcomeUnknownAndRefusesNothing);
+    CPPUNIT_TEST(testUnknownJobIsToldOnlyOnTheWordOfTheStore);
+    CPPUNIT_TEST(testKilledLeaderIsReplacedAndItsRunsGoOn);
+    CPPUNIT_TEST(testRunsSurviveTheDeathOfAllDaemons);
+    CPPUNIT_TEST(testTerminatedLeaderHandsOverAtOnce);
+    CPPUNIT_TEST(testLeaderCutFromStoreGivesNoOrderAfterItsLease);
+    CPPUNIT_TEST(testRunOnCutWorkerIsNotRepeatedBeforeItsLeaseHasPassed);
+    CPPUNIT_TEST(testWorkerBornAgainGetsItsRunsRepeated);
+    CPPUNIT_TEST(testOrderCarriedOutLateStartsNoSecondRun);
+    CPPUNIT_TEST(testLostCommitAnswersLoseNothing);
+    CPPUNIT_TEST(testCancelStopsRunsWithinItsBound);
+    CPPUNIT_TEST(testJobThatAlwaysFailsIsFailedAfterItsAttempts);
+    CPPUNIT_TEST(testWorkerThatFailsEverythingIsLeftOut);
+    CPPUNIT_TEST(testGuaranteedWorkStartsWithinReclaimTime);
+    CPPUNIT_TEST(testEvictedWorkCompletesAfterwards);
+    CPPUNIT_TEST(testGangStartsOnlyWhereAllOfItFits);
+    CPPUNIT_TEST(testDrainingWorkerGetsNothingNew);
+    CPPUNIT_TEST(testRemovedKeyIsRefusedAndRemovedQueueNotFound);
+    CPPUNIT_TEST(testDaemonThatCannotConfirmConfigurationServesNobody);
+    CPPUNIT_TEST(testConfigurationNeverGoesBack);
+    CPPUNIT_TEST(testWaitingJobsAreCounted);
+    CPPUNIT_TEST(testRandomFaultsBreakNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Milliseconds aMinute { 60'000 };
+
+    void requireNoViolation(const BatchCluster& cluster) const
+    {
+        if (!cluster.violations().empty())
+            CPPUNIT_FAIL(cluster.violations().front());
+    }
+
+    static bool isCompleted(const BatchCluster& cluster, const JobId& job)
+    {
+        return cluster.stateOf(job) == JobState::Completed;
+    }
+
+    void requireCompleted(BatchCluster& cluster, const JobId& job, Milliseconds limit = aMinute) const
+    {
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return isCompleted(cluster, job); }, limit));
+        requireNoViolation(cluster);
+    }
+
+    static void runUntilStarted(BatchCluster& cluster, const JobId& job)
+    {
+        CPPUNIT_ASSERT(
+            cluster.runUntil([&] { return cluster.firstStart(job).has_value(); }, Milliseconds(5'000)));
+    }
+
+    // The worker that runs something of the job.
+    static FakeWorker& workerOf(BatchCluster& cluster, const JobId& job)
+    {
+        for (std::size_t i = 0; i < cluster.workerCount(); ++i) {
+            for (const auto& [task, run] : cluster.worker(i).runs()) {
+                if (task.job == job)
+                    return cluster.worker(i);
+            }
+        }
+        CPPUNIT_FAIL("no worker runs the job");
+        return cluster.worker(0);
+    }
+
+public:
+    void testAcceptedJobCompletesOnCalmDay()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(2, 4);
+        cluster.run(Milliseconds(500));
+        batch::StepSpecification second = makeGang(4, 8, true);
+        second.dependsOn = { 0 };
+        const JobId job = cluster.submit(1, "gang", { makeStep(3, 1), second });
+        cluster.run(Milliseconds(50));
+        CPPUNIT_ASSERT(cluster.answerTo(job)->kind == AnswerKind::Accepted);
+        requireCompleted(cluster, job, Milliseconds(4'000));
+        CPPUNIT_ASSERT_EQUAL(7, cluster.startsOf(job));
+    }
+
+    void testSubmissionIsStoredBeforeItIsAccepted()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(0, "small", { makeStep(1, 1) });
+        cluster.run(Milliseconds(9));
+        CPPUNIT_ASSERT(cluster.answerTo(job)->kind == AnswerKind::Accepted);
+        for (std::size_t i = 0; i < 3; ++i)
+            cluster.kill(i);
+        cluster.run(Milliseconds(500));
+        cluster.restart(2);
+        requireCompleted(cluster, job);
+    }
+
+    void testRepeatedSubmissionRemainsOneJob()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(0, "small", { makeStep(1, 1) });
+        cluster.submitAgain(1, "small", job);
+        requireCompleted(cluster, job);
+        cluster.submitAgain(2, "small", job);
+        cluster.run(Milliseconds(3'000));
+        CPPUNIT_ASSERT(cluster.answerTo(job)->kind == AnswerKind::Accepted);
+        CPPUNIT_ASSERT_EQUAL(1, cluster.startsOf(job));
+        requireNoViolation(cluster);
+    }
+
+    // Guards against a "not accepted" while a write without an answer may still land.
+    void testStoreOutageLeavesOutcomeUnknownAndRefusesNothing()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        cluster.isStoreDown = true;
+        const JobId job = cluster.submit(0, "small", { makeStep(1, 1) });
+        cluster.run(Milliseconds(2'900));
+        CPPUNIT_ASSERT(cluster.answerTo(job)->kind == AnswerKind::OutcomeUnknown);
+    }
+
+    void testUnknownJobIsToldOnlyOnTheWordOfTheStore()
+    {
+        BatchCluster cluster;
+        cluster.run(Milliseconds(500));
+        const JobId job("ffffffffffffffff");
+        cluster.query(1, "small", job);
+        cluster.run(Milliseconds(100));
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::NoSuchJob);
+        cluster.isStoreDown = true;
+        cluster.query(1, "small", job);
+        cluster.run(Milliseconds(2'900));
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::OutcomeUnknown);
+    }
+
+    void testKilledLeaderIsReplacedAndItsRunsGoOn()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(2, 4);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "gang", { makeGang(4, 8, true, Milliseconds(5'000)) });
+        runUntilStarted(cluster, job);
+        cluster.run(Milliseconds(300));
+        cluster.kill(*cluster.leader());
+        requireCompleted(cluster, job, Milliseconds(9'000));
+        CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(job));
+    }
+
+    void testRunsSurviveTheDeathOfAllDaemons()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(2, 4);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "gang", { makeGang(4, 8, true, Milliseconds(5'000)) });
+        runUntilStarted(cluster, job);
+        for (std::size_t i = 0; i < 3; ++i)
+            cluster.kill(i);
+        cluster.run(Milliseconds(600));
+        for (std::size_t i = 0; i < 3; ++i)
+            cluster.restart(i);
+        requireCompleted(cluster, job, Milliseconds(9'000));
+        CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(job));
+    }
+
+    void testTerminatedLeaderHandsOverAtOnce()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        const std::size_t old = *cluster.leader();
+        cluster.terminate(old);
+        CPPUNIT_ASSERT(cluster.runUntil(
+            [&] { return cluster.leader() && *cluster.leader() != old; }, Milliseconds(800)));
+        const JobId job = cluster.submit(*cluster.leader(), "urgent", { makeStep(1, 1) });
+        requireCompleted(cluster, job, Milliseconds(3'000));
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return !cluster.isRunning(old); }, Milliseconds(6'000)));
+    }
+
+    void testLeaderCutFromStoreGivesNoOrderAfterItsLease()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(2, 4);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "small", { makeStep(6, 1, Milliseconds(9'000)) });
+        runUntilStarted(cluster, job);
+        const std::size_t old = *cluster.leader();
+        cluster.cutFromStore.insert(old);
+        cluster.run(Milliseconds(4'000));
+        cluster.cutFromStore.clear();
+        requireCompleted(cluster, job);
+        CPPUNIT_ASSERT_EQUAL(6, cluster.startsOf(job));
+    }
+
+    void testRunOnCutWorkerIsNotRepeatedBeforeItsLeaseHasPassed()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 3);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(20'000)) });
+        runUntilStarted(cluster, job);
+        cluster.run(Milliseconds(300));
+        workerOf(cluster, job).isReachable = false;
+        cluster.run(Milliseconds(5'000));
+        CPPUNIT_ASSERT_EQUAL(1, cluster.startsOf(job));
+        cluster.run(Milliseconds(6'000));
+        CPPUNIT_ASSERT_EQUAL(2, cluster.startsOf(job));
+        requireNoViolation(cluster);
+    }
+
+    void testWorkerBornAgainGetsItsRunsRepeated()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 3);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "small", { makeStep(2, 1, Milliseconds(3'000)) });
+        runUntilStarted(cluster, job);
+        cluster.run(Milliseconds(300));
+        workerOf(cluster, job).rebirth();
+        requireCompleted(cluster, job, Milliseconds(8'000));
+    }
+
+    void testOrderCarriedOutLateStartsNoSecondRun()
+    {
+        for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+            BatchCluster cluster(3, seed);
+            cluster.addWorkers(2, 4);
+            cluster.run(Milliseconds(500));
+            cluster.lateOrderShare = 0.3;
+            std::vector<JobId> jobs;
+            for (int i = 0; i < 6; ++i) {
+                jobs.push_back(cluster.submit(1, "gang", { makeGang(2, 2) }));
+                jobs.push_back(cluster.submit(2, "small", { makeStep(3, 1) }));
+                cluster.run(Milliseconds(400));
+            }
+            cluster.run(Milliseconds(6'000));
+            cluster.lateOrderShare = 0;
+            for (const JobId& job : jobs)
+                requireCompleted(cluster, job);
+            cluster.run(Milliseconds(12'000));
+            requireNoViolation(cluster);
+        }
+    }
+
+    void testLostCommitAnswersLoseNothing()
+    {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            BatchCluster cluster(3, seed);
+            cluster.addWorkers(2, 4);
+            cluster.run(Milliseconds(500));
+            cluster.lostCommitShare = 0.35;
+            std::vector<JobId> jobs;
+            for (int i = 0; i < 8; ++i) {
+                jobs.push_back(cluster.submit(static_cast<std::size_t>(i % 3), "small", { makeStep(2, 1) }));
+                cluster.run(Milliseconds(400));
+            }
+            for (const JobId& job : jobs) {
+                const auto answer = cluster.answerTo(job);
+                if (answer && answer->kind == AnswerKind::Accepted)
+                    requireCompleted(cluster, job);
+            }
+            requireNoViolation(cluster);
+        }
+    }
+
+    void testCancelStopsRunsWithinItsBound()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "gang", { makeGang(3, 2, false, Milliseconds(30'000)) });
+        runUntilStarted(cluster, job);
+        cluster.cancel(2, "gang", job);
+        cluster.run(Milliseconds(100));
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::Cancelled);
+        // The platform's bound is 3 s, and 0.2 s more for the stop itself.
+        cluster.run(Milliseconds(3'000));
+        for (std::size_t i = 0; i < cluster.workerCount(); ++i)
+            CPPUNIT_ASSERT(cluster.worker(i).runs().empty());
+        CPPUNIT_ASSERT(cluster.stateOf(job) == JobState::Cancelled);
+        cluster.run(Milliseconds(5'000));
+        CPPUNIT_ASSERT_EQUAL(3, cluster.startsOf(job));
+    }
+
+    void testJobThatAlwaysFailsIsFailedAfterItsAttempts()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        for (std::size_t i = 0; i < 4; ++i)
+            cluster.worker(i).isFailing = true;
+        const JobId job = cluster.submit(1, "small", { makeStep(1, 1) });
+        CPPUNIT_ASSERT(
+            cluster.runUntil([&] { return cluster.stateOf(job) == JobState::Failed; }, Milliseconds(10'000)));
+        cluster.run(Milliseconds(3'000));
+        // The default configuration allows two.
+        CPPUNIT_ASSERT_EQUAL(2, cluster.startsOf(job));
+    }
+
+    void testWorkerThatFailsEverythingIsLeftOut()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.run(Milliseconds(500));
+        cluster.worker(0).isFailing = true;
+        int failed = 0;
+        for (int i = 0; i < 30; ++i) {
+            const JobId job = cluster.submit(1, "small", { makeStep(1, 8, Milliseconds(300)) });
+            cluster.run(Milliseconds(500));
+            failed += cluster.stateOf(job) == JobState::Failed ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(failed <= 2);
+        requireNoViolation(cluster);
+    }
+
+    // The platform's bound is 2.7 s after the acceptance.
+    void testGuaranteedWorkStartsWithinReclaimTime()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(2, 2);
+        cluster.run(Milliseconds(500));
+        std::vector<JobId> fillers;
+        for (int i = 0; i < 4; ++i)
+            fillers.push_back(cluster.submit(1, "small", { makeStep(8, 1, Milliseconds(30'000)) }, "key-b"));
+        cluster.run(Milliseconds(2'000));
+        const JobId job = cluster.submit(0, "urgent", { makeGang(2, 8, true) }, "key-a");
+        const TimePoint submittedAt = cluster.now();
+        runUntilStarted(cluster, job);
+        CPPUNIT_ASSERT(*cluster.firstStart(job) - submittedAt < Milliseconds(2'700));
+        requireCompleted(cluster, job);
+    }
+
+    void testEvictedWorkCompletesAfterwards()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 2);
+        cluster.run(Milliseconds(500));
+        const JobId gang = cluster.submit(1, "gang", { makeGang(2, 8, true, Milliseconds(6'000)) }, "key-b");
+        runUntilStarted(cluster, gang);
+        cluster.run(Milliseconds(1'000));
+        const JobId urgent = cluster.submit(0, "urgent", { makeGang(2, 8, true) }, "key-a");
+        requireCompleted(cluster, urgent, Milliseconds(5'000));
+        requireCompleted(cluster, gang);
+        CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(gang));
+    }
+
+    void testGangStartsOnlyWhereAllOfItFits()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(2, 2);
+        cluster.run(Milliseconds(500));
+        const JobId blocker = cluster.submit(1, "gang", { makeStep(1, 8, Milliseconds(3'000)) });
+        const JobId other = cluster.submit(1, "gang", { makeStep(1, 8, Milliseconds(3'000)) });
+        runUntilStarted(cluster, other);
+        const JobId gang = cluster.submit(1, "gang", { makeGang(4, 8) });
+        cluster.run(Milliseconds(1'500));
+        CPPUNIT_ASSERT_EQUAL(0, cluster.startsOf(gang));
+        requireCompleted(cluster, gang);
+        CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(gang));
+        CPPUNIT_ASSERT(isCompleted(cluster, blocker));
+    }
+
+    void testDrainingWorkerGetsNothingNew()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 2);
+        cluster.run(Milliseconds(500));
+        cluster.worker(0).record.isDraining = true;
+        cluster.run(Milliseconds(100));
+        const JobId job = cluster.submit(1, "small", { makeStep(8, 1, Milliseconds(500)) });
+        runUntilStarted(cluster, job);
+        CPPUNIT_ASSERT(cluster.worker(0).runs().empty());
+        requireCompleted(cluster, job);
+    }
+
+    void testRemovedKeyIsRefusedAndRemovedQueueNotFound()
+    {
+        BatchCluster cluster;
+        cluster.run(Milliseconds(500));
+        batch::Configuration changed = BatchCluster::defaultConfiguration();
+        changed.version = 2;
+        changed.accounts.front().apiKeys.clear();
+        changed.queues.pop_back();
+        cluster.setConfiguration(changed);
+        cluster.run(Milliseconds(100));
+        cluster.submit(1, "gang", { makeStep(1, 1) });
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::UnknownKey);
+        cluster.submit(1, "small", { makeStep(1, 1) }, "key-b");
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::NoSuchQueue);
+    }
+
+    // Guards against a key that works on a daemon that cannot hear of its removal.
+    void testDaemonThatCannotConfirmConfigurationServesNobody()
+    {
+        BatchCluster cluster;
+        cluster.run(Milliseconds(500));
+        CPPUNIT_ASSERT(cluster.reducer(1).isReady(cluster.now()));
+        cluster.cutFromStore.insert(1);
+        cluster.run(Milliseconds(4'100));
+        CPPUNIT_ASSERT(!cluster.reducer(1).isReady(cluster.now()));
+        cluster.submit(1, "small", { makeStep(1, 1) });
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::NoConfiguration);
+    }
+
+    void testConfigurationNeverGoesBack()
+    {
+        BatchCluster cluster;
+        batch::Configuration newer = BatchCluster::defaultConfiguration();
+        newer.version = 9;
+        newer.queues.pop_back();
+        cluster.setConfiguration(newer);
+        cluster.run(Milliseconds(500));
+        cluster.setConfiguration(BatchCluster::defaultConfiguration());
+        cluster.run(Milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 9 }, cluster.reducer(0).configuration().version);
+    }
+
+    void testWaitingJobsAreCounted()
+    {
+        BatchCluster cluster;
+        cluster.run(Milliseconds(500));
+        for (int i = 0; i < 5; ++i)
+            cluster.submit(1, "small", { makeStep(1, 1) });
+        // The count may be 2 s old.
+        cluster.run(Milliseconds(2'000));
+        cluster.count(2, "small");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, cluster.lastAnswer()->count);
+    }
+
+    // Kills, cuts, lost answers, late orders and reborn workers in random order. Each seed is a day of its
+    // own.
+    void testRandomFaultsBreakNothing()
+    {
+        for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+            BatchCluster cluster(4, seed);
+            cluster.addWorkers(3, 4);
+            cluster.run(Milliseconds(500));
+            std::mt19937_64 random(seed * 977);
+            std::vector<JobId> jobs;
+            for (int moment = 0; moment < 40; ++moment) {
+                disturb(cluster, random);
+                submitSomething(cluster, random, jobs);
+                cluster.run(Milliseconds(300));
+            }
+            heal(cluster);
+            for (const JobId& job : jobs) {
+                const auto answer = cluster.answerTo(job);
+                if (!answer || answer->kind != AnswerKind::Accepted)
+                    continue;
+                const bool hasEnded
+                    = cluster.runUntil([&] { return batch::isTerminal(cluster.stateOf(job)); }, 2 * aMinute);
+                CPPUNIT_ASSERT_MESSAGE(
+                    fmt::format("seed {}: job {} has not ended", seed, job.value()), hasEnded);
+            }
+            if (!cluster.violations().empty())
+                CPPUNIT_FAIL(fmt::format("seed {}: {}", seed, cluster.violations().front()));
+        }
+    }
+
+private:
+    static void submitSomething(BatchCluster& cluster, std::mt19937_64& random, std::vector<JobId>& jobs)
+    {
+        const std::size_t daemon = random() % 4;
+        if (!cluster.isRunning(daemon))
+            return;
+        switch (random() % 3) {
+        case 0:
+            jobs.push_back(cluster.submit(daemon, "urgent", { makeGang(2, 4, true, Milliseconds(800)) }));
+            return;
+        case 1:
+            jobs.push_back(cluster.submit(daemon, "gang", { makeGang(3, 8, false, Milliseconds(2'000)) }));
+            return;
+        default:
+            jobs.push_back(cluster.submit(daemon, "small", { makeStep(6, 1, Milliseconds(1'500)) }));
+        }
+    }
+
+    static void disturb(BatchCluster& cluster, std::mt19937_64& random)
+    {
+        const std::size_t daemon = random() % 4;
+        FakeWorker& worker = cluster.worker(random() % cluster.workerCount());
+        switch (random() % 12) {
+        case 0:
+            if (cluster.isRunning(daemon))
+                cluster.kill(daemon);
+            return;
+        case 1:
+            if (!cluster.isRunning(daemon))
+                cluster.restart(daemon);
+            return;
+        case 2:
+            cluster.cutFromStore.insert(daemon);
+            return;
+        case 3:
+            cluster.cutFromStore.clear();
+            return;
+        case 4:
+            cluster.cutFromWorkers.insert(daemon);
+            return;
+        case 5:
+            cluster.cutFromWorkers.clear();
+            return;
+        case 6:
+            worker.isReachable = !worker.isReachable;
+            return;
+        case 7:
+            worker.rebirth();
+            return;
+        case 8:
+            cluster.lostCommitShare = cluster.lostCommitShare > 0 ? 0 : 0.3;
+            return;
+        case 9:
+            cluster.lateOrderShare = cluster.lateOrderShare > 0 ? 0 : 0.2;
+            return;
+        case 10:
+            cluster.isStoreDown = !cluster.isStoreDown;
+            return;
+        default:
+            return;
+        }
+    }
+
+    static void heal(BatchCluster& cluster)
+    {
+        cluster.cutFromStore.clear();
+        cluster.cutFromWorkers.clear();
+        cluster.isStoreDown = false;
+        cluster.lostCommitShare = 0;
+        cluster.lateOrderShare = 0;
+        for (std::size_t i = 0; i < cluster.workerCount(); ++i)
+            cluster.worker(i).isReachable = true;
+        for (std::size_t i = 0; i < 4; ++i) {
+            if (!cluster.isRunning(i))
+                cluster.restart(i);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchClusterTest);
+
+} // namespace anvilmoor::testing
--- /dev/null
+++ b/test/batch_leader_lease_test.cpp
@@ -0,0 +1,183 @@
+#include "batch/store/commit_pipeline.h"
+#include "batch/store/leader_lease.h"
+#include "batch/store/tables.h"
+#include "support/batch_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace anvilmoor::batch {
+
+class LeaderLeaseTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(LeaderLeaseTest);
+    CPPUNIT_TEST(testFirstDaemonClaimsAtOnceAndSecondWaits);
+    CPPUNIT_TEST(testLeaderStopsActingBeforeAnotherMayClaim);
+    CPPUNIT_TEST(testReleasedLeaseIsFreeAtOnce);
+    CPPUNIT_TEST(testStaleReadDoesNotTakeBackNewerOne);
+    CPPUNIT_TEST(testCommitWithLostAnswerIsRecognisedByItsOwnRecord);
+    CPPUNIT_TEST(testLateCopyOfCommitCannotLandAfterTakeover);
+    CPPUNIT_TEST(testLeaderOverwrittenByAnotherLosesLease);
+    CPPUNIT_TEST(testRefusedClaimLeavesLeaseToOthers);
+    CPPUNIT_TEST(testUnreadableLeaseIsClaimedLikeLapsedOne);
+    CPPUNIT_TEST(testEpochRisesWithEachLeader);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct Candidate {
+        explicit Candidate(const char* name)
+            : lease(name, Milliseconds(0))
+            , pipeline(lease)
+        {
+        }
+
+        LeaderLease lease;
+        CommitPipeline pipeline;
+    };
+
+    testing::FakeStore m_store;
+    TimePoint m_now { Seconds(10) };
+
+    std::optional<Row> leaseRow() const
+    {
+        const std::vector<Row> rows = m_store.read(leaseKey(), {});
+        return rows.empty() ? std::nullopt : std::optional(rows.front());
+    }
+
+    // Applies the commit and answers it.
+    CommitPipeline::Result carryOut(Candidate& candidate, const Effect& effect)
+    {
+        const auto& commit = std::get<Commit>(effect);
+        return candidate.pipeline.answered({ commit.operation, m_store.commit(commit.transaction) }, m_now)
+            .result;
+    }
+
+    void claim(Candidate& candidate)
+    {
+        candidate.lease.observe(leaseRow(), m_now);
+        CPPUNIT_ASSERT(
+            carryOut(candidate, candidate.pipeline.claim(m_now)) == CommitPipeline::Result::Claimed);
+    }
+
+public:
+    void testFirstDaemonClaimsAtOnceAndSecondWaits()
+    {
+        Candidate first("a");
+        first.lease.observe(std::nullopt, m_now);
+        CPPUNIT_ASSERT(first.lease.isFree(m_now));
+        claim(first);
+        CPPUNIT_ASSERT(first.lease.mayAct(m_now));
+        Candidate second("b");
+        second.lease.observe(leaseRow(), m_now);
+        CPPUNIT_ASSERT(!second.lease.isFree(m_now + leaseDuration));
+        CPPUNIT_ASSERT(second.lease.isFree(m_now + leaseDuration + leaseMargin));
+    }
+
+    // Guards against two leaders that give orders at the same time.
+    void testLeaderStopsActingBeforeAnotherMayClaim()
+    {
+        Candidate first("a");
+        claim(first);
+        Candidate second("b");
+        second.lease.observe(leaseRow(), m_now);
+        for (Milliseconds age { 0 }; age < Milliseconds(5'000); age += Milliseconds(10))
+            CPPUNIT_ASSERT(!first.lease.mayAct(m_now + age) || !second.lease.isFree(m_now + age));
+    }
+
+    void testReleasedLeaseIsFreeAtOnce()
+    {
+        Candidate first("a");
+        claim(first);
+        CPPUNIT_ASSERT(carryOut(first, first.pipeline.release(m_now)) == CommitPipeline::Result::Released);
+        CPPUNIT_ASSERT(!first.lease.isLeader());
+        Candidate second("b");
+        second.lease.observe(leaseRow(), m_now);
+        CPPUNIT_ASSERT(second.lease.isFree(m_now));
+    }
+
+    void testStaleReadDoesNotTakeBackNewerOne()
+    {
+        Candidate first("a");
+        claim(first);
+        const std::optional<Row> stale = leaseRow();
+        carryOut(first, first.pipeline.submit({ 1 }, {}, m_now));
+        Candidate second("b");
+        second.lease.observe(leaseRow(), m_now);
+        const RowVersion newest = second.lease.version();
+        second.lease.observe(stale, m_now);
+        CPPUNIT_ASSERT_EQUAL(newest, second.lease.version());
+    }
+
+    void testCommitWithLostAnswerIsRecognisedByItsOwnRecord()
+    {
+        Candidate first("a");
+        claim(first);
+        const Effect effect = first.pipeline.submit({ 7 }, {}, m_now);
+        const auto& commit = std::get<Commit>(effect);
+        m_store.commit(commit.transaction);
+        first.pipeline.answered({ commit.operation, { CommitOutcome::Unknown } }, m_now);
+        m_now += Milliseconds(200);
+        const auto repeated = first.pipeline.repeat(m_now);
+        CPPUNIT_ASSERT(repeated);
+        const auto& copy = std::get<Commit>(*repeated);
+        const auto answer
+            = first.pipeline.answered({ copy.operation, m_store.commit(copy.transaction) }, m_now);
+        CPPUNIT_ASSERT(answer.result == CommitPipeline::Result::Applied);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, answer.batch);
+        CPPUNIT_ASSERT(first.lease.isLeader());
+    }
+
+    void testLateCopyOfCommitCannotLandAfterTakeover()
+    {
+        Candidate first("a");
+        claim(first);
+        CommitBatch batch { 1, { { progressKey(JobId("j")), "stale" } }, {} };
+        const Effect late = first.pipeline.submit(batch, {}, m_now);
+        m_now += leaseDuration + leaseMargin;
+        Candidate second("b");
+        claim(second);
+        const CommitReply reply = m_store.commit(std::get<Commit>(late).transaction);
+        CPPUNIT_ASSERT(reply.outcome == CommitOutcome::Conflict);
+        CPPUNIT_ASSERT(!m_store.holds(progressKey(JobId("j"))));
+    }
+
+    void testLeaderOverwrittenByAnotherLosesLease()
+    {
+        Candidate first("a");
+        claim(first);
+        Candidate second("b");
+        claim(second);
+        CPPUNIT_ASSERT(
+            carryOut(first, first.pipeline.submit({ 1 }, {}, m_now)) == CommitPipeline::Result::LeaseLost);
+        CPPUNIT_ASSERT(!first.lease.isLeader());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), first.lease.record().holder);
+    }
+
+    void testRefusedClaimLeavesLeaseToOthers()
+    {
+        Candidate first("a");
+        first.lease.observe(std::nullopt, m_now);
+        const Effect claim = first.pipeline.claim(m_now);
+        first.pipeline.answered({ std::get<Commit>(claim).operation, { CommitOutcome::Refused } }, m_now);
+        CPPUNIT_ASSERT(!first.pipeline.isBusy());
+        CPPUNIT_ASSERT(!first.lease.isLeader());
+    }
+
+    void testUnreadableLeaseIsClaimedLikeLapsedOne()
+    {
+        Candidate first("a");
+        first.lease.observe(Row { leaseKey(), "no row", 5 }, m_now);
+        CPPUNIT_ASSERT(first.lease.isFree(m_now));
+        CPPUNIT_ASSERT_EQUAL(RowVersion { 5 }, first.lease.version());
+    }
+
+    void testEpochRisesWithEachLeader()
+    {
+        Candidate first("a");
+        claim(first);
+        Candidate second("b");
+        claim(second);
+        CPPUNIT_ASSERT(second.lease.epoch() > first.lease.epoch());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaderLeaseTest);
+
+} // namespace anvilmoor::batch
--- /dev/null
+++ b/test/batch_placement_test.cpp
@@ -0,0 +1,344 @@
+#include "batch/placement/eviction.h"
+#include "batch/placement/packing_placement.h"
+#include "batch/placement/placement_round.h"
+#include "support/batch_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace anvilmoor::batch {
+
+class BatchPlacementTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BatchPlacementTest);
+    CPPUNIT_TEST(testSmallTaskFillsUsedWorkerBeforeIdleOne);
+    CPPUNIT_TEST(testGangInOneRackTakesTheRackThatIsLeftWithLeast);
+    CPPUNIT_TEST(testGangThatFitsNoRackIsPlacedOnlyWhereSlowPlacesAreAllowed);
+    CPPUNIT_TEST(testTaskStaysNearItsData);
+    CPPUNIT_TEST(testRequiredLabelIsKept);
+    CPPUNIT_TEST(testLimitPerWorkerCountsTasksOfTheSameRound);
+    CPPUNIT_TEST(testWorkerOnTrialGetsOneTask);
+    CPPUNIT_TEST(testEvictionTakesCheapestWorker);
+    CPPUNIT_TEST(testEvictionLeavesOutNeedlessVictims);
+    CPPUNIT_TEST(testEvictionStopsGangAsWhole);
+    CPPUNIT_TEST(testReservedRoomIsNotGivenToLessUrgentWork);
+    CPPUNIT_TEST(testLateUrgentWorkBeyondGuaranteeEvictsNothing);
+    CPPUNIT_TEST(testLessUrgentWorkLeavesIdleWorkersWhileUrgentWorkComes);
+    CPPUNIT_TEST(testHeadroomEndsWhenNoUrgentWorkComes);
+    CPPUNIT_TEST(testHeadroomIsNotKeptWhileServiceIsMostlyIdle);
+    CPPUNIT_TEST(testOrderPutsInTimeBeforeLateWithinPriority);
+    CPPUNIT_TEST_SUITE_END();
+
+    const PackingPlacement m_packing;
+    const ObjectiveOrder m_order;
+    TimePoint m_now { Seconds(100) };
+    WallTime m_wall { Seconds(1'000) };
+
+    static WorkerCapacity capacityOf(int rack, int index, std::int64_t accelerators = 8)
+    {
+        WorkerCapacity worker;
+        worker.lifetime = { WorkerId(fmt::format("w{}-{}", rack, index)), 1 };
+        worker.rack = RackId(fmt::format("r{}", rack));
+        worker.kind = rack ? "b" : "a";
+        worker.whole = { 128'000, 256'000, 8 };
+        worker.room = { 128'000, 256'000, accelerators };
+        return worker;
+    }
+
+    static CapacityView viewOf(std::initializer_list<WorkerCapacity> workers)
+    {
+        CapacityView view;
+        for (const WorkerCapacity& worker : workers)
+            view.add(worker);
+        return view;
+    }
+
+    static PlacementRequest requestOf(const StepSpecification& step)
+    {
+        return { step, step.perTask, step.isGang ? step.taskCount : 1 };
+    }
+
+    // A pool and a book, as the leader holds them.
+    struct Site {
+        WorkerPool pool;
+        JobBook jobs;
+        Configuration configuration = testing::BatchCluster::defaultConfiguration();
+    };
+
+    void addWorkers(Site& site, int racks, int perRack) const
+    {
+        for (int rack = 0; rack < racks; ++rack) {
+            for (int index = 0; index < perRack; ++index) {
+                const WorkerCapacity capacity = capacityOf(rack, index);
+                WorkerRecord record { capacity.lifetime, "10.0.0.1:1", ServiceId("planner"),
+                    AvailabilityZoneId("z"), capacity.whole, "a", capacity.rack };
+                site.pool.update(record, m_now);
+                site.pool.find(record.lifetime)->isConfirmed = true;
+            }
+        }
+    }
+
+    JobId addJob(Site& site, const char* id, int priority, StepSpecification step,
+        const char* account = "account-a", Milliseconds age = Milliseconds(0))
+    {
+        AcceptedJob job;
+        job.specification = { JobId(id), "payload", { std::move(step) }, {} };
+        job.terms = { "queue", ServiceId("planner"), ClientAccountId(account), priority, 2, 1.5,
+            Milliseconds(250) };
+        job.acceptedAt = m_wall - age;
+        site.jobs.add(job);
+        return JobId(id);
+    }
+
+    // Puts the placed units onto their workers, as running.
+    void apply(Site& site, const PlacementOutcome& outcome)
+    {
+        for (const PlacementDecision& decision : outcome.placed) {
+            JobProgress& progress = site.jobs.find(decision.unit.job)->progress;
+            progress.assign(decision.unit, decision.workers);
+            for (std::size_t i = 0; i < decision.workers.size(); ++i) {
+                const RunId run { { decision.unit.job, 0, decision.unit.step, decision.unit.tasks[i] },
+                    decision.unit.run };
+                LiveRun live { run, progress.specificationOf(0).perTask, progress.job().terms.priority,
+                    RunPhase::Running };
+                live.acceptedAt = m_now;
+                site.pool.attach(*site.pool.find(decision.workers[i]), live);
+            }
+        }
+    }
+
+    PlacementOutcome place(PlacementRound& round, Site& site)
+    {
+        PlacementOutcome outcome = round.run(site.jobs, site.pool, site.configuration, m_now, m_wall);
+        apply(site, outcome);
+        return outcome;
+    }
+
+    static std::size_t placedTasks(const PlacementOutcome& outcome, const JobId& job)
+    {
+        std::size_t tasks = 0;
+        for (const PlacementDecision& decision : outcome.placed)
+            tasks += decision.unit.job == job ? decision.workers.size() : 0;
+        return tasks;
+    }
+
+    static std::size_t idleWorkers(const Site& site)
+    {
+        std::size_t idle = 0;
+        for (const auto& [lifetime, worker] : site.pool.all())
+            idle += worker.runs.empty() ? 1 : 0;
+        return idle;
+    }
+
+public:
+    void testSmallTaskFillsUsedWorkerBeforeIdleOne()
+    {
+        CapacityView view = viewOf({ capacityOf(0, 0), capacityOf(0, 1, 3), capacityOf(0, 2) });
+        const StepSpecification step = testing::makeStep(1, 1);
+        const auto workers = m_packing.place(requestOf(step), view);
+        CPPUNIT_ASSERT(workers->front() == capacityOf(0, 1).lifetime);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, view.workers()[1].room.accelerators);
+    }
+
+    void testGangInOneRackTakesTheRackThatIsLeftWithLeast()
+    {
+        CapacityView view = viewOf(
+            { capacityOf(0, 0), capacityOf(0, 1), capacityOf(0, 2), capacityOf(1, 0), capacityOf(1, 1) });
+        const StepSpecification step = testing::makeGang(2, 8, true);
+        const auto workers = m_packing.place(requestOf(step), view);
+        for (const WorkerLifetime& worker : *workers)
+            CPPUNIT_ASSERT_EQUAL(std::string("r1"), view.find(worker)->rack.value());
+    }
+
+    void testGangThatFitsNoRackIsPlacedOnlyWhereSlowPlacesAreAllowed()
+    {
+        CapacityView view = viewOf({ capacityOf(0, 0), capacityOf(1, 0) });
+        const StepSpecification step = testing::makeGang(2, 8, true);
+        PlacementRequest request = requestOf(step);
+        CPPUNIT_ASSERT(!m_packing.place(request, view));
+        CPPUNIT_ASSERT(view.workers()[0].room == view.workers()[0].whole);
+        request.mayUseSlowPlaces = true;
+        CPPUNIT_ASSERT(m_packing.place(request, view));
+    }
+
+    void testTaskStaysNearItsData()
+    {
+        CapacityView view = viewOf({ capacityOf(0, 0, 2), capacityOf(1, 0) });
+        StepSpecification step = testing::makeStep(1, 1);
+        step.dataRack = "r1";
+        const auto workers = m_packing.place(requestOf(step), view);
+        CPPUNIT_ASSERT(workers->front() == capacityOf(1, 0).lifetime);
+        view.workers()[1].room = {};
+        CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
+    }
+
+    void testRequiredLabelIsKept()
+    {
+        CapacityView view = viewOf({ capacityOf(0, 0, 2), capacityOf(1, 0) });
+        StepSpecification step = testing::makeStep(1, 1);
+        step.requiredLabel = "b";
+        CPPUNIT_ASSERT(m_packing.place(requestOf(step), view)->front() == capacityOf(1, 0).lifetime);
+        step.requiredLabel = "c";
+        CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
+        CPPUNIT_ASSERT(!couldEverFit(requestOf(step), view));
+    }
+
+    // Guards against the fault of the first bench run: tasks placed in one round did not count each other.
+    void testLimitPerWorkerCountsTasksOfTheSameRound()
+    {
+        Site site;
+        addWorkers(site, 1, 2);
+        StepSpecification step = testing::makeStep(4, 1);
+        step.maxTasksPerWorker = 1;
+        const JobId job = addJob(site, "job", 2, step);
+        PlacementRound round(m_packing, m_order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placedTasks(place(round, site), job));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, placedTasks(place(round, site), job));
+    }
+
+    void testWorkerOnTrialGetsOneTask()
+    {
+        WorkerCapacity suspect = capacityOf(0, 0);
+        suspect.isOnTrial = true;
+        CapacityView view = viewOf({ suspect });
+        const StepSpecification step = testing::makeStep(1, 1);
+        CPPUNIT_ASSERT(m_packing.place(requestOf(step), view));
+        CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
+    }
+
+    static EvictionCandidate candidateOf(
+        const char* job, const WorkerLifetime& worker, int accelerators, double cost)
+    {
+        EvictionCandidate candidate;
+        candidate.runs = { { { JobId(job), 0, 0, 0 }, 1 } };
+        candidate.room = { { worker, { 1'000, 1'000, accelerators } } };
+        candidate.cost = cost;
+        return candidate;
+    }
+
+    void testEvictionTakesCheapestWorker()
+    {
+        const CapacityView view = viewOf({ capacityOf(0, 0, 0), capacityOf(0, 1, 0) });
+        const StepSpecification step = testing::makeStep(1, 8);
+        const auto plan = planEviction(requestOf(step), view,
+            { candidateOf("dear", capacityOf(0, 0).lifetime, 8, 100),
+                candidateOf("cheap", capacityOf(0, 1).lifetime, 8, 10) });
+        CPPUNIT_ASSERT(plan);
+        CPPUNIT_ASSERT_EQUAL(std::string("cheap"), plan->victims.front().task.job.value());
+        CPPUNIT_ASSERT(plan->workers.front() == capacityOf(0, 1).lifetime);
+    }
+
+    void testEvictionLeavesOutNeedlessVictims()
+    {
+        const CapacityView view = viewOf({ capacityOf(0, 0, 0) });
+        const StepSpecification step = testing::makeStep(1, 7);
+        const WorkerLifetime worker = capacityOf(0, 0).lifetime;
+        const auto plan = planEviction(requestOf(step), view,
+            { candidateOf("small", worker, 1, 1), candidateOf("large", worker, 7, 70) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan->victims.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("large"), plan->victims.front().task.job.value());
+    }
+
+    void testEvictionStopsGangAsWhole()
+    {
+        const CapacityView view = viewOf({ capacityOf(0, 0, 0), capacityOf(0, 1, 0) });
+        EvictionCandidate gang = candidateOf("gang", capacityOf(0, 0).lifetime, 8, 10);
+        gang.runs.push_back({ { JobId("gang"), 0, 0, 1 }, 1 });
+        gang.room.emplace_back(capacityOf(0, 1).lifetime, Resources { 1'000, 1'000, 8 });
+        const StepSpecification step = testing::makeStep(1, 8);
+        const auto plan = planEviction(requestOf(step), view, { gang });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan->victims.size());
+    }
+
+    // Guards against room that was made by a stop and is taken by other work before the urgent unit gets it.
+    void testReservedRoomIsNotGivenToLessUrgentWork()
+    {
+        Site site;
+        addWorkers(site, 1, 1);
+        addJob(site, "filler", 2, testing::makeStep(8, 1));
+        PlacementRound round(m_packing, m_order);
+        place(round, site);
+        const JobId urgent = addJob(site, "urgent", 0, testing::makeStep(1, 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, place(round, site).victims.size());
+        // Half of the victims are gone, and more small work waits.
+        Worker& worker = *site.pool.find(capacityOf(0, 0).lifetime);
+        for (int index = 0; index < 4; ++index) {
+            const TaskId task { JobId("filler"), 0, 0, index };
+            site.pool.detach(worker, task);
+            site.jobs.find(JobId("filler"))->progress.runEnded({ task, 1 }, RunEnd::Stopped, {});
+        }
+        CPPUNIT_ASSERT(place(round, site).placed.empty());
+        for (int index = 4; index < 8; ++index) {
+            const TaskId task { JobId("filler"), 0, 0, index };
+            site.pool.detach(worker, task);
+            site.jobs.find(JobId("filler"))->progress.runEnded({ task, 1 }, RunEnd::Stopped, {});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), urgent));
+    }
+
+    void testLateUrgentWorkBeyondGuaranteeEvictsNothing()
+    {
+        Site site;
+        addWorkers(site, 1, 4);
+        addJob(site, "filler", 2, testing::makeStep(32, 1));
+        PlacementRound round(m_packing, m_order);
+        place(round, site);
+        // Account A is guaranteed 16 accelerators.
+        addJob(site, "urgent", 0, testing::makeGang(3, 8), "account-a", Milliseconds(5'000));
+        CPPUNIT_ASSERT(place(round, site).victims.empty());
+        addJob(site, "covered", 0, testing::makeGang(2, 8), "account-a", Milliseconds(5'000));
+        CPPUNIT_ASSERT(!place(round, site).victims.empty());
+    }
+
+    void testLessUrgentWorkLeavesIdleWorkersWhileUrgentWorkComes()
+    {
+        Site site;
+        addWorkers(site, 1, 8);
+        addJob(site, "urgent", 0, testing::makeGang(5, 8));
+        PlacementRound round(m_packing, m_order);
+        place(round, site);
+        addJob(site, "small", 2, testing::makeStep(64, 1));
+        place(round, site);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, idleWorkers(site));
+    }
+
+    // Guards against the hunted day trouble-3, seed 581707070283, on which a job waited at the day's end
+    // beside idle workers.
+    void testHeadroomEndsWhenNoUrgentWorkComes()
+    {
+        Site site;
+        addWorkers(site, 1, 8);
+        const JobId urgent = addJob(site, "urgent", 0, testing::makeGang(5, 8));
+        PlacementRound round(m_packing, m_order);
+        place(round, site);
+        // Its runs go on, but the job no longer counts as waiting work.
+        site.jobs.find(urgent)->progress.cancel();
+        site.jobs.noteChange(*site.jobs.find(urgent), m_now);
+        const JobId small = addJob(site, "small", 2, testing::makeStep(64, 1));
+        m_now += Milliseconds(3'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 24 }, placedTasks(place(round, site), small));
+    }
+
+    void testHeadroomIsNotKeptWhileServiceIsMostlyIdle()
+    {
+        Site site;
+        addWorkers(site, 1, 4);
+        addJob(site, "urgent", 0, testing::makeStep(1, 1));
+        const JobId gang = addJob(site, "gang", 1, testing::makeGang(3, 8, true));
+        PlacementRound round(m_packing, m_order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, placedTasks(place(round, site), gang));
+    }
+
+    void testOrderPutsInTimeBeforeLateWithinPriority()
+    {
+        Site site;
+        addWorkers(site, 1, 1);
+        addJob(site, "a-late", 1, testing::makeStep(1, 8), "account-a", Milliseconds(5'000));
+        const JobId inTime = addJob(site, "b-in-time", 1, testing::makeStep(1, 8));
+        PlacementRound round(m_packing, m_order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), inTime));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchPlacementTest);
+
+} // namespace anvilmoor::batch
--- a/test/platform_client_test.cpp
+++ b/test/platform_client_test.cpp
@@ -1,11 +1,11 @@
+#include "clients/endpoint_client.h"
+#include "clients/host_list_client.h"
+#include "clients/object_client.h"
+#include "clients/table_client.h"
+#include "clients/worker_client.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/endpoint_client.h"
-#include "platform/host_list_client.h"
-#include "platform/object_client.h"
 #include "platform/platform_service.h"
-#include "platform/table_client.h"
-#include "platform/worker_client.h"
 #include "support/loop_support.h"
 #include "workers/worker_service.h"
 
@@ -13,7 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 using nlohmann::json;
 using testing::runUntil;
@@ -380,4 +380,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -1,14 +1,14 @@
-#include "platform/endpoint_codec.h"
-#include "platform/host_list_codec.h"
-#include "platform/table_codec.h"
-#include "platform/worker_codec.h"
+#include "clients/endpoint_codec.h"
+#include "clients/host_list_codec.h"
+#include "clients/table_codec.h"
+#include "clients/worker_codec.h"
 #include "workers/layout.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
 #include <vector>
 
-namespace anvilmoor::platform {
+namespace anvilmoor::clients {
 
 class PlatformCodecTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformCodecTest);
@@ -182,4 +182,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecTest);
 
-} // namespace anvilmoor::platform
+} // namespace anvilmoor::clients
--- /dev/null
+++ b/test/support/batch_cluster.cpp
@@ -0,0 +1,693 @@
+#include "support/batch_cluster.h"
+
+#include "batch/jobs/job_codec.h"
+#include "batch/store/tables.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace anvilmoor::testing {
+
+namespace {
+
+using namespace batch;
+
+constexpr Milliseconds storeDelay { 8 };
+constexpr Milliseconds orderDelay { 4 };
+constexpr Milliseconds orderTimeout { 600 };
+constexpr Milliseconds commitTimeout { 700 };
+constexpr Milliseconds followInterval { 50 };
+constexpr Milliseconds worldInterval { 10 };
+constexpr Milliseconds checkpointInterval { 500 };
+
+std::string nameOf(const RunId& run)
+{
+    return fmt::format("{}.{}.{}.{} run {}", run.task.job.value(), run.task.occurrence, run.task.step,
+        run.task.index, run.run);
+}
+
+} // namespace
+
+FakeWorker::FakeWorker(WorkerRecord recordOfWorker, std::function<TimePoint()> clock)
+    : record(std::move(recordOfWorker))
+    , m_now(std::move(clock))
+    , m_bornAt(m_now())
+    , m_advancedAt(m_now())
+{
+}
+
+WorkerClock FakeWorker::clock() const
+{
+    // 2% slow, as the platform allows.
+    return 1'000 + (m_now() - m_bornAt).count() * 98 / 100;
+}
+
+StartAnswered FakeWorker::start(const StartRun& order)
+{
+    StartAnswered answer { order.worker, order.token, order.run, OrderOutcome::Accepted, clock() };
+    if (order.worker.bornAt != record.lifetime.bornAt)
+        answer.outcome = OrderOutcome::OtherLifetime;
+    else if (order.token < m_highestToken || order.leaseUntil <= clock())
+        answer.outcome = OrderOutcome::Outdated;
+    if (answer.outcome != OrderOutcome::Accepted)
+        return answer;
+    m_highestToken = order.token;
+    const auto present = m_runs.find(order.run.task);
+    if (present != m_runs.end() && present->second.id == order.run)
+        return answer;
+    const auto over = m_over.find(order.run.task);
+    if (present != m_runs.end() || (over != m_over.end() && over->second >= order.run.run)) {
+        answer.outcome = OrderOutcome::Outdated;
+        return answer;
+    }
+    Resources used = resourcesOf(order.run.task);
+    for (const auto& [task, run] : m_runs)
+        used += resourcesOf(task);
+    if (!used.fitsIn(record.capacity)) {
+        answer.outcome = OrderOutcome::NoRoom;
+        return answer;
+    }
+    m_leaseUntil = std::max(m_leaseUntil, order.leaseUntil);
+    Run run { order.run, Milliseconds(0), durationOf(order.run.task), m_now(), order.checkpoint };
+    if (!order.checkpoint.empty())
+        run.worked = Milliseconds(std::stol(order.checkpoint));
+    m_runs.emplace(order.run.task, std::move(run));
+    onStart(order);
+    return answer;
+}
+
+StopAnswered FakeWorker::stop(const StopRun& order)
+{
+    StopAnswered answer { order.worker, order.token, order.run, OrderOutcome::Accepted, clock() };
+    if (order.worker.bornAt != record.lifetime.bornAt)
+        answer.outcome = OrderOutcome::OtherLifetime;
+    else if (order.token < m_highestToken)
+        answer.outcome = OrderOutcome::Outdated;
+    if (answer.outcome != OrderOutcome::Accepted)
+        return answer;
+    m_highestToken = order.token;
+    int& over = m_over[order.run.task];
+    over = std::max(over, order.run.run);
+    const auto found = m_runs.find(order.run.task);
+    if (found != m_runs.end() && found->second.id == order.run)
+        end(order.run.task, RunEnd::Stopped);
+    return answer;
+}
+
+HoldAnswered FakeWorker::hold(const HoldWorker& order)
+{
+    HoldAnswered answer { order.worker, order.token, OrderOutcome::Accepted };
+    if (order.worker.bornAt != record.lifetime.bornAt)
+        answer.outcome = OrderOutcome::OtherLifetime;
+    else if (order.token < m_highestToken)
+        answer.outcome = OrderOutcome::Outdated;
+    if (answer.outcome != OrderOutcome::Accepted)
+        return answer;
+    m_highestToken = order.token;
+    if (order.leaseUntil)
+        m_leaseUntil = std::max(m_leaseUntil, *order.leaseUntil);
+    while (!m_ended.empty() && m_ended.front().sequence <= order.acknowledgedEnd) {
+        onAcknowledged(m_ended.front(), m_ended.front().sequence <= m_lapsedEnd);
+        m_ended.pop_front();
+    }
+    answer.status.clock = clock();
+    answer.status.bornAt = record.lifetime.bornAt;
+    for (const auto& [task, run] : m_runs)
+        answer.status.active.push_back({ run.id, run.checkpoint,
+            static_cast<int>(100 * run.worked.count() / std::max<std::int64_t>(run.duration.count(), 1)) });
+    answer.status.ended.assign(m_ended.begin(), m_ended.end());
+    return answer;
+}
+
+void FakeWorker::end(const TaskId& task, RunEnd how)
+{
+    const Run run = m_runs.at(task);
+    m_runs.erase(task);
+    int& over = m_over[task];
+    over = std::max(over, run.id.run);
+    m_ended.push_back({ ++m_lastEnd, run.id, how, run.checkpoint });
+    onEnd(run.id, how);
+}
+
+void FakeWorker::advance()
+{
+    const Milliseconds passed = m_now() - m_advancedAt;
+    m_advancedAt = m_now();
+    if (clock() >= m_leaseUntil)
+        m_lapsedEnd = m_lastEnd;
+    std::vector<std::pair<TaskId, RunEnd>> ends;
+    for (auto& [task, run] : m_runs) {
+        if (clock() >= m_leaseUntil) {
+            ends.emplace_back(task, RunEnd::LeaseExpired);
+            continue;
+        }
+        if (!isGangPresent(run.id)) {
+            const bool hasWorked = run.worked > Milliseconds(0);
+            if (hasWorked)
+                ends.emplace_back(task, RunEnd::GangBroken);
+            else if (m_now() > run.startedAt + Milliseconds(3'000))
+                ends.emplace_back(task, RunEnd::GangIncomplete);
+            continue;
+        }
+        run.worked += passed;
+        run.checkpoint = std::to_string(run.worked / checkpointInterval * checkpointInterval.count());
+        if (isFailing)
+            ends.emplace_back(task, RunEnd::Failed);
+        else if (run.worked >= run.duration)
+            ends.emplace_back(task, RunEnd::Done);
+    }
+    for (const auto& [task, how] : ends)
+        end(task, how);
+}
+
+void FakeWorker::rebirth()
+{
+    m_runs.clear();
+    m_over.clear();
+    m_ended.clear();
+    m_lastEnd = 0;
+    m_lapsedEnd = 0;
+    m_highestToken = 0;
+    m_leaseUntil = 0;
+    m_bornAt = m_now();
+    ++record.lifetime.bornAt;
+}
+
+CommitReply FakeStore::commit(const Transaction& transaction)
+{
+    CommitReply reply { CommitOutcome::Applied };
+    for (const ExpectedVersion& expected : transaction.expected) {
+        const auto row = m_rows.find(expected.key);
+        const RowVersion version = row == m_rows.end() ? 0 : row->second.version;
+        if (version != expected.version)
+            reply.outcome = CommitOutcome::Conflict;
+        reply.current.push_back(row == m_rows.end() ? Row { expected.key } : row->second);
+    }
+    if (reply.outcome == CommitOutcome::Conflict)
+        return reply;
+    reply.current.clear();
+    reply.version = ++m_version;
+    for (const Row& write : transaction.writes) {
+        Row row = write;
+        row.version = m_version;
+        m_rows[row.key] = row;
+        m_history.push_back(row);
+    }
+    for (const RowKey& key : transaction.removals) {
+        m_rows.erase(key);
+        m_history.push_back({ key, {}, m_version, true });
+    }
+    return reply;
+}
+
+std::vector<Row> FakeStore::read(const RowKey& from, const std::string& until) const
+{
+    std::vector<Row> rows;
+    for (auto row = m_rows.lower_bound(from); row != m_rows.end(); ++row) {
+        if (row->first.table != from.table || row->first.part != from.part)
+            break;
+        if (!until.empty() && row->first.key >= until)
+            break;
+        rows.push_back(row->second);
+    }
+    return rows;
+}
+
+std::vector<Row> FakeStore::changes(const std::string& table, RowVersion after) const
+{
+    std::vector<Row> rows;
+    for (const Row& row : m_history) {
+        if (row.key.table == table && row.version > after)
+            rows.push_back(row);
+    }
+    return rows;
+}
+
+BatchCluster::BatchCluster(int daemons, std::uint64_t seed)
+    : m_random(seed)
+    , m_configuration(defaultConfiguration())
+{
+    m_daemons.resize(static_cast<std::size_t>(daemons));
+    for (std::size_t i = 0; i < m_daemons.size(); ++i)
+        start(i);
+}
+
+Configuration BatchCluster::defaultConfiguration()
+{
+    Configuration configuration;
+    configuration.version = 1;
+    const std::vector<std::string> queues { "urgent", "gang", "small" };
+    for (std::size_t i = 0; i < queues.size(); ++i)
+        configuration.queues.push_back({ queues[i], "plan.example", "/" + queues[i] + "/",
+            ServiceId("planner"), static_cast<int>(i), 2, 3.0, Milliseconds(1'000) });
+    configuration.accounts.push_back({ ClientAccountId("account-a"), { "key-a" }, 16 });
+    configuration.accounts.push_back({ ClientAccountId("account-b"), { "key-b" }, 8 });
+    return configuration;
+}
+
+void BatchCluster::at(TimePoint when, std::function<void()> action)
+{
+    m_schedule.push({ when, ++m_lastOrder, std::move(action) });
+}
+
+void BatchCluster::run(Milliseconds duration)
+{
+    const TimePoint end = m_now + duration;
+    TimePoint nextWorld = m_now;
+    while (m_now < end) {
+        const bool hasAction = !m_schedule.empty() && m_schedule.top().at <= nextWorld;
+        m_now = std::min(end, hasAction ? std::max(m_now, m_schedule.top().at) : nextWorld);
+        if (hasAction && m_schedule.top().at <= m_now) {
+            const auto action = m_schedule.top().action;
+            m_schedule.pop();
+            action();
+            continue;
+        }
+        if (m_now >= nextWorld) {
+            for (const auto& worker : m_workers)
+                worker->advance();
+            nextWorld = m_now + worldInterval;
+        }
+    }
+}
+
+bool BatchCluster::runUntil(const std::function<bool()>& condition, Milliseconds limit)
+{
+    const TimePoint end = m_now + limit;
+    while (m_now < end) {
+        if (condition())
+            return true;
+        run(worldInterval);
+    }
+    return condition();
+}
+
+void BatchCluster::addWorkers(int racks, int perRack)
+{
+    for (int rack = 0; rack < racks; ++rack) {
+        for (int index = 0; index < perRack; ++index) {
+            WorkerRecord record;
+            record.lifetime = { WorkerId(fmt::format("w{}-{}", rack, index)), 1 };
+            record.address = fmt::format("10.0.{}.{}:80", rack, index);
+            record.service = ServiceId("planner");
+            record.zone = AvailabilityZoneId("north");
+            record.capacity = { 128'000, 256'000, 8 };
+            record.kind = "a";
+            record.rack = RackId(fmt::format("r{}", rack));
+            auto worker = std::make_unique<FakeWorker>(std::move(record), [this] { return m_now; });
+            worker->durationOf = [this](const TaskId& task) {
+                const auto set = m_durations.find(task.job);
+                const StepSpecification& step
+                    = m_jobs.at(task.job).steps[static_cast<std::size_t>(task.step)];
+                return set == m_durations.end() ? step.estimatedDuration : set->second;
+            };
+            worker->resourcesOf = [this](const TaskId& task) {
+                return m_jobs.at(task.job).steps[static_cast<std::size_t>(task.step)].perTask;
+            };
+            worker->isGangPresent = [this](const RunId& run) {
+                const StepSpecification& step
+                    = m_jobs.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
+                if (!step.isGang)
+                    return true;
+                int present = 0;
+                for (const auto& other : m_workers) {
+                    for (const auto& [task, each] : other->runs())
+                        present += task.job == run.task.job && task.step == run.task.step
+                                && each.id.run == run.run
+                            ? 1
+                            : 0;
+                }
+                const auto done = m_done.find({ run.task.job, run.task.occurrence, run.task.step, -1 });
+                return present == step.taskCount || done != m_done.end();
+            };
+            worker->onStart = [this](const StartRun& order) { noteStart(order); };
+            worker->onAcknowledged
+                = [this](const EndedRun& ended, bool hasLapsed) { noteAcknowledged(ended, hasLapsed); };
+            worker->onEnd = [this](const RunId& run, RunEnd how) { noteEnd(run, how); };
+            m_workers.push_back(std::move(worker));
+        }
+    }
+}
+
+void BatchCluster::unlist(std::size_t index) { m_unlisted.insert(m_workers[index]->record.lifetime.id); }
+
+void BatchCluster::setConfiguration(Configuration configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+FakeWorker* BatchCluster::findAnyLifetime(const WorkerId& id)
+{
+    for (const auto& worker : m_workers) {
+        if (worker->record.lifetime.id == id)
+            return worker.get();
+    }
+    return nullptr;
+}
+
+void BatchCluster::violation(const std::string& what)
+{
+    m_violations.push_back(fmt::format("at {} ms: {}", m_now.time_since_epoch().count(), what));
+}
+
+void BatchCluster::noteStart(const StartRun& order)
+{
+    const TaskId& task = order.run.task;
+    ++m_starts[task.job];
+    m_firstStarts.try_emplace(task.job, m_now);
+    int running = 0;
+    for (const auto& worker : m_workers)
+        running += worker->runs().contains(task) ? 1 : 0;
+    if (running > 1)
+        violation(nameOf(order.run) + " starts beside another run of its task");
+    if (m_noted.contains(task))
+        violation(nameOf(order.run) + " starts after its task was done");
+    else if (const auto done = m_done.find(task); done != m_done.end())
+        m_doneBeforeStart.insert({ task, done->second });
+    if (m_refused.contains(task.job))
+        violation(nameOf(order.run) + " starts though its job was refused");
+    const JobSpecification& job = m_jobs.at(task.job);
+    for (const int earlier : job.steps[static_cast<std::size_t>(task.step)].dependsOn) {
+        for (int index = 0; index < job.steps[static_cast<std::size_t>(earlier)].taskCount; ++index) {
+            if (!m_done.contains({ task.job, task.occurrence, earlier, index }))
+                violation(nameOf(order.run) + " starts before the steps that it depends on");
+        }
+    }
+}
+
+void BatchCluster::noteEnd(const RunId& run, RunEnd how)
+{
+    if (how != RunEnd::Done)
+        return;
+    const StepSpecification& step = m_jobs.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
+    m_done[run.task] = run.run;
+    if (!step.isGang)
+        return;
+    // The others of the gang end with this one.
+    m_done[{ run.task.job, run.task.occurrence, run.task.step, -1 }] = run.run;
+    for (int index = 0; index < step.taskCount; ++index)
+        m_done[{ run.task.job, run.task.occurrence, run.task.step, index }] = run.run;
+}
+
+void BatchCluster::noteAcknowledged(const EndedRun& ended, bool hasLapsed)
+{
+    if (ended.end != RunEnd::Done || hasLapsed)
+        return;
+    m_noted.insert(ended.run.task);
+    if (m_doneBeforeStart.contains(ended.run))
+        violation(nameOf(ended.run) + " was done before a later start of its task");
+}
+
+int BatchCluster::startsOf(const JobId& job) const
+{
+    const auto found = m_starts.find(job);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+std::optional<TimePoint> BatchCluster::firstStart(const JobId& job) const
+{
+    const auto found = m_firstStarts.find(job);
+    return found == m_firstStarts.end() ? std::nullopt : std::optional(found->second);
+}
+
+// --- daemons
+
+void BatchCluster::start(std::size_t index)
+{
+    Daemon& daemon = m_daemons[index];
+    BatchSettings settings;
+    settings.daemonName = fmt::format("daemon-{}/{}", index, daemon.lifetime + 1);
+    settings.claimDelay = Milliseconds(static_cast<std::int64_t>(index) * 40);
+    daemon = {};
+    daemon.lifetime = ++m_lastJob;
+    daemon.reducer = std::make_unique<BatchReducer>(std::move(settings));
+    const int lifetime = daemon.lifetime;
+    const auto repeat = std::make_shared<std::function<void()>>();
+    *repeat = [this, index, lifetime, repeat] {
+        if (m_daemons[index].lifetime != lifetime || !m_daemons[index].reducer)
+            return;
+        dispatch(index, Tick {});
+        at(m_now + tickInterval, *repeat);
+    };
+    at(m_now, *repeat);
+    const auto following = std::make_shared<std::function<void()>>();
+    *following = [this, index, lifetime, following] {
+        if (m_daemons[index].lifetime != lifetime || !m_daemons[index].reducer)
+            return;
+        follow(index);
+        at(m_now + followInterval, *following);
+    };
+    at(m_now + Milliseconds(1), *following);
+}
+
+void BatchCluster::kill(std::size_t daemon)
+{
+    m_daemons[daemon].reducer.reset();
+    ++m_daemons[daemon].lifetime;
+}
+
+void BatchCluster::restart(std::size_t daemon) { start(daemon); }
+
+void BatchCluster::terminate(std::size_t daemon) { dispatch(daemon, ShutdownRequested {}); }
+
+std::optional<std::size_t> BatchCluster::leader() const
+{
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        if (m_daemons[i].reducer && m_daemons[i].reducer->isLeader())
+            return i;
+    }
+    return std::nullopt;
+}
+
+bool BatchCluster::reachesStore(std::size_t daemon) const
+{
+    return !isStoreDown && !cutFromStore.contains(daemon);
+}
+
+void BatchCluster::follow(std::size_t index)
+{
+    if (!reachesStore(index))
+        return;
+    Daemon& daemon = m_daemons[index];
+    const int lifetime = daemon.lifetime;
+    deliver(index, lifetime, storeDelay, ConfigurationFollowed { { m_configuration }, m_now });
+    RowKey start = leaseKey();
+    start.key.clear();
+    RowsFollowed lease { OwnTable::Lease, !daemon.isLeaseListed, {}, m_now };
+    lease.rows
+        = daemon.isLeaseListed ? m_store.changes(start.table, daemon.leaseSeen) : m_store.read(start, {});
+    daemon.leaseSeen = m_store.version();
+    daemon.isLeaseListed = true;
+    deliver(index, lifetime, storeDelay, std::move(lease));
+    if (!daemon.isFollowing)
+        return;
+    start.table = std::string(jobTable);
+    RowsFollowed jobs { OwnTable::Jobs, !daemon.areJobsListed, {}, m_now };
+    jobs.rows
+        = daemon.areJobsListed ? m_store.changes(start.table, daemon.jobsSeen) : m_store.read(start, {});
+    daemon.jobsSeen = m_store.version();
+    daemon.areJobsListed = true;
+    deliver(index, lifetime, storeDelay, std::move(jobs));
+    WorkersFollowed workers { true, {}, {}, m_now };
+    for (const auto& worker : m_workers) {
+        if (!m_unlisted.contains(worker->record.lifetime.id))
+            workers.changed.push_back(worker->record);
+    }
+    deliver(index, lifetime, storeDelay, std::move(workers));
+}
+
+void BatchCluster::deliver(std::size_t daemon, int lifetime, Milliseconds delay, EventPayload payload)
+{
+    at(m_now + delay, [this, daemon, lifetime, payload = std::move(payload)] {
+        if (m_daemons[daemon].lifetime == lifetime && m_daemons[daemon].reducer)
+            dispatch(daemon, payload);
+    });
+}
+
+void BatchCluster::dispatch(std::size_t daemon, EventPayload payload)
+{
+    const WallTime wall { Milliseconds(1'700'000'000'000) + m_now.time_since_epoch() };
+    const Event event { m_now, wall, m_random(), std::move(payload) };
+    for (Effect& effect : m_daemons[daemon].reducer->handle(event)) {
+        if (std::holds_alternative<StopDaemon>(effect)) {
+            kill(daemon);
+            return;
+        }
+        carryOut(daemon, effect);
+    }
+}
+
+void BatchCluster::carryOut(std::size_t daemon, Effect& effect)
+{
+    const int lifetime = m_daemons[daemon].lifetime;
+    if (const auto* start = std::get_if<StartRun>(&effect)) {
+        order(
+            daemon, start->worker,
+            [order = *start](FakeWorker* worker) -> EventPayload { return worker->start(order); },
+            StartAnswered { start->worker, start->token, start->run }, true);
+    } else if (const auto* stop = std::get_if<StopRun>(&effect)) {
+        order(
+            daemon, stop->worker,
+            [order = *stop](FakeWorker* worker) -> EventPayload { return worker->stop(order); },
+            StopAnswered { stop->worker, stop->token, stop->run }, true);
+    } else if (const auto* look = std::get_if<HoldWorker>(&effect)) {
+        at(m_now + orderDelay, [this, daemon, look = *look] { hold(daemon, look, m_now + look.wait); });
+    } else if (const auto* write = std::get_if<Commit>(&effect)) {
+        commit(daemon, *write);
+    } else if (const auto* readRows = std::get_if<ReadRows>(&effect)) {
+        const bool isOk = reachesStore(daemon);
+        ReadAnswered answer { readRows->operation, { isOk, {} } };
+        if (isOk)
+            answer.reply.rows = m_store.read(readRows->from, readRows->until);
+        deliver(daemon, lifetime, storeDelay, std::move(answer));
+    } else if (const auto* follow = std::get_if<FollowLeaderTables>(&effect)) {
+        m_daemons[daemon].isFollowing = follow->isFollowing;
+        m_daemons[daemon].areJobsListed = false;
+    } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+        const JobId job = m_callers[answer->caller];
+        m_lastAnswer = Answer { answer->kind, answer->state, answer->count, m_now };
+        m_answers[job] = *m_lastAnswer;
+        if (answer->kind == AnswerKind::NotAccepted && !startsOf(job))
+            m_refused.insert(job);
+        else if (answer->kind == AnswerKind::Accepted)
+            m_refused.erase(job);
+    }
+}
+
+void BatchCluster::commit(std::size_t daemon, const Commit& write)
+{
+    const int lifetime = m_daemons[daemon].lifetime;
+    if (!reachesStore(daemon)) {
+        deliver(daemon, lifetime, commitTimeout, CommitAnswered { write.operation });
+        return;
+    }
+    at(m_now + storeDelay / 2, [this, daemon, lifetime, write] {
+        const CommitReply reply = m_store.commit(write.transaction);
+        const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lostCommitShare;
+        if (isLost)
+            deliver(daemon, lifetime, commitTimeout, CommitAnswered { write.operation });
+        else
+            deliver(daemon, lifetime, storeDelay / 2, CommitAnswered { write.operation, reply });
+    });
+}
+
+void BatchCluster::order(std::size_t daemon, const WorkerLifetime& target,
+    const std::function<EventPayload(FakeWorker*)>& carryOutAt, const EventPayload& unanswered,
+    bool mayBeLate)
+{
+    const int lifetime = m_daemons[daemon].lifetime;
+    const bool isLate = mayBeLate && std::uniform_real_distribution<>(0, 1)(m_random) < lateOrderShare;
+    const Milliseconds delay
+        = isLate ? Milliseconds(std::uniform_int_distribution<>(2'000, 12'000)(m_random)) : orderDelay;
+    const bool isCut = cutFromWorkers.contains(daemon);
+    at(m_now + delay, [this, daemon, lifetime, target, carryOutAt, isLate, isCut, unanswered] {
+        FakeWorker* worker = findAnyLifetime(target.id);
+        if (!worker || !worker->isReachable || isCut) {
+            deliver(daemon, lifetime, orderTimeout, unanswered);
+            return;
+        }
+        const EventPayload answer = carryOutAt(worker);
+        if (!isLate)
+            deliver(daemon, lifetime, orderDelay, answer);
+    });
+    if (isLate)
+        deliver(daemon, lifetime, orderTimeout, unanswered);
+}
+
+// Answers at once if the worker has ends to list, and otherwise when the wait is over.
+void BatchCluster::hold(std::size_t daemon, const HoldWorker& look, TimePoint answerBy)
+{
+    const int lifetime = m_daemons[daemon].lifetime;
+    FakeWorker* worker = findAnyLifetime(look.worker.id);
+    if (!worker || !worker->isReachable || cutFromWorkers.contains(daemon)) {
+        deliver(daemon, lifetime, orderTimeout, HoldAnswered { look.worker, look.token });
+        return;
+    }
+    const HoldAnswered answer = worker->hold(look);
+    if (answer.outcome == OrderOutcome::Accepted && answer.status.ended.empty() && m_now < answerBy) {
+        at(m_now + worldInterval, [this, daemon, look, answerBy] { hold(daemon, look, answerBy); });
+        return;
+    }
+    deliver(daemon, lifetime, orderDelay, answer);
+}
+
+// --- callers
+
+void BatchCluster::request(std::size_t daemon, CallerAction action, const std::string& queue,
+    const JobId& job, JobSpecification specification, const std::string& key)
+{
+    CallerRequest request;
+    request.caller = ++m_lastCaller;
+    request.action = action;
+    request.host = "plan.example";
+    request.path = "/" + queue + "/" + job.value();
+    request.apiKey = key;
+    request.timeout = Milliseconds(3'000);
+    request.specification = std::move(specification);
+    m_callers[request.caller] = job;
+    m_lastAnswer.reset();
+    dispatch(daemon, std::move(request));
+}
+
+JobId BatchCluster::submit(std::size_t daemon, const std::string& queue, std::vector<StepSpecification> steps,
+    const std::string& key)
+{
+    const JobId job(fmt::format("{:016x}", ++m_lastJob));
+    JobSpecification specification { job, "payload", std::move(steps), {} };
+    m_jobs[job] = specification;
+    request(daemon, CallerAction::Submit, queue, job, std::move(specification), key);
+    return job;
+}
+
+void BatchCluster::submitAgain(std::size_t daemon, const std::string& queue, const JobId& job)
+{
+    request(daemon, CallerAction::Submit, queue, job, m_jobs.at(job), "key-a");
+}
+
+void BatchCluster::cancel(std::size_t daemon, const std::string& queue, const JobId& job)
+{
+    request(daemon, CallerAction::Cancel, queue, job, {}, "key-a");
+}
+
+void BatchCluster::query(std::size_t daemon, const std::string& queue, const JobId& job)
+{
+    request(daemon, CallerAction::Query, queue, job, {}, "key-a");
+}
+
+void BatchCluster::count(std::size_t daemon, const std::string& queue)
+{
+    request(daemon, CallerAction::Query, queue, JobId(), {}, "key-a");
+}
+
+std::optional<BatchCluster::Answer> BatchCluster::answerTo(const JobId& job) const
+{
+    const auto found = m_answers.find(job);
+    return found == m_answers.end() ? std::nullopt : std::optional(found->second);
+}
+
+JobState BatchCluster::stateOf(const JobId& job) const
+{
+    const RowKey key = progressKey(job);
+    const std::vector<Row> rows = m_store.read(key, key.key + '!');
+    return rows.empty() ? JobState::Pending : decodeJobState(rows.front().value).value();
+}
+
+StepSpecification makeStep(int tasks, int accelerators, Milliseconds duration)
+{
+    StepSpecification step;
+    step.taskCount = tasks;
+    step.perTask = { 1'000, 1'000, accelerators };
+    step.estimatedDuration = duration;
+    return step;
+}
+
+StepSpecification makeGang(int tasks, int accelerators, bool needsOneRack, Milliseconds duration)
+{
+    StepSpecification step = makeStep(tasks, accelerators, duration);
+    step.isGang = true;
+    step.needsOneRack = needsOneRack;
+    return step;
+}
+
+} // namespace anvilmoor::testing
--- /dev/null
+++ b/test/support/batch_cluster.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include "batch/reducer/batch_reducer.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+// Daemons, a store and workers in virtual time, with faults on request. Checks after each step what must
+// always hold: a task never has two runs at once and none after it is done, a gang works only whole, and a
+// job that was refused never runs.
+
+namespace anvilmoor::testing {
+
+using batch::AnswerKind;
+using batch::JobState;
+
+// A worker of the platform: runs tasks under leases on its own clock, and remembers ends until acknowledged.
+class FakeWorker {
+public:
+    FakeWorker(batch::WorkerRecord, std::function<TimePoint()> clock);
+
+    batch::StartAnswered start(const batch::StartRun&);
+    batch::StopAnswered stop(const batch::StopRun&);
+    batch::HoldAnswered hold(const batch::HoldWorker&);
+    // Lets time pass: gangs begin, tasks end, leases lapse.
+    void advance();
+    // Restarts under the same name; everything on it is gone.
+    void rebirth();
+
+    struct Run {
+        batch::RunId id;
+        Milliseconds worked { 0 };
+        Milliseconds duration { 1'000 };
+        TimePoint startedAt {};
+        std::string checkpoint;
+    };
+    const std::map<batch::TaskId, Run>& runs() const { return m_runs; }
+    bool hasNews() const { return !m_ended.empty(); }
+
+    batch::WorkerRecord record;
+    bool isReachable = true; // by the daemons
+    bool isFailing = false; // every run ends as failed after a moment
+    // How long a task of the job works; how many tasks its gang has (1: no gang).
+    std::function<Milliseconds(const batch::TaskId&)> durationOf;
+    std::function<bool(const batch::RunId&)> isGangPresent;
+    std::function<void(const batch::RunId&, batch::RunEnd)> onEnd;
+    std::function<void(const batch::StartRun&)> onStart;
+    // An end that is acknowledged is taken note of, unless the worker's lease lapsed in between.
+    std::function<void(const batch::EndedRun&, bool hasLapsed)> onAcknowledged;
+    std::function<batch::Resources(const batch::TaskId&)> resourcesOf;
+
+private:
+    void end(const batch::TaskId&, batch::RunEnd);
+    batch::WorkerClock clock() const;
+
+    std::function<TimePoint()> m_now;
+    TimePoint m_bornAt;
+    TimePoint m_advancedAt;
+    std::uint64_t m_highestToken = 0;
+    batch::WorkerClock m_leaseUntil = 0;
+    std::uint64_t m_lastEnd = 0;
+    std::uint64_t m_lapsedEnd = 0; // the lease has lapsed since this end
+    std::map<batch::TaskId, Run> m_runs;
+    std::map<batch::TaskId, int> m_over; // highest run that was stopped or has ended here
+    std::deque<batch::EndedRun> m_ended;
+};
+
+// The platform's store: rows with versions, transactions on expected versions.
+class FakeStore {
+public:
+    batch::CommitReply commit(const batch::Transaction&);
+    std::vector<batch::Row> read(const batch::RowKey& from, const std::string& until) const;
+    // Changes to the table after the version, deletions included.
+    std::vector<batch::Row> changes(const std::string& table, batch::RowVersion after) const;
+    batch::RowVersion version() const { return m_version; }
+    bool holds(const batch::RowKey& key) const { return m_rows.contains(key); }
+
+private:
+    std::map<batch::RowKey, batch::Row> m_rows;
+    std::vector<batch::Row> m_history;
+    batch::RowVersion m_version = 0;
+};
+
+class BatchCluster {
+public:
+    struct Answer {
+        AnswerKind kind = AnswerKind::OutcomeUnknown;
+        JobState state = JobState::Pending;
+        std::uint64_t count = 0;
+        TimePoint at {};
+    };
+
+    explicit BatchCluster(int daemons = 3, std::uint64_t seed = 1);
+
+    TimePoint now() const { return m_now; }
+    void run(Milliseconds);
+    // Runs until the condition holds; false after the limit.
+    bool runUntil(const std::function<bool()>&, Milliseconds limit);
+
+    // One rack after the other, with workers of 8 accelerators, 128 cores and 256 GB.
+    void addWorkers(int racks, int perRack);
+    FakeWorker& worker(std::size_t index) { return *m_workers[index]; }
+    std::size_t workerCount() const { return m_workers.size(); }
+    void unlist(std::size_t index);
+
+    void setConfiguration(batch::Configuration);
+    static batch::Configuration defaultConfiguration();
+    // A queue of the default configuration: "urgent", "gang" or "small", with priority 0, 1 and 2.
+    JobId submit(std::size_t daemon, const std::string& queue, std::vector<batch::StepSpecification>,
+        const std::string& key = "key-a");
+    void submitAgain(std::size_t daemon, const std::string& queue, const JobId&);
+    void cancel(std::size_t daemon, const std::string& queue, const JobId&);
+    void query(std::size_t daemon, const std::string& queue, const JobId&);
+    void count(std::size_t daemon, const std::string& queue);
+    std::optional<Answer> answerTo(const JobId& job) const; // the last one
+    std::optional<Answer> lastAnswer() const { return m_lastAnswer; }
+    // As the store has it.
+    JobState stateOf(const JobId&) const;
+    void setDuration(const JobId& job, Milliseconds duration) { m_durations[job] = duration; }
+
+    void kill(std::size_t daemon);
+    void restart(std::size_t daemon);
+    void terminate(std::size_t daemon);
+    bool isRunning(std::size_t daemon) const { return m_daemons[daemon].reducer != nullptr; }
+    std::optional<std::size_t> leader() const;
+    batch::BatchReducer& reducer(std::size_t daemon) { return *m_daemons[daemon].reducer; }
+
+    // Faults.
+    std::set<std::size_t> cutFromStore; // daemons
+    std::set<std::size_t> cutFromWorkers; // daemons
+    bool isStoreDown = false;
+    double lostCommitShare = 0; // done, and not answered
+    double lateOrderShare = 0; // no answer, and carried out 2 to 12 s later
+
+    // What was seen to break; empty if nothing did.
+    const std::vector<std::string>& violations() const { return m_violations; }
+    int startsOf(const JobId& job) const;
+    std::optional<TimePoint> firstStart(const JobId& job) const;
+    const std::map<batch::TaskId, int>& doneRuns() const { return m_done; }
+
+private:
+    struct Daemon {
+        std::unique_ptr<batch::BatchReducer> reducer;
+        int lifetime = 0;
+        batch::RowVersion leaseSeen = 0;
+        batch::RowVersion jobsSeen = 0;
+        bool isLeaseListed = false;
+        bool isFollowing = false;
+        bool areJobsListed = false;
+        bool areWorkersListed = false;
+    };
+
+    void at(TimePoint, std::function<void()>);
+    void deliver(std::size_t daemon, int lifetime, Milliseconds delay, batch::EventPayload);
+    void dispatch(std::size_t daemon, batch::EventPayload);
+    void carryOut(std::size_t daemon, batch::Effect&);
+    void commit(std::size_t daemon, const batch::Commit&);
+    void order(std::size_t daemon, const batch::WorkerLifetime&,
+        const std::function<batch::EventPayload(FakeWorker*)>&, const batch::EventPayload& unanswered,
+        bool mayBeLate);
+    void hold(std::size_t daemon, const batch::HoldWorker&, TimePoint answerBy);
+    void follow(std::size_t daemon);
+    void start(std::size_t daemon);
+    bool reachesStore(std::size_t daemon) const;
+    FakeWorker* find(const batch::WorkerLifetime&);
+    FakeWorker* findAnyLifetime(const WorkerId&);
+    void request(std::size_t daemon, batch::CallerAction, const std::string& queue, const JobId&,
+        batch::JobSpecification, const std::string& key);
+    void noteStart(const batch::StartRun&);
+    void noteEnd(const batch::RunId&, batch::RunEnd);
+    void noteAcknowledged(const batch::EndedRun&, bool hasLapsed);
+    void violation(const std::string&);
+
+    struct Scheduled {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+
+        bool operator>(const Scheduled& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    TimePoint m_now { Seconds(100) };
+    std::uint64_t m_lastOrder = 0;
+    std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> m_schedule;
+    std::mt19937_64 m_random;
+    FakeStore m_store;
+    batch::Configuration m_configuration;
+    std::vector<Daemon> m_daemons;
+    std::vector<std::unique_ptr<FakeWorker>> m_workers;
+    std::set<WorkerId> m_unlisted;
+    std::map<JobId, batch::JobSpecification> m_jobs;
+    std::map<JobId, Milliseconds> m_durations;
+    std::map<batch::CallerHandle, JobId> m_callers;
+    std::map<JobId, Answer> m_answers;
+    std::optional<Answer> m_lastAnswer;
+    batch::CallerHandle m_lastCaller = 0;
+    int m_lastJob = 0;
+    std::map<batch::TaskId, int> m_done;
+    std::set<batch::TaskId> m_noted; // done, and acknowledged
+    std::set<batch::RunId> m_doneBeforeStart; // a violation once such an end is acknowledged
+    std::map<JobId, int> m_starts;
+    std::map<JobId, TimePoint> m_firstStarts;
+    std::set<JobId> m_refused; // every answer so far said "not accepted"
+    std::vector<std::string> m_violations;
+};
+
+// A step of `tasks` tasks with that many accelerators each.
+batch::StepSpecification makeStep(int tasks, int accelerators, Milliseconds duration = Milliseconds(1'000));
+batch::StepSpecification makeGang(
+    int tasks, int accelerators, bool needsOneRack = false, Milliseconds duration = Milliseconds(1'000));
+
+} // namespace anvilmoor::testing
