Spread callers' rows over parts, group them, and back off from a store that refuses

Each caller's row was a transaction of its own in the part that the leader needs, and each refused one came back after 60 ms, so the queue of the part stayed full after the store had recovered, and no leader could renew its lease.

Ruled out: the rate of the leader's commits (one at a time).

Jobs lie in eight parts by id, apart from lease and progress. Each daemon has one transaction a part under way, and what comes meanwhile goes together in the next one. Refused writes come back after 40 to 640 ms, half of it random.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -53,16 +53,15 @@
 void BatchDaemon::followConfiguration()
 {
     m_configurationFollower = std::make_unique<TableFollower>(m_loop, m_store,
-        RowKey { m_records.configurationTable(), {}, {} }, configurationRhythm, now,
+        m_records.configurationTable(), std::vector<std::string> { {} }, configurationRhythm, now,
         [this](TableFollower::News news) { configurationNews(std::move(news)); });
 }
 
 void BatchDaemon::followLease()
 {
-    RowKey start = leaseKey();
-    start.key.clear();
-    m_leaseFollower = std::make_unique<TableFollower>(
-        m_loop, m_store, start, leaseRhythm, now, [this](TableFollower::News news) {
+    const RowKey lease = leaseKey();
+    m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, lease.table,
+        std::vector<std::string> { lease.part }, leaseRhythm, now, [this](TableFollower::News news) {
             dispatch(RowsFollowed { OwnTable::Lease, news.isComplete, std::move(news.rows), news.knownAt });
         });
 }
@@ -183,14 +182,15 @@
     m_loop.post([old = std::shared_ptr<TableFollower>(std::move(m_workerFollower))] {});
     if (!follow.isFollowing)
         return;
-    RowKey start = jobKey(JobId());
-    start.key.clear();
+    std::vector<std::string> parts;
+    for (int part = 0; part < jobParts; ++part)
+        parts.push_back(jobPartName(part));
     m_jobFollower = std::make_unique<TableFollower>(
-        m_loop, m_store, start, jobRhythm, now, [this](TableFollower::News news) {
+        m_loop, m_store, std::string(jobTable), std::move(parts), jobRhythm, now, [this](TableFollower::News news) {
             dispatch(RowsFollowed { OwnTable::Jobs, news.isComplete, std::move(news.rows), news.knownAt });
         });
     m_workerFollower
-        = std::make_unique<TableFollower>(m_loop, m_store, RowKey { m_records.workerTable(), {}, {} },
+        = std::make_unique<TableFollower>(m_loop, m_store, m_records.workerTable(), std::vector<std::string> { {} },
             workerRhythm, now, [this](TableFollower::News news) { workerNews(std::move(news)); });
 }
 
--- a/src/batch/daemon/table_follower.cpp
+++ b/src/batch/daemon/table_follower.cpp
@@ -11,9 +11,11 @@
 } // namespace
 
 TableFollower::TableFollower(
-    net::EventLoop& loop, RowStore& store, RowKey start, FollowRhythm rhythm, Clock clock, Callback callback)
+    net::EventLoop& loop, RowStore& store, std::string table,
+    std::vector<std::string> parts, FollowRhythm rhythm, Clock clock, Callback callback)
     : m_store(store)
-    , m_start(std::move(start))
+    , m_table(std::move(table))
+    , m_parts(std::move(parts))
     , m_rhythm(rhythm)
     , m_clock(std::move(clock))
     , m_callback(std::move(callback))
@@ -42,25 +44,43 @@
 
 void TableFollower::list()
 {
-    m_store.read(m_start, {}, [this, isAlive = m_isAlive, sentAt = m_clock()](TableSnapshot snapshot) {
-        if (!*isAlive)
-            return;
-        m_isInTouch = snapshot.isOk;
-        if (!snapshot.isOk) {
-            later(retryDelay);
-            return;
-        }
-        m_isListed = true;
-        m_version = snapshot.version;
-        m_callback({ true, std::move(snapshot.rows), sentAt });
-        if (*isAlive)
-            later(m_rhythm.pause);
-    });
+    m_unreadParts = m_parts.size();
+    m_snapshot = { true };
+    for (const std::string& part : m_parts) {
+        m_store.read({ m_table, part, {} }, {},
+            [this, isAlive = m_isAlive, sentAt = m_clock()](TableSnapshot snapshot) {
+                if (*isAlive)
+                    listed(std::move(snapshot), sentAt);
+            });
+    }
+}
+
+// The feed goes on from the oldest of the parts' versions: some changes are then reported twice, none is missed.
+void TableFollower::listed(TableSnapshot part, TimePoint sentAt)
+{
+    const bool isOldest = !m_snapshot.version || part.version < m_snapshot.version;
+    m_snapshot.isOk = m_snapshot.isOk && part.isOk;
+    if (isOldest)
+        m_snapshot.version = part.version;
+    m_snapshot.rows.insert(m_snapshot.rows.end(), part.rows.begin(), part.rows.end());
+    if (--m_unreadParts)
+        return;
+    m_isInTouch = m_snapshot.isOk;
+    if (!m_snapshot.isOk) {
+        later(retryDelay);
+        return;
+    }
+    m_isListed = true;
+    m_version = m_snapshot.version;
+    const auto isAlive = m_isAlive;
+    m_callback({ true, std::move(m_snapshot.rows), sentAt });
+    if (*isAlive)
+        later(m_rhythm.pause);
 }
 
 void TableFollower::feed()
 {
-    m_store.feed(m_start.table, m_version, m_rhythm.wait,
+    m_store.feed(m_table, m_version, m_rhythm.wait,
         [this, isAlive = m_isAlive, sentAt = m_clock()](FeedReply reply) {
             if (!*isAlive)
                 return;
--- a/src/batch/daemon/table_follower.h
+++ b/src/batch/daemon/table_follower.h
@@ -27,8 +27,9 @@
     using Callback = std::function<void(News)>;
     using Clock = std::function<TimePoint()>;
 
-    // The read covers the part; changes of other parts of the table are reported too.
-    TableFollower(net::EventLoop&, RowStore&, RowKey start, FollowRhythm, Clock, Callback);
+    // The first read covers these parts; changes of other parts of the table are reported too.
+    TableFollower(net::EventLoop&, RowStore&, std::string table, std::vector<std::string> parts, FollowRhythm,
+        Clock, Callback);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
@@ -38,11 +39,15 @@
 private:
     void ask();
     void list();
+    void listed(TableSnapshot, TimePoint sentAt);
     void feed();
     void later(Milliseconds);
 
     RowStore& m_store;
-    RowKey m_start;
+    std::string m_table;
+    std::vector<std::string> m_parts;
+    std::size_t m_unreadParts = 0; // of the read under way
+    TableSnapshot m_snapshot; // of the parts read so far
     FollowRhythm m_rhythm;
     Clock m_clock;
     Callback m_callback;
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -17,8 +17,9 @@
 // The answer has to reach the caller before its timeout.
 constexpr Milliseconds answerMargin { 150 };
 // While the store does not answer, a request is kept this long; another daemon may still reach the store.
-constexpr Milliseconds longestWithoutStore { 900 };
-constexpr Milliseconds repeatDelay { 60 };
+constexpr Milliseconds longestWithoutStore { 1'000 };
+constexpr Milliseconds readRetryDelay { 40 };
+constexpr int mostDoublings = 4;
 constexpr std::size_t jobIdLength = 16;
 constexpr std::size_t mostEndStates = 4'096;
 
@@ -118,8 +119,7 @@
     request.priority = queue.priority;
     request.account = job.terms.account;
     request.shape = shapeOf(job.specification);
-    request.transaction.expected.push_back({ jobKey(id), 0 });
-    request.transaction.writes.push_back({ jobKey(id), encodeJob(job) });
+    request.row = Row { jobKey(id), encodeJob(job) };
     request.answerBy = step.now + (caller.timeout.count() ? caller.timeout : defaultCallerTimeout);
     open(std::move(request), step);
 }
@@ -149,29 +149,35 @@
 
 void JobIntake::open(Request request, Step& step)
 {
-    request.receivedAt = step.now;
-    request.answerBy -= answerMargin;
-    send(request, step);
-    m_requests.emplace(request.operation, std::move(request));
+    const RequestId id = ++m_lastRequest;
+    Request& opened = m_requests.emplace(id, std::move(request)).first->second;
+    opened.receivedAt = step.now;
+    opened.answerBy -= answerMargin;
+    if (opened.stage == Stage::Storing)
+        store(id, opened, step);
+    else
+        read(id, opened, step);
 }
 
-void JobIntake::send(Request& request, Step& step)
+void JobIntake::store(RequestId id, Request& request, Step& step)
 {
-    request.operation = ++m_lastOperation | intakeOperationBit;
-    request.repeatAt.reset();
-    ++request.attempts;
-    if (request.stage == Stage::Storing) {
-        step.emit(Commit { request.operation, request.transaction });
-        return;
-    }
+    request.stage = Stage::Storing;
+    m_writer.write(id, *request.row, request.action == CallerAction::Submit, step);
+}
+
+void JobIntake::read(RequestId id, Request& request, Step& step)
+{
+    request.read = ++m_lastOperation | intakeOperationBit;
+    request.readAgainAt.reset();
+    m_reads.emplace(request.read, id);
     const RowKey from
         = request.stage == Stage::ReadingProgress ? progressKey(request.job) : jobKey(request.job);
-    step.emit(ReadRows { request.operation, from, from.key + '!' });
+    step.emit(ReadRows { request.read, from, from.key + '!' });
 }
 
 void JobIntake::callerGone(const CallerGone& gone)
 {
-    for (auto& [operation, request] : m_requests) {
+    for (auto& [id, request] : m_requests) {
         if (request.caller == gone.caller)
             request.answerBy = TimePoint::min();
     }
@@ -183,122 +189,118 @@
     step.emit(std::move(result));
     if (kind == AnswerKind::OutcomeUnknown)
         step.warn("request.outcome_unknown",
-            { { "job", request.job.value() }, { "attempts", std::to_string(request.attempts) },
+            { { "job", request.job.value() }, { "failed_reads", std::to_string(request.failedReads) },
                 { "waited_ms", std::to_string((step.now - request.receivedAt).count()) } });
 }
 
-void JobIntake::finish(OperationId operation) { m_requests.erase(operation); }
-
-void JobIntake::failed(Request& request, Step& step) { request.repeatAt = step.now + repeatDelay; }
+void JobIntake::finish(RequestId id)
+{
+    const auto found = m_requests.find(id);
+    m_reads.erase(found->second.read);
+    m_writer.forget(id);
+    m_requests.erase(found);
+}
 
 void JobIntake::recordAcceptance(const Request& request, Step& step)
 {
     step.record("job.accepted",
         { { "job", request.job.value() }, { "queue", request.queue },
             { "priority", std::to_string(request.priority) }, { "account", request.account.value() },
-            { "shape", request.shape }, { "attempts", std::to_string(request.attempts) },
+            { "shape", request.shape },
             { "waited_ms", std::to_string((step.now - request.receivedAt).count()) } });
 }
 
 void JobIntake::commitAnswered(const CommitAnswered& answered, Step& step)
 {
-    const auto found = m_requests.find(answered.operation);
+    for (const RowWriter::Ticket ticket : m_writer.answered(answered, step))
+        stored(ticket, step);
+}
+
+void JobIntake::stored(RequestId id, Step& step)
+{
+    const auto found = m_requests.find(id);
     if (found == m_requests.end())
         return;
-    Request& request = found->second;
-    const bool isStored = answered.reply.outcome == CommitOutcome::Applied
-        // The row is there already: by this request's first copy, or by an earlier one of the caller.
-        || answered.reply.outcome == CommitOutcome::Conflict;
-    if (!isStored) {
-        failed(request, step);
-        return;
-    }
-    if (request.action == CallerAction::Submit)
+    const Request& request = found->second;
+    const bool isSubmission = request.action == CallerAction::Submit;
+    if (isSubmission)
         recordAcceptance(request, step);
-    answer(
-        request, request.action == CallerAction::Submit ? AnswerKind::Accepted : AnswerKind::Cancelled, step);
-    finish(answered.operation);
+    answer(request, isSubmission ? AnswerKind::Accepted : AnswerKind::Cancelled, step);
+    finish(id);
 }
 
 void JobIntake::readAnswered(const ReadAnswered& answered, Step& step)
 {
-    const auto found = m_requests.find(answered.operation);
-    if (found == m_requests.end())
+    const auto awaited = m_reads.find(answered.operation);
+    if (awaited == m_reads.end())
         return;
-    Request& request = found->second;
+    const RequestId id = awaited->second;
+    m_reads.erase(awaited);
+    Request& request = m_requests.at(id);
     if (!answered.reply.isOk) {
-        failed(request, step);
+        const Milliseconds delay = readRetryDelay * (1 << std::min(request.failedReads, mostDoublings));
+        ++request.failedReads;
+        request.readAgainAt = step.now + delay;
         return;
     }
-    const bool exists = !answered.reply.rows.empty();
-    if (request.stage == Stage::ReadingJob) {
-        jobRead(request, exists, step);
-    } else if (exists) {
-        const auto state = decodeJobState(answered.reply.rows.front().value);
-        if (!state) {
-            step.warn("store.unreadable_row",
-                { { "job", request.job.value() }, { "reason", state.error().detail } });
-            answer(request, AnswerKind::OutcomeUnknown, step);
-            finish(answered.operation);
-            return;
-        }
+    if (request.stage == Stage::ReadingProgress)
+        progressRead(id, request, answered.reply.rows, step);
+    else
+        jobRead(id, request, !answered.reply.rows.empty(), step);
+}
+
+void JobIntake::progressRead(RequestId id, Request& request, const std::vector<Row>& rows, Step& step)
+{
+    if (rows.empty()) {
+        // No progress is stored before the job's first run.
+        request.stage = Stage::ReadingJob;
+        read(id, request, step);
+        return;
+    }
+    const auto state = decodeJobState(rows.front().value);
+    if (state) {
         if (isTerminal(*state) && m_endStates.size() < mostEndStates)
             m_endStates.emplace(request.job, *state);
         answer(request, AnswerKind::State, step, *state);
-        finish(answered.operation);
-        return;
     } else {
-        // No progress is stored before the job's first run.
-        request.stage = Stage::ReadingJob;
-        send(request, step);
+        step.warn("store.unreadable_row",
+            { { "job", request.job.value() }, { "reason", state.error().detail } });
+        answer(request, AnswerKind::OutcomeUnknown, step);
     }
-    if (request.operation == answered.operation) {
-        finish(answered.operation);
-        return;
-    }
-    auto node = m_requests.extract(found);
-    node.key() = node.mapped().operation;
-    m_requests.insert(std::move(node));
+    finish(id);
 }
 
-void JobIntake::jobRead(Request& request, bool exists, Step& step)
+void JobIntake::jobRead(RequestId id, Request& request, bool exists, Step& step)
 {
-    if (!exists) {
-        answer(request, AnswerKind::NoSuchJob, step);
-        return;
-    }
-    if (request.action == CallerAction::Query) {
-        answer(request, AnswerKind::State, step, JobState::Pending);
+    if (exists && request.action == CallerAction::Cancel) {
+        request.row = Row { cancelKey(request.job), "cancel" };
+        store(id, request, step);
         return;
     }
-    request.stage = Stage::Storing;
-    request.transaction.writes.push_back({ cancelKey(request.job), "cancel" });
-    send(request, step);
+    answer(request, exists ? AnswerKind::State : AnswerKind::NoSuchJob, step, JobState::Pending);
+    finish(id);
+}
+
+bool JobIntake::isOver(const Request& request, TimePoint now) const
+{
+    const bool isSlow = now >= request.receivedAt + longestWithoutStore;
+    return now >= request.answerBy || (isSlow && !m_configuration.isFresh(now, longestWithoutStore));
 }
 
 void JobIntake::tick(Step& step)
 {
-    std::vector<OperationId> due;
-    for (const auto& [operation, request] : m_requests) {
-        const bool isStoreSilent = request.attempts > 1 && request.repeatAt
-            && step.now >= request.receivedAt + longestWithoutStore;
-        if (step.now >= request.answerBy || isStoreSilent
-            || (request.repeatAt && step.now >= *request.repeatAt))
-            due.push_back(operation);
+    m_writer.tick(step);
+    std::vector<RequestId> over;
+    for (auto& [id, request] : m_requests) {
+        if (isOver(request, step.now))
+            over.push_back(id);
+        else if (request.readAgainAt && step.now >= *request.readAgainAt)
+            read(id, request, step);
     }
-    for (const OperationId operation : due) {
-        auto node = m_requests.extract(operation);
-        Request& request = node.mapped();
-        const bool isOver = step.now >= request.answerBy
-            || (request.attempts > 1 && step.now >= request.receivedAt + longestWithoutStore);
-        if (isOver) {
-            if (request.answerBy != TimePoint::min())
-                answer(request, AnswerKind::OutcomeUnknown, step);
-            continue;
-        }
-        send(request, step);
-        node.key() = request.operation;
-        m_requests.insert(std::move(node));
+    for (const RequestId id : over) {
+        if (m_requests.at(id).answerBy != TimePoint::min())
+            answer(m_requests.at(id), AnswerKind::OutcomeUnknown, step);
+        finish(id);
     }
 }
 
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/effect.h"
 #include "anvilmoor/batch/event.h"
 #include "batch/intake/configuration_view.h"
+#include "batch/intake/row_writer.h"
 #include "batch/reducer/step.h"
 
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace anvilmoor::batch {
 
@@ -46,12 +48,14 @@
         ReadingJob,
     };
 
+    using RequestId = std::uint64_t;
+
     struct Request {
         CallerHandle caller = 0;
         CallerAction action = CallerAction::Query;
         JobId job;
         Stage stage = Stage::Storing;
-        Transaction transaction;
+        std::optional<Row> row; // to be stored
         // Of a submission, for its log line.
         std::string queue;
         int priority = 0;
@@ -59,9 +63,9 @@
         std::string shape;
         TimePoint receivedAt {};
         TimePoint answerBy {};
-        OperationId operation = 0;
-        std::optional<TimePoint> repeatAt;
-        int attempts = 0;
+        OperationId read = 0; // that is awaited
+        std::optional<TimePoint> readAgainAt;
+        int failedReads = 0;
     };
 
     // Empty if the request was answered.
@@ -71,20 +75,26 @@
     void cancel(const CallerRequest&, JobId, Step&);
     static void recordAcceptance(const Request&, Step&);
     void open(Request, Step&);
-    void send(Request&, Step&);
-    void failed(Request&, Step&);
-    void answer(const Request&, AnswerKind, Step&, JobState = JobState::Pending);
-    void finish(OperationId);
-    void jobRead(Request&, bool exists, Step&);
+    void store(RequestId, Request&, Step&);
+    void read(RequestId, Request&, Step&);
+    void stored(RequestId, Step&);
+    void progressRead(RequestId, Request&, const std::vector<Row>&, Step&);
+    void jobRead(RequestId, Request&, bool exists, Step&);
+    bool isOver(const Request&, TimePoint now) const;
+    static void answer(const Request&, AnswerKind, Step&, JobState = JobState::Pending);
+    void finish(RequestId);
 
     const ConfigurationView& m_configuration;
     const JobStates& m_states;
-    std::map<OperationId, Request> m_requests; // by the operation that is awaited
+    RowWriter m_writer;
+    std::map<RequestId, Request> m_requests;
+    std::map<OperationId, RequestId> m_reads;
     std::map<JobId, JobState> m_endStates; // of jobs that were seen to have ended; these do not change
+    RequestId m_lastRequest = 0;
     OperationId m_lastOperation = 0;
 };
 
-// Operations of the intake have this bit.
+// Reads of the intake have this bit; its commits have that of its writer.
 constexpr OperationId intakeOperationBit = OperationId { 1 } << 60U;
 
 } // namespace anvilmoor::batch
--- /dev/null
+++ b/src/batch/intake/row_writer.cpp
@@ -0,0 +1,99 @@
+#include "batch/intake/row_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// The platform takes 100 entries a transaction; each row may count twice, as expected and as written.
+constexpr std::size_t rowsPerTransaction = 45;
+constexpr Milliseconds firstDelay { 40 };
+constexpr int mostDoublings = 4;
+
+bool isStored(const std::vector<Row>& rows, const RowKey& key)
+{
+    return std::any_of(
+        rows.begin(), rows.end(), [&key](const Row& row) { return row.key == key && row.version != 0; });
+}
+
+} // namespace
+
+void RowWriter::write(Ticket ticket, Row row, bool mustBeNew, Step& step)
+{
+    Part& part = m_parts[row.key.part];
+    part.waiting.push_back({ ticket, std::move(row), mustBeNew });
+    sendIfDue(part, step);
+}
+
+void RowWriter::forget(Ticket ticket)
+{
+    for (auto& [name, part] : m_parts)
+        std::erase_if(part.waiting, [ticket](const Entry& entry) { return entry.ticket == ticket; });
+}
+
+void RowWriter::sendIfDue(Part& part, Step& step)
+{
+    if (!part.operation && !part.waiting.empty() && step.now >= part.sendAt)
+        send(part, step);
+}
+
+void RowWriter::send(Part& part, Step& step)
+{
+    Transaction transaction;
+    while (!part.waiting.empty() && part.underWay.size() < rowsPerTransaction) {
+        Entry entry = std::move(part.waiting.front());
+        part.waiting.pop_front();
+        if (entry.mustBeNew)
+            transaction.expected.push_back({ entry.row.key, 0 });
+        transaction.writes.push_back(entry.row);
+        part.underWay.push_back(std::move(entry));
+    }
+    part.operation = ++m_lastOperation | writerOperationBit;
+    m_operations.emplace(part.operation, part.underWay.front().row.key.part);
+    step.emit(Commit { part.operation, std::move(transaction) });
+}
+
+std::vector<RowWriter::Ticket> RowWriter::answered(const CommitAnswered& answer, Step& step)
+{
+    std::vector<Ticket> stored;
+    const auto operation = m_operations.find(answer.operation);
+    if (operation == m_operations.end())
+        return stored;
+    Part& part = m_parts[operation->second];
+    m_operations.erase(operation);
+    std::vector<Entry> entries = std::exchange(part.underWay, {});
+    part.operation = 0;
+    const bool isApplied = answer.reply.outcome == CommitOutcome::Applied;
+    const bool isConflict = answer.reply.outcome == CommitOutcome::Conflict;
+    for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+        if (isApplied || (isConflict && isStored(answer.reply.current, entry->row.key)))
+            stored.push_back(entry->ticket);
+        else
+            part.waiting.push_front(std::move(*entry));
+    }
+    if (isApplied || isConflict)
+        part.refusals = 0;
+    else
+        delay(part, step);
+    sendIfDue(part, step);
+    return stored;
+}
+
+// Half of the delay is random, so that daemons that were refused together do not return together.
+void RowWriter::delay(Part& part, Step& step)
+{
+    const Milliseconds longest = firstDelay * (1 << std::min(part.refusals, mostDoublings));
+    ++part.refusals;
+    const auto half = static_cast<std::uint64_t>(longest.count() / 2);
+    part.sendAt = step.now + longest / 2 + Milliseconds(static_cast<std::int64_t>(step.random % (half + 1)));
+}
+
+void RowWriter::tick(Step& step)
+{
+    for (auto& [name, part] : m_parts)
+        sendIfDue(part, step);
+}
+
+} // namespace anvilmoor::batch
--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -64,7 +64,17 @@
         && !entry.progress.hasAssignments();
 }
 
-JobBook::Changes JobBook::collectChanges(std::size_t limit, TimePoint now) const
+std::optional<JobId> JobBook::findExpired(TimePoint now) const
+{
+    for (const JobId& job : m_ended) {
+        const Entry& entry = m_entries.at(job);
+        if (!entry.isRowRemoved && isExpired(entry, now))
+            return job;
+    }
+    return std::nullopt;
+}
+
+JobBook::Changes JobBook::collectChanges(std::size_t limit) const
 {
     Changes changes;
     for (const auto& [change, job] : m_changed) {
@@ -75,13 +85,11 @@
         changes.writes.push_back({ progressKey(job), progress.encodeProgress() });
     }
     for (const JobId& job : m_ended) {
-        if (changes.writes.size() + changes.removals.size() + 3 > limit)
+        if (changes.writes.size() + changes.removals.size() >= limit)
             return changes;
-        if (!isExpired(m_entries.at(job), now))
+        if (!m_entries.at(job).isRowRemoved)
             continue;
         changes.expired.push_back(job);
-        changes.removals.push_back(jobKey(job));
-        changes.removals.push_back(cancelKey(job));
         changes.removals.push_back(progressKey(job));
     }
     return changes;
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -29,6 +29,7 @@
         std::uint64_t change = 0; // number of the last change
         std::uint64_t storedChange = 0;
         std::optional<TimePoint> endedAt;
+        bool isRowRemoved = false; // the job's own rows; its progress goes after them
 
         bool isStored() const { return storedChange >= change; }
     };
@@ -46,8 +47,11 @@
     // To be called after each change of an entry's progress.
     void noteChange(Entry&, TimePoint now);
     std::uint64_t lastChange() const { return m_lastChange; }
-    // What the store lacks: progress of changed jobs, oldest change first, and the removal of jobs that are
-    // kept no longer.
+    // A job that is kept no longer and whose own rows are still stored. They go before the progress: a job
+    // without progress would run again.
+    std::optional<JobId> findExpired(TimePoint now) const;
+    // What the store lacks: progress of changed jobs, oldest change first, and the removal of that of jobs whose
+    // own rows are gone.
     struct Changes {
         struct Job {
             JobId id;
@@ -59,7 +63,7 @@
         std::vector<Row> writes;
         std::vector<RowKey> removals;
     };
-    Changes collectChanges(std::size_t limit, TimePoint now) const;
+    Changes collectChanges(std::size_t limit) const;
     // The store holds these changes now.
     void noteStored(const Changes&);
     bool hasChanges() const { return !m_changed.empty(); }
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -14,6 +14,7 @@
 // Room may also appear with time alone: an occurrence falls due, a suspect worker is due for a trial.
 constexpr Milliseconds idlePlacementInterval { 250 };
 constexpr Milliseconds readRetryDelay { 100 };
+constexpr OperationId removalOperationBit = OperationId { 1 } << 58U;
 constexpr OperationId progressReadBit = OperationId { 1 } << 61U;
 
 } // namespace
@@ -43,8 +44,10 @@
     }
     if (m_phase == Phase::Loading && m_readAgainAt && step.now >= *m_readAgainAt)
         requestProgress(step);
-    if (m_phase == Phase::Leading && m_lease.mayAct(step.now))
+    if (m_phase == Phase::Leading && m_lease.mayAct(step.now)) {
         m_runs.tick(step);
+        removeExpired(step);
+    }
     if (step.now >= m_placedAt + idlePlacementInterval)
         m_isPlacementDue = true;
 }
@@ -116,6 +119,7 @@
     m_workers = WorkerPool();
     m_placement.clear();
     m_batch.reset();
+    m_removal.reset();
     m_hasJobs = false;
     m_hasWorkers = false;
     m_loadedProgress.reset();
@@ -182,8 +186,32 @@
 
 void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step) { m_runs.holdAnswered(answer, step); }
 
+// One job at a time, and again on a later tick if the answer is lost: removal may be repeated.
+void Scheduler::removeExpired(Step& step)
+{
+    if (m_removal)
+        return;
+    const auto job = m_jobs.findExpired(step.now);
+    if (!job)
+        return;
+    m_removal = Removal { *job, ++m_lastRemoval | removalOperationBit };
+    step.emit(Commit { m_removal->operation, { {}, {}, { jobKey(*job), cancelKey(*job) } } });
+}
+
+void Scheduler::removalAnswered(const CommitAnswered& answer)
+{
+    JobBook::Entry* entry = m_jobs.find(m_removal->job);
+    m_removal.reset();
+    if (entry && answer.reply.outcome == CommitOutcome::Applied)
+        entry->isRowRemoved = true;
+}
+
 void Scheduler::commitAnswered(const CommitAnswered& answer, Step& step)
 {
+    if (m_removal && answer.operation == m_removal->operation) {
+        removalAnswered(answer);
+        return;
+    }
     switch (m_pipeline.answered(answer, step.now).result) {
     case CommitPipeline::Result::None:
         return;
@@ -256,7 +284,7 @@
 {
     if (m_pipeline.isBusy() || (!m_jobs.hasChanges() && !m_pipeline.isRenewalDue(step.now)))
         return;
-    Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit, step.now), m_runs.processedEnds() };
+    Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit), m_runs.processedEnds() };
     CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
     // The rows are not needed here any more.
     batch.changes.writes.clear();
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -62,6 +62,8 @@
     void place(Step&);
     void commit(Step&);
     void batchStored(Step&);
+    void removeExpired(Step&);
+    void removalAnswered(const CommitAnswered&);
 
     LeaderLease& m_lease;
     const Configuration& m_configuration;
@@ -81,6 +83,12 @@
     TimePoint m_placedAt {};
     std::optional<Batch> m_batch; // in the commit that is in flight
     std::uint64_t m_lastBatch = 0;
+    struct Removal {
+        JobId job;
+        OperationId operation = 0;
+    };
+    std::optional<Removal> m_removal; // of an expired job's rows, under way
+    OperationId m_lastRemoval = 0;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -107,10 +107,10 @@
 
 void BatchReducer::on(const CommitAnswered& answer, Step& step)
 {
-    if (answer.operation & commitOperationBit)
-        m_scheduler.commitAnswered(answer, step);
-    else
+    if (answer.operation & writerOperationBit)
         m_intake.commitAnswered(answer, step);
+    else
+        m_scheduler.commitAnswered(answer, step);
 }
 
 void BatchReducer::on(const ReadAnswered& answer, Step& step)
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -2,14 +2,16 @@
 
 #include "batch/store/tables.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmoor::batch {
 
 namespace {
 
-// Between an answer that failed and the next copy; the call's own time limit comes before it.
-constexpr Milliseconds repeatDelay { 60 };
+// Between an answer that failed and the next copy, doubled with each failure on end.
+constexpr Milliseconds repeatDelay { 40 };
+constexpr int mostDoublings = 3;
 
 const Row* findRow(const std::vector<Row>& rows, const RowKey& key)
 {
@@ -92,7 +94,8 @@
         }
         break;
     }
-    m_inFlight->repeatAt = now + repeatDelay;
+    m_inFlight->repeatAt = now + repeatDelay * (1 << std::min(m_inFlight->failures, mostDoublings));
+    ++m_inFlight->failures;
     return {};
 }
 
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -59,6 +59,7 @@
         TimePoint lastSentAt {};
         std::optional<TimePoint> repeatAt; // empty while an answer is awaited
         bool mayHaveBeenApplied = false;
+        int failures = 0;
     };
 
     Effect send(Purpose, LeaseRecord, CommitBatch, TimePoint now);
--- a/src/batch/store/tables.cpp
+++ b/src/batch/store/tables.cpp
@@ -1,5 +1,8 @@
 #include "batch/store/tables.h"
 
+#include <utility>
+#include <xxhash.h>
+
 namespace anvilmoor::batch {
 
 namespace {
@@ -7,20 +10,29 @@
 constexpr std::string_view submissionSuffix = ".job";
 constexpr std::string_view cancelSuffix = ".cancel";
 
-RowKey keyOf(std::string_view table, std::string key)
+RowKey leaderKey(std::string_view table, std::string key)
 {
-    return { std::string(table), std::string(ownPart), std::move(key) };
+    return { std::string(table), std::string(leaderPart), std::move(key) };
+}
+
+RowKey keyOfJob(const JobId& job, std::string_view suffix)
+{
+    const std::string& id = job.value();
+    const auto part = static_cast<int>(XXH3_64bits(id.data(), id.size()) % jobParts);
+    return { std::string(jobTable), jobPartName(part), id + std::string(suffix) };
 }
 
 } // namespace
 
-RowKey leaseKey() { return keyOf(leaseTable, "leader"); }
+std::string jobPartName(int index) { return "jobs-" + std::to_string(index); }
+
+RowKey leaseKey() { return leaderKey(leaseTable, "leader"); }
 
-RowKey jobKey(const JobId& job) { return keyOf(jobTable, job.value() + std::string(submissionSuffix)); }
+RowKey jobKey(const JobId& job) { return keyOfJob(job, submissionSuffix); }
 
-RowKey cancelKey(const JobId& job) { return keyOf(jobTable, job.value() + std::string(cancelSuffix)); }
+RowKey cancelKey(const JobId& job) { return keyOfJob(job, cancelSuffix); }
 
-RowKey progressKey(const JobId& job) { return keyOf(progressTable, job.value()); }
+RowKey progressKey(const JobId& job) { return leaderKey(progressTable, job.value()); }
 
 std::optional<JobRowName> parseJobKey(std::string_view key)
 {
--- a/src/batch/store/tables.h
+++ b/src/batch/store/tables.h
@@ -11,12 +11,16 @@
 
 namespace anvilmoor::batch {
 
-// One part holds all of it, so that each commit of the leader can depend on the lease's row.
-constexpr std::string_view ownPart = "scheduler";
+// Lease and progress share a part, so that each commit of the leader can depend on the lease's row.
+constexpr std::string_view leaderPart = "leader";
+// Jobs are spread over this many parts by their id: a part takes one transaction after the other, and a slow
+// store would make callers and leader wait for each other.
+constexpr int jobParts = 8;
 constexpr std::string_view leaseTable = "lease";
 constexpr std::string_view jobTable = "job"; // accepted jobs and cancel requests
 constexpr std::string_view progressTable = "progress";
 
+std::string jobPartName(int index);
 RowKey leaseKey();
 RowKey jobKey(const JobId&);
 RowKey cancelKey(const JobId&);
--- /dev/null
+++ b/test/batch_row_writer_test.cpp
@@ -0,0 +1,168 @@
+#include "batch/intake/row_writer.h"
+#include "support/batch_cluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace anvilmoor::batch {
+
+class RowWriterTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RowWriterTest);
+    CPPUNIT_TEST(testFirstRowIsSentAtOnce);
+    CPPUNIT_TEST(testRowsThatComeMeanwhileGoTogether);
+    CPPUNIT_TEST(testPartsDoNotWaitForEachOther);
+    CPPUNIT_TEST(testRowThatIsThereAlreadyCountsAsStored);
+    CPPUNIT_TEST(testUnansweredRowsAreSentAgain);
+    CPPUNIT_TEST(testRefusingStoreIsAskedAtGrowingIntervals);
+    CPPUNIT_TEST(testForgottenRowIsNotSent);
+    CPPUNIT_TEST(testSlowStoreTakesAllRowsOfABurst);
+    CPPUNIT_TEST_SUITE_END();
+
+    RowWriter m_writer;
+    std::vector<Effect> m_effects;
+    TimePoint m_now { Seconds(10) };
+    std::uint64_t m_random = 0;
+
+    Step step()
+    {
+        m_effects.clear();
+        return { Event { m_now, {}, m_random++, Tick {} }, m_effects };
+    }
+
+    static Row rowOf(const char* part, int number)
+    {
+        return { { "t", part, "k" + std::to_string(number) }, "v" };
+    }
+
+    void write(const char* part, int number)
+    {
+        Step now = step();
+        m_writer.write(static_cast<RowWriter::Ticket>(number), rowOf(part, number), true, now);
+    }
+
+    const Commit& lastCommit() const { return std::get<Commit>(m_effects.back()); }
+
+    std::vector<RowWriter::Ticket> answer(OperationId operation, CommitReply reply)
+    {
+        Step now = step();
+        return m_writer.answered({ operation, std::move(reply) }, now);
+    }
+
+    void tick()
+    {
+        Step now = step();
+        m_writer.tick(now);
+    }
+
+public:
+    void testFirstRowIsSentAtOnce()
+    {
+        write("p", 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, lastCommit().transaction.writes.size());
+        CPPUNIT_ASSERT_EQUAL(RowVersion { 0 }, lastCommit().transaction.expected.front().version);
+        const auto stored = answer(lastCommit().operation, { CommitOutcome::Applied });
+        CPPUNIT_ASSERT(stored == std::vector<RowWriter::Ticket> { 1 });
+    }
+
+    // Guards against the collapse on the day store-and-leader: one transaction for each caller filled the queue
+    // of a slow store, and retries kept it full long after the store had recovered.
+    void testRowsThatComeMeanwhileGoTogether()
+    {
+        write("p", 1);
+        const OperationId first = lastCommit().operation;
+        for (int number = 2; number <= 5; ++number) {
+            write("p", number);
+            CPPUNIT_ASSERT(m_effects.empty());
+        }
+        answer(first, { CommitOutcome::Applied });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, lastCommit().transaction.writes.size());
+    }
+
+    void testPartsDoNotWaitForEachOther()
+    {
+        write("p", 1);
+        write("q", 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), lastCommit().transaction.writes.front().key.part);
+    }
+
+    void testRowThatIsThereAlreadyCountsAsStored()
+    {
+        write("p", 1);
+        const OperationId first = lastCommit().operation;
+        write("p", 2);
+        write("p", 3);
+        answer(first, { CommitOutcome::Applied });
+        Row present = rowOf("p", 2);
+        present.version = 9;
+        const auto stored = answer(
+            lastCommit().operation, { CommitOutcome::Conflict, 0, { present, rowOf("p", 3) } });
+        CPPUNIT_ASSERT(stored == std::vector<RowWriter::Ticket> { 2 });
+        // The other row goes on at once, by itself.
+        CPPUNIT_ASSERT_EQUAL(std::string("k3"), lastCommit().transaction.writes.front().key.key);
+    }
+
+    void testUnansweredRowsAreSentAgain()
+    {
+        write("p", 1);
+        CPPUNIT_ASSERT(answer(lastCommit().operation, { CommitOutcome::Unknown }).empty());
+        m_now += Milliseconds(40);
+        tick();
+        CPPUNIT_ASSERT_EQUAL(std::string("k1"), lastCommit().transaction.writes.front().key.key);
+    }
+
+    void testRefusingStoreIsAskedAtGrowingIntervals()
+    {
+        write("p", 1);
+        int commits = 1;
+        OperationId operation = lastCommit().operation;
+        answer(operation, { CommitOutcome::Refused });
+        for (int passed = 0; passed < 3'000; passed += 20) {
+            m_now += Milliseconds(20);
+            tick();
+            if (m_effects.empty())
+                continue;
+            ++commits;
+            operation = lastCommit().operation;
+            answer(operation, { CommitOutcome::Refused });
+        }
+        CPPUNIT_ASSERT(commits >= 5);
+        CPPUNIT_ASSERT(commits <= 15);
+    }
+
+    void testForgottenRowIsNotSent()
+    {
+        write("p", 1);
+        const OperationId first = lastCommit().operation;
+        write("p", 2);
+        m_writer.forget(2);
+        answer(first, { CommitOutcome::Applied });
+        CPPUNIT_ASSERT(m_effects.empty());
+    }
+
+    // 60 callers within a second at a store that takes 400 ms for a transaction.
+    void testSlowStoreTakesAllRowsOfABurst()
+    {
+        std::size_t stored = 0;
+        std::optional<std::pair<TimePoint, OperationId>> underWay;
+        const TimePoint begin = m_now;
+        for (int passed = 0; passed < 2'000; passed += 20) {
+            m_now = begin + Milliseconds(passed);
+            if (underWay && m_now >= underWay->first) {
+                const OperationId operation = underWay->second;
+                underWay.reset();
+                stored += answer(operation, { CommitOutcome::Applied }).size();
+                if (!m_effects.empty())
+                    underWay.emplace(m_now + Milliseconds(400), lastCommit().operation);
+            }
+            if (passed >= 1'200)
+                continue;
+            write("p", passed);
+            if (!m_effects.empty())
+                underWay.emplace(m_now + Milliseconds(400), lastCommit().operation);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 60 }, stored);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RowWriterTest);
+
+} // namespace anvilmoor::batch
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -484,8 +484,13 @@
         return;
     start.table = std::string(jobTable);
     RowsFollowed jobs { OwnTable::Jobs, !daemon.areJobsListed, {}, m_now };
-    jobs.rows
-        = daemon.areJobsListed ? m_store.changes(start.table, daemon.jobsSeen) : m_store.read(start, {});
+    if (daemon.areJobsListed)
+        jobs.rows = m_store.changes(start.table, daemon.jobsSeen);
+    for (int part = 0; part < jobParts && !daemon.areJobsListed; ++part) {
+        start.part = jobPartName(part);
+        for (Row& row : m_store.read(start, {}))
+            jobs.rows.push_back(std::move(row));
+    }
     daemon.jobsSeen = m_store.version();
     daemon.areJobsListed = true;
     deliver(index, lifetime, storeDelay, std::move(jobs));
