Take a draining worker's withdrawn entry for the end of its lifetime

An entry that disappears within 2.5 s of its last change was withdrawn: one that lapses has been silent for 4.5 s. The conclusion is drawn for draining workers only, and only while the registry is read without a gap.

--- a/include/anvilmoor/batch/worker.h
+++ b/include/anvilmoor/batch/worker.h
@@ -49,7 +49,7 @@
 struct ActiveRun {
     RunId run;
     std::string checkpoint; // empty: none yet
-    int percent = 0;
+    int percent = 0; // of the step's estimated duration, at most 100
 };
 
 struct EndedRun {
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -155,7 +155,8 @@
         }
     }
     for (const WorkerId& id : gone)
-        m_workers.unlist(id);
+        workerGone(id, step);
+    m_followedAt = step.now;
     for (const WorkerRecord& record : news.changed) {
         for (const WorkerLifetime& over : m_workers.update(record, step.now)) {
             if (Worker* worker = m_workers.find(over))
@@ -352,7 +353,6 @@
     processEnds(*worker, answer.status.ended, step);
     processActive(*worker, answer.status.active, step);
     findVanished(*worker, answer.status.active, step);
-    findStalled(*worker, step);
     // Stops whose end is awaited are looked for at short intervals.
     const bool isStopping = std::any_of(worker->runs.begin(), worker->runs.end(),
         [](const auto& entry) { return entry.second.phase == RunPhase::Stopping; });
@@ -411,30 +411,6 @@
     }
 }
 
-// A run is over without an end if it was confirmed, or its stop was, before the worker was asked, and the
-// worker does not list it.
-void RunSupervisor::findVanished(Worker& worker, std::span<const ActiveRun> active, Step& step)
-{
-    std::vector<RunId> vanished;
-    for (const auto& [task, run] : worker.runs) {
-        const auto isListed = [&run](const ActiveRun& listed) { return listed.run == run.id; };
-        if (std::any_of(active.begin(), active.end(), isListed))
-            continue;
-        const auto& confirmedAt
-            = run.phase == RunPhase::Stopping && run.stopAcceptedAt ? run.stopAcceptedAt : run.acceptedAt;
-        if (confirmedAt && *confirmedAt < worker.holdSentAt && run.phase != RunPhase::Starting)
-            vanished.push_back(run.id);
-    }
-    for (const RunId& run : vanished)
-        finish(worker, run, RunEnd::Stopped, {}, step);
-}
-
-void RunSupervisor::findStalled(Worker& worker, Step& step)
-{
-    (void)worker;
-    (void)step;
-}
-
 void RunSupervisor::startAnswered(const StartAnswered& answer, Step& step)
 {
     Worker* worker = addressee(answer.worker, answer.token);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -6,6 +6,7 @@
 #include "batch/workers/worker_pool.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -72,7 +73,7 @@
     void processActive(Worker&, std::span<const ActiveRun>, Step&);
     void noteProgress(LiveRun&, const ActiveRun&, TimePoint now);
     void findVanished(Worker&, std::span<const ActiveRun>, Step&);
-    void findStalled(Worker&, Step&);
+    void workerGone(const WorkerId&, Step&);
     // Ends the run here and in its job, and stops what that makes useless.
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
     void applyEnd(const RunId&, RunEnd, const std::string& checkpoint, Step&);
@@ -88,6 +89,7 @@
     WorkerLeaseSettings m_settings;
     std::uint64_t m_epoch = 0;
     bool m_hasRoomChanged = false;
+    std::optional<TimePoint> m_followedAt; // when the registry was last read
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -30,17 +30,22 @@
     Worker& worker = position->second;
     worker.record = record;
     worker.isListed = true;
+    worker.listedAt = now;
     if (isNew)
         worker.nextHoldAt = now;
     return over;
 }
 
-void WorkerPool::unlist(const WorkerId& id)
+std::vector<WorkerLifetime> WorkerPool::unlist(const WorkerId& id)
 {
+    std::vector<WorkerLifetime> unlisted;
     for (auto& [lifetime, worker] : m_workers) {
-        if (lifetime.id == id)
-            worker.isListed = false;
+        if (lifetime.id != id || !worker.isListed)
+            continue;
+        worker.isListed = false;
+        unlisted.push_back(lifetime);
     }
+    return unlisted;
 }
 
 std::vector<WorkerId> WorkerPool::listedIds() const
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -40,6 +40,7 @@
 struct Worker {
     WorkerRecord record;
     bool isListed = false; // in the registry
+    TimePoint listedAt {}; // when its entry was last seen to change
     bool isConfirmed = false; // has answered this leader, so that older leaders cannot reach it any more
     TimePoint clockReadAt {};
     WorkerClock clock = 0;
@@ -69,7 +70,8 @@
     Worker* find(const WorkerLifetime&);
     // Takes over what the registry says. Returns lifetimes that are over, because the worker was born again.
     std::vector<WorkerLifetime> update(const WorkerRecord&, TimePoint now);
-    void unlist(const WorkerId&);
+    // Returns the lifetimes that were listed.
+    std::vector<WorkerLifetime> unlist(const WorkerId&);
     std::vector<WorkerId> listedIds() const;
     // A worker that holds stored runs; it may not be listed any more.
     Worker& require(const WorkerLifetime&);
--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(testEvictedWorkCompletesAfterwards);
     CPPUNIT_TEST(testGangStartsOnlyWhereAllOfItFits);
     CPPUNIT_TEST(testDrainingWorkerGetsNothingNew);
+    CPPUNIT_TEST(testRunsOfDrainedWorkerThatLeftAreRepeatedAtOnce);
     CPPUNIT_TEST(testRemovedKeyIsRefusedAndRemovedQueueNotFound);
     CPPUNIT_TEST(testDaemonThatCannotConfirmConfigurationServesNobody);
     CPPUNIT_TEST(testConfigurationNeverGoesBack);
@@ -383,6 +384,25 @@
         requireCompleted(cluster, job);
     }
 
+    // A lost worker's lease takes more than 6 s to pass; one that withdrew its entry is gone for certain.
+    void testRunsOfDrainedWorkerThatLeftAreRepeatedAtOnce()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 2);
+        cluster.run(Milliseconds(500));
+        const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(30'000)) });
+        runUntilStarted(cluster, job);
+        cluster.run(Milliseconds(300));
+        FakeWorker& leaving = workerOf(cluster, job);
+        leaving.record.isDraining = true;
+        cluster.run(Milliseconds(1'000));
+        leaving.leave();
+        cluster.unlist(leaving.record.lifetime.id);
+        cluster.run(Milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(2, cluster.startsOf(job));
+        requireNoViolation(cluster);
+    }
+
     void testRemovedKeyIsRefusedAndRemovedQueueNotFound()
     {
         BatchCluster cluster;
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -174,6 +174,12 @@
     ++record.lifetime.bornAt;
 }
 
+void FakeWorker::leave()
+{
+    m_runs.clear();
+    isReachable = false;
+}
+
 CommitReply FakeStore::commit(const Transaction& transaction)
 {
     CommitReply reply { CommitOutcome::Applied };
@@ -330,8 +336,6 @@
     }
 }
 
-void BatchCluster::unlist(std::size_t index) { m_unlisted.insert(m_workers[index]->record.lifetime.id); }
-
 void BatchCluster::setConfiguration(Configuration configuration)
 {
     m_configuration = std::move(configuration);
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -35,6 +35,9 @@
     // Restarts under the same name; everything on it is gone.
     void rebirth();
 
+    // Ends everything and answers no more.
+    void leave();
+
     struct Run {
         batch::RunId id;
         Milliseconds worked { 0 };
@@ -109,7 +112,8 @@
     void addWorkers(int racks, int perRack);
     FakeWorker& worker(std::size_t index) { return *m_workers[index]; }
     std::size_t workerCount() const { return m_workers.size(); }
-    void unlist(std::size_t index);
+    // Takes the worker's entry out of the registry.
+    void unlist(const WorkerId& id) { m_unlisted.insert(id); }
 
     void setConfiguration(batch::Configuration);
     static batch::Configuration defaultConfiguration();
