Hold workers for waiting gangs against less urgent work

Ruled out: order (gangs come first in the queue); headroom (it keeps idle workers, and there are none).

For the first two gangs of priority 1 that find no room, the workers where they fit once less urgent runs have ended get no new ones.

The test fails without the hold.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -52,8 +52,8 @@
 
 void BatchDaemon::followConfiguration()
 {
-    m_configurationFollower = std::make_unique<TableFollower>(m_loop, m_store,
-        m_records.configurationTable(), std::vector<std::string> { {} }, configurationRhythm, now,
+    m_configurationFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.configurationTable(),
+        std::vector<std::string> { {} }, configurationRhythm, now,
         [this](TableFollower::News news) { configurationNews(std::move(news)); });
 }
 
@@ -185,13 +185,13 @@
     std::vector<std::string> parts;
     for (int part = 0; part < jobParts; ++part)
         parts.push_back(jobPartName(part));
-    m_jobFollower = std::make_unique<TableFollower>(
-        m_loop, m_store, std::string(jobTable), std::move(parts), jobRhythm, now, [this](TableFollower::News news) {
+    m_jobFollower = std::make_unique<TableFollower>(m_loop, m_store, std::string(jobTable), std::move(parts),
+        jobRhythm, now, [this](TableFollower::News news) {
             dispatch(RowsFollowed { OwnTable::Jobs, news.isComplete, std::move(news.rows), news.knownAt });
         });
-    m_workerFollower
-        = std::make_unique<TableFollower>(m_loop, m_store, m_records.workerTable(), std::vector<std::string> { {} },
-            workerRhythm, now, [this](TableFollower::News news) { workerNews(std::move(news)); });
+    m_workerFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.workerTable(),
+        std::vector<std::string> { {} }, workerRhythm, now,
+        [this](TableFollower::News news) { workerNews(std::move(news)); });
 }
 
 void BatchDaemon::carryOut(AnswerCaller& answer)
--- a/src/batch/daemon/table_follower.cpp
+++ b/src/batch/daemon/table_follower.cpp
@@ -10,8 +10,7 @@
 
 } // namespace
 
-TableFollower::TableFollower(
-    net::EventLoop& loop, RowStore& store, std::string table,
+TableFollower::TableFollower(net::EventLoop& loop, RowStore& store, std::string table,
     std::vector<std::string> parts, FollowRhythm rhythm, Clock clock, Callback callback)
     : m_store(store)
     , m_table(std::move(table))
@@ -55,7 +54,8 @@
     }
 }
 
-// The feed goes on from the oldest of the parts' versions: some changes are then reported twice, none is missed.
+// The feed goes on from the oldest of the parts' versions: some changes are then reported twice, none is
+// missed.
 void TableFollower::listed(TableSnapshot part, TimePoint sentAt)
 {
     const bool isOldest = !m_snapshot.version || part.version < m_snapshot.version;
@@ -80,8 +80,8 @@
 
 void TableFollower::feed()
 {
-    m_store.feed(m_table, m_version, m_rhythm.wait,
-        [this, isAlive = m_isAlive, sentAt = m_clock()](FeedReply reply) {
+    m_store.feed(
+        m_table, m_version, m_rhythm.wait, [this, isAlive = m_isAlive, sentAt = m_clock()](FeedReply reply) {
             if (!*isAlive)
                 return;
             m_isInTouch = reply.outcome != FeedOutcome::Failed;
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -263,8 +263,8 @@
             m_endStates.emplace(request.job, *state);
         answer(request, AnswerKind::State, step, *state);
     } else {
-        step.warn("store.unreadable_row",
-            { { "job", request.job.value() }, { "reason", state.error().detail } });
+        step.warn(
+            "store.unreadable_row", { { "job", request.job.value() }, { "reason", state.error().detail } });
         answer(request, AnswerKind::OutcomeUnknown, step);
     }
     finish(id);
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -50,8 +50,8 @@
     // A job that is kept no longer and whose own rows are still stored. They go before the progress: a job
     // without progress would run again.
     std::optional<JobId> findExpired(TimePoint now) const;
-    // What the store lacks: progress of changed jobs, oldest change first, and the removal of that of jobs whose
-    // own rows are gone.
+    // What the store lacks: progress of changed jobs, oldest change first, and the removal of that of jobs
+    // whose own rows are gone.
     struct Changes {
         struct Job {
             JobId id;
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -46,10 +46,20 @@
     return hidden;
 }
 
+void CapacityView::hide(const std::set<WorkerLifetime>& lifetimes, Hidden& hidden)
+{
+    for (const WorkerLifetime& lifetime : lifetimes) {
+        const auto found = m_index.find(lifetime);
+        if (found != m_index.end())
+            hidden.emplace_back(found->second, std::exchange(m_workers[found->second].room, Resources {}));
+    }
+}
+
 void CapacityView::restore(const Hidden& hidden)
 {
-    for (const auto& [index, room] : hidden)
-        m_workers[index].room = room;
+    // Backwards: a worker that was hidden twice gets its first room back.
+    for (auto entry = hidden.rbegin(); entry != hidden.rend(); ++entry)
+        m_workers[entry->first].room = entry->second;
 }
 
 std::map<ServiceId, CapacityView> capacityOf(const WorkerPool& pool, TimePoint now)
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -4,6 +4,7 @@
 #include "batch/workers/worker_pool.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -37,6 +38,7 @@
     // Takes the room of up to `count` idle workers of each rack out of the view, until it is restored.
     using Hidden = std::vector<std::pair<std::size_t, Resources>>;
     Hidden hideIdleWorkers(std::size_t count);
+    void hide(const std::set<WorkerLifetime>&, Hidden&);
     void restore(const Hidden&);
     // Null if the worker gets no new runs.
     WorkerCapacity* find(const WorkerLifetime&);
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -19,6 +19,9 @@
 // Room is kept for urgent work only while such work comes.
 constexpr Milliseconds urgentMemory { 3'000 };
 
+// Waiting gangs for which workers are held at a time; each leaves workers partly idle for a while.
+constexpr int mostHolds = 2;
+
 // An accelerator counts as this many cores in the price of lost work.
 constexpr double coresPerAccelerator = 8;
 
@@ -79,6 +82,8 @@
     m_failed.clear();
     m_victims.clear();
     m_siblings.clear();
+    m_held.clear();
+    m_holds = 0;
     std::erase_if(m_stops, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
     std::vector<WaitingUnit> waiting = collect(jobs, configuration, now, wallTime);
@@ -208,6 +213,8 @@
     const bool isInTime
         = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
     const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
+    if (request.tasks > 1 && job.terms.priority == 1)
+        holdFor(waiting, request, views[service]);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
     if (!hasMadeRoom && !request.step.maxTasksPerWorker)
         m_failed.insert(shape);
@@ -221,14 +228,39 @@
     const int priority = waiting.job->job().terms.priority;
     const auto keep = static_cast<std::size_t>(std::min(priority, 2) * headroomPerPriority);
     const bool isUrgentWorkDue = m_urgentSeenAt && now < *m_urgentSeenAt + urgentMemory;
-    if (!keep || !isUrgentWorkDue || view.usedShare() < headroomFromShare)
-        return m_placement.place(request, view);
-    const CapacityView::Hidden hidden = view.hideIdleWorkers(keep);
+    const bool isRoomKept = keep && isUrgentWorkDue && view.usedShare() >= headroomFromShare;
+    CapacityView::Hidden hidden;
+    if (isRoomKept)
+        hidden = view.hideIdleWorkers(keep);
+    if (priority > 1)
+        view.hide(m_held, hidden);
     auto workers = m_placement.place(request, view);
     view.restore(hidden);
     return workers;
 }
 
+// Keeps the workers where a waiting gang will fit soonest from filling up with less urgent work.
+void PlacementRound::holdFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view)
+{
+    if (m_holds >= mostHolds)
+        return;
+    CapacityView drained = view;
+    for (WorkerCapacity& worker : drained.workers()) {
+        const auto known = m_workers->all().find(worker.lifetime);
+        for (const auto& [task, run] : known->second.runs) {
+            if (run.priority > waiting.job->job().terms.priority)
+                worker.room += run.resources;
+        }
+        if (m_held.contains(worker.lifetime))
+            worker.room = {};
+    }
+    const auto workers = m_placement.place(request, drained);
+    if (!workers)
+        return;
+    ++m_holds;
+    m_held.insert(workers->begin(), workers->end());
+}
+
 std::vector<EvictionCandidate> PlacementRound::candidatesFor(const WaitingUnit& waiting, TimePoint now) const
 {
     std::map<UnitKey, EvictionCandidate> candidates;
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -87,6 +87,7 @@
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeWithHeadroom(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
+    void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
     std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
 
     const PlacementPolicy& m_placement;
@@ -99,6 +100,8 @@
     JobBook* m_jobs = nullptr;
     std::set<Shape> m_failed;
     std::set<RunId> m_victims;
+    std::set<WorkerLifetime> m_held; // for waiting gangs, against less urgent work
+    int m_holds = 0;
     // Tasks of steps with a limit per worker that this round has placed.
     std::map<UnitKey, std::map<WorkerLifetime, int>> m_siblings;
 };
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 // An entry of a draining worker that disappears this soon after its last change was withdrawn by the worker;
-// one that lapses has been silent for three heartbeats of 1.5 s. Holds only while the registry is read without
-// gaps.
+// one that lapses has been silent for three heartbeats of 1.5 s. Holds only while the registry is read
+// without gaps.
 constexpr Milliseconds withdrawnWithin { 2'500 };
 constexpr Milliseconds longestReadGap { 1'500 };
 
@@ -40,8 +40,8 @@
     const bool isReadWithoutGap = m_followedAt && step.now < *m_followedAt + longestReadGap;
     for (const WorkerLifetime& lifetime : m_workers.unlist(id)) {
         Worker* worker = m_workers.find(lifetime);
-        const bool isWithdrawn = worker->record.isDraining && isReadWithoutGap
-            && step.now < worker->listedAt + withdrawnWithin;
+        const bool isWithdrawn
+            = worker->record.isDraining && isReadWithoutGap && step.now < worker->listedAt + withdrawnWithin;
         if (isWithdrawn)
             lifetimeOver(*worker, "it has left", step);
     }
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(testHeadroomEndsWhenNoUrgentWorkComes);
     CPPUNIT_TEST(testHeadroomIsNotKeptWhileServiceIsMostlyIdle);
     CPPUNIT_TEST(testOrderPutsInTimeBeforeLateWithinPriority);
+    CPPUNIT_TEST(testWaitingGangGetsItsRackWhileSmallWorkFloods);
     CPPUNIT_TEST_SUITE_END();
 
     const PackingPlacement m_packing;
@@ -337,6 +338,30 @@
         PlacementRound round(m_packing, m_order);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), inTime));
     }
+
+    // Guards against gangs that starve on full days: each accelerator that became free went to a small task.
+    void testWaitingGangGetsItsRackWhileSmallWorkFloods()
+    {
+        Site site;
+        addWorkers(site, 2, 2);
+        addJob(site, "a-small", 2, testing::makeStep(32, 1));
+        PlacementRound round(m_packing, m_order);
+        place(round, site);
+        const JobId gang = addJob(site, "gang", 1, testing::makeGang(2, 8, true));
+        const JobId more = addJob(site, "b-small", 2, testing::makeStep(32, 1));
+        place(round, site);
+        // The tasks end one after the other, on all workers in turn.
+        std::size_t placed = 0;
+        for (int index = 0; index < 32 && !placed; ++index) {
+            const TaskId task { JobId("a-small"), 0, 0, (index % 4) * 8 + index / 4 };
+            JobProgress& progress = site.jobs.find(JobId("a-small"))->progress;
+            site.pool.detach(*site.pool.find(progress.find(task)->assignment->worker), task);
+            progress.runEnded({ task, 1 }, RunEnd::Done, {});
+            placed = placedTasks(place(round, site), gang);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placed);
+        CPPUNIT_ASSERT(site.jobs.find(more)->progress.hasAssignments());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchPlacementTest);
--- a/test/batch_row_writer_test.cpp
+++ b/test/batch_row_writer_test.cpp
@@ -63,8 +63,8 @@
         CPPUNIT_ASSERT(stored == std::vector<RowWriter::Ticket> { 1 });
     }
 
-    // Guards against the collapse on the day store-and-leader: one transaction for each caller filled the queue
-    // of a slow store, and retries kept it full long after the store had recovered.
+    // Guards against the collapse on the day store-and-leader: one transaction for each caller filled the
+    // queue of a slow store, and retries kept it full long after the store had recovered.
     void testRowsThatComeMeanwhileGoTogether()
     {
         write("p", 1);
@@ -93,8 +93,8 @@
         answer(first, { CommitOutcome::Applied });
         Row present = rowOf("p", 2);
         present.version = 9;
-        const auto stored = answer(
-            lastCommit().operation, { CommitOutcome::Conflict, 0, { present, rowOf("p", 3) } });
+        const auto stored
+            = answer(lastCommit().operation, { CommitOutcome::Conflict, 0, { present, rowOf("p", 3) } });
         CPPUNIT_ASSERT(stored == std::vector<RowWriter::Ticket> { 2 });
         // The other row goes on at once, by itself.
         CPPUNIT_ASSERT_EQUAL(std::string("k3"), lastCommit().transaction.writes.front().key.key);
