Give a new run its own lease bound

The bound was that of the lease before the cut; the look that would have extended it waited for the store, as the worker had listed old ends.

Ruled out: a lost start (none was sent), a reborn worker.

The test fails without the change.

--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -99,6 +99,8 @@
         live.assignedChange = change;
         live.assignedAt = now;
         Worker& worker = m_workers.require(workers[i]);
+        // The last lease of an idle worker may have passed; it says nothing of the new run.
+        extendLease(worker, leaseFor(worker), now);
         if (!worker.health.isTrusted(now))
             worker.health.trialStarted();
         m_workers.attach(worker, std::move(live));
--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(BatchClusterTest);
     CPPUNIT_TEST(testAcceptedJobCompletesOnCalmDay);
     CPPUNIT_TEST(testSubmissionIsStoredBeforeItIsAccepted);
+    CPPUNIT_TEST(testFirstRunOnWorkerBackFromCutIsNotGivenUp);
     CPPUNIT_TEST(testRepeatedSubmissionRemainsOneJob);
     CPPUNIT_TEST(testStoreOutageLeavesOutcomeUnknownAndRefusesNothing);
     CPPUNIT_TEST(testUnknownJobIsToldOnlyOnTheWordOfTheStore);
@@ -104,6 +105,26 @@
         requireCompleted(cluster, job);
     }
 
+    // Guards against the recorded day inc-f0cb of lbgia: a worker came back from a cut with old ends, got a
+    // run at once, and the run was given up because the lease from before the cut had passed.
+    void testFirstRunOnWorkerBackFromCutIsNotGivenUp()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 1);
+        cluster.run(Milliseconds(500));
+        const JobId before = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(20'000)) });
+        runUntilStarted(cluster, before);
+        cluster.run(Milliseconds(300));
+        cluster.worker(0).isReachable = false;
+        cluster.run(Milliseconds(12'000));
+        const JobId job = cluster.submit(1, "urgent", { makeStep(1, 8) });
+        cluster.slowCommit = Milliseconds(60);
+        cluster.run(Milliseconds(300));
+        cluster.worker(0).isReachable = true;
+        requireCompleted(cluster, job, Milliseconds(5'000));
+        CPPUNIT_ASSERT_EQUAL(1, cluster.doneRuns().at({ job, 0, 0, 0 }));
+    }
+
     void testRepeatedSubmissionRemainsOneJob()
     {
         BatchCluster cluster;
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -571,7 +571,7 @@
         deliver(daemon, lifetime, commitTimeout, CommitAnswered { write.operation });
         return;
     }
-    at(m_now + storeDelay / 2, [this, daemon, lifetime, write] {
+    at(m_now + storeDelay / 2 + slowCommit, [this, daemon, lifetime, write] {
         const CommitReply reply = m_store.commit(write.transaction);
         const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lostCommitShare;
         if (isLost)
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -141,6 +141,7 @@
     std::set<std::size_t> cutFromStore; // daemons
     std::set<std::size_t> cutFromWorkers; // daemons
     bool isStoreDown = false;
+    Milliseconds slowCommit { 0 }; // that a transaction takes longer
     double lostCommitShare = 0; // done, and not answered
     double lateOrderShare = 0; // no answer, and carried out 2 to 12 s later
 
