--- a/src/batch/daemon/table_follower.cpp
+++ b/src/batch/daemon/table_follower.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Milliseconds retryDelay { 150 };
+constexpr Milliseconds retryDelay { 80 };
 
 } // namespace
 
