Log refusals, bound the log's volume, and serve metrics

Each refusal names path, reason, and the version and age of the configuration that decided it. Standard output never blocks: lines that a full pipe does not take are dropped and counted. /metrics has counters of events and times of answers by action.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -10,14 +10,29 @@
 
 namespace {
 
-// Confirms the configuration about once a second, and brings changes at once.
-constexpr FollowRhythm configurationRhythm { Milliseconds(800), Milliseconds(0) };
+// Confirms the configuration every 0.6 s, and brings changes at once.
+constexpr FollowRhythm configurationRhythm { Milliseconds(600), Milliseconds(0) };
 // The leader rewrites its lease with every commit; a candidate needs to see that it does, not each time.
 constexpr FollowRhythm leaseRhythm { Milliseconds(1'000), Milliseconds(300) };
 constexpr FollowRhythm jobRhythm { Milliseconds(1'000), Milliseconds(0) };
 // Workers report every 1.5 s each; many reports are read together.
 constexpr FollowRhythm workerRhythm { Milliseconds(1'000), Milliseconds(400) };
 
+std::string nameOf(CallerAction action)
+{
+    switch (action) {
+    case CallerAction::Submit:
+        return "submit";
+    case CallerAction::Query:
+        return "query";
+    case CallerAction::Cancel:
+        return "cancel";
+    case CallerAction::CountQueue:
+        return "count";
+    }
+    return "other";
+}
+
 WallTime wallTime() { return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now()); }
 
 } // namespace
@@ -104,7 +119,7 @@
 {
     request.caller = ++m_lastCaller;
     const CallerHandle caller = request.caller;
-    m_callers.emplace(caller, std::move(answer));
+    m_callers.emplace(caller, Caller { std::move(answer), request.action, now() });
     dispatch(std::move(request));
     return caller;
 }
@@ -199,9 +214,11 @@
     const auto found = m_callers.find(answer.caller);
     if (found == m_callers.end())
         return;
-    const Answer respond = std::move(found->second);
+    const Caller caller = std::move(found->second);
     m_callers.erase(found);
-    respond(answer);
+    const telemetry::Labels labels { { "action", nameOf(caller.action) } };
+    m_metrics.latency("anvilmoor_request_seconds", "Time to the answer", labels).record(now() - caller.since);
+    caller.answer(answer);
 }
 
 void BatchDaemon::carryOut(StopDaemon&)
@@ -213,6 +230,8 @@
 void BatchDaemon::carryOut(RecordEvent& event)
 {
     m_metrics.counter("anvilmoor_events_total", "Events by name", { { "event", event.name } }).add();
+    m_metrics.gauge("anvilmoor_leader", "1 on the daemon that holds the lease")
+        .set(m_reducer.isLeader() ? 1 : 0);
     const bool isWarning = event.level == RecordLevel::Warning;
     m_log.log(isWarning ? telemetry::LogLevel::Warning : telemetry::LogLevel::Info, event.name, event.fields);
 }
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -68,7 +68,12 @@
     std::unique_ptr<TableFollower> m_leaseFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
     std::unique_ptr<TableFollower> m_workerFollower;
-    std::map<CallerHandle, Answer> m_callers;
+    struct Caller {
+        Answer answer;
+        CallerAction action = CallerAction::Query;
+        TimePoint since {};
+    };
+    std::map<CallerHandle, Caller> m_callers;
     CallerHandle m_lastCaller = 0;
     std::function<void()> m_onStopped;
     // Replies that come after the daemon's end are dropped.
--- a/src/batch/intake/configuration_view.h
+++ b/src/batch/intake/configuration_view.h
@@ -23,6 +23,8 @@
     bool isConfirmed(TimePoint now) const;
     // Confirmed within this time.
     bool isFresh(TimePoint now, Milliseconds age) const;
+    // Since it was last confirmed; -1 ms if it never was.
+    Milliseconds age(TimePoint now) const { return m_knownAt ? now - *m_knownAt : Milliseconds(-1); }
     const Configuration& current() const { return m_configuration; }
 
     // The queue with the longest prefix of the path. Null if there is none.
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -51,6 +51,10 @@
 const QueueConfiguration* JobIntake::admit(const CallerRequest& request, Step& step) const
 {
     const auto refuse = [&](AnswerKind kind, std::string detail) -> const QueueConfiguration* {
+        step.record("request.refused",
+            { { "path", request.path }, { "reason", detail },
+                { "configuration", std::to_string(m_configuration.current().version) },
+                { "confirmed_ms_ago", std::to_string(m_configuration.age(step.now).count()) } });
         AnswerCaller refusal { request.caller, kind };
         refusal.detail = std::move(detail);
         step.emit(std::move(refusal));
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -64,10 +64,8 @@
 {
 }
 
-void EventLog::log(LogLevel level, std::string_view event, std::span<const LogField> fields)
+JsonLine EventLog::startLine(LogLevel level, std::string_view event) const
 {
-    if (level < m_minimum)
-        return;
     JsonLine line;
     line.add("ts", utcTimestamp(m_clocks.wallTime()))
         .add("mono_ms", m_clocks.now().time_since_epoch().count())
@@ -76,6 +74,39 @@
         .add("pid", std::int64_t { m_process.pid })
         .add("level", toString(level))
         .add("event", event);
+    return line;
+}
+
+bool EventLog::mayWrite(std::string_view event)
+{
+    if (!m_linesPerSecond)
+        return true;
+    auto found = m_volumes.find(event);
+    if (found == m_volumes.end())
+        found = m_volumes.emplace(std::string(event), Volume {}).first;
+    Volume& volume = found->second;
+    const std::int64_t second = std::chrono::floor<Seconds>(m_clocks.now().time_since_epoch()).count();
+    if (second != volume.second) {
+        if (volume.suppressed) {
+            JsonLine note = startLine(LogLevel::Warning, "log.suppressed");
+            note.add("of", event).add("lines", static_cast<std::int64_t>(volume.suppressed));
+            m_sink(note.finish());
+        }
+        volume = { second };
+    }
+    if (volume.written < m_linesPerSecond) {
+        ++volume.written;
+        return true;
+    }
+    ++volume.suppressed;
+    return false;
+}
+
+void EventLog::log(LogLevel level, std::string_view event, std::span<const LogField> fields)
+{
+    if (level < m_minimum || !mayWrite(event))
+        return;
+    JsonLine line = startLine(level, event);
     for (const auto& [name, value] : fields) {
         const bool isRepeated
             = (name == "host" && value == m_process.host) || (name == "zone" && value == m_process.zone);
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "anvilmoor/time.h"
+#include "telemetry/json_line.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -39,6 +42,10 @@
 
     EventLog(Process, LogLevel minimum, Clocks, Sink = writeToStandardError);
 
+    // Writes at most this many lines of an event's name in a second; a line "log.suppressed" then counts what
+    // was left out. Without a limit, all lines are written.
+    void limitLines(std::size_t perNameAndSecond) { m_linesPerSecond = perNameAndSecond; }
+
     void log(LogLevel, std::string_view event, std::span<const LogField> fields = {});
     void log(LogLevel, std::string_view event, std::initializer_list<LogField> fields);
 
@@ -50,6 +57,17 @@
     static void writeToStandardOutput(std::string_view line);
 
 private:
+    struct Volume {
+        std::int64_t second = 0;
+        std::size_t written = 0;
+        std::size_t suppressed = 0;
+    };
+
+    bool mayWrite(std::string_view event);
+    JsonLine startLine(LogLevel, std::string_view event) const;
+
+    std::size_t m_linesPerSecond = 0; // 0: no limit
+    std::map<std::string, Volume, std::less<>> m_volumes;
     Process m_process;
     LogLevel m_minimum;
     Clocks m_clocks;
--- a/test/telemetry_test.cpp
+++ b/test/telemetry_test.cpp
@@ -2,10 +2,13 @@
 #include "telemetry/metrics.h"
 #include "telemetry/timeline.h"
 
+#include <algorithm>
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace anvilmoor::telemetry {
@@ -42,6 +45,8 @@
 class TelemetryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TelemetryTest);
     CPPUNIT_TEST(testLoggedLineWithHostileFieldsIsOneJsonObject);
+    CPPUNIT_TEST(testLinesBeyondTheLimitAreCountedInsteadOfWritten);
+    CPPUNIT_TEST(testReaderThatStopsReadingCostsLinesAndNoTime);
     CPPUNIT_TEST(testMetricsPageWithLabelsAndLatencyIsPrometheusText);
     CPPUNIT_TEST(testTornAndForeignLinesAreSkippedAndCounted);
     CPPUNIT_TEST(testEqualTimestampsKeepOrderOfProcesses);
@@ -73,6 +78,48 @@
         CPPUNIT_ASSERT(object["bad"] == "x\ufffd\ufffd\ufffdy");
     }
 
+    void testLinesBeyondTheLimitAreCountedInsteadOfWritten()
+    {
+        TimePoint now { Seconds(5) };
+        std::vector<std::string> lines;
+        EventLog log({ "h", "z", 1 }, LogLevel::Info, { [] { return WallTime(); }, [&] { return now; } },
+            [&](std::string_view text) { lines.emplace_back(text); });
+        log.limitLines(3);
+        for (int i = 0; i < 10; ++i)
+            log.log(LogLevel::Info, "busy", {});
+        log.log(LogLevel::Info, "rare", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, lines.size());
+        now += Seconds(1);
+        log.log(LogLevel::Info, "busy", {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 6 }, lines.size());
+        const auto note = nlohmann::json::parse(lines[4]);
+        CPPUNIT_ASSERT_EQUAL(std::string("log.suppressed"), note.at("event").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(7, note.at("lines").get<int>());
+    }
+
+    // Standard output is a pipe that nobody reads. A blocked write would never return.
+    void testReaderThatStopsReadingCostsLinesAndNoTime()
+    {
+        std::array<int, 2> ends {};
+        CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+        const int output = dup(STDOUT_FILENO);
+        dup2(ends[1], STDOUT_FILENO);
+        const std::string line(200, 'x');
+        for (int i = 0; i < 2'000; ++i)
+            EventLog::writeToStandardOutput(line + "\n");
+        std::array<char, 65'536> buffer {};
+        const ssize_t count = read(ends[0], buffer.data(), buffer.size());
+        EventLog::writeToStandardOutput("next\n");
+        const ssize_t more = read(ends[0], buffer.data(), buffer.size());
+        dup2(output, STDOUT_FILENO);
+        for (const int descriptor : { ends[0], ends[1], output })
+            close(descriptor);
+        CPPUNIT_ASSERT(count > 0);
+        const std::string text(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(more, 0)));
+        CPPUNIT_ASSERT(text.find("log.dropped") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("next") != std::string::npos);
+    }
+
     void testMetricsPageWithLabelsAndLatencyIsPrometheusText()
     {
         MetricsRegistry metrics;
