Do not retry a job where it failed

A worker that fails all that it starts so uses up the attempts of sound jobs; two are allowed in most queues.

Ruled out: the quarantine (a worker is suspect after three failures on end, by then the job is lost).

A job's retries leave out the workers on which it failed, unless it fits nowhere else. The log names every worker of a run.

Both tests fail without the change (the first by its choice, the second by leaving the job out).

--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -29,6 +29,7 @@
         std::uint64_t change = 0; // number of the last change
         std::uint64_t storedChange = 0;
         std::optional<TimePoint> endedAt;
+        std::set<WorkerLifetime> failedOn; // workers on which one of its runs has failed
         bool isRowRemoved = false; // the job's own rows; its progress goes after them
 
         bool isStored() const { return storedChange >= change; }
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -3,6 +3,8 @@
 #include "batch/jobs/job_codec.h"
 #include "batch/store/tables.h"
 
+#include <span>
+#include <string>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -17,6 +19,14 @@
 constexpr OperationId removalOperationBit = OperationId { 1 } << 58U;
 constexpr OperationId progressReadBit = OperationId { 1 } << 61U;
 
+std::string namesOf(std::span<const WorkerLifetime> workers)
+{
+    std::string names;
+    for (const WorkerLifetime& worker : workers)
+        names += (names.empty() ? "" : " ") + worker.id.value();
+    return names;
+}
+
 } // namespace
 
 Scheduler::Scheduler(LeaderLease& lease, const Configuration& configuration, const PlacementPolicy& placement,
@@ -271,8 +281,7 @@
             { { "job", decision.unit.job.value() }, { "step", std::to_string(decision.unit.step) },
                 { "task", std::to_string(decision.unit.tasks.front()) },
                 { "tasks", std::to_string(decision.unit.tasks.size()) },
-                { "run", std::to_string(decision.unit.run) },
-                { "worker", decision.workers.front().id.value() } });
+                { "run", std::to_string(decision.unit.run) }, { "workers", namesOf(decision.workers) } });
     }
     for (const RunId& victim : outcome.victims)
         step.record(
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -26,6 +26,8 @@
 {
     if (!request.step.requiredLabel.empty() && !worker.hasLabel(request.step.requiredLabel))
         return 0;
+    if (request.avoided && request.avoided->contains(worker.lifetime))
+        return 0;
     int limit = worker.isOnTrial ? 1 : request.tasks;
     if (request.step.maxTasksPerWorker) {
         const auto siblings = request.siblings.find(worker.lifetime);
--- a/src/batch/placement/placement_policy.h
+++ b/src/batch/placement/placement_policy.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -18,6 +19,7 @@
     int tasks = 1; // to be placed together
     // Of the step's tasks, how many run on a worker already. Counts only with a limit per worker.
     std::map<WorkerLifetime, int> siblings;
+    const std::set<WorkerLifetime>* avoided = nullptr; // workers on which the job has failed; may be null
     bool mayUseSlowPlaces = false; // racks without the data, or several racks for a gang that needs one
 };
 
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -123,7 +123,7 @@
                 left -= need;
         }
         for (PlacementUnit& unit : entry->progress.readyUnits())
-            waiting.push_back({ std::move(unit), &entry->progress, isGuaranteed });
+            waiting.push_back({ std::move(unit), &entry->progress, &entry->failedOn, isGuaranteed });
     }
     return waiting;
 }
@@ -153,6 +153,10 @@
 {
     const StepSpecification& step = waiting.job->specificationOf(waiting.unit.step);
     PlacementRequest request { step, countedResources(step), static_cast<int>(waiting.unit.tasks.size()) };
+    // Its failures may be the job's own fault, but those of a bad worker must not use up its attempts.
+    request.avoided = waiting.failedOn;
+    if (!waiting.failedOn->empty() && !couldEverFit(request, view))
+        request.avoided = nullptr;
     if (step.maxTasksPerWorker) {
         const auto placed = m_siblings.find(stepKeyOf(waiting.unit));
         if (placed != m_siblings.end())
@@ -189,7 +193,8 @@
         request.mayUseSlowPlaces, request.step.requiredLabel, request.step.dataRack };
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
-    if (!isReserved && !request.step.maxTasksPerWorker && m_failed.contains(shape))
+    const bool isPlain = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
+    if (!isReserved && isPlain && m_failed.contains(shape))
         return;
     if (isReserved)
         reserve(view, reservation->second, false);
@@ -216,7 +221,7 @@
     if (request.tasks > 1 && job.terms.priority == 1)
         holdFor(waiting, request, views[service]);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
-    if (!hasMadeRoom && !request.step.maxTasksPerWorker)
+    if (!hasMadeRoom && isPlain)
         m_failed.insert(shape);
 }
 
--- a/src/batch/placement/queue_order.h
+++ b/src/batch/placement/queue_order.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/job.h"
 #include "batch/jobs/job_progress.h"
 
+#include <set>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -11,6 +12,7 @@
 struct WaitingUnit {
     PlacementUnit unit;
     const JobProgress* job = nullptr;
+    const std::set<WorkerLifetime>* failedOn = nullptr; // workers on which the job has failed
     bool isGuaranteed = false; // covered by its client account's guarantee
 };
 
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -377,7 +377,7 @@
         if (findRun(worker, ended.run))
             finish(worker, ended.run, ended.end, ended.checkpoint, step);
         else
-            applyEnd(ended.run, ended.end, ended.checkpoint, step);
+            applyEnd(worker, ended.run, ended.end, ended.checkpoint, step);
     }
 }
 
@@ -485,10 +485,11 @@
 {
     m_workers.detach(worker, run.task);
     m_hasRoomChanged = true;
-    applyEnd(run, end, checkpoint, step);
+    applyEnd(worker, run, end, checkpoint, step);
 }
 
-void RunSupervisor::applyEnd(const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
+void RunSupervisor::applyEnd(
+    const Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
 {
     JobBook::Entry* entry = m_jobs.find(run.task.job);
     if (!entry)
@@ -498,11 +499,13 @@
         return;
     m_jobs.noteChange(*entry, step.now);
     m_hasRoomChanged = true;
+    if (end == RunEnd::Failed)
+        entry->failedOn.insert(worker.record.lifetime);
     if (end != RunEnd::Done)
         step.record("run.ended",
             { { "job", run.task.job.value() }, { "step", std::to_string(run.task.step) },
                 { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
-                { "end", std::string(nameOf(end)) } });
+                { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(end)) } });
     if (consequence.newState)
         step.record("job.ended",
             { { "job", run.task.job.value() },
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -76,7 +76,7 @@
     void workerGone(const WorkerId&, Step&);
     // Ends the run here and in its job, and stops what that makes useless.
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
-    void applyEnd(const RunId&, RunEnd, const std::string& checkpoint, Step&);
+    void applyEnd(const Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
     // The worker was born again or has left.
     void lifetimeOver(Worker&, std::string_view reason, Step&);
     void giveUpRuns(Worker&, std::string_view reason, Step&);
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(testRequiredLabelIsKept);
     CPPUNIT_TEST(testLimitPerWorkerCountsTasksOfTheSameRound);
     CPPUNIT_TEST(testWorkerOnTrialGetsOneTask);
+    CPPUNIT_TEST(testJobIsNotRetriedWhereItFailed);
+    CPPUNIT_TEST(testJobThatFailedEverywhereIsRetriedAnywhere);
     CPPUNIT_TEST(testEvictionTakesCheapestWorker);
     CPPUNIT_TEST(testEvictionLeavesOutNeedlessVictims);
     CPPUNIT_TEST(testEvictionStopsGangAsWhole);
@@ -206,6 +208,28 @@
         CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
     }
 
+    // Guards against a worker that fails all that it starts and uses up the attempts of a sound job.
+    void testJobIsNotRetriedWhereItFailed()
+    {
+        Site site;
+        addWorkers(site, 1, 2);
+        const JobId job = addJob(site, "job", 1, testing::makeStep(1, 1));
+        site.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime };
+        PlacementRound round(m_packing, m_order);
+        const PlacementOutcome outcome = place(round, site);
+        CPPUNIT_ASSERT(outcome.placed.front().workers.front() == capacityOf(0, 1).lifetime);
+    }
+
+    void testJobThatFailedEverywhereIsRetriedAnywhere()
+    {
+        Site site;
+        addWorkers(site, 1, 2);
+        const JobId job = addJob(site, "job", 1, testing::makeStep(1, 1));
+        site.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime, capacityOf(0, 1).lifetime };
+        PlacementRound round(m_packing, m_order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), job));
+    }
+
     static EvictionCandidate candidateOf(
         const char* job, const WorkerLifetime& worker, int accelerators, double cost)
     {
