--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -69,7 +69,7 @@
 {
     m_configurationFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.configurationTable(),
         std::vector<std::string> { {} }, configurationRhythm, now,
-        [this](TableFollower::News news) { configurationNews(std::move(news)); });
+        [this](const TableFollower::News& news) { configurationNews(news); });
 }
 
 void BatchDaemon::followLease()
@@ -81,7 +81,7 @@
         });
 }
 
-void BatchDaemon::configurationNews(TableFollower::News news)
+void BatchDaemon::configurationNews(const TableFollower::News& news)
 {
     ConfigurationFollowed followed { {}, news.knownAt };
     for (const Row& row : news.rows) {
@@ -97,7 +97,7 @@
     dispatch(std::move(followed));
 }
 
-void BatchDaemon::workerNews(TableFollower::News news)
+void BatchDaemon::workerNews(const TableFollower::News& news)
 {
     WorkersFollowed followed { news.isComplete, {}, {}, news.knownAt };
     for (const Row& row : news.rows) {
@@ -198,6 +198,7 @@
     if (!follow.isFollowing)
         return;
     std::vector<std::string> parts;
+    parts.reserve(jobParts);
     for (int part = 0; part < jobParts; ++part)
         parts.push_back(jobPartName(part));
     m_jobFollower = std::make_unique<TableFollower>(m_loop, m_store, std::string(jobTable), std::move(parts),
@@ -206,7 +207,7 @@
         });
     m_workerFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.workerTable(),
         std::vector<std::string> { {} }, workerRhythm, now,
-        [this](TableFollower::News news) { workerNews(std::move(news)); });
+        [this](const TableFollower::News& news) { workerNews(news); });
 }
 
 void BatchDaemon::carryOut(AnswerCaller& answer)
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -53,8 +53,9 @@
     void carryOut(RecordEvent&);
     void followConfiguration();
     void followLease();
-    void configurationNews(TableFollower::News);
-    void workerNews(TableFollower::News);
+    void configurationNews(const TableFollower::News&);
+    void workerNews(const TableFollower::News&);
+
     RowStore& m_store;
     WorkerGateway& m_workers;
     const RecordReader& m_records;
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -103,7 +103,8 @@
     }
 }
 
-void JobIntake::submit(const CallerRequest& caller, const QueueConfiguration& queue, JobId id, Step& step)
+void JobIntake::submit(
+    const CallerRequest& caller, const QueueConfiguration& queue, const JobId& id, Step& step)
 {
     const std::size_t bodyLimit = m_configuration.current().maxBodyBytes;
     if (!caller.problem.empty() || (bodyLimit && caller.bodyBytes > bodyLimit)) {
@@ -128,7 +129,7 @@
     open(std::move(request), step);
 }
 
-void JobIntake::query(const CallerRequest& caller, JobId id, Step& step)
+void JobIntake::query(const CallerRequest& caller, const JobId& id, Step& step)
 {
     Request request { caller.caller, CallerAction::Query, id, Stage::ReadingProgress };
     request.answerBy = step.now + (caller.timeout.count() ? caller.timeout : defaultCallerTimeout);
@@ -144,7 +145,7 @@
     open(std::move(request), step);
 }
 
-void JobIntake::cancel(const CallerRequest& caller, JobId id, Step& step)
+void JobIntake::cancel(const CallerRequest& caller, const JobId& id, Step& step)
 {
     Request request { caller.caller, CallerAction::Cancel, id, Stage::ReadingJob };
     request.answerBy = step.now + (caller.timeout.count() ? caller.timeout : defaultCallerTimeout);
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -70,9 +70,9 @@
 
     // Empty if the request was answered.
     const QueueConfiguration* admit(const CallerRequest&, Step&) const;
-    void submit(const CallerRequest&, const QueueConfiguration&, JobId, Step&);
-    void query(const CallerRequest&, JobId, Step&);
-    void cancel(const CallerRequest&, JobId, Step&);
+    void submit(const CallerRequest&, const QueueConfiguration&, const JobId&, Step&);
+    void query(const CallerRequest&, const JobId&, Step&);
+    void cancel(const CallerRequest&, const JobId&, Step&);
     static void recordAcceptance(const Request&, Step&);
     void open(Request, Step&);
     void store(RequestId, Request&, Step&);
--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -9,7 +9,7 @@
 JobBook::Entry* JobBook::add(AcceptedJob job)
 {
     const JobId id = job.specification.id;
-    const auto [position, isNew] = m_entries.try_emplace(id, std::move(job));
+    const auto [position, isNew] = m_entries.try_emplace(id, Entry(std::move(job)));
     if (!isNew)
         return nullptr;
     m_open.insert(id);
--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -42,11 +42,13 @@
 void ObjectiveOrder::sort(std::vector<WaitingUnit>& units, WallTime now) const
 {
     std::vector<std::pair<Rank, std::size_t>> ranks;
+    ranks.reserve(units.size());
     for (std::size_t i = 0; i < units.size(); ++i)
         ranks.emplace_back(rankOf(units[i], now), i);
     std::sort(ranks.begin(), ranks.end(),
         [](const auto& a, const auto& b) { return a.first.key() < b.first.key(); });
     std::vector<WaitingUnit> sorted;
+    sorted.reserve(units.size());
     for (const auto& [rank, index] : ranks)
         sorted.push_back(std::move(units[index]));
     units = std::move(sorted);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -247,9 +247,8 @@
     std::vector<WorkerLifetime> expired;
     for (auto& [lifetime, worker] : m_workers.all()) {
         tickWorker(worker, step);
-        if (!worker.runs.empty() && step.now > worker.leaseBound)
-            expired.push_back(lifetime);
-        else if (!worker.isListed && worker.runs.empty())
+        const bool isOver = worker.runs.empty() ? !worker.isListed : step.now > worker.leaseBound;
+        if (isOver)
             expired.push_back(lifetime);
     }
     for (const WorkerLifetime& lifetime : expired) {
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -22,7 +22,8 @@
 void RunSupervisor::findVanished(Worker& worker, std::span<const ActiveRun> active, Step& step)
 {
     std::vector<RunId> vanished;
-    for (const auto& [task, run] : worker.runs) {
+    for (const auto& entry : worker.runs) {
+        const LiveRun& run = entry.second;
         const auto isListed = [&run](const ActiveRun& listed) { return listed.run == run.id; };
         if (std::any_of(active.begin(), active.end(), isListed))
             continue;
--- a/src/ctl/exit_code.h
+++ b/src/ctl/exit_code.h
@@ -2,7 +2,7 @@
 
 namespace anvilmoor::ctl {
 
-// What anvilmoorctl returns to the shell; listed in --help and docs/operations.md.
+// What anvilmoorctl returns to the shell; listed in --help and docs/OPERATIONS.md.
 enum class ExitCode : int {
     Ok = 0,
     Invalid = 1, // the declaration, job or request was refused; nothing was changed
