Queue steps instead of tasks, and decide once a round which gangs need slow places

Each round, up to a hundred a second, built a unit for every waiting task of every job (39 tasks a step at 350 workers), and copied the whole view of the workers for each unit that asks for one rack.

Ruled out: looks at workers (337 a second), commits.

A step waits as one entry; its tasks follow only while they find room. What needs slow places is known by shape for the round.

--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -68,40 +68,53 @@
         [&](int earlier) { return occurrence[static_cast<std::size_t>(earlier)].isDone(); });
 }
 
-void JobProgress::addReadyUnits(
-    std::vector<PlacementUnit>& units, int occurrence, int step, const std::vector<StepProgress>& steps) const
+bool JobProgress::hasReadyUnit(const StepProgress& step, const StepSpecification& specification) const
 {
-    const StepProgress& progress = steps[static_cast<std::size_t>(step)];
-    PlacementUnit gang { m_job.specification.id, occurrence, step, {}, 1 };
+    const auto isWaiting = [](const TaskProgress& task) { return !task.isDone && !task.assignment; };
+    if (specification.isGang)
+        return std::all_of(step.tasks.begin(), step.tasks.end(), isWaiting);
+    return std::any_of(step.tasks.begin(), step.tasks.end(), isWaiting);
+}
+
+std::vector<StepPosition> JobProgress::readySteps() const
+{
+    std::vector<StepPosition> ready;
+    if (isTerminal(m_state))
+        return ready;
+    for (const auto& [occurrence, steps] : m_occurrences) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            const StepSpecification& specification = m_job.specification.steps[step];
+            if (hasReadyUnit(steps[step], specification) && isReady(steps, specification))
+                ready.push_back({ occurrence, static_cast<int>(step) });
+        }
+    }
+    return ready;
+}
+
+std::vector<PlacementUnit> JobProgress::unitsOf(const StepPosition& position) const
+{
+    const StepProgress& progress
+        = m_occurrences.at(position.occurrence)[static_cast<std::size_t>(position.step)];
+    std::vector<PlacementUnit> units;
+    const bool isGang = specificationOf(position.step).isGang;
     for (std::size_t index = 0; index < progress.tasks.size(); ++index) {
         const TaskProgress& task = progress.tasks[index];
-        if (specificationOf(step).isGang) {
-            if (task.isDone || task.assignment)
-                return;
-            gang.tasks.push_back(static_cast<int>(index));
-            gang.run = std::max(gang.run, task.lastRun + 1);
-            continue;
-        }
         if (task.isDone || task.assignment)
             continue;
-        units.push_back(
-            { m_job.specification.id, occurrence, step, { static_cast<int>(index) }, task.lastRun + 1 });
+        if (!isGang || units.empty())
+            units.push_back({ m_job.specification.id, position.occurrence, position.step, {}, 1 });
+        units.back().tasks.push_back(static_cast<int>(index));
+        units.back().run = std::max(units.back().run, task.lastRun + 1);
     }
-    if (specificationOf(step).isGang)
-        units.push_back(std::move(gang));
+    return units;
 }
 
 std::vector<PlacementUnit> JobProgress::readyUnits() const
 {
     std::vector<PlacementUnit> units;
-    if (isTerminal(m_state))
-        return units;
-    for (const auto& [occurrence, steps] : m_occurrences) {
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            if (!isReady(steps, m_job.specification.steps[step]))
-                continue;
-            addReadyUnits(units, occurrence, static_cast<int>(step), steps);
-        }
+    for (const StepPosition& position : readySteps()) {
+        for (PlacementUnit& unit : unitsOf(position))
+            units.push_back(std::move(unit));
     }
     return units;
 }
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -43,6 +43,12 @@
     int run = 0; // that the placed run gets
 };
 
+// A step of one occurrence.
+struct StepPosition {
+    int occurrence = 0;
+    int step = 0;
+};
+
 // What the end of a run leads to.
 struct RunConsequence {
     bool isKnown = false; // the run was assigned
@@ -67,7 +73,11 @@
     // The time at which the next occurrence is due; empty if all are open.
     std::optional<WallTime> nextDue() const;
 
-    // Units whose turn has come and that have no assigned task.
+    // Steps whose turn has come and that have tasks to be placed.
+    std::vector<StepPosition> readySteps() const;
+    // Of such a step, what is to be placed: the gang, or each waiting task by itself.
+    std::vector<PlacementUnit> unitsOf(const StepPosition&) const;
+    // Of all ready steps.
     std::vector<PlacementUnit> readyUnits() const;
     const StepSpecification& specificationOf(int step) const
     {
@@ -100,8 +110,7 @@
     std::vector<StepProgress> emptyOccurrence() const;
     StepProgress* stepOf(const TaskId&);
     bool isReady(const std::vector<StepProgress>&, const StepSpecification&) const;
-    void addReadyUnits(
-        std::vector<PlacementUnit>&, int occurrence, int step, const std::vector<StepProgress>&) const;
+    bool hasReadyUnit(const StepProgress&, const StepSpecification&) const;
     void clearAssignment(TaskProgress&);
     void endDone(StepProgress&, const RunId&, RunConsequence&);
     void endFailed(StepProgress&, const RunId&, RunConsequence&);
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -80,24 +80,36 @@
     m_workers = &workers;
     m_jobs = &jobs;
     m_failed.clear();
+    m_needsSlowPlaces.clear();
     m_victims.clear();
     m_siblings.clear();
     m_held.clear();
     m_holds = 0;
     std::erase_if(m_stops, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
-    std::vector<WaitingUnit> waiting = collect(jobs, configuration, now, wallTime);
+    std::vector<WaitingStep> waiting = collect(jobs, configuration, now, wallTime);
     if (waiting.empty())
         return outcome;
     Views views = capacityOf(workers, now);
     applyReservations(views, now);
     m_order.sort(waiting, wallTime);
-    for (const WaitingUnit& unit : waiting)
-        placeUnit(unit, views, outcome, now, wallTime);
+    for (const WaitingStep& step : waiting)
+        placeStep(step, views, outcome, now, wallTime);
     return outcome;
 }
 
-std::vector<WaitingUnit> PlacementRound::collect(
+void PlacementRound::placeStep(
+    const WaitingStep& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
+{
+    for (PlacementUnit& unit : waiting.job->unitsOf(waiting.position)) {
+        const WaitingUnit each { std::move(unit), waiting.job, waiting.failedOn, waiting.isGuaranteed };
+        // The other tasks of the step need the same.
+        if (!placeUnit(each, views, outcome, now, wallTime) && waiting.job->job().terms.priority)
+            return;
+    }
+}
+
+std::vector<WaitingStep> PlacementRound::collect(
     JobBook& jobs, const Configuration& configuration, TimePoint now, WallTime wallTime)
 {
     std::map<ClientAccountId, std::int64_t> unused;
@@ -107,7 +119,7 @@
     std::sort(entries.begin(), entries.end(), [](const JobBook::Entry* a, const JobBook::Entry* b) {
         return a->progress.job().acceptedAt < b->progress.job().acceptedAt;
     });
-    std::vector<WaitingUnit> waiting;
+    std::vector<WaitingStep> waiting;
     for (JobBook::Entry* entry : entries) {
         const AcceptedJob& job = entry->progress.job();
         if (isTerminal(entry->progress.state()))
@@ -122,8 +134,8 @@
             if (isGuaranteed)
                 left -= need;
         }
-        for (PlacementUnit& unit : entry->progress.readyUnits())
-            waiting.push_back({ std::move(unit), &entry->progress, &entry->failedOn, isGuaranteed });
+        for (const StepPosition& position : entry->progress.readySteps())
+            waiting.push_back({ position, &entry->progress, &entry->failedOn, isGuaranteed });
     }
     return waiting;
 }
@@ -149,7 +161,7 @@
 }
 
 PlacementRequest PlacementRound::requestFor(
-    const WaitingUnit& waiting, const CapacityView& view, WallTime wallTime) const
+    const WaitingUnit& waiting, const CapacityView& view, WallTime wallTime)
 {
     const StepSpecification& step = waiting.job->specificationOf(waiting.unit.step);
     PlacementRequest request { step, countedResources(step), static_cast<int>(waiting.unit.tasks.size()) };
@@ -174,20 +186,34 @@
     request.mayUseSlowPlaces = waited > waiting.job->job().objective();
     if (request.mayUseSlowPlaces)
         return request;
+    const Shape shape { waiting.job->job().terms.service, request.tasks, request.perTask, step.needsOneRack,
+        false, step.requiredLabel, step.dataRack };
+    request.mayUseSlowPlaces = needsSlowPlaces(request, shape, view);
+    return request;
+}
+
+// True if the fast places could not take the unit even if they were idle.
+bool PlacementRound::needsSlowPlaces(
+    const PlacementRequest& request, const Shape& shape, const CapacityView& view)
+{
+    const auto known = m_needsSlowPlaces.find(shape);
+    if (known != m_needsSlowPlaces.end())
+        return known->second;
     CapacityView idle = view;
     for (WorkerCapacity& worker : idle.workers())
         worker.room = worker.whole;
-    request.mayUseSlowPlaces = !m_placement.place(request, idle);
-    return request;
+    const bool isNeeded = !m_placement.place(request, idle);
+    m_needsSlowPlaces.emplace(shape, isNeeded);
+    return isNeeded;
 }
 
-void PlacementRound::placeUnit(
+bool PlacementRound::placeUnit(
     const WaitingUnit& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
 {
     const ServiceId& service = waiting.job->job().terms.service;
     CapacityView& view = views[service];
     if (view.workers().empty())
-        return;
+        return false;
     const PlacementRequest request = requestFor(waiting, view, wallTime);
     const Shape shape { service, request.tasks, request.perTask, request.step.needsOneRack,
         request.mayUseSlowPlaces, request.step.requiredLabel, request.step.dataRack };
@@ -195,7 +221,7 @@
     const bool isReserved = reservation != m_reservations.end();
     const bool isPlain = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
     if (!isReserved && isPlain && m_failed.contains(shape))
-        return;
+        return false;
     if (isReserved)
         reserve(view, reservation->second, false);
     auto workers = placeWithHeadroom(waiting, request, view, now);
@@ -207,11 +233,11 @@
                 ++m_siblings[stepKeyOf(waiting.unit)][worker];
         }
         outcome.placed.push_back({ waiting.unit, std::move(*workers) });
-        return;
+        return true;
     }
     if (isReserved) {
         reserve(view, reservation->second, true);
-        return;
+        return false;
     }
     // Late work gains little by a stop.
     const AcceptedJob& job = waiting.job->job();
@@ -223,6 +249,7 @@
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
     if (!hasMadeRoom && isPlain)
         m_failed.insert(shape);
+    return false;
 }
 
 // Less urgent work leaves idle workers in each rack, so that urgent gangs start without a stop; but only
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -56,6 +56,13 @@
         ServiceId service;
         TimePoint until {};
     };
+    // One unit of a waiting step.
+    struct WaitingUnit {
+        PlacementUnit unit;
+        const JobProgress* job = nullptr;
+        const std::set<WorkerLifetime>* failedOn = nullptr;
+        bool isGuaranteed = false;
+    };
     // Of a unit that found no room; units that need as much are passed over without another search.
     struct Shape {
         ServiceId service;
@@ -77,11 +84,14 @@
 
     static UnitKey keyOf(const PlacementUnit&);
     static UnitKey stepKeyOf(const PlacementUnit&);
-    std::vector<WaitingUnit> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
+    std::vector<WaitingStep> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
     void applyReservations(Views&, TimePoint now);
     static void reserve(CapacityView&, const Reservation&, bool isTaken);
-    PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime) const;
-    void placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
+    PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime);
+    // Returns whether the unit was placed.
+    bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
+    void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
+    bool needsSlowPlaces(const PlacementRequest&, const Shape&, const CapacityView&);
     // False if no eviction makes room.
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
@@ -99,6 +109,7 @@
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
     std::set<Shape> m_failed;
+    std::map<Shape, bool> m_needsSlowPlaces;
     std::set<RunId> m_victims;
     std::set<WorkerLifetime> m_held; // for waiting gangs, against less urgent work
     int m_holds = 0;
--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -15,21 +15,20 @@
     WallTime deadline {};
     const JobId* job = nullptr;
     int step = 0;
-    int task = 0;
 
-    auto key() const { return std::tie(isNotGuaranteed, priority, lateness, deadline, *job, step, task); }
+    auto key() const { return std::tie(isNotGuaranteed, priority, lateness, deadline, *job, step); }
 };
 
-Rank rankOf(const WaitingUnit& waiting, WallTime now)
+Rank rankOf(const WaitingStep& waiting, WallTime now)
 {
     // A job is worth little after its objective, and nothing after three times that.
     constexpr int worthlessAfter = 3;
     const AcceptedJob& job = waiting.job->job();
-    const WallTime start = job.dueAt(waiting.unit.occurrence);
+    const WallTime start = job.dueAt(waiting.position.occurrence);
     const Milliseconds objective = job.objective();
-    const Milliseconds remaining = waiting.job->specificationOf(waiting.unit.step).estimatedDuration;
+    const Milliseconds remaining = waiting.job->specificationOf(waiting.position.step).estimatedDuration;
     Rank rank { !waiting.isGuaranteed, job.terms.priority, 0, start + objective, &job.specification.id,
-        waiting.unit.step, waiting.unit.tasks.front() };
+        waiting.position.step };
     if (now + remaining > start + objective)
         rank.lateness = 1;
     if (now + remaining > start + objective * worthlessAfter)
@@ -39,7 +38,7 @@
 
 } // namespace
 
-void ObjectiveOrder::sort(std::vector<WaitingUnit>& units, WallTime now) const
+void ObjectiveOrder::sort(std::vector<WaitingStep>& units, WallTime now) const
 {
     std::vector<std::pair<Rank, std::size_t>> ranks;
     ranks.reserve(units.size());
@@ -47,7 +46,7 @@
         ranks.emplace_back(rankOf(units[i], now), i);
     std::sort(ranks.begin(), ranks.end(),
         [](const auto& a, const auto& b) { return a.first.key() < b.first.key(); });
-    std::vector<WaitingUnit> sorted;
+    std::vector<WaitingStep> sorted;
     sorted.reserve(units.size());
     for (const auto& [rank, index] : ranks)
         sorted.push_back(std::move(units[index]));
--- a/src/batch/placement/queue_order.h
+++ b/src/batch/placement/queue_order.h
@@ -8,9 +8,9 @@
 
 namespace anvilmoor::batch {
 
-// A unit whose turn has come, waiting for room.
-struct WaitingUnit {
-    PlacementUnit unit;
+// A step whose turn has come, with tasks that wait for room.
+struct WaitingStep {
+    StepPosition position;
     const JobProgress* job = nullptr;
     const std::set<WorkerLifetime>* failedOn = nullptr; // workers on which the job has failed
     bool isGuaranteed = false; // covered by its client account's guarantee
@@ -21,14 +21,14 @@
 public:
     virtual ~QueueOrder() = default;
 
-    virtual void sort(std::vector<WaitingUnit>&, WallTime now) const = 0;
+    virtual void sort(std::vector<WaitingStep>&, WallTime now) const = 0;
 };
 
 // Guaranteed work first, then by priority. Within a priority, jobs that can still meet their objective come
 // before those that are late anyway, and the one whose objective ends first leads.
 class ObjectiveOrder : public QueueOrder {
 public:
-    void sort(std::vector<WaitingUnit>&, WallTime now) const override;
+    void sort(std::vector<WaitingStep>&, WallTime now) const override;
 };
 
 } // namespace anvilmoor::batch
