Refuse settings that ask for orders by heartbeat; drop fields that nothing reads

The adapter read how workers get their orders and went on whatever it said. The adapter's test used a worker client after its end; it crashed once the log got its limit of lines.

--- a/include/anvilmoor/batch/event.h
+++ b/include/anvilmoor/batch/event.h
@@ -26,7 +26,8 @@
 
 // --- callers
 
-enum class CallerAction { Submit, Query, Cancel, CountQueue };
+// A query without a job id asks for the count of the queue's waiting jobs.
+enum class CallerAction { Submit, Query, Cancel };
 
 struct CallerRequest {
     CallerHandle caller = 0;
--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -27,8 +27,6 @@
         return "query";
     case CallerAction::Cancel:
         return "cancel";
-    case CallerAction::CountQueue:
-        return "count";
     }
     return "other";
 }
--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -49,7 +49,7 @@
     std::vector<WaitingStep> sorted;
     sorted.reserve(units.size());
     for (const auto& [rank, index] : ranks)
-        sorted.push_back(std::move(units[index]));
+        sorted.push_back(units[index]);
     units = std::move(sorted);
 }
 
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -49,7 +49,12 @@
         }
         void cancel(net::HttpCallId) override { }
 
-        void answer(int status, std::string body) { callbacks.back()({ { status, {}, std::move(body) } }); }
+        // A callback may make the next call, so the one at hand is copied first.
+        void answer(int status, std::string body)
+        {
+            const net::HttpCallback callback = callbacks.back();
+            callback({ { status, {}, std::move(body) } });
+        }
         void fail(net::HttpErrorKind kind)
         {
             callbacks.back()(tl::unexpected(net::HttpError { kind, "test" }));
@@ -129,6 +134,11 @@
         CPPUNIT_ASSERT(contains(missing.error().detail, "\"maxHoldMs\" is missing"));
         const auto address = settingsFrom(without(goodSettings(), "10.0.0.9"));
         CPPUNIT_ASSERT(contains(address.error().detail, "\"address\" is no address"));
+        const auto orders = settingsFrom(without(goodSettings(), "orders = \"call\"\n"));
+        CPPUNIT_ASSERT(contains(orders.error().detail, "\"orders\" is missing"));
+        const auto heartbeat
+            = settingsFrom("orders = \"heartbeat\"\n" + without(goodSettings(), "orders = \"call\"\n"));
+        CPPUNIT_ASSERT(contains(heartbeat.error().detail, "\"orders\" is not \"call\""));
         CPPUNIT_ASSERT(!settingsFrom("no [ toml"));
         CPPUNIT_ASSERT(!readSettings("/no/such/file"));
     }
@@ -296,10 +306,10 @@
 
     void testHoldListsRuns()
     {
+        const auto workers = makeWorkerClient(m_client, m_log);
         batch::HoldAnswered answer;
-        makeWorkerClient(m_client, m_log)
-            ->hold({ m_worker, "10.0.0.1:80", 7, 57, 486'000, Milliseconds(500) },
-                [&](batch::HoldAnswered held) { answer = std::move(held); });
+        workers->hold({ m_worker, "10.0.0.1:80", 7, 57, 486'000, Milliseconds(500) },
+            [&](batch::HoldAnswered held) { answer = std::move(held); });
         const Json body = parseObject(m_client.requests.back().body);
         CPPUNIT_ASSERT_EQUAL(57, body.at("ackCursor").get<int>());
         CPPUNIT_ASSERT_EQUAL(500, body.at("waitMs").get<int>());
@@ -316,13 +326,13 @@
 
     void testMalformedHoldIsNoAnswer()
     {
+        const auto workers = makeWorkerClient(m_client, m_log);
         for (const char* body :
             { R"({"clockMs":1,"active":[["x",1,"",0]]})",
                 R"({"clockMs":1,"ended":[[1,"5c.0.0.0",1,"lost",""]]})", R"({"clockMs":1,"active":[[]]})" }) {
             batch::OrderOutcome outcome = batch::OrderOutcome::Accepted;
-            makeWorkerClient(m_client, m_log)
-                ->hold({ m_worker, "10.0.0.1:80", 7 },
-                    [&](const batch::HoldAnswered& held) { outcome = held.outcome; });
+            workers->hold({ m_worker, "10.0.0.1:80", 7 },
+                [&](const batch::HoldAnswered& held) { outcome = held.outcome; });
             m_client.answer(200, body);
             CPPUNIT_ASSERT_MESSAGE(body, outcome == batch::OrderOutcome::Unknown);
         }
