--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -426,23 +426,30 @@
     daemon = {};
     daemon.lifetime = ++m_lastJob;
     daemon.reducer = std::make_unique<BatchReducer>(std::move(settings));
-    const int lifetime = daemon.lifetime;
-    const auto repeat = std::make_shared<std::function<void()>>();
-    *repeat = [this, index, lifetime, repeat] {
-        if (m_daemons[index].lifetime != lifetime || !m_daemons[index].reducer)
-            return;
-        dispatch(index, Tick {});
-        at(m_now + tickInterval, *repeat);
-    };
-    at(m_now, *repeat);
-    const auto following = std::make_shared<std::function<void()>>();
-    *following = [this, index, lifetime, following] {
-        if (m_daemons[index].lifetime != lifetime || !m_daemons[index].reducer)
-            return;
-        follow(index);
-        at(m_now + followInterval, *following);
-    };
-    at(m_now + Milliseconds(1), *following);
+    tick(index, daemon.lifetime);
+    at(m_now + Milliseconds(1),
+        [this, index, lifetime = daemon.lifetime] { followRepeatedly(index, lifetime); });
+}
+
+bool BatchCluster::isLifetime(std::size_t index, int lifetime) const
+{
+    return m_daemons[index].lifetime == lifetime && m_daemons[index].reducer;
+}
+
+void BatchCluster::tick(std::size_t index, int lifetime)
+{
+    if (!isLifetime(index, lifetime))
+        return;
+    dispatch(index, Tick {});
+    at(m_now + tickInterval, [this, index, lifetime] { tick(index, lifetime); });
+}
+
+void BatchCluster::followRepeatedly(std::size_t index, int lifetime)
+{
+    if (!isLifetime(index, lifetime))
+        return;
+    follow(index);
+    at(m_now + followInterval, [this, index, lifetime] { followRepeatedly(index, lifetime); });
 }
 
 void BatchCluster::kill(std::size_t daemon)
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -174,6 +174,9 @@
     void hold(std::size_t daemon, const batch::HoldWorker&, TimePoint answerBy);
     void follow(std::size_t daemon);
     void start(std::size_t daemon);
+    bool isLifetime(std::size_t daemon, int lifetime) const;
+    void tick(std::size_t daemon, int lifetime);
+    void followRepeatedly(std::size_t daemon, int lifetime);
     bool reachesStore(std::size_t daemon) const;
     FakeWorker* find(const batch::WorkerLifetime&);
     FakeWorker* findAnyLifetime(const WorkerId&);
