Remove repeated and dead code from the batch scheduler

What a task counts against a worker stood twice; it is StepSpecification::countedPerTask(). A placement shape was put together in two places, and the places of a rack were counted with a bare 64. The state of a run's progress was left from the trial with stops of runs that stand still, and three functions had no caller.

Behaviour is meant to be the same.

--- a/include/anvilmoor/batch/job.h
+++ b/include/anvilmoor/batch/job.h
@@ -37,6 +37,9 @@
     std::string requiredLabel; // empty: any worker
     std::string dataRack; // label of the rack that holds the data; elsewhere the tasks run slower
     int maxTasksPerWorker = 0; // 0: any number
+
+    // What each task counts against a worker's capacity.
+    Resources countedPerTask() const;
 };
 
 // When the steps run. A job without occurrences in time runs once, at once.
--- a/src/batch/jobs/job.cpp
+++ b/src/batch/jobs/job.cpp
@@ -26,6 +26,14 @@
         && accelerators <= room.accelerators;
 }
 
+Resources StepSpecification::countedPerTask() const
+{
+    Resources resources = perTask;
+    if (usesSpareCpu)
+        resources.cpuMillicores = 0;
+    return resources;
+}
+
 int AcceptedJob::occurrenceCount() const { return std::max(specification.schedule.occurrences, 1); }
 
 WallTime AcceptedJob::dueAt(int occurrence) const
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -47,7 +47,6 @@
     void noteRestored(Entry&, TimePoint now);
     // To be called after each change of an entry's progress.
     void noteChange(Entry&, TimePoint now);
-    std::uint64_t lastChange() const { return m_lastChange; }
     // A job that is kept no longer and whose own rows are still stored. They go before the progress: a job
     // without progress would run again.
     std::optional<JobId> findExpired(TimePoint now) const;
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -70,7 +70,7 @@
             continue;
         if (worker.unansweredHolds || now < worker.roomDoubtedUntil)
             continue;
-        const bool isOnTrial = !worker.health.isTrusted(now);
+        const bool isOnTrial = !worker.health.isTrusted();
         if (isOnTrial && (!worker.health.isDueForTrial(now) || !worker.runs.empty()))
             continue;
         services[worker.record.service].add({ lifetime, worker.record.rack, worker.record.kind, worker.room(),
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Of one worker, when racks are compared by their room.
+constexpr int mostTasksCounted = 64;
+
 int timesThatFit(std::int64_t need, std::int64_t room, int limit)
 {
     if (need <= 0)
@@ -106,6 +109,16 @@
     return workers;
 }
 
+int PackingPlacement::placesOn(
+    const PlacementRequest& request, const CapacityView& view, std::span<const Fit> fits)
+{
+    const PlacementRequest wide { request.step, request.perTask, mostTasksCounted };
+    return std::accumulate(fits.begin(), fits.end(), 0, [&](int sum, const Fit& fit) {
+        const WorkerCapacity& worker = view.workers()[fit.worker];
+        return sum + tasksThatFit(wide, worker, worker.room);
+    });
+}
+
 std::optional<std::vector<WorkerLifetime>> PackingPlacement::place(
     const PlacementRequest& request, CapacityView& view) const
 {
@@ -115,12 +128,7 @@
         int fewest = 0;
         for (const auto& [rack, workers] : view.racks()) {
             std::vector<Fit> fits = fitsOn(request, view, workers);
-            const Resources unlimited = request.perTask;
-            int places = 0;
-            for (const Fit& fit : fits) {
-                PlacementRequest wide { request.step, unlimited, 64 };
-                places += tasksThatFit(wide, view.workers()[fit.worker], view.workers()[fit.worker].room);
-            }
+            const int places = placesOn(request, view, fits);
             if (best && places >= fewest)
                 continue;
             auto chosen = choose(request, view, std::move(fits));
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -23,6 +23,8 @@
         const PlacementRequest&, const CapacityView&, std::span<const std::size_t> workers);
     static std::optional<std::vector<Fit>> choose(
         const PlacementRequest&, const CapacityView&, std::vector<Fit> fits);
+    // Tasks of this size that the workers have room for, beyond those of the unit too.
+    static int placesOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
     static std::vector<WorkerLifetime> take(
         const PlacementRequest&, CapacityView&, std::span<const Fit> chosen);
 };
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -1,7 +1,5 @@
 #include "batch/placement/placement_round.h"
 
-#include "batch/placement/packing_placement.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -34,14 +32,6 @@
 constexpr double stopPenalty = 1.0;
 constexpr double weightOfPriorityOne = 3;
 
-Resources countedResources(const StepSpecification& step)
-{
-    Resources resources = step.perTask;
-    if (step.usesSpareCpu)
-        resources.cpuMillicores = 0;
-    return resources;
-}
-
 double coresOf(const Resources& resources)
 {
     return static_cast<double>(resources.cpuMillicores) / 1'000
@@ -160,11 +150,17 @@
         reserve(views[reservation.service], reservation, true);
 }
 
+PlacementRound::Shape PlacementRound::shapeOf(const WaitingUnit& waiting, const PlacementRequest& request)
+{
+    return { waiting.job->job().terms.service, request.tasks, request.perTask, request.step.needsOneRack,
+        request.mayUseSlowPlaces, request.step.requiredLabel, request.step.dataRack };
+}
+
 PlacementRequest PlacementRound::requestFor(
     const WaitingUnit& waiting, const CapacityView& view, WallTime wallTime)
 {
     const StepSpecification& step = waiting.job->specificationOf(waiting.unit.step);
-    PlacementRequest request { step, countedResources(step), static_cast<int>(waiting.unit.tasks.size()) };
+    PlacementRequest request { step, step.countedPerTask(), static_cast<int>(waiting.unit.tasks.size()) };
     // Its failures may be the job's own fault, but those of a bad worker must not use up its attempts.
     request.avoided = waiting.failedOn;
     if (!waiting.failedOn->empty() && !couldEverFit(request, view))
@@ -186,9 +182,7 @@
     request.mayUseSlowPlaces = waited > waiting.job->job().objective();
     if (request.mayUseSlowPlaces)
         return request;
-    const Shape shape { waiting.job->job().terms.service, request.tasks, request.perTask, step.needsOneRack,
-        false, step.requiredLabel, step.dataRack };
-    request.mayUseSlowPlaces = needsSlowPlaces(request, shape, view);
+    request.mayUseSlowPlaces = needsSlowPlaces(request, shapeOf(waiting, request), view);
     return request;
 }
 
@@ -210,13 +204,11 @@
 bool PlacementRound::placeUnit(
     const WaitingUnit& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
 {
-    const ServiceId& service = waiting.job->job().terms.service;
-    CapacityView& view = views[service];
+    CapacityView& view = views[waiting.job->job().terms.service];
     if (view.workers().empty())
         return false;
     const PlacementRequest request = requestFor(waiting, view, wallTime);
-    const Shape shape { service, request.tasks, request.perTask, request.step.needsOneRack,
-        request.mayUseSlowPlaces, request.step.requiredLabel, request.step.dataRack };
+    const Shape shape = shapeOf(waiting, request);
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
     const bool isPlain = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
@@ -245,7 +237,7 @@
         = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
     const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
     if (request.tasks > 1 && job.terms.priority == 1)
-        holdFor(waiting, request, views[service]);
+        holdFor(waiting, request, view);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
     if (!hasMadeRoom && isPlain)
         m_failed.insert(shape);
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -85,6 +85,7 @@
     static UnitKey keyOf(const PlacementUnit&);
     static UnitKey stepKeyOf(const PlacementUnit&);
     std::vector<WaitingStep> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
+    static Shape shapeOf(const WaitingUnit&, const PlacementRequest&);
     void applyReservations(Views&, TimePoint now);
     static void reserve(CapacityView&, const Reservation&, bool isTaken);
     PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -34,14 +34,6 @@
         + leaseSlack;
 }
 
-Resources resourcesOf(const StepSpecification& step)
-{
-    Resources resources = step.perTask;
-    if (step.usesSpareCpu)
-        resources.cpuMillicores = 0;
-    return resources;
-}
-
 std::string_view nameOf(RunEnd end)
 {
     switch (end) {
@@ -82,11 +74,10 @@
 {
     Worker& worker = m_workers.require(lifetime);
     extendLease(worker, m_settings.longest, now);
-    LiveRun live { run, resourcesOf(job.specificationOf(run.task.step)), job.job().terms.priority };
+    LiveRun live { run, job.specificationOf(run.task.step).countedPerTask(), job.job().terms.priority };
     live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
     live.assignedAt = now;
     live.acceptedAt = now;
-    live.percentSince = now;
     m_workers.attach(worker, std::move(live));
 }
 
@@ -95,13 +86,13 @@
 {
     for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
         const RunId run { { unit.job, unit.occurrence, unit.step, unit.tasks[i] }, unit.run };
-        LiveRun live { run, resourcesOf(job.specificationOf(unit.step)), job.job().terms.priority };
+        LiveRun live { run, job.specificationOf(unit.step).countedPerTask(), job.job().terms.priority };
         live.assignedChange = change;
         live.assignedAt = now;
         Worker& worker = m_workers.require(workers[i]);
         // The last lease of an idle worker may have passed; it says nothing of the new run.
         extendLease(worker, leaseFor(worker), now);
-        if (!worker.health.isTrusted(now))
+        if (!worker.health.isTrusted())
             worker.health.trialStarted();
         m_workers.attach(worker, std::move(live));
     }
@@ -380,18 +371,13 @@
     }
 }
 
-void RunSupervisor::noteProgress(LiveRun& run, const ActiveRun& active, TimePoint now)
+// The worker has confirmed the start, or lists the run.
+void RunSupervisor::noteStarted(LiveRun& run, TimePoint now)
 {
     if (run.phase == RunPhase::Starting)
         run.phase = RunPhase::Running;
     if (!run.acceptedAt)
         run.acceptedAt = now;
-    if (!run.activeSince)
-        run.activeSince = now;
-    if (run.percent == active.percent && run.percentSince != TimePoint {})
-        return;
-    run.percent = active.percent;
-    run.percentSince = now;
 }
 
 void RunSupervisor::processActive(Worker& worker, std::span<const ActiveRun> runs, Step& step)
@@ -406,26 +392,32 @@
             step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, m_epoch });
             continue;
         }
-        noteProgress(*run, active, step.now);
+        noteStarted(*run, step.now);
         if (JobBook::Entry* entry = m_jobs.find(active.run.task.job))
             entry->progress.noteCheckpoint(active.run, active.checkpoint);
     }
 }
 
+// Null if the order's run is over by now.
+LiveRun* RunSupervisor::takeAnswer(Worker& worker, const RunId& id, WorkerClock clock, TimePoint now)
+{
+    LiveRun* run = findRun(worker, id);
+    if (!run)
+        return nullptr;
+    run->isOrderInFlight = false;
+    noteClock(worker, clock, now);
+    return run;
+}
+
 void RunSupervisor::startAnswered(const StartAnswered& answer, Step& step)
 {
     Worker* worker = addressee(answer.worker, answer.token);
-    LiveRun* run = worker ? findRun(*worker, answer.run) : nullptr;
+    LiveRun* run = worker ? takeAnswer(*worker, answer.run, answer.clock, step.now) : nullptr;
     if (!run)
         return;
-    run->isOrderInFlight = false;
-    noteClock(*worker, answer.clock, step.now);
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
-        if (run->phase == RunPhase::Starting)
-            run->phase = RunPhase::Running;
-        if (!run->acceptedAt)
-            run->acceptedAt = step.now;
+        noteStarted(*run, step.now);
         return;
     case OrderOutcome::Unknown:
         run->mayStartLate = true;
@@ -468,11 +460,9 @@
 void RunSupervisor::stopAnswered(const StopAnswered& answer, Step& step)
 {
     Worker* worker = addressee(answer.worker, answer.token);
-    LiveRun* run = worker ? findRun(*worker, answer.run) : nullptr;
+    LiveRun* run = worker ? takeAnswer(*worker, answer.run, answer.clock, step.now) : nullptr;
     if (!run)
         return;
-    run->isOrderInFlight = false;
-    noteClock(*worker, answer.clock, step.now);
     if (answer.outcome == OrderOutcome::OtherLifetime)
         lifetimeOver(*worker, "another lifetime answers", step);
     else if (answer.outcome == OrderOutcome::Accepted && !run->stopAcceptedAt)
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -71,7 +71,8 @@
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
     void processActive(Worker&, std::span<const ActiveRun>, Step&);
-    void noteProgress(LiveRun&, const ActiveRun&, TimePoint now);
+    static void noteStarted(LiveRun&, TimePoint now);
+    LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, std::span<const ActiveRun>, Step&);
     void workerGone(const WorkerId&, Step&);
     // Ends the run here and in its job, and stops what that makes useless.
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -40,8 +40,6 @@
     m_suspectUntil = now + firstSuspension * (1 << doublings);
 }
 
-bool WorkerHealth::isTrusted(TimePoint) const { return !m_isSuspect; }
-
 bool WorkerHealth::isDueForTrial(TimePoint now) const
 {
     return m_isSuspect && !m_isOnTrial && now >= m_suspectUntil;
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -17,7 +17,7 @@
     // be the run's own fault.
     void runStalled(TimePoint now);
 
-    bool isTrusted(TimePoint now) const;
+    bool isTrusted() const { return !m_isSuspect; }
     // Not trusted, but due for one run that shows whether it has recovered.
     bool isDueForTrial(TimePoint now) const;
     void trialStarted() { m_isOnTrial = true; }
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -31,9 +31,6 @@
     bool mayStartLate = false; // a start had no answer
     std::optional<TimePoint> acceptedAt; // start confirmed
     std::optional<TimePoint> stopAcceptedAt;
-    int percent = 0;
-    TimePoint percentSince {};
-    std::optional<TimePoint> activeSince;
 };
 
 // One lifetime of a worker, as the leader knows it.
