Use what runs report of their progress: workers' speeds, and room of runs that end soon

And urgent work stopped runs that would have ended as soon as the stop itself takes (up to 0.9 s at lbgia), which threw their work away.

Ruled out: estimates as a measure of speed (off by up to 90%); percents as a share of the estimate (a trial's log shows that they are the share of the real work).

Each run's rate counts once, from its first progress to 20% more, compared with its siblings. Urgent work takes the fastest of equal workers, other work leaves them, headroom is kept on them. For an urgent unit, room of runs that end within the stop timeout, or that are stopping already, costs nothing; it is reserved for the unit. Logs: whom an eviction serves and its cost, how long a job took beside its objective.

--- a/include/anvilmoor/batch/job.h
+++ b/include/anvilmoor/batch/job.h
@@ -92,6 +92,15 @@
     auto operator<=>(const TaskId&) const = default;
 };
 
+// A step of one occurrence of a job.
+struct StepId {
+    JobId job;
+    int occurrence = 0;
+    int step = 0;
+
+    auto operator<=>(const StepId&) const = default;
+};
+
 // One start of a task. Runs of a task are numbered from 1; the members of a gang share the number.
 struct RunId {
     TaskId task;
--- a/include/anvilmoor/batch/worker.h
+++ b/include/anvilmoor/batch/worker.h
@@ -49,7 +49,7 @@
 struct ActiveRun {
     RunId run;
     std::string checkpoint; // empty: none yet
-    int percent = 0; // of the step's estimated duration, at most 100
+    int percent = 0; // of its work that is done; 100 also while it waits for the rest of its gang
 };
 
 struct EndedRun {
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "batch/jobs/job_codec.h"
 #include "batch/store/tables.h"
 
+#include <cmath>
 #include <span>
 #include <string>
 #include <utility>
@@ -34,7 +35,7 @@
     : m_lease(lease)
     , m_configuration(configuration)
     , m_runs(m_workers, m_jobs, settings)
-    , m_placement(placement, order)
+    , m_placement(placement, order, settings.stopTimeout)
     , m_pipeline(lease)
 {
 }
@@ -283,10 +284,15 @@
                 { "tasks", std::to_string(decision.unit.tasks.size()) },
                 { "run", std::to_string(decision.unit.run) }, { "workers", namesOf(decision.workers) } });
     }
-    for (const RunId& victim : outcome.victims)
-        step.record(
-            "run.evicted", { { "job", victim.task.job.value() }, { "run", std::to_string(victim.run) } });
-    m_runs.stopAll(outcome.victims, step);
+    for (const Eviction& eviction : outcome.evictions) {
+        for (const RunId& victim : eviction.victims)
+            step.record("run.evicted",
+                { { "job", victim.task.job.value() }, { "step", std::to_string(victim.task.step) },
+                    { "task", std::to_string(victim.task.index) }, { "run", std::to_string(victim.run) },
+                    { "for_job", eviction.beneficiary.value() },
+                    { "cost", std::to_string(std::lround(eviction.cost)) } });
+        m_runs.stopAll(eviction.victims, step);
+    }
 }
 
 void Scheduler::commit(Step& step)
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -1,6 +1,7 @@
 #include "batch/placement/capacity_view.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -34,14 +35,14 @@
 {
     Hidden hidden;
     for (const auto& [rack, workers] : m_racks) {
-        std::size_t left = count;
-        for (const std::size_t index : workers) {
-            WorkerCapacity& worker = m_workers[index];
-            if (!left || worker.room != worker.whole)
-                continue;
-            hidden.emplace_back(index, std::exchange(worker.room, Resources {}));
-            --left;
-        }
+        std::vector<std::size_t> idle;
+        std::copy_if(workers.begin(), workers.end(), std::back_inserter(idle),
+            [this](std::size_t index) { return m_workers[index].isIdle(); });
+        std::stable_sort(idle.begin(), idle.end(),
+            [this](std::size_t a, std::size_t b) { return m_workers[a].speed > m_workers[b].speed; });
+        idle.resize(std::min(idle.size(), count));
+        for (const std::size_t index : idle)
+            hidden.emplace_back(index, std::exchange(m_workers[index].room, Resources {}));
     }
     return hidden;
 }
@@ -74,7 +75,7 @@
         if (isOnTrial && (!worker.health.isDueForTrial(now) || !worker.runs.empty()))
             continue;
         services[worker.record.service].add({ lifetime, worker.record.rack, worker.record.kind, worker.room(),
-            worker.record.capacity, isOnTrial });
+            worker.record.capacity, isOnTrial, worker.speed.value() });
     }
     return services;
 }
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -20,7 +20,9 @@
     Resources room;
     Resources whole;
     bool isOnTrial = false; // gets one task at the most, to show whether it is sound again
+    double speed = 1; // beside other workers; 1 is usual
 
+    bool isIdle() const { return room == whole; }
     bool hasLabel(std::string_view label) const { return rack.value() == label || kind == label; }
 };
 
@@ -35,7 +37,8 @@
     const std::map<RackId, std::vector<std::size_t>>& racks() const { return m_racks; }
     // Of the accelerators of all workers, the share that is in use.
     double usedShare() const;
-    // Takes the room of up to `count` idle workers of each rack out of the view, until it is restored.
+    // Takes the room of up to `count` idle workers of each rack, the fastest ones, out of the view, until it
+    // is restored.
     using Hidden = std::vector<std::pair<std::size_t, Resources>>;
     Hidden hideIdleWorkers(std::size_t count);
     void hide(const std::set<WorkerLifetime>&, Hidden&);
--- a/src/batch/placement/eviction.h
+++ b/src/batch/placement/eviction.h
@@ -10,7 +10,7 @@
 
 // Runs that can only be stopped together: a single one, or a gang.
 struct EvictionCandidate {
-    std::vector<RunId> runs;
+    std::vector<RunId> runs; // empty if they end by themselves as soon as a stop would end them
     std::vector<std::pair<WorkerLifetime, Resources>> room; // that it would free, for each run
     double cost = 0; // what the stop loses, in core-seconds
 };
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -1,8 +1,11 @@
 #include "batch/placement/packing_placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace anvilmoor::batch {
 
@@ -18,6 +21,13 @@
     return static_cast<int>(std::clamp<std::int64_t>(room / need, 0, limit));
 }
 
+// Workers in the same band count as equally fast: a tenth is within what few observations are wrong by.
+int speedBand(const WorkerCapacity& worker)
+{
+    constexpr double bandWidth = 0.1;
+    return static_cast<int>(std::lround(std::log(worker.speed) / bandWidth));
+}
+
 bool isLocal(const PlacementRequest& request, const RackId& rack)
 {
     return request.step.dataRack.empty() || rack.value() == request.step.dataRack;
@@ -72,12 +82,15 @@
         fits.begin(), fits.end(), 0, [](int sum, const Fit& fit) { return sum + fit.tasks; });
     if (available < request.tasks)
         return std::nullopt;
-    // Near the data first; then the workers with the least room left.
+    // Near the data first. Urgent work takes the fastest of the used workers, then of the idle ones; other
+    // work takes workers with the least room left, and leaves the fast ones to urgent work.
     std::sort(fits.begin(), fits.end(), [&](const Fit& a, const Fit& b) {
         const auto rank = [&](const Fit& fit) {
             const WorkerCapacity& worker = view.workers()[fit.worker];
-            return std::tuple(!isLocal(request, worker.rack), worker.room.accelerators, worker.room.memoryMb,
-                worker.room.cpuMillicores, fit.worker);
+            const int band = speedBand(worker);
+            return std::tuple(!isLocal(request, worker.rack), request.prefersFastWorkers && worker.isIdle(),
+                request.prefersFastWorkers ? -band : 0, worker.room.accelerators, worker.room.memoryMb,
+                worker.room.cpuMillicores, band, fit.worker);
         };
         return rank(a) < rank(b);
     });
@@ -119,23 +132,34 @@
     });
 }
 
+int PackingPlacement::slowestBand(const CapacityView& view, std::span<const Fit> chosen)
+{
+    int slowest = std::numeric_limits<int>::max();
+    for (const Fit& fit : chosen)
+        slowest = std::min(slowest, speedBand(view.workers()[fit.worker]));
+    return slowest;
+}
+
 std::optional<std::vector<WorkerLifetime>> PackingPlacement::place(
     const PlacementRequest& request, CapacityView& view) const
 {
     if (request.tasks > 1 && request.step.needsOneRack) {
-        // The rack with the fewest places that still takes all.
+        // The rack with the fewest places that still takes all; for urgent work, the one whose slowest worker
+        // is fastest, as a gang is as slow as that one.
         std::optional<std::vector<Fit>> best;
-        int fewest = 0;
+        std::pair<int, int> bestRank;
         for (const auto& [rack, workers] : view.racks()) {
             std::vector<Fit> fits = fitsOn(request, view, workers);
             const int places = placesOn(request, view, fits);
-            if (best && places >= fewest)
-                continue;
             auto chosen = choose(request, view, std::move(fits));
             if (!chosen)
                 continue;
+            const int slowness = request.prefersFastWorkers ? -slowestBand(view, *chosen) : 0;
+            const std::pair rank(slowness, places);
+            if (best && rank >= bestRank)
+                continue;
             best = std::move(chosen);
-            fewest = places;
+            bestRank = rank;
         }
         if (best)
             return take(request, view, *best);
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -25,6 +25,7 @@
         const PlacementRequest&, const CapacityView&, std::vector<Fit> fits);
     // Tasks of this size that the workers have room for, beyond those of the unit too.
     static int placesOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
+    static int slowestBand(const CapacityView&, std::span<const Fit> chosen);
     static std::vector<WorkerLifetime> take(
         const PlacementRequest&, CapacityView&, std::span<const Fit> chosen);
 };
--- a/src/batch/placement/placement_policy.h
+++ b/src/batch/placement/placement_policy.h
@@ -20,6 +20,7 @@
     // Of the step's tasks, how many run on a worker already. Counts only with a limit per worker.
     std::map<WorkerLifetime, int> siblings;
     const std::set<WorkerLifetime>* avoided = nullptr; // workers on which the job has failed; may be null
+    bool prefersFastWorkers = false; // its objective leaves little time
     bool mayUseSlowPlaces = false; // racks without the data, or several racks for a gang that needs one
 };
 
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -48,9 +48,11 @@
 
 } // namespace
 
-PlacementRound::PlacementRound(const PlacementPolicy& placement, const QueueOrder& order)
+PlacementRound::PlacementRound(
+    const PlacementPolicy& placement, const QueueOrder& order, Milliseconds stopTimeout)
     : m_placement(placement)
     , m_order(order)
+    , m_stopTimeout(stopTimeout)
 {
 }
 
@@ -163,6 +165,7 @@
     PlacementRequest request { step, step.countedPerTask(), static_cast<int>(waiting.unit.tasks.size()) };
     // Its failures may be the job's own fault, but those of a bad worker must not use up its attempts.
     request.avoided = waiting.failedOn;
+    request.prefersFastWorkers = !waiting.job->job().terms.priority;
     if (!waiting.failedOn->empty() && !couldEverFit(request, view))
         request.avoided = nullptr;
     if (step.maxTasksPerWorker) {
@@ -285,40 +288,66 @@
     m_held.insert(workers->begin(), workers->end());
 }
 
+// Its room is free soon without another stop. Room that was promised to others is out of the view already.
+bool PlacementRound::isEnding(const Worker& worker, const LiveRun& run, TimePoint now) const
+{
+    if (run.phase == RunPhase::Stopping || m_victims.contains(run.id))
+        return true;
+    const auto end = run.expectedEnd();
+    return end && *end <= worker.clockAt(now) + m_stopTimeout.count();
+}
+
+// What a stop of the run loses, in core-seconds that count less for less urgent work.
+double PlacementRound::priceOfStop(const LiveRun& run, const StepSpecification& step, TimePoint now) const
+{
+    const TimePoint since = run.acceptedAt.value_or(now);
+    const double worked = static_cast<double>((now - since).count()) / 1'000;
+    const double lost = step.savesCheckpoints ? std::min(worked, restoreSeconds) : worked;
+    const double estimate = static_cast<double>(step.estimatedDuration.count()) / 1'000;
+    const double weight = run.priority > 1 ? 1 : weightOfPriorityOne;
+    const auto stops = m_stops.find(run.id.task.job);
+    const int earlierStops = stops == m_stops.end() ? 0 : stops->second;
+    return weight * (lost + replacementShare * estimate) * coresOf(run.resources)
+        * (1 + stopPenalty * earlierStops);
+}
+
 std::vector<EvictionCandidate> PlacementRound::candidatesFor(const WaitingUnit& waiting, TimePoint now) const
 {
-    std::map<UnitKey, EvictionCandidate> candidates;
-    std::set<UnitKey> excluded;
+    struct Found {
+        EvictionCandidate candidate;
+        std::size_t ending = 0; // of its runs
+        bool isExcluded = false;
+    };
+    std::map<UnitKey, Found> found;
     for (const auto& [lifetime, worker] : m_workers->all()) {
         if (worker.record.service != waiting.job->job().terms.service)
             continue;
         for (const auto& [task, run] : worker.runs) {
             const JobBook::Entry* entry = m_jobs->find(task.job);
-            if (!entry || run.priority <= waiting.job->job().terms.priority)
+            if (!entry)
                 continue;
             const StepSpecification& step = entry->progress.specificationOf(task.step);
-            const UnitKey key { task.job, task.occurrence, task.step, step.isGang ? 0 : task.index };
-            if (run.phase == RunPhase::Stopping || run.phase == RunPhase::AwaitingCommit
-                || m_victims.contains(run.id))
-                excluded.insert(key);
-            EvictionCandidate& candidate = candidates[key];
-            candidate.runs.push_back(run.id);
-            candidate.room.emplace_back(lifetime, run.resources);
-            const TimePoint since = run.acceptedAt.value_or(now);
-            const double worked = static_cast<double>((now - since).count()) / 1'000;
-            const double lost = step.savesCheckpoints ? std::min(worked, restoreSeconds) : worked;
-            const double estimate = static_cast<double>(step.estimatedDuration.count()) / 1'000;
-            const double weight = run.priority > 1 ? 1 : weightOfPriorityOne;
-            const double price = (lost + replacementShare * estimate) * coresOf(run.resources);
-            const auto stops = m_stops.find(task.job);
-            candidate.cost
-                += weight * price * (1 + stopPenalty * (stops == m_stops.end() ? 0 : stops->second));
+            Found& unit = found[{ task.job, task.occurrence, task.step, step.isGang ? 0 : task.index }];
+            const bool isLessUrgent = run.priority > waiting.job->job().terms.priority;
+            const bool isEndingSoon = isEnding(worker, run, now);
+            unit.ending += isEndingSoon;
+            unit.isExcluded |= run.phase == RunPhase::AwaitingCommit;
+            unit.isExcluded |= !isLessUrgent && !isEndingSoon;
+            unit.candidate.runs.push_back(run.id);
+            unit.candidate.room.emplace_back(lifetime, run.resources);
+            unit.candidate.cost += priceOfStop(run, step, now);
         }
     }
     std::vector<EvictionCandidate> result;
-    for (auto& [key, candidate] : candidates) {
-        if (!excluded.contains(key))
-            result.push_back(std::move(candidate));
+    for (auto& [key, unit] : found) {
+        const bool isPartlyEnding = unit.ending && unit.ending < unit.candidate.runs.size();
+        if (unit.isExcluded || isPartlyEnding)
+            continue;
+        if (unit.ending) {
+            unit.candidate.runs.clear();
+            unit.candidate.cost = 0;
+        }
+        result.push_back(std::move(unit.candidate));
     }
     return result;
 }
@@ -335,7 +364,8 @@
     for (const JobId& job : stopped)
         ++m_stops[job];
     m_victims.insert(plan->victims.begin(), plan->victims.end());
-    outcome.victims.insert(outcome.victims.end(), plan->victims.begin(), plan->victims.end());
+    if (!plan->victims.empty())
+        outcome.evictions.push_back({ std::move(plan->victims), waiting.unit.job, plan->cost });
     Reservation reservation { std::move(plan->workers), request.perTask, waiting.job->job().terms.service,
         now + reservationTime };
     reserve(view, reservation, true);
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -22,16 +22,24 @@
     std::vector<WorkerLifetime> workers; // one for each task
 };
 
+// Work that is stopped to make room.
+struct Eviction {
+    std::vector<RunId> victims;
+    JobId beneficiary;
+    double cost = 0; // what the stops lose, in weighted core-seconds
+};
+
 struct PlacementOutcome {
     std::vector<PlacementDecision> placed;
-    std::vector<RunId> victims; // to be stopped
+    std::vector<Eviction> evictions;
 };
 
 // One look at everything that waits: offers room in the order of the queue, and makes room for urgent work by
 // evicting other work. Room that is made is kept for the unit for which it was made until it arrives there.
 class PlacementRound {
 public:
-    PlacementRound(const PlacementPolicy&, const QueueOrder&);
+    // A run that is told to stop is gone after the stop timeout at the latest.
+    PlacementRound(const PlacementPolicy&, const QueueOrder&, Milliseconds stopTimeout);
 
     PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
     // Forgets all reserved room.
@@ -100,9 +108,12 @@
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
     std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
+    bool isEnding(const Worker&, const LiveRun&, TimePoint now) const;
+    double priceOfStop(const LiveRun&, const StepSpecification&, TimePoint now) const;
 
     const PlacementPolicy& m_placement;
     const QueueOrder& m_order;
+    const Milliseconds m_stopTimeout;
     std::map<UnitKey, Reservation> m_reservations;
     std::map<JobId, int> m_stops; // evictions that a job has suffered
     std::optional<TimePoint> m_urgentSeenAt; // a job of priority 0 that had not ended
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -53,6 +53,17 @@
     return "unknown";
 }
 
+void recordJobEnd(const AcceptedJob& job, JobState state, Step& step)
+{
+    const WallTime due = job.dueAt(job.occurrenceCount() - 1);
+    step.record("job.ended",
+        { { "job", job.specification.id.value() },
+            { "state", state == JobState::Completed ? "completed" : "failed" },
+            { "priority", std::to_string(job.terms.priority) },
+            { "took_ms", std::to_string((step.wallTime - due).count()) },
+            { "objective_ms", std::to_string(job.objective().count()) } });
+}
+
 } // namespace
 
 RunSupervisor::RunSupervisor(WorkerPool& workers, JobBook& jobs, WorkerLeaseSettings settings)
@@ -343,7 +354,7 @@
     worker->isConfirmed = true;
     noteClock(*worker, answer.status.clock, step.now);
     processEnds(*worker, answer.status.ended, step);
-    processActive(*worker, answer.status.active, step);
+    processActive(*worker, answer.status, step);
     findVanished(*worker, answer.status.active, step);
     // Stops whose end is awaited are looked for at short intervals.
     const bool isStopping = std::any_of(worker->runs.begin(), worker->runs.end(),
@@ -380,9 +391,9 @@
         run.acceptedAt = now;
 }
 
-void RunSupervisor::processActive(Worker& worker, std::span<const ActiveRun> runs, Step& step)
+void RunSupervisor::processActive(Worker& worker, const WorkerStatus& status, Step& step)
 {
-    for (const ActiveRun& active : runs) {
+    for (const ActiveRun& active : status.active) {
         LiveRun* run = findRun(worker, active.run);
         if (!run) {
             // A start that was carried out late, or one of an earlier leader.
@@ -393,6 +404,8 @@
             continue;
         }
         noteStarted(*run, step.now);
+        run->noteProgress({ active.percent, status.clock });
+        measureSpeed(worker, *run);
         if (JobBook::Entry* entry = m_jobs.find(active.run.task.job))
             entry->progress.noteCheckpoint(active.run, active.checkpoint);
     }
@@ -496,9 +509,7 @@
                 { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
                 { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(end)) } });
     if (consequence.newState)
-        step.record("job.ended",
-            { { "job", run.task.job.value() },
-                { "state", *consequence.newState == JobState::Completed ? "completed" : "failed" } });
+        recordJobEnd(entry->progress.job(), *consequence.newState, step);
     stopAll(consequence.toStop, step);
 }
 
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -70,7 +70,8 @@
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
-    void processActive(Worker&, std::span<const ActiveRun>, Step&);
+    void processActive(Worker&, const WorkerStatus&, Step&);
+    void measureSpeed(Worker&, LiveRun&);
     static void noteStarted(LiveRun&, TimePoint now);
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, std::span<const ActiveRun>, Step&);
@@ -90,6 +91,7 @@
     WorkerLeaseSettings m_settings;
     std::uint64_t m_epoch = 0;
     bool m_hasRoomChanged = false;
+    StepRates m_stepRates;
     std::optional<TimePoint> m_followedAt; // when the registry was last read
 };
 
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds withdrawnWithin { 2'500 };
 constexpr Milliseconds longestReadGap { 1'500 };
 
+// Progress comes in whole percents: over this many, the rate is right to a twentieth.
+constexpr int percentsToMeasure = 20;
+
 } // namespace
 
 // A run is over without an end if it was confirmed, or its stop was, before the worker was asked, and the
@@ -36,6 +39,34 @@
         finish(worker, run, RunEnd::Stopped, {}, step);
 }
 
+// Each run counts once, from its first sign of progress: what comes before is waiting for its gang, or a
+// restored checkpoint.
+void RunSupervisor::measureSpeed(Worker& worker, LiveRun& run)
+{
+    const ProgressReading& reading = run.lastReading;
+    if (run.hasMeasuredSpeed || !run.firstReading || reading.percent >= 100)
+        return;
+    const int advance = reading.percent - run.firstReading->percent;
+    const WorkerClock elapsed = reading.at - run.firstReading->at;
+    if (advance < percentsToMeasure || elapsed <= 0)
+        return;
+    run.hasMeasuredSpeed = true;
+    const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
+    if (!entry)
+        return;
+    // Away from its data it is slow on any worker.
+    const std::string& dataRack = entry->progress.specificationOf(run.id.task.step).dataRack;
+    if (!dataRack.empty() && dataRack != worker.record.rack.value())
+        return;
+    const double rate = 10.0 * advance / static_cast<double>(elapsed); // share of the work per second
+    const StepId step { run.id.task.job, run.id.task.occurrence, run.id.task.step };
+    for (const SpeedObservation& observed :
+        m_stepRates.add(step, worker.record.lifetime, rate, worker.speed)) {
+        if (Worker* other = m_workers.find(observed.worker))
+            other->speed.add(observed.logSpeed, observed.weight);
+    }
+}
+
 void RunSupervisor::workerGone(const WorkerId& id, Step& step)
 {
     const bool isReadWithoutGap = m_followedAt && step.now < *m_followedAt + longestReadGap;
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -2,6 +2,7 @@
 
 #include "anvilmoor/batch/worker.h"
 #include "batch/workers/worker_health.h"
+#include "batch/workers/worker_speed.h"
 
 #include <cstdint>
 #include <map>
@@ -18,6 +19,12 @@
     Stopping,
 };
 
+// How far a run was at a time on its worker's clock.
+struct ProgressReading {
+    int percent = 0;
+    WorkerClock at = 0;
+};
+
 // A run that is on a worker, or may be.
 struct LiveRun {
     RunId id;
@@ -31,6 +38,13 @@
     bool mayStartLate = false; // a start had no answer
     std::optional<TimePoint> acceptedAt; // start confirmed
     std::optional<TimePoint> stopAcceptedAt;
+    std::optional<ProgressReading> firstReading; // once it has begun to work
+    ProgressReading lastReading;
+    bool hasMeasuredSpeed = false;
+
+    void noteProgress(const ProgressReading&);
+    // When all its work will be done if it goes on as up to now, on the worker's clock. Empty if unknown.
+    std::optional<WorkerClock> expectedEnd() const;
 };
 
 // One lifetime of a worker, as the leader knows it.
@@ -55,6 +69,7 @@
     std::map<TaskId, LiveRun> runs;
     Resources used;
     WorkerHealth health;
+    WorkerSpeed speed;
 
     // Of the worker's own clock, never ahead of it.
     WorkerClock clockAt(TimePoint now) const { return clock + (now - clockReadAt).count(); }
--- /dev/null
+++ b/src/batch/workers/worker_speed.cpp
@@ -0,0 +1,74 @@
+#include "batch/workers/worker_speed.h"
+
+#include <cmath>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// Observations that say "as fast as usual", which each worker starts with.
+constexpr double priorWeight = 0.7;
+// Older observations fade beyond this many, so that a worker that changes is noticed.
+constexpr double mostWeight = 20;
+// Steps whose tasks may still report; the oldest are forgotten.
+constexpr std::size_t mostSteps = 2'000;
+
+} // namespace
+
+WorkerSpeed::WorkerSpeed(double value, double weight)
+    : m_sum(std::log(value) * (weight + priorWeight))
+    , m_weight(weight)
+{
+}
+
+void WorkerSpeed::add(double logSpeed, double weight)
+{
+    m_sum += logSpeed * weight;
+    m_weight += weight;
+    if (m_weight <= mostWeight)
+        return;
+    m_sum *= mostWeight / m_weight;
+    m_weight = mostWeight;
+}
+
+double WorkerSpeed::logValue() const { return m_sum / (m_weight + priorWeight); }
+
+double WorkerSpeed::value() const { return std::exp(logValue()); }
+
+StepRates::Rates& StepRates::require(const StepId& step)
+{
+    const auto [position, isNew] = m_steps.try_emplace(step);
+    if (!isNew)
+        return position->second;
+    m_order.push_back(step);
+    if (m_order.size() > mostSteps) {
+        m_steps.erase(m_order.front());
+        m_order.pop_front();
+    }
+    return position->second;
+}
+
+std::vector<SpeedObservation> StepRates::add(
+    const StepId& step, const WorkerLifetime& worker, double rate, const WorkerSpeed& known)
+{
+    const double logRate = std::log(rate);
+    Rates& rates = require(step);
+    std::vector<SpeedObservation> observations;
+    if (rates.count) {
+        // The mean of few siblings is less sure.
+        const double weight = static_cast<double>(rates.count) / (rates.count + 1);
+        observations.push_back({ worker, logRate - rates.sum / rates.count, weight });
+    } else {
+        rates.first = { worker, logRate, 0.5 };
+    }
+    if (rates.count == 1) {
+        SpeedObservation first = rates.first;
+        first.logSpeed -= logRate - known.logValue();
+        observations.push_back(std::move(first));
+    }
+    rates.sum += logRate - known.logValue();
+    ++rates.count;
+    return observations;
+}
+
+} // namespace anvilmoor::batch
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -22,6 +22,14 @@
     CPPUNIT_TEST(testEvictionTakesCheapestWorker);
     CPPUNIT_TEST(testEvictionLeavesOutNeedlessVictims);
     CPPUNIT_TEST(testEvictionStopsGangAsWhole);
+    CPPUNIT_TEST(testUrgentGangTakesTheFastestIdleWorkers);
+    CPPUNIT_TEST(testUrgentGangTakesTheRackWithoutSlowWorkers);
+    CPPUNIT_TEST(testLessUrgentGangLeavesFastWorkersIdle);
+    CPPUNIT_TEST(testHeadroomIsKeptOnTheFastestWorkers);
+    CPPUNIT_TEST(testRunThatEndsAsSoonAsAStopIsWaitedFor);
+    CPPUNIT_TEST(testRunThatEndsLaterThanAStopIsStopped);
+    CPPUNIT_TEST(testRoomOfAnEndingRunIsPromisedOnce);
+    CPPUNIT_TEST(testRoomOfACancelledRunIsWaitedFor);
     CPPUNIT_TEST(testReservedRoomIsNotGivenToLessUrgentWork);
     CPPUNIT_TEST(testLateUrgentWorkBeyondGuaranteeEvictsNothing);
     CPPUNIT_TEST(testLessUrgentWorkLeavesIdleWorkersWhileUrgentWorkComes);
@@ -33,6 +41,7 @@
 
     const PackingPlacement m_packing;
     const ObjectiveOrder m_order;
+    const Milliseconds m_stopTimeout { 200 };
     TimePoint m_now { Seconds(100) };
     WallTime m_wall { Seconds(1'000) };
 
@@ -193,7 +202,7 @@
         StepSpecification step = testing::makeStep(4, 1);
         step.maxTasksPerWorker = 1;
         const JobId job = addJob(site, "job", 2, step);
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placedTasks(place(round, site), job));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, placedTasks(place(round, site), job));
     }
@@ -215,7 +224,7 @@
         addWorkers(site, 1, 2);
         const JobId job = addJob(site, "job", 1, testing::makeStep(1, 1));
         site.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime };
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         const PlacementOutcome outcome = place(round, site);
         CPPUNIT_ASSERT(outcome.placed.front().workers.front() == capacityOf(0, 1).lifetime);
     }
@@ -226,7 +235,7 @@
         addWorkers(site, 1, 2);
         const JobId job = addJob(site, "job", 1, testing::makeStep(1, 1));
         site.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime, capacityOf(0, 1).lifetime };
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), job));
     }
 
@@ -274,16 +283,138 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan->victims.size());
     }
 
+    static WorkerCapacity capacityAt(int rack, int index, double speed)
+    {
+        WorkerCapacity worker = capacityOf(rack, index);
+        worker.speed = speed;
+        return worker;
+    }
+
+    void testUrgentGangTakesTheFastestIdleWorkers()
+    {
+        CapacityView view = viewOf(
+            { capacityAt(0, 0, 0.8), capacityAt(0, 1, 1.25), capacityAt(0, 2, 1), capacityAt(0, 3, 1.2) });
+        const StepSpecification gang = testing::makeGang(2, 8);
+        PlacementRequest request = requestOf(gang);
+        request.prefersFastWorkers = true;
+        const auto workers = m_packing.place(request, view);
+        CPPUNIT_ASSERT(workers.value().front() == capacityOf(0, 1).lifetime);
+        CPPUNIT_ASSERT(workers.value().back() == capacityOf(0, 3).lifetime);
+    }
+
+    // A gang is as slow as its slowest worker.
+    void testUrgentGangTakesTheRackWithoutSlowWorkers()
+    {
+        CapacityView view = viewOf({ capacityAt(0, 0, 0.8), capacityAt(0, 1, 1.25), capacityAt(1, 0, 1),
+            capacityAt(1, 1, 1), capacityAt(1, 2, 0.8) });
+        StepSpecification gang = testing::makeGang(2, 8);
+        gang.needsOneRack = true;
+        PlacementRequest request = requestOf(gang);
+        request.prefersFastWorkers = true;
+        const auto workers = m_packing.place(request, view);
+        CPPUNIT_ASSERT(workers.value().front() == capacityOf(1, 0).lifetime);
+        CPPUNIT_ASSERT(workers.value().back() == capacityOf(1, 1).lifetime);
+    }
+
+    void testLessUrgentGangLeavesFastWorkersIdle()
+    {
+        CapacityView view = viewOf({ capacityAt(0, 0, 1.25), capacityAt(0, 1, 0.8), capacityAt(0, 2, 1) });
+        const StepSpecification gang = testing::makeGang(2, 8);
+        const auto workers = m_packing.place(requestOf(gang), view);
+        CPPUNIT_ASSERT(workers.value().front() == capacityOf(0, 1).lifetime);
+        CPPUNIT_ASSERT(workers.value().back() == capacityOf(0, 2).lifetime);
+    }
+
+    void testHeadroomIsKeptOnTheFastestWorkers()
+    {
+        CapacityView view = viewOf({ capacityAt(0, 0, 0.8), capacityAt(0, 1, 1.25), capacityAt(0, 2, 1) });
+        const CapacityView::Hidden hidden = view.hideIdleWorkers(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, hidden.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, hidden.front().first);
+    }
+
+    // One task on one worker, half done after a second of work, of which it needs one more.
+    JobId addHalfDoneRun(PlacementRound& round, Site& site)
+    {
+        addWorkers(site, 1, 1);
+        const JobId job = addJob(site, "filler", 2, testing::makeStep(1, 8));
+        place(round, site);
+        Worker& worker = *site.pool.find(capacityOf(0, 0).lifetime);
+        worker.clock = 10'000;
+        worker.clockReadAt = m_now;
+        LiveRun& run = worker.runs.begin()->second;
+        run.noteProgress({ 1, 9'020 });
+        run.noteProgress({ 50, 10'000 });
+        return job;
+    }
+
+    // Guards against work that is thrown away for room that would have been there as soon.
+    void testRunThatEndsAsSoonAsAStopIsWaitedFor()
+    {
+        Site site;
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        addHalfDoneRun(round, site);
+        addJob(site, "urgent", 0, testing::makeStep(1, 8));
+        m_now += Milliseconds(900);
+        CPPUNIT_ASSERT(place(round, site).evictions.empty());
+        // The room is kept for the urgent task.
+        const TaskId ended { JobId("filler"), 0, 0, 0 };
+        site.pool.detach(*site.pool.find(capacityOf(0, 0).lifetime), ended);
+        site.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
+        addJob(site, "other", 1, testing::makeStep(1, 8));
+        const PlacementOutcome outcome = place(round, site);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(outcome, JobId("urgent")));
+    }
+
+    void testRunThatEndsLaterThanAStopIsStopped()
+    {
+        Site site;
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        addHalfDoneRun(round, site);
+        addJob(site, "urgent", 0, testing::makeStep(1, 8));
+        m_now += Milliseconds(700);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, place(round, site).evictions.size());
+    }
+
+    void testRoomOfAnEndingRunIsPromisedOnce()
+    {
+        Site site;
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        addHalfDoneRun(round, site);
+        m_now += Milliseconds(900);
+        addJob(site, "urgent-1", 0, testing::makeStep(1, 8));
+        addJob(site, "urgent-2", 0, testing::makeStep(1, 8));
+        place(round, site);
+        place(round, site);
+        const TaskId ended { JobId("filler"), 0, 0, 0 };
+        site.pool.detach(*site.pool.find(capacityOf(0, 0).lifetime), ended);
+        site.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, place(round, site).placed.size());
+    }
+
+    void testRoomOfACancelledRunIsWaitedFor()
+    {
+        Site site;
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        addWorkers(site, 1, 2);
+        addJob(site, "cancelled", 0, testing::makeStep(1, 8));
+        addJob(site, "filler", 2, testing::makeStep(1, 8));
+        place(round, site);
+        site.pool.find(capacityOf(0, 0).lifetime)->runs.begin()->second.phase = RunPhase::Stopping;
+        addJob(site, "urgent", 0, testing::makeStep(1, 8));
+        CPPUNIT_ASSERT(place(round, site).evictions.empty());
+    }
+
     // Guards against room that was made by a stop and is taken by other work before the urgent unit gets it.
     void testReservedRoomIsNotGivenToLessUrgentWork()
     {
         Site site;
         addWorkers(site, 1, 1);
         addJob(site, "filler", 2, testing::makeStep(8, 1));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
         const JobId urgent = addJob(site, "urgent", 0, testing::makeStep(1, 8));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, place(round, site).victims.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, place(round, site).evictions.front().victims.size());
         // Half of the victims are gone, and more small work waits.
         Worker& worker = *site.pool.find(capacityOf(0, 0).lifetime);
         for (int index = 0; index < 4; ++index) {
@@ -305,13 +436,13 @@
         Site site;
         addWorkers(site, 1, 4);
         addJob(site, "filler", 2, testing::makeStep(32, 1));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
         // Account A is guaranteed 16 accelerators.
         addJob(site, "urgent", 0, testing::makeGang(3, 8), "account-a", Milliseconds(5'000));
-        CPPUNIT_ASSERT(place(round, site).victims.empty());
+        CPPUNIT_ASSERT(place(round, site).evictions.empty());
         addJob(site, "covered", 0, testing::makeGang(2, 8), "account-a", Milliseconds(5'000));
-        CPPUNIT_ASSERT(!place(round, site).victims.empty());
+        CPPUNIT_ASSERT(!place(round, site).evictions.empty());
     }
 
     void testLessUrgentWorkLeavesIdleWorkersWhileUrgentWorkComes()
@@ -319,7 +450,7 @@
         Site site;
         addWorkers(site, 1, 8);
         addJob(site, "urgent", 0, testing::makeGang(5, 8));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
         addJob(site, "small", 2, testing::makeStep(64, 1));
         place(round, site);
@@ -333,7 +464,7 @@
         Site site;
         addWorkers(site, 1, 8);
         const JobId urgent = addJob(site, "urgent", 0, testing::makeGang(5, 8));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
         // Its runs go on, but the job no longer counts as waiting work.
         site.jobs.find(urgent)->progress.cancel();
@@ -349,7 +480,7 @@
         addWorkers(site, 1, 4);
         addJob(site, "urgent", 0, testing::makeStep(1, 1));
         const JobId gang = addJob(site, "gang", 1, testing::makeGang(3, 8, true));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, placedTasks(place(round, site), gang));
     }
 
@@ -359,7 +490,7 @@
         addWorkers(site, 1, 1);
         addJob(site, "a-late", 1, testing::makeStep(1, 8), "account-a", Milliseconds(5'000));
         const JobId inTime = addJob(site, "b-in-time", 1, testing::makeStep(1, 8));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), inTime));
     }
 
@@ -369,7 +500,7 @@
         Site site;
         addWorkers(site, 2, 2);
         addJob(site, "a-small", 2, testing::makeStep(32, 1));
-        PlacementRound round(m_packing, m_order);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
         const JobId gang = addJob(site, "gang", 1, testing::makeGang(2, 8, true));
         const JobId more = addJob(site, "b-small", 2, testing::makeStep(32, 1));
--- /dev/null
+++ b/test/batch_worker_speed_test.cpp
@@ -0,0 +1,129 @@
+#include "batch/workers/worker_pool.h"
+#include "batch/workers/worker_speed.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <string>
+
+namespace anvilmoor::batch {
+
+// Guards against urgent gangs on slow workers: on the users' sites the slowest worker needs 1.3 to 1.6 times
+// as long as the fastest, and callers' estimates are off by up to 90%.
+class BatchWorkerSpeedTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BatchWorkerSpeedTest);
+    CPPUNIT_TEST(testWorkerThatAdvancesFasterThanItsSiblingsIsFaster);
+    CPPUNIT_TEST(testStepWithMoreWorkDoesNotMakeItsWorkersSlow);
+    CPPUNIT_TEST(testSingleTaskSaysNothing);
+    CPPUNIT_TEST(testOneObservationCountsForLittle);
+    CPPUNIT_TEST(testWorkerThatChangesIsNoticed);
+    CPPUNIT_TEST(testSpeedIsRestoredFromItsValueAndWeight);
+    CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
+    CPPUNIT_TEST(testExpectedEndIsUnknownWithoutProgress);
+    CPPUNIT_TEST(testExpectedEndDoesNotCountTheWaitForTheGang);
+    CPPUNIT_TEST_SUITE_END();
+
+    StepRates m_rates;
+    std::map<std::string, WorkerSpeed> m_speeds;
+    int m_steps = 0;
+
+    // A step whose tasks advance at these rates, in shares of their work per second.
+    void runStep(const std::map<std::string, double>& rates)
+    {
+        const StepId step { JobId("job"), 0, m_steps++ };
+        for (const auto& [worker, rate] : rates) {
+            const WorkerLifetime lifetime { WorkerId(worker), 1 };
+            for (const SpeedObservation& observed : m_rates.add(step, lifetime, rate, m_speeds[worker]))
+                m_speeds[observed.worker.id.value()].add(observed.logSpeed, observed.weight);
+        }
+    }
+
+    void testWorkerThatAdvancesFasterThanItsSiblingsIsFaster()
+    {
+        for (int i = 0; i < 10; ++i)
+            runStep({ { "fast", 0.25 }, { "slow", 0.16 }, { "usual", 0.2 } });
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.25, m_speeds["fast"].value(), 0.06);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, m_speeds["usual"].value(), 0.06);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.8, m_speeds["slow"].value(), 0.06);
+    }
+
+    void testStepWithMoreWorkDoesNotMakeItsWorkersSlow()
+    {
+        for (int i = 0; i < 10; ++i) {
+            runStep({ { "a", 0.5 }, { "b", 0.5 } });
+            runStep({ { "c", 0.05 }, { "d", 0.05 } });
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, m_speeds["a"].value(), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, m_speeds["c"].value(), 0.01);
+    }
+
+    void testSingleTaskSaysNothing()
+    {
+        runStep({ { "a", 0.01 } });
+        CPPUNIT_ASSERT_EQUAL(0.0, m_speeds["a"].weight());
+        CPPUNIT_ASSERT_EQUAL(1.0, m_speeds["a"].value());
+    }
+
+    // Tasks of one step differ by some 15% in their work.
+    void testOneObservationCountsForLittle()
+    {
+        runStep({ { "a", 0.24 }, { "b", 0.2 } });
+        CPPUNIT_ASSERT(m_speeds["a"].value() > 1);
+        CPPUNIT_ASSERT(m_speeds["a"].value() < 1.1);
+    }
+
+    void testWorkerThatChangesIsNoticed()
+    {
+        WorkerSpeed speed;
+        for (int i = 0; i < 1'000; ++i)
+            speed.add(0, 1);
+        for (int i = 0; i < 40; ++i)
+            speed.add(-0.5, 1);
+        CPPUNIT_ASSERT(speed.logValue() < -0.4);
+    }
+
+    void testSpeedIsRestoredFromItsValueAndWeight()
+    {
+        WorkerSpeed speed;
+        for (int i = 0; i < 5; ++i)
+            speed.add(0.2, 0.8);
+        const WorkerSpeed restored(speed.value(), speed.weight());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(speed.value(), restored.value(), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(speed.weight(), restored.weight(), 1e-9);
+    }
+
+    void testExpectedEndFollowsTheRateOfProgress()
+    {
+        LiveRun run;
+        run.noteProgress({ 10, 1'000 });
+        run.noteProgress({ 40, 2'500 });
+        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'500 }, run.expectedEnd().value());
+        run.noteProgress({ 100, 5'600 });
+        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'600 }, run.expectedEnd().value());
+    }
+
+    // A run that stands still must not be counted on to end.
+    void testExpectedEndIsUnknownWithoutProgress()
+    {
+        LiveRun run;
+        CPPUNIT_ASSERT(!run.expectedEnd());
+        run.noteProgress({ 0, 1'000 });
+        run.noteProgress({ 30, 2'000 });
+        CPPUNIT_ASSERT(!run.expectedEnd());
+        run.noteProgress({ 30, 3'000 });
+        CPPUNIT_ASSERT(!run.expectedEnd());
+    }
+
+    void testExpectedEndDoesNotCountTheWaitForTheGang()
+    {
+        LiveRun run;
+        for (WorkerClock at = 0; at <= 2'000; at += 500)
+            run.noteProgress({ 0, at });
+        run.noteProgress({ 50, 2'500 });
+        run.noteProgress({ 60, 3'000 });
+        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'000 }, run.expectedEnd().value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerSpeedTest);
+
+} // namespace anvilmoor::batch
