Acknowledge a worker's end only once the change that it led to is stored

When more jobs had changed, the rest waited for the next commit, but all ends processed so far were taken for stored and acknowledged. A leader that took over in between ran these tasks again.

Ruled out: the commit's repeat after a lost answer (it carries the same rows).

Each processed end now waits in the worker's list with the number of the job's change, and is acknowledged when that change is stored.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -249,7 +249,7 @@
     const Batch batch = std::move(*m_batch);
     m_batch.reset();
     m_jobs.noteStored(batch.changes);
-    m_runs.endsStored(batch.ends);
+    m_runs.changesStored();
     for (const JobBook::Changes::Job& job : batch.changes.jobs)
         m_runs.progressStored(job.id, job.change, step);
     if (m_phase == Phase::Leading && m_lease.mayAct(step.now))
@@ -299,7 +299,7 @@
 {
     if (m_pipeline.isBusy() || (!m_jobs.hasChanges() && !m_pipeline.isRenewalDue(step.now)))
         return;
-    Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit), m_runs.processedEnds() };
+    Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit) };
     CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
     // The rows are not needed here any more.
     batch.changes.writes.clear();
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -50,7 +50,6 @@
     struct Batch {
         std::uint64_t number = 0;
         JobBook::Changes changes;
-        std::vector<RunSupervisor::EndMark> ends;
     };
 
     void claimed(Step&);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -127,24 +127,22 @@
     }
 }
 
-std::vector<RunSupervisor::EndMark> RunSupervisor::processedEnds() const
+void RunSupervisor::changesStored()
 {
-    std::vector<EndMark> marks;
-    for (const auto& [lifetime, worker] : m_workers.all()) {
-        if (worker.processedEnd > worker.storedEnd)
-            marks.push_back({ lifetime, worker.processedEnd });
-    }
-    return marks;
+    for (auto& [lifetime, worker] : m_workers.all())
+        advanceStoredEnd(worker);
 }
 
-void RunSupervisor::endsStored(std::span<const EndMark> marks)
+void RunSupervisor::advanceStoredEnd(Worker& worker) const
 {
-    for (const EndMark& mark : marks) {
-        Worker* worker = m_workers.find(mark.worker);
-        if (!worker)
-            continue;
-        worker->storedEnd = std::max(worker->storedEnd, mark.end);
-        worker->nextHoldAt = std::min(worker->nextHoldAt, worker->holdSentAt);
+    while (!worker.pendingEnds.empty()) {
+        const PendingEnd& end = worker.pendingEnds.front();
+        const JobBook::Entry* entry = m_jobs.find(end.job);
+        if (entry && entry->storedChange < end.change)
+            return;
+        worker.storedEnd = end.sequence;
+        worker.nextHoldAt = std::min(worker.nextHoldAt, worker.holdSentAt);
+        worker.pendingEnds.pop_front();
     }
 }
 
@@ -379,7 +377,10 @@
             finish(worker, ended.run, ended.end, ended.checkpoint, step);
         else
             applyEnd(worker, ended.run, ended.end, ended.checkpoint, step);
+        const JobBook::Entry* entry = m_jobs.find(ended.run.task.job);
+        worker.pendingEnds.push_back({ ended.sequence, ended.run.task.job, entry ? entry->change : 0 });
     }
+    advanceStoredEnd(worker);
 }
 
 // The worker has confirmed the start, or lists the run.
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -38,13 +38,8 @@
         std::uint64_t change, TimePoint now);
     // The store holds the job's progress up to this change.
     void progressStored(const JobId&, std::uint64_t change, Step&);
-    // The store holds all ends that were processed up to now.
-    struct EndMark {
-        WorkerLifetime worker;
-        std::uint64_t end = 0;
-    };
-    std::vector<EndMark> processedEnds() const;
-    void endsStored(std::span<const EndMark>);
+    // The store holds more changes of jobs: the ends that led to them may be acknowledged.
+    void changesStored();
 
     void workersFollowed(const WorkersFollowed&, Step&);
     void startAnswered(const StartAnswered&, Step&);
@@ -69,6 +64,7 @@
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
+    void advanceStoredEnd(Worker&) const;
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
     void processActive(Worker&, const WorkerStatus&, Step&);
     void measureSpeed(Worker&, LiveRun&);
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -5,6 +5,7 @@
 #include "batch/workers/worker_speed.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -47,6 +48,13 @@
     std::optional<WorkerClock> expectedEnd() const;
 };
 
+// An end that was processed, and what has to be stored before the worker may forget it.
+struct PendingEnd {
+    std::uint64_t sequence = 0;
+    JobId job;
+    std::uint64_t change = 0; // the number of the job's change; 0: nothing
+};
+
 // One lifetime of a worker, as the leader knows it.
 struct Worker {
     WorkerRecord record;
@@ -59,6 +67,7 @@
     TimePoint leaseBound {};
     std::uint64_t processedEnd = 0;
     std::uint64_t storedEnd = 0; // ends up to here are in the store and may be acknowledged
+    std::deque<PendingEnd> pendingEnds; // processed and not stored yet, oldest first
     std::uint64_t acknowledgedEnd = 0;
     bool isHoldInFlight = false;
     TimePoint holdSentAt {};
--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(testDaemonThatCannotConfirmConfigurationServesNobody);
     CPPUNIT_TEST(testConfigurationNeverGoesBack);
     CPPUNIT_TEST(testWaitingJobsAreCounted);
+    CPPUNIT_TEST(testEndsBeyondOneCommitAreAcknowledgedOnlyOnceStored);
     CPPUNIT_TEST(testRandomFaultsBreakNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +196,29 @@
         CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(job));
     }
 
+    // Guards against the hunted day store-lapses of the grown lbgia, seed 251847722555: more jobs changed at a time
+    // than one commit takes, and ends were acknowledged that only the next one stored. The next leader ran
+    // these tasks again.
+    void testEndsBeyondOneCommitAreAcknowledgedOnlyOnceStored()
+    {
+        for (int offset = 0; offset < 800; offset += 100) {
+            BatchCluster cluster;
+            cluster.addWorkers(4, 8);
+            cluster.run(Milliseconds(500));
+            std::vector<JobId> jobs;
+            for (int i = 0; i < 200; ++i)
+                jobs.push_back(cluster.submit(1, "small", { makeStep(1, 1) }));
+            cluster.run(Milliseconds(900));
+            cluster.slowCommit = Milliseconds(300);
+            cluster.run(Milliseconds(300 + offset));
+            if (const auto leader = cluster.leader())
+                cluster.kill(*leader);
+            cluster.slowCommit = Milliseconds(0);
+            for (const JobId& job : jobs)
+                requireCompleted(cluster, job);
+        }
+    }
+
     void testTerminatedLeaderHandsOverAtOnce()
     {
         BatchCluster cluster;
