Wait at the worker for the end of a stop instead of asking every 100 ms

Cause: an urgent unit that evicts waits for the last of several stops; each end was seen up to 100 ms late.

A look at a worker with a stop under way waits up to 120 ms for an end.

--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -18,6 +18,9 @@
 // A worker's answer to a look waits this long for an end. Shorter waits renew leases more often, so that runs
 // outlive a longer cut.
 constexpr Milliseconds holdWait { 500 };
+// While a stop is under way: room that waiting work may take is known as soon as it is there, and a run that
+// is gone without an end soon after.
+constexpr Milliseconds stopWait { 120 };
 // Ends that are not stored yet would be listed again at once.
 constexpr Milliseconds storeWait { 200 };
 constexpr Milliseconds retryDelay { 100 };
@@ -312,7 +315,7 @@
         const Milliseconds lease = leaseFor(worker);
         look.leaseUntil = worker.clockAt(step.now) + lease.count();
         extendLease(worker, lease, step.now);
-        look.wait = isWaiting || isStoring ? Milliseconds(0) : holdWait;
+        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait;
     }
     worker.isHoldInFlight = true;
     worker.holdSentAt = step.now;
@@ -354,11 +357,6 @@
     processEnds(*worker, answer.status.ended, step);
     processActive(*worker, answer.status, step);
     findVanished(*worker, answer.status.active, step);
-    // Stops whose end is awaited are looked for at short intervals.
-    const bool isStopping = std::any_of(worker->runs.begin(), worker->runs.end(),
-        [](const auto& entry) { return entry.second.phase == RunPhase::Stopping; });
-    if (isStopping)
-        worker->nextHoldAt = step.now + std::min(m_settings.stopTimeout / 4, retryDelay);
 }
 
 void RunSupervisor::processEnds(Worker& worker, std::span<const EndedRun> ends, Step& step)
