Keep the workers' speeds in the store; claim again 200 ms after a refusal

And while the store refused, every daemon that took the lease for free claimed it with each tick, 50 times a second.

The leader writes one row of 500 workers every 2 s beside its commit; the next one reads them without waiting for them. The bits of all modules now stand in one header.

--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -5,6 +5,7 @@
 #include "batch/intake/configuration_view.h"
 #include "batch/intake/row_writer.h"
 #include "batch/reducer/step.h"
+#include "batch/store/operation_bits.h"
 
 #include <cstdint>
 #include <functional>
@@ -94,7 +95,4 @@
     OperationId m_lastOperation = 0;
 };
 
-// Reads of the intake have this bit; its commits have that of its writer.
-constexpr OperationId intakeOperationBit = OperationId { 1 } << 60U;
-
 } // namespace anvilmoor::batch
--- a/src/batch/intake/row_writer.h
+++ b/src/batch/intake/row_writer.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/effect.h"
 #include "anvilmoor/batch/event.h"
 #include "batch/reducer/step.h"
+#include "batch/store/operation_bits.h"
 
 #include <cstdint>
 #include <deque>
@@ -13,9 +14,6 @@
 
 namespace anvilmoor::batch {
 
-// Operations of the writer have this bit.
-constexpr OperationId writerOperationBit = OperationId { 1 } << 59U;
-
 // Stores rows for callers. Each part of a table has one transaction under way; what comes meanwhile goes
 // together in the next one. So a slow store takes few large transactions in place of a growing queue of small
 // ones, and a store that refuses is asked at growing intervals.
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "batch/jobs/job_codec.h"
 #include "batch/store/tables.h"
+#include "batch/workers/speed_rows.h"
 
 #include <cmath>
 #include <span>
@@ -17,8 +18,9 @@
 // Room may also appear with time alone: an occurrence falls due, a suspect worker is due for a trial.
 constexpr Milliseconds idlePlacementInterval { 250 };
 constexpr Milliseconds readRetryDelay { 100 };
-constexpr OperationId removalOperationBit = OperationId { 1 } << 58U;
-constexpr OperationId progressReadBit = OperationId { 1 } << 61U;
+// One row of the workers' speeds at a time. They change little, and losing some costs only what the next
+// leader learns again within seconds.
+constexpr Milliseconds speedStoreInterval { 2'000 };
 
 std::string namesOf(std::span<const WorkerLifetime> workers)
 {
@@ -45,7 +47,7 @@
     if (auto repeated = m_pipeline.repeat(step.now))
         step.emit(std::move(*repeated));
     if (m_phase == Phase::Following) {
-        if (!m_isRetiring && !m_pipeline.isBusy() && m_lease.isFree(step.now))
+        if (!m_isRetiring && m_pipeline.mayClaim(step.now) && m_lease.isFree(step.now))
             step.emit(m_pipeline.claim(step.now));
         return;
     }
@@ -70,6 +72,34 @@
     m_runs.begin(m_lease.epoch(), step.now);
     step.emit(FollowLeaderTables { true });
     requestProgress(step);
+    requestSpeeds(step);
+}
+
+// Placement does not wait for them.
+void Scheduler::requestSpeeds(Step& step)
+{
+    m_speedRead = (m_speedRead + 1) | speedReadBit;
+    RowKey first = speedKey(0);
+    first.key.clear();
+    step.emit(ReadRows { m_speedRead, std::move(first), {} });
+}
+
+void Scheduler::restoreSpeeds(Step& step)
+{
+    for (const Row& row : m_loadedSpeeds) {
+        if (const auto problem = batch::restoreSpeeds(row.value, m_workers))
+            step.warn("store.unreadable_row", { { "key", row.key.key }, { "reason", *problem } });
+    }
+    m_loadedSpeeds.clear();
+}
+
+void Scheduler::addSpeedRow(CommitBatch& commit, TimePoint now)
+{
+    if (m_phase != Phase::Leading || now < m_speedsStoredAt + speedStoreInterval)
+        return;
+    m_speedsStoredAt = now;
+    m_nextSpeedRow = (m_nextSpeedRow + 1) % speedRowCount(m_workers);
+    commit.writes.push_back(encodeSpeeds(m_workers, m_nextSpeedRow));
 }
 
 void Scheduler::requestProgress(Step& step)
@@ -81,6 +111,12 @@
 
 void Scheduler::readAnswered(const ReadAnswered& answer, Step& step)
 {
+    if (m_phase != Phase::Following && answer.operation == m_speedRead) {
+        m_loadedSpeeds = answer.reply.rows;
+        if (m_phase == Phase::Leading)
+            restoreSpeeds(step);
+        return;
+    }
     if (m_phase != Phase::Loading || answer.operation != m_progressRead)
         return;
     if (!answer.reply.isOk) {
@@ -114,6 +150,8 @@
     }
     m_loadedProgress.reset();
     m_phase = Phase::Leading;
+    m_speedsStoredAt = step.now;
+    restoreSpeeds(step);
     m_isPlacementDue = true;
     step.record("leader.loaded",
         { { "epoch", std::to_string(m_lease.epoch()) }, { "jobs", std::to_string(m_jobs.size()) },
@@ -134,6 +172,7 @@
     m_hasJobs = false;
     m_hasWorkers = false;
     m_loadedProgress.reset();
+    m_loadedSpeeds.clear();
     m_readAgainAt.reset();
     step.emit(FollowLeaderTables { false });
 }
@@ -301,6 +340,7 @@
         return;
     Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit) };
     CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
+    addSpeedRow(commit, step.now);
     // The rows are not needed here any more.
     batch.changes.writes.clear();
     m_batch = std::move(batch);
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -55,6 +55,9 @@
     void claimed(Step&);
     void leadershipLost(Step&);
     void requestProgress(Step&);
+    void requestSpeeds(Step&);
+    void restoreSpeeds(Step&);
+    void addSpeedRow(CommitBatch&, TimePoint now);
     void finishLoading(Step&);
     void jobRow(const Row&, Step&);
     void applyCancel(const JobId&, Step&);
@@ -78,6 +81,10 @@
     std::optional<std::vector<Row>> m_loadedProgress;
     OperationId m_progressRead = 0;
     std::optional<TimePoint> m_readAgainAt;
+    OperationId m_speedRead = 0;
+    std::vector<Row> m_loadedSpeeds; // until the workers are known
+    std::size_t m_nextSpeedRow = 0;
+    TimePoint m_speedsStoredAt {};
     bool m_isPlacementDue = false;
     TimePoint m_placedAt {};
     std::optional<Batch> m_batch; // in the commit that is in flight
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -12,6 +12,8 @@
 // Between an answer that failed and the next copy, doubled with each failure on end.
 constexpr Milliseconds repeatDelay { 40 };
 constexpr int mostDoublings = 3;
+// All daemons but the leader would claim at once, and again with each tick, while the store refuses them.
+constexpr Milliseconds claimRetryDelay { 200 };
 
 const Row* findRow(const std::vector<Row>& rows, const RowKey& key)
 {
@@ -97,6 +99,7 @@
         // Another daemon may be free to claim; a refused claim leaves no trace.
         if (m_inFlight->purpose == Purpose::Claim && !m_inFlight->mayHaveBeenApplied) {
             m_inFlight.reset();
+            m_claimAgainAt = now + claimRetryDelay;
             return {};
         }
         break;
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -4,6 +4,7 @@
 #include "anvilmoor/batch/event.h"
 #include "anvilmoor/batch/rows.h"
 #include "batch/store/leader_lease.h"
+#include "batch/store/operation_bits.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,8 @@
     explicit CommitPipeline(LeaderLease&);
 
     bool isBusy() const { return m_inFlight.has_value(); }
+    // False for a while after the store has refused a claim.
+    bool mayClaim(TimePoint now) const { return !isBusy() && now >= m_claimAgainAt; }
     bool isRenewalDue(TimePoint now) const { return now >= m_lastSentAt + leaseRenewalInterval; }
 
     Effect claim(TimePoint now);
@@ -71,9 +74,7 @@
     std::optional<InFlight> m_inFlight;
     OperationId m_lastOperation = 0;
     TimePoint m_lastSentAt {};
+    TimePoint m_claimAgainAt {};
 };
 
-// Operations of the pipeline have this bit, so that their answers find their way.
-constexpr OperationId commitOperationBit = OperationId { 1 } << 62U;
-
 } // namespace anvilmoor::batch
--- a/src/batch/store/tables.cpp
+++ b/src/batch/store/tables.cpp
@@ -34,6 +34,8 @@
 
 RowKey progressKey(const JobId& job) { return leaderKey(progressTable, job.value()); }
 
+RowKey speedKey(std::size_t index) { return leaderKey(speedTable, std::to_string(index)); }
+
 std::optional<JobRowName> parseJobKey(std::string_view key)
 {
     const auto named = [key](std::string_view suffix, JobRowKind kind) -> std::optional<JobRowName> {
--- a/src/batch/store/tables.h
+++ b/src/batch/store/tables.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/job.h"
 #include "anvilmoor/batch/rows.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,12 +20,14 @@
 constexpr std::string_view leaseTable = "lease";
 constexpr std::string_view jobTable = "job"; // accepted jobs and cancel requests
 constexpr std::string_view progressTable = "progress";
+constexpr std::string_view speedTable = "speed"; // of the workers
 
 std::string jobPartName(int index);
 RowKey leaseKey();
 RowKey jobKey(const JobId&);
 RowKey cancelKey(const JobId&);
 RowKey progressKey(const JobId&);
+RowKey speedKey(std::size_t index);
 
 enum class JobRowKind { Submission, CancelRequest };
 
--- /dev/null
+++ b/src/batch/workers/speed_rows.cpp
@@ -0,0 +1,64 @@
+#include "batch/workers/speed_rows.h"
+
+#include "batch/store/tables.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Some 30 bytes each: a row stays under 64 KB, the store's limit, by a factor of four.
+constexpr std::size_t workersPerRow = 500;
+// Speeds and weights are stored in hundredths.
+constexpr double scale = 100;
+
+} // namespace
+
+std::size_t speedRowCount(const WorkerPool& pool)
+{
+    return std::max<std::size_t>((pool.all().size() + workersPerRow - 1) / workersPerRow, 1);
+}
+
+Row encodeSpeeds(const WorkerPool& pool, std::size_t index)
+{
+    Json speeds = Json::array();
+    const std::size_t begin = std::min(index * workersPerRow, pool.all().size());
+    const std::size_t end = std::min(begin + workersPerRow, pool.all().size());
+    auto entry = std::next(pool.all().begin(), static_cast<std::ptrdiff_t>(begin));
+    for (std::size_t i = begin; i < end; ++i, ++entry) {
+        const auto& [lifetime, worker] = *entry;
+        const auto weight = std::lround(worker.speed.weight() * scale);
+        if (weight)
+            speeds.push_back(Json::array(
+                { lifetime.id.value(), lifetime.bornAt, std::lround(worker.speed.value() * scale), weight }));
+    }
+    const std::vector<std::uint8_t> bytes = Json::to_msgpack(speeds);
+    return { speedKey(index), { bytes.begin(), bytes.end() } };
+}
+
+std::optional<std::string> restoreSpeeds(std::string_view bytes, WorkerPool& pool)
+{
+    try {
+        const Json speeds = Json::from_msgpack(bytes.begin(), bytes.end());
+        for (const Json& each : speeds) {
+            const WorkerLifetime lifetime { WorkerId(each.at(0).get<std::string>()),
+                each.at(1).get<std::int64_t>() };
+            const WorkerSpeed stored(each.at(2).get<double>() / scale, each.at(3).get<double>() / scale);
+            Worker* worker = pool.find(lifetime);
+            if (worker && stored.value() > 0 && worker->speed.weight() < stored.weight())
+                worker->speed = stored;
+        }
+    } catch (const Json::exception& error) {
+        return fmt::format("row of workers' speeds: {}", error.what());
+    }
+    return std::nullopt;
+}
+
+} // namespace anvilmoor::batch
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -165,6 +165,9 @@
         first.pipeline.answered({ std::get<Commit>(claim).operation, { CommitOutcome::Refused } }, m_now);
         CPPUNIT_ASSERT(!first.pipeline.isBusy());
         CPPUNIT_ASSERT(!first.lease.isLeader());
+        // Guards against a claim with each tick while the store refuses.
+        CPPUNIT_ASSERT(!first.pipeline.mayClaim(m_now + Milliseconds(100)));
+        CPPUNIT_ASSERT(first.pipeline.mayClaim(m_now + Milliseconds(300)));
     }
 
     void testUnreadableLeaseIsClaimedLikeLapsedOne()
--- a/test/batch_worker_speed_test.cpp
+++ b/test/batch_worker_speed_test.cpp
@@ -1,3 +1,4 @@
+#include "batch/workers/speed_rows.h"
 #include "batch/workers/worker_pool.h"
 #include "batch/workers/worker_speed.h"
 
@@ -17,6 +18,10 @@
     CPPUNIT_TEST(testOneObservationCountsForLittle);
     CPPUNIT_TEST(testWorkerThatChangesIsNoticed);
     CPPUNIT_TEST(testSpeedIsRestoredFromItsValueAndWeight);
+    CPPUNIT_TEST(testStoredSpeedsAreRestoredForTheSameLifetimes);
+    CPPUNIT_TEST(testBetterKnownSpeedIsNotReplacedByTheStoredOne);
+    CPPUNIT_TEST(testSpeedsOfManyWorkersTakeSeveralRows);
+    CPPUNIT_TEST(testUnreadableSpeedsAreReported);
     CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
     CPPUNIT_TEST(testExpectedEndIsUnknownWithoutProgress);
     CPPUNIT_TEST(testExpectedEndDoesNotCountTheWaitForTheGang);
@@ -91,6 +96,64 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(speed.weight(), restored.weight(), 1e-9);
     }
 
+    static WorkerPool poolOf(int workers, std::int64_t bornAt = 1)
+    {
+        WorkerPool pool;
+        for (int i = 0; i < workers; ++i)
+            pool.require({ WorkerId("worker-" + std::to_string(i)), bornAt });
+        return pool;
+    }
+
+    void testStoredSpeedsAreRestoredForTheSameLifetimes()
+    {
+        WorkerPool pool = poolOf(2);
+        const WorkerLifetime first { WorkerId("worker-0"), 1 };
+        pool.find(first)->speed = WorkerSpeed(1.25, 6);
+        const Row row = encodeSpeeds(pool, 0);
+        WorkerPool next = poolOf(2);
+        CPPUNIT_ASSERT(!restoreSpeeds(row.value, next));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.25, next.find(first)->speed.value(), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(6, next.find(first)->speed.weight(), 0.01);
+        // A worker that was born again may be of another kind.
+        WorkerPool reborn = poolOf(2, 2);
+        CPPUNIT_ASSERT(!restoreSpeeds(row.value, reborn));
+        CPPUNIT_ASSERT_EQUAL(0.0, reborn.find({ WorkerId("worker-0"), 2 })->speed.weight());
+    }
+
+    void testBetterKnownSpeedIsNotReplacedByTheStoredOne()
+    {
+        WorkerPool pool = poolOf(1);
+        Worker& worker = pool.all().begin()->second;
+        worker.speed = WorkerSpeed(1.25, 6);
+        const Row row = encodeSpeeds(pool, 0);
+        worker.speed = WorkerSpeed(0.8, 9);
+        CPPUNIT_ASSERT(!restoreSpeeds(row.value, pool));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.8, worker.speed.value(), 0.01);
+    }
+
+    void testSpeedsOfManyWorkersTakeSeveralRows()
+    {
+        WorkerPool pool = poolOf(1'200);
+        for (auto& [lifetime, worker] : pool.all())
+            worker.speed = WorkerSpeed(1.25, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, speedRowCount(pool));
+        WorkerPool next = poolOf(1'200);
+        for (std::size_t i = 0; i < 3; ++i) {
+            const Row row = encodeSpeeds(pool, i);
+            CPPUNIT_ASSERT(row.value.size() < 48'000);
+            CPPUNIT_ASSERT(!restoreSpeeds(row.value, next));
+        }
+        for (const auto& [lifetime, worker] : next.all())
+            CPPUNIT_ASSERT(worker.speed.weight() > 0.9);
+    }
+
+    void testUnreadableSpeedsAreReported()
+    {
+        WorkerPool pool = poolOf(1);
+        CPPUNIT_ASSERT(restoreSpeeds("no row", pool));
+        CPPUNIT_ASSERT(restoreSpeeds("\x91\x01", pool));
+    }
+
     void testExpectedEndFollowsTheRateOfProgress()
     {
         LiveRun run;
