Leave out workers on which nothing advances

Cause: a worker whose runs stand still, or became several times slower, answers every look and reports itself as sound; it went on getting work.

A run that advances by less than a third of its best pace, or not at all, over a tenth of its estimate (1 s at least) lags. A worker on which something lags and nothing advances gets nothing new until something advances; once it is empty, a trial after 3 s. What is known of a run's progress has a module of its own now.

--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -293,7 +293,7 @@
 {
     if (run.phase == RunPhase::Stopping || m_victims.contains(run.id))
         return true;
-    const auto end = run.expectedEnd();
+    const auto end = run.progress.expectedEnd();
     return end && *end <= worker.clockAt(now) + m_stopTimeout.count();
 }
 
--- /dev/null
+++ b/src/batch/workers/run_progress.cpp
@@ -0,0 +1,78 @@
+#include "batch/workers/run_progress.h"
+
+#include <algorithm>
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// Progress comes in whole percents: over this many, the rate is right to a twentieth.
+constexpr int percentsToMeasure = 20;
+// The pace is judged over a tenth of the estimate, which is off by a factor of two at the most as a rule, and
+// over no less than this.
+constexpr Milliseconds shortestWindow { 1'000 };
+constexpr int windowsPerEstimate = 10;
+// Workers differ by less than a factor of two, and tasks by less in the course of their work.
+constexpr double laggingShare = 0.35;
+
+} // namespace
+
+RunProgress::RunProgress(Milliseconds estimatedDuration, bool isGangMember)
+    : m_window(std::max(shortestWindow, estimatedDuration / windowsPerEstimate))
+    , m_mayWait(isGangMember)
+{
+}
+
+void RunProgress::note(const ProgressReading& reading)
+{
+    judgePace(reading);
+    if (reading.percent <= 0)
+        return;
+    if (!m_first)
+        m_first = reading;
+    m_last = reading;
+}
+
+void RunProgress::judgePace(const ProgressReading& reading)
+{
+    const bool isWaiting = m_mayWait && reading.percent <= 0;
+    if (isWaiting || reading.percent >= 100) {
+        m_windowStart.reset();
+        m_pace = Pace::Unknown;
+        return;
+    }
+    if (!m_windowStart)
+        m_windowStart = reading;
+    const WorkerClock elapsed = reading.at - m_windowStart->at;
+    if (elapsed < m_window.count())
+        return;
+    const int advance = reading.percent - m_windowStart->percent;
+    const double rate = static_cast<double>(advance) / static_cast<double>(elapsed);
+    const bool isLagging = !advance || rate < laggingShare * m_usualRate;
+    m_pace = isLagging ? Pace::Lagging : Pace::Advancing;
+    m_usualRate = std::max(m_usualRate, rate);
+    m_windowStart = reading;
+}
+
+std::optional<WorkerClock> RunProgress::expectedEnd() const
+{
+    if (!m_first || m_last.percent <= m_first->percent)
+        return std::nullopt;
+    const int advance = m_last.percent - m_first->percent;
+    const WorkerClock elapsed = m_last.at - m_first->at;
+    return m_last.at + elapsed * (100 - m_last.percent) / advance;
+}
+
+std::optional<double> RunProgress::rate() const
+{
+    if (!m_first || m_last.percent >= 100)
+        return std::nullopt;
+    const int advance = m_last.percent - m_first->percent;
+    const WorkerClock elapsed = m_last.at - m_first->at;
+    if (advance < percentsToMeasure || elapsed <= 0)
+        return std::nullopt;
+    constexpr double perSecond = 1'000.0 / 100;
+    return perSecond * advance / static_cast<double>(elapsed);
+}
+
+} // namespace anvilmoor::batch
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -56,6 +56,12 @@
     return "unknown";
 }
 
+RunProgress progressOf(const JobProgress& job, int step)
+{
+    const StepSpecification& specification = job.specificationOf(step);
+    return { specification.estimatedDuration, specification.isGang };
+}
+
 void recordJobEnd(const AcceptedJob& job, JobState state, Step& step)
 {
     const WallTime due = job.dueAt(job.occurrenceCount() - 1);
@@ -92,6 +98,7 @@
     live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
     live.assignedAt = now;
     live.acceptedAt = now;
+    live.progress = progressOf(job, run.task.step);
     m_workers.attach(worker, std::move(live));
 }
 
@@ -103,6 +110,7 @@
         LiveRun live { run, job.specificationOf(unit.step).countedPerTask(), job.job().terms.priority };
         live.assignedChange = change;
         live.assignedAt = now;
+        live.progress = progressOf(job, unit.step);
         Worker& worker = m_workers.require(workers[i]);
         // The last lease of an idle worker may have passed; it says nothing of the new run.
         extendLease(worker, leaseFor(worker), now);
@@ -403,11 +411,12 @@
             continue;
         }
         noteStarted(*run, step.now);
-        run->noteProgress({ active.percent, status.clock });
+        run->progress.note({ active.percent, status.clock });
         measureSpeed(worker, *run);
         if (JobBook::Entry* entry = m_jobs.find(active.run.task.job))
             entry->progress.noteCheckpoint(active.run, active.checkpoint);
     }
+    judgeProgress(worker, step);
 }
 
 // Null if the order's run is over by now.
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -68,6 +68,7 @@
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
     void processActive(Worker&, const WorkerStatus&, Step&);
     void measureSpeed(Worker&, LiveRun&);
+    void judgeProgress(Worker&, Step&);
     static void noteStarted(LiveRun&, TimePoint now);
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, std::span<const ActiveRun>, Step&);
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -15,9 +15,6 @@
 constexpr Milliseconds withdrawnWithin { 2'500 };
 constexpr Milliseconds longestReadGap { 1'500 };
 
-// Progress comes in whole percents: over this many, the rate is right to a twentieth.
-constexpr int percentsToMeasure = 20;
-
 } // namespace
 
 // A run is over without an end if it was confirmed, or its stop was, before the worker was asked, and the
@@ -43,12 +40,8 @@
 // restored checkpoint.
 void RunSupervisor::measureSpeed(Worker& worker, LiveRun& run)
 {
-    const ProgressReading& reading = run.lastReading;
-    if (run.hasMeasuredSpeed || !run.firstReading || reading.percent >= 100)
-        return;
-    const int advance = reading.percent - run.firstReading->percent;
-    const WorkerClock elapsed = reading.at - run.firstReading->at;
-    if (advance < percentsToMeasure || elapsed <= 0)
+    const auto rate = run.progress.rate();
+    if (run.hasMeasuredSpeed || !rate)
         return;
     run.hasMeasuredSpeed = true;
     const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
@@ -58,15 +51,32 @@
     const std::string& dataRack = entry->progress.specificationOf(run.id.task.step).dataRack;
     if (!dataRack.empty() && dataRack != worker.record.rack.value())
         return;
-    const double rate = 10.0 * advance / static_cast<double>(elapsed); // share of the work per second
     const StepId step { run.id.task.job, run.id.task.occurrence, run.id.task.step };
     for (const SpeedObservation& observed :
-        m_stepRates.add(step, worker.record.lifetime, rate, worker.speed)) {
+        m_stepRates.add(step, worker.record.lifetime, *rate, worker.speed)) {
         if (Worker* other = m_workers.find(observed.worker))
             other->speed.add(observed.logSpeed, observed.weight);
     }
 }
 
+// A worker on which nothing advances as it should gets nothing new until something does.
+void RunSupervisor::judgeProgress(Worker& worker, Step& step)
+{
+    int lagging = 0;
+    int advancing = 0;
+    for (const auto& [task, run] : worker.runs) {
+        lagging += run.progress.pace() == RunProgress::Pace::Lagging;
+        advancing += run.progress.pace() == RunProgress::Pace::Advancing;
+    }
+    const std::string& name = worker.record.lifetime.id.value();
+    if (lagging && !advancing && worker.health.noteStall(step.now))
+        step.warn("worker.stalled", { { "worker", name }, { "lagging", std::to_string(lagging) } });
+    if (advancing && worker.health.noteAdvance()) {
+        step.record("worker.advances", { { "worker", name }, { "advancing", std::to_string(advancing) } });
+        m_hasRoomChanged = true;
+    }
+}
+
 void RunSupervisor::workerGone(const WorkerId& id, Step& step)
 {
     const bool isReadWithoutGap = m_followedAt && step.now < *m_followedAt + longestReadGap;
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -19,6 +19,14 @@
     m_suspicions = 0;
     m_isSuspect = false;
     m_isOnTrial = false;
+    m_isStalled = false;
+}
+
+bool WorkerHealth::noteStall(TimePoint now)
+{
+    m_stalledAt = now;
+    m_isOnTrial = false;
+    return !std::exchange(m_isStalled, true);
 }
 
 void WorkerHealth::runFailed(TimePoint now)
@@ -42,7 +50,11 @@
 
 bool WorkerHealth::isDueForTrial(TimePoint now) const
 {
-    return m_isSuspect && !m_isOnTrial && now >= m_suspectUntil;
+    if (isTrusted() || m_isOnTrial)
+        return false;
+    const bool isSuspended = m_isSuspect && now < m_suspectUntil;
+    const bool hasJustStalled = m_isStalled && now < m_stalledAt + firstSuspension;
+    return !isSuspended && !hasJustStalled;
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -2,7 +2,7 @@
 
 #include "anvilmoor/time.h"
 
-#include <optional>
+#include <utility>
 
 namespace anvilmoor::batch {
 
@@ -17,7 +17,12 @@
     // be the run's own fault.
     void runStalled(TimePoint now);
 
-    bool isTrusted() const { return !m_isSuspect; }
+    // What runs here does not advance. Returns whether that is news.
+    bool noteStall(TimePoint now);
+    // Something advances again. Returns whether nothing did before.
+    bool noteAdvance() { return std::exchange(m_isStalled, false); }
+
+    bool isTrusted() const { return !m_isSuspect && !m_isStalled; }
     // Not trusted, but due for one run that shows whether it has recovered.
     bool isDueForTrial(TimePoint now) const;
     void trialStarted() { m_isOnTrial = true; }
@@ -31,6 +36,8 @@
     bool m_isSuspect = false;
     bool m_isOnTrial = false;
     TimePoint m_suspectUntil {};
+    bool m_isStalled = false;
+    TimePoint m_stalledAt {}; // when a stall was last seen
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -4,24 +4,6 @@
 
 namespace anvilmoor::batch {
 
-void LiveRun::noteProgress(const ProgressReading& reading)
-{
-    if (reading.percent <= 0)
-        return;
-    if (!firstReading)
-        firstReading = reading;
-    lastReading = reading;
-}
-
-std::optional<WorkerClock> LiveRun::expectedEnd() const
-{
-    if (!firstReading || lastReading.percent <= firstReading->percent)
-        return std::nullopt;
-    const int advance = lastReading.percent - firstReading->percent;
-    const WorkerClock elapsed = lastReading.at - firstReading->at;
-    return lastReading.at + elapsed * (100 - lastReading.percent) / advance;
-}
-
 Resources Worker::room() const
 {
     Resources room = record.capacity;
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "anvilmoor/batch/worker.h"
+#include "batch/workers/run_progress.h"
 #include "batch/workers/worker_health.h"
 #include "batch/workers/worker_speed.h"
 
@@ -20,12 +21,6 @@
     Stopping,
 };
 
-// How far a run was at a time on its worker's clock.
-struct ProgressReading {
-    int percent = 0;
-    WorkerClock at = 0;
-};
-
 // A run that is on a worker, or may be.
 struct LiveRun {
     RunId id;
@@ -39,13 +34,8 @@
     bool mayStartLate = false; // a start had no answer
     std::optional<TimePoint> acceptedAt; // start confirmed
     std::optional<TimePoint> stopAcceptedAt;
-    std::optional<ProgressReading> firstReading; // once it has begun to work
-    ProgressReading lastReading;
+    RunProgress progress;
     bool hasMeasuredSpeed = false;
-
-    void noteProgress(const ProgressReading&);
-    // When all its work will be done if it goes on as up to now, on the worker's clock. Empty if unknown.
-    std::optional<WorkerClock> expectedEnd() const;
 };
 
 // An end that was processed, and what has to be stored before the worker may forget it.
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -343,8 +343,8 @@
         worker.clock = 10'000;
         worker.clockReadAt = m_now;
         LiveRun& run = worker.runs.begin()->second;
-        run.noteProgress({ 1, 9'020 });
-        run.noteProgress({ 50, 10'000 });
+        run.progress.note({ 1, 9'020 });
+        run.progress.note({ 50, 10'000 });
         return job;
     }
 
--- /dev/null
+++ b/test/batch_run_progress_test.cpp
@@ -0,0 +1,186 @@
+#include "batch/workers/run_progress.h"
+#include "batch/workers/worker_health.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace anvilmoor::batch {
+
+// Guards against new work on workers that answer every look and let what they run stand still.
+class BatchRunProgressTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BatchRunProgressTest);
+    CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
+    CPPUNIT_TEST(testExpectedEndIsUnknownWithoutProgress);
+    CPPUNIT_TEST(testExpectedEndDoesNotCountTheWaitForTheGang);
+    CPPUNIT_TEST(testRateIsToldOnceTheRunHasAdvancedFarEnough);
+    CPPUNIT_TEST(testRunThatStandsStillLags);
+    CPPUNIT_TEST(testRunThatBecomesMuchSlowerLags);
+    CPPUNIT_TEST(testRunThatNeverBeginsLags);
+    CPPUNIT_TEST(testGangMemberThatWaitsDoesNotLag);
+    CPPUNIT_TEST(testDoneMemberThatWaitsForItsGangDoesNotLag);
+    CPPUNIT_TEST(testLongTaskIsGivenTimeToShowProgress);
+    CPPUNIT_TEST(testRunThatGoesOnIsAdvancing);
+    CPPUNIT_TEST(testStalledWorkerIsTrustedAgainOnceSomethingAdvances);
+    CPPUNIT_TEST(testStalledWorkerThatIsEmptyGetsATrial);
+    CPPUNIT_TEST(testFailuresOutlastProgress);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Pace = RunProgress::Pace;
+
+    // One look each half second, with this progress.
+    static void advance(RunProgress& run, WorkerClock& at, std::initializer_list<int> percents)
+    {
+        for (const int percent : percents) {
+            at += 500;
+            run.note({ percent, at });
+        }
+    }
+
+    void testExpectedEndFollowsTheRateOfProgress()
+    {
+        RunProgress run;
+        run.note({ 10, 1'000 });
+        run.note({ 40, 2'500 });
+        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'500 }, run.expectedEnd().value());
+        run.note({ 100, 5'600 });
+        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'600 }, run.expectedEnd().value());
+    }
+
+    // A run that stands still must not be counted on to end.
+    void testExpectedEndIsUnknownWithoutProgress()
+    {
+        RunProgress run;
+        CPPUNIT_ASSERT(!run.expectedEnd());
+        run.note({ 0, 1'000 });
+        run.note({ 30, 2'000 });
+        CPPUNIT_ASSERT(!run.expectedEnd());
+        run.note({ 30, 3'000 });
+        CPPUNIT_ASSERT(!run.expectedEnd());
+    }
+
+    void testExpectedEndDoesNotCountTheWaitForTheGang()
+    {
+        RunProgress run(Milliseconds(5'000), true);
+        for (WorkerClock at = 0; at <= 2'000; at += 500)
+            run.note({ 0, at });
+        run.note({ 50, 2'500 });
+        run.note({ 60, 3'000 });
+        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'000 }, run.expectedEnd().value());
+    }
+
+    void testRateIsToldOnceTheRunHasAdvancedFarEnough()
+    {
+        RunProgress run;
+        run.note({ 4, 1'000 });
+        run.note({ 23, 2'900 });
+        CPPUNIT_ASSERT(!run.rate());
+        run.note({ 24, 3'000 });
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, run.rate().value(), 1e-9);
+    }
+
+    void testRunThatStandsStillLags()
+    {
+        RunProgress run(Milliseconds(6'000), false);
+        WorkerClock at = 0;
+        advance(run, at, { 8, 16, 24, 32 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Advancing);
+        advance(run, at, { 32, 32, 32 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
+    }
+
+    void testRunThatBecomesMuchSlowerLags()
+    {
+        RunProgress run(Milliseconds(6'000), false);
+        WorkerClock at = 0;
+        advance(run, at, { 8, 16, 24, 32, 33, 34, 36, 37 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
+        advance(run, at, { 45, 53, 61, 69 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Advancing);
+    }
+
+    void testRunThatNeverBeginsLags()
+    {
+        RunProgress run(Milliseconds(6'000), false);
+        WorkerClock at = 0;
+        advance(run, at, { 0, 0, 0 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
+    }
+
+    void testGangMemberThatWaitsDoesNotLag()
+    {
+        RunProgress run(Milliseconds(6'000), true);
+        WorkerClock at = 0;
+        advance(run, at, { 0, 0, 0, 0, 0, 0 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Unknown);
+        advance(run, at, { 8, 16, 16, 16, 16 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
+    }
+
+    void testDoneMemberThatWaitsForItsGangDoesNotLag()
+    {
+        RunProgress run(Milliseconds(6'000), true);
+        WorkerClock at = 0;
+        advance(run, at, { 40, 70, 100, 100, 100, 100, 100 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Unknown);
+    }
+
+    // A task of four hours advances by a percent in two minutes.
+    void testLongTaskIsGivenTimeToShowProgress()
+    {
+        RunProgress run(Milliseconds(4 * 3'600 * 1'000), false);
+        WorkerClock at = 0;
+        for (int minute = 0; minute < 20; ++minute) {
+            at += 60'000;
+            run.note({ 0, at });
+            CPPUNIT_ASSERT(run.pace() == Pace::Unknown);
+        }
+    }
+
+    void testRunThatGoesOnIsAdvancing()
+    {
+        RunProgress run(Milliseconds(20'000), false);
+        WorkerClock at = 0;
+        for (int percent = 2; percent < 100; percent += 2) {
+            advance(run, at, { percent });
+            CPPUNIT_ASSERT(run.pace() != Pace::Lagging);
+        }
+        CPPUNIT_ASSERT(run.pace() == Pace::Advancing);
+    }
+
+    void testStalledWorkerIsTrustedAgainOnceSomethingAdvances()
+    {
+        WorkerHealth health;
+        CPPUNIT_ASSERT(health.noteStall(TimePoint(Seconds(1))));
+        CPPUNIT_ASSERT(!health.noteStall(TimePoint(Seconds(2))));
+        CPPUNIT_ASSERT(!health.isTrusted());
+        CPPUNIT_ASSERT(health.noteAdvance());
+        CPPUNIT_ASSERT(health.isTrusted());
+        CPPUNIT_ASSERT(!health.noteAdvance());
+    }
+
+    // Guards against a worker that is left out for good because what stood still there has been taken away.
+    void testStalledWorkerThatIsEmptyGetsATrial()
+    {
+        WorkerHealth health;
+        health.noteStall(TimePoint(Seconds(1)));
+        CPPUNIT_ASSERT(!health.isDueForTrial(TimePoint(Seconds(3))));
+        CPPUNIT_ASSERT(health.isDueForTrial(TimePoint(Seconds(5))));
+        health.trialStarted();
+        CPPUNIT_ASSERT(!health.isDueForTrial(TimePoint(Seconds(6))));
+        health.runSucceeded();
+        CPPUNIT_ASSERT(health.isTrusted());
+    }
+
+    void testFailuresOutlastProgress()
+    {
+        WorkerHealth health;
+        for (int i = 0; i < 3; ++i)
+            health.runFailed(TimePoint(Seconds(1)));
+        health.noteStall(TimePoint(Seconds(1)));
+        health.noteAdvance();
+        CPPUNIT_ASSERT(!health.isTrusted());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchRunProgressTest);
+
+} // namespace anvilmoor::batch
--- a/test/batch_worker_speed_test.cpp
+++ b/test/batch_worker_speed_test.cpp
@@ -22,9 +22,6 @@
     CPPUNIT_TEST(testBetterKnownSpeedIsNotReplacedByTheStoredOne);
     CPPUNIT_TEST(testSpeedsOfManyWorkersTakeSeveralRows);
     CPPUNIT_TEST(testUnreadableSpeedsAreReported);
-    CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
-    CPPUNIT_TEST(testExpectedEndIsUnknownWithoutProgress);
-    CPPUNIT_TEST(testExpectedEndDoesNotCountTheWaitForTheGang);
     CPPUNIT_TEST_SUITE_END();
 
     StepRates m_rates;
@@ -153,38 +150,6 @@
         CPPUNIT_ASSERT(restoreSpeeds("no row", pool));
         CPPUNIT_ASSERT(restoreSpeeds("\x91\x01", pool));
     }
-
-    void testExpectedEndFollowsTheRateOfProgress()
-    {
-        LiveRun run;
-        run.noteProgress({ 10, 1'000 });
-        run.noteProgress({ 40, 2'500 });
-        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'500 }, run.expectedEnd().value());
-        run.noteProgress({ 100, 5'600 });
-        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'600 }, run.expectedEnd().value());
-    }
-
-    // A run that stands still must not be counted on to end.
-    void testExpectedEndIsUnknownWithoutProgress()
-    {
-        LiveRun run;
-        CPPUNIT_ASSERT(!run.expectedEnd());
-        run.noteProgress({ 0, 1'000 });
-        run.noteProgress({ 30, 2'000 });
-        CPPUNIT_ASSERT(!run.expectedEnd());
-        run.noteProgress({ 30, 3'000 });
-        CPPUNIT_ASSERT(!run.expectedEnd());
-    }
-
-    void testExpectedEndDoesNotCountTheWaitForTheGang()
-    {
-        LiveRun run;
-        for (WorkerClock at = 0; at <= 2'000; at += 500)
-            run.noteProgress({ 0, at });
-        run.noteProgress({ 50, 2'500 });
-        run.noteProgress({ 60, 3'000 });
-        CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'000 }, run.expectedEnd().value());
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerSpeedTest);
