--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(testConfigurationNeverGoesBack);
     CPPUNIT_TEST(testWaitingJobsAreCounted);
     CPPUNIT_TEST(testEndsBeyondOneCommitAreAcknowledgedOnlyOnceStored);
+    CPPUNIT_TEST(testDaemonWithoutStoreLeavesNewConnectionsToOthers);
     CPPUNIT_TEST(testLeaderThatCannotLoadGivesTheLeaseUp);
     CPPUNIT_TEST(testLeaseIsTriedForLongerIfNobodyLoadsAtOnce);
     CPPUNIT_TEST(testRandomFaultsBreakNothing);
@@ -198,6 +199,23 @@
         CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(job));
     }
 
+    // Guards against connections that the balancer goes on sending to a zone that is cut off: it needs two
+    // failed probes, a second apart, and urgent work is late after 1.5 s.
+    void testDaemonWithoutStoreLeavesNewConnectionsToOthers()
+    {
+        BatchCluster cluster;
+        cluster.run(Milliseconds(500));
+        cluster.cutFromStore = { 1 };
+        cluster.run(Milliseconds(1'100));
+        CPPUNIT_ASSERT(cluster.reducer(1).isReady(cluster.now()));
+        cluster.run(Milliseconds(300));
+        CPPUNIT_ASSERT(!cluster.reducer(1).isReady(cluster.now()));
+        CPPUNIT_ASSERT(cluster.reducer(0).isReady(cluster.now()));
+        cluster.cutFromStore = {};
+        cluster.run(Milliseconds(100));
+        CPPUNIT_ASSERT(cluster.reducer(1).isReady(cluster.now()));
+    }
+
     // Guards against the day scale-1 of the grown lbgia, seed 12: a host with a link of 10 Mbit/s held the
     // lease for 18 s and could not read the jobs.
     void testLeaderThatCannotLoadGivesTheLeaseUp()
