--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -17,8 +17,8 @@
 constexpr Milliseconds leaseDuration { 1'100 };
 // A candidate waits this much longer: clocks that differ by 2%, and the way of an order to its worker.
 constexpr Milliseconds leaseMargin { 150 };
-// A daemon that has had no answer about the lease for this long has lost the store: it asks every 1.3 s, and
-// a slow store takes some 0.4 s.
+// A daemon that has had no answer about the lease for this long has lost the store: it has one every 1.2 s at
+// least, and a slow store takes some 0.4 s.
 constexpr Milliseconds contactLostAfter { 2'000 };
 // A leader commits at least this often.
 constexpr Milliseconds leaseRenewalInterval { 350 };
