--- /dev/null
+++ b/src/batch/workers/run_orders.cpp
@@ -0,0 +1,153 @@
+#include "batch/workers/run_supervisor.h"
+
+#include <string>
+
+// The orders to start and to stop a run, and the workers' answers to them.
+
+namespace anvilmoor::batch {
+
+namespace {
+
+constexpr Milliseconds startRetryDelay { 100 };
+// An order that the store holds may be on its way for this long; then the run is stopped instead.
+constexpr Milliseconds startTimeout { 1'800 };
+constexpr Milliseconds stopRetryDelay { 300 };
+
+} // namespace
+
+void RunSupervisor::sendStart(Worker& worker, LiveRun& run, Step& step)
+{
+    const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
+    if (!entry)
+        return;
+    const Milliseconds lease = leaseFor(worker);
+    run.isOrderInFlight = true;
+    run.orderedAt = step.now;
+    extendLease(worker, lease, step.now);
+    step.emit(StartRun { worker.record.lifetime, worker.record.address, run.id,
+        entry->progress.job().specification.payload, entry->progress.checkpointOf(run.id.task),
+        worker.clockAt(step.now) + lease.count(), m_epoch });
+}
+
+void RunSupervisor::sendStop(Worker& worker, LiveRun& run, Step& step)
+{
+    run.isOrderInFlight = true;
+    run.orderedAt = step.now;
+    step.emit(StopRun { worker.record.lifetime, worker.record.address, run.id, m_epoch });
+}
+
+void RunSupervisor::stop(const RunId& id, Step& step)
+{
+    const JobBook::Entry* entry = m_jobs.find(id.task.job);
+    const TaskProgress* task = entry ? entry->progress.find(id.task) : nullptr;
+    Worker* worker = task && task->assignment ? m_workers.find(task->assignment->worker) : nullptr;
+    LiveRun* run = worker ? findRun(*worker, id) : nullptr;
+    if (!run || run->phase == RunPhase::Stopping)
+        return;
+    if (run->phase == RunPhase::AwaitingCommit) {
+        finish(*worker, id, RunEnd::Stopped, {}, step);
+        return;
+    }
+    run->phase = RunPhase::Stopping;
+    sendStop(*worker, *run, step);
+}
+
+void RunSupervisor::stopAll(std::span<const RunId> runs, Step& step)
+{
+    for (const RunId& run : runs)
+        stop(run, step);
+}
+
+void RunSupervisor::tickRun(Worker& worker, LiveRun& run, Step& step)
+{
+    if (run.isOrderInFlight)
+        return;
+    if (run.phase == RunPhase::Starting && step.now >= run.orderedAt + startRetryDelay) {
+        if (step.now < run.assignedAt + startTimeout) {
+            sendStart(worker, run, step);
+            return;
+        }
+        step.warn("run.start_timeout",
+            { { "job", run.id.task.job.value() }, { "worker", worker.record.lifetime.id.value() } });
+        run.phase = RunPhase::Stopping;
+        sendStop(worker, run, step);
+        return;
+    }
+    if (run.phase != RunPhase::Stopping || run.stopAcceptedAt)
+        return;
+    if (step.now >= run.orderedAt + stopRetryDelay)
+        sendStop(worker, run, step);
+}
+
+// Null if the order's run is over by now.
+LiveRun* RunSupervisor::takeAnswer(Worker& worker, const RunId& id, WorkerClock clock, TimePoint now)
+{
+    LiveRun* run = findRun(worker, id);
+    if (!run)
+        return nullptr;
+    run->isOrderInFlight = false;
+    noteClock(worker, clock, now);
+    return run;
+}
+
+void RunSupervisor::startAnswered(const StartAnswered& answer, Step& step)
+{
+    Worker* worker = addressee(answer.worker, answer.token);
+    LiveRun* run = worker ? takeAnswer(*worker, answer.run, answer.clock, step.now) : nullptr;
+    if (!run)
+        return;
+    switch (answer.outcome) {
+    case OrderOutcome::Accepted:
+        noteStarted(*run, step.now);
+        return;
+    case OrderOutcome::Unknown:
+        run->mayStartLate = true;
+        return;
+    case OrderOutcome::OtherLifetime:
+        lifetimeOver(*worker, "another lifetime answers", step);
+        return;
+    case OrderOutcome::Rejected:
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::Outdated:
+        rejected(*worker, *run, answer.outcome, step);
+        return;
+    }
+}
+
+void RunSupervisor::rejected(Worker& worker, LiveRun& run, OrderOutcome outcome, Step& step)
+{
+    constexpr Milliseconds roomDoubt { 1'000 };
+    step.warn("run.rejected",
+        { { "job", run.id.task.job.value() }, { "run", std::to_string(run.id.run) },
+            { "worker", worker.record.lifetime.id.value() },
+            { "reason",
+                outcome == OrderOutcome::NoRoom         ? "room"
+                    : outcome == OrderOutcome::Outdated ? "outdated"
+                                                        : "unhealthy" } });
+    if (outcome == OrderOutcome::NoRoom)
+        worker.roomDoubtedUntil = step.now + roomDoubt;
+    if (outcome == OrderOutcome::Rejected)
+        worker.health.runStalled(step.now);
+    if (run.phase == RunPhase::Stopping)
+        return;
+    if (run.mayStartLate) {
+        run.phase = RunPhase::Stopping;
+        sendStop(worker, run, step);
+        return;
+    }
+    finish(worker, RunId(run.id), RunEnd::Stopped, {}, step);
+}
+
+void RunSupervisor::stopAnswered(const StopAnswered& answer, Step& step)
+{
+    Worker* worker = addressee(answer.worker, answer.token);
+    LiveRun* run = worker ? takeAnswer(*worker, answer.run, answer.clock, step.now) : nullptr;
+    if (!run)
+        return;
+    if (answer.outcome == OrderOutcome::OtherLifetime)
+        lifetimeOver(*worker, "another lifetime answers", step);
+    else if (answer.outcome == OrderOutcome::Accepted && !run->stopAcceptedAt)
+        run->stopAcceptedAt = step.now;
+}
+
+} // namespace anvilmoor::batch
