Test that workers on which nothing advances get nothing new, and that urgent work goes to fast ones

The stand-in worker has a speed; with 0 what it runs stands still. The second test also covers a change of the leader: the speeds come from the store. Neither was tried without the code that it covers.

--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(testCancelStopsRunsWithinItsBound);
     CPPUNIT_TEST(testJobThatAlwaysFailsIsFailedAfterItsAttempts);
     CPPUNIT_TEST(testWorkerThatFailsEverythingIsLeftOut);
+    CPPUNIT_TEST(testWorkerOnWhichNothingAdvancesGetsNothingNew);
+    CPPUNIT_TEST(testUrgentWorkGoesToTheFastestWorkerAlsoUnderTheNextLeader);
     CPPUNIT_TEST(testGuaranteedWorkStartsWithinReclaimTime);
     CPPUNIT_TEST(testEvictedWorkCompletesAfterwards);
     CPPUNIT_TEST(testGangStartsOnlyWhereAllOfItFits);
@@ -416,6 +418,45 @@
     }
 
     // The platform's bound is 2.7 s after the acceptance.
+    // Guards against work for a worker that answers every look while what it runs stands still.
+    void testWorkerOnWhichNothingAdvancesGetsNothingNew()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 2);
+        cluster.run(Milliseconds(500));
+        const JobId stuck = cluster.submit(1, "small", { makeStep(1, 2, Milliseconds(5'000)) });
+        runUntilStarted(cluster, stuck);
+        FakeWorker& hanging = workerOf(cluster, stuck);
+        hanging.speed = 0;
+        cluster.run(Milliseconds(3'000));
+        // By its room alone it would be taken before the idle one.
+        const JobId job = cluster.submit(1, "urgent", { makeStep(2, 2) });
+        requireCompleted(cluster, job, Milliseconds(3'000));
+        hanging.speed = 1;
+        requireCompleted(cluster, stuck, Milliseconds(8'000));
+        const JobId later = cluster.submit(1, "small", { makeStep(16, 1) });
+        requireCompleted(cluster, later, Milliseconds(3'000));
+    }
+
+    // Guards against urgent work on slow workers, and against a new leader that knows nothing of speeds.
+    void testUrgentWorkGoesToTheFastestWorkerAlsoUnderTheNextLeader()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 4);
+        cluster.worker(2).speed = 1.5;
+        cluster.run(Milliseconds(500));
+        for (int i = 0; i < 4; ++i) {
+            const JobId teacher = cluster.submit(1, "small", { makeStep(4, 8, Milliseconds(4'000)) });
+            requireCompleted(cluster, teacher);
+        }
+        cluster.run(Milliseconds(2'500));
+        cluster.kill(*cluster.leader());
+        cluster.run(Milliseconds(3'000));
+        const JobId job = cluster.submit(2, "urgent", { makeStep(1, 8) });
+        runUntilStarted(cluster, job);
+        CPPUNIT_ASSERT(&workerOf(cluster, job) == &cluster.worker(2));
+    }
+
     void testGuaranteedWorkStartsWithinReclaimTime()
     {
         BatchCluster cluster;
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -150,7 +150,7 @@
                 ends.emplace_back(task, RunEnd::GangIncomplete);
             continue;
         }
-        run.worked += passed;
+        run.worked += std::chrono::duration_cast<Milliseconds>(passed * speed);
         run.checkpoint = std::to_string(run.worked / checkpointInterval * checkpointInterval.count());
         if (isFailing)
             ends.emplace_back(task, RunEnd::Failed);
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -51,6 +51,7 @@
     batch::WorkerRecord record;
     bool isReachable = true; // by the daemons
     bool isFailing = false; // every run ends as failed after a moment
+    double speed = 1; // work done in a unit of time; 0: whatever runs here stands still
     // How long a task of the job works; how many tasks its gang has (1: no gang).
     std::function<Milliseconds(const batch::TaskId&)> durationOf;
     std::function<bool(const batch::RunId&)> isGangPresent;
