Count any answer of the store as its return for a candidate

Ruled out: a longer delay for small hosts. On sites that have no large ones each takeover would take as much longer.

An answer about the configuration counts as well.

--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -83,6 +83,8 @@
 
 void BatchReducer::on(const ConfigurationFollowed& news, Step& step)
 {
+    // After an outage the question about the lease may hang for longer than this one.
+    m_lease.noteAnswer(step.now);
     if (m_configuration.followed(news))
         step.record("configuration.in_force",
             { { "version", std::to_string(m_configuration.current().version) },
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -17,7 +17,7 @@
 constexpr Milliseconds leaseDuration { 1'100 };
 // A candidate waits this much longer: clocks that differ by 2%, and the way of an order to its worker.
 constexpr Milliseconds leaseMargin { 150 };
-// A daemon that has had no answer about the lease for this long has lost the store: it has one every 1.2 s at
+// A daemon that has had no answer of the store for this long has lost the store: it has one every 1.2 s at
 // least, and a slow store takes some 0.4 s.
 constexpr Milliseconds contactLostAfter { 2'000 };
 // A leader commits at least this often.
@@ -69,7 +69,7 @@
 
     // The row as the store answered it, as far as is known; empty: there is none.
     void observe(const std::optional<Row>&, TimePoint now, StoreClock answeredAt);
-    // The store has answered that the row is unchanged, or what it is now.
+    // The store has answered this daemon, about the row or about anything else.
     void noteAnswer(TimePoint now);
     // True once the holder has let it lapse or has released it, and this daemon has been in touch with the
     // store since for its delay at least.
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -1,3 +1,4 @@
+#include "batch/reducer/batch_reducer.h"
 #include "batch/store/commit_pipeline.h"
 #include "batch/store/leader_lease.h"
 #include "batch/store/tables.h"
@@ -28,6 +29,7 @@
     CPPUNIT_TEST(testRowOfAnEarlierVersionIsRead);
     CPPUNIT_TEST(testNobodyClaimsWithoutTheStore);
     CPPUNIT_TEST(testDelaysCountFromTheReturnOfTheStore);
+    CPPUNIT_TEST(testAnyAnswerOfTheStoreCountsAsItsReturn);
     CPPUNIT_TEST_SUITE_END();
 
     struct Candidate {
@@ -306,6 +308,27 @@
         CPPUNIT_ASSERT(small.isFree(m_now + Milliseconds(500)));
     }
 
+    // Guards against a large host that leaves the lease to small ones because its question about it hangs
+    // (grown lbgia, scale-1, on 2a03e21: a small host led at 36.5 s and could not load).
+    void testAnyAnswerOfTheStoreCountsAsItsReturn()
+    {
+        Candidate first("a");
+        claim(first);
+        BatchSettings settings;
+        settings.daemonName = { "b", "1" };
+        BatchReducer second(settings);
+        const auto handle = [&](EventPayload payload) {
+            return second.handle({ m_now, {}, 1, std::move(payload) });
+        };
+        handle(RowsFollowed { OwnTable::Lease, true, { *leaseRow() }, m_now });
+        m_now += Milliseconds(5'000);
+        CPPUNIT_ASSERT(handle(Tick {}).empty());
+        handle(ConfigurationFollowed { {}, m_now });
+        const std::vector<Effect> effects = handle(Tick {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, effects.size());
+        CPPUNIT_ASSERT(std::holds_alternative<Commit>(effects.front()));
+    }
+
     void testRowOfAnEarlierVersionIsRead()
     {
         const std::string row("\x94\xa1\x61\x07\x03\x80"); // ["a", 7, 3, {}]
