--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -12,8 +12,8 @@
 
 // Confirms the configuration every 0.6 s, and brings changes at once.
 constexpr FollowRhythm configurationRhythm { Milliseconds(600), Milliseconds(0) };
-// The leader rewrites its lease with every commit; a candidate needs to see that it does, not each time: the row
-// says how old it is.
+// The leader rewrites its lease with every commit; a candidate needs to see that it does, not each time: the
+// row says how old it is.
 constexpr FollowRhythm leaseRhythm { Milliseconds(600), Milliseconds(600) };
 constexpr FollowRhythm jobRhythm { Milliseconds(1'000), Milliseconds(0) };
 // Workers report every 1.5 s each; many reports are read together.
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -13,8 +13,8 @@
 constexpr Milliseconds shutdownLinger { 2'600 };
 // Before SIGKILL, so that the last answers leave the host.
 constexpr Milliseconds shutdownMargin { 700 };
-// The configuration is confirmed every 0.6 s, or every second by a slow store. A daemon that misses this has most
-// likely lost the store, and new connections are better served elsewhere.
+// The configuration is confirmed every 0.6 s, or every second by a slow store. A daemon that misses this has
+// most likely lost the store, and new connections are better served elsewhere.
 constexpr Milliseconds readyWithin { 1'300 };
 
 } // namespace
