--- a/src/batch/jobs/job_codec.cpp
+++ b/src/batch/jobs/job_codec.cpp
@@ -1,6 +1,7 @@
 #include "batch/jobs/job_codec.h"
 
 #include "batch/jobs/job_progress.h"
+#include "batch/store/message_pack.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -21,12 +22,6 @@
     SpareCpu = 32U,
 };
 
-std::string toBytes(const Json& document)
-{
-    const std::vector<std::uint8_t> bytes = Json::to_msgpack(document);
-    return { bytes.begin(), bytes.end() };
-}
-
 unsigned flagsOf(const StepSpecification& step)
 {
     return (step.isGang ? Gang : 0U) | (step.needsOneRack ? OneRack : 0U)
@@ -122,10 +117,10 @@
     for (const StepSpecification& step : job.specification.steps)
         steps.push_back(encodeStep(step));
     const Schedule& schedule = job.specification.schedule;
-    return toBytes(Json::array({ job.specification.id.value(), job.specification.payload, std::move(steps),
-        schedule.firstDue.time_since_epoch().count(), schedule.interval.count(), schedule.occurrences,
-        job.terms.queue, job.terms.service.value(), job.terms.account.value(), job.terms.priority,
-        job.terms.maxAttempts, job.terms.stretch, job.terms.latencyTarget.count(),
+    return toMessagePack(Json::array({ job.specification.id.value(), job.specification.payload,
+        std::move(steps), schedule.firstDue.time_since_epoch().count(), schedule.interval.count(),
+        schedule.occurrences, job.terms.queue, job.terms.service.value(), job.terms.account.value(),
+        job.terms.priority, job.terms.maxAttempts, job.terms.stretch, job.terms.latencyTarget.count(),
         job.acceptedAt.time_since_epoch().count() }));
 }
 
@@ -155,7 +150,7 @@
     Json occurrences = Json::array();
     for (const auto& [number, steps] : m_occurrences)
         occurrences.push_back(encodeOccurrence(steps));
-    return toBytes(Json::array({ static_cast<int>(m_state), m_hasBegun, std::move(occurrences) }));
+    return toMessagePack(Json::array({ static_cast<int>(m_state), m_hasBegun, std::move(occurrences) }));
 }
 
 std::optional<std::string> JobProgress::restoreProgress(std::string_view bytes)
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -70,7 +70,7 @@
             continue;
         const int tasks = tasksThatFit(request, worker, worker.room);
         if (tasks > 0)
-            fits.push_back({ index, tasks });
+            fits.push_back({ index, tasks, speedBand(worker) });
     }
     return fits;
 }
@@ -87,10 +87,9 @@
     std::sort(fits.begin(), fits.end(), [&](const Fit& a, const Fit& b) {
         const auto rank = [&](const Fit& fit) {
             const WorkerCapacity& worker = view.workers()[fit.worker];
-            const int band = speedBand(worker);
             return std::tuple(!isLocal(request, worker.rack), request.prefersFastWorkers && worker.isIdle(),
-                request.prefersFastWorkers ? -band : 0, worker.room.accelerators, worker.room.memoryMb,
-                worker.room.cpuMillicores, band, fit.worker);
+                request.prefersFastWorkers ? -fit.speedBand : 0, worker.room.accelerators,
+                worker.room.memoryMb, worker.room.cpuMillicores, fit.speedBand, fit.worker);
         };
         return rank(a) < rank(b);
     });
@@ -132,11 +131,11 @@
     });
 }
 
-int PackingPlacement::slowestBand(const CapacityView& view, std::span<const Fit> chosen)
+int PackingPlacement::slowestBand(std::span<const Fit> chosen)
 {
     int slowest = std::numeric_limits<int>::max();
     for (const Fit& fit : chosen)
-        slowest = std::min(slowest, speedBand(view.workers()[fit.worker]));
+        slowest = std::min(slowest, fit.speedBand);
     return slowest;
 }
 
@@ -151,10 +150,12 @@
         for (const auto& [rack, workers] : view.racks()) {
             std::vector<Fit> fits = fitsOn(request, view, workers);
             const int places = placesOn(request, view, fits);
+            if (best && !request.prefersFastWorkers && places >= bestRank.second)
+                continue;
             auto chosen = choose(request, view, std::move(fits));
             if (!chosen)
                 continue;
-            const int slowness = request.prefersFastWorkers ? -slowestBand(view, *chosen) : 0;
+            const int slowness = request.prefersFastWorkers ? -slowestBand(*chosen) : 0;
             const std::pair rank(slowness, places);
             if (best && rank >= bestRank)
                 continue;
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -17,6 +17,7 @@
     struct Fit {
         std::size_t worker = 0;
         int tasks = 0;
+        int speedBand = 0; // higher is faster
     };
 
     static std::vector<Fit> fitsOn(
@@ -25,7 +26,7 @@
         const PlacementRequest&, const CapacityView&, std::vector<Fit> fits);
     // Tasks of this size that the workers have room for, beyond those of the unit too.
     static int placesOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
-    static int slowestBand(const CapacityView&, std::span<const Fit> chosen);
+    static int slowestBand(std::span<const Fit> chosen);
     static std::vector<WorkerLifetime> take(
         const PlacementRequest&, CapacityView&, std::span<const Fit> chosen);
 };
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -1,5 +1,7 @@
 #include "batch/store/leader_lease.h"
 
+#include "batch/store/message_pack.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -9,9 +11,8 @@
 
 std::string encodeLease(const LeaseRecord& record)
 {
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(nlohmann::json::array(
+    return toMessagePack(nlohmann::json::array(
         { record.holder, record.epoch, record.sequence, record.waitingJobs, record.sentAt }));
-    return { bytes.begin(), bytes.end() };
 }
 
 tl::expected<LeaseRecord, std::string> decodeLease(std::string_view bytes)
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -127,7 +127,7 @@
     if (outcome == OrderOutcome::NoRoom)
         worker.roomDoubtedUntil = step.now + roomDoubt;
     if (outcome == OrderOutcome::Rejected)
-        worker.health.runStalled(step.now);
+        worker.health.orderRefused(step.now);
     if (run.phase == RunPhase::Stopping)
         return;
     if (run.mayStartLate) {
--- a/src/batch/workers/speed_rows.cpp
+++ b/src/batch/workers/speed_rows.cpp
@@ -1,5 +1,6 @@
 #include "batch/workers/speed_rows.h"
 
+#include "batch/store/message_pack.h"
 #include "batch/store/tables.h"
 
 #include <algorithm>
@@ -39,8 +40,7 @@
             speeds.push_back(Json::array(
                 { lifetime.id.value(), lifetime.bornAt, std::lround(worker.speed.value() * scale), weight }));
     }
-    const std::vector<std::uint8_t> bytes = Json::to_msgpack(speeds);
-    return { speedKey(index), { bytes.begin(), bytes.end() } };
+    return { speedKey(index), toMessagePack(speeds) };
 }
 
 std::optional<std::string> restoreSpeeds(std::string_view bytes, WorkerPool& pool)
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -36,7 +36,7 @@
         suspect(now);
 }
 
-void WorkerHealth::runStalled(TimePoint now) { suspect(now); }
+void WorkerHealth::orderRefused(TimePoint now) { suspect(now); }
 
 void WorkerHealth::suspect(TimePoint now)
 {
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -13,9 +13,8 @@
 public:
     void runSucceeded();
     void runFailed(TimePoint now);
-    // A run stood still, or the worker refused an order as unhealthy. Counts more than a failure, which may
-    // be the run's own fault.
-    void runStalled(TimePoint now);
+    // The worker refused an order as unhealthy. Counts more than a failure, which may be the run's own fault.
+    void orderRefused(TimePoint now);
 
     // What runs here does not advance. Returns whether that is news.
     bool noteStall(TimePoint now);
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -46,9 +46,8 @@
 StartAnswered FakeWorker::start(const StartRun& order)
 {
     StartAnswered answer { order.worker, order.token, order.run, OrderOutcome::Accepted, clock() };
-    if (order.worker.bornAt != record.lifetime.bornAt)
-        answer.outcome = OrderOutcome::OtherLifetime;
-    else if (order.token < m_highestToken || order.leaseUntil <= clock())
+    answer.outcome = outcomeFor(order.worker, order.token);
+    if (answer.outcome == OrderOutcome::Accepted && order.leaseUntil <= clock())
         answer.outcome = OrderOutcome::Outdated;
     if (answer.outcome != OrderOutcome::Accepted)
         return answer;
@@ -77,13 +76,17 @@
     return answer;
 }
 
+OrderOutcome FakeWorker::outcomeFor(const WorkerLifetime& meant, std::uint64_t token) const
+{
+    if (meant.bornAt != record.lifetime.bornAt)
+        return OrderOutcome::OtherLifetime;
+    return token < m_highestToken ? OrderOutcome::Outdated : OrderOutcome::Accepted;
+}
+
 StopAnswered FakeWorker::stop(const StopRun& order)
 {
     StopAnswered answer { order.worker, order.token, order.run, OrderOutcome::Accepted, clock() };
-    if (order.worker.bornAt != record.lifetime.bornAt)
-        answer.outcome = OrderOutcome::OtherLifetime;
-    else if (order.token < m_highestToken)
-        answer.outcome = OrderOutcome::Outdated;
+    answer.outcome = outcomeFor(order.worker, order.token);
     if (answer.outcome != OrderOutcome::Accepted)
         return answer;
     m_highestToken = order.token;
@@ -98,10 +101,7 @@
 HoldAnswered FakeWorker::hold(const HoldWorker& order)
 {
     HoldAnswered answer { order.worker, order.token, OrderOutcome::Accepted };
-    if (order.worker.bornAt != record.lifetime.bornAt)
-        answer.outcome = OrderOutcome::OtherLifetime;
-    else if (order.token < m_highestToken)
-        answer.outcome = OrderOutcome::Outdated;
+    answer.outcome = outcomeFor(order.worker, order.token);
     if (answer.outcome != OrderOutcome::Accepted)
         return answer;
     m_highestToken = order.token;
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -62,6 +62,8 @@
     std::function<batch::Resources(const batch::TaskId&)> resourcesOf;
 
 private:
+    // Accepted, unless the order is for another lifetime or from an earlier leader.
+    batch::OrderOutcome outcomeFor(const batch::WorkerLifetime&, std::uint64_t token) const;
     void end(const batch::TaskId&, batch::RunEnd);
     batch::WorkerClock clock() const;
 
