Reword comments and messages in include/anvilmoor/batch

They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/include/anvilmoor/batch/configuration.h
+++ b/include/anvilmoor/batch/configuration.h
@@ -8,26 +8,26 @@
 #include <string>
 #include <vector>
 
-// The configuration that the operators hold in the store.
+// The configuration that the operators keep in the platform's store.
 
 namespace anvilmoor::batch {
 
 struct QueueConfiguration {
     std::string name;
-    std::string host; // of the caller's request, without port
+    std::string host; // host of the caller's request, without port
     std::string pathPrefix;
     ServiceId service;
     int priority = 0;
     int maxAttempts = 1;
     double stretch = 1;
     Milliseconds latencyTarget { 0 };
-    bool isPublic = false; // callers need no key
+    bool isPublic = false; // callers need no API key
 };
 
 struct ClientAccountConfiguration {
     ClientAccountId name;
     std::vector<std::string> apiKeys;
-    std::int64_t guaranteedAccelerators = 0; // for jobs of priority 0, at all times
+    std::int64_t guaranteedAccelerators = 0; // always available to its jobs of priority 0
 };
 
 struct Configuration {
--- a/include/anvilmoor/batch/effect.h
+++ b/include/anvilmoor/batch/effect.h
@@ -12,7 +12,8 @@
 #include <variant>
 #include <vector>
 
-// What the daemon does. The reducer returns effects as data; the executor carries them out.
+// Effects: the actions that the daemon takes. The reducer returns them as data; the daemon's event loop
+// executes them.
 
 namespace anvilmoor::batch {
 
@@ -21,7 +22,7 @@
     std::string address;
     RunId run;
     std::string payload;
-    std::string checkpoint; // empty: from the beginning
+    std::string checkpoint; // empty: the task starts from the beginning
     WorkerClock leaseUntil = 0;
     std::uint64_t token = 0;
 };
@@ -33,14 +34,14 @@
     std::uint64_t token = 0;
 };
 
-// Asks for a worker's runs and, if a lease is given, extends it.
+// Requests the status of a worker's runs and, if `leaseUntil` is given, extends the worker's lease.
 struct HoldWorker {
     WorkerLifetime worker;
     std::string address;
     std::uint64_t token = 0;
-    std::uint64_t acknowledgedEnd = 0; // ends up to this one may be forgotten
+    std::uint64_t acknowledgedEnd = 0; // the worker may discard ended runs up to this sequence number
     std::optional<WorkerClock> leaseUntil;
-    Milliseconds wait { 0 }; // the answer waits this long for an end
+    Milliseconds wait { 0 }; // long poll: the worker waits this long for a run to end
 };
 
 struct Commit {
@@ -48,14 +49,15 @@
     Transaction transaction;
 };
 
-// Reads the rows of a range of keys; `until` is excluded, and empty for all.
+// Reads the rows from `from` up to, but not including, the key `until`. An empty `until` means the end of the
+// part.
 struct ReadRows {
     OperationId operation = 0;
     RowKey from;
     std::string until;
 };
 
-// Starts or stops following what only the leader needs: jobs and workers.
+// Starts or stops following the tables that only the leader needs: jobs and workers.
 struct FollowLeaderTables {
     bool isFollowing = false;
 };
@@ -70,7 +72,7 @@
     UnknownKey,
     Malformed,
     TooLarge,
-    NotAccepted, // certainly not stored; the caller may come back
+    NotAccepted, // the request was certainly not stored; the caller may retry
     OutcomeUnknown,
     NoConfiguration,
 };
--- a/include/anvilmoor/batch/event.h
+++ b/include/anvilmoor/batch/event.h
@@ -11,33 +11,33 @@
 #include <variant>
 #include <vector>
 
-// Everything that the daemon learns. Decisions depend on events and on nothing else.
+// Events: all input of the daemon. Decisions depend on events and on nothing else.
 
 namespace anvilmoor::batch {
 
 using CallerHandle = std::uint64_t;
 
-// Comes every tickInterval.
+// Delivered every tickInterval.
 struct Tick { };
 constexpr Milliseconds tickInterval { 20 };
 
-// SIGTERM.
+// The process has received SIGTERM.
 struct ShutdownRequested { };
 
 // --- callers
 
-// A query without a job id asks for the count of the queue's waiting jobs.
+// A query without a job id requests the number of jobs that wait in the queue.
 enum class CallerAction { Submit, Query, Cancel };
 
 struct CallerRequest {
     CallerHandle caller = 0;
     CallerAction action = CallerAction::Query;
     std::string host; // without port
-    std::string path; // without query
+    std::string path; // without query string
     std::string apiKey;
-    Milliseconds timeout { 0 }; // for how long the caller waits; 0: not stated
+    Milliseconds timeout { 0 }; // how long the caller waits for the answer; 0: not stated
     JobSpecification specification; // of a submission, without id
-    std::string problem; // of a submission: why its body is no job; empty if it is one
+    std::string problem; // of a submission: why its body is not a valid job; empty if it is
     std::size_t bodyBytes = 0;
 };
 
@@ -47,15 +47,15 @@
 
 // --- store
 
-// A table that the daemon follows, as a whole or as changes to it. `knownAt` is the time for which the news
-// hold: nothing that was written before it is missing.
+// The rows of a followed table: all of them, or those that have changed. `knownAt` is the time up to which
+// the table is known: every write before it is contained in this event or an earlier one.
 struct ConfigurationFollowed {
     std::vector<Configuration> versions; // oldest first; empty: nothing new
     TimePoint knownAt {};
 };
 
 struct WorkersFollowed {
-    bool isComplete = false; // what is not named is gone
+    bool isComplete = false; // all workers are listed; those not in `changed` no longer exist
     std::vector<WorkerRecord> changed;
     std::vector<WorkerId> removed;
     TimePoint knownAt {};
@@ -87,15 +87,15 @@
 
 struct StartAnswered {
     WorkerLifetime worker;
-    std::uint64_t token = 0; // that the order carried
+    std::uint64_t token = 0; // fencing token of the order
     RunId run;
     OrderOutcome outcome = OrderOutcome::Unknown;
-    WorkerClock clock = 0; // 0: not told
+    WorkerClock clock = 0; // 0: not reported
 };
 
 struct StopAnswered {
     WorkerLifetime worker;
-    std::uint64_t token = 0; // that the order carried
+    std::uint64_t token = 0; // fencing token of the order
     RunId run;
     OrderOutcome outcome = OrderOutcome::Unknown;
     WorkerClock clock = 0;
@@ -103,18 +103,18 @@
 
 struct HoldAnswered {
     WorkerLifetime worker;
-    std::uint64_t token = 0; // that the order carried
+    std::uint64_t token = 0; // fencing token of the order
     OrderOutcome outcome = OrderOutcome::Unknown;
-    WorkerStatus status; // if accepted
+    WorkerStatus status; // valid only if the order was accepted
 };
 
 using EventPayload = std::variant<Tick, ShutdownRequested, CallerRequest, CallerGone, ConfigurationFollowed,
     WorkersFollowed, RowsFollowed, CommitAnswered, ReadAnswered, StartAnswered, StopAnswered, HoldAnswered>;
 
 struct Event {
-    TimePoint now; // goes on while the host is suspended
+    TimePoint now; // also advances while the host is suspended
     WallTime wallTime;
-    std::uint64_t random = 0; // fresh for each event
+    std::uint64_t random = 0; // a new random number for each event
     EventPayload payload;
 };
 
--- a/include/anvilmoor/batch/job.h
+++ b/include/anvilmoor/batch/job.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-// Jobs made of steps of tasks, as callers submit them.
+// Jobs as callers submit them. A job consists of steps, and each step of tasks.
 
 namespace anvilmoor::batch {
 
@@ -26,23 +26,23 @@
 struct StepSpecification {
     int taskCount = 1;
     Resources perTask;
-    Milliseconds estimatedDuration { 0 }; // of one task, roughly
-    std::vector<int> dependsOn; // earlier steps, by index, whose tasks must all be done
-    bool isGang = false; // the tasks work only while all of them are present
-    bool needsOneRack = false; // spread over racks, the tasks run slower
+    Milliseconds estimatedDuration { 0 }; // rough estimate for one task
+    std::vector<int> dependsOn; // indices of earlier steps whose tasks must all be done first
+    bool isGang = false; // the tasks make progress only while all of them are running
+    bool needsOneRack = false; // the tasks run slower if they are spread over several racks
     bool savesCheckpoints = false;
     bool allowsCopies = false; // copies of a task may run at the same time
     bool runsUntilCancelled = false;
     bool usesSpareCpu = false; // its CPU is not counted against a worker's capacity
     std::string requiredLabel; // empty: any worker
     std::string dataRack; // label of the rack that holds the data; elsewhere the tasks run slower
-    int maxTasksPerWorker = 0; // 0: any number
+    int maxTasksPerWorker = 0; // 0: no limit
 
-    // What each task counts against a worker's capacity.
+    // Resources that each task takes from its worker's capacity.
     Resources countedPerTask() const;
 };
 
-// When the steps run. A job without occurrences in time runs once, at once.
+// When the job runs. A job with zero occurrences has no schedule: it runs once, immediately.
 struct Schedule {
     WallTime firstDue {};
     Milliseconds interval { 0 };
@@ -51,19 +51,19 @@
 
 struct JobSpecification {
     JobId id;
-    std::string payload; // handed to each task as it is
+    std::string payload; // passed to each task unchanged
     std::vector<StepSpecification> steps;
     Schedule schedule;
 };
 
-// What the configuration said about the job's queue when the job was accepted.
+// The configuration of the job's queue at the time the job was accepted.
 struct QueueTerms {
     std::string queue;
     ServiceId service;
     ClientAccountId account;
-    int priority = 0; // 0 comes first
-    int maxAttempts = 1; // runs of a task that may fail
-    double stretch = 1; // the latency objective is stretch times the longest chain, and latencyTarget more
+    int priority = 0; // 0 is the highest priority
+    int maxAttempts = 1; // the job fails when a task has failed this many times
+    double stretch = 1; // latency objective: stretch times the longest chain of steps, plus latencyTarget
     Milliseconds latencyTarget { 0 };
 };
 
@@ -75,7 +75,7 @@
     // Jobs without a schedule have one occurrence.
     int occurrenceCount() const;
     WallTime dueAt(int occurrence) const;
-    // Time from acceptance within which the job is worth most.
+    // Latency objective, counted from dueAt(): an occurrence that ends later is worth little.
     Milliseconds objective() const;
 };
 
@@ -101,7 +101,7 @@
     auto operator<=>(const StepId&) const = default;
 };
 
-// One start of a task. Runs of a task are numbered from 1; the members of a gang share the number.
+// One execution of a task. The runs of a task are numbered from 1; the members of a gang share the number.
 struct RunId {
     TaskId task;
     int run = 0;
--- a/include/anvilmoor/batch/rows.h
+++ b/include/anvilmoor/batch/rows.h
@@ -9,14 +9,15 @@
 
 namespace anvilmoor::batch {
 
-using RowVersion = std::uint64_t; // from one counter that rises with each transaction; 0: no such row
+// Taken from one counter that increases with each transaction; 0: the row does not exist.
+using RowVersion = std::uint64_t;
 
-// ms on the store's own steady clock, as an answer states it; 0: not stated.
+// Milliseconds on the store's own steady clock, as reported in an answer; 0: not reported.
 using StoreClock = std::int64_t;
 
 struct RowKey {
     std::string table;
-    std::string part; // rows of one transaction share it
+    std::string part; // partition; all rows of one transaction are in the same one
     std::string key;
 
     auto operator<=>(const RowKey&) const = default;
@@ -34,24 +35,24 @@
     RowVersion version = 0;
 };
 
-// Applied as a whole if every row has its expected version, or not at all.
+// Applied atomically: either as a whole, if every row in `expected` has the given version, or not at all.
 struct Transaction {
     std::vector<ExpectedVersion> expected;
-    std::vector<Row> writes; // versions are ignored
+    std::vector<Row> writes; // their versions are ignored
     std::vector<RowKey> removals;
 };
 
 enum class CommitOutcome {
     Applied,
-    Conflict, // not applied; current rows are given
+    Conflict, // not applied; the reply contains the current rows
     Refused, // certainly not applied
-    Unknown, // no answer: it may have been applied, or be applied later
+    Unknown, // no answer: it may have been applied, or may still be applied
 };
 
 struct CommitReply {
     CommitOutcome outcome = CommitOutcome::Unknown;
     RowVersion version = 0; // if applied
-    std::vector<Row> current; // on a conflict: the expected rows as they are
+    std::vector<Row> current; // on a conflict: the rows in `expected` as currently stored
     StoreClock answeredAt = 0;
 };
 
--- a/include/anvilmoor/batch/worker.h
+++ b/include/anvilmoor/batch/worker.h
@@ -10,19 +10,20 @@
 #include <string>
 #include <vector>
 
-// Workers, and what they report about the runs on them.
+// Workers, and the reports of workers about their runs.
 
 namespace anvilmoor::batch {
 
-// One lifetime of a worker. A worker that restarts keeps its name, and knows nothing of before.
+// One lifetime of a worker, from one restart to the next. A restarted worker keeps its name but remembers
+// nothing of its earlier lifetimes.
 struct WorkerLifetime {
     WorkerId id;
-    std::int64_t bornAt = 0; // Unix ms, as the worker states it
+    std::int64_t bornAt = 0; // start of the lifetime in Unix ms, as reported by the worker
 
     auto operator<=>(const WorkerLifetime&) const = default;
 };
 
-// The worker's own steady clock, in ms. Up to 2% slow.
+// Milliseconds on the worker's own steady clock, which may be up to 2% slow.
 using WorkerClock = std::int64_t;
 
 struct WorkerRecord {
@@ -34,7 +35,7 @@
     std::string kind;
     RackId rack;
     bool isDraining = false;
-    Milliseconds remaining { 0 }; // least time that a draining worker stays
+    Milliseconds remaining { 0 }; // minimum time for which a draining worker stays available
 };
 
 enum class RunEnd {
@@ -42,18 +43,18 @@
     Failed,
     Stopped,
     LeaseExpired,
-    GangBroken, // another member ended
-    GangIncomplete, // the other members did not arrive in time
+    GangBroken, // another member of the gang ended
+    GangIncomplete, // the other members of the gang did not start in time
 };
 
 struct ActiveRun {
     RunId run;
     std::string checkpoint; // empty: none yet
-    int percent = 0; // of its work that is done; 100 also while it waits for the rest of its gang
+    int percent = 0; // completed share of its work; also 100 while it waits for the rest of its gang
 };
 
 struct EndedRun {
-    std::uint64_t sequence = 0; // from 1 in each lifetime
+    std::uint64_t sequence = 0; // counts from 1 in each lifetime of the worker
     RunId run;
     RunEnd end = RunEnd::Failed;
     std::string checkpoint;
@@ -63,16 +64,16 @@
     WorkerClock clock = 0;
     std::int64_t bornAt = 0;
     std::vector<ActiveRun> active;
-    std::vector<EndedRun> ended; // those not acknowledged yet, oldest first
+    std::vector<EndedRun> ended; // ended runs not acknowledged yet, oldest first
 };
 
 enum class OrderOutcome {
     Accepted,
-    Rejected, // nothing was done, and nothing will be
-    NoRoom, // rejected for want of capacity
-    Outdated, // a newer leader has called, or a newer run has been seen
-    OtherLifetime, // the lifetime that was meant is over
-    Unknown, // no answer: it may have been done, or be done later
+    Rejected, // the order had no effect and will have none
+    NoRoom, // rejected because the worker lacks the capacity
+    Outdated, // the worker knows of a newer leader or of a newer run
+    OtherLifetime, // the worker has restarted; the order named an earlier lifetime
+    Unknown, // no answer: it may have been executed, or may still be executed
 };
 
 } // namespace anvilmoor::batch
