Reword comments and messages in src/batch/placement

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -58,7 +58,8 @@
 
 void CapacityView::restore(const Hidden& hidden)
 {
-    // Backwards: a worker that was hidden twice gets its first room back.
+    // Restores in reverse order, so that a worker that was hidden twice gets back its original free
+    // resources.
     for (auto entry = hidden.rbegin(); entry != hidden.rend(); ++entry)
         m_workers[entry->first].room = entry->second;
 }
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -12,38 +12,41 @@
 
 namespace anvilmoor::batch {
 
-// A worker that may get new runs.
+// The capacity of a worker that accepts new runs.
 struct WorkerCapacity {
     WorkerLifetime lifetime;
     RackId rack;
     std::string kind;
     Resources room;
     Resources whole;
-    bool isOnTrial = false; // gets one task at the most, to show whether it is sound again
-    double speed = 1; // beside other workers; 1 is usual
+    bool isOnTrial = false; // takes at most one task, which shows whether the worker has recovered
+    double speed = 1; // relative to other workers; 1 is typical
 
     bool isIdle() const { return room == whole; }
     bool hasLabel(std::string_view label) const { return rack.value() == label || kind == label; }
 };
 
-// The free room of a service's workers, grouped by rack. Placement changes a copy as it goes.
+// The free resources of a service's workers, grouped by rack. A placement round works on its own copy and
+// updates it with each placement.
 class CapacityView {
 public:
     void add(WorkerCapacity);
 
     std::vector<WorkerCapacity>& workers() { return m_workers; }
     const std::vector<WorkerCapacity>& workers() const { return m_workers; }
-    // Indices into workers().
+    // Maps each rack to the indices of its workers in workers().
     const std::map<RackId, std::vector<std::size_t>>& racks() const { return m_racks; }
-    // Of the accelerators of all workers, the share that is in use.
+    // Returns the share of all workers' accelerators that is in use.
     double usedShare() const;
-    // Takes the room of up to `count` idle workers of each rack, the fastest ones, out of the view, until it
-    // is restored.
+    // The free resources of hidden workers, by index into workers().
     using Hidden = std::vector<std::pair<std::size_t, Resources>>;
+    // Sets the free resources of the `count` fastest idle workers of each rack to zero, until restore() is
+    // called.
     Hidden hideIdleWorkers(std::size_t count);
+    // Does the same for the given workers and adds them to the list for restore().
     void hide(const std::set<WorkerLifetime>&, Hidden&);
     void restore(const Hidden&);
-    // Null if the worker gets no new runs.
+    // Returns null if the worker does not accept new runs.
     WorkerCapacity* find(const WorkerLifetime&);
 
 private:
@@ -52,7 +55,7 @@
     std::map<WorkerLifetime, std::size_t> m_index;
 };
 
-// The workers that may get new runs now, by service.
+// Returns the workers that accept new runs at the time `now`, grouped by service.
 std::map<ServiceId, CapacityView> capacityOf(const WorkerPool&, TimePoint now);
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/eviction.cpp
+++ b/src/batch/placement/eviction.cpp
@@ -12,8 +12,9 @@
 
 constexpr double unaffordable = std::numeric_limits<double>::max();
 
-// Frees room for one task after the other within a group of workers, each time on the worker where that costs
-// least. Room that a chosen gang frees on other workers counts for the tasks that follow.
+// Greedy search within a group of workers: places one task at a time on the worker where making room for it
+// costs least. If a chosen victim is a gang, the resources that it frees on other workers are available to
+// the following tasks.
 class GroupSearch {
 public:
     GroupSearch(const PlacementRequest& request, const CapacityView& view,
@@ -34,7 +35,7 @@
         }
     }
 
-    // Stops early once the cost exceeds the limit.
+    // Returns nullopt if no plan costs less than `limit`. Stops searching as soon as the limit is reached.
     std::optional<EvictionPlan> run(double limit)
     {
         for (int task = 0; task < m_request.tasks; ++task) {
@@ -60,7 +61,7 @@
         const WorkerCapacity* worker = nullptr;
         Resources room;
         std::set<std::size_t> candidates;
-        int taken = 0; // tasks of the unit
+        int taken = 0; // number of the unit's tasks that this plan places here
     };
     struct Step {
         double cost = unaffordable;
@@ -69,7 +70,7 @@
 
     bool fitsOneMore(const Place& place, const Resources& room) const
     {
-        // The limit of tasks per worker counts those that this plan puts here.
+        // The limit of tasks per worker also counts the tasks that this plan has placed here.
         Resources free = room;
         for (int i = 0; i < place.taken; ++i)
             free += m_request.perTask;
@@ -86,8 +87,8 @@
         return freed;
     }
 
-    // Cheapest first for the accelerators that a candidate frees here; those that prove needless are left
-    // out.
+    // Selects victims on one worker until one more task fits, in ascending order of cost per accelerator that
+    // they free there. Then drops the victims whose resources turn out not to be needed.
     Step stepFor(const WorkerLifetime& lifetime, const Place& place) const
     {
         Step step;
--- a/src/batch/placement/eviction.h
+++ b/src/batch/placement/eviction.h
@@ -8,20 +8,21 @@
 
 namespace anvilmoor::batch {
 
-// Runs that can only be stopped together: a single one, or a gang.
+// Runs that can only be stopped together: a single run or all runs of a gang.
 struct EvictionCandidate {
-    std::vector<RunId> runs; // empty if they end by themselves as soon as a stop would end them
-    std::vector<std::pair<WorkerLifetime, Resources>> room; // that it would free, for each run
-    double cost = 0; // what the stop loses, in core-seconds
+    std::vector<RunId> runs; // empty if they end on their own as soon as a stop would end them
+    std::vector<std::pair<WorkerLifetime, Resources>> room; // resources that each run would free
+    double cost = 0; // work lost by the stop, in core-seconds
 };
 
 struct EvictionPlan {
-    std::vector<WorkerLifetime> workers; // one for each task of the unit
+    std::vector<WorkerLifetime> workers; // one per task of the unit
     std::vector<RunId> victims;
     double cost = 0;
 };
 
-// Chooses what to stop so that the unit fits, at the least cost. Empty if nothing helps.
+// Chooses the runs to stop so that the unit fits, at the lowest cost found. Returns nullopt if no eviction
+// makes enough room.
 std::optional<EvictionPlan> planEviction(
     const PlacementRequest&, const CapacityView&, const std::vector<EvictionCandidate>&);
 
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Of one worker, when racks are compared by their room.
+// Upper limit per worker of the tasks that are counted when racks are compared by free room.
 constexpr int mostTasksCounted = 64;
 
 int timesThatFit(std::int64_t need, std::int64_t room, int limit)
@@ -21,7 +21,8 @@
     return static_cast<int>(std::clamp<std::int64_t>(room / need, 0, limit));
 }
 
-// Workers in the same band count as equally fast: a tenth is within what few observations are wrong by.
+// Workers in the same band count as equally fast. A band is 10% wide, because a speed that is estimated from
+// few observations can be off by that much.
 int speedBand(const WorkerCapacity& worker)
 {
     constexpr double bandWidth = 0.1;
@@ -82,8 +83,9 @@
         fits.begin(), fits.end(), 0, [](int sum, const Fit& fit) { return sum + fit.tasks; });
     if (available < request.tasks)
         return std::nullopt;
-    // Near the data first. Urgent work takes the fastest of the used workers, then of the idle ones; other
-    // work takes workers with the least room left, and leaves the fast ones to urgent work.
+    // Workers in the data's rack come first. Urgent work takes the fastest partly used workers, then the
+    // fastest idle ones. Other work takes the workers with the fewest free resources, slower ones first, so
+    // that fast workers stay free for urgent work.
     std::sort(fits.begin(), fits.end(), [&](const Fit& a, const Fit& b) {
         const auto rank = [&](const Fit& fit) {
             const WorkerCapacity& worker = view.workers()[fit.worker];
@@ -143,8 +145,9 @@
     const PlacementRequest& request, CapacityView& view) const
 {
     if (request.tasks > 1 && request.step.needsOneRack) {
-        // The rack with the fewest places that still takes all; for urgent work, the one whose slowest worker
-        // is fastest, as a gang is as slow as that one.
+        // Selects the rack with room for the fewest tasks that still takes the whole gang. For urgent work,
+        // selects the rack whose slowest chosen worker is fastest, since a gang is only as fast as its
+        // slowest worker.
         std::optional<std::vector<Fit>> best;
         std::pair<int, int> bestRank;
         for (const auto& [rack, workers] : view.racks()) {
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -6,14 +6,14 @@
 
 namespace anvilmoor::batch {
 
-// Fills workers that are partly used before it breaks into idle ones, and takes the rack that is left with
-// the least room: small tasks leave whole workers and racks to the gangs that need them.
+// Best-fit placement: fills partly used workers before idle ones and prefers the rack that is left with the
+// fewest free resources. Small tasks thus leave whole workers and racks free for the gangs that need them.
 class PackingPlacement : public PlacementPolicy {
 public:
     std::optional<std::vector<WorkerLifetime>> place(const PlacementRequest&, CapacityView&) const override;
 
 private:
-    // How many tasks each of the workers can take.
+    // How many tasks a worker can take.
     struct Fit {
         std::size_t worker = 0;
         int tasks = 0;
@@ -24,7 +24,8 @@
         const PlacementRequest&, const CapacityView&, std::span<const std::size_t> workers);
     static std::optional<std::vector<Fit>> choose(
         const PlacementRequest&, const CapacityView&, std::vector<Fit> fits);
-    // Tasks of this size that the workers have room for, beyond those of the unit too.
+    // Counts the tasks of this size for which the workers have room, not limited to the number of the unit's
+    // tasks.
     static int placesOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
     static int slowestBand(std::span<const Fit> chosen);
     static std::vector<WorkerLifetime> take(
--- a/src/batch/placement/placement_policy.h
+++ b/src/batch/placement/placement_policy.h
@@ -12,32 +12,35 @@
 
 namespace anvilmoor::batch {
 
-// What a placement needs to know of a unit.
+// The requirements of a unit that is to be placed.
 struct PlacementRequest {
     const StepSpecification& step;
-    Resources perTask; // what counts against a worker's capacity
+    Resources perTask; // resources that each task takes from its worker's capacity
     int tasks = 1; // to be placed together
-    // Of the step's tasks, how many run on a worker already. Counts only with a limit per worker.
+    // Number of the step's tasks that each worker already has. Used only if the step has a limit per worker.
     std::map<WorkerLifetime, int> siblings;
-    const std::set<WorkerLifetime>* avoided = nullptr; // workers on which the job has failed; may be null
+    // Workers on which the job has failed; may be null.
+    const std::set<WorkerLifetime>* avoided = nullptr;
     bool prefersFastWorkers = false; // its objective leaves little time
-    bool mayUseSlowPlaces = false; // racks without the data, or several racks for a gang that needs one
+    // Allows racks without the step's data, and several racks for a gang that asks for one.
+    bool mayUseSlowPlaces = false;
 };
 
-// Chooses workers for a task or for a whole gang.
+// Chooses workers for a single task or for a whole gang.
 class PlacementPolicy {
 public:
     virtual ~PlacementPolicy() = default;
 
-    // One worker for each task, taken out of the view's room; empty if they do not all fit.
+    // Returns one worker per task and deducts the tasks' resources from the view. Returns nullopt, with the
+    // view unchanged, if the tasks do not all fit.
     virtual std::optional<std::vector<WorkerLifetime>> place(
         const PlacementRequest&, CapacityView&) const = 0;
 };
 
-// How many of the unit's tasks the worker could take if it had that room.
+// Returns how many of the unit's tasks the worker could take if `room` were its free resources.
 int tasksThatFit(const PlacementRequest&, const WorkerCapacity&, const Resources& room);
 
-// True if the unit could be placed on these workers if they were idle.
+// Returns whether the unit would fit on these workers if all of them were idle.
 bool couldEverFit(const PlacementRequest&, const CapacityView&);
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -7,29 +7,34 @@
 
 namespace {
 
-// Victims are gone after their stop; room that is not there by then is offered to all again.
+// How long room is reserved for the unit for which runs were evicted. Evicted runs have ended once they are
+// stopped; room that is still not free after this time is offered to all units again.
 constexpr Milliseconds reservationTime { 2'500 };
 
-// Idle workers that each rack keeps, for each step down in priority.
+// Number of idle workers per rack that are kept free from work of priority 1; twice as many are kept free
+// from work of lower priority.
 constexpr int headroomPerPriority = 2;
-// Of the accelerators.
+// Headroom is kept only if at least this share of the accelerators is in use.
 constexpr double headroomFromShare = 0.6;
-// Room is kept for urgent work only while such work comes.
+// Headroom is kept only if there has been unfinished urgent work within this time.
 constexpr Milliseconds urgentMemory { 3'000 };
 
-// Waiting gangs for which workers are held at a time; each leaves workers partly idle for a while.
+// Maximum number of waiting gangs for which workers are held at the same time. Each hold leaves workers
+// partly idle for a while.
 constexpr int mostHolds = 2;
 
-// An accelerator counts as this many cores in the price of lost work.
+// An accelerator counts as this many cores in the cost of lost work.
 constexpr double coresPerAccelerator = 8;
 
-// What a checkpointed run loses by a stop: the time to restore it.
+// A run with checkpoints loses at most this much work by a stop: the time to restore it.
 constexpr double restoreSeconds = 0.2;
 
-// A stopped run has to find room again: part of its work counts as lost with it, more with each stop that its
-// job has suffered, and less urgent work counts less.
+// A stopped run has to be placed again, so this share of its estimated duration is added to the cost of a
+// stop.
 constexpr double replacementShare = 0.2;
+// Each earlier eviction of the job raises the cost of a stop by this factor of the base cost.
 constexpr double stopPenalty = 1.0;
+// Less urgent work costs less to stop: runs below priority 1 have the weight 1.
 constexpr double weightOfPriorityOne = 3;
 
 double coresOf(const Resources& resources)
@@ -95,7 +100,8 @@
 {
     for (PlacementUnit& unit : waiting.job->unitsOf(waiting.position)) {
         const WaitingUnit each { std::move(unit), waiting.job, waiting.failedOn, waiting.isGuaranteed };
-        // The other tasks of the step need the same.
+        // The step's other tasks need the same resources and would not fit either. Urgent steps go on,
+        // because each of their units may evict other work.
         if (!placeUnit(each, views, outcome, now, wallTime) && waiting.job->job().terms.priority)
             return;
     }
@@ -163,7 +169,8 @@
 {
     const StepSpecification& step = waiting.job->specificationOf(waiting.unit.step);
     PlacementRequest request { step, step.countedPerTask(), static_cast<int>(waiting.unit.tasks.size()) };
-    // Its failures may be the job's own fault, but those of a bad worker must not use up its attempts.
+    // A failure may be the job's own fault, but a faulty worker must not use up the job's attempts, so
+    // workers on which the job has failed are avoided as long as the unit could fit on others.
     request.avoided = waiting.failedOn;
     request.prefersFastWorkers = !waiting.job->job().terms.priority;
     if (!waiting.failedOn->empty() && !couldEverFit(request, view))
@@ -179,8 +186,8 @@
     }
     if (!step.needsOneRack && step.dataRack.empty())
         return request;
-    // A slow place is worth it only if the fast ones can never take the unit, or for a step that has waited
-    // so long that even a slow run would have been done.
+    // Placement away from the data or across racks is slow. It pays off only if the unit can never fit
+    // otherwise, or if it has waited so long that even a slow run would have finished by now.
     const Milliseconds waited = wallTime - waiting.job->job().dueAt(waiting.unit.occurrence);
     request.mayUseSlowPlaces = waited > waiting.job->job().objective();
     if (request.mayUseSlowPlaces)
@@ -189,7 +196,7 @@
     return request;
 }
 
-// True if the fast places could not take the unit even if they were idle.
+// Returns whether the unit does not fit within its locality constraints even if all workers were idle.
 bool PlacementRound::needsSlowPlaces(
     const PlacementRequest& request, const Shape& shape, const CapacityView& view)
 {
@@ -234,7 +241,7 @@
         reserve(view, reservation->second, true);
         return false;
     }
-    // Late work gains little by a stop.
+    // Late work gains little from an eviction, so it may evict only if it is guaranteed.
     const AcceptedJob& job = waiting.job->job();
     const bool isInTime
         = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
@@ -247,8 +254,8 @@
     return false;
 }
 
-// Less urgent work leaves idle workers in each rack, so that urgent gangs start without a stop; but only
-// while most of the service is in use.
+// Keeps less urgent work off some idle workers in each rack, so that urgent gangs can start without
+// evictions. Applies only while most of the service is in use.
 std::optional<std::vector<WorkerLifetime>> PlacementRound::placeWithHeadroom(
     const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now) const
 {
@@ -266,7 +273,9 @@
     return workers;
 }
 
-// Keeps the workers where a waiting gang will fit soonest from filling up with less urgent work.
+// Reserves workers for a waiting gang against less urgent work, so that the resources that become free there
+// are not taken by small tasks. Chooses workers on which the gang fits once their less urgent runs have
+// ended.
 void PlacementRound::holdFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view)
 {
     if (m_holds >= mostHolds)
@@ -288,7 +297,8 @@
     m_held.insert(workers->begin(), workers->end());
 }
 
-// Its room is free soon without another stop. Room that was promised to others is out of the view already.
+// Returns whether the run ends within the stop timeout without a further stop. Its resources may be promised
+// to the unit at hand: those reserved for other units are already deducted from the view.
 bool PlacementRound::isEnding(const Worker& worker, const LiveRun& run, TimePoint now) const
 {
     if (run.phase == RunPhase::Stopping || m_victims.contains(run.id))
@@ -297,7 +307,7 @@
     return end && *end <= worker.clockAt(now) + m_stopTimeout.count();
 }
 
-// What a stop of the run loses, in core-seconds that count less for less urgent work.
+// Returns the cost of stopping the run in core-seconds, weighted by priority: less urgent work costs less.
 double PlacementRound::priceOfStop(const LiveRun& run, const StepSpecification& step, TimePoint now) const
 {
     const TimePoint since = run.acceptedAt.value_or(now);
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -19,14 +19,14 @@
 
 struct PlacementDecision {
     PlacementUnit unit;
-    std::vector<WorkerLifetime> workers; // one for each task
+    std::vector<WorkerLifetime> workers; // one per task
 };
 
-// Work that is stopped to make room.
+// Runs that are stopped to make room for another job.
 struct Eviction {
     std::vector<RunId> victims;
     JobId beneficiary;
-    double cost = 0; // what the stops lose, in weighted core-seconds
+    double cost = 0; // work lost by the stops, in weighted core-seconds
 };
 
 struct PlacementOutcome {
@@ -34,15 +34,16 @@
     std::vector<Eviction> evictions;
 };
 
-// One look at everything that waits: offers room in the order of the queue, and makes room for urgent work by
-// evicting other work. Room that is made is kept for the unit for which it was made until it arrives there.
+// Considers all waiting units in queue order, places those that fit, and evicts other work to make room for
+// urgent units. Room made by an eviction stays reserved for its unit until the unit is placed or the
+// reservation expires. Reservations persist from one round to the next.
 class PlacementRound {
 public:
-    // A run that is told to stop is gone after the stop timeout at the latest.
+    // A run that is told to stop ends within the stop timeout.
     PlacementRound(const PlacementPolicy&, const QueueOrder&, Milliseconds stopTimeout);
 
     PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
-    // Forgets all reserved room.
+    // Discards all reservations and eviction counts.
     void clear()
     {
         m_reservations.clear();
@@ -64,14 +65,15 @@
         ServiceId service;
         TimePoint until {};
     };
-    // One unit of a waiting step.
+    // A placement unit of a waiting step.
     struct WaitingUnit {
         PlacementUnit unit;
         const JobProgress* job = nullptr;
         const std::set<WorkerLifetime>* failedOn = nullptr;
         bool isGuaranteed = false;
     };
-    // Of a unit that found no room; units that need as much are passed over without another search.
+    // What a unit requires. Once a unit has found no room, others of the same shape are skipped without
+    // another search.
     struct Shape {
         ServiceId service;
         int tasks = 0;
@@ -101,7 +103,7 @@
     bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     bool needsSlowPlaces(const PlacementRequest&, const Shape&, const CapacityView&);
-    // False if no eviction makes room.
+    // Returns false if no eviction makes enough room.
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeWithHeadroom(
@@ -115,17 +117,17 @@
     const QueueOrder& m_order;
     const Milliseconds m_stopTimeout;
     std::map<UnitKey, Reservation> m_reservations;
-    std::map<JobId, int> m_stops; // evictions that a job has suffered
-    std::optional<TimePoint> m_urgentSeenAt; // a job of priority 0 that had not ended
-    // Of the round at hand.
+    std::map<JobId, int> m_stops; // number of evictions per job
+    std::optional<TimePoint> m_urgentSeenAt; // last time with an unfinished job of priority 0
+    // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
     std::set<Shape> m_failed;
     std::map<Shape, bool> m_needsSlowPlaces;
     std::set<RunId> m_victims;
-    std::set<WorkerLifetime> m_held; // for waiting gangs, against less urgent work
+    std::set<WorkerLifetime> m_held; // kept for waiting gangs, closed to less urgent work
     int m_holds = 0;
-    // Tasks of steps with a limit per worker that this round has placed.
+    // Number of tasks placed in this round per worker, for steps with a limit per worker.
     std::map<UnitKey, std::map<WorkerLifetime, int>> m_siblings;
 };
 
--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -11,7 +11,7 @@
 struct Rank {
     bool isNotGuaranteed = false;
     int priority = 0;
-    int lateness = 0; // 0: in time, 1: late, 2: worth nothing any more
+    int lateness = 0; // 0: can meet its objective, 1: late, 2: too late to have any value
     WallTime deadline {};
     const JobId* job = nullptr;
     int step = 0;
@@ -21,7 +21,7 @@
 
 Rank rankOf(const WaitingStep& waiting, WallTime now)
 {
-    // A job is worth little after its objective, and nothing after three times that.
+    // A job that ends after its objective has little value, and none after three times the objective.
     constexpr int worthlessAfter = 3;
     const AcceptedJob& job = waiting.job->job();
     const WallTime start = job.dueAt(waiting.position.occurrence);
--- a/src/batch/placement/queue_order.h
+++ b/src/batch/placement/queue_order.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor::batch {
 
-// A step whose turn has come, with tasks that wait for room.
+// A step whose dependencies are complete and that has tasks waiting to be placed.
 struct WaitingStep {
     StepPosition position;
     const JobProgress* job = nullptr;
@@ -16,7 +16,7 @@
     bool isGuaranteed = false; // covered by its client account's guarantee
 };
 
-// Decides who is offered room first.
+// Determines the order in which waiting steps are placed.
 class QueueOrder {
 public:
     virtual ~QueueOrder() = default;
@@ -24,8 +24,8 @@
     virtual void sort(std::vector<WaitingStep>&, WallTime now) const = 0;
 };
 
-// Guaranteed work first, then by priority. Within a priority, jobs that can still meet their objective come
-// before those that are late anyway, and the one whose objective ends first leads.
+// Puts guaranteed work first, then sorts by priority. Within a priority, jobs that can still meet their
+// objective come before late ones; among these, the earliest objective deadline comes first.
 class ObjectiveOrder : public QueueOrder {
 public:
     void sort(std::vector<WaitingStep>&, WallTime now) const override;
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -69,7 +69,7 @@
         return { step, step.perTask, step.isGang ? step.taskCount : 1 };
     }
 
-    // A pool and a book, as the leader holds them.
+    // The leader's view of workers, jobs and configuration.
     struct Site {
         WorkerPool pool;
         JobBook jobs;
@@ -101,7 +101,7 @@
         return JobId(id);
     }
 
-    // Puts the placed units onto their workers, as running.
+    // Assigns the placed units and attaches their runs to the workers in the phase Running.
     void apply(Site& site, const PlacementOutcome& outcome)
     {
         for (const PlacementDecision& decision : outcome.placed) {
@@ -194,7 +194,8 @@
         CPPUNIT_ASSERT(!couldEverFit(requestOf(step), view));
     }
 
-    // Guards against the fault of the first bench run: tasks placed in one round did not count each other.
+    // Guards against exceeding a step's limit of tasks per worker. In the first benchmark run, tasks placed
+    // in the same round did not count towards the limit.
     void testLimitPerWorkerCountsTasksOfTheSameRound()
     {
         Site site;
@@ -217,7 +218,8 @@
         CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
     }
 
-    // Guards against a worker that fails all that it starts and uses up the attempts of a sound job.
+    // Guards against a worker that fails every run and so uses up all attempts of a job that would succeed
+    // elsewhere.
     void testJobIsNotRetriedWhereItFailed()
     {
         Site site;
@@ -302,7 +304,7 @@
         CPPUNIT_ASSERT(workers.value().back() == capacityOf(0, 3).lifetime);
     }
 
-    // A gang is as slow as its slowest worker.
+    // A gang runs at the speed of its slowest worker.
     void testUrgentGangTakesTheRackWithoutSlowWorkers()
     {
         CapacityView view = viewOf({ capacityAt(0, 0, 0.8), capacityAt(0, 1, 1.25), capacityAt(1, 0, 1),
@@ -333,7 +335,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, hidden.front().first);
     }
 
-    // One task on one worker, half done after a second of work, of which it needs one more.
+    // Places a task on the only worker. The task has done half of its work in about one second and needs
+    // about one second more.
     JobId addHalfDoneRun(PlacementRound& round, Site& site)
     {
         addWorkers(site, 1, 1);
@@ -348,7 +351,8 @@
         return job;
     }
 
-    // Guards against work that is thrown away for room that would have been there as soon.
+    // Guards against evictions that lose work although the run would have ended, and freed its resources,
+    // just as soon.
     void testRunThatEndsAsSoonAsAStopIsWaitedFor()
     {
         Site site;
@@ -357,7 +361,7 @@
         addJob(site, "urgent", 0, testing::makeStep(1, 8));
         m_now += Milliseconds(900);
         CPPUNIT_ASSERT(place(round, site).evictions.empty());
-        // The room is kept for the urgent task.
+        // The resources of the ended run stay reserved for the urgent task.
         const TaskId ended { JobId("filler"), 0, 0, 0 };
         site.pool.detach(*site.pool.find(capacityOf(0, 0).lifetime), ended);
         site.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
@@ -405,7 +409,7 @@
         CPPUNIT_ASSERT(place(round, site).evictions.empty());
     }
 
-    // Guards against room that was made by a stop and is taken by other work before the urgent unit gets it.
+    // Guards against resources that an eviction has freed for an urgent unit and that other work takes first.
     void testReservedRoomIsNotGivenToLessUrgentWork()
     {
         Site site;
@@ -415,7 +419,7 @@
         place(round, site);
         const JobId urgent = addJob(site, "urgent", 0, testing::makeStep(1, 8));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, place(round, site).evictions.front().victims.size());
-        // Half of the victims are gone, and more small work waits.
+        // Half of the victims have ended, and their tasks wait to be placed again.
         Worker& worker = *site.pool.find(capacityOf(0, 0).lifetime);
         for (int index = 0; index < 4; ++index) {
             const TaskId task { JobId("filler"), 0, 0, index };
@@ -438,7 +442,7 @@
         addJob(site, "filler", 2, testing::makeStep(32, 1));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
-        // Account A is guaranteed 16 accelerators.
+        // Client account A has a guarantee of 16 accelerators.
         addJob(site, "urgent", 0, testing::makeGang(3, 8), "account-a", Milliseconds(5'000));
         CPPUNIT_ASSERT(place(round, site).evictions.empty());
         addJob(site, "covered", 0, testing::makeGang(2, 8), "account-a", Milliseconds(5'000));
@@ -457,8 +461,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, idleWorkers(site));
     }
 
-    // Guards against the hunted day trouble-3, seed 581707070283, on which a job waited at the day's end
-    // beside idle workers.
+    // Guards against headroom that is kept after urgent work has ceased. Found by the fault search in
+    // scenario trouble-3, seed 581707070283: at the end of the run a job was still waiting although workers
+    // were idle.
     void testHeadroomEndsWhenNoUrgentWorkComes()
     {
         Site site;
@@ -466,7 +471,7 @@
         const JobId urgent = addJob(site, "urgent", 0, testing::makeGang(5, 8));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
         place(round, site);
-        // Its runs go on, but the job no longer counts as waiting work.
+        // The runs stay attached to their workers, but the job no longer counts as unfinished urgent work.
         site.jobs.find(urgent)->progress.cancel();
         site.jobs.noteChange(*site.jobs.find(urgent), m_now);
         const JobId small = addJob(site, "small", 2, testing::makeStep(64, 1));
@@ -494,7 +499,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), inTime));
     }
 
-    // Guards against gangs that starve on full days: each accelerator that became free went to a small task.
+    // Guards against starvation of gangs under full load, when a small task takes each accelerator that
+    // becomes free.
     void testWaitingGangGetsItsRackWhileSmallWorkFloods()
     {
         Site site;
@@ -505,7 +511,7 @@
         const JobId gang = addJob(site, "gang", 1, testing::makeGang(2, 8, true));
         const JobId more = addJob(site, "b-small", 2, testing::makeStep(32, 1));
         place(round, site);
-        // The tasks end one after the other, on all workers in turn.
+        // The tasks end one at a time, on each worker in turn.
         std::size_t placed = 0;
         for (int index = 0; index < 32 && !placed; ++index) {
             const TaskId task { JobId("a-small"), 0, 0, (index % 4) * 8 + index / 4 };
