Reword comments and messages in src/batch/leader

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -14,18 +14,21 @@
 
 namespace {
 
-// Looks at all that waits come at least this far apart; events in between are looked at together.
+// Minimum time between two placement rounds. Events that arrive in between are handled by one round.
 constexpr Milliseconds placementInterval { 10 };
-// Room may also appear with time alone: an occurrence falls due, a suspect worker is due for a trial.
+// Maximum time between two placement rounds. Placement may also become possible through the passage of time
+// alone: an occurrence falls due, or a suspect worker is due for a trial.
 constexpr Milliseconds idlePlacementInterval { 250 };
 constexpr Milliseconds readRetryDelay { 100 };
-// Loading takes some 0.3 s at 350 workers. A daemon whose link or share of a core is too small for it would
-// hold the lease and schedule nothing. If all are too small, each tries longer the next time.
+// A leader that does not finish loading within this time releases the lease: a daemon with too little network
+// bandwidth or CPU time would otherwise hold the lease without scheduling anything. Loading takes about 0.3 s
+// with 350 workers. In case all daemons are too slow, each doubles its time-out after it expires, up to the
+// maximum.
 constexpr Milliseconds firstLoadLimit { 2'000 };
 constexpr Milliseconds longestLoadLimit { 16'000 };
 constexpr Milliseconds claimPauseAfterLoad { 5'000 };
-// One row of the workers' speeds at a time. They change little, and losing some costs only what the next
-// leader learns again within seconds.
+// Interval at which one row of worker speeds is stored, in rotation. Speeds change little, and the next
+// leader measures lost ones again within seconds.
 constexpr Milliseconds speedStoreInterval { 2'000 };
 
 std::string namesOf(std::span<const WorkerLifetime> workers)
@@ -103,7 +106,7 @@
     requestSpeeds(step);
 }
 
-// Placement does not wait for them.
+// Loading finishes without the speeds; they are applied when they arrive.
 void Scheduler::requestSpeeds(Step& step)
 {
     m_speedRead = (m_speedRead + 1) | speedReadBit;
@@ -265,7 +268,8 @@
 
 void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step) { m_runs.holdAnswered(answer, step); }
 
-// One job at a time, and again on a later tick if the answer is lost: removal may be repeated.
+// Removes the rows of one job at a time. A removal that is not confirmed is repeated on a later tick, which
+// is safe because removing a row twice has no further effect.
 void Scheduler::removeExpired(Step& step)
 {
     if (m_removal)
@@ -370,7 +374,7 @@
     Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit) };
     CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
     addSpeedRow(commit, step.now);
-    // The rows are not needed here any more.
+    // noteStored() does not use the written rows, so they are not kept until the answer.
     batch.changes.writes.clear();
     m_batch = std::move(batch);
     step.emit(m_pipeline.submit(std::move(commit), m_jobs.waitingJobs(), step.now));
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -17,16 +17,17 @@
 
 namespace anvilmoor::batch {
 
-// What the daemon that holds the lease does: it reads what the last leader stored, follows jobs and workers,
-// places tasks, stores each assignment before the worker hears of it, and stores each end before the worker
-// may forget it.
+// The part of the daemon that claims the leader lease and, while holding it, schedules all jobs. It loads the
+// state that the previous leader stored, follows the job rows and the worker registry, and places tasks. Each
+// assignment is stored before the start order is sent to the worker, and each run end is stored before it is
+// acknowledged, because the worker then forgets it.
 class Scheduler {
 public:
     Scheduler(
         LeaderLease&, const Configuration&, const PlacementPolicy&, const QueueOrder&, WorkerLeaseSettings);
 
     void tick(Step&);
-    // Gives the lease up once nothing is in flight, and never claims it again.
+    // Releases the lease once no commit is in flight, and never claims it again.
     void retire() { m_isRetiring = true; }
     bool isRetired() const { return m_isRetiring && !m_lease.isLeader() && !m_pipeline.isBusy(); }
 
@@ -37,11 +38,12 @@
     void startAnswered(const StartAnswered&, Step&);
     void stopAnswered(const StopAnswered&, Step&);
     void holdAnswered(const HoldAnswered&, Step&);
-    // Places and commits what the event at hand has made possible.
+    // Called after each event. Places waiting tasks and commits pending changes if that is due and allowed.
     void finishEvent(Step&);
 
     bool isServing() const { return m_phase == Phase::Leading; }
-    // The stored state of a job, as callers may be told; empty if this daemon does not know.
+    // Returns the stored state of a job, the only state that may be reported to callers. Returns nullopt if
+    // the job is not known, or if this daemon is not a leader with a valid lease that has finished loading.
     std::optional<JobState> stateOf(const JobId&, TimePoint now) const;
 
 private:
@@ -87,18 +89,18 @@
     OperationId m_progressRead = 0;
     std::optional<TimePoint> m_readAgainAt;
     OperationId m_speedRead = 0;
-    std::vector<Row> m_loadedSpeeds; // until the workers are known
+    std::vector<Row> m_loadedSpeeds; // applied to the workers once loading is finished
     std::size_t m_nextSpeedRow = 0;
     TimePoint m_speedsStoredAt {};
     bool m_isPlacementDue = false;
     TimePoint m_placedAt {};
-    std::optional<Batch> m_batch; // in the commit that is in flight
+    std::optional<Batch> m_batch; // changes in the commit that is in flight
     std::uint64_t m_lastBatch = 0;
     struct Removal {
         JobId job;
         OperationId operation = 0;
     };
-    std::optional<Removal> m_removal; // of an expired job's rows, under way
+    std::optional<Removal> m_removal; // removal of an expired job's rows that is in flight
     OperationId m_lastRemoval = 0;
 };
 
