Reword comments and messages in src/batch/jobs

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/jobs/job.cpp
+++ b/src/batch/jobs/job.cpp
@@ -45,7 +45,7 @@
 
 Milliseconds AcceptedJob::objective() const
 {
-    // Steps name only earlier ones, so one pass finds the longest chain up to each.
+    // Steps depend only on earlier steps, so one pass finds the longest chain that ends at each step.
     std::vector<Milliseconds> chains;
     Milliseconds longest { 0 };
     for (const StepSpecification& step : specification.steps) {
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -12,10 +12,10 @@
 
 namespace anvilmoor::batch {
 
-// For how long a job's state is told after its end; the platform asks for 120 s.
+// How long callers can query a job's state after its end. The platform requires 120 s.
 constexpr Milliseconds jobRetention { 150'000 };
 
-// The leader's view of all jobs, and which of them the store does not yet hold as they are.
+// The leader's view of all jobs. Tracks which jobs have changes that are not stored yet.
 class JobBook {
 public:
     struct Entry {
@@ -25,33 +25,33 @@
         }
 
         JobProgress progress;
-        JobState storedState = JobState::Pending; // callers are told no other
-        std::uint64_t change = 0; // number of the last change
-        std::uint64_t storedChange = 0;
+        JobState storedState = JobState::Pending; // the only state reported to callers
+        std::uint64_t change = 0; // number of the latest change
+        std::uint64_t storedChange = 0; // number of the latest change that is stored
         std::optional<TimePoint> endedAt;
         std::set<WorkerLifetime> failedOn; // workers on which one of its runs has failed
-        bool isRowRemoved = false; // the job's own rows; its progress goes after them
+        bool isRowRemoved = false; // of the job and its cancel request; the progress row is removed later
 
         bool isStored() const { return storedChange >= change; }
     };
 
-    // Returns null if the job is known already.
+    // Returns null if the job is already known.
     Entry* add(AcceptedJob);
     Entry* find(const JobId&);
     const Entry* find(const JobId&) const;
-    // A cancel request may be read before its job.
+    // Records a cancel request, which may be read before its job.
     void requestCancel(const JobId&);
     bool isCancelRequested(const JobId& job) const { return m_cancelRequests.contains(job); }
 
-    // To be called once an entry's progress was restored from the store.
+    // Must be called after an entry's progress has been restored from the store.
     void noteRestored(Entry&, TimePoint now);
-    // To be called after each change of an entry's progress.
+    // Must be called after each change of an entry's progress.
     void noteChange(Entry&, TimePoint now);
-    // A job that is kept no longer and whose own rows are still stored. They go before the progress: a job
-    // without progress would run again.
+    // Returns a job whose retention has expired and whose job and cancel rows are still stored. These rows
+    // must be removed before the progress row, because a job without progress would run again.
     std::optional<JobId> findExpired(TimePoint now) const;
-    // What the store lacks: progress of changed jobs, oldest change first, and the removal of that of jobs
-    // whose own rows are gone.
+    // Changes that are not stored yet: the progress of changed jobs, oldest change first, and the removal of
+    // the progress of jobs whose job and cancel rows have been removed.
     struct Changes {
         struct Job {
             JobId id;
@@ -64,7 +64,7 @@
         std::vector<RowKey> removals;
     };
     Changes collectChanges(std::size_t limit) const;
-    // The store holds these changes now.
+    // Marks these changes as stored.
     void noteStored(const Changes&);
     bool hasChanges() const { return !m_changed.empty(); }
 
@@ -80,7 +80,7 @@
     std::map<JobId, Entry> m_entries;
     std::set<JobId> m_open;
     std::set<JobId> m_cancelRequests;
-    std::map<std::uint64_t, JobId> m_changed; // by the number of the last change
+    std::map<std::uint64_t, JobId> m_changed; // keyed by the number of the latest change
     std::set<JobId> m_ended;
     std::uint64_t m_lastChange = 0;
 };
--- a/src/batch/jobs/job_codec.cpp
+++ b/src/batch/jobs/job_codec.cpp
@@ -141,7 +141,7 @@
         job.acceptedAt = WallTime(Milliseconds(row.at(13).get<std::int64_t>()));
         return job;
     } catch (const Json::exception& error) {
-        return tl::unexpected(RowCodecError { fmt::format("row of a job: {}", error.what()) });
+        return tl::unexpected(RowCodecError { fmt::format("cannot decode job row: {}", error.what()) });
     }
 }
 
@@ -161,7 +161,7 @@
         for (const Json& steps : row.at(2)) {
             std::vector<StepProgress> occurrence = decodeOccurrence(steps);
             if (!hasShapeOf(occurrence, emptyOccurrence()))
-                return "the stored steps are not those of the job";
+                return "stored steps or task counts differ from those of the job";
             occurrences.emplace(static_cast<int>(occurrences.size()), std::move(occurrence));
         }
         m_state = static_cast<JobState>(row.at(0).get<int>());
@@ -170,7 +170,7 @@
         m_assignments = static_cast<int>(assignedRuns().size());
         return std::nullopt;
     } catch (const Json::exception& error) {
-        return fmt::format("row of a job's progress: {}", error.what());
+        return fmt::format("cannot decode job progress row: {}", error.what());
     }
 }
 
@@ -180,7 +180,8 @@
         const Json row = Json::from_msgpack(bytes.begin(), bytes.end());
         return static_cast<JobState>(row.at(0).get<int>());
     } catch (const Json::exception& error) {
-        return tl::unexpected(RowCodecError { fmt::format("row of a job's progress: {}", error.what()) });
+        return tl::unexpected(
+            RowCodecError { fmt::format("cannot decode job progress row: {}", error.what()) });
     }
 }
 
--- a/src/batch/jobs/job_codec.h
+++ b/src/batch/jobs/job_codec.h
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
-// What the store holds of a job, as MessagePack arrays: rows are many, and their bytes are paid for.
+// Encodes jobs for the store as MessagePack arrays. The format is compact because there are many rows and
+// their bytes are charged for.
 
 namespace anvilmoor::batch {
 
@@ -17,7 +18,7 @@
 std::string encodeJob(const AcceptedJob&);
 tl::expected<AcceptedJob, RowCodecError> decodeJob(std::string_view bytes);
 
-// The state alone, from the row that JobProgress::encodeProgress() wrote.
+// Decodes only the state from a row that JobProgress::encodeProgress() wrote.
 tl::expected<JobState, RowCodecError> decodeJobState(std::string_view bytes);
 
 } // namespace anvilmoor::batch
--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -55,7 +55,7 @@
     const int next = static_cast<int>(m_occurrences.size());
     if (next >= m_job.occurrenceCount())
         return std::nullopt;
-    // A job without a schedule is due whatever the clocks of its hosts say.
+    // A job without a schedule is due regardless of the wall clocks of the hosts.
     if (!m_job.specification.schedule.occurrences)
         return WallTime::min();
     return m_job.dueAt(next);
@@ -139,7 +139,7 @@
     return &m_occurrences.at(task.occurrence)[static_cast<std::size_t>(task.step)];
 }
 
-// The task that holds failures and checkpoint: a gang's first one.
+// Returns the task that stores the failures and the checkpoint: for a gang, its first task.
 TaskProgress& JobProgress::holderOf(StepProgress& step, const TaskId& task)
 {
     return step.tasks[specificationOf(task.step).isGang ? 0 : static_cast<std::size_t>(task.index)];
@@ -201,7 +201,7 @@
     return consequence;
 }
 
-// A late "done" of an earlier run counts too; the later run is stopped.
+// A late "done" of an earlier run also completes the task; the later run is then stopped.
 void JobProgress::endDone(StepProgress& step, const RunId& run, RunConsequence& consequence)
 {
     if (specificationOf(run.task.step).runsUntilCancelled)
@@ -231,7 +231,7 @@
     consequence = conclude(JobState::Failed);
 }
 
-// A gang works only as a whole, so the rest of it is of no use.
+// A gang makes progress only as a whole, so its remaining members are stopped.
 void JobProgress::stopGangMates(const StepProgress& step, const RunId& run, RunConsequence& consequence) const
 {
     if (!specificationOf(run.task.step).isGang)
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -11,7 +11,7 @@
 
 namespace anvilmoor::batch {
 
-// The run of a task that may be on a worker. It is stored before the worker is told.
+// A run of a task that may be active on a worker. It is stored before the order is sent to the worker.
 struct Assignment {
     WorkerLifetime worker;
     int run = 0;
@@ -22,9 +22,9 @@
 struct TaskProgress {
     bool isDone = false;
     int lastRun = 0;
-    int failures = 0; // of a gang, counted at its first task, once for each run
+    int failures = 0; // for a gang: counted in its first task, once per run
     int lastFailedRun = 0;
-    std::string checkpoint; // of a gang, held by its first task
+    std::string checkpoint; // for a gang: stored in its first task
     std::optional<Assignment> assignment;
 };
 
@@ -34,13 +34,13 @@
     bool isDone() const;
 };
 
-// What is to be placed together: one task, or all tasks of a gang.
+// Tasks to be placed together: a single task, or all tasks of a gang.
 struct PlacementUnit {
     JobId job;
     int occurrence = 0;
     int step = 0;
     std::vector<int> tasks;
-    int run = 0; // that the placed run gets
+    int run = 0; // number that the placed run receives
 };
 
 // A step of one occurrence.
@@ -49,15 +49,15 @@
     int step = 0;
 };
 
-// What the end of a run leads to.
+// The result of a run's end or of a cancellation.
 struct RunConsequence {
-    bool isKnown = false; // the run was assigned
-    std::vector<RunId> toStop; // assigned runs that serve no purpose any more
+    bool isKnown = false; // the run was assigned, or reported a late "done" that counts
+    std::vector<RunId> toStop; // assigned runs that are no longer needed
     std::optional<JobState> newState;
 };
 
-// The life of one accepted job: which tasks are done, assigned or waiting. Holds what is stored of it and
-// nothing else, so that another daemon goes on from the stored row.
+// Progress of one accepted job: which tasks are done, assigned or waiting. Contains only state that is
+// stored, so that another daemon can continue from the stored row.
 class JobProgress {
 public:
     explicit JobProgress(AcceptedJob);
@@ -68,16 +68,16 @@
     // False if no task has ever been assigned.
     bool hasBegun() const { return m_hasBegun; }
 
-    // Opens the occurrences that are due. Returns whether one was opened.
+    // Opens the occurrences that are due. Returns whether any was opened.
     bool openDueOccurrences(WallTime);
     // The time at which the next occurrence is due; empty if all are open.
     std::optional<WallTime> nextDue() const;
 
-    // Steps whose turn has come and that have tasks to be placed.
+    // Steps whose dependencies are done and that have tasks to be placed.
     std::vector<StepPosition> readySteps() const;
-    // Of such a step, what is to be placed: the gang, or each waiting task by itself.
+    // The units to be placed for a ready step: the whole gang, or each waiting task separately.
     std::vector<PlacementUnit> unitsOf(const StepPosition&) const;
-    // Of all ready steps.
+    // The units of all ready steps.
     std::vector<PlacementUnit> readyUnits() const;
     const StepSpecification& specificationOf(int step) const
     {
@@ -89,16 +89,16 @@
 
     // Assigns the unit's tasks to workers, in the same order.
     void assign(const PlacementUnit&, std::span<const WorkerLifetime>);
-    // A copy of an end, and the end of a run that was not assigned, change nothing but for a late "done".
+    // Handles the end of a run. A repeated report, or the end of a run that is not assigned, changes nothing
+    // unless it is a late "done".
     RunConsequence runEnded(const RunId&, RunEnd, const std::string& checkpoint);
-    // Also for runs that are still active. Ignored for runs that are not assigned.
+    // Records the checkpoint of a run, which may still be active. Ignored if the run is not assigned.
     void noteCheckpoint(const RunId&, const std::string& checkpoint);
     RunConsequence cancel();
-    // All assigned runs.
     std::vector<RunId> assignedRuns() const;
 
     std::string encodeProgress() const;
-    // Returns why the bytes are no progress of this job; the job is unchanged then.
+    // Returns an error message if the bytes are not progress of this job; the job is then unchanged.
     std::optional<std::string> restoreProgress(std::string_view bytes);
 
 private:
@@ -123,7 +123,7 @@
     JobState m_state = JobState::Pending;
     bool m_hasBegun = false;
     int m_assignments = 0;
-    std::map<int, std::vector<StepProgress>> m_occurrences; // the open ones
+    std::map<int, std::vector<StepProgress>> m_occurrences; // opened so far, by number
 };
 
 } // namespace anvilmoor::batch
--- a/test/batch_job_progress_test.cpp
+++ b/test/batch_job_progress_test.cpp
@@ -59,7 +59,7 @@
     }
 
 public:
-    // Guards against a start before the steps in front are done.
+    // Guards against starting a step before the steps it depends on are done.
     void testStepWaitsForAllTasksOfEarlierSteps()
     {
         StepSpecification second = testing::makeStep(1, 1);
@@ -93,7 +93,8 @@
         CPPUNIT_ASSERT(progress.hasAssignments());
     }
 
-    // Guards against a job that is failed early because two members of one run report the failure.
+    // Guards against failing a job too early because several members of a gang report the failure of the same
+    // run.
     void testFailureOfGangCountsOnceForEachRun()
     {
         JobProgress progress = progressOf({ testing::makeGang(3, 1) });
@@ -131,7 +132,8 @@
         }
     }
 
-    // Guards against two runs of a member at once: the next run waits until every member is gone.
+    // Guards against two simultaneous runs of a gang member: the next run must wait until every member has
+    // ended.
     void testBrokenGangIsStoppedWholeBeforeItRunsAgain()
     {
         JobProgress progress = progressOf({ testing::makeGang(2, 1) });
@@ -201,7 +203,7 @@
         CPPUNIT_ASSERT(!progress.hasAssignments());
     }
 
-    // Guards against a lost run number or attempt at the change of the leader.
+    // Guards against losing run numbers or counted failures when the leader changes.
     void testRestoredProgressGoesOnWithRunsAndFailures()
     {
         JobProgress progress = progressOf({ testing::makeStep(2, 1) });
