Reword comments and messages in src/batch/reducer

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -9,12 +9,14 @@
 
 namespace {
 
-// After SIGTERM the balancer needs two failed probes, a second apart, to send connections elsewhere.
+// Time after SIGTERM during which requests are still served. The load balancer needs two failed probes, one
+// second apart, before it sends connections elsewhere.
 constexpr Milliseconds shutdownLinger { 2'600 };
-// Before SIGKILL, so that the last answers leave the host.
+// The daemon stops at the latest this long before SIGKILL, so that the last answers leave the host.
 constexpr Milliseconds shutdownMargin { 700 };
-// The configuration is confirmed every 0.6 s, or every second by a slow store. A daemon that misses this has
-// most likely lost the store, and new connections are better served elsewhere.
+// Maximum age of the last confirmation of the configuration for the daemon to be ready. The store confirms
+// the configuration every 0.6 s, or every second if it is slow. A daemon without a confirmation for longer
+// has most likely lost contact with the store, and another daemon can serve new connections better.
 constexpr Milliseconds readyWithin { 1'300 };
 
 } // namespace
@@ -83,7 +85,8 @@
 
 void BatchReducer::on(const ConfigurationFollowed& news, Step& step)
 {
-    // After an outage the question about the lease may hang for longer than this one.
+    // Any answer counts as contact with the store. After an outage, the pending read of the lease row may be
+    // answered later than this one.
     m_lease.noteAnswer(step.now);
     if (m_configuration.followed(news))
         step.record("configuration.in_force",
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -17,21 +17,21 @@
 
 struct BatchSettings {
     DaemonName daemonName;
-    Milliseconds claimDelay { 0 }; // larger on hosts that should lead only if no other does
-    Milliseconds longestUnconfirmed { 4'000 }; // of the configuration
+    Milliseconds claimDelay { 0 }; // longer on hosts that should become leader only if no other host does
+    Milliseconds longestUnconfirmed { 4'000 }; // since the configuration was last confirmed
     WorkerLeaseSettings workerLeases;
-    Milliseconds shutdownGrace { 6'000 }; // from SIGTERM to SIGKILL
+    Milliseconds shutdownGrace { 6'000 }; // time from SIGTERM to SIGKILL
 };
 
-// The one place through which every event passes: hands it to the modules that it concerns and returns what
-// is to be done. Does no I/O and reads no clock.
+// Dispatches each event to the modules that handle it and returns the resulting effects. All events of the
+// daemon pass through here. Does no I/O and reads no clock.
 class BatchReducer : private JobStates {
 public:
     explicit BatchReducer(BatchSettings);
 
     std::vector<Effect> handle(const Event&);
 
-    // Whether the platform's balancer should send new connections here.
+    // Whether the platform's load balancer should send new connections to this daemon.
     bool isReady(TimePoint now) const;
     bool isLeader() const { return m_lease.isLeader(); }
     bool isShuttingDown() const { return m_shutdownAt.has_value(); }
--- a/src/batch/reducer/step.h
+++ b/src/batch/reducer/step.h
@@ -11,7 +11,7 @@
 
 namespace anvilmoor::batch {
 
-// What a module sees of the event at hand, and where its effects go.
+// Gives a module the time and random number of the event that is being handled, and collects the effects.
 class Step {
 public:
     Step(const Event& event, std::vector<Effect>& effects)
