Reword comments and messages in src/batch/workers

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -2,14 +2,14 @@
 
 #include <string>
 
-// The orders to start and to stop a run, and the workers' answers to them.
+// Sends start and stop orders to workers and handles the answers.
 
 namespace anvilmoor::batch {
 
 namespace {
 
 constexpr Milliseconds startRetryDelay { 100 };
-// An order that the store holds may be on its way for this long; then the run is stopped instead.
+// After the assignment is stored, start orders are repeated for this long. Then the run is stopped instead.
 constexpr Milliseconds startTimeout { 1'800 };
 constexpr Milliseconds stopRetryDelay { 300 };
 
@@ -79,7 +79,7 @@
         sendStop(worker, run, step);
 }
 
-// Null if the order's run is over by now.
+// Returns null if the run has ended in the meantime.
 LiveRun* RunSupervisor::takeAnswer(Worker& worker, const RunId& id, WorkerClock clock, TimePoint now)
 {
     LiveRun* run = findRun(worker, id);
@@ -104,7 +104,7 @@
         run->mayStartLate = true;
         return;
     case OrderOutcome::OtherLifetime:
-        lifetimeOver(*worker, "another lifetime answers", step);
+        lifetimeOver(*worker, "answer came from another worker lifetime", step);
         return;
     case OrderOutcome::Rejected:
     case OrderOutcome::NoRoom:
@@ -145,7 +145,7 @@
     if (!run)
         return;
     if (answer.outcome == OrderOutcome::OtherLifetime)
-        lifetimeOver(*worker, "another lifetime answers", step);
+        lifetimeOver(*worker, "answer came from another worker lifetime", step);
     else if (answer.outcome == OrderOutcome::Accepted && !run->stopAcceptedAt)
         run->stopAcceptedAt = step.now;
 }
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-// Progress comes in whole percents: over this many, the rate is right to a twentieth.
+// Progress is reported in whole percent: over 20 percent, the error of the rate is at most 5%.
 constexpr int percentsToMeasure = 20;
-// The pace is judged over a tenth of the estimate, which is off by a factor of two at the most as a rule, and
-// over no less than this.
+// The pace is judged over windows of a tenth of the estimated duration, which is usually off by a factor of
+// two at most, but no shorter than this.
 constexpr Milliseconds shortestWindow { 1'000 };
 constexpr int windowsPerEstimate = 10;
-// Workers differ by less than a factor of two, and tasks by less in the course of their work.
+// A run lags below this fraction of its highest rate. Workers differ in speed by less than a factor of two,
+// and the rate of a single task varies by less than that over time.
 constexpr double laggingShare = 0.35;
 
 } // namespace
--- a/src/batch/workers/run_progress.h
+++ b/src/batch/workers/run_progress.h
@@ -7,30 +7,31 @@
 
 namespace anvilmoor::batch {
 
-// How far a run was at a time on its worker's clock.
+// Progress of a run at one time of its worker's clock.
 struct ProgressReading {
     int percent = 0;
     WorkerClock at = 0;
 };
 
-// What the looks at a worker tell of one run: when it will end, how fast it is, and whether it stands still.
+// Derives the expected end, the rate and the pace of one run from the progress that its worker reports.
 class RunProgress {
 public:
     enum class Pace {
         Unknown,
         Advancing,
-        Lagging, // much slower than it was before, or without any progress for a while
+        Lagging, // much slower than before, or without progress over a whole window
     };
 
     RunProgress() = default;
-    // The members of a gang wait for each other before they advance.
+    // A gang member may stay at 0% until all members have started.
     RunProgress(Milliseconds estimatedDuration, bool isGangMember);
 
     void note(const ProgressReading&);
 
-    // When all its work will be done if it goes on as up to now. Empty if unknown.
+    // When the run completes if it continues at its mean rate. Empty if unknown.
     std::optional<WorkerClock> expectedEnd() const;
-    // The share of its work that it does in a second, once it has advanced far enough to tell.
+    // Fraction of its work that the run completes per second. Empty until it has advanced far enough to be
+    // measured.
     std::optional<double> rate() const;
     Pace pace() const { return m_pace; }
 
@@ -38,11 +39,11 @@
     void judgePace(const ProgressReading&);
 
     Milliseconds m_window { 1'000 };
-    bool m_mayWait = false;
-    std::optional<ProgressReading> m_first; // once it has begun to work
+    bool m_mayWait = false; // for the other members of its gang
+    std::optional<ProgressReading> m_first; // the first reading above 0%
     ProgressReading m_last;
     std::optional<ProgressReading> m_windowStart;
-    double m_usualRate = 0; // the best of the windows so far, in percents a millisecond
+    double m_usualRate = 0; // highest rate of all windows so far, in percent per millisecond
     Pace m_pace = Pace::Unknown;
 };
 
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -8,23 +8,25 @@
 
 namespace {
 
-// A worker's clock is up to 2% slow; the rest covers the time an order travels.
+// A worker's clock runs up to 2% slow. The remaining margin and the slack cover the transit time of an order.
 constexpr double slowestClock = 0.97;
 constexpr Milliseconds leaseSlack { 300 };
 
-// The lease that a draining worker gets: it may leave at any time, and its runs are missed only then.
+// Lease of a draining worker. It is short because such a worker may leave at any time, and the loss of its
+// runs is noticed only when the lease expires.
 constexpr Milliseconds drainingLease { 2'500 };
 
-// A worker's answer to a look waits this long for an end. Shorter waits renew leases more often, so that runs
-// outlive a longer cut.
+// How long a worker delays its answer to a hold request while no run ends. Shorter waits renew leases more
+// often, so that runs survive a longer network partition.
 constexpr Milliseconds holdWait { 500 };
-// While a stop is under way: room that waiting work may take is known as soon as it is there, and a run that
-// is gone without an end soon after.
+// The same while a stop is in progress: the freed capacity becomes known at once, and a run that vanished
+// without a reported end is detected soon after.
 constexpr Milliseconds stopWait { 120 };
-// Ends that are not stored yet would be listed again at once.
+// Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
+// would answer at once with the same ends.
 constexpr Milliseconds storeWait { 200 };
 constexpr Milliseconds holdRetryDelay { 100 };
-// After this many looks without an answer the worker gets no longer lease: it may be gone.
+// After this many consecutive unanswered hold requests, the worker's lease is not extended: it may be gone.
 constexpr int unansweredUntilLost = 3;
 constexpr Milliseconds lostHoldInterval { 400 };
 
@@ -109,7 +111,7 @@
         live.assignedAt = now;
         live.progress = progressOf(job, unit.step);
         Worker& worker = m_workers.require(workers[i]);
-        // The last lease of an idle worker may have passed; it says nothing of the new run.
+        // The last lease of an idle worker may have expired, which must not end the new run.
         extendLease(worker, leaseFor(worker), now);
         if (!worker.health.isTrusted())
             worker.health.trialStarted();
@@ -128,7 +130,7 @@
         LiveRun* live = worker ? findRun(*worker, run) : nullptr;
         if (!live || live->phase != RunPhase::AwaitingCommit || live->assignedChange > change)
             continue;
-        // tick() sends it.
+        // tick() sends the order.
         live->phase = RunPhase::Starting;
         live->assignedAt = step.now;
         live->orderedAt = {};
@@ -170,7 +172,7 @@
     for (const WorkerRecord& record : news.changed) {
         for (const WorkerLifetime& over : m_workers.update(record, step.now)) {
             if (Worker* worker = m_workers.find(over))
-                lifetimeOver(*worker, "born again", step);
+                lifetimeOver(*worker, "worker has restarted", step);
         }
     }
     m_hasRoomChanged = true;
@@ -182,7 +184,7 @@
     return found != worker.runs.end() && found->second.id.run == run.run ? &found->second : nullptr;
 }
 
-// Answers to orders of an earlier leadership mean nothing to this one.
+// Returns null for answers to orders of an earlier leadership, which are ignored.
 Worker* RunSupervisor::addressee(const WorkerLifetime& lifetime, std::uint64_t token)
 {
     return token == m_epoch ? m_workers.find(lifetime) : nullptr;
@@ -190,7 +192,7 @@
 
 void RunSupervisor::noteClock(Worker& worker, WorkerClock clock, TimePoint now)
 {
-    // Answers may overtake each other; the reading that is furthest ahead is the best one.
+    // Answers may arrive out of order. Every reading is a lower bound, so the one furthest ahead is the best.
     if (!clock || (worker.clock && clock < worker.clockAt(now)))
         return;
     worker.clock = clock;
@@ -274,7 +276,7 @@
         || (answer.outcome == OrderOutcome::Accepted && answer.status.bornAt
             && answer.status.bornAt != answer.worker.bornAt);
     if (isOther) {
-        lifetimeOver(*worker, "another lifetime answers", step);
+        lifetimeOver(*worker, "answer came from another worker lifetime", step);
         return;
     }
     if (answer.outcome != OrderOutcome::Accepted) {
@@ -322,7 +324,7 @@
     advanceStoredEnd(worker);
 }
 
-// The worker has confirmed the start, or lists the run.
+// Called when the worker has confirmed the start or lists the run as active.
 void RunSupervisor::noteStarted(LiveRun& run, TimePoint now)
 {
     if (run.phase == RunPhase::Starting)
@@ -336,7 +338,7 @@
     for (const ActiveRun& active : status.active) {
         LiveRun* run = findRun(worker, active.run);
         if (!run) {
-            // A start that was carried out late, or one of an earlier leader.
+            // The worker carried out a start order late, or an earlier leader started the run.
             step.warn("run.unexpected",
                 { { "job", active.run.task.job.value() }, { "run", std::to_string(active.run.run) },
                     { "worker", worker.record.lifetime.id.value() } });
@@ -402,7 +404,7 @@
         if (findRun(worker, run))
             finish(worker, run, RunEnd::LeaseExpired, {}, step);
     }
-    // It has to answer before it gets anything again.
+    // The worker has to answer before it gets new runs.
     worker.isConfirmed = false;
     forgetIfGone(WorkerLifetime(worker.record.lifetime));
 }
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -15,30 +15,31 @@
 
 namespace anvilmoor::batch {
 
-// How long workers may keep what they run without an answer, as the platform states it.
+// The platform's limits on leases and stops.
 struct WorkerLeaseSettings {
-    Milliseconds longest { 6'000 };
-    Milliseconds stopTimeout { 200 }; // a stop takes at most this long
+    Milliseconds longest { 6'000 }; // how long a worker may keep its runs without a renewal of the lease
+    Milliseconds stopTimeout { 200 }; // longest time that a worker takes to stop a run
 };
 
-// Carries each assigned run through its life on the worker: told to start once its assignment is stored, kept
-// by renewed leases, stopped, ended or given up. A task gets a new run only after its last one is certainly
-// over: the worker says so, its lifetime has ended, or every lease that it was given has passed.
+// Manages each assigned run over its lifetime on the worker: starts it once its assignment is stored, renews
+// its lease, stops it, and processes its end or declares it lost. A task gets a new run only after its
+// previous run has certainly ended: the worker has reported the end, the worker's lifetime is over, or every
+// lease that the worker was given has expired.
 class RunSupervisor {
 public:
     RunSupervisor(WorkerPool&, JobBook&, WorkerLeaseSettings);
 
-    // A new leadership: what is attached comes from stored assignments. Starts of earlier leaders end with
-    // the leases that these may have given until now.
+    // Begins a new leadership; the attached runs come from stored assignments. Runs that earlier leaders
+    // started end at the latest with the leases that these leaders may have granted until now.
     void begin(std::uint64_t epoch, TimePoint now);
     // Attaches a stored assignment.
     void adopt(const JobProgress&, const RunId&, const WorkerLifetime&, TimePoint now);
-    // Attaches new assignments, to be told to the workers once the change is stored.
+    // Attaches new assignments. The start orders are sent once the change is stored.
     void attach(const JobProgress&, const PlacementUnit&, std::span<const WorkerLifetime>,
         std::uint64_t change, TimePoint now);
-    // The store holds the job's progress up to this change.
+    // Called when the job's progress is stored up to this change.
     void progressStored(const JobId&, std::uint64_t change, Step&);
-    // The store holds more changes of jobs: the ends that led to them may be acknowledged.
+    // Called when more job changes are stored. Marks the run ends that led to them for acknowledgement.
     void changesStored();
 
     void workersFollowed(const WorkersFollowed&, Step&);
@@ -48,10 +49,10 @@
     void stop(const RunId&, Step&);
     void stopAll(std::span<const RunId>, Step&);
 
-    // Sends what is due. Only a daemon that holds the lease calls this.
+    // Sends the orders that are due. Called only by the daemon that holds the leader lease.
     void tick(Step&);
 
-    // True once something has changed that may let a waiting task be placed.
+    // Whether a change since the last call may allow a waiting task to be placed. Resets the flag.
     bool takeRoomChanged() { return std::exchange(m_hasRoomChanged, false); }
 
 private:
@@ -73,10 +74,10 @@
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, std::span<const ActiveRun>, Step&);
     void workerGone(const WorkerId&, Step&);
-    // Ends the run here and in its job, and stops what that makes useless.
+    // Ends the run in the pool and in its job, and stops the runs that have become useless.
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
     void applyEnd(const Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
-    // The worker was born again or has left.
+    // Called when the worker has restarted or left.
     void lifetimeOver(Worker&, std::string_view reason, Step&);
     void giveUpRuns(Worker&, std::string_view reason, Step&);
     void forgetIfGone(const WorkerLifetime&);
@@ -89,7 +90,7 @@
     std::uint64_t m_epoch = 0;
     bool m_hasRoomChanged = false;
     StepRates m_stepRates;
-    std::optional<TimePoint> m_followedAt; // when the registry was last read
+    std::optional<TimePoint> m_followedAt; // time of the last update from the registry
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -3,22 +3,23 @@
 #include <algorithm>
 #include <string>
 
-// What a leader concludes from looks at a worker, beyond the ends that the worker lists.
+// What the leader infers from status reports and registry changes, beyond the run ends that workers report:
+// vanished runs, worker speed, stalls and withdrawn workers.
 
 namespace anvilmoor::batch {
 
 namespace {
 
-// An entry of a draining worker that disappears this soon after its last change was withdrawn by the worker;
-// one that lapses has been silent for three heartbeats of 1.5 s. Holds only while the registry is read
-// without gaps.
+// If the registry entry of a draining worker disappears this soon after its last change, the worker has
+// withdrawn it: an entry only expires after three missed heartbeats of 1.5 s. This inference is valid only
+// while the registry is read without longer gaps.
 constexpr Milliseconds withdrawnWithin { 2'500 };
 constexpr Milliseconds longestReadGap { 1'500 };
 
 } // namespace
 
-// A run is over without an end if it was confirmed, or its stop was, before the worker was asked, and the
-// worker does not list it.
+// A run has ended without a reported end if the worker does not list it although it had confirmed the start,
+// or the stop, before the hold request was sent.
 void RunSupervisor::findVanished(Worker& worker, std::span<const ActiveRun> active, Step& step)
 {
     std::vector<RunId> vanished;
@@ -36,8 +37,8 @@
         finish(worker, run, RunEnd::Stopped, {}, step);
 }
 
-// Each run counts once, from its first sign of progress: what comes before is waiting for its gang, or a
-// restored checkpoint.
+// Each run is measured once, starting at its first reported progress: before that, it waits for its gang or
+// restores a checkpoint.
 void RunSupervisor::measureSpeed(Worker& worker, LiveRun& run)
 {
     const auto rate = run.progress.rate();
@@ -47,7 +48,7 @@
     const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
     if (!entry)
         return;
-    // Away from its data it is slow on any worker.
+    // A run outside the rack that holds its data is slow on any worker.
     const std::string& dataRack = entry->progress.specificationOf(run.id.task.step).dataRack;
     if (!dataRack.empty() && dataRack != worker.record.rack.value())
         return;
@@ -59,7 +60,7 @@
     }
 }
 
-// A worker on which nothing advances as it should gets nothing new until something does.
+// A worker on which runs lag and none advances gets no new runs until one advances.
 void RunSupervisor::judgeProgress(Worker& worker, Step& step)
 {
     int lagging = 0;
@@ -85,7 +86,7 @@
         const bool isWithdrawn
             = worker->record.isDraining && isReadWithoutGap && step.now < worker->listedAt + withdrawnWithin;
         if (isWithdrawn)
-            lifetimeOver(*worker, "it has left", step);
+            lifetimeOver(*worker, "worker withdrew its registry entry", step);
     }
 }
 
--- a/src/batch/workers/speed_rows.cpp
+++ b/src/batch/workers/speed_rows.cpp
@@ -15,7 +15,7 @@
 
 using Json = nlohmann::json;
 
-// Some 30 bytes each: a row stays under 64 KB, the store's limit, by a factor of four.
+// An entry takes about 30 bytes, so a row stays below the store's limit of 64 KB by a factor of four.
 constexpr std::size_t workersPerRow = 500;
 // Speeds and weights are stored in hundredths.
 constexpr double scale = 100;
@@ -56,7 +56,7 @@
                 worker->speed = stored;
         }
     } catch (const Json::exception& error) {
-        return fmt::format("row of workers' speeds: {}", error.what());
+        return fmt::format("malformed row of worker speeds: {}", error.what());
     }
     return std::nullopt;
 }
--- a/src/batch/workers/speed_rows.h
+++ b/src/batch/workers/speed_rows.h
@@ -8,16 +8,16 @@
 #include <string>
 #include <string_view>
 
-// The workers' speeds as rows of the store, so that the next leader need not learn them again.
+// Stores the estimated worker speeds as rows, so that the next leader does not have to measure them again.
 
 namespace anvilmoor::batch {
 
-// How many rows the speeds of all workers take, at least one.
+// Number of rows that hold the speeds of all workers; at least one.
 std::size_t speedRowCount(const WorkerPool&);
-// One of these rows.
+// Encodes the row with this index.
 Row encodeSpeeds(const WorkerPool&, std::size_t index);
-// Takes over speeds of which more has been observed than here; lifetimes that are not in the pool are passed
-// over. Returns why the bytes cannot be read.
+// Applies those stored speeds that have more weight than the ones in the pool. Ignores worker lifetimes that
+// are not in the pool. Returns the reason if the bytes cannot be decoded.
 std::optional<std::string> restoreSpeeds(std::string_view bytes, WorkerPool&);
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// One or two runs on end may fail through their own fault.
+// One or two consecutive failures may be caused by the runs themselves.
 constexpr int failuresUntilSuspect = 3;
 constexpr Milliseconds firstSuspension { 3'000 };
 constexpr int mostDoublings = 3;
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -6,23 +6,24 @@
 
 namespace anvilmoor::batch {
 
-// Judges a worker by the runs that it had, not by what it says of itself: some workers fail or stall all that
-// they start while their reports look sound. One that fails several runs on end gets nothing for a while,
-// then one run as a trial, and waits longer each time the trial fails.
+// Judges a worker by the outcome of its runs and not by its own status reports: some workers report that they
+// are healthy although every run on them fails or stalls. A worker with several consecutive failures is
+// suspended, then gets a single run as a trial. The suspension grows each time the trial fails.
 class WorkerHealth {
 public:
     void runSucceeded();
     void runFailed(TimePoint now);
-    // The worker refused an order as unhealthy. Counts more than a failure, which may be the run's own fault.
+    // The worker rejected an order because it is unhealthy. Suspends it at once, whereas a single failed run
+    // does not, since the run itself may be at fault.
     void orderRefused(TimePoint now);
 
-    // What runs here does not advance. Returns whether that is news.
+    // None of the worker's runs advances. Returns whether the worker was not stalled before.
     bool noteStall(TimePoint now);
-    // Something advances again. Returns whether nothing did before.
+    // A run advances. Returns whether the worker was stalled before.
     bool noteAdvance() { return std::exchange(m_isStalled, false); }
 
     bool isTrusted() const { return !m_isSuspect && !m_isStalled; }
-    // Not trusted, but due for one run that shows whether it has recovered.
+    // Whether the worker is not trusted but may get one trial run that shows whether it has recovered.
     bool isDueForTrial(TimePoint now) const;
     void trialStarted() { m_isOnTrial = true; }
     void trialAborted() { m_isOnTrial = false; }
@@ -36,7 +37,7 @@
     bool m_isOnTrial = false;
     TimePoint m_suspectUntil {};
     bool m_isStalled = false;
-    TimePoint m_stalledAt {}; // when a stall was last seen
+    TimePoint m_stalledAt {}; // time of the last reported stall
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -15,48 +15,50 @@
 namespace anvilmoor::batch {
 
 enum class RunPhase {
-    AwaitingCommit, // assigned, and not yet stored: the worker must not be told
-    Starting, // the worker was told, and has not confirmed
+    AwaitingCommit, // assigned but not yet stored: no start order may be sent
+    Starting, // the start order may be sent; the worker has not confirmed it
     Running,
     Stopping,
 };
 
-// A run that is on a worker, or may be.
+// A run that is active on a worker, or may be.
 struct LiveRun {
     RunId id;
     Resources resources;
     int priority = 0;
     RunPhase phase = RunPhase::AwaitingCommit;
-    std::uint64_t assignedChange = 0; // number of the job's change that has to be stored first
+    std::uint64_t assignedChange = 0; // number of the job change that must be stored before the start
     TimePoint assignedAt {};
-    TimePoint orderedAt {}; // when the last order was sent
+    TimePoint orderedAt {}; // time of the last start or stop order
     bool isOrderInFlight = false;
-    bool mayStartLate = false; // a start had no answer
-    std::optional<TimePoint> acceptedAt; // start confirmed
-    std::optional<TimePoint> stopAcceptedAt;
+    bool mayStartLate = false; // a start order was not answered, so the worker may still carry it out
+    std::optional<TimePoint> acceptedAt; // when the worker confirmed the start
+    std::optional<TimePoint> stopAcceptedAt; // when the worker confirmed the stop order
     RunProgress progress;
     bool hasMeasuredSpeed = false;
 };
 
-// An end that was processed, and what has to be stored before the worker may forget it.
+// A run end that was processed, and the job change that must be stored before it is acknowledged to the
+// worker, which then forgets it.
 struct PendingEnd {
     std::uint64_t sequence = 0;
     JobId job;
-    std::uint64_t change = 0; // the number of the job's change; 0: nothing
+    std::uint64_t change = 0; // number of the job change; 0: nothing has to be stored
 };
 
-// One lifetime of a worker, as the leader knows it.
+// The leader's view of one lifetime of a worker.
 struct Worker {
     WorkerRecord record;
-    bool isListed = false; // in the registry
-    TimePoint listedAt {}; // when its entry was last seen to change
-    bool isConfirmed = false; // has answered this leader, so that older leaders cannot reach it any more
-    TimePoint clockReadAt {};
+    bool isListed = false; // in the worker registry
+    TimePoint listedAt {}; // when its registry entry was last seen to change
+    bool isConfirmed = false; // has answered this leader, and therefore rejects orders of earlier leaders
+    TimePoint clockReadAt {}; // own time at which `clock` was read
     WorkerClock clock = 0;
-    // Whatever runs here without an answer is gone after this time.
+    // Every lease that this worker may hold has expired after this time, and so have its runs, even if it
+    // does not answer.
     TimePoint leaseBound {};
-    std::uint64_t processedEnd = 0;
-    std::uint64_t storedEnd = 0; // ends up to here are in the store and may be acknowledged
+    std::uint64_t processedEnd = 0; // sequence number of the last run end that was processed
+    std::uint64_t storedEnd = 0; // run ends up to this one are stored and may be acknowledged
     std::deque<PendingEnd> pendingEnds; // processed and not stored yet, oldest first
     std::uint64_t acknowledgedEnd = 0;
     bool isHoldInFlight = false;
@@ -64,27 +66,28 @@
     std::uint64_t holdAcknowledges = 0;
     TimePoint nextHoldAt {};
     int unansweredHolds = 0;
-    TimePoint roomDoubtedUntil {}; // it had less room than it seemed to have
+    TimePoint roomDoubtedUntil {}; // no placements until then: it had less free capacity than calculated
     std::map<TaskId, LiveRun> runs;
     Resources used;
     WorkerHealth health;
     WorkerSpeed speed;
 
-    // Of the worker's own clock, never ahead of it.
+    // Estimate of the worker's own clock. Never ahead of it.
     WorkerClock clockAt(TimePoint now) const { return clock + (now - clockReadAt).count(); }
     Resources room() const;
 };
 
-// All workers that are listed or may still run something.
+// All workers that are in the registry or may still have active runs.
 class WorkerPool {
 public:
     Worker* find(const WorkerLifetime&);
-    // Takes over what the registry says. Returns lifetimes that are over, because the worker was born again.
+    // Applies a registry entry. Returns the lifetimes that have ended because the worker has restarted.
     std::vector<WorkerLifetime> update(const WorkerRecord&, TimePoint now);
-    // Returns the lifetimes that were listed.
+    // Marks all lifetimes of the worker as not listed. Returns those that were listed before.
     std::vector<WorkerLifetime> unlist(const WorkerId&);
     std::vector<WorkerId> listedIds() const;
-    // A worker that holds stored runs; it may not be listed any more.
+    // Returns the worker, and creates it if it is unknown: a stored assignment may name a worker that is no
+    // longer listed.
     Worker& require(const WorkerLifetime&);
     void erase(const WorkerLifetime& lifetime) { m_workers.erase(lifetime); }
 
--- a/src/batch/workers/worker_speed.cpp
+++ b/src/batch/workers/worker_speed.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-// Observations that say "as fast as usual", which each worker starts with.
+// Weight of the prior: each worker starts with this many observations of average speed.
 constexpr double priorWeight = 0.7;
-// Older observations fade beyond this many, so that a worker that changes is noticed.
+// Upper limit of the total weight. Beyond it, older observations decay, so that the estimate follows a worker
+// whose speed changes.
 constexpr double mostWeight = 20;
-// Steps whose tasks may still report; the oldest are forgotten.
+// Maximum number of steps that are remembered for further tasks; the oldest step is evicted first.
 constexpr std::size_t mostSteps = 2'000;
 
 } // namespace
@@ -55,7 +56,7 @@
     Rates& rates = require(step);
     std::vector<SpeedObservation> observations;
     if (rates.count) {
-        // The mean of few siblings is less sure.
+        // The mean over few sibling tasks is less reliable.
         const double weight = static_cast<double>(rates.count) / (rates.count + 1);
         observations.push_back({ worker, logRate - rates.sum / rates.count, weight });
     } else {
--- a/src/batch/workers/worker_speed.h
+++ b/src/batch/workers/worker_speed.h
@@ -10,53 +10,55 @@
 
 namespace anvilmoor::batch {
 
-// How fast a worker is beside the others, by the runs that it had: 1 is usual, 2 does the same work in half
-// the time. Few observations count for little.
+// Speed of a worker relative to the other workers, estimated from its runs: 1 is average, 2 means the same
+// work takes half the time. With few observations, the estimate stays close to 1.
 class WorkerSpeed {
 public:
     WorkerSpeed() = default;
-    // As value() and weight() once were.
+    // Restores an estimate from the results of value() and weight().
     WorkerSpeed(double value, double weight);
 
     void add(double logSpeed, double weight);
 
     double value() const;
     double logValue() const;
-    // Of the observations so far, in whole observations.
+    // Total weight of the observations so far. A fully reliable observation has weight 1.
     double weight() const { return m_weight; }
 
 private:
-    double m_sum = 0; // of the observed logarithms, by weight
+    double m_sum = 0; // weighted sum of the observed logarithms
     double m_weight = 0;
 };
 
-// What a run says of its worker.
+// Estimate of a worker's relative speed from one run.
 struct SpeedObservation {
     WorkerLifetime worker;
     double logSpeed = 0;
     double weight = 0;
 };
 
-// Compares tasks of one step with each other. They have about the same work, whatever the caller's estimate
-// says, so that those that advance faster run on faster workers.
+// Compares the progress rates of tasks of the same step. These tasks have about the same amount of work,
+// even if the caller's estimate is wrong, so a task that advances faster runs on a faster worker.
 class StepRates {
 public:
-    // The task has advanced by this share of its work per second. Returns what that says of its worker, and
-    // of the first task's worker once there is a second one to compare it with.
+    // Adds a task that completes the fraction `rate` of its work per second on a worker whose speed is
+    // estimated as `known`. Returns an observation of this worker, and, with the second task of a step, one
+    // of the first task's worker, which had nothing to be compared with before.
     std::vector<SpeedObservation> add(
         const StepId&, const WorkerLifetime&, double rate, const WorkerSpeed& known);
 
 private:
     struct Rates {
-        SpeedObservation first; // with the logarithm of its rate
-        double sum = 0; // of the logarithms, each without its worker's known speed
+        SpeedObservation first; // of the first task; logSpeed holds the logarithm of its rate
+        double sum
+            = 0; // of the logarithms of the rates, each minus the logarithm of its worker's known speed
         int count = 0;
     };
 
     Rates& require(const StepId&);
 
     std::map<StepId, Rates> m_steps;
-    std::deque<StepId> m_order; // of m_steps, oldest first
+    std::deque<StepId> m_order; // keys of m_steps, oldest first
 };
 
 } // namespace anvilmoor::batch
--- a/test/batch_run_progress_test.cpp
+++ b/test/batch_run_progress_test.cpp
@@ -5,7 +5,8 @@
 
 namespace anvilmoor::batch {
 
-// Guards against new work on workers that answer every look and let what they run stand still.
+// Guards against placing new work on workers that answer every status poll although the runs on them have
+// stopped making progress.
 class BatchRunProgressTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BatchRunProgressTest);
     CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
@@ -26,7 +27,7 @@
 
     using Pace = RunProgress::Pace;
 
-    // One look each half second, with this progress.
+    // Adds one reading every 500 ms with these percentages.
     static void advance(RunProgress& run, WorkerClock& at, std::initializer_list<int> percents)
     {
         for (const int percent : percents) {
@@ -45,7 +46,7 @@
         CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'600 }, run.expectedEnd().value());
     }
 
-    // A run that stands still must not be counted on to end.
+    // No end may be predicted for a run that has stopped making progress.
     void testExpectedEndIsUnknownWithoutProgress()
     {
         RunProgress run;
@@ -123,7 +124,7 @@
         CPPUNIT_ASSERT(run.pace() == Pace::Unknown);
     }
 
-    // A task of four hours advances by a percent in two minutes.
+    // A task of four hours needs more than two minutes to advance by one percent.
     void testLongTaskIsGivenTimeToShowProgress()
     {
         RunProgress run(Milliseconds(4 * 3'600 * 1'000), false);
@@ -157,7 +158,8 @@
         CPPUNIT_ASSERT(!health.noteAdvance());
     }
 
-    // Guards against a worker that is left out for good because what stood still there has been taken away.
+    // Guards against excluding a stalled worker forever: once its stalled runs have been removed, no run is
+    // left that could show progress.
     void testStalledWorkerThatIsEmptyGetsATrial()
     {
         WorkerHealth health;
--- a/test/batch_worker_speed_test.cpp
+++ b/test/batch_worker_speed_test.cpp
@@ -8,8 +8,9 @@
 
 namespace anvilmoor::batch {
 
-// Guards against urgent gangs on slow workers: on the users' sites the slowest worker needs 1.3 to 1.6 times
-// as long as the fastest, and callers' estimates are off by up to 90%.
+// Guards against placing urgent gangs on slow workers. At the users' sites, the slowest worker takes 1.3 to
+// 1.6 times as long as the fastest for the same work. Callers' estimates are off by up to 90%, so speeds
+// cannot be derived from them.
 class BatchWorkerSpeedTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BatchWorkerSpeedTest);
     CPPUNIT_TEST(testWorkerThatAdvancesFasterThanItsSiblingsIsFaster);
@@ -28,7 +29,7 @@
     std::map<std::string, WorkerSpeed> m_speeds;
     int m_steps = 0;
 
-    // A step whose tasks advance at these rates, in shares of their work per second.
+    // Runs a step with one task per worker. The rates are fractions of a task's work per second.
     void runStep(const std::map<std::string, double>& rates)
     {
         const StepId step { JobId("job"), 0, m_steps++ };
@@ -65,7 +66,7 @@
         CPPUNIT_ASSERT_EQUAL(1.0, m_speeds["a"].value());
     }
 
-    // Tasks of one step differ by some 15% in their work.
+    // The amount of work differs by about 15% between tasks of one step, so one observation is unreliable.
     void testOneObservationCountsForLittle()
     {
         runStep({ { "a", 0.24 }, { "b", 0.2 } });
@@ -111,7 +112,7 @@
         CPPUNIT_ASSERT(!restoreSpeeds(row.value, next));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.25, next.find(first)->speed.value(), 0.01);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(6, next.find(first)->speed.weight(), 0.01);
-        // A worker that was born again may be of another kind.
+        // In a new lifetime, a worker may be of a different type.
         WorkerPool reborn = poolOf(2, 2);
         CPPUNIT_ASSERT(!restoreSpeeds(row.value, reborn));
         CPPUNIT_ASSERT_EQUAL(0.0, reborn.find({ WorkerId("worker-0"), 2 })->speed.weight());
