Reword comments and messages in src/batch/store

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-// Between an answer that failed and the next copy, doubled with each failure on end.
+// Delay before a failed commit is sent again; doubles with each consecutive failure.
 constexpr Milliseconds repeatDelay { 40 };
 constexpr int mostDoublings = 3;
-// All daemons but the leader would claim at once, and again with each tick, while the store refuses them.
+// While the store refuses claims, all daemons but the leader would otherwise claim at once, and again on each
+// tick.
 constexpr Milliseconds claimRetryDelay { 200 };
 
 const Row* findRow(const std::vector<Row>& rows, const RowKey& key)
@@ -57,7 +58,7 @@
     inFlight.batch = batch.number;
     inFlight.transaction.expected.push_back({ leaseKey(), m_lease.version() });
     inFlight.transaction.writes = std::move(batch.writes);
-    // The last row, which repeat() rewrites.
+    // The lease row must be the last write: a resend rewrites the last one.
     inFlight.transaction.writes.push_back({ leaseKey(), encodeLease(record) });
     inFlight.transaction.removals = std::move(batch.removals);
     inFlight.record = std::move(record);
@@ -96,7 +97,8 @@
         m_inFlight->mayHaveBeenApplied = true;
         break;
     case CommitOutcome::Refused:
-        // Another daemon may be free to claim; a refused claim leaves no trace.
+        // A refused claim was certainly not applied. It is dropped, because another daemon may be able to
+        // claim.
         if (m_inFlight->purpose == Purpose::Claim && !m_inFlight->mayHaveBeenApplied) {
             m_inFlight.reset();
             m_claimAgainAt = now + claimRetryDelay;
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -14,19 +14,19 @@
 
 namespace anvilmoor::batch {
 
-// Entries of one transaction, of which the platform takes 100; the lease takes one.
+// The platform accepts 100 entries per transaction, and the lease row takes one of them.
 constexpr std::size_t maxRowsPerCommit = 90;
 
-// What one commit of the leader stores, beside the lease.
+// The changes that one commit of the leader stores in addition to the lease row.
 struct CommitBatch {
-    std::uint64_t number = 0; // as given to submit()
+    std::uint64_t number = 0; // chosen by the caller of submit() and returned with the answer
     std::vector<Row> writes;
     std::vector<RowKey> removals;
 };
 
-// Commits for the holder of the lease, or for one that claims it, one at a time. A commit without an answer
-// is sent again, with the time of its sending: if the first copy was applied, the second meets its own lease
-// record.
+// Sends commits for the holder of the lease, or for a daemon that claims it, one at a time. A commit without
+// an answer is sent again with its new send time. If the first copy was applied, the second one conflicts
+// with the lease record that the first one wrote, and the commit is recognised as applied.
 class CommitPipeline {
 public:
     enum class Result { None, Claimed, Applied, Released, LeaseLost };
@@ -39,7 +39,7 @@
     explicit CommitPipeline(LeaderLease&);
 
     bool isBusy() const { return m_inFlight.has_value(); }
-    // False for a while after the store has refused a claim.
+    // False while a commit is in flight, and for a short time after the store has refused a claim.
     bool mayClaim(TimePoint now) const { return !isBusy() && now >= m_claimAgainAt; }
     bool isRenewalDue(TimePoint now) const { return now >= m_lastSentAt + leaseRenewalInterval; }
 
@@ -47,7 +47,7 @@
     Effect release(TimePoint now);
     Effect submit(CommitBatch, std::map<std::string, std::uint64_t> waitingJobs, TimePoint now);
     Answer answered(const CommitAnswered&, TimePoint now);
-    // The copy of a commit that is due to be sent again, if there is one.
+    // Sends the commit in flight again, if that is due.
     std::optional<Effect> repeat(TimePoint now);
 
 private:
@@ -61,7 +61,7 @@
         OperationId operation = 0;
         TimePoint firstSentAt {};
         TimePoint lastSentAt {};
-        std::optional<TimePoint> repeatAt; // empty while an answer is awaited
+        std::optional<TimePoint> repeatAt; // when to send again; empty while an answer is awaited
         bool mayHaveBeenApplied = false;
         int failures = 0;
     };
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -18,26 +18,26 @@
 tl::expected<LeaseRecord, std::string> decodeLease(std::string_view bytes)
 {
     try {
-        // Rows of earlier versions state no time.
+        // Rows written by earlier versions have no send time.
         const auto row = nlohmann::json::from_msgpack(bytes.begin(), bytes.end());
         return LeaseRecord { row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>(),
             row.at(2).get<std::uint64_t>(), row.at(3).get<std::map<std::string, std::uint64_t>>(),
             row.size() > 4 ? row.at(4).get<StoreClock>() : StoreClock { 0 } };
     } catch (const nlohmann::json::exception& error) {
-        return tl::unexpected(fmt::format("row of the leader's lease: {}", error.what()));
+        return tl::unexpected(fmt::format("cannot decode leader lease row: {}", error.what()));
     }
 }
 
 StoreClock StoreClockReading::at(TimePoint now) const
 {
-    // Clocks differ by up to 2%.
+    // Clock rates differ by up to 2%. Assuming the slowest rate keeps the estimate from running ahead.
     constexpr std::int64_t slowestPercent = 98;
     return m_clock ? m_clock + (now - m_readAt).count() * slowestPercent / 100 : 0;
 }
 
 void StoreClockReading::note(StoreClock answeredAt, TimePoint now)
 {
-    // An answer that was long under way tells less than an earlier one.
+    // An answer that was delayed in transit may be less accurate than the estimate from an earlier one.
     if (!answeredAt || answeredAt < at(now))
         return;
     m_clock = answeredAt;
@@ -55,7 +55,7 @@
     noteStoreClock(answeredAt, now);
     noteAnswer(now);
     const RowVersion version = row ? row->version : 0;
-    // Reads may overtake each other.
+    // Answers to reads may arrive out of order.
     if (m_hasObserved && version <= m_version)
         return;
     m_hasObserved = true;
@@ -64,14 +64,14 @@
     m_record = {};
     if (!row)
         return;
-    // An unreadable row is claimed like one that has lapsed.
+    // An unreadable row leaves the record without a holder, so that the lease can be claimed.
     if (auto record = decodeLease(row->value))
         m_record = std::move(*record);
     if (answeredAt && m_record.sentAt && answeredAt > m_record.sentAt)
         m_changedAt = now - Milliseconds(answeredAt - m_record.sentAt);
 }
 
-// A host runs one daemon: another process of this host is gone.
+// A host runs only one daemon, so any other daemon process of this host has ended.
 bool LeaderLease::isHeldByPredecessor() const
 {
     return m_record.holder.starts_with(m_name.host + "/") && m_record.holder != m_name.text();
@@ -84,7 +84,8 @@
     m_answeredAt = now;
 }
 
-// After an outage of the store the lease has lapsed for all: the delays then count from its return.
+// After an outage of the store the lease has lapsed for all daemons. The claim delays then count from the
+// time at which the store answered again.
 bool LeaderLease::isFree(TimePoint now) const
 {
     const bool isInTouch = now < m_answeredAt + contactLostAfter;
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -12,13 +12,14 @@
 
 namespace anvilmoor::batch {
 
-// How long a leader may act on its last commit, on its own clock. Three renewals, or one whose answer is lost
-// and that is sent again.
+// How long a leader may act after it sent its last applied commit, on its own clock. Long enough for three
+// renewals, or for one renewal whose answer is lost and that is sent again.
 constexpr Milliseconds leaseDuration { 1'100 };
-// A candidate waits this much longer: clocks that differ by 2%, and the way of an order to its worker.
+// Additional time that a candidate waits. It covers clock rates that differ by 2% and the transit time of an
+// order to its worker.
 constexpr Milliseconds leaseMargin { 150 };
-// A daemon that has had no answer of the store for this long has lost the store: it has one every 1.2 s at
-// least, and a slow store takes some 0.4 s.
+// A daemon that has received no answer from the store for this long has lost contact with it. Answers
+// normally arrive at least every 1.2 s, and a slow store takes about 0.4 s to answer.
 constexpr Milliseconds contactLostAfter { 2'000 };
 // A leader commits at least this often.
 constexpr Milliseconds leaseRenewalInterval { 350 };
@@ -26,11 +27,11 @@
 // The row that names the leader. Every commit of the leader rewrites it.
 struct LeaseRecord {
     std::string holder; // empty: released
-    std::uint64_t epoch = 0; // rises with each leader; workers refuse orders of a lower one
-    std::uint64_t sequence = 0; // of the leader's commits, so that it recognises one whose answer was lost
-    std::map<std::string, std::uint64_t> waitingJobs; // by queue: accepted jobs that have not begun
-    // When the commit was sent, or a little before; 0: unknown. A daemon that has just started learns from it
-    // how old the lease is.
+    std::uint64_t epoch = 0; // increases with each leader; workers refuse orders of a lower epoch
+    std::uint64_t sequence = 0; // counts the leader's commits; identifies a commit whose answer was lost
+    std::map<std::string, std::uint64_t> waitingJobs; // number of accepted jobs that have not begun, by queue
+    // When the commit was sent, or slightly earlier; 0: unknown. It tells a daemon that has just started how
+    // old the lease is.
     StoreClock sentAt = 0;
 
     bool operator==(const LeaseRecord&) const = default;
@@ -39,12 +40,12 @@
 std::string encodeLease(const LeaseRecord&);
 tl::expected<LeaseRecord, std::string> decodeLease(std::string_view bytes);
 
-// Follows the store's clock by the answers to this daemon. Never ahead of it, and late by the fastest
-// answer's way at most.
+// Estimates the store's clock from the answers to this daemon. The estimate is never ahead of the store's
+// clock, and lags behind it by at most the transit time of the fastest answer.
 class StoreClockReading {
 public:
     void note(StoreClock answeredAt, TimePoint now);
-    // 0 if no answer has told it yet.
+    // 0 if no answer has reported the clock yet.
     StoreClock at(TimePoint now) const;
 
 private:
@@ -52,7 +53,7 @@
     TimePoint m_readAt {};
 };
 
-// A daemon's name: its host, and what tells this process from earlier ones there.
+// Name of a daemon: its host, and a text that distinguishes this process from earlier ones on the host.
 struct DaemonName {
     std::string host;
     std::string process;
@@ -60,34 +61,36 @@
     std::string text() const { return host + "/" + process; }
 };
 
-// What this daemon knows of the leadership. Only the store decides who leads: a claim and every commit depend
-// on the row's version.
+// This daemon's view of the leader lease. Only the store decides who leads: claims and all other commits are
+// applied only if the lease row has the expected version.
 class LeaderLease {
 public:
-    // Candidates with a longer delay leave the lease to others.
+    // A candidate waits for `claimDelay` before it claims a free lease, and so leaves it to those with a
+    // shorter delay.
     LeaderLease(DaemonName ownName, Milliseconds claimDelay);
 
-    // The row as the store answered it, as far as is known; empty: there is none.
+    // Takes in the lease row from an answer of the store; empty if there is no such row. Outdated rows are
+    // ignored.
     void observe(const std::optional<Row>&, TimePoint now, StoreClock answeredAt);
-    // The store has answered this daemon, about the row or about anything else.
+    // Records that the store has answered a request of this daemon, about the lease row or any other.
     void noteAnswer(TimePoint now);
-    // True once the holder has let it lapse or has released it, and this daemon has been in touch with the
-    // store since for its delay at least.
+    // True if the lease has lapsed or been released, and this daemon has been in contact with the store for
+    // at least its claim delay since then.
     bool isFree(TimePoint now) const;
 
     bool isLeader() const { return m_isLeader; }
-    // A leader may give orders to workers only while this holds.
+    // A leader may send orders to workers only while this is true.
     bool mayAct(TimePoint now) const { return m_isLeader && now < m_provenAt + leaseDuration; }
     std::uint64_t epoch() const { return m_record.epoch; }
     RowVersion version() const { return m_version; }
     const LeaseRecord& record() const { return m_record; }
 
-    // The record that claims the lease, or goes on with it. To be committed at version().
+    // The record that claims the lease or, for the leader, renews it. Its commit must expect version().
     LeaseRecord next(std::map<std::string, std::uint64_t> waitingJobs, TimePoint now) const;
     LeaseRecord released(TimePoint now) const;
-    // The record as it is to be sent once more.
+    // The record with its send time updated, for sending the commit again.
     LeaseRecord resent(LeaseRecord, TimePoint now) const;
-    // The commit of a record that next() returned was applied; it was sent at the time given.
+    // Records that the commit of a record from next() or released() was applied; it was sent at `sentAt`.
     void committed(const LeaseRecord&, RowVersion, TimePoint sentAt);
     void noteStoreClock(StoreClock answeredAt, TimePoint now) { m_storeClock.note(answeredAt, now); }
     void lose();
@@ -104,7 +107,7 @@
     bool m_isLeader = false;
     TimePoint m_answeredAt {};
     TimePoint m_inTouchSince {};
-    TimePoint m_changedAt {}; // when the present version was sent, or else first seen
+    TimePoint m_changedAt {}; // when the current version was sent or, if unknown, first seen
     TimePoint m_provenAt {};
 };
 
--- a/src/batch/store/message_pack.h
+++ b/src/batch/store/message_pack.h
@@ -5,7 +5,7 @@
 
 namespace anvilmoor::batch {
 
-// A row's value: the document as MessagePack.
+// Encodes a document as MessagePack, the format of row values.
 inline std::string toMessagePack(const nlohmann::json& document)
 {
     std::string bytes;
--- a/src/batch/store/operation_bits.h
+++ b/src/batch/store/operation_bits.h
@@ -2,7 +2,7 @@
 
 #include "anvilmoor/batch/event.h"
 
-// Each module marks its operations on the store with a bit of its own, by which answers find their way back.
+// Each module sets its own bit in the ids of its store operations, so that answers can be routed back to it.
 
 namespace anvilmoor::batch {
 
--- a/src/batch/store/tables.h
+++ b/src/batch/store/tables.h
@@ -8,19 +8,20 @@
 #include <string>
 #include <string_view>
 
-// The names of the scheduler's own tables and keys.
+// Names of the scheduler's own tables, and keys of their rows.
 
 namespace anvilmoor::batch {
 
-// Lease and progress share a part, so that each commit of the leader can depend on the lease's row.
+// The rows of the lease and of the progress share a part, so that each commit of the leader can depend on the
+// version of the lease row.
 constexpr std::string_view leaderPart = "leader";
-// Jobs are spread over this many parts by their id: a part takes one transaction after the other, and a slow
-// store would make callers and leader wait for each other.
+// Jobs are distributed over this many parts by their id. A part executes one transaction at a time, so with a
+// single part and a slow store, callers and the leader would wait for each other.
 constexpr int jobParts = 8;
 constexpr std::string_view leaseTable = "lease";
 constexpr std::string_view jobTable = "job"; // accepted jobs and cancel requests
 constexpr std::string_view progressTable = "progress";
-constexpr std::string_view speedTable = "speed"; // of the workers
+constexpr std::string_view speedTable = "speed"; // speeds of the workers
 
 std::string jobPartName(int index);
 RowKey leaseKey();
@@ -36,7 +37,7 @@
     JobId job;
 };
 
-// Empty if the key is none of those above.
+// Empty if the key belongs neither to a job nor to a cancel request.
 std::optional<JobRowName> parseJobKey(std::string_view key);
 
 } // namespace anvilmoor::batch
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -52,7 +52,7 @@
         return rows.empty() ? std::nullopt : std::optional(rows.front());
     }
 
-    // Applies the commit and answers it.
+    // Applies the commit in the store and passes the answer to the candidate.
     CommitPipeline::Result carryOut(Candidate& candidate, const Effect& effect)
     {
         const auto& commit = std::get<Commit>(effect);
@@ -81,7 +81,7 @@
         CPPUNIT_ASSERT(second.lease.isFree(m_now + leaseDuration + leaseMargin));
     }
 
-    // Guards against two leaders that give orders at the same time.
+    // Guards against two leaders that send orders at the same time.
     void testLeaderStopsActingBeforeAnotherMayClaim()
     {
         Candidate first("a");
@@ -169,7 +169,7 @@
         first.pipeline.answered({ std::get<Commit>(claim).operation, { CommitOutcome::Refused } }, m_now);
         CPPUNIT_ASSERT(!first.pipeline.isBusy());
         CPPUNIT_ASSERT(!first.lease.isLeader());
-        // Guards against a claim with each tick while the store refuses.
+        // Guards against a claim on each tick while the store refuses claims.
         CPPUNIT_ASSERT(!first.pipeline.mayClaim(m_now + Milliseconds(100)));
         CPPUNIT_ASSERT(first.pipeline.mayClaim(m_now + Milliseconds(300)));
     }
@@ -182,10 +182,10 @@
         CPPUNIT_ASSERT_EQUAL(RowVersion { 5 }, first.lease.version());
     }
 
-    // Of the store, in the tests that state it.
+    // The store's clock, for the tests in which the store reports it.
     StoreClock storeClock() const { return m_now.time_since_epoch().count() + 5'000'000; }
 
-    // Applies the commit and answers it with the store's clock.
+    // Like carryOut(), but the answer reports the store's clock.
     CommitPipeline::Answer carryOutWithClock(Candidate& candidate, const Effect& effect)
     {
         const auto& commit = std::get<Commit>(effect);
@@ -201,7 +201,8 @@
             == CommitPipeline::Result::Claimed);
     }
 
-    // Guards against daemons that all start anew and then wait for a lease whose holder is gone with them.
+    // Guards against a needless wait after all daemons have restarted at once: the holder of the lease has
+    // ended too.
     void testDaemonThatHasJustStartedKnowsTheAgeOfTheLease()
     {
         Candidate first("a");
@@ -237,7 +238,8 @@
         CPPUNIT_ASSERT(!other.isFree(m_now));
     }
 
-    // Guards against a leader that is taken for lapsed as soon as a store that was away applies its commit.
+    // Guards against a lease that already seems lapsed when the store, back from an outage, applies the
+    // leader's commit.
     void testRepeatedCommitStatesWhenItWasSentLast()
     {
         Candidate first("a");
@@ -290,8 +292,9 @@
         CPPUNIT_ASSERT(!second.lease.isFree(m_now + contactLostAfter + Milliseconds(1'000)));
     }
 
-    // Guards against small hosts that lead after an outage because every lease has lapsed by then (grown
-    // lbgia, scale-1, seed 12).
+    // Guards against a small host that becomes leader after an outage: every lease has lapsed by then, so
+    // claim delays that count from the lapse have passed on all hosts. Seen on the day scale-1 of the grown
+    // lbgia, seed 12.
     void testDelaysCountFromTheReturnOfTheStore()
     {
         Candidate first("a");
@@ -308,8 +311,9 @@
         CPPUNIT_ASSERT(small.isFree(m_now + Milliseconds(500)));
     }
 
-    // Guards against a large host that leaves the lease to small ones because its question about it hangs
-    // (grown lbgia, scale-1, on 2a03e21: a small host led at 36.5 s and could not load).
+    // Guards against a large host that leaves the lease to small ones because its read of the lease row
+    // hangs. Seen on the day scale-1 of the grown lbgia, at commit 2a03e21: a small host led at 36.5 s and
+    // could not load.
     void testAnyAnswerOfTheStoreCountsAsItsReturn()
     {
         Candidate first("a");
