Reword comments and messages in src/batch/intake

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -12,18 +12,20 @@
 
 namespace {
 
-// A caller that states no timeout.
+// For callers that state no timeout.
 constexpr Milliseconds defaultCallerTimeout { 3'000 };
-// The answer has to reach the caller before its timeout.
+// Time reserved for the answer to reach the caller before its timeout.
 constexpr Milliseconds answerMargin { 150 };
-// While the store does not answer, a request is kept this long; another daemon may still reach the store.
+// A request is given up after this time without an answer from the store, because another daemon may still
+// reach it.
 constexpr Milliseconds longestWithoutStore { 1'000 };
 constexpr Milliseconds readRetryDelay { 40 };
 constexpr int mostDoublings = 4;
 constexpr std::size_t jobIdLength = 16;
 constexpr std::size_t mostEndStates = 4'096;
 
-// "4x8" for a step of four tasks with eight accelerators each; "g" marks a gang, "r" one that needs one rack.
+// Describes a job's steps in the log. "4x8" is a step of four tasks with eight accelerators each; "g" marks a
+// gang, "r" a step that needs one rack.
 std::string shapeOf(const JobSpecification& job)
 {
     std::string shape;
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -16,20 +16,21 @@
 
 namespace anvilmoor::batch {
 
-// Tells what the leader knows of jobs, where the leader runs in this process.
+// Gives access to the leader's state of jobs if the leader runs in this process.
 class JobStates {
 public:
     virtual ~JobStates() = default;
 
-    // Empty if not known here; the store knows.
+    // Empty if the state is not known in this process and has to be read from the store.
     virtual std::optional<JobState> stateOf(const JobId&, TimePoint now) const = 0;
-    // Accepted jobs of the queue that have not begun, as last published by the leader.
+    // Number of accepted jobs of the queue that have not begun, as last published by the leader.
     virtual std::uint64_t waitingJobs(const std::string& queue) const = 0;
 };
 
-// Serves callers on any daemon. A job is accepted by storing its row, so that an accepted job needs no daemon
-// to survive. Only the store says whether a job exists: a caller is told "not accepted" or "no such job" on
-// its word alone, and "unknown" where it does not answer in time.
+// Serves callers on any daemon. A job is accepted once its row is stored, so that an accepted job survives
+// the loss of any daemon. Only the store decides whether a job exists: a caller receives "not accepted" or
+// "no such job" only on the basis of an answer of the store, and "unknown" if the store does not answer in
+// time.
 class JobIntake {
 public:
     JobIntake(const ConfigurationView&, const JobStates&);
@@ -57,19 +58,19 @@
         JobId job;
         Stage stage = Stage::Storing;
         std::optional<Row> row; // to be stored
-        // Of a submission, for its log line.
+        // For the log event of a submission.
         std::string queue;
         int priority = 0;
         ClientAccountId account;
         std::string shape;
         TimePoint receivedAt {};
         TimePoint answerBy {};
-        OperationId read = 0; // that is awaited
+        OperationId read = 0; // the read that is awaited
         std::optional<TimePoint> readAgainAt;
         int failedReads = 0;
     };
 
-    // Empty if the request was answered.
+    // Null if the request was refused; the caller has then been answered.
     const QueueConfiguration* admit(const CallerRequest&, Step&) const;
     void submit(const CallerRequest&, const QueueConfiguration&, const JobId&, Step&);
     void query(const CallerRequest&, const JobId&, Step&);
@@ -90,7 +91,7 @@
     RowWriter m_writer;
     std::map<RequestId, Request> m_requests;
     std::map<OperationId, RequestId> m_reads;
-    std::map<JobId, JobState> m_endStates; // of jobs that were seen to have ended; these do not change
+    std::map<JobId, JobState> m_endStates; // of jobs known to have ended; these states are final
     RequestId m_lastRequest = 0;
     OperationId m_lastOperation = 0;
 };
--- a/src/batch/intake/row_writer.cpp
+++ b/src/batch/intake/row_writer.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// The platform takes 100 entries a transaction; each row may count twice, as expected and as written.
+// The platform accepts 100 entries per transaction. A row may count twice: as an expected version and as a
+// write.
 constexpr std::size_t rowsPerTransaction = 45;
 constexpr Milliseconds firstDelay { 40 };
 constexpr int mostDoublings = 4;
@@ -81,7 +82,7 @@
     return stored;
 }
 
-// Half of the delay is random, so that daemons that were refused together do not return together.
+// Half of the delay is random, so that daemons refused at the same time do not retry at the same time.
 void RowWriter::delay(Part& part, Step& step)
 {
     const Milliseconds longest = firstDelay * (1 << std::min(part.refusals, mostDoublings));
--- a/src/batch/intake/row_writer.h
+++ b/src/batch/intake/row_writer.h
@@ -14,18 +14,18 @@
 
 namespace anvilmoor::batch {
 
-// Stores rows for callers. Each part of a table has one transaction under way; what comes meanwhile goes
-// together in the next one. So a slow store takes few large transactions in place of a growing queue of small
-// ones, and a store that refuses is asked at growing intervals.
+// Stores rows for callers. Each part of a table has at most one transaction in flight; rows that arrive
+// meanwhile are batched in the next one. A slow store thus receives a few large transactions instead of a
+// growing queue of small ones, and a store that refuses transactions is retried at increasing intervals.
 class RowWriter {
 public:
     using Ticket = std::uint64_t;
 
-    // A row that must be new counts as stored if it is there already.
+    // If `mustBeNew`, a row that already exists is not overwritten and counts as stored.
     void write(Ticket, Row, bool mustBeNew, Step&);
-    // Nobody waits for the row any more. It may be stored nevertheless.
+    // No caller waits for the row any more. It may still be stored.
     void forget(Ticket);
-    // Tickets whose rows are stored.
+    // Handles the answer to a commit. Returns the tickets of the rows that are now stored.
     std::vector<Ticket> answered(const CommitAnswered&, Step&);
     void tick(Step&);
 
@@ -38,9 +38,9 @@
     struct Part {
         std::deque<Entry> waiting;
         std::vector<Entry> underWay;
-        OperationId operation = 0; // 0: none under way
+        OperationId operation = 0; // 0: none in flight
         TimePoint sendAt {};
-        int refusals = 0; // on end
+        int refusals = 0; // consecutive
     };
 
     void send(Part&, Step&);
--- a/test/batch_row_writer_test.cpp
+++ b/test/batch_row_writer_test.cpp
@@ -63,8 +63,8 @@
         CPPUNIT_ASSERT(stored == std::vector<RowWriter::Ticket> { 1 });
     }
 
-    // Guards against the collapse on the day store-and-leader: one transaction for each caller filled the
-    // queue of a slow store, and retries kept it full long after the store had recovered.
+    // Guards against congestion collapse, as seen on the day store-and-leader: one transaction per caller
+    // filled the queue of a slow store, and retries kept it full long after the store had recovered.
     void testRowsThatComeMeanwhileGoTogether()
     {
         write("p", 1);
@@ -96,7 +96,7 @@
         const auto stored
             = answer(lastCommit().operation, { CommitOutcome::Conflict, 0, { present, rowOf("p", 3) } });
         CPPUNIT_ASSERT(stored == std::vector<RowWriter::Ticket> { 2 });
-        // The other row goes on at once, by itself.
+        // The other row is sent again immediately, on its own.
         CPPUNIT_ASSERT_EQUAL(std::string("k3"), lastCommit().transaction.writes.front().key.key);
     }
 
@@ -138,7 +138,7 @@
         CPPUNIT_ASSERT(m_effects.empty());
     }
 
-    // 60 callers within a second at a store that takes 400 ms for a transaction.
+    // 60 callers within 1.2 s, and a store that takes 400 ms per transaction.
     void testSlowStoreTakesAllRowsOfABurst()
     {
         std::size_t stored = 0;
