Reword comments and messages in src/batch/daemon

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-// Confirms the configuration every 0.6 s, and brings changes at once.
+// Confirms the configuration every 0.6 s and reports changes at once.
 constexpr FollowRhythm configurationRhythm { Milliseconds(600), Milliseconds(0) };
-// The leader rewrites its lease with every commit; a candidate needs to see that it does, not each time: the
-// row says how old it is.
+// The leader rewrites its lease row with every commit. A candidate only needs to see that the lease is still
+// renewed, not every single write: the row contains the store time at which it was sent, which gives its age.
 constexpr FollowRhythm leaseRhythm { Milliseconds(600), Milliseconds(600) };
 constexpr FollowRhythm jobRhythm { Milliseconds(1'000), Milliseconds(0) };
-// Workers report every 1.5 s each; many reports are read together.
+// Each worker updates its entry every 1.5 s. The pause between requests lets one answer contain many updates.
 constexpr FollowRhythm workerRhythm { Milliseconds(1'000), Milliseconds(400) };
 
 std::string nameOf(CallerAction action)
@@ -192,7 +192,8 @@
 
 void BatchDaemon::carryOut(FollowLeaderTables& follow)
 {
-    // A follower may be on the stack; it ends once its callback has returned.
+    // This may run inside a follower's callback, so the followers are destroyed from the loop, after the
+    // callback has returned.
     m_loop.post([old = std::shared_ptr<TableFollower>(std::move(m_jobFollower))] {});
     m_loop.post([old = std::shared_ptr<TableFollower>(std::move(m_workerFollower))] {});
     if (!follow.isFollowing)
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -16,8 +16,8 @@
 
 namespace anvilmoor::batch {
 
-// Runs the reducer on the loop: turns replies and timers into events, and carries out effects through the
-// ports.
+// Runs the reducer on the event loop: turns replies and timers into events, and executes the resulting
+// effects through the ports.
 class BatchDaemon {
 public:
     using Answer = std::function<void(const AnswerCaller&)>;
@@ -28,15 +28,18 @@
     BatchDaemon(const BatchDaemon&) = delete;
     BatchDaemon& operator=(const BatchDaemon&) = delete;
 
-    // The handle of the request is set here. Returns it, for callerGone().
+    // Assigns a handle to the request, overwriting the one it contains, and returns it for use with
+    // callerGone().
     CallerHandle request(CallerRequest, Answer);
+    // Discards the answer to a request whose caller has disconnected.
     void callerGone(CallerHandle);
     void shutdown();
     bool isReady() const;
-    // Called once, when the daemon has nothing left to do.
+    // Sets the callback that is called once when a shutdown ends: when nothing is left to do or the grace
+    // period is nearly over.
     void onStopped(std::function<void()>);
 
-    // Monotonic, and goes on while the host is suspended.
+    // Monotonic time that includes the time during which the host is suspended.
     static TimePoint now();
 
 private:
@@ -77,7 +80,7 @@
     std::map<CallerHandle, Caller> m_callers;
     CallerHandle m_lastCaller = 0;
     std::function<void()> m_onStopped;
-    // Replies that come after the daemon's end are dropped.
+    // Set to false by the destructor, so that replies that arrive later are dropped.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/batch/daemon/ports.h
+++ b/src/batch/daemon/ports.h
@@ -11,41 +11,49 @@
 #include <tl/expected.hpp>
 #include <vector>
 
-// What the daemon needs of the platform. An adapter implements it; the daemon knows no wire format.
+// Interfaces through which the daemon uses the platform. An adapter implements them, so the daemon is
+// independent of wire formats.
 
 namespace anvilmoor::batch {
 
 struct TableSnapshot {
     bool isOk = false;
     std::vector<Row> rows;
-    RowVersion version = 0; // changes after it are not contained
+    RowVersion version = 0; // all changes up to this version are included; later ones may be missing
     StoreClock answeredAt = 0;
 };
 
-enum class FeedOutcome { Ok, HistoryLost, Failed };
+enum class FeedOutcome {
+    Ok,
+    HistoryLost, // the store no longer has all changes after the requested version
+    Failed,
+};
 
 struct FeedReply {
     FeedOutcome outcome = FeedOutcome::Failed;
     std::vector<Row> rows; // in the order of their changes
-    RowVersion version = 0; // to go on from
+    RowVersion version = 0; // start of the next feed request
     StoreClock answeredAt = 0;
 };
 
-// Calls back exactly once, from the loop and never from inside the call.
+// Access to the platform's row store. Each call invokes its callback exactly once, from the event loop and
+// never from within the call itself.
 class RowStore {
 public:
     virtual ~RowStore() = default;
 
     virtual void commit(Transaction, std::function<void(CommitReply)>) = 0;
-    // `until` is excluded, and empty for the rest of the table's part.
+    // Reads the rows of a table's part from `from` up to but excluding the key `until`. An empty `until`
+    // reads to the end of the part.
     virtual void read(RowKey from, std::string until, std::function<void(TableSnapshot)>) = 0;
-    // Changes to the table after the version; waits this long for one.
+    // Reads the changes to the table after the version `after`. If there are none yet, the store waits up to
+    // `wait` for one.
     virtual void feed(
         const std::string& table, RowVersion after, Milliseconds wait, std::function<void(FeedReply)>)
         = 0;
 };
 
-// Gives orders to workers. Calls back exactly once, like RowStore.
+// Sends orders to workers. Callbacks follow the same rules as those of RowStore.
 class WorkerGateway {
 public:
     virtual ~WorkerGateway() = default;
@@ -55,17 +63,17 @@
     virtual void hold(const HoldWorker&, std::function<void(HoldAnswered)>) = 0;
 };
 
-// Reads the rows that others write: the operators' configuration and the workers' registry.
+// Decodes the rows that other programs write: the operators' configuration and the worker registry.
 class RecordReader {
 public:
     virtual ~RecordReader() = default;
 
     virtual std::string configurationTable() const = 0;
     virtual std::string workerTable() const = 0;
-    // An error says which field is wrong, and why.
+    // An error names the invalid field and the reason.
     virtual tl::expected<Configuration, std::string> configuration(const Row&) const = 0;
     virtual tl::expected<WorkerRecord, std::string> worker(const Row&) const = 0;
-    // Rows of the same table that mean something else are passed over.
+    // False for the other rows of the configuration table, which are ignored.
     virtual bool isConfiguration(const Row&) const = 0;
 };
 
--- a/src/batch/daemon/table_follower.cpp
+++ b/src/batch/daemon/table_follower.cpp
@@ -54,7 +54,7 @@
     }
 }
 
-// The feed goes on from the oldest of the parts' versions: some changes are then reported twice, none is
+// The feed continues from the oldest version of all parts: some changes may be reported twice, but none is
 // missed.
 void TableFollower::listed(TableSnapshot part, TimePoint sentAt)
 {
--- a/src/batch/daemon/table_follower.h
+++ b/src/batch/daemon/table_follower.h
@@ -11,30 +11,31 @@
 namespace anvilmoor::batch {
 
 struct FollowRhythm {
-    Milliseconds wait { 800 }; // that the store holds an answer back for news
-    Milliseconds pause { 0 }; // between an answer and the next question
+    Milliseconds wait { 800 }; // longest time that the store holds a request open until there is a change
+    Milliseconds pause { 0 }; // between an answer and the next request
 };
 
-// Keeps up with one table: reads it once, then asks for changes, and reads it anew when the store has dropped
-// its history. Destroying it ends the following.
+// Follows the changes of one table by long polling: reads the table once, then requests changes, and reads it
+// again if the store has dropped the change history. Stops when it is destroyed.
 class TableFollower {
 public:
     struct News {
-        bool isComplete = false;
+        bool isComplete = false; // `rows` are all rows of the followed parts rather than changes
         std::vector<Row> rows;
-        TimePoint knownAt {}; // when the question was sent
-        StoreClock answeredAt = 0; // when the store answered it
+        TimePoint knownAt {}; // when the request was sent
+        StoreClock answeredAt = 0; // when the store answered
     };
     using Callback = std::function<void(News)>;
     using Clock = std::function<TimePoint()>;
 
-    // The first read covers these parts; changes of other parts of the table are reported too.
+    // The initial read covers these parts. Changes to other parts of the table are reported too.
     TableFollower(net::EventLoop&, RowStore&, std::string table, std::vector<std::string> parts, FollowRhythm,
         Clock, Callback);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
 
+    // Whether the last request to the store was answered.
     bool isInTouch() const { return m_isInTouch; }
 
 private:
@@ -47,8 +48,8 @@
     RowStore& m_store;
     std::string m_table;
     std::vector<std::string> m_parts;
-    std::size_t m_unreadParts = 0; // of the read under way
-    TableSnapshot m_snapshot; // of the parts read so far
+    std::size_t m_unreadParts = 0; // parts that the read in progress still waits for
+    TableSnapshot m_snapshot; // rows of the parts read so far
     FollowRhythm m_rhythm;
     Clock m_clock;
     Callback m_callback;
--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -5,7 +5,8 @@
 
 namespace anvilmoor::testing {
 
-// Whole deployments in virtual time: daemons, store and workers, and what callers and workers see.
+// Tests complete deployments of daemons, store and workers in virtual time, by the answers that callers get
+// and the runs that workers start.
 class BatchClusterTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BatchClusterTest);
     CPPUNIT_TEST(testAcceptedJobCompletesOnCalmDay);
@@ -68,7 +69,7 @@
             cluster.runUntil([&] { return cluster.firstStart(job).has_value(); }, Milliseconds(5'000)));
     }
 
-    // The worker that runs something of the job.
+    // Returns a worker that has a run of the job.
     static FakeWorker& workerOf(BatchCluster& cluster, const JobId& job)
     {
         for (std::size_t i = 0; i < cluster.workerCount(); ++i) {
@@ -111,8 +112,10 @@
         requireCompleted(cluster, job);
     }
 
-    // Guards against the recorded day inc-f0cb of lbgia: a worker came back from a cut with old ends, got a
-    // run at once, and the run was given up because the lease from before the cut had passed.
+    // Guards against declaring a run lost because of a lease from before a network partition. Seen in the
+    // recorded scenario inc-f0cb of lbgia: a worker was reachable again, reported old run ends and was
+    // assigned a run at once. That run was declared lost because the lease from before the partition had
+    // expired.
     void testFirstRunOnWorkerBackFromCutIsNotGivenUp()
     {
         BatchCluster cluster;
@@ -146,7 +149,8 @@
         requireNoViolation(cluster);
     }
 
-    // Guards against a "not accepted" while a write without an answer may still land.
+    // Guards against answering "not accepted" while the store may still apply a write that it has not
+    // answered.
     void testStoreOutageLeavesOutcomeUnknownAndRefusesNothing()
     {
         BatchCluster cluster;
@@ -201,8 +205,9 @@
         CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(job));
     }
 
-    // Guards against connections that the balancer goes on sending to a zone that is cut off: it needs two
-    // failed probes, a second apart, and urgent work is late after 1.5 s.
+    // Guards against new connections that the load balancer keeps sending to an availability zone that has
+    // lost the store. The balancer needs two failed probes, one second apart, to stop, and urgent work is
+    // late after 1.5 s.
     void testDaemonWithoutStoreLeavesNewConnectionsToOthers()
     {
         BatchCluster cluster;
@@ -218,8 +223,9 @@
         CPPUNIT_ASSERT(cluster.reducer(1).isReady(cluster.now()));
     }
 
-    // Guards against the day scale-1 of the grown lbgia, seed 12: a host with a link of 10 Mbit/s held the
-    // lease for 18 s and could not read the jobs.
+    // Guards against a leader that keeps the lease although it cannot load the stored state. Seen in scenario
+    // scale-1 of the grown lbgia, seed 12: a host with a 10 Mbit/s link held the lease for 18 s and could not
+    // read the jobs.
     void testLeaderThatCannotLoadGivesTheLeaseUp()
     {
         BatchCluster cluster;
@@ -244,9 +250,10 @@
         requireCompleted(cluster, job, Milliseconds(9'000));
     }
 
-    // Guards against the hunted day store-lapses of the grown lbgia, seed 251847722555: more jobs changed at
-    // a time than one commit takes, and ends were acknowledged that only the next one stored. The next leader
-    // ran these tasks again.
+    // Guards against acknowledging run ends that are not stored yet. Found by the fault search in scenario
+    // store-lapses of the grown lbgia, seed 251847722555: more jobs had changed than fit into one commit, and
+    // run ends that only the following commit stored were acknowledged. The next leader ran these tasks
+    // again.
     void testEndsBeyondOneCommitAreAcknowledgedOnlyOnceStored()
     {
         for (int offset = 0; offset < 800; offset += 100) {
@@ -377,7 +384,7 @@
         cluster.cancel(2, "gang", job);
         cluster.run(Milliseconds(100));
         CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::Cancelled);
-        // The platform's bound is 3 s, and 0.2 s more for the stop itself.
+        // The platform allows 3 s until runs are stopped, plus 0.2 s for the stop itself.
         cluster.run(Milliseconds(3'000));
         for (std::size_t i = 0; i < cluster.workerCount(); ++i)
             CPPUNIT_ASSERT(cluster.worker(i).runs().empty());
@@ -397,7 +404,7 @@
         CPPUNIT_ASSERT(
             cluster.runUntil([&] { return cluster.stateOf(job) == JobState::Failed; }, Milliseconds(10'000)));
         cluster.run(Milliseconds(3'000));
-        // The default configuration allows two.
+        // The default configuration allows two attempts.
         CPPUNIT_ASSERT_EQUAL(2, cluster.startsOf(job));
     }
 
@@ -417,8 +424,7 @@
         requireNoViolation(cluster);
     }
 
-    // The platform's bound is 2.7 s after the acceptance.
-    // Guards against work for a worker that answers every look while what it runs stands still.
+    // Guards against placing work on a worker that answers every poll although its runs make no progress.
     void testWorkerOnWhichNothingAdvancesGetsNothingNew()
     {
         BatchCluster cluster;
@@ -429,7 +435,7 @@
         FakeWorker& hanging = workerOf(cluster, stuck);
         hanging.speed = 0;
         cluster.run(Milliseconds(3'000));
-        // By its room alone it would be taken before the idle one.
+        // By free capacity alone, placement would prefer the stalled worker to the idle one.
         const JobId job = cluster.submit(1, "urgent", { makeStep(2, 2) });
         requireCompleted(cluster, job, Milliseconds(3'000));
         hanging.speed = 1;
@@ -438,7 +444,8 @@
         requireCompleted(cluster, later, Milliseconds(3'000));
     }
 
-    // Guards against urgent work on slow workers, and against a new leader that knows nothing of speeds.
+    // Guards against placing urgent work on slow workers, and against a new leader that has not restored the
+    // measured speeds.
     void testUrgentWorkGoesToTheFastestWorkerAlsoUnderTheNextLeader()
     {
         BatchCluster cluster;
@@ -457,6 +464,7 @@
         CPPUNIT_ASSERT(&workerOf(cluster, job) == &cluster.worker(2));
     }
 
+    // The platform requires guaranteed work to start within 2.7 s of its acceptance.
     void testGuaranteedWorkStartsWithinReclaimTime()
     {
         BatchCluster cluster;
@@ -516,7 +524,8 @@
         requireCompleted(cluster, job);
     }
 
-    // A lost worker's lease takes more than 6 s to pass; one that withdrew its entry is gone for certain.
+    // The lease of an unreachable worker takes more than 6 s to expire. A worker that has withdrawn its
+    // registry entry has certainly stopped, so its runs need not wait for that.
     void testRunsOfDrainedWorkerThatLeftAreRepeatedAtOnce()
     {
         BatchCluster cluster;
@@ -551,7 +560,7 @@
         CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::NoSuchQueue);
     }
 
-    // Guards against a key that works on a daemon that cannot hear of its removal.
+    // Guards against a daemon that still accepts an API key because it cannot learn of the key's removal.
     void testDaemonThatCannotConfirmConfigurationServesNobody()
     {
         BatchCluster cluster;
@@ -583,14 +592,14 @@
         cluster.run(Milliseconds(500));
         for (int i = 0; i < 5; ++i)
             cluster.submit(1, "small", { makeStep(1, 1) });
-        // The count may be 2 s old.
+        // The reported count may be up to 2 s old.
         cluster.run(Milliseconds(2'000));
         cluster.count(2, "small");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 5 }, cluster.lastAnswer()->count);
     }
 
-    // Kills, cuts, lost answers, late orders and reborn workers in random order. Each seed is a day of its
-    // own.
+    // Injects daemon kills, network partitions, lost answers, late orders and worker restarts in random
+    // order, with a different sequence for each seed.
     void testRandomFaultsBreakNothing()
     {
         for (std::uint64_t seed = 1; seed <= 25; ++seed) {
