Reword comments and messages in platform

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -14,8 +14,8 @@
 
 namespace anvilmoor::adapter {
 
-// The translation between the platform's wire and the product's types. No network: calls are recorded, and
-// answered by the test.
+// Tests the translation between the platform's wire format and the project's own types. There is no network:
+// the HTTP client records the calls, and the test answers them.
 class PlatformAdapterTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformAdapterTest);
     CPPUNIT_TEST(testSettingsAreRead);
@@ -49,7 +49,7 @@
         }
         void cancel(net::HttpCallId) override { }
 
-        // A callback may make the next call, so the one at hand is copied first.
+        // The callback is copied first, because it may make the next call and so change the list.
         void answer(int status, std::string body)
         {
             const net::HttpCallback callback = callbacks.back();
@@ -134,7 +134,7 @@
         CPPUNIT_ASSERT(!missing);
         CPPUNIT_ASSERT(contains(missing.error().detail, "\"maxHoldMs\" is missing"));
         const auto address = settingsFrom(without(goodSettings(), "10.0.0.9"));
-        CPPUNIT_ASSERT(contains(address.error().detail, "\"address\" is no address"));
+        CPPUNIT_ASSERT(contains(address.error().detail, "\"address\" is not a socket address"));
         const auto orders = settingsFrom(without(goodSettings(), "orders = \"call\"\n"));
         CPPUNIT_ASSERT(contains(orders.error().detail, "\"orders\" is missing"));
         const auto heartbeat
@@ -384,7 +384,7 @@
             R"({"rows":[{"table":"t","part":"p","key":"b","value":"AHY=","rowVersion":9}],"rowVersion":30})");
         CPPUNIT_ASSERT(snapshot.isOk);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, snapshot.rows.size());
-        // Changes since the first page are not all contained.
+        // The snapshot may lack changes made after its first page, so it has the version of that page.
         CPPUNIT_ASSERT_EQUAL(batch::RowVersion { 20 }, snapshot.version);
     }
 
