--- a/src/jobs/gang_controller.cpp
+++ b/src/jobs/gang_controller.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 constexpr Milliseconds reservationLifetime { 5'000 };
-// Of the reservation's 5 s; the rest is for the commit.
+// Part of the reservation's lifetime of 5 s; the rest is for the commit.
 constexpr Milliseconds reserveDeadline { 3'000 };
-// Within the confirm lifetime of 5 s, so that no confirmed member lapses while others are started.
+// Within the confirm lifetime of 5 s, so that no confirmed member expires while others are started.
 constexpr Milliseconds startDeadline { 3'000 };
 constexpr Milliseconds keepAliveInterval { 2'000 };
 constexpr Milliseconds retryInterval { 250 };
 constexpr Milliseconds stopRetryInterval { 500 };
-// The worker client answers each command well before this.
+// A command without a reply is sent again after this. The worker client replies well before.
 constexpr Milliseconds commandTimeout { 5'000 };
 
 bool canHold(WorkerCommandKind kind)
@@ -48,7 +48,8 @@
     gang.m_isCommitted = true;
     gang.m_isRowRunning = isRunning;
     gang.m_runningSince = takeOver;
-    // A command or renewal of the former holder may arrive until the take-over's certain lapse.
+    // Commands and renewals of the former holder may still arrive after the takeover, so a member counts as
+    // expired no earlier than maxMemberLifetime after it.
     for (Member& member : gang.m_members)
         member.lastCommandAt = takeOver;
     return gang;
@@ -315,7 +316,7 @@
                 context);
         return;
     case GangPhase::Checkpointing:
-        // The task has ended by itself or cannot be saved; the report or the stop settles it.
+        // The task has ended by itself or cannot be checkpointed. A report or the stop command resolves it.
         member.isDone = true;
         return;
     default:
--- a/src/jobs/gang_controller.h
+++ b/src/jobs/gang_controller.h
@@ -13,12 +13,12 @@
 
 namespace anvilmoor {
 
-// Time after which a confirmed or running member that nobody can reach has certainly lapsed: confirm
-// lifetime (5 s) and task lease (30 s), increased by 10% for timer drift.
+// Time after which a confirmed or running member that cannot be reached has certainly expired: confirm
+// lifetime (5 s) plus task lease (30 s), increased by 10% for timer drift.
 constexpr Milliseconds certainLapse { 38'500 };
 
 enum class GangPhase {
-    Recovering, // a new holder waits for the members' racks
+    Recovering, // a new holder waits for reports of the members' racks
     Reserving,
     Committing, // every member is reserved; the row is being written
     Confirming,
@@ -26,13 +26,13 @@
     Running,
     Checkpointing, // evicted; members save their progress
     Stopping,
-    Stopped, // no member holds anything any more
+    Stopped, // no member holds accelerators any more
     Finished, // every member has finished
 };
 
 enum class StopCause {
     None,
-    NotPlaced, // before or during the start; nobody's fault
+    NotPlaced, // stopped before or during the start; no worker is at fault
     Failed, // a worker reported that a member failed
     Vanished, // a live worker no longer has its member
     WorkerLost,
@@ -43,25 +43,26 @@
 struct GangStop {
     StopCause cause = StopCause::None;
     std::string reason;
-    WorkerId worker; // that is to blame; may be empty
+    WorkerId worker; // that caused the failure; empty if none did
 };
 
-// What a gang needs of its surroundings in one step.
+// The dependencies of a gang in one step.
 struct GangContext {
     Step& step;
     FencingToken token = 0;
     const ZoneObservation& observation;
     OperationCounter& counter;
-    // Commands in flight, by operation.
+    // Commands in flight, by operation sequence.
     std::map<std::uint64_t, JobId>& commands;
 };
 
-// One attempt of a job: reserves, confirms, runs, watches and stops its members together.
+// Controls one attempt of a job: reserves, confirms, runs, monitors and stops all its members together.
 class GangController {
 public:
     GangController(JobId, AttemptNumber, std::vector<GangMember>, Milliseconds runTime, TimePoint now);
 
-    // A committed attempt that a new holder found in the row. `takeOver` is when it took the role.
+    // Restores a committed attempt that a new holder found in the job's row. `takeoverTime` is the time at
+    // which the new holder took over the role.
     static GangController recovered(JobId, AttemptNumber, std::vector<GangMember>, Milliseconds runTime,
         bool isRunning, TimePoint takeOver);
 
@@ -73,16 +74,17 @@
     std::vector<GangMember> members() const;
     bool hasMember(const WorkerId&, int accelerators) const;
 
-    // Sends what is due and moves on to the next phase when the current one is complete.
+    // Sends due commands and enters the next phase when the current one is complete.
     void advance(GangContext&);
-    // The placement is in the row.
+    // Called when the placement is stored in the job's row; starts to confirm the members.
     void committed(GangContext&);
-    // Saves progress for at most this long, then stops. Without grace: stops.
+    // Lets the members save their progress for at most `grace`, then stops them. Stops them immediately if
+    // `grace` is zero or the gang is not running.
     void evict(Milliseconds grace, std::string reason, GangContext&);
     void stop(GangStop, GangContext&);
     void setThrottled(bool, GangContext&);
 
-    // True if the reply belongs to this gang's operation.
+    // True if the reply belongs to an operation of this gang.
     bool handle(const WorkerReplied&, GangContext&);
     // True if a worker refused the token: a newer holder exists.
     bool isTokenRefused() const { return m_isTokenRefused; }
@@ -91,26 +93,26 @@
     bool isRenewable(const ZoneObservation&, TimePoint now) const;
     void renewed(TimePoint now) { m_renewedAt = now; }
 
-    // Least progress over all members, as last reported.
+    // Minimum progress over all members, as last reported.
     Milliseconds progress() const;
     // Progress that all members have saved.
     Milliseconds checkpointed() const;
     // True if every member is known to be throttled.
     bool isThrottled() const;
-    // True if the last wish of setThrottled() has not reached every member.
+    // True if some member has not yet confirmed the state last requested by setThrottled().
     bool isThrottling() const;
-    // True if the last wish of setThrottled() was to throttle.
+    // True if the last call of setThrottled() requested a throttle.
     bool isThrottleWished() const { return m_throttleWish.value_or(false); }
     // When setThrottled() was last called.
     TimePoint throttleWishedAt() const { return m_throttleWishedAt; }
-    // Members that may still hold accelerators: not known to have left. Empty once stopped.
+    // Members that are not known to have released their accelerators. Empty once stopped.
     std::vector<GangMember> membersLeft() const;
 
 private:
     struct Member {
         GangMember member;
-        bool isDone = false; // with the command of the current phase
-        bool isGone = false; // holds nothing any more
+        bool isDone = false; // has completed the command of the current phase
+        bool isGone = false; // holds no accelerators any more
         bool isFinished = false;
         bool isThrottled = false;
         std::uint64_t operation = 0; // in flight; 0: none
@@ -118,7 +120,7 @@
         TimePoint sentAt {};
         TimePoint dueAt {};
         TimePoint doneAt {};
-        TimePoint lastCommandAt {}; // that can make the worker hold something
+        TimePoint lastCommandAt {}; // last command that can make the worker hold accelerators
         std::uint64_t throttleOperation = 0;
         TimePoint throttleSentAt {};
         Milliseconds progress { 0 };
@@ -127,13 +129,13 @@
 
     void enter(GangPhase, TimePoint now);
     void send(Member&, WorkerCommandKind, GangContext&);
-    // Sends to members that are not done; true when all are.
+    // Sends the command to members that have not completed it. True if all have.
     bool sendToAll(WorkerCommandKind, GangContext&);
     void keepAlive(WorkerCommandKind, GangContext&);
     void sendThrottles(GangContext&);
     void replied(Member&, WorkerCommandResult, GangContext&);
 
-    // --- gang_watch.cpp: what the reports say
+    // --- gang_watch.cpp: reacts to reports
     void watch(GangContext&);
     bool stopIfWorkerLost(GangContext&);
     bool stopIfMemberFailed(GangContext&);
@@ -154,7 +156,7 @@
     TimePoint m_phaseSince;
     TimePoint m_runningSince {};
     TimePoint m_renewedAt {};
-    TimePoint m_stopAt {}; // Checkpointing: end of the grace
+    TimePoint m_stopAt {}; // in phase Checkpointing: end of the grace period
     bool m_isCommitted = false;
     bool m_isRowRunning = false; // recovered from a row in state running
     bool m_isTokenRefused = false;
--- a/src/jobs/gang_watch.cpp
+++ b/src/jobs/gang_watch.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-// A reservation that nobody can reach has certainly lapsed after twice its lifetime with drift.
+// A reservation that cannot be reached has certainly expired after this: twice its lifetime of 5 s, increased
+// by 10% for timer drift.
 constexpr Milliseconds reservationLapse { 11'000 };
-// A report sent this soon after a start may have been made before it.
+// A report sent this soon after a start may have been generated before it.
 constexpr Milliseconds reportSlack { 2'000 };
 constexpr Milliseconds renewalSight { 10'000 };
-// A rack without answer for this long: its members are given up before the leases of the rest end.
+// Members on a rack that has not answered for this long count as lost, so that the gang stops before the
+// leases of its other members expire.
 constexpr Milliseconds sightLoss { 20'000 };
 
 } // namespace
@@ -151,7 +153,8 @@
     sendThrottles(context);
 }
 
-// True if the worker is live and a report that was asked for at or after `since` does not hold the task.
+// True if the worker is live and either reports the task as ended or does not list it in a report that was
+// requested at or after `since`.
 bool GangController::isAbsent(const Member& member, const GangContext& context, TimePoint since) const
 {
     const WorkerObservation* worker = context.observation.find(member.member.worker);
@@ -193,7 +196,7 @@
     });
 }
 
-// Of the members that have not finished; empty if all have.
+// Minimum over the members that have not finished; empty if all have.
 std::optional<Milliseconds> GangController::leastOf(Milliseconds Member::*time) const
 {
     std::optional<Milliseconds> least;
--- a/src/jobs/job_admission.cpp
+++ b/src/jobs/job_admission.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::size_t maxKeyBytes = 200;
 constexpr int maxPriority = 9;
-// A month; a longer estimate is a unit mistake.
+// 31 days; a longer declared run time is most likely given in the wrong unit.
 constexpr Milliseconds maxRunTime { std::chrono::hours(24 * 31) };
-// The holder plans over its whole queue; beyond this a plan would take too long.
+// Each plan of the role holder considers the whole queue and would take too long with more jobs.
 constexpr int maxQueuedJobs = 20'000;
 
 bool isPrintable(const std::string& text)
@@ -60,7 +60,8 @@
             const ZoneSummary* summary = summaryOf(zone.id, own);
             int free = summary ? summary->freeAccelerators : 0;
             const bool isOwn = zone.id == m_settings.zone;
-            // The own zone is taken whenever the job can start there, and in case of a tie.
+            // Prefers this daemon's zone if the job can start there at once, or if no other zone has more
+            // free accelerators.
             if (isOwn && summary && summary->largestFreeShape >= specification.accelerators)
                 free = std::numeric_limits<int>::max();
             if (free > bestFree || (isOwn && free == bestFree)) {
--- a/src/jobs/job_admission.h
+++ b/src/jobs/job_admission.h
@@ -11,17 +11,19 @@
 
 namespace anvilmoor {
 
-// Checks submissions against the configuration in force and chooses the zone of jobs that leave it open.
+// Validates submissions against the configuration in force, and chooses an availability zone for jobs that do
+// not name one.
 class JobAdmission {
 public:
     JobAdmission(
         const DaemonSettings&, const ConfigurationView&, const PeerDirectory&, const PlacementPolicy&);
 
-    // The specification with its zone, or why it is refused. `own` is this daemon's zone's summary; null
-    // if this daemon does not hold the role.
+    // Returns the specification with its zone filled in, or the refusal. `own` is the summary of this
+    // daemon's zone; null if this daemon does not hold the zone's role.
     std::variant<JobSpecification, Refusal> check(const JobSpecification&, const ZoneSummary* own) const;
 
-    // False if no configuration would allow the job, so that it cannot have been accepted earlier either.
+    // False if the job would be refused under every configuration. Such a job cannot have been accepted
+    // earlier.
     static bool isWellFormed(const JobSpecification&);
 
 private:
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -43,7 +43,7 @@
     return std::nullopt;
 }
 
-// Names come from submitters; bytes that are not UTF-8 are replaced instead of thrown at.
+// Replaces invalid UTF-8, which submitters may send in names, instead of throwing an exception.
 std::string dump(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
 Json specificationJson(const JobSpecification& specification)
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -8,34 +8,35 @@
 
 namespace anvilmoor {
 
-// A job's table row.
+// Content of a job's table row.
 struct JobRecord {
     JobStatus status;
-    int failedAttempts = 0; // that count against the job
-    int excusedFailures = 0; // attempts that failed on a worker that fails other jobs too
+    int failedAttempts = 0; // failures that count against the job
+    int excusedFailures = 0; // not counted against the job: the worker fails other jobs too
 };
 
-// What a submitter's key stands for.
+// Content of an idempotency key's table row: the job that was submitted with the key.
 struct JobKeyRecord {
     JobId job;
     std::string digest; // of the specification as submitted
 };
 
-// When an ended job's rows are to be deleted. Small, so that a new holder can read all of a zone's.
+// Determines when an ended job's rows are deleted. Small, so that a new role holder can read the records of
+// all ended jobs of its zone.
 struct JobExpiryRecord {
     WallTime finishedAt {};
-    std::string indexKey; // of the row of the submitter's key
+    std::string indexKey; // of the idempotency key's row
 };
 
-// Rows of jobs that have not ended.
+// Prefix of the rows of jobs that have not ended.
 std::string jobPrefix(const AvailabilityZoneId&);
-// Rows of ended jobs.
+// Prefix of the rows of ended jobs.
 std::string jobDonePrefix(const AvailabilityZoneId&);
-// Marks of submissions that the zone's holder has not seen yet.
+// Prefix of marker rows for submitted jobs that the zone's role holder has not read yet.
 std::string jobNewPrefix(const AvailabilityZoneId&);
 std::string jobExpiryPrefix(const AvailabilityZoneId&);
 std::string jobCancelPrefix(const AvailabilityZoneId&);
-// Precondition: zoneOf(job) is not empty.
+// Precondition of the functions that take a job: zoneOf(job) is not empty.
 std::string jobRowKey(const JobId&);
 std::string jobDoneRowKey(const JobId&);
 std::string jobNewRowKey(const JobId&);
@@ -43,12 +44,12 @@
 std::string jobCancelRowKey(const JobId&);
 std::string jobKeyRowKey(const ClientAccountId&, const std::string& key);
 
-// "<zone>.<16 hex digits>", the digits from a hash of account and key. Equal on every daemon.
+// "<zone>.<16 hex digits>"; the digits are a hash of account and key. Every daemon computes the same id.
 JobId jobIdFor(const AvailabilityZoneId&, const ClientAccountId&, const std::string& key);
-// Empty if this is not the id of a job.
+// Zone in the job's id. Empty if the id is malformed.
 std::optional<AvailabilityZoneId> zoneOf(const JobId&);
 
-// Differs when a submitter sends other content under the same key.
+// Hash that detects the reuse of an idempotency key for another specification.
 std::string specificationDigest(const JobSpecification&);
 
 std::string encodeJob(const JobRecord&);
--- a/src/jobs/job_requests.cpp
+++ b/src/jobs/job_requests.cpp
@@ -15,7 +15,7 @@
 
 std::vector<std::string> rowKeysOf(const JobId& job) { return { jobRowKey(job), jobDoneRowKey(job) }; }
 
-// The job's row, whether or not it has ended.
+// Finds the job's row, whether or not the job has ended.
 const TableRow* findJobRow(const TableReply& reply, const JobId& job)
 {
     const TableRow* done = findPresentRow(reply, jobDoneRowKey(job));
@@ -256,7 +256,7 @@
 {
     JobStatus status = record.status;
     if (status.state == JobState::Queued) {
-        // The holder's own knowledge is newer than the row's.
+        // The reason that the role holder has in memory is newer than the one in the row.
         std::string reason = m_waitReason(status.specification.id);
         if (!reason.empty())
             status.reason = std::move(reason);
@@ -274,9 +274,7 @@
     }
     if (reply.status == TableStatus::Unavailable && !call.mayHaveWritten) {
         refuse(call, RefusalKind::Unavailable,
-            "the table is unreachable; the job was not accepted, submit it "
-            "again",
-            step);
+            "the table is unreachable; the job was not accepted, submit it again", step);
         return;
     }
     call.mayHaveWritten = call.mayHaveWritten || reply.status == TableStatus::Unknown;
@@ -296,7 +294,8 @@
     }
     const TableRow* index = findPresentRow(reply, jobKeyRowKey(specification.account, specification.key));
     if (!index) {
-        // Not written yet. Equal conditions keep a late write and the repeated one from both succeeding.
+        // Not written yet. Both writes require that the rows are absent, so a delayed first write and its
+        // repetition cannot both succeed.
         if (call.tries < maxTries)
             sendCreate(std::move(call), step);
         else
@@ -322,12 +321,10 @@
     const std::optional<JobRecord> record = row ? decodeJob(row->value) : std::nullopt;
     if (!record) {
         refuse(call, RefusalKind::Unknown,
-            "the job's row could not be read; submit the job again with the "
-            "same key",
-            step);
+            "the job's row could not be read; submit the job again with the same key", step);
         return;
     }
-    // The first write's notice may not have been sent.
+    // The notice to the zone's daemons may not have been sent after the first write.
     if (record->status.state == JobState::Queued) {
         if (zoneOf(call.job) == m_settings.zone)
             m_store.adopt(*row, step);
@@ -414,7 +411,7 @@
         answer(call, call.record, step);
         return;
     }
-    // The write has no condition and may be repeated.
+    // The write is unconditional and idempotent, so it can be repeated.
     if (reply.status == TableStatus::Unknown && call.tries < maxTries) {
         sendCancel(std::move(call), step);
         return;
--- a/src/jobs/job_requests.h
+++ b/src/jobs/job_requests.h
@@ -15,12 +15,13 @@
 
 namespace anvilmoor {
 
-// Answers submitters on any daemon, whether or not it holds a role: accepts jobs and cancellations by
-// writing their rows, and reads rows for queries. A caller is told that a job is accepted only after its
-// row is known to be in the table.
+// Serves submissions, queries and cancellations on every daemon, whether or not it holds a role. Writes the
+// rows of new jobs and cancellations to the table, and reads rows for queries. Reports a job as accepted only
+// once its row is known to be in the table.
 class JobRequests {
 public:
-    // What the zone's holder knows of why a queued job waits; empty if nothing.
+    // Returns the reason why a queued job waits, as known to this daemon as holder of the zone's role. Empty
+    // if unknown.
     using WaitReason = std::function<std::string(const JobId&)>;
 
     JobRequests(const DaemonSettings&, const JobAdmission&, JobStore& own, OperationCounter&, WaitReason);
@@ -29,7 +30,7 @@
     void handle(const JobQueried&, Step&);
     void handle(const JobsListed&, const Configuration*, Step&);
     void handle(const JobCancelRequested&, Step&);
-    // False if the operation is not one of these.
+    // False if the operation belongs to none of the open calls.
     bool handle(const TableReplied&, Step&);
     void tick(Step&);
 
@@ -49,15 +50,15 @@
         Cancelling
     };
 
-    // One caller's open call; at most one operation each.
+    // A caller's open call. It has at most one table operation in flight.
     struct Call {
         CallerHandle caller = 0;
         Stage stage = Stage::Querying;
         JobId job;
-        JobRecord record; // submission: as it is to be written; cancel: as read
+        JobRecord record; // submission: to be written; cancellation: as read
         std::string digest;
         ClientAccountId account; // listing
-        Refusal refusal; // submission: unless it repeats an accepted one
+        Refusal refusal; // submission: the answer, unless it repeats an accepted job
         int tries = 0;
         bool mayHaveWritten = false;
         TimePoint sentAt {};
@@ -65,7 +66,7 @@
 
     bool accept(CallerHandle, Step&);
     void readJob(CallerHandle, const JobId&, Stage, Step&);
-    // Notes the call under a new operation, which is then to be emitted.
+    // Registers the call under a new operation. The caller must emit the operation.
     OperationId open(Call, Step&);
     void sendCreate(Call, Step&);
     void sendRead(Call, std::vector<std::string> keys, Step&);
@@ -74,7 +75,7 @@
     void refuseMissing(const Call&, Step&);
     void answer(const Call&, const JobRecord&, Step&);
 
-    // Refuses a submission, unless it repeats one that an earlier configuration allowed.
+    // Refuses a submission, unless it repeats one that was accepted under an earlier configuration.
     void refuseUnlessKnown(const JobSubmitted&, Refusal, Step&);
     void beforeRefusalReplied(Call, const TableReply&, Step&);
     void readExisting(Call, const JobKeyRecord&, Step&);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-// Finds a claim whose notice was lost early enough for its start bound of 1.6 s. Reads marks only.
+// Short enough that a guaranteed job whose notice was lost still starts within its bound of 1.6 s. The poll
+// reads only the marks of new jobs and cancellations.
 constexpr Milliseconds holderPollInterval { 500 };
-// A standby reads the rows so that, as a caretaker, it knows which members make up a gang. The holder's
-// notice tells of new ones at once; this poll finds those whose notice was lost.
+// A standby reads the rows so that it knows the members of each gang if it becomes the caretaker. The holder
+// announces new gangs by a notice; this poll finds those whose notice was lost.
 constexpr Milliseconds standbyPollInterval { 60'000 };
 constexpr Milliseconds cleanupInterval { 10'000 };
-// A process that stops waits no longer than this; the next holder finishes the rest from the rows.
+// A stopping process waits no longer than this; the next holder completes the remaining work from the rows.
 constexpr Milliseconds shutdownPatience { 10'000 };
 constexpr int maxChangeRounds = 16;
 
@@ -30,7 +31,7 @@
     , m_controller(settings, configuration, endpoints, placement, noise, m_store, m_observation, m_counter)
     , m_requests(settings, m_admission, m_store, m_counter,
           [this](const JobId& job) {
-              // A former holder's knowledge is out of date.
+              // The wait reasons of a former holder are out of date.
               return m_mode == Mode::Holder ? m_controller.waitReason(job) : std::string();
           })
     , m_probe(settings.zone, m_counter)
@@ -77,7 +78,8 @@
     m_syncer.start(held.token, step.now);
     if (isSameTerm) {
         m_controller.resume();
-        // The poll of a caretaker may be a minute away, and jobs were accepted elsewhere meanwhile.
+        // The next poll of a caretaker may be a minute away, and other daemons may have accepted jobs
+        // meanwhile.
         m_nextPoll = step.now;
         return;
     }
@@ -160,7 +162,8 @@
 void JobScheduler::handle(const JobNotice& notice, Step& step)
 {
     const bool isOwn = notice.zone == m_settings.zone && zoneOf(notice.job) == m_settings.zone;
-    // A standby learns the members of a new gang, so that as a caretaker it can renew their leases.
+    // A standby reads the members of a new gang, so that it can renew their leases if it becomes the
+    // caretaker.
     if (isOwn && (actingRole(step.now) || m_mode == Mode::Standby))
         m_store.read(notice.job, step);
 }
@@ -197,7 +200,7 @@
     } else if (m_mode == Mode::Caretaker) {
         m_syncer.tick(
             [&](const TaskKey& task) {
-                // A gang that this daemon itself is stopping must not live on.
+                // The leases of a gang that this daemon itself is stopping must not be renewed.
                 return m_caretaker.isRenewable(task, step.now) && m_controller.mayLive(task, step.now);
             },
             step);
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -17,8 +17,8 @@
 
 namespace anvilmoor {
 
-// The job life cycle of one daemon: answers submitters on every daemon, controls the zone while this
-// daemon holds its role, and renews leases while it is the caretaker.
+// Manages the job life cycle on one daemon: always answers submitters, controls the zone while this daemon
+// holds the zone's role, and renews leases while it is the caretaker.
 class JobScheduler {
 public:
     JobScheduler(const DaemonSettings&, const ConfigurationView&, const RoleView&, const PeerDirectory&,
@@ -36,31 +36,34 @@
     void handle(const RackSyncFailed&, Step&);
     void handle(const WorkerReplied&, Step&);
     void handle(const JobNotice&, Step&);
-    // Placement does not depend on single peers; the directory tells which summaries still count.
+    // Does nothing: placement does not depend on single peers, and PeerDirectory tells which summaries are
+    // valid.
     void handle(const PeerLost&, Step&);
     void handle(const Tick&, Step&);
     void onConfigurationAdopted(Step&);
 
-    // Starts no new placement and refuses new calls; isIdle() tells when the role can be released.
+    // Starts no new placements and refuses new calls from now on; isIdle() tells when the role can be
+    // released.
     void beginShutdown(Step&);
-    // True if nothing is left to wait for; always true 10 s after beginShutdown().
+    // True after beginShutdown() once no call, gang transition or row write is pending, at the latest after
+    // 10 s.
     bool isIdle() const { return m_isIdle; }
 
-    // Of this daemon's zone. Meaningful only while this daemon holds its role.
+    // Summary of this daemon's zone. Valid only while this daemon holds the zone's role.
     ZoneSummary summary() const { return m_controller.summary(); }
     double noiseDb() const { return m_controller.noiseDb(); }
-    // 0: no limit now.
+    // 0 if no limit applies now.
     double noiseLimitDb() const { return m_controller.noiseLimitDb(); }
 
 private:
     enum class Mode { Standby, Holder, Caretaker };
 
-    // The role, unless a worker or the table showed that a newer holder exists.
+    // The held role, unless a worker or the table showed that a newer holder exists.
     std::optional<HeldRole> actingRole(TimePoint now) const;
     void updateMode(Step&);
     void enterHolder(const HeldRole&, Step&);
     void applyChanges(Step&);
-    // Tells the other daemons of the zone of gangs whose placement is now in the table.
+    // Notifies the other daemons of the zone about gangs whose placement is now in the table.
     void noticePlaced(const std::set<JobId>& changed, Step&);
     void poll(Step&);
     void updateIdle(Step&);
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -149,7 +149,7 @@
         return true;
     }
     if (m_removals.erase(operation)) {
-        // What was to be deleted may still be there.
+        // After a failed deletion, the rows may still exist: read all expiry rows again.
         m_areExpiriesRead = m_areExpiriesRead && replied.reply.status == TableStatus::Ok;
         return true;
     }
@@ -225,7 +225,7 @@
     }
     const TableRow* row = findRow(reply, jobRowKey(job));
     if (!row) {
-        // The row was deleted; only its retention does that.
+        // The row was deleted, which happens only after the retention period.
         m_writes.erase(job);
         m_jobs.erase(job);
         m_changed.insert(job);
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -20,14 +20,14 @@
 struct JobEntry {
     JobRecord record;
     RowVersion version = 0;
-    std::string value; // as stored
+    std::string value; // the row's content as stored
     bool isCancelRequested = false;
     TimePoint knownAt {}; // the row is not older than this
 };
 
-// The job rows of one zone. Reads them by prefix or one by one, and brings rows to wanted contents: each
-// write is conditional on the owner row and on the job row's version, and a conflict or a lost answer is
-// resolved by reading the row again.
+// Keeps a copy of one zone's job rows. Reads rows by prefix or individually, and writes rows until they have
+// the desired content. Each write is conditional on the versions of the owner row and the job row. A conflict
+// or a lost reply is resolved by reading the row again.
 class JobStore {
 public:
     JobStore(AvailabilityZoneId, std::string ownerKey, OperationCounter&);
@@ -36,42 +36,44 @@
     // Null if unknown.
     const JobEntry* find(const JobId&) const;
 
-    // Reads all rows of jobs that have not ended, unless a read is in flight.
+    // Reads all rows of jobs that have not ended, unless a poll is in flight.
     void poll(Step&);
-    // Reads what submitters wrote since: marks of new jobs, and cancellations. Does nothing while a read is
-    // in flight; reads everything if no complete poll succeeded yet or the last one is too old.
+    // Reads what submitters have written: the markers of new jobs, and cancellations. Does nothing while a
+    // poll is in flight. Reads all rows, as poll() does, if no complete poll has succeeded yet or the last
+    // one is too old.
     void pollNews(Step&);
-    // When the last complete poll was sent; empty before the first and after forgetOperations().
+    // When the last successful complete poll was sent; empty before the first and after forgetOperations().
     std::optional<TimePoint> lastPoll() const { return m_lastPoll; }
-    // When the table last answered a poll; empty before the first one.
+    // When the table last answered a poll; empty before the first answer and after forgetOperations().
     std::optional<TimePoint> lastAnswer() const { return m_lastAnswer; }
     // Reads one job row and its cancellation.
     void read(const JobId&, Step&);
-    // Takes a row that this daemon wrote itself.
+    // Adds a row that this daemon has written or read in a submitter's call.
     void adopt(const TableRow&, Step&);
 
-    // Brings the row to this content; replaces an earlier wish that is not stored yet. Does nothing for
-    // an unknown job.
+    // Writes the row until it has this content. Replaces desired content that is not stored yet. Does nothing
+    // for an unknown or ended job.
     void put(const JobId&, JobRecord, const HeldRole&, Step&);
-    // True while the row may differ from what was last put.
+    // True while the row may differ from the content last passed to put().
     bool isWriting(const JobId& job) const { return m_writes.contains(job); }
     std::size_t writesPending() const { return m_writes.size(); }
 
-    // Sends what is due again; removes expired and settled rows in batches.
+    // Sends the writes and reads that are due, and deletes a batch of markers of jobs that are known.
     void tick(const HeldRole&, Step&);
-    // Deletes rows of jobs that ended longer ago than the retention, and cancellations without a job to
-    // cancel. Forgets ended jobs.
+    // Deletes a batch of rows: those of jobs that ended longer ago than the retention period, and
+    // cancellations without a job to cancel. Drops jobs that ended a while ago from memory.
     void removeExpired(const HeldRole&, Step&);
 
-    // The role changed hands: drops wishes and ignores replies to operations in flight.
+    // To be called when the role has changed hands. Drops pending writes and ignores replies to operations in
+    // flight.
     void forgetOperations();
 
     // False if the operation is not one of the store's.
     bool handle(const TableReplied&, const std::optional<HeldRole>&, Step&);
 
-    // Jobs whose entry changed or whose write was stored since the last call, in id order.
+    // Returns the jobs whose entry has changed or whose write was stored since the last call, in order of id.
     std::set<JobId> takeChanged();
-    // True if a write found that the owner row has changed; stays until forgetOperations().
+    // True if a write was rejected because the owner row has changed. Reset by forgetOperations().
     bool isFenced() const { return m_isFenced; }
     std::size_t malformedRows() const { return m_malformed.size(); }
 
@@ -91,7 +93,7 @@
 
     void sendWrite(const JobId&, PendingWrite&, const HeldRole&, Step&);
     void sendRead(const JobId&, PendingWrite&, Step&);
-    // Notes the write's next operation, which is then to be emitted.
+    // Registers the write's next operation. The caller must emit it.
     OperationId begin(const JobId&, PendingWrite&, WriteStage, Step&);
     void advance(const JobId&, PendingWrite&, const HeldRole&, Step&);
     void writeReplied(const JobId&, const TableReply&, const std::optional<HeldRole>&, Step&);
@@ -99,17 +101,17 @@
     void finishWrite(const JobId&);
     void ended(const JobId&, const JobStatus&);
 
-    // --- job_store_reads.cpp
+    // Defined in job_store_reads.cpp:
     void pollReplied(const TableReply&, Step&);
     void takeAllRows(const TableReply&);
     void takeNews(const TableReply&, Step&);
     void takeExpiries(const TableReply&);
     void readReplied(const JobId&, const TableReply&);
-    // Returns the job of the row, if the row is well formed.
+    // Updates the entry of the row's job. Returns the job, or nothing if the row is malformed.
     std::optional<JobId> take(const TableRow&, TimePoint knownAt);
     void takeCancellation(const TableRow&);
 
-    // --- job_store_cleanup.cpp
+    // Defined in job_store_cleanup.cpp:
     void settleNews(const HeldRole&, Step&);
     void forgetEnded(TimePoint now);
 
@@ -123,17 +125,17 @@
 
     std::map<JobId, JobEntry> m_jobs;
     std::map<JobId, PendingWrite> m_writes;
-    std::map<std::uint64_t, JobId> m_writeOperations; // writes and read-backs in flight
+    std::map<std::uint64_t, JobId> m_writeOperations; // writes, and reads after a failed write, in flight
     std::map<std::uint64_t, JobId> m_reads;
-    std::map<std::uint64_t, TimePoint> m_removals; // batches in flight
+    std::map<std::uint64_t, TimePoint> m_removals; // deletions in flight, and when they were sent
     std::uint64_t m_pollOperation = 0; // 0: none in flight
     TimePoint m_pollSentAt {};
     bool m_isPollComplete = false; // the poll in flight reads all rows
     std::optional<TimePoint> m_lastPoll;
     std::optional<TimePoint> m_lastAnswer;
     std::set<JobId> m_changed;
-    std::set<JobId> m_settledNews; // marks to delete: their jobs are known
-    std::uint64_t m_expiryOperation = 0; // the read of all expiries of a new term
+    std::set<JobId> m_settledNews; // jobs that are known or have ended: their markers can be deleted
+    std::uint64_t m_expiryOperation = 0; // read of all expiry rows in a new term; 0: none in flight
     bool m_areExpiriesRead = false;
     TimePoint m_expirySentAt {};
     std::map<JobId, JobExpiryRecord> m_expiries;
--- a/src/jobs/job_store_cleanup.cpp
+++ b/src/jobs/job_store_cleanup.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t maxRowsPerBatch = 64;
-// An ended job is remembered until no reply from before its end can arrive any more.
+// An ended job stays in memory until no reply with a row from before its end can arrive.
 constexpr Milliseconds endedRetention = 2 * operationTimeout;
 constexpr Milliseconds terminalRetention { std::chrono::hours(7 * 24) };
 
--- a/src/jobs/job_store_reads.cpp
+++ b/src/jobs/job_store_reads.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr std::size_t maxReadsInFlight = 256; // beyond these the next poll finds the rows
-// News are enough between these: every submission and cancellation leaves a mark.
+constexpr std::size_t maxReadsInFlight = 256; // with more, rows wait for the next poll
+// Between complete polls, reading new markers and cancellations is enough, because every submission and every
+// cancellation writes a row.
 constexpr Milliseconds completePollInterval { 600'000 };
 
 } // namespace
@@ -18,7 +19,7 @@
 {
     if (m_pollOperation && step.now - m_pollSentAt < operationTimeout)
         return;
-    // Reads without a reply must not block later ones; this poll finds their rows.
+    // Reads that never got a reply must not block later reads. This poll reads their rows.
     if (m_reads.size() >= maxReadsInFlight)
         m_reads.clear();
     const OperationId id = m_counter.next();
@@ -87,7 +88,7 @@
     }
 }
 
-// Reads the rows of marked jobs that are not known yet; the marks of known ones are settled.
+// Reads the rows of marked jobs that are not known yet. Schedules the markers of known jobs for deletion.
 void JobStore::takeNews(const TableReply& reply, Step& step)
 {
     for (const TableRow& row : reply.rows) {
@@ -123,7 +124,7 @@
     if (const TableRow* row = findRow(reply, jobRowKey(job)))
         take(*row, TimePoint {});
     else if (!m_jobs.contains(job))
-        m_settledNews.insert(job); // it has ended
+        m_settledNews.insert(job); // the job has ended
     if (const TableRow* row = findRow(reply, jobCancelRowKey(job)))
         takeCancellation(*row);
 }
@@ -134,7 +135,8 @@
     const auto found = m_jobs.find(job);
     if (found != m_jobs.end()) {
         found->second.knownAt = std::max(found->second.knownAt, knownAt);
-        // A write in flight resolves the row itself. An ended job's row was read before its end.
+        // A pending write reads the row itself if it conflicts. For an ended job, this row was read before
+        // its end.
         if (isTerminal(found->second.record.status.state) || row.version <= found->second.version
             || m_writes.contains(job))
             return job;
--- a/src/jobs/object_store_probe.cpp
+++ b/src/jobs/object_store_probe.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr Milliseconds probeInterval { 5'000 };
-// A store that takes longer than this saves no checkpoint within the grace either.
+// A store that takes longer than this does not save a checkpoint within the grace period either.
 constexpr Milliseconds probeTimeout { 2'000 };
 
 } // namespace
--- a/src/jobs/object_store_probe.h
+++ b/src/jobs/object_store_probe.h
@@ -9,7 +9,7 @@
 
 namespace anvilmoor {
 
-// Knows whether the object store takes checkpoints, by putting a small object now and then.
+// Checks whether the object store accepts checkpoints by writing a small object at regular intervals.
 class ObjectStoreProbe {
 public:
     ObjectStoreProbe(const AvailabilityZoneId&, OperationCounter&);
--- a/src/jobs/operation_counter.h
+++ b/src/jobs/operation_counter.h
@@ -6,7 +6,7 @@
 
 namespace anvilmoor {
 
-// Numbers the operations of the jobs module.
+// Issues consecutive ids for the operations of the jobs module.
 class OperationCounter {
 public:
     OperationId next() { return { ModuleId::Jobs, ++m_last }; }
--- a/src/jobs/placement_queue.cpp
+++ b/src/jobs/placement_queue.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Most jobs start sooner; their rows need no reason.
+// Most jobs start sooner than this, and their rows need no reason.
 constexpr Milliseconds reasonDelay { 5'000 };
 constexpr Milliseconds reasonInterval { 60'000 };
 
@@ -105,7 +105,7 @@
     for (auto& [key, entry] : m_order) {
         if (result.size() >= limit)
             break;
-        // A row that is being written holds up the job's start.
+        // A job cannot start while its row is being written, so a job that holds a claim is skipped.
         const bool isEarly = now - key.first < reasonDelay || !entry->job.claimedMembers.empty()
             || (entry->storedAt && now - *entry->storedAt < reasonInterval);
         if (isEarly || entry->reason.empty())
--- a/src/jobs/placement_queue.h
+++ b/src/jobs/placement_queue.h
@@ -10,7 +10,8 @@
 
 namespace anvilmoor {
 
-// Accelerators held back for a queued job until borrowed work has left them, or is quiet enough.
+// Accelerators set aside for a queued job until borrowed work has released them or has reduced its noise
+// enough for the job to start.
 struct PlacementClaim {
     std::vector<GangMember> members;
 };
@@ -18,8 +19,8 @@
 // The zone's queued jobs in order of arrival.
 class PlacementQueue {
 public:
-    // The job is offered for placement from `notBefore` on. A job that is queued already keeps its place.
-    // `storedReason` is the one in the job's row.
+    // The job can be placed from `notBefore` on. A job that is already queued keeps its position.
+    // `storedReason` is the wait reason in the job's row.
     void add(const JobSpecification&, TimePoint queuedAt, TimePoint notBefore,
         const std::string& storedReason = {});
     void remove(const JobId&);
@@ -27,7 +28,7 @@
     std::size_t size() const { return m_entries.size(); }
     void clear();
 
-    // Jobs to plan for now, in order of arrival.
+    // Jobs that can be placed now, in order of arrival.
     std::vector<QueuedJob> ready(TimePoint now) const;
     const JobSpecification* find(const JobId&) const;
 
@@ -37,16 +38,16 @@
     const std::map<JobId, PlacementClaim>& claims() const { return m_claims; }
 
     void setReason(const JobId&, std::string);
-    // Empty if nothing is known.
+    // Empty if no reason is known.
     std::string reason(const JobId&) const;
-    // Up to `limit` jobs whose row should get their reason now, in order of arrival: the job has waited for a
-    // while, the reason differs from the stored one in more than its figures, and the last one is a minute
-    // old. Counts them as stored.
+    // Returns up to `limit` jobs, in order of arrival, whose wait reason should be stored in their row now:
+    // the job has waited for 5 s and has no claim, the reason differs from the stored one in more than
+    // digits, and the last one was stored at least a minute ago. Marks the returned reasons as stored.
     std::vector<JobId> takeReasonsToStore(TimePoint now, std::size_t limit);
 
 private:
     struct Entry {
-        std::string storedKind; // stored reason without its figures
+        std::string storedKind; // stored reason without its digits
         std::optional<TimePoint> storedAt;
         QueuedJob job;
         TimePoint notBefore {};
--- a/src/jobs/rack_syncer.cpp
+++ b/src/jobs/rack_syncer.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 constexpr Milliseconds syncWait { 1'000 };
-// Well below the task lease of 30 s, and seldom enough that renewals cost little.
+// Well below the task lease of 30 s, and long enough that renewals cost little.
 constexpr Milliseconds renewalInterval { 5'000 };
 constexpr Milliseconds minRetryInterval { 250 };
 constexpr int maxRetryDoublings = 3;
-// A sync without any end by then is sent again.
+// A sync that has neither succeeded nor failed after this is sent again.
 constexpr Milliseconds syncTimeout { 5'000 };
-// No reply comes later than this.
+// Replies do not arrive later than this.
 constexpr Milliseconds replyLifetime { 15'000 };
 
 } // namespace
@@ -94,8 +94,8 @@
     Rack& rack = m_racks[synced.rack];
     if (!rack.isOutstanding || rack.unanswered.empty())
         return {};
-    // An incremental report follows a complete one, and one with changes has a higher sequence; anything
-    // else is a repeated or late reply.
+    // An incremental report must follow a complete one, and needs a higher sequence if it contains changes.
+    // Anything else is a repeated or late reply.
     const bool isNews
         = synced.sequence > rack.sequence || (synced.sequence == rack.sequence && synced.workers.empty());
     if (!synced.isComplete && (!isNews || !m_observation.racks()[*index].isReached))
--- a/src/jobs/rack_syncer.h
+++ b/src/jobs/rack_syncer.h
@@ -13,7 +13,7 @@
 
 namespace anvilmoor {
 
-// Keeps one sync per rack going under one token, and feeds the reports to the observation.
+// Keeps one sync request per rack open under one token and passes the reports to the observation.
 class RackSyncer {
 public:
     // Decides whether the lease of a reported task is to be renewed.
@@ -21,7 +21,8 @@
 
     explicit RackSyncer(ZoneObservation&);
 
-    // Starts syncing under this token, 0 for a caretaker: every rack is asked for everything first.
+    // Starts syncing under this token (0 for a caretaker). The first sync requests a complete report of each
+    // rack.
     void start(FencingToken, TimePoint now);
     void stop();
     std::optional<FencingToken> token() const { return m_token; }
@@ -39,15 +40,15 @@
     struct Rack {
         bool isOutstanding = false;
         TimePoint sentAt {};
-        // Syncs that may still be answered, oldest first. A reply is attributed to the oldest, so that
-        // a report is never taken for newer than it is.
+        // Send times of the syncs that may still be answered, oldest first. A reply is attributed to the
+        // oldest, so that a report is never considered newer than it is.
         std::deque<TimePoint> unanswered;
         TimePoint nextAt {};
         std::uint64_t sequence = 0;
         TimePoint renewedAt {};
         bool hasRenewed = false;
-        int failures = 0; // in a row
-        int refusals = 0; // of the token, in a row
+        int failures = 0; // consecutive
+        int refusals = 0; // of the token, consecutive
     };
 
     void send(const RackObservation&, Rack&, const IsRenewable&, Step&);
--- a/src/jobs/table_rows.h
+++ b/src/jobs/table_rows.h
@@ -5,7 +5,7 @@
 
 namespace anvilmoor {
 
-// The table client answers each operation well before this; a reply that never came counts as lost.
+// An operation without a reply after this time counts as lost. The table client replies well before it.
 constexpr Milliseconds operationTimeout { 15'000 };
 
 } // namespace anvilmoor
--- a/src/jobs/worker_quarantine.cpp
+++ b/src/jobs/worker_quarantine.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int failuresToQuarantine = 3;
-// Longer than a claim takes to be placed anew, with its evictions.
+// Longer than it takes to place a claim again, including its evictions.
 constexpr Milliseconds failureCooldown { 3'000 };
 constexpr Milliseconds firstQuarantine { 60'000 };
 constexpr int maxDoublings = 6; // at most 64 minutes
--- a/src/jobs/worker_quarantine.h
+++ b/src/jobs/worker_quarantine.h
@@ -9,8 +9,9 @@
 
 namespace anvilmoor {
 
-// Keeps work away from workers that fail what they start. The first failures keep it away for seconds, so
-// that the next attempt goes elsewhere; a third one in a row for a minute and more.
+// Excludes workers from placement after tasks failed on them. The first failures exclude a worker for 3 s, so
+// that the next attempt runs elsewhere; the third consecutive one quarantines it for a minute, later ones for
+// up to 64 minutes.
 class WorkerQuarantine {
 public:
     // True if this failure put the worker into quarantine.
@@ -18,7 +19,7 @@
     void recordSuccess(const WorkerId&);
     bool isQuarantined(const WorkerId&, TimePoint now) const;
 
-    // True if the worker's failures in a row come from several jobs, while at least half of the
+    // True if the worker's consecutive failures come from several jobs while at least half of the
     // `workerCount` workers have no failure: then the worker is at fault rather than the job.
     bool isAtFault(const WorkerId&, std::size_t workerCount) const;
     void clear() { m_workers.clear(); }
--- a/src/jobs/zone_controller.cpp
+++ b/src/jobs/zone_controller.cpp
@@ -29,7 +29,7 @@
 
 GangContext ZoneController::context(const HeldRole& role, Step& step)
 {
-    // Replies that never came; their operations were sent again long ago.
+    // Bounds the map. The oldest entries are commands without a reply, which were resent long ago.
     while (m_commands.size() > maxCommandsRemembered)
         m_commands.erase(m_commands.begin());
     return { step, role.token, m_observation, m_counter, m_commands };
@@ -59,7 +59,8 @@
 {
     ZoneInventory inventory(configured);
     if (m_inventory) {
-        // A holding that no longer fits has lost a worker; its gang notices that by itself.
+        // A holding that no longer fits has lost a worker; its GangController detects that and stops the
+        // gang.
         for (const auto& [job, holding] : m_inventory->holdings())
             static_cast<void>(inventory.add(holding));
     }
@@ -134,12 +135,13 @@
             if (!gang.handle(replied, gangContext))
                 return;
             m_isTokenRefused = m_isTokenRefused || gang.isTokenRefused();
-            // Advancing at once saves a tick per phase.
+            // Advancing now instead of on the next tick saves one tick per phase.
             gang.advance(gangContext);
         },
         role, step);
     countThrottle(job);
-    // The room or the noise that a claim waits for may be free with this reply; a tick later costs 50 ms.
+    // The reply may free the accelerators or the noise allowance that a claim waits for; starting the claim
+    // on the next tick would cost 50 ms.
     startClaims(role, step);
 }
 
@@ -179,7 +181,7 @@
     const auto found = m_gangs.find(task.first);
     if (found == m_gangs.end())
         return !m_lastAttempt.contains(task.first) || m_lastAttempt[task.first] < task.second;
-    // A later holder's attempt.
+    // The attempt was started by a later holder.
     if (found->second.attempt() < task.second)
         return true;
     if (found->second.attempt() != task.second || found->second.phase() != GangPhase::Running)
--- a/src/jobs/zone_controller.h
+++ b/src/jobs/zone_controller.h
@@ -20,39 +20,44 @@
 
 namespace anvilmoor {
 
-// A rack that has not answered for this long gets no new work.
+// Workers of a rack that has not answered a sync for this long get no new tasks.
 constexpr Milliseconds rackSilence { 5'000 };
 
-// What the holder of a zone's role decides: recovers the zone's jobs, places queued ones, and takes each
-// to its end. Acts only while it is given the held role; sees reports at any time.
+// Controls the jobs of a zone on the daemon that holds the zone's role: recovers them after a takeover,
+// places queued jobs, and drives each job to a terminal state. Acts only in calls that pass the held role;
+// the rack reports it reads may be updated at any time.
 class ZoneController {
 public:
     ZoneController(const DaemonSettings&, const ConfigurationView&, const EndpointDirectory&,
         const PlacementPolicy&, const NoisePolicy&, JobStore&, ZoneObservation&, OperationCounter&);
 
-    // A new term of the role: forgets what an earlier term knew and waits for the rows.
+    // Starts a new term of the role: discards the state of earlier terms and waits until the job rows are
+    // read.
     void begin(const HeldRole&, Step&);
-    // The same term again after a pause: entries may have changed meanwhile.
+    // Continues the same term after a pause. The next tick reconciles all jobs, since rows may have changed.
     void resume() { m_mustReconcileAll = true; }
     void configure(const AvailabilityZoneConfiguration&, Step&);
 
-    // Sends what is due, places queued jobs, keeps the noise limit.
+    // Sends due commands, places queued jobs, and enforces the noise limit.
     void tick(const HeldRole&, Step&);
     void handle(const WorkerReplied&, const HeldRole&, Step&);
     void entriesChanged(const std::set<JobId>&, const HeldRole&, Step&);
     void reportsChanged(const std::set<TaskKey>&, const HeldRole&, Step&);
 
-    // Renewal of a task's lease is allowed: its whole gang was seen.
+    // True if the task's lease may be renewed: recent reports show every member of its gang. The lease then
+    // counts as renewed at `now`.
     bool isRenewable(const TaskKey&, TimePoint now);
 
-    // False if this daemon has begun to stop the task's gang.
+    // Asked before this daemon renews a lease as the caretaker. False if, in this daemon's last term, the
+    // attempt was stopped, superseded, or not in phase Running. Otherwise the lease counts as renewed at
+    // `now`.
     bool mayLive(const TaskKey&, TimePoint now);
 
     void setObjectStoreDown(bool isDown) { m_isObjectStoreDown = isDown; }
-    // Starts no new placement.
+    // No new placement starts from now on.
     void beginShutdown();
-    // True if no gang is between reserve and run, or leaving. A member that cannot be reached is left
-    // to the next holder.
+    // True if no gang is starting or stopping. Gangs in recovery do not count: a member that cannot be
+    // reached is left to the next holder.
     bool isQuiet() const;
     bool isTokenRefused() const { return m_isTokenRefused; }
 
@@ -64,7 +69,7 @@
 private:
     GangContext context(const HeldRole& role, Step& step);
     // --- zone_gangs.cpp
-    // Runs the change on the gang, then does what a change of its phase asks for.
+    // Applies the change to the gang, then handles the resulting phase transition, if any.
     void changeGang(
         const JobId&, const std::function<void(GangController&, GangContext&)>&, const HeldRole&, Step&);
     void phaseChanged(const JobId&, GangPhase before, const HeldRole&, Step&);
@@ -77,7 +82,7 @@
     void dropGang(const JobId&);
 
     // --- zone_controller.cpp
-    // Compares the row with what is going on and acts on the difference.
+    // Compares the job's row with the controller's state and acts on the difference.
     void reconcile(const JobId&, const HeldRole&, Step&);
     void enqueue(const JobId&, const JobStatus&, Step&);
     void advanceGangs(bool isAll, const HeldRole&, Step&);
@@ -85,7 +90,7 @@
     // --- zone_recovery.cpp
     void recoverGang(const JobId&, const JobRecord&, const HeldRole&, Step&);
     void finishRecovery(Step&);
-    // Releases tasks that belong to no gang.
+    // Releases reported tasks that belong to no gang.
     void releaseStrays(const HeldRole&, Step&);
     void updateUsable(Step&);
     void updateProgress();
@@ -127,14 +132,14 @@
 
     std::optional<ZoneInventory> m_inventory;
     std::map<JobId, GangController> m_gangs;
-    std::set<JobId> m_inTransition; // gangs in another phase than Running
+    std::set<JobId> m_inTransition; // gangs in any phase other than Running
     PlacementQueue m_queue;
     WorkerQuarantine m_quarantine;
-    std::map<JobId, AttemptNumber> m_lastAttempt; // also of attempts that were never committed
+    std::map<JobId, AttemptNumber> m_lastAttempt; // includes attempts that were never committed
     std::map<JobId, TimePoint> m_notBefore;
     std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_strayReleases;
 
-    std::map<std::uint64_t, JobId> m_commands; // in flight, by operation
+    std::map<std::uint64_t, JobId> m_commands; // commands in flight, by operation sequence
 
     bool m_areRowsRead = false;
     bool m_mustReconcileAll = false;
@@ -143,7 +148,7 @@
     TimePoint m_nextSecond {};
     TimePoint m_nextPlan {};
     TimePoint m_nextMove {};
-    bool m_isDirty = false; // a placement may be possible that was not before
+    bool m_isDirty = false; // a placement that was impossible may be possible now
     bool m_isStopping = false;
     bool m_isTokenRefused = false;
     bool m_isObjectStoreDown = false;
--- a/src/jobs/zone_gangs.cpp
+++ b/src/jobs/zone_gangs.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr int maxFailedAttempts = 5;
-// Ends a job that only ever met workers that fail other jobs too.
+// Counts excused failures as well, so that a job ends even if it only runs on workers that fail other jobs.
 constexpr int maxFailuresInAll = 20;
-// A gang whose member vanishes later than this after its start is not blamed for it: hosts restart.
+// A member that vanishes later than this after the start does not count as a failed attempt, because a host
+// restart makes members vanish, too.
 constexpr Milliseconds startTrial { 60'000 };
 constexpr Milliseconds placementRetry { 500 };
 constexpr Milliseconds firstFailureDelay { 1'000 };
@@ -32,14 +33,15 @@
     freeGoneMembers(job);
 }
 
-// A claim does not wait for the lease of a dead member whose gang has left the other workers.
+// Frees the accelerators that a stopping gang has already released, so that a claim on them does not wait
+// until the lease of a dead member of the gang expires.
 void ZoneController::freeGoneMembers(const JobId& job)
 {
     const auto gang = m_gangs.find(job);
     const Holding* holding = m_inventory ? m_inventory->find(job) : nullptr;
     if (gang == m_gangs.end() || gang->second.phase() != GangPhase::Stopping || !holding)
         return;
-    // The size of a guaranteed holding says which guarantee it uses.
+    // The size of a guaranteed holding determines which guarantee it uses, so it must not shrink.
     if (holding->jobClass == JobClass::Guaranteed)
         return;
     std::vector<GangMember> left = gang->second.membersLeft();
@@ -48,7 +50,7 @@
     Holding rest = *holding;
     rest.members = std::move(left);
     m_inventory->remove(job);
-    static_cast<void>(m_inventory->add(std::move(rest))); // fits: it holds less than before
+    static_cast<void>(m_inventory->add(std::move(rest))); // fits: smaller than the removed holding
     m_isDirty = true;
 }
 
@@ -188,7 +190,7 @@
         record.status.finishedAt = step.wallTime;
         return;
     }
-    // A claim has to run within the reclaim bound, so its first attempts follow each other at once.
+    // A guaranteed job must run within the reclaim bound, so its first retries follow without a delay.
     const bool isClaim = record.status.specification.jobClass == JobClass::Guaranteed;
     if (isClaim && failures <= claimRetriesAtOnce)
         return;
--- a/src/jobs/zone_noise.cpp
+++ b/src/jobs/zone_noise.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-// A throttle takes one command. Work that has not slowed down by then is evicted instead, so that a claim
-// still starts within its bound.
+// Throttling takes one command. Borrowed work that has not confirmed it within this time is evicted instead,
+// so that a claim still starts within the reclaim bound.
 constexpr Milliseconds throttlePatience { 400 };
-// Ahead of a lesson there is time to send the throttle again.
+// Before a lesson begins there is time to resend the throttle command.
 constexpr Milliseconds lessonThrottlePatience { 2'000 };
 
 } // namespace
 
-// Members of guaranteed jobs that wait for borrowed work: their noise counts as if they had started.
+// Members of guaranteed jobs that wait for borrowed work. Their noise counts as if they had started.
 std::vector<GangMember> ZoneController::claimedMembers(const JobId& except) const
 {
     std::vector<GangMember> members;
@@ -27,8 +27,8 @@
     return members;
 }
 
-// True if the members may become active once `leaving` has left. Borrowed work must also leave the pending
-// claims their part of the limit.
+// True if the members may become active within the room's noise limit once the jobs in `leaving` have
+// stopped. A borrowed job must also leave the pending claims their share of the limit.
 bool ZoneController::isQuietEnough(const JobId& job, std::vector<GangMember> members,
     const std::vector<JobId>& leaving, const Step& step) const
 {
@@ -48,7 +48,7 @@
     return m_noise.allowsStart(after, configured->room, members, step.localTime);
 }
 
-// Makes borrowed work give way to the noise of all pending claims.
+// Throttles or evicts borrowed work so that the noise of all pending claims fits the limit.
 void ZoneController::makeQuiet(const HeldRole& role, Step& step)
 {
     const AvailabilityZoneConfiguration* configured = zone();
@@ -78,7 +78,7 @@
     const AvailabilityZoneConfiguration* configured = zone();
     if (!configured)
         return;
-    // With the pending claims, so that no throttle is lifted that was made for one of them.
+    // Includes the pending claims, so that a throttle that was set for one of them is not lifted.
     const std::vector<NoiseAction> actions
         = m_noise.planForStart(*m_inventory, configured->room, claimedMembers({}), step.localTime);
     for (const NoiseAction& action : actions) {
@@ -106,7 +106,7 @@
             step);
         return;
     case NoiseActionKind::Unthrottle:
-        // Counted at full loudness from now on, whenever the workers hear of it.
+        // Counts at full noise from now on, no matter when the workers receive the command.
         m_inventory->setThrottled(action.job, false);
         changeGang(
             action.job,
@@ -119,7 +119,7 @@
     }
 }
 
-// A throttle counts as soon as every member has confirmed it.
+// Counts the job as throttled in the noise estimate once every member has confirmed the throttle.
 void ZoneController::countThrottle(const JobId& job)
 {
     const auto found = m_gangs.find(job);
--- a/src/jobs/zone_observation.h
+++ b/src/jobs/zone_observation.h
@@ -15,41 +15,43 @@
 
 using TaskKey = std::pair<JobId, AttemptNumber>;
 
-// One worker as its rack last reported it.
+// The state of one worker as last reported by its rack.
 struct WorkerObservation {
     std::size_t rack = 0;
-    bool isReported = false; // under the current token
+    bool isReported = false; // at least once under the current token
     bool isLive = false;
     std::map<TaskKey, TaskReport> tasks;
-    // Tasks that were once reported finished. Kept when the worker no longer reports them, so that a
-    // holder that could not write for a long time still knows how they ended.
+    // Tasks that were ever reported finished. Kept after the worker stops reporting them, so that a holder
+    // that could not write to the table for a long time still knows how they ended.
     std::set<TaskKey> finished;
 };
 
-// One rack under the current token.
+// The state of one rack under the current token.
 struct RackObservation {
     RackId id;
     std::vector<WorkerId> workers;
-    bool isReached = false; // has answered completely under the current token
-    TimePoint asOf {}; // the reports hold at this time: when the last answered sync was sent
-    TimePoint answeredAt {}; // or when the current token came into use
+    bool isReached = false; // has sent a complete report under the current token
+    TimePoint asOf {}; // send time of the last answered sync; the reports are valid at this time
+    TimePoint answeredAt {}; // last answer, or first use of the current token if there was none since
 };
 
-// What the racks of the zone report. Survives a change of token only in what is certain: finished tasks.
+// The reports of the zone's racks. After a change of token only the finished tasks are kept, since only they
+// are certain.
 class ZoneObservation {
 public:
-    // Keeps what is known of workers that remain.
+    // Keeps the state of workers that are in the new configuration as well.
     void configure(const AvailabilityZoneConfiguration&);
-    // Reports under another token do not show what commands under this one did.
+    // Called for a new token. Discards the current reports: reports under another token do not show the
+    // effect of commands under the new one.
     void reset(TimePoint now);
 
     // Precondition: the report answers a sync of that rack sent at `asOf`. Returns the tasks whose
     // reports changed.
     std::set<TaskKey> take(std::size_t rack, const RackSynced&, TimePoint asOf, TimePoint now);
-    // Forgets how a task ended.
+    // Discards the record that the worker finished the task.
     void forgetFinished(const WorkerId&, const TaskKey&);
 
-    // Forgets finished tasks that are not needed any more.
+    // Discards finished tasks for which `isNeeded` is false.
     void pruneFinished(const std::function<bool(const TaskKey&)>& isNeeded);
 
     const std::vector<RackObservation>& racks() const { return m_racks; }
@@ -65,7 +67,7 @@
     std::map<WorkerId, WorkerObservation> m_workers;
 };
 
-// True if the worker still runs, or holds accelerators for, the task.
+// True if the worker still runs the task or holds accelerators for it.
 bool isPresent(const TaskReport&);
 
 } // namespace anvilmoor
--- a/src/jobs/zone_placement.cpp
+++ b/src/jobs/zone_placement.cpp
@@ -7,13 +7,15 @@
 
 namespace {
 
-// Of the reclaim bound; the rest covers reserve, confirm and run.
+// Part of the reclaim bound; the rest covers reserve, confirm and run.
 constexpr Milliseconds evictionGrace { 800 };
-// For each second: a long queue must not use up the table's several hundred writes a second.
+// Per second: a long queue must not use up the several hundred writes per second that the table accepts.
 constexpr std::size_t maxReasonsStored = 8;
-// After a look that found nothing to move. A look visits every holding of the zone, 5,091 at the design size.
+// Delay after a search that found no job to move. A search visits every holding of the zone: 5,091 at the
+// design size.
 constexpr Milliseconds moveRetryInterval { 10'000 };
-// A moved job cannot be queued again without the table. It is polled more often than this.
+// No job is moved after the table has been silent for this long, because a moved job cannot be requeued
+// without it. The table is polled more often than this.
 constexpr Milliseconds longestSilenceOfTable { 5'000 };
 
 } // namespace
@@ -41,7 +43,7 @@
     dropHopelessClaims();
 }
 
-// Claims that the plan neither replaced nor made room for are planned anew like other jobs.
+// Drops claims that the plan neither replaced nor evicted work for; their jobs are planned again like others.
 void ZoneController::dropHopelessClaims()
 {
     const std::map<JobId, PlacementClaim> claims = m_queue.claims();
@@ -62,7 +64,7 @@
     if (planned.evictions.empty()) {
         if (isQuietEnough(planned.job, planned.members, {}, step)) {
             m_queue.dropClaim(planned.job);
-            // Its row is being written; the next plan starts it.
+            // A start fails while the job's row is being written; the next plan starts the job.
             if (!start(planned.job, planned.members, role, step))
                 m_isDirty = true;
             return;
@@ -73,14 +75,14 @@
             return;
         }
     } else if (!isClaim && !isQuietEnough(planned.job, planned.members, planned.evictions, step)) {
-        // Evicting would gain nothing: the start would be refused afterwards.
+        // Evicting would be useless: the noise limit would refuse the start afterwards.
         m_queue.dropClaim(planned.job);
         m_queue.setReason(planned.job, "starting it would exceed the room's noise limit");
         return;
     } else {
         m_queue.setReason(planned.job, "waits for borrowed work to leave");
     }
-    // Replaces an earlier place, which may have lost a worker.
+    // Replaces an earlier claim of the job, which may include a lost worker.
     m_queue.setClaim(planned.job, { planned.members });
     for (const JobId& victim : planned.evictions)
         evict(victim, "makes room for job " + planned.job.value(), role, step);
@@ -88,8 +90,8 @@
         makeQuiet(role, step);
 }
 
-// Claims whose room is free start without a plan. The plan decides about the others: it asks for evictions
-// again, or finds another place.
+// Starts claims whose accelerators are free without waiting for a plan. The next plan decides about the
+// others: it requests the evictions again or selects other workers.
 void ZoneController::startClaims(const HeldRole& role, Step& step)
 {
     if (!m_inventory || m_queue.claims().empty())
@@ -123,7 +125,7 @@
     });
 }
 
-// True if the members are free once the work that is leaving has left.
+// True if the members' accelerators are free once the jobs that are leaving have stopped.
 bool ZoneController::canBecomeFree(const std::vector<GangMember>& members) const
 {
     return std::all_of(members.begin(), members.end(), [this](const GangMember& member) {
@@ -140,7 +142,7 @@
         || entry->record.status.state != JobState::Queued)
         return false;
     const JobStatus& status = entry->record.status;
-    // A worker knows one task for each attempt.
+    // A worker has one task per attempt, so members on the same worker are merged.
     std::vector<GangMember> members;
     int sum = 0;
     for (const GangMember& member : planned) {
@@ -174,7 +176,7 @@
     AttemptNumber last = status.attempt;
     if (const auto found = m_lastAttempt.find(job); found != m_lastAttempt.end())
         last = std::max(last, found->second);
-    // A reservation of a former holder that never was committed.
+    // Reservations of a former holder that were never committed are in no row, only in the reports.
     for (const auto& [id, worker] : m_observation.workers()) {
         for (auto it = worker.tasks.lower_bound({ job, 0 });
              it != worker.tasks.end() && it->first.first == job; ++it)
@@ -201,8 +203,9 @@
         role, step);
 }
 
-// Moves are for quiet times only: no job waits, so there is no claim and no reservation, no gang starts or
-// leaves, the role's rows are recovered, and the table and the object store can take the job's progress.
+// Jobs are moved only while the zone is otherwise idle: no job waits, so there is no claim and no
+// reservation; no gang starts or stops; recovery is complete; and the table and the object store can save the
+// progress.
 bool ZoneController::mayMove(const Step& step) const
 {
     const std::optional<TimePoint> lastAnswer = m_store.lastAnswer();
@@ -211,8 +214,8 @@
         && step.now - *lastAnswer < longestSilenceOfTable;
 }
 
-// The evicted job queues again and is placed like any other; while nothing else waits, the policy places it
-// where its whole shapes stay free, which is where it was to be moved.
+// Moves a job by evicting it. The job is requeued and placed like any other; while no other job waits, the
+// policy places it where whole shapes stay free, which is the target of the move.
 void ZoneController::moveForShape(const HeldRole& role, Step& step)
 {
     const Configuration* configuration = m_configuration.current();
@@ -230,7 +233,7 @@
     evict(move->job, "moves so that a whole shape stays free", role, step);
 }
 
-// Lets other daemons tell why a job waits.
+// Stores wait reasons in the job rows, so that the other daemons can report why a job waits.
 void ZoneController::storeReasons(const HeldRole& role, Step& step)
 {
     for (const JobId& job : m_queue.takeReasonsToStore(step.now, maxReasonsStored)) {
--- a/src/jobs/zone_recovery.cpp
+++ b/src/jobs/zone_recovery.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr Milliseconds strayRetry { 1'000 };
-// Rows don't tell when an attempt started. Work that a new holder finds running counts as started this long
-// before the take-over: before any queued job came, so that it never looks like work that overtook one.
+// Rows do not hold the start time of an attempt. Work that a new holder finds running counts as started this
+// long before the takeover, that is before any queued job arrived, so that it is never treated as work that
+// overtook a queued job.
 constexpr Milliseconds recoveredAge { std::chrono::hours(24 * 365) };
 
 } // namespace
--- a/test/job_placement_test.cpp
+++ b/test/job_placement_test.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-// Whole reducers with GuaranteeAwarePlacement(LeastLostWorkReclaim) and SoundPowerNoise: the zone "north" has
-// 64 accelerators on 8 workers, of which 58 may be active in a lesson.
+// Runs complete reducers with GuaranteeAwarePlacement(LeastLostWorkReclaim) and SoundPowerNoise. The zone
+// "north" has 64 accelerators on 8 workers, of which 58 may be active during a lesson.
 class JobPlacementTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(JobPlacementTest);
     CPPUNIT_TEST(testClaimInLessonHoursMakesBorrowedWorkQuieter);
@@ -36,7 +36,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a claim that waits until the lesson or the borrowed work ends.
+    // Guards against a claim that waits until the lesson or the borrowed work ends instead of having the
+    // borrowed work throttled.
     void testClaimInLessonHoursMakesBorrowedWorkQuieter()
     {
         TestCluster cluster(lesson());
@@ -49,7 +50,8 @@
         assertClean(cluster);
     }
 
-    // Guards against a claim that evicts its place free and then waits for the noise of the rest.
+    // Guards against a claim that evicts work to free its accelerators and then has to wait because the
+    // remaining work is too loud.
     void testEvictingClaimInLessonHoursIsWithinTheBound()
     {
         TestCluster cluster(lesson());
@@ -65,11 +67,12 @@
         assertClean(cluster);
     }
 
-    // Guards against a lesson that begins too loud because workers did not take their throttles, or no
-    // command at all: then their leases have to end before the lesson.
+    // Guards against a lesson that begins above the noise limit because workers did not receive their
+    // throttle commands, or no command at all. In the second case their leases must expire before the lesson.
     void testLessonBeginsWithinTheLimitWhenWorkersDoNotAnswer()
     {
-        for (const int trial : { 0, 1, 21, 22 }) { // with a lead of 30 s, 21 and 22 were too loud for 0.5 s
+        // With a noise lead of 30 s, trials 21 and 22 exceeded the limit for 0.5 s.
+        for (const int trial : { 0, 1, 21, 22 }) {
             const bool isEveryCommandLost = trial > 0;
             TestClusterOptions options;
             options.seed = 1 + trial;
@@ -90,7 +93,7 @@
         }
     }
 
-    // Guards against a claim that waits in a lesson for a throttle that never takes effect.
+    // Guards against a claim that waits during a lesson for a throttle that never takes effect.
     void testClaimInLessonEvictsWhatIsNotThrottledInTime()
     {
         TestCluster cluster(lesson());
@@ -110,8 +113,8 @@
         assertClean(cluster);
     }
 
-    // Guards against claims that wait for each other, or for the lease of a dead worker, when the gang in
-    // their way cannot stop as a whole.
+    // Guards against claims that wait for each other, or for the lease of a dead worker, when the gang that
+    // holds their accelerators cannot stop completely because one of its workers is dead.
     void testGangWithDeadWorkerLeavesForTwoClaims()
     {
         TestCluster cluster({});
@@ -122,15 +125,15 @@
         cluster.worker(dead).isDead = true;
         const CallerHandle first = submit(cluster, "mill", "c", 16, JobClass::Guaranteed);
         const CallerHandle other = submit(cluster, "press", "d", 8, JobClass::Guaranteed);
+        // One of them may have been placed on the dead worker first.
         for (const CallerHandle claim : { first, other })
-            assertRunsWithin(cluster, claim, 4 * second); // one of them may have met the dead worker first
+            assertRunsWithin(cluster, claim, 4 * second);
         cluster.runFor(60 * second);
         assertClean(cluster);
     }
 
-    // Guards against a claim that waits for a job that left its place and holds another one by now.
-    // Guards against a pause before the claim's next attempt, and against the same worker in it: a worker
-    // that fails everything has room, which attracts claims.
+    // Guards against a delay before a claim's next attempt, and against a retry on the same worker: a worker
+    // on which every task fails has free accelerators, which attracts claims.
     void testClaimThatMeetsAFailingWorkerRunsElsewhereWithinBound()
     {
         TestCluster cluster({});
@@ -151,6 +154,8 @@
         assertClean(cluster);
     }
 
+    // Guards against a claim that keeps waiting for an evicted job that has released the claimed accelerators
+    // and holds others by now.
     void testEvictedJobThatRunsElsewhereDoesNotHoldUpTheClaim()
     {
         TestCluster cluster({});
@@ -168,15 +173,15 @@
             if (!isLeave)
                 return Fate::Deliver;
             asked.insert(command->command.job);
-            // The second victim leaves later than the first.
+            // The second evicted job stops later than the first.
             return asked.size() > 1 && command->command.job != *m_first ? Fate::Delay : remember(command);
         };
-        // The delayed stop is a fault, so the bound of the checker counts from its end; this test has its
-        // own.
+        // The delayed stop is a fault, so the cluster's own check counts its bound from the end of the fault;
+        // this test checks a bound of its own.
         cluster.claimsExcusedUntil = cluster.now() + Milliseconds(4'400);
         const CallerHandle claim = submit(cluster, "mill", "c", 16, JobClass::Guaranteed);
         CPPUNIT_ASSERT(cluster.runUntil([&] { return asked.size() >= 2; }, 2 * second));
-        // Room elsewhere for the first victim: another borrowed job ends.
+        // Another borrowed job ends, so that the first evicted job can run there.
         for (int i = 0; i < 8; ++i) {
             const JobId job = idOf("press", fmt::format("b{}", i));
             if (asked.contains(job))
@@ -191,7 +196,8 @@
         assertClean(cluster);
     }
 
-    // Guards against a take-over after which a waiting gang evicts work that ran long before it came.
+    // Guards against a takeover after which a waiting gang evicts work that had started long before the gang
+    // was submitted.
     void testRecoveredWorkDoesNotCountAsOvertakingAWaitingGang()
     {
         TestCluster cluster({});
@@ -204,12 +210,12 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), cluster.countEvents("job.evicting"));
         cluster.kill(cluster.holderOf("north").value());
         CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.holderOf("north").has_value(); }, 10 * second));
-        cluster.runFor(90 * second); // longer than a gang's patience with work that overtook it
+        cluster.runFor(90 * second); // longer than a gang waits before it may evict work that overtook it
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), cluster.countEvents("job.evicting"));
         assertClean(cluster);
     }
 
-    // Guards against a pending claim that keeps its place when a worker there dies.
+    // Guards against a pending claim that keeps its workers when one of them dies.
     void testClaimWithDeadWorkerIsPlacedAnew()
     {
         TestCluster cluster({});
@@ -230,7 +236,7 @@
         assertRunsWithin(cluster, claim, Milliseconds(5'000));
     }
 
-    // Guards against a claim that waits for a poll, a tick or a report, wherever it was accepted.
+    // Guards against a claim that waits for a poll, a tick or a report, no matter which daemon accepted it.
     void testClaimInFullFleetRunsWithinTheBoundFromEveryDaemon()
     {
         for (const ServiceMode objects : { ServiceMode::Up, ServiceMode::Down }) {
@@ -246,7 +252,7 @@
         }
     }
 
-    // Guards against claims that hold each other up.
+    // Guards against simultaneous claims that delay each other.
     void testClaimsOfSeveralAccountsAtOnceRunWithinTheBound()
     {
         for (const ServiceMode objects : { ServiceMode::Up, ServiceMode::Down }) {
@@ -262,7 +268,7 @@
         }
     }
 
-    // Guards against a claim that is found by the next poll only.
+    // Guards against a claim that starts too late because it is found only by the next poll.
     void testClaimRunsWithinTheBoundWhenItsNoticesAreLost()
     {
         for (std::uint64_t seed = 1; seed <= 8; ++seed) {
@@ -279,7 +285,8 @@
         }
     }
 
-    // Guards against a reason that only the holder knows, and against rows that are rewritten all the time.
+    // Guards against a wait reason that only the holder can report, and against rows that are rewritten all
+    // the time to store it.
     void testEveryDaemonTellsWhyAJobWaits()
     {
         TestCluster cluster({});
@@ -362,14 +369,15 @@
         return sum;
     }
 
-    // Counted from when the caller heard that the job is accepted.
+    // The bound counts from the time at which the caller learned that the job was accepted.
     static void assertRunsWithin(TestCluster& cluster, CallerHandle claim, Milliseconds bound)
     {
         CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.jobOf(claim).has_value(); }, 2 * second));
         const JobSpecification job = cluster.jobOf(claim)->specification;
         const bool isRunning
             = cluster.runUntil([&] { return running(cluster, job.id) == job.accelerators; }, bound);
-        std::string events = job.id.value() + " does not run in time\n";
+        std::string events
+            = job.id.value() + " is not running on all its accelerators within the bound; recent events:\n";
         for (const std::string& line : cluster.recentEvents(30))
             events += line + "\n";
         CPPUNIT_ASSERT_MESSAGE(events, isRunning);
@@ -383,7 +391,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), text);
     }
 
-    std::optional<JobId> m_first; // the victim that was asked first
+    std::optional<JobId> m_first; // the job that was asked to leave first
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobPlacementTest);
--- a/test/job_scheduler_test.cpp
+++ b/test/job_scheduler_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr Milliseconds second { 1'000 };
 
-// The phases of a start, as the first command or write of each.
+// Points in the start of a job, each reached with its first command or row write.
 enum class StartPoint { Reserve, Commit, Confirm, Run, Running };
 constexpr std::array startPoints { StartPoint::Reserve, StartPoint::Commit, StartPoint::Confirm,
     StartPoint::Run, StartPoint::Running };
@@ -27,7 +27,7 @@
     return false;
 }
 
-// Calls `action` once, when the start of a job reaches the point. The message at hand is still sent.
+// Calls `action` once, when the start of a job reaches the point. The message that reaches it is still sent.
 void onStartPoint(ZoneSimulation& zone, StartPoint point, std::function<void()> action)
 {
     auto isDone = std::make_shared<bool>(false);
@@ -99,7 +99,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a start that forgets a member or a finish that leaves accelerators held.
+    // Guards against a start that omits a member and against a finish that leaves accelerators held.
     void testGangRunsOnAllMembersAndFinishes()
     {
         ZoneSimulation zone(2);
@@ -115,7 +115,8 @@
         assertPromises(zone);
     }
 
-    // Guards against a second job for a repeated submission, and against a silent change under a key.
+    // Guards against a second job for a repeated submission, and against a different job that is accepted
+    // silently under a key in use.
     void testRepeatedSubmissionThroughAnotherDaemonGivesOneJob()
     {
         ZoneSimulation zone(2);
@@ -130,7 +131,8 @@
         CPPUNIT_ASSERT_EQUAL(8, zone.runningAccelerators(zone.job(first).specification.id));
     }
 
-    // Guards against a submitter who is told that an accepted job is refused, and submits it elsewhere.
+    // Guards against a refusal for a job that was accepted before the configuration changed: the submitter
+    // would submit it elsewhere as well.
     void testRepeatedSubmissionIsAnsweredThoughConfigurationChanged()
     {
         ZoneSimulation zone(1);
@@ -149,7 +151,7 @@
         CPPUNIT_ASSERT(refusal && refusal->kind == RefusalKind::Invalid);
     }
 
-    // Guards against jobs that wait forever because nothing can ever run them.
+    // Guards against accepted jobs that can never run and so wait forever.
     void testSubmissionThatCannotRunIsRefusedWithField()
     {
         ZoneSimulation zone(1);
@@ -169,7 +171,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), zone.table.rows().size());
     }
 
-    // Guards against a job that waits in a full zone while another one is empty.
+    // Guards against a job that waits in a full zone while another zone has free accelerators.
     void testJobWithoutZoneGoesWhereMoreIsFree()
     {
         ZoneSimulation zone(1);
@@ -195,8 +197,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("enns"), zoneFor({ 0, 0, 0, 0 }));
     }
 
-    // Guards against a job that is lost, run twice or stuck when one answer of the table is lost, with
-    // the write in effect at once or only after the row was read again.
+    // Guards against a job that is lost, runs twice or hangs when one answer of the table is lost, both when
+    // the write took effect at once and when it takes effect only after the row was read again.
     void testLostAnswerAtEachJobWriteLosesNothing()
     {
         for (const Fault fault : { Fault::LoseReply, Fault::LoseRequest }) {
@@ -222,7 +224,7 @@
         }
     }
 
-    // Guards against commands and writes of a former holder that take effect under its successor.
+    // Guards against commands and writes of a former holder that take effect under the new holder.
     void testHolderPausedAtEachStartPointIsHarmlessWhenItWakes()
     {
         for (const StartPoint point : startPoints) {
@@ -244,8 +246,8 @@
         }
     }
 
-    // Guards against a commit that is held up until after a take-over, before the new holder has touched
-    // the job's row: only the owner row's version tells.
+    // Guards against a commit that is delayed until after a takeover and arrives before the new holder has
+    // written the job's row: only the version of the owner row reveals that it is outdated.
     void testCommitThatArrivesAfterATakeOverIsRefused()
     {
         ZoneSimulation zone(1);
@@ -268,7 +270,7 @@
         CPPUNIT_ASSERT_EQUAL(ownerKey, reply.rows.front().key);
     }
 
-    // Guards against jobs that a dead holder leaves half started.
+    // Guards against jobs that stay partly started when the holder dies.
     void testHolderDeathAtEachStartPointIsRecovered()
     {
         for (const StartPoint point : startPoints) {
@@ -289,7 +291,7 @@
         }
     }
 
-    // Guards against a gang that keeps running without a member, or a job that is given up with it.
+    // Guards against a gang that runs on without a member, and against a job that is abandoned with the gang.
     void testWorkerDeathAtEachStartPointRequeuesTheGang()
     {
         for (const StartPoint point : startPoints) {
@@ -301,7 +303,7 @@
             const JobId job = zone.job(caller).specification.id;
             const int reachable
                 = zone.runningAccelerators(job) - zone.worker(1).accelerators(TaskPhase::Running);
-            // Started again on other workers, or stopped and waiting for the dead member's lease.
+            // Restarted on other workers, or stopped until the dead member's lease expires.
             CPPUNIT_ASSERT(reachable == 40 || reachable == 0);
             CPPUNIT_ASSERT(
                 zone.runUntil([&] { return zone.isInState(job, JobState::Finished); }, 120 * second));
@@ -309,7 +311,7 @@
         }
     }
 
-    // Guards against accelerators that stay held by a cancelled job.
+    // Guards against accelerators that a cancelled job keeps holding.
     void testCancelAtEachStartPointFreesEveryMember()
     {
         for (const StartPoint point : startPoints) {
@@ -333,7 +335,7 @@
         }
     }
 
-    // Guards against reservations that outlive a holder that died before the commit.
+    // Guards against reservations that do not expire when the holder dies before the commit.
     void testHalfMadeReservationLapses()
     {
         ZoneSimulation zone(1);
@@ -350,7 +352,8 @@
             CPPUNIT_ASSERT(zone.worker(i).tasks().empty());
     }
 
-    // Guards against a claim that waits behind borrowed work, and against lost progress of the evicted.
+    // Guards against a guaranteed job that waits for borrowed work to end, and against an evicted job that
+    // loses its progress.
     void testClaimEvictsBorrowedWorkWithinTheReclaimBound()
     {
         ZoneSimulation zone(2);
@@ -371,8 +374,8 @@
         assertPromises(zone);
     }
 
-    // Guards against progress that was not saved but counted, and against a claim that waits for the
-    // grace of checkpoints that a dead object store cannot take.
+    // Guards against progress that counts although it was not saved, and against a guaranteed job that waits
+    // for the grace period of checkpoints while the object store is down and cannot store them.
     void testEvictionWithLostCheckpointsRunsAgainFromTheStart()
     {
         ZoneSimulation zone(1);
@@ -394,7 +397,8 @@
         assertPromises(zone);
     }
 
-    // Guards against a worker that attracts work by failing fast, and against jobs that fail for it.
+    // Guards against a worker that attracts work because it fails fast and so is free again, and against jobs
+    // that end as failed because of it.
     void testWorkerThatFailsEverythingIsQuarantined()
     {
         ZoneSimulation zone(1);
@@ -402,7 +406,7 @@
         zone.run(5 * second);
         std::vector<CallerHandle> callers;
         callers.reserve(40);
-        // In waves, since a worker that failed is left alone for some seconds before it is tried again.
+        // In waves, since a worker gets no new task for some seconds after a failure.
         for (int i = 0; i < 40; ++i) {
             callers.push_back(zone.submit(0, borrowedJob(fmt::format("k{}", i), 4, 2 * second)));
             if (i % 10 == 9)
@@ -415,7 +419,7 @@
         assertPromises(zone);
     }
 
-    // Guards against a job that is tried for ever.
+    // Guards against a job that is retried forever.
     void testJobThatFailsEverywhereEndsFailed()
     {
         ZoneSimulation zone(1);
@@ -430,7 +434,7 @@
         CPPUNIT_ASSERT(!status.reason.empty());
     }
 
-    // Guards against tasks that lapse, and finished work that runs again, because the table was down.
+    // Guards against tasks whose leases expire, and finished jobs that run again, because the table was down.
     void testTableDownKeepsTasksRunningAndFinishesThemLater()
     {
         ZoneSimulation zone(2);
@@ -456,7 +460,7 @@
         assertPromises(zone);
     }
 
-    // Guards against a part of a gang that runs on while a rack is cut off.
+    // Guards against a partial gang that runs on while the rack of its other members cannot be reached.
     void testMemberLostFromSightStopsTheRest()
     {
         ZoneSimulation zone(1);
@@ -480,7 +484,7 @@
         assertPromises(zone);
     }
 
-    // Guards against a noise plan that counts a throttle before every member has it.
+    // Guards against a noise plan that counts a throttle before every member has applied it.
     void testNoiseThrottleReachesEveryMember()
     {
         ZoneSimulation zone(1);
@@ -504,7 +508,7 @@
         CPPUNIT_ASSERT(zone.isInState(job, JobState::Queued));
     }
 
-    // Guards against a planned stop that leaves reservations or half started gangs behind.
+    // Guards against an orderly shutdown that leaves reservations or partly started gangs behind.
     void testShutdownLeavesNoGangBetweenReserveAndRun()
     {
         ZoneSimulation zone(1);
@@ -523,7 +527,7 @@
         CPPUNIT_ASSERT_EQUAL(40, zone.runningAccelerators(zone.job(caller).specification.id));
     }
 
-    // Guards against a table that grows without bound.
+    // Guards against unbounded growth of the table.
     void testTerminalRowsAreDeletedAfterSevenDays()
     {
         ZoneSimulation zone(1);
@@ -541,7 +545,7 @@
     }
 
     // Guards against polls whose cost grows with the number of jobs, and against ended jobs that queries,
-    // repeated submissions or cancellations no longer find.
+    // repeated submissions or cancellations do not find.
     void testPollsReadOnlyWhatSubmittersWrote()
     {
         ZoneSimulation zone(1);
@@ -558,7 +562,7 @@
         CPPUNIT_ASSERT(zone.table.rows().contains(jobDoneRowKey(job)));
         for (const auto& [key, row] : zone.table.rows())
             CPPUNIT_ASSERT_MESSAGE(key, !key.starts_with("jobnew/"));
-        zone.run(12 * second); // the one read of when ended jobs expire
+        zone.run(12 * second); // covers the single read of the expiry times of ended jobs
         zone.rowsRead = 0;
         zone.run(30 * second);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), zone.rowsRead);
@@ -588,7 +592,7 @@
         assertPromises(zone);
     }
 
-    // Guards against a job that nobody starts again because the daemon that moved it died.
+    // Guards against a moved job that is never restarted because the holder died during the move.
     void testHolderDeathDuringAMoveLosesNothing()
     {
         for (const WorkerCommandKind point :
@@ -614,8 +618,8 @@
         }
     }
 
-    // Guards against moves that take part in a claim or a reservation, or that stop a job which cannot be
-    // queued again or saved.
+    // Guards against moves that interfere with a claim or a reservation, and against moves that stop a job
+    // while it cannot be requeued or checkpointed.
     void testNothingMovesWhileJobsWaitOrServicesAreDown()
     {
         ZoneSimulation zone(2);
@@ -636,7 +640,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), zone.countRecords("job.moving"));
         zone.isTableDown = false;
         zone.run(10 * second);
-        // A new holder first moves something an interval after it took the role.
+        // A new holder moves no job until one move interval after it took the role.
         zone.run(moveInterval);
         const std::size_t moved = zone.countRecords("job.moving");
         CPPUNIT_ASSERT(moved > 0);
@@ -649,8 +653,9 @@
         assertPromises(zone);
     }
 
-    // Guard against every broken promise that a mix of faults brings about. Seeds are fixed. One case for
-    // each, so that they run side by side: with sanitizers, all five together took nearly four minutes.
+    // Guard against violations of the invariants that ZoneSimulation checks, under a random mix of faults.
+    // The seeds are fixed. Each seed is a case of its own, so that the cases run in parallel: with
+    // sanitizers, all five together took nearly four minutes.
     void testRandomFaultsOfSeedOneKeepThePromises() { runRandom(1); }
     void testRandomFaultsOfSeedTwoKeepThePromises() { runRandom(2); }
     void testRandomFaultsOfSeedThreeKeepThePromises() { runRandom(3); }
@@ -712,7 +717,7 @@
             zone.run(Milliseconds(50 * static_cast<std::int64_t>(1 + random() % 20)));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(label, std::string(), zone.violation());
         }
-        // Without further faults every accepted job comes to its end.
+        // Without further faults every accepted job must reach a terminal state.
         zone.writeFault = {};
         zone.commandFault = {};
         zone.syncFault = {};
