Reword comments and messages in src/noise

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/noise/counting_noise.cpp
+++ b/src/noise/counting_noise.cpp
@@ -24,7 +24,8 @@
 {
 }
 
-// All active accelerators as loud as the first worker's: the level that a constant cap is derived from.
+// Assumes that every active accelerator is as loud as those of the first worker, as the derivation of a
+// constant cap does.
 double CountingNoise::estimateDb(const ZoneInventory& inventory) const
 {
     if (inventory.workers().empty())
--- a/src/noise/counting_noise.h
+++ b/src/noise/counting_noise.h
@@ -4,11 +4,12 @@
 
 namespace anvilmoor {
 
-// Baseline: a constant cap on active accelerators in lesson hours. It counts throttled accelerators like
-// any others and doesn't know idle workers, so a room with many workers can be too loud below the cap.
+// Baseline for comparison: a constant cap on active accelerators in lesson hours. It counts throttled
+// accelerators like any others and ignores the noise of idle workers, so a room with many workers can exceed
+// its limit while the count is below the cap.
 class CountingNoise : public NoisePolicy {
 public:
-    // `cap`: accelerators that may be active in lesson hours.
+    // `cap`: number of accelerators that may be active in lesson hours.
     explicit CountingNoise(int cap);
 
     double estimateDb(const ZoneInventory&) const override;
--- a/src/noise/lesson_limit.h
+++ b/src/noise/lesson_limit.h
@@ -4,7 +4,8 @@
 
 namespace anvilmoor {
 
-// True if a lesson is on, or begins within `lead` from now. Lessons may run over the end of the week.
+// True if a lesson is in progress at `localTime` or begins within `lead` after it. Lessons may extend past
+// the end of the week.
 bool isLessonWithin(const RoomConfiguration&, SecondOfWeek localTime, Seconds lead);
 
 } // namespace anvilmoor
--- a/src/noise/noise_policy.h
+++ b/src/noise/noise_policy.h
@@ -7,9 +7,10 @@
 
 namespace anvilmoor {
 
-// Borrowed work gives way this long before a lesson begins. A worker that takes no command stops when its
-// lease lapses, certainly after 38.5 s; a role hand-over takes 4 s, a throttle that is waited for 2 s, and a
-// checkpoint 0.8 s. With 30 s, a room was too loud for the first 0.5 s of a lesson.
+// The noise limit applies from this long before a lesson begins, so that borrowed work is throttled or
+// evicted in time. A worker that receives no commands stops when its lease expires, after 38.5 s at most; a
+// role hand-over takes 4 s, waiting for a throttle command 2 s, and a checkpoint 0.8 s. With 30 s, a room
+// exceeded its limit during the first 0.5 s of a lesson.
 constexpr Seconds noiseLead { 50 };
 
 enum class NoiseActionKind { Throttle, Unthrottle, Evict };
@@ -19,28 +20,29 @@
     JobId job;
 };
 
-// Keeps the noise estimate of a room below its limit in lesson hours. Pure.
+// Decides which work to throttle or evict so that the noise estimate of a room stays within its limit in
+// lesson hours. Has no side effects.
 class NoisePolicy {
 public:
     virtual ~NoisePolicy() = default;
 
-    // Sum of all sources, dB.
+    // Estimated level of all noise sources together, in dB.
     virtual double estimateDb(const ZoneInventory&) const = 0;
 
-    // The limit that applies now or to a lesson that begins within the lead; 0 if none.
+    // Limit in dB of a lesson that is in progress or begins within noiseLead; 0 if there is none.
     virtual double limitDb(const RoomConfiguration&, SecondOfWeek localTime) const = 0;
 
-    // True if these members may become active now.
+    // True if the limit permits these members to become active now.
     virtual bool allowsStart(const ZoneInventory&, const RoomConfiguration&, std::span<const GangMember>,
         SecondOfWeek localTime) const = 0;
 
-    // What to do now so that the estimate fits: throttle borrowed work first, then evict it. Lifts
-    // throttles when there is room again.
+    // Actions that bring the estimate within the limit: throttles borrowed work first, then evicts it.
+    // Unthrottles work when the limit allows it again.
     virtual std::vector<NoiseAction> plan(
         const ZoneInventory&, const RoomConfiguration&, SecondOfWeek localTime) const = 0;
 
-    // The same, so that these members fit besides: what borrowed work has to do before a claim that
-    // allowsStart() refuses can start. The default plans without the members.
+    // Like plan(), but counts these members as active too: the actions on borrowed work that are needed
+    // before a claim that allowsStart() refuses can start. The default implementation ignores the members.
     virtual std::vector<NoiseAction> planForStart(const ZoneInventory& inventory,
         const RoomConfiguration& room, std::span<const GangMember>, SecondOfWeek localTime) const
     {
--- a/src/noise/sound_power.h
+++ b/src/noise/sound_power.h
@@ -4,14 +4,14 @@
 
 namespace anvilmoor {
 
-// Relative sound power of a level: powers of independent sources add, levels do not.
+// Converts a level to relative sound power. Powers of independent sources can be added, levels cannot.
 double powerOfDb(double levelDb);
-// -inf for no power at all.
+// Negative infinity for a power of 0.
 double dbOfPower(double power);
 
-// Accelerators of the zone that can all be active at full rate in lesson hours, whichever they are: the
-// loudest are counted first. All of them if the room has no lesson hours; 0 if idle workers alone exceed
-// the limit.
+// Number of accelerators that can be active at full rate in lesson hours, whichever accelerators of the zone
+// they are: counts the loudest first. All accelerators if the room has no lesson hours; 0 if idle workers
+// alone exceed the limit.
 int lessonHoursCapacity(const AvailabilityZoneConfiguration&);
 
 } // namespace anvilmoor
--- a/src/noise/sound_power_noise.cpp
+++ b/src/noise/sound_power_noise.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Converts levels; workers mostly repeat the level of the worker before.
+// Converts levels to powers and caches the last result, because consecutive workers mostly have equal levels.
 class PowerMemo {
 public:
     double operator()(double levelDb)
@@ -60,14 +60,14 @@
     return power;
 }
 
-// A borrowed job that is not leaving, and its power at both rates.
+// A borrowed job that is not leaving, and its sound power at full and at throttled rate.
 struct Source {
     const Holding* holding = nullptr;
     double full = 0;
     double throttled = 0;
 
     double current() const { return holding->isThrottled ? throttled : full; }
-    // Less urgent work gives way first, then work that has little to lose.
+    // Jobs of lower priority are evicted first; at equal priority, those that lose the least work.
     auto evictionRank() const
     {
         const Milliseconds lost = std::max(Milliseconds(0), holding->progress - holding->checkpointed);
@@ -75,7 +75,7 @@
     }
 };
 
-// Works out the actions that bring the power down to a limit.
+// Collects the actions that reduce the power to a limit, or that unthrottle work within it.
 class NoisePlan {
 public:
     NoisePlan(const ZoneInventory& inventory, double extraPower)
@@ -92,7 +92,7 @@
                 continue;
             }
             if (holding.isLeaving)
-                m_power -= source.current(); // it was asked to leave: nobody else has to go in its place
+                m_power -= source.current(); // already leaving: no other job has to be evicted for its power
             else
                 m_sources.push_back(source);
         }
@@ -134,7 +134,7 @@
             if (source.holding->isThrottled || source.throttled >= source.full)
                 continue;
             m_power -= source.full - source.throttled;
-            source.full = source.throttled; // counts as throttled from here on
+            source.full = source.throttled; // evictTo() counts the job as throttled
             m_actions.push_back({ NoiseActionKind::Throttle, source.holding->job });
         }
     }
--- a/src/noise/sound_power_noise.h
+++ b/src/noise/sound_power_noise.h
@@ -4,14 +4,14 @@
 
 namespace anvilmoor {
 
-// A throttle is lifted only if the estimate then stays this far below the limit, so that small changes of
-// load don't throttle and lift in turn.
+// In or shortly before a lesson, work is unthrottled only if the estimate then stays this far below the
+// limit. The margin keeps small changes of load from throttling and unthrottling the same work repeatedly.
 constexpr double liftMarginDb = 0.5;
-// No throttle is lifted if a lesson begins within this time and would bring it back.
+// Work that would have to be throttled again for a lesson that begins within this time stays throttled.
 constexpr Seconds liftLead { 120 };
 
-// Adds up sound powers of idle workers, active and throttled accelerators. Workers that don't answer count
-// as idle or, with what is booked on them, as active: they may be running.
+// Adds the sound powers of idle workers and of active and throttled accelerators. Workers that don't answer
+// still count as idle, and the accelerators booked on them as active, because they may be running.
 class SoundPowerNoise : public NoisePolicy {
 public:
     double estimateDb(const ZoneInventory&) const override;
--- a/test/noise_test.cpp
+++ b/test/noise_test.cpp
@@ -26,7 +26,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against sums kept by the inventory that drift from what is held, and against adding levels.
+    // Guards against sums in the inventory that no longer match its holdings, and against adding levels
+    // instead of powers.
     void testEstimateOfRandomInventoryEqualsDirectSum()
     {
         std::mt19937 random(9);
@@ -36,7 +37,8 @@
         }
     }
 
-    // Guards against a limit that starts late, ends late, or is missed across Monday midnight.
+    // Guards against a limit that begins or ends late, or is not applied across the end of the week (midnight
+    // before Monday).
     void testLimitBeginsAheadOfLessonAndWrapsAroundTheWeek()
     {
         RoomConfiguration room { .limitDb = 50, .lessonHours = { { 0, 3'600 }, { 30'000, 33'000 } } };
@@ -53,7 +55,7 @@
         CPPUNIT_ASSERT_EQUAL(50.0, m_policy.limitDb(room, 1'000));
     }
 
-    // Guards against a start that is one accelerator too loud, also when the lesson is still 50 s away.
+    // Guards against a start that exceeds the limit by one accelerator, also 50 s before a lesson.
     void testStartIsAllowedUpToTheLimitOnly()
     {
         const AvailabilityZoneConfiguration zone = loudZone(20);
@@ -69,7 +71,7 @@
         CPPUNIT_ASSERT(m_policy.allowsStart(inventory, zone.room, over, lesson - 51));
     }
 
-    // Guards against lost work where a lower rate would have been enough.
+    // Guards against evictions, which lose work, where throttling is enough.
     void testBorrowedWorkIsThrottledBeforeItIsEvicted()
     {
         const AvailabilityZoneConfiguration zone = loudZone(16);
@@ -81,8 +83,8 @@
         const auto actions = m_policy.plan(inventory, zone.room, lesson - 50);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, actions.size());
         CPPUNIT_ASSERT(actions[0].kind == NoiseActionKind::Throttle && actions[0].job == JobId("low"));
-        // Throttled accelerators have a tenth of the power: 3 workers full of borrowed work on 1 are too
-        // many.
+        // A throttled accelerator has a tenth of the sound power of an active one. The 16 throttled
+        // accelerators of two workers still exceed a limit of one active accelerator.
         const AvailabilityZoneConfiguration quiet = loudZone(1);
         inventory = usableInventory(quiet);
         book(inventory, "urgent", "r0w0", 8, 5);
@@ -93,7 +95,8 @@
         CPPUNIT_ASSERT(m_policy.estimateDb(inventory) <= quiet.room.limitDb);
     }
 
-    // Guards against a broken guarantee in a room that is too loud by guaranteed work alone.
+    // Guards against throttling or evicting guaranteed work in a room that exceeds its limit by guaranteed
+    // work alone.
     void testGuaranteedWorkIsNeverThrottledOrEvicted()
     {
         const AvailabilityZoneConfiguration zone = loudZone(4);
@@ -105,7 +108,7 @@
             CPPUNIT_ASSERT(action.job == JobId("b"));
     }
 
-    // Guards against throttles that are lifted and set again at every call.
+    // Guards against plans that alternately unthrottle and throttle the same job.
     void testThrottlesAreLiftedOnceAndDoNotFlap()
     {
         const AvailabilityZoneConfiguration zone = loudZone(16);
@@ -116,7 +119,7 @@
         carryOut(inventory, m_policy.plan(inventory, zone.room, lesson));
         CPPUNIT_ASSERT(inventory.find(JobId("b"))->isThrottled);
         CPPUNIT_ASSERT(m_policy.plan(inventory, zone.room, lesson + 1).empty());
-        inventory.remove(JobId("c")); // now b would fit exactly, without a margin
+        inventory.remove(JobId("c")); // b would fit at full rate, but without the margin
         CPPUNIT_ASSERT(m_policy.plan(inventory, zone.room, lesson + 1).empty());
         CPPUNIT_ASSERT(m_policy.plan(inventory, zone.room, lesson - 120).empty());
         const auto lifted = m_policy.plan(inventory, zone.room, lesson - 121);
@@ -125,7 +128,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_policy.plan(inventory, zone.room, lesson + 1).size());
     }
 
-    // Guards against a claim that waits behind borrowed work because the room is as loud as it may be.
+    // Guards against a claim that waits because borrowed work already reaches the noise limit.
     void testClaimInLessonMakesBorrowedWorkGiveWay()
     {
         const AvailabilityZoneConfiguration zone = loudZone(16);
@@ -139,7 +142,8 @@
         CPPUNIT_ASSERT(m_policy.allowsStart(inventory, zone.room, claim, lesson));
     }
 
-    // Guards against plans that fall short, and against evictions beside work that is leaving already.
+    // Guards against plans that leave the room above its limit, and against actions on jobs that are already
+    // leaving.
     void testRandomPlansFitTheLimitWherePossible()
     {
         std::mt19937 random(10);
@@ -172,7 +176,8 @@
         CPPUNIT_ASSERT(evictions > 100);
     }
 
-    // Guards against going back to a constant cap: it lets the room exceed its limit.
+    // Guards against a constant cap on accelerators, which ignores idle workers and lets the room exceed its
+    // limit.
     void testIdleWorkersAreHeardWhereCountingMissesThem()
     {
         AvailabilityZoneConfiguration zone = loudZone(16);
@@ -190,7 +195,8 @@
 private:
     static constexpr SecondOfWeek lesson = 30'000;
 
-    // Silent when idle, 40 dB for each accelerator, 30 dB throttled; the limit lets `capacity` run.
+    // Workers are silent when idle; an accelerator has 40 dB, or 30 dB if throttled. The limit allows
+    // `capacity` accelerators at full rate.
     static AvailabilityZoneConfiguration loudZone(int capacity)
     {
         AvailabilityZoneConfiguration zone = uniformZone(2, 2);
