Reword comments and messages in src/reclaim

Comments, log lines and errors were terse or figurative and had to be read twice. They now say in the field's terms what the code does and why. Code tokens other than string literals are unchanged; behaviour is as before.

--- a/src/reclaim/least_lost_work_reclaim.cpp
+++ b/src/reclaim/least_lost_work_reclaim.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Sites whose evictions are worked out, those with least room missing first. Bounds a choice at 19,000
-// workers to a few ms.
+// Most sites for which evictions are computed; the sites that lack the fewest accelerators come first. These
+// limits keep a choice among 19,000 workers within a few milliseconds.
 constexpr std::size_t maxSitesInOneRack = 64;
 constexpr std::size_t maxSitesAcrossRacks = 16;
 
@@ -19,11 +19,12 @@
     ReclaimChoice choice;
     double cost = 0;
     bool mustWait = false;
-    int leftOver = 0; // reach that the claim leaves in its racks
+    int leftOver = 0; // reclaimable accelerators that the claim does not use in its racks
 
     auto rank() const { return std::tuple(cost, mustWait, leftOver); }
 };
 
+// Evicts in order of cost per accelerator gained, until the claim fits.
 void evictCheapest(ReclaimSite& site, std::vector<ReclaimCandidate>& candidates)
 {
     std::stable_sort(candidates.begin(), candidates.end(),
@@ -36,7 +37,7 @@
     candidates.resize(used);
 }
 
-// Takes back evictions that turned out not to be needed, the most costly first.
+// Undoes evictions without which the claim still fits, the most expensive first.
 void keepNeeded(ReclaimSite& site, std::vector<ReclaimCandidate>& evicted)
 {
     std::stable_sort(evicted.begin(), evicted.end(),
@@ -50,7 +51,7 @@
     });
 }
 
-// One job that makes enough room alone may be cheaper than several small ones.
+// Replaces the evictions by that of a single job, if one job makes enough room alone at a lower cost.
 void preferSingle(
     ReclaimSite& site, const std::vector<ReclaimCandidate>& all, std::vector<ReclaimCandidate>& evicted)
 {
@@ -90,7 +91,7 @@
             return std::nullopt;
         keepNeeded(site, evicted);
         preferSingle(site, all, evicted);
-        if (!site.members()) { // an inner rack of the run has nothing free: empty the run
+        if (!site.members()) { // an inner rack has no room, which breaks adjacency: evict all candidates
             for (const ReclaimCandidate& candidate : evicted)
                 site.undoEvict(candidate);
             evicted = std::move(all);
@@ -156,7 +157,7 @@
     return std::move(best->choice);
 }
 
-// Takes racks with most room first, and as few as have enough reach.
+// Uses as few racks as can provide the accelerators, those with the most free or leaving accelerators first.
 std::optional<ReclaimChoice> chooseScattered(
     const PlacementRoom& room, const ReclaimRequest& request, std::span<const int> reach)
 {
--- a/src/reclaim/least_lost_work_reclaim.h
+++ b/src/reclaim/least_lost_work_reclaim.h
@@ -4,14 +4,15 @@
 
 namespace anvilmoor {
 
-// Accelerator-seconds that an eviction would lose: progress since the last checkpoint, on all members.
+// Accelerator-seconds of work that evicting the job would lose: its progress since the last checkpoint, times
+// the accelerators of all its members.
 double lostAcceleratorSeconds(const Holding&);
 
-// What each eviction costs besides lost work: the job is queued, placed and started once more.
+// Cost of an eviction besides the lost work: the job has to be queued, placed and started again.
 constexpr double evictionCostAcceleratorSeconds = 60;
 
-// Places a claim where least uncheckpointed work is lost and few jobs must leave. Work that is leaving
-// already counts as room.
+// Places a claim where the evictions lose the least uncheckpointed work and few jobs have to be evicted.
+// Accelerators of jobs that are already leaving count as available.
 class LeastLostWorkReclaim : public ReclaimPolicy {
 public:
     std::optional<ReclaimChoice> choose(
--- a/src/reclaim/newest_first_reclaim.h
+++ b/src/reclaim/newest_first_reclaim.h
@@ -4,8 +4,8 @@
 
 namespace anvilmoor {
 
-// Baseline: the first place that can be freed, emptied by evicting the newest borrowed work, whatever it
-// loses.
+// Baseline for comparison: takes the first racks in which the claim can be placed, and evicts borrowed jobs
+// there, newest first, regardless of the work that they lose.
 class NewestFirstReclaim : public ReclaimPolicy {
 public:
     std::optional<ReclaimChoice> choose(
--- a/src/reclaim/reclaim_policy.cpp
+++ b/src/reclaim/reclaim_policy.cpp
@@ -27,7 +27,7 @@
     if (!choice || !room.canReach(choice->members)
         || !keepsLimits(inventory, choice->members, request.rackLimits))
         return std::nullopt;
-    // What the choice takes must be free or leaving once its evictions are counted.
+    // After the evictions, each member's accelerators must be free or leaving.
     PlacementRoom after = room;
     for (const JobId& job : choice->evictions) {
         const Holding* holding = inventory.find(job);
--- a/src/reclaim/reclaim_site.cpp
+++ b/src/reclaim/reclaim_site.cpp
@@ -48,7 +48,8 @@
 std::vector<ReclaimCandidate> ReclaimSite::candidates() const
 {
     std::vector<ReclaimCandidate> found;
-    std::unordered_map<const Holding*, std::size_t> positions; // looked up only, never iterated
+    // Never iterated, because the order of pointers differs between runs.
+    std::unordered_map<const Holding*, std::size_t> positions;
     const ZoneInventory& inventory = m_room.inventory();
     for (const std::size_t rack : m_racks) {
         const RackCapacity& capacity = inventory.racks()[rack];
@@ -96,7 +97,7 @@
     return free < m_request.accelerators;
 }
 
-// Inner racks first, so that what is left over lies at the ends of a run.
+// Fills inner racks first, so that unused accelerators remain at the ends of a run.
 std::vector<int> ReclaimSite::sharesPerRack() const
 {
     std::vector<std::size_t> order;
@@ -140,7 +141,8 @@
         appendMembers(m_room.inventory(), rack, m_workerRoom[position], amount, members);
         return;
     }
-    // Enough is free now: don't wait for work that leaves another worker of the rack.
+    // Enough accelerators are free now. Use only those: members on other workers of the rack might have to
+    // wait for jobs that are leaving.
     std::vector<int> free;
     for (const Room& worker : m_room.workers().subspan(rack.firstWorker, rack.workerCount))
         free.push_back(worker.free);
--- a/src/reclaim/reclaim_site.h
+++ b/src/reclaim/reclaim_site.h
@@ -11,32 +11,34 @@
 
 namespace anvilmoor {
 
-// A borrowed job that could leave a site.
+// A borrowed job that may be evicted to make room for a claim.
 struct ReclaimCandidate {
     const Holding* holding = nullptr;
-    int gain = 0; // accelerators that the site wins
-    double cost = 0; // set by the policy
-    std::vector<std::pair<std::size_t, int>> uses; // worker, accelerators
+    int gain = 0; // accelerators in the site's racks that its eviction frees
+    double cost = 0; // of evicting the job; set by the policy
+    std::vector<std::pair<std::size_t, int>> uses; // worker index, accelerators
 };
 
-// Racks in which a claim could be placed, and the jobs that could leave them.
+// A set of racks in which a claim could be placed, and the jobs that may be evicted from them.
 class ReclaimSite {
 public:
-    // `racks` ascending. The request must outlive the site.
+    // `racks`: indexes in ascending order. The room and the request must outlive the site.
     ReclaimSite(const PlacementRoom&, const ReclaimRequest&, std::vector<std::size_t> racks);
 
-    // In order of workers and bookings.
+    // In order of the jobs' first workers; jobs on the same worker in order of booking.
     std::vector<ReclaimCandidate> candidates() const;
 
     void evict(const ReclaimCandidate&);
     void undoEvict(const ReclaimCandidate&);
 
-    // Accelerators still missing after the evictions so far; 0 or less: the claim has room.
+    // Accelerators that the claim lacks after the evictions so far. Zero or negative if the claim fits.
     int missing() const { return m_request.accelerators - m_available; }
-    // True if the claim would have to wait for leaving work, evicted or not.
+    // True if too few accelerators are free now, so that the claim has to wait for jobs to leave. These may
+    // be jobs that were already leaving, or jobs that are evicted for the claim.
     bool mustWait() const;
 
-    // Empty if the room is not adjacent although the request asks for that.
+    // Members for the claim. Empty if accelerators are missing, or if the request asks for adjacent racks
+    // and the racks with room have a gap.
     std::optional<std::vector<GangMember>> members() const;
 
 private:
@@ -49,12 +51,13 @@
     const PlacementRoom& m_room;
     const ReclaimRequest& m_request;
     std::vector<std::size_t> m_racks;
-    std::vector<int> m_rackRoom; // free or leaving, per entry of m_racks
+    std::vector<int> m_rackRoom; // free or leaving accelerators, per entry of m_racks
     std::vector<std::vector<int>> m_workerRoom; // the same, per worker of the rack
     int m_available = 0; // sum of usable()
 };
 
-// What each rack could give to the request: its reach, less what must not be evicted, within limits.
+// Accelerators that each rack could provide for the request: those that are free or leaving and those of
+// work that may be evicted, up to the rack's limit.
 std::vector<int> reachFor(const PlacementRoom&, const ReclaimRequest&);
 
 } // namespace anvilmoor
--- a/test/reclaim_test.cpp
+++ b/test/reclaim_test.cpp
@@ -19,7 +19,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against evicting by age alone: the newest job may be the one without a checkpoint.
+    // Guards against eviction by age alone, which loses more work if the newest job has no checkpoint.
     void testFreshCheckpointIsEvictedBeforeNewestWork()
     {
         ZoneInventory inventory = usableInventory(uniformZone(1, 2));
@@ -31,7 +31,8 @@
         CPPUNIT_ASSERT(naive->evictions == std::vector<JobId> { JobId("unsaved") });
     }
 
-    // Guards against a wave of restarts where one would do, and against evictions that are not needed.
+    // Guards against evicting many small jobs where one large job is enough, and against evicting more jobs
+    // than the claim needs.
     void testOneLargeJobLeavesInsteadOfManySmallOnes()
     {
         ZoneInventory inventory = usableInventory(uniformZone(2, 1));
@@ -44,7 +45,8 @@
             std::size_t { 1 }, m_policy.choose(inventory, 1, true, TimePoint())->evictions.size());
     }
 
-    // Guards against evicting more work while evicted work is still saving its checkpoint.
+    // Guards against further evictions for a claim that fits as soon as an evicted job has saved its
+    // checkpoint.
     void testLeavingWorkCountsAsRoom()
     {
         ZoneInventory inventory = usableInventory(uniformZone(2, 1));
@@ -56,7 +58,8 @@
         CPPUNIT_ASSERT(choice->members.at(0).worker == WorkerId("r1w0"));
     }
 
-    // Guards against a claim across racks with a gap, and against counting dead workers.
+    // Guards against placing an adjacent claim in racks with a gap between them, and against counting
+    // unusable workers.
     void testShapeAboveOneRackIsEmptiedInNeighbouringRacks()
     {
         ZoneInventory inventory = usableInventory(uniformZone(5, 2));
@@ -73,7 +76,7 @@
         CPPUNIT_ASSERT(m_policy.choose(inventory, 64, false, TimePoint()));
     }
 
-    // Guards against claims that spill over what the guarantee plan gives them.
+    // Guards against claims that exceed the rack limits of the guarantee plan or evict work that it protects.
     void testLimitsAndProtectedWorkAreKept()
     {
         ZoneInventory inventory = usableInventory(uniformZone(2, 1));
@@ -90,7 +93,8 @@
         CPPUNIT_ASSERT(!m_policy.chooseWithin(room, request));
     }
 
-    // Guards against choices that don't free their room, and against a cost no better than the baseline's.
+    // Guards against evictions that free too little for the chosen members, and against losing as much work
+    // as the baseline.
     void testRandomChoiceFreesItsRoomAndLosesNoMoreThanNewestFirst()
     {
         std::mt19937 random(3);
