Rename identifiers of include/anvilmoor/batch to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

ConfigurationFollowed -> ConfigurationUpdated, NoRoom -> InsufficientCapacity, OwnTable -> SchedulerTable, RowsFollowed -> RowsUpdated, WorkersFollowed -> WorkersUpdated, bornAt -> startedAtMs, room -> available.

--- a/include/anvilmoor/batch/event.h
+++ b/include/anvilmoor/batch/event.h
@@ -49,22 +49,22 @@
 
 // The rows of a followed table: all of them, or those that have changed. `knownAt` is the time up to which
 // the table is known: every write before it is contained in this event or an earlier one.
-struct ConfigurationFollowed {
+struct ConfigurationUpdated {
     std::vector<Configuration> versions; // oldest first; empty: nothing new
     TimePoint knownAt {};
 };
 
-struct WorkersFollowed {
+struct WorkersUpdated {
     bool isComplete = false; // all workers are listed; those not in `changed` no longer exist
     std::vector<WorkerRecord> changed;
     std::vector<WorkerId> removed;
     TimePoint knownAt {};
 };
 
-enum class OwnTable { Lease, Jobs };
+enum class SchedulerTable { Lease, Jobs };
 
-struct RowsFollowed {
-    OwnTable table = OwnTable::Jobs;
+struct RowsUpdated {
+    SchedulerTable table = SchedulerTable::Jobs;
     bool isComplete = false;
     std::vector<Row> rows;
     TimePoint knownAt {};
@@ -108,8 +108,8 @@
     WorkerStatus status; // valid only if the order was accepted
 };
 
-using EventPayload = std::variant<Tick, ShutdownRequested, CallerRequest, CallerGone, ConfigurationFollowed,
-    WorkersFollowed, RowsFollowed, CommitAnswered, ReadAnswered, StartAnswered, StopAnswered, HoldAnswered>;
+using EventPayload = std::variant<Tick, ShutdownRequested, CallerRequest, CallerGone, ConfigurationUpdated,
+    WorkersUpdated, RowsUpdated, CommitAnswered, ReadAnswered, StartAnswered, StopAnswered, HoldAnswered>;
 
 struct Event {
     TimePoint now; // also advances while the host is suspended
--- a/include/anvilmoor/batch/job.h
+++ b/include/anvilmoor/batch/job.h
@@ -20,7 +20,7 @@
     bool operator==(const Resources&) const = default;
     Resources& operator+=(const Resources&);
     Resources& operator-=(const Resources&);
-    bool fitsIn(const Resources& room) const;
+    bool fitsIn(const Resources& available) const;
 };
 
 struct StepSpecification {
--- a/include/anvilmoor/batch/worker.h
+++ b/include/anvilmoor/batch/worker.h
@@ -18,7 +18,7 @@
 // nothing of its earlier lifetimes.
 struct WorkerLifetime {
     WorkerId id;
-    std::int64_t bornAt = 0; // start of the lifetime in Unix ms, as reported by the worker
+    std::int64_t startedAtMs = 0; // start of the lifetime in Unix ms, as reported by the worker
 
     auto operator<=>(const WorkerLifetime&) const = default;
 };
@@ -62,7 +62,7 @@
 
 struct WorkerStatus {
     WorkerClock clock = 0;
-    std::int64_t bornAt = 0;
+    std::int64_t startedAtMs = 0;
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended; // ended runs not acknowledged yet, oldest first
 };
@@ -70,7 +70,7 @@
 enum class OrderOutcome {
     Accepted,
     Rejected, // the order had no effect and will have none
-    NoRoom, // rejected because the worker lacks the capacity
+    InsufficientCapacity, // rejected because the worker lacks the capacity
     Outdated, // the worker knows of a newer leader or of a newer run
     OtherLifetime, // the worker has restarted; the order named an earlier lifetime
     Unknown, // no answer: it may have been executed, or may still be executed
--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -76,14 +76,14 @@
     const RowKey lease = leaseKey();
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, lease.table,
         std::vector<std::string> { lease.part }, leaseRhythm, now, [this](TableFollower::News news) {
-            dispatch(RowsFollowed {
-                OwnTable::Lease, news.isComplete, std::move(news.rows), news.knownAt, news.answeredAt });
+            dispatch(RowsUpdated { SchedulerTable::Lease, news.isComplete, std::move(news.rows), news.knownAt,
+                news.answeredAt });
         });
 }
 
 void BatchDaemon::configurationNews(const TableFollower::News& news)
 {
-    ConfigurationFollowed followed { {}, news.knownAt };
+    ConfigurationUpdated followed { {}, news.knownAt };
     for (const Row& row : news.rows) {
         if (row.isDeleted || !m_records.isConfiguration(row))
             continue;
@@ -99,7 +99,7 @@
 
 void BatchDaemon::workerNews(const TableFollower::News& news)
 {
-    WorkersFollowed followed { news.isComplete, {}, {}, news.knownAt };
+    WorkersUpdated followed { news.isComplete, {}, {}, news.knownAt };
     for (const Row& row : news.rows) {
         if (row.isDeleted) {
             followed.removed.emplace_back(row.key.key);
@@ -204,7 +204,8 @@
         parts.push_back(jobPartName(part));
     m_jobFollower = std::make_unique<TableFollower>(m_loop, m_store, std::string(jobTable), std::move(parts),
         jobRhythm, now, [this](TableFollower::News news) {
-            dispatch(RowsFollowed { OwnTable::Jobs, news.isComplete, std::move(news.rows), news.knownAt });
+            dispatch(
+                RowsUpdated { SchedulerTable::Jobs, news.isComplete, std::move(news.rows), news.knownAt });
         });
     m_workerFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.workerTable(),
         std::vector<std::string> { {} }, workerRhythm, now,
--- a/src/batch/intake/configuration_view.cpp
+++ b/src/batch/intake/configuration_view.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-bool ConfigurationView::followed(const ConfigurationFollowed& news)
+bool ConfigurationView::followed(const ConfigurationUpdated& news)
 {
     bool isNewer = false;
     for (const Configuration& configuration : news.versions) {
--- a/src/batch/intake/configuration_view.h
+++ b/src/batch/intake/configuration_view.h
@@ -17,7 +17,7 @@
     explicit ConfigurationView(Milliseconds longestUnconfirmed);
 
     // Ignores versions older than the current one. Returns whether a newer one came into force.
-    bool followed(const ConfigurationFollowed&);
+    bool followed(const ConfigurationUpdated&);
 
     bool hasConfiguration() const { return m_configuration.version != 0; }
     bool isConfirmed(TimePoint now) const;
--- a/src/batch/jobs/job.cpp
+++ b/src/batch/jobs/job.cpp
@@ -20,10 +20,10 @@
     return *this;
 }
 
-bool Resources::fitsIn(const Resources& room) const
+bool Resources::fitsIn(const Resources& available) const
 {
-    return cpuMillicores <= room.cpuMillicores && memoryMb <= room.memoryMb
-        && accelerators <= room.accelerators;
+    return cpuMillicores <= available.cpuMillicores && memoryMb <= available.memoryMb
+        && accelerators <= available.accelerators;
 }
 
 Resources StepSpecification::countedPerTask() const
--- a/src/batch/jobs/job_codec.cpp
+++ b/src/batch/jobs/job_codec.cpp
@@ -63,7 +63,7 @@
     if (task.assignment) {
         row.push_back(task.assignment->run);
         row.push_back(task.assignment->worker.id.value());
-        row.push_back(task.assignment->worker.bornAt);
+        row.push_back(task.assignment->worker.startedAtMs);
     }
     return row;
 }
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -209,9 +209,9 @@
     step.emit(FollowLeaderTables { false });
 }
 
-void Scheduler::rowsFollowed(const RowsFollowed& news, Step& step)
+void Scheduler::rowsFollowed(const RowsUpdated& news, Step& step)
 {
-    if (m_phase == Phase::Following || news.table != OwnTable::Jobs)
+    if (m_phase == Phase::Following || news.table != SchedulerTable::Jobs)
         return;
     for (const Row& row : news.rows)
         jobRow(row, step);
@@ -253,7 +253,7 @@
     m_runs.stopAll(consequence.toStop, step);
 }
 
-void Scheduler::workersFollowed(const WorkersFollowed& news, Step& step)
+void Scheduler::workersFollowed(const WorkersUpdated& news, Step& step)
 {
     if (m_phase == Phase::Following)
         return;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -31,8 +31,8 @@
     void retire() { m_isRetiring = true; }
     bool isRetired() const { return m_isRetiring && !m_lease.isLeader() && !m_pipeline.isBusy(); }
 
-    void rowsFollowed(const RowsFollowed&, Step&);
-    void workersFollowed(const WorkersFollowed&, Step&);
+    void rowsFollowed(const RowsUpdated&, Step&);
+    void workersFollowed(const WorkersUpdated&, Step&);
     void commitAnswered(const CommitAnswered&, Step&);
     void readAnswered(const ReadAnswered&, Step&);
     void startAnswered(const StartAnswered&, Step&);
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -83,7 +83,7 @@
 
 void BatchReducer::on(const CallerGone& gone, Step&) { m_intake.callerGone(gone); }
 
-void BatchReducer::on(const ConfigurationFollowed& news, Step& step)
+void BatchReducer::on(const ConfigurationUpdated& news, Step& step)
 {
     // Any answer counts as contact with the store. After an outage, the pending read of the lease row may be
     // answered later than this one.
@@ -94,11 +94,11 @@
                 { "queues", std::to_string(m_configuration.current().queues.size()) } });
 }
 
-void BatchReducer::on(const WorkersFollowed& news, Step& step) { m_scheduler.workersFollowed(news, step); }
+void BatchReducer::on(const WorkersUpdated& news, Step& step) { m_scheduler.workersFollowed(news, step); }
 
-void BatchReducer::on(const RowsFollowed& news, Step& step)
+void BatchReducer::on(const RowsUpdated& news, Step& step)
 {
-    if (news.table != OwnTable::Lease) {
+    if (news.table != SchedulerTable::Lease) {
         m_scheduler.rowsFollowed(news, step);
         return;
     }
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -45,9 +45,9 @@
     void on(const ShutdownRequested&, Step&);
     void on(const CallerRequest&, Step&);
     void on(const CallerGone&, Step&);
-    void on(const ConfigurationFollowed&, Step&);
-    void on(const WorkersFollowed&, Step&);
-    void on(const RowsFollowed&, Step&);
+    void on(const ConfigurationUpdated&, Step&);
+    void on(const WorkersUpdated&, Step&);
+    void on(const RowsUpdated&, Step&);
     void on(const CommitAnswered&, Step&);
     void on(const ReadAnswered&, Step&);
     void on(const StartAnswered&, Step&);
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -107,7 +107,7 @@
         lifetimeOver(*worker, "answer came from another worker lifetime", step);
         return;
     case OrderOutcome::Rejected:
-    case OrderOutcome::NoRoom:
+    case OrderOutcome::InsufficientCapacity:
     case OrderOutcome::Outdated:
         rejected(*worker, *run, answer.outcome, step);
         return;
@@ -121,10 +121,10 @@
         { { "job", run.id.task.job.value() }, { "run", std::to_string(run.id.run) },
             { "worker", worker.record.lifetime.id.value() },
             { "reason",
-                outcome == OrderOutcome::NoRoom         ? "room"
-                    : outcome == OrderOutcome::Outdated ? "outdated"
-                                                        : "unhealthy" } });
-    if (outcome == OrderOutcome::NoRoom)
+                outcome == OrderOutcome::InsufficientCapacity ? "room"
+                    : outcome == OrderOutcome::Outdated       ? "outdated"
+                                                              : "unhealthy" } });
+    if (outcome == OrderOutcome::InsufficientCapacity)
         worker.roomDoubtedUntil = step.now + roomDoubt;
     if (outcome == OrderOutcome::Rejected)
         worker.health.orderRefused(step.now);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -156,7 +156,7 @@
     }
 }
 
-void RunSupervisor::workersFollowed(const WorkersFollowed& news, Step& step)
+void RunSupervisor::workersFollowed(const WorkersUpdated& news, Step& step)
 {
     std::vector<WorkerId> gone = news.removed;
     if (news.isComplete) {
@@ -273,8 +273,8 @@
         return;
     worker->isHoldInFlight = false;
     const bool isOther = answer.outcome == OrderOutcome::OtherLifetime
-        || (answer.outcome == OrderOutcome::Accepted && answer.status.bornAt
-            && answer.status.bornAt != answer.worker.bornAt);
+        || (answer.outcome == OrderOutcome::Accepted && answer.status.startedAtMs
+            && answer.status.startedAtMs != answer.worker.startedAtMs);
     if (isOther) {
         lifetimeOver(*worker, "answer came from another worker lifetime", step);
         return;
@@ -395,8 +395,8 @@
 {
     step.warn("worker.runs_lost",
         { { "worker", worker.record.lifetime.id.value() },
-            { "born_ms", std::to_string(worker.record.lifetime.bornAt) }, { "reason", std::string(reason) },
-            { "runs", std::to_string(worker.runs.size()) } });
+            { "born_ms", std::to_string(worker.record.lifetime.startedAtMs) },
+            { "reason", std::string(reason) }, { "runs", std::to_string(worker.runs.size()) } });
     std::vector<RunId> runs;
     for (const auto& [task, run] : worker.runs)
         runs.push_back(run.id);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -42,7 +42,7 @@
     // Called when more job changes are stored. Marks the run ends that led to them for acknowledgement.
     void changesStored();
 
-    void workersFollowed(const WorkersFollowed&, Step&);
+    void workersFollowed(const WorkersUpdated&, Step&);
     void startAnswered(const StartAnswered&, Step&);
     void stopAnswered(const StopAnswered&, Step&);
     void holdAnswered(const HoldAnswered&, Step&);
--- a/src/batch/workers/speed_rows.cpp
+++ b/src/batch/workers/speed_rows.cpp
@@ -37,8 +37,8 @@
         const auto& [lifetime, worker] = *entry;
         const auto weight = std::lround(worker.speed.weight() * scale);
         if (weight)
-            speeds.push_back(Json::array(
-                { lifetime.id.value(), lifetime.bornAt, std::lround(worker.speed.value() * scale), weight }));
+            speeds.push_back(Json::array({ lifetime.id.value(), lifetime.startedAtMs,
+                std::lround(worker.speed.value() * scale), weight }));
     }
     return { speedKey(index), toMessagePack(speeds) };
 }
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -21,7 +21,7 @@
 {
     std::vector<WorkerLifetime> over;
     for (auto& [lifetime, worker] : m_workers) {
-        if (lifetime.id != record.lifetime.id || lifetime.bornAt == record.lifetime.bornAt)
+        if (lifetime.id != record.lifetime.id || lifetime.startedAtMs == record.lifetime.startedAtMs)
             continue;
         worker.isListed = false;
         over.push_back(lifetime);
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -324,10 +324,10 @@
         const auto handle = [&](EventPayload payload) {
             return second.handle({ m_now, {}, 1, std::move(payload) });
         };
-        handle(RowsFollowed { OwnTable::Lease, true, { *leaseRow() }, m_now });
+        handle(RowsUpdated { SchedulerTable::Lease, true, { *leaseRow() }, m_now });
         m_now += Milliseconds(5'000);
         CPPUNIT_ASSERT(handle(Tick {}).empty());
-        handle(ConfigurationFollowed { {}, m_now });
+        handle(ConfigurationUpdated { {}, m_now });
         const std::vector<Effect> effects = handle(Tick {});
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, effects.size());
         CPPUNIT_ASSERT(std::holds_alternative<Commit>(effects.front()));
--- a/test/batch_worker_speed_test.cpp
+++ b/test/batch_worker_speed_test.cpp
@@ -94,11 +94,11 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(speed.weight(), restored.weight(), 1e-9);
     }
 
-    static WorkerPool poolOf(int workers, std::int64_t bornAt = 1)
+    static WorkerPool poolOf(int workers, std::int64_t startedAtMs = 1)
     {
         WorkerPool pool;
         for (int i = 0; i < workers; ++i)
-            pool.require({ WorkerId("worker-" + std::to_string(i)), bornAt });
+            pool.require({ WorkerId("worker-" + std::to_string(i)), startedAtMs });
         return pool;
     }
 
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -292,7 +292,8 @@
             return outcome;
         };
         CPPUNIT_ASSERT(outcomeOf(200, R"({"clockMs":5})") == OrderOutcome::Accepted);
-        CPPUNIT_ASSERT(outcomeOf(409, R"({"clockMs":5,"reason":"room"})") == OrderOutcome::NoRoom);
+        CPPUNIT_ASSERT(
+            outcomeOf(409, R"({"clockMs":5,"reason":"room"})") == OrderOutcome::InsufficientCapacity);
         CPPUNIT_ASSERT(outcomeOf(409, R"({"clockMs":5,"reason":"fence"})") == OrderOutcome::Outdated);
         CPPUNIT_ASSERT(outcomeOf(409, R"({"clockMs":5,"reason":"ticket"})") == OrderOutcome::Rejected);
         CPPUNIT_ASSERT(outcomeOf(421, "{}") == OrderOutcome::OtherLifetime);
@@ -318,7 +319,7 @@
             R"({"clockMs":482113,"born":170,"active":[["5c0e.0.1.17",2,"c",41,9.5]],)"
             R"("ended":[[58,"5c0e.0.1.9",1,"lapsed",""]]})");
         CPPUNIT_ASSERT(answer.outcome == batch::OrderOutcome::Accepted);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t { 170 }, answer.status.bornAt);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 170 }, answer.status.startedAtMs);
         CPPUNIT_ASSERT_EQUAL(17, answer.status.active.front().run.task.index);
         CPPUNIT_ASSERT_EQUAL(41, answer.status.active.front().percent);
         CPPUNIT_ASSERT(answer.status.ended.front().end == batch::RunEnd::LeaseExpired);
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -64,7 +64,7 @@
     for (const auto& [task, run] : m_runs)
         used += resourcesOf(task);
     if (!used.fitsIn(record.capacity)) {
-        answer.outcome = OrderOutcome::NoRoom;
+        answer.outcome = OrderOutcome::InsufficientCapacity;
         return answer;
     }
     m_leaseUntil = std::max(m_leaseUntil, order.leaseUntil);
@@ -78,7 +78,7 @@
 
 OrderOutcome FakeWorker::outcomeFor(const WorkerLifetime& meant, std::uint64_t token) const
 {
-    if (meant.bornAt != record.lifetime.bornAt)
+    if (meant.startedAtMs != record.lifetime.startedAtMs)
         return OrderOutcome::OtherLifetime;
     return token < m_highestToken ? OrderOutcome::Outdated : OrderOutcome::Accepted;
 }
@@ -112,7 +112,7 @@
         m_ended.pop_front();
     }
     answer.status.clock = clock();
-    answer.status.bornAt = record.lifetime.bornAt;
+    answer.status.startedAtMs = record.lifetime.startedAtMs;
     for (const auto& [task, run] : m_runs)
         answer.status.active.push_back({ run.id, run.checkpoint,
             static_cast<int>(100 * run.worked.count() / std::max<std::int64_t>(run.duration.count(), 1)) });
@@ -171,7 +171,7 @@
     m_highestToken = 0;
     m_leaseUntil = 0;
     m_bornAt = m_now();
-    ++record.lifetime.bornAt;
+    ++record.lifetime.startedAtMs;
 }
 
 void FakeWorker::leave()
@@ -482,10 +482,10 @@
         return;
     Daemon& daemon = m_daemons[index];
     const int lifetime = daemon.lifetime;
-    deliver(index, lifetime, storeDelay, ConfigurationFollowed { { m_configuration }, m_now });
+    deliver(index, lifetime, storeDelay, ConfigurationUpdated { { m_configuration }, m_now });
     RowKey start = leaseKey();
     start.key.clear();
-    RowsFollowed lease { OwnTable::Lease, !daemon.isLeaseListed, {}, m_now, storeClock() };
+    RowsUpdated lease { SchedulerTable::Lease, !daemon.isLeaseListed, {}, m_now, storeClock() };
     lease.rows
         = daemon.isLeaseListed ? m_store.changes(start.table, daemon.leaseSeen) : m_store.read(start, {});
     daemon.leaseSeen = m_store.version();
@@ -494,7 +494,7 @@
     if (!daemon.isFollowing)
         return;
     start.table = std::string(jobTable);
-    RowsFollowed jobs { OwnTable::Jobs, !daemon.areJobsListed, {}, m_now };
+    RowsUpdated jobs { SchedulerTable::Jobs, !daemon.areJobsListed, {}, m_now };
     if (daemon.areJobsListed)
         jobs.rows = m_store.changes(start.table, daemon.jobsSeen);
     for (int part = 0; part < jobParts && !daemon.areJobsListed; ++part) {
@@ -505,7 +505,7 @@
     daemon.jobsSeen = m_store.version();
     daemon.areJobsListed = true;
     deliver(index, lifetime, storeDelay, std::move(jobs));
-    WorkersFollowed workers { true, {}, {}, m_now };
+    WorkersUpdated workers { true, {}, {}, m_now };
     for (const auto& worker : m_workers) {
         if (!m_unlisted.contains(worker->record.lifetime.id))
             workers.changed.push_back(worker->record);
