Rename identifiers of src/batch/placement to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

Step -> VictimSet, avoided -> excludedWorkers, freedHere -> freedOn, headroomFromShare -> headroomMinUtilization, isEnding -> endsWithinStopTimeout, isPlain -> isDecidedByShape, m_failed -> m_unplaceableShapes, m_held -> m_heldWorkers, m_holds -> m_holdCount, m_needsSlowPlaces -> m_mustRelaxLocality, m_siblings -> m_stepTasksByWorker, m_stops -> m_evictionCounts, mayUseSlowPlaces -> mayRelaxLocality, mostHolds -> maxHolds, mostTasksCounted -> maxTasksCountedPerWorker, needsSlowPlaces -> mustRelaxLocality, placesOn -> taskSlotsOn, priceOfStop -> evictionCost, replacementShare -> reschedulingCostShare, reservationTime -> reservationTimeout, restoreSeconds -> checkpointRestoreSeconds, siblings -> placed, siblings -> stepTasksByWorker, step -> selection, stepFor -> cheapestVictims, stopPenalty -> repeatedEvictionPenalty, unaffordable -> infiniteCost, urgentMemory -> urgentWorkWindow, usedShare -> acceleratorUtilization.

--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -20,7 +20,7 @@
     return found == m_index.end() ? nullptr : &m_workers[found->second];
 }
 
-double CapacityView::usedShare() const
+double CapacityView::acceleratorUtilization() const
 {
     std::int64_t whole = 0;
     std::int64_t free = 0;
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -37,7 +37,7 @@
     // Maps each rack to the indices of its workers in workers().
     const std::map<RackId, std::vector<std::size_t>>& racks() const { return m_racks; }
     // Returns the share of all workers' accelerators that is in use.
-    double usedShare() const;
+    double acceleratorUtilization() const;
     // The free resources of hidden workers, by index into workers().
     using Hidden = std::vector<std::pair<std::size_t, Resources>>;
     // Sets the free resources of the `count` fastest idle workers of each rack to zero, until restore() is
--- a/src/batch/placement/eviction.cpp
+++ b/src/batch/placement/eviction.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr double unaffordable = std::numeric_limits<double>::max();
+constexpr double infiniteCost = std::numeric_limits<double>::max();
 
 // Greedy search within a group of workers: places one task at a time on the worker where making room for it
 // costs least. If a chosen victim is a gang, the resources that it frees on other workers are available to
@@ -40,13 +40,13 @@
     {
         for (int task = 0; task < m_request.tasks; ++task) {
             Place* best = nullptr;
-            Step cheapest;
-            cheapest.cost = unaffordable;
+            VictimSet cheapest;
+            cheapest.cost = infiniteCost;
             for (auto& [lifetime, place] : m_places) {
-                Step step = stepFor(lifetime, place);
-                if (step.cost >= cheapest.cost)
+                VictimSet selection = cheapestVictims(lifetime, place);
+                if (selection.cost >= cheapest.cost)
                     continue;
-                cheapest = std::move(step);
+                cheapest = std::move(selection);
                 best = &place;
             }
             if (!best || m_plan.cost + cheapest.cost >= limit)
@@ -63,8 +63,8 @@
         std::set<std::size_t> candidates;
         int taken = 0; // number of the unit's tasks that this plan places here
     };
-    struct Step {
-        double cost = unaffordable;
+    struct VictimSet {
+        double cost = infiniteCost;
         std::vector<std::size_t> victims;
     };
 
@@ -77,7 +77,7 @@
         return tasksThatFit(m_request, *place.worker, free) > place.taken;
     }
 
-    Resources freedHere(const WorkerLifetime& lifetime, std::size_t candidate) const
+    Resources freedOn(const WorkerLifetime& lifetime, std::size_t candidate) const
     {
         Resources freed;
         for (const auto& [where, resources] : m_candidates[candidate].room) {
@@ -89,48 +89,48 @@
 
     // Selects victims on one worker until one more task fits, in ascending order of cost per accelerator that
     // they free there. Then drops the victims whose resources turn out not to be needed.
-    Step stepFor(const WorkerLifetime& lifetime, const Place& place) const
+    VictimSet cheapestVictims(const WorkerLifetime& lifetime, const Place& place) const
     {
-        Step step;
-        step.cost = 0;
+        VictimSet selection;
+        selection.cost = 0;
         Resources room = place.room;
         if (fitsOneMore(place, room))
-            return step;
+            return selection;
         std::vector<std::size_t> order(place.candidates.begin(), place.candidates.end());
         const auto price = [&](std::size_t candidate) {
-            const auto freed = static_cast<double>(freedHere(lifetime, candidate).accelerators);
+            const auto freed = static_cast<double>(freedOn(lifetime, candidate).accelerators);
             return m_candidates[candidate].cost / std::max(freed, 0.5);
         };
         std::sort(order.begin(), order.end(),
             [&](std::size_t a, std::size_t b) { return std::pair(price(a), a) < std::pair(price(b), b); });
         for (const std::size_t candidate : order) {
-            room += freedHere(lifetime, candidate);
-            step.victims.push_back(candidate);
+            room += freedOn(lifetime, candidate);
+            selection.victims.push_back(candidate);
             if (fitsOneMore(place, room))
                 break;
         }
         if (!fitsOneMore(place, room)) {
-            step.cost = unaffordable;
-            return step;
+            selection.cost = infiniteCost;
+            return selection;
         }
-        for (std::size_t i = 0; i + 1 < step.victims.size();) {
+        for (std::size_t i = 0; i + 1 < selection.victims.size();) {
             Resources less = room;
-            less -= freedHere(lifetime, step.victims[i]);
+            less -= freedOn(lifetime, selection.victims[i]);
             if (!fitsOneMore(place, less)) {
                 ++i;
                 continue;
             }
             room = less;
-            step.victims.erase(step.victims.begin() + static_cast<std::ptrdiff_t>(i));
+            selection.victims.erase(selection.victims.begin() + static_cast<std::ptrdiff_t>(i));
         }
-        for (const std::size_t candidate : step.victims)
-            step.cost += m_candidates[candidate].cost;
-        return step;
+        for (const std::size_t candidate : selection.victims)
+            selection.cost += m_candidates[candidate].cost;
+        return selection;
     }
 
-    void take(Place& place, const Step& step)
+    void take(Place& place, const VictimSet& selection)
     {
-        for (const std::size_t candidate : step.victims) {
+        for (const std::size_t candidate : selection.victims) {
             const EvictionCandidate& victim = m_candidates[candidate];
             m_plan.victims.insert(m_plan.victims.end(), victim.runs.begin(), victim.runs.end());
             for (const auto& [lifetime, resources] : victim.room) {
@@ -143,7 +143,7 @@
         }
         place.room -= m_request.perTask;
         ++place.taken;
-        m_plan.cost += step.cost;
+        m_plan.cost += selection.cost;
         m_plan.workers.push_back(place.worker->lifetime);
     }
 
@@ -156,7 +156,7 @@
 std::vector<std::vector<std::size_t>> groupsFor(const PlacementRequest& request, const CapacityView& view)
 {
     std::vector<std::vector<std::size_t>> groups;
-    if (request.tasks > 1 && request.step.needsOneRack && !request.mayUseSlowPlaces) {
+    if (request.tasks > 1 && request.step.needsOneRack && !request.mayRelaxLocality) {
         for (const auto& [rack, workers] : view.racks())
             groups.push_back(workers);
         return groups;
@@ -165,7 +165,7 @@
     for (std::size_t i = 0; i < view.workers().size(); ++i) {
         const WorkerCapacity& worker = view.workers()[i];
         const bool isLocal = request.step.dataRack.empty() || worker.rack.value() == request.step.dataRack;
-        if (isLocal || request.mayUseSlowPlaces)
+        if (isLocal || request.mayRelaxLocality)
             all.push_back(i);
     }
     groups.push_back(std::move(all));
@@ -179,7 +179,7 @@
 {
     std::optional<EvictionPlan> best;
     for (const std::vector<std::size_t>& group : groupsFor(request, view)) {
-        auto plan = GroupSearch(request, view, candidates, group).run(best ? best->cost : unaffordable);
+        auto plan = GroupSearch(request, view, candidates, group).run(best ? best->cost : infiniteCost);
         if (plan)
             best = std::move(plan);
     }
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Upper limit per worker of the tasks that are counted when racks are compared by free room.
-constexpr int mostTasksCounted = 64;
+constexpr int maxTasksCountedPerWorker = 64;
 
 int timesThatFit(std::int64_t need, std::int64_t room, int limit)
 {
@@ -40,12 +40,12 @@
 {
     if (!request.step.requiredLabel.empty() && !worker.hasLabel(request.step.requiredLabel))
         return 0;
-    if (request.avoided && request.avoided->contains(worker.lifetime))
+    if (request.excludedWorkers && request.excludedWorkers->contains(worker.lifetime))
         return 0;
     int limit = worker.isOnTrial ? 1 : request.tasks;
     if (request.step.maxTasksPerWorker) {
-        const auto siblings = request.siblings.find(worker.lifetime);
-        const int present = siblings == request.siblings.end() ? 0 : siblings->second;
+        const auto placed = request.stepTasksByWorker.find(worker.lifetime);
+        const int present = placed == request.stepTasksByWorker.end() ? 0 : placed->second;
         limit = std::min(limit, std::max(request.step.maxTasksPerWorker - present, 0));
     }
     limit = timesThatFit(request.perTask.cpuMillicores, room.cpuMillicores, limit);
@@ -67,7 +67,7 @@
     std::vector<Fit> fits;
     for (const std::size_t index : workers) {
         const WorkerCapacity& worker = view.workers()[index];
-        if (!isLocal(request, worker.rack) && !request.mayUseSlowPlaces)
+        if (!isLocal(request, worker.rack) && !request.mayRelaxLocality)
             continue;
         const int tasks = tasksThatFit(request, worker, worker.room);
         if (tasks > 0)
@@ -123,10 +123,10 @@
     return workers;
 }
 
-int PackingPlacement::placesOn(
+int PackingPlacement::taskSlotsOn(
     const PlacementRequest& request, const CapacityView& view, std::span<const Fit> fits)
 {
-    const PlacementRequest wide { request.step, request.perTask, mostTasksCounted };
+    const PlacementRequest wide { request.step, request.perTask, maxTasksCountedPerWorker };
     return std::accumulate(fits.begin(), fits.end(), 0, [&](int sum, const Fit& fit) {
         const WorkerCapacity& worker = view.workers()[fit.worker];
         return sum + tasksThatFit(wide, worker, worker.room);
@@ -152,7 +152,7 @@
         std::pair<int, int> bestRank;
         for (const auto& [rack, workers] : view.racks()) {
             std::vector<Fit> fits = fitsOn(request, view, workers);
-            const int places = placesOn(request, view, fits);
+            const int places = taskSlotsOn(request, view, fits);
             if (best && !request.prefersFastWorkers && places >= bestRank.second)
                 continue;
             auto chosen = choose(request, view, std::move(fits));
@@ -167,7 +167,7 @@
         }
         if (best)
             return take(request, view, *best);
-        if (!request.mayUseSlowPlaces)
+        if (!request.mayRelaxLocality)
             return std::nullopt;
     }
     std::vector<std::size_t> all(view.workers().size());
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -26,7 +26,7 @@
         const PlacementRequest&, const CapacityView&, std::vector<Fit> fits);
     // Counts the tasks of this size for which the workers have room, not limited to the number of the unit's
     // tasks.
-    static int placesOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
+    static int taskSlotsOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
     static int slowestBand(std::span<const Fit> chosen);
     static std::vector<WorkerLifetime> take(
         const PlacementRequest&, CapacityView&, std::span<const Fit> chosen);
--- a/src/batch/placement/placement_policy.h
+++ b/src/batch/placement/placement_policy.h
@@ -18,12 +18,12 @@
     Resources perTask; // resources that each task takes from its worker's capacity
     int tasks = 1; // to be placed together
     // Number of the step's tasks that each worker already has. Used only if the step has a limit per worker.
-    std::map<WorkerLifetime, int> siblings;
+    std::map<WorkerLifetime, int> stepTasksByWorker;
     // Workers on which the job has failed; may be null.
-    const std::set<WorkerLifetime>* avoided = nullptr;
+    const std::set<WorkerLifetime>* excludedWorkers = nullptr;
     bool prefersFastWorkers = false; // its objective leaves little time
     // Allows racks without the step's data, and several racks for a gang that asks for one.
-    bool mayUseSlowPlaces = false;
+    bool mayRelaxLocality = false;
 };
 
 // Chooses workers for a single task or for a whole gang.
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -9,31 +9,31 @@
 
 // How long room is reserved for the unit for which runs were evicted. Evicted runs have ended once they are
 // stopped; room that is still not free after this time is offered to all units again.
-constexpr Milliseconds reservationTime { 2'500 };
+constexpr Milliseconds reservationTimeout { 2'500 };
 
 // Number of idle workers per rack that are kept free from work of priority 1; twice as many are kept free
 // from work of lower priority.
 constexpr int headroomPerPriority = 2;
 // Headroom is kept only if at least this share of the accelerators is in use.
-constexpr double headroomFromShare = 0.6;
+constexpr double headroomMinUtilization = 0.6;
 // Headroom is kept only if there has been unfinished urgent work within this time.
-constexpr Milliseconds urgentMemory { 3'000 };
+constexpr Milliseconds urgentWorkWindow { 3'000 };
 
 // Maximum number of waiting gangs for which workers are held at the same time. Each hold leaves workers
 // partly idle for a while.
-constexpr int mostHolds = 2;
+constexpr int maxHolds = 2;
 
 // An accelerator counts as this many cores in the cost of lost work.
 constexpr double coresPerAccelerator = 8;
 
 // A run with checkpoints loses at most this much work by a stop: the time to restore it.
-constexpr double restoreSeconds = 0.2;
+constexpr double checkpointRestoreSeconds = 0.2;
 
 // A stopped run has to be placed again, so this share of its estimated duration is added to the cost of a
 // stop.
-constexpr double replacementShare = 0.2;
+constexpr double reschedulingCostShare = 0.2;
 // Each earlier eviction of the job raises the cost of a stop by this factor of the base cost.
-constexpr double stopPenalty = 1.0;
+constexpr double repeatedEvictionPenalty = 1.0;
 // Less urgent work costs less to stop: runs below priority 1 have the weight 1.
 constexpr double weightOfPriorityOne = 3;
 
@@ -76,13 +76,13 @@
 {
     m_workers = &workers;
     m_jobs = &jobs;
-    m_failed.clear();
-    m_needsSlowPlaces.clear();
+    m_unplaceableShapes.clear();
+    m_mustRelaxLocality.clear();
     m_victims.clear();
-    m_siblings.clear();
-    m_held.clear();
-    m_holds = 0;
-    std::erase_if(m_stops, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
+    m_stepTasksByWorker.clear();
+    m_heldWorkers.clear();
+    m_holdCount = 0;
+    std::erase_if(m_evictionCounts, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
     std::vector<WaitingStep> waiting = collect(jobs, configuration, now, wallTime);
     if (waiting.empty())
@@ -161,7 +161,7 @@
 PlacementRound::Shape PlacementRound::shapeOf(const WaitingUnit& waiting, const PlacementRequest& request)
 {
     return { waiting.job->job().terms.service, request.tasks, request.perTask, request.step.needsOneRack,
-        request.mayUseSlowPlaces, request.step.requiredLabel, request.step.dataRack };
+        request.mayRelaxLocality, request.step.requiredLabel, request.step.dataRack };
 }
 
 PlacementRequest PlacementRound::requestFor(
@@ -171,17 +171,17 @@
     PlacementRequest request { step, step.countedPerTask(), static_cast<int>(waiting.unit.tasks.size()) };
     // A failure may be the job's own fault, but a faulty worker must not use up the job's attempts, so
     // workers on which the job has failed are avoided as long as the unit could fit on others.
-    request.avoided = waiting.failedOn;
+    request.excludedWorkers = waiting.failedOn;
     request.prefersFastWorkers = !waiting.job->job().terms.priority;
     if (!waiting.failedOn->empty() && !couldEverFit(request, view))
-        request.avoided = nullptr;
+        request.excludedWorkers = nullptr;
     if (step.maxTasksPerWorker) {
-        const auto placed = m_siblings.find(stepKeyOf(waiting.unit));
-        if (placed != m_siblings.end())
-            request.siblings = placed->second;
+        const auto placed = m_stepTasksByWorker.find(stepKeyOf(waiting.unit));
+        if (placed != m_stepTasksByWorker.end())
+            request.stepTasksByWorker = placed->second;
         for (const RunId& run : waiting.job->assignedRuns()) {
             if (run.task.occurrence == waiting.unit.occurrence && run.task.step == waiting.unit.step)
-                ++request.siblings[waiting.job->find(run.task)->assignment->worker];
+                ++request.stepTasksByWorker[waiting.job->find(run.task)->assignment->worker];
         }
     }
     if (!step.needsOneRack && step.dataRack.empty())
@@ -189,25 +189,25 @@
     // Placement away from the data or across racks is slow. It pays off only if the unit can never fit
     // otherwise, or if it has waited so long that even a slow run would have finished by now.
     const Milliseconds waited = wallTime - waiting.job->job().dueAt(waiting.unit.occurrence);
-    request.mayUseSlowPlaces = waited > waiting.job->job().objective();
-    if (request.mayUseSlowPlaces)
+    request.mayRelaxLocality = waited > waiting.job->job().objective();
+    if (request.mayRelaxLocality)
         return request;
-    request.mayUseSlowPlaces = needsSlowPlaces(request, shapeOf(waiting, request), view);
+    request.mayRelaxLocality = mustRelaxLocality(request, shapeOf(waiting, request), view);
     return request;
 }
 
 // Returns whether the unit does not fit within its locality constraints even if all workers were idle.
-bool PlacementRound::needsSlowPlaces(
+bool PlacementRound::mustRelaxLocality(
     const PlacementRequest& request, const Shape& shape, const CapacityView& view)
 {
-    const auto known = m_needsSlowPlaces.find(shape);
-    if (known != m_needsSlowPlaces.end())
+    const auto known = m_mustRelaxLocality.find(shape);
+    if (known != m_mustRelaxLocality.end())
         return known->second;
     CapacityView idle = view;
     for (WorkerCapacity& worker : idle.workers())
         worker.room = worker.whole;
     const bool isNeeded = !m_placement.place(request, idle);
-    m_needsSlowPlaces.emplace(shape, isNeeded);
+    m_mustRelaxLocality.emplace(shape, isNeeded);
     return isNeeded;
 }
 
@@ -221,8 +221,8 @@
     const Shape shape = shapeOf(waiting, request);
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
-    const bool isPlain = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
-    if (!isReserved && isPlain && m_failed.contains(shape))
+    const bool isDecidedByShape = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
+    if (!isReserved && isDecidedByShape && m_unplaceableShapes.contains(shape))
         return false;
     if (isReserved)
         reserve(view, reservation->second, false);
@@ -232,7 +232,7 @@
             m_reservations.erase(reservation);
         if (request.step.maxTasksPerWorker) {
             for (const WorkerLifetime& worker : *workers)
-                ++m_siblings[stepKeyOf(waiting.unit)][worker];
+                ++m_stepTasksByWorker[stepKeyOf(waiting.unit)][worker];
         }
         outcome.placed.push_back({ waiting.unit, std::move(*workers) });
         return true;
@@ -249,8 +249,8 @@
     if (request.tasks > 1 && job.terms.priority == 1)
         holdFor(waiting, request, view);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
-    if (!hasMadeRoom && isPlain)
-        m_failed.insert(shape);
+    if (!hasMadeRoom && isDecidedByShape)
+        m_unplaceableShapes.insert(shape);
     return false;
 }
 
@@ -261,13 +261,14 @@
 {
     const int priority = waiting.job->job().terms.priority;
     const auto keep = static_cast<std::size_t>(std::min(priority, 2) * headroomPerPriority);
-    const bool isUrgentWorkDue = m_urgentSeenAt && now < *m_urgentSeenAt + urgentMemory;
-    const bool isRoomKept = keep && isUrgentWorkDue && view.usedShare() >= headroomFromShare;
+    const bool isUrgentWorkDue = m_urgentSeenAt && now < *m_urgentSeenAt + urgentWorkWindow;
+    const bool isRoomKept
+        = keep && isUrgentWorkDue && view.acceleratorUtilization() >= headroomMinUtilization;
     CapacityView::Hidden hidden;
     if (isRoomKept)
         hidden = view.hideIdleWorkers(keep);
     if (priority > 1)
-        view.hide(m_held, hidden);
+        view.hide(m_heldWorkers, hidden);
     auto workers = m_placement.place(request, view);
     view.restore(hidden);
     return workers;
@@ -278,7 +279,7 @@
 // ended.
 void PlacementRound::holdFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view)
 {
-    if (m_holds >= mostHolds)
+    if (m_holdCount >= maxHolds)
         return;
     CapacityView drained = view;
     for (WorkerCapacity& worker : drained.workers()) {
@@ -287,19 +288,19 @@
             if (run.priority > waiting.job->job().terms.priority)
                 worker.room += run.resources;
         }
-        if (m_held.contains(worker.lifetime))
+        if (m_heldWorkers.contains(worker.lifetime))
             worker.room = {};
     }
     const auto workers = m_placement.place(request, drained);
     if (!workers)
         return;
-    ++m_holds;
-    m_held.insert(workers->begin(), workers->end());
+    ++m_holdCount;
+    m_heldWorkers.insert(workers->begin(), workers->end());
 }
 
 // Returns whether the run ends within the stop timeout without a further stop. Its resources may be promised
 // to the unit at hand: those reserved for other units are already deducted from the view.
-bool PlacementRound::isEnding(const Worker& worker, const LiveRun& run, TimePoint now) const
+bool PlacementRound::endsWithinStopTimeout(const Worker& worker, const LiveRun& run, TimePoint now) const
 {
     if (run.phase == RunPhase::Stopping || m_victims.contains(run.id))
         return true;
@@ -308,17 +309,17 @@
 }
 
 // Returns the cost of stopping the run in core-seconds, weighted by priority: less urgent work costs less.
-double PlacementRound::priceOfStop(const LiveRun& run, const StepSpecification& step, TimePoint now) const
+double PlacementRound::evictionCost(const LiveRun& run, const StepSpecification& step, TimePoint now) const
 {
     const TimePoint since = run.acceptedAt.value_or(now);
     const double worked = static_cast<double>((now - since).count()) / 1'000;
-    const double lost = step.savesCheckpoints ? std::min(worked, restoreSeconds) : worked;
+    const double lost = step.savesCheckpoints ? std::min(worked, checkpointRestoreSeconds) : worked;
     const double estimate = static_cast<double>(step.estimatedDuration.count()) / 1'000;
     const double weight = run.priority > 1 ? 1 : weightOfPriorityOne;
-    const auto stops = m_stops.find(run.id.task.job);
-    const int earlierStops = stops == m_stops.end() ? 0 : stops->second;
-    return weight * (lost + replacementShare * estimate) * coresOf(run.resources)
-        * (1 + stopPenalty * earlierStops);
+    const auto stops = m_evictionCounts.find(run.id.task.job);
+    const int earlierStops = stops == m_evictionCounts.end() ? 0 : stops->second;
+    return weight * (lost + reschedulingCostShare * estimate) * coresOf(run.resources)
+        * (1 + repeatedEvictionPenalty * earlierStops);
 }
 
 std::vector<EvictionCandidate> PlacementRound::candidatesFor(const WaitingUnit& waiting, TimePoint now) const
@@ -339,13 +340,13 @@
             const StepSpecification& step = entry->progress.specificationOf(task.step);
             Found& unit = found[{ task.job, task.occurrence, task.step, step.isGang ? 0 : task.index }];
             const bool isLessUrgent = run.priority > waiting.job->job().terms.priority;
-            const bool isEndingSoon = isEnding(worker, run, now);
+            const bool isEndingSoon = endsWithinStopTimeout(worker, run, now);
             unit.ending += isEndingSoon;
             unit.isExcluded |= run.phase == RunPhase::AwaitingCommit;
             unit.isExcluded |= !isLessUrgent && !isEndingSoon;
             unit.candidate.runs.push_back(run.id);
             unit.candidate.room.emplace_back(lifetime, run.resources);
-            unit.candidate.cost += priceOfStop(run, step, now);
+            unit.candidate.cost += evictionCost(run, step, now);
         }
     }
     std::vector<EvictionCandidate> result;
@@ -372,12 +373,12 @@
     for (const RunId& victim : plan->victims)
         stopped.insert(victim.task.job);
     for (const JobId& job : stopped)
-        ++m_stops[job];
+        ++m_evictionCounts[job];
     m_victims.insert(plan->victims.begin(), plan->victims.end());
     if (!plan->victims.empty())
         outcome.evictions.push_back({ std::move(plan->victims), waiting.unit.job, plan->cost });
     Reservation reservation { std::move(plan->workers), request.perTask, waiting.job->job().terms.service,
-        now + reservationTime };
+        now + reservationTimeout };
     reserve(view, reservation, true);
     m_reservations.emplace(keyOf(waiting.unit), std::move(reservation));
     return true;
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -47,7 +47,7 @@
     void clear()
     {
         m_reservations.clear();
-        m_stops.clear();
+        m_evictionCounts.clear();
     }
 
 private:
@@ -79,14 +79,14 @@
         int tasks = 0;
         Resources perTask;
         bool needsOneRack = false;
-        bool mayUseSlowPlaces = false;
+        bool mayRelaxLocality = false;
         std::string label;
         std::string dataRack;
 
         auto key() const
         {
             return std::tie(service, tasks, perTask.cpuMillicores, perTask.memoryMb, perTask.accelerators,
-                needsOneRack, mayUseSlowPlaces, label, dataRack);
+                needsOneRack, mayRelaxLocality, label, dataRack);
         }
         bool operator<(const Shape& other) const { return key() < other.key(); }
     };
@@ -102,7 +102,7 @@
     // Returns whether the unit was placed.
     bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
-    bool needsSlowPlaces(const PlacementRequest&, const Shape&, const CapacityView&);
+    bool mustRelaxLocality(const PlacementRequest&, const Shape&, const CapacityView&);
     // Returns false if no eviction makes enough room.
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
@@ -110,25 +110,25 @@
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
     std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
-    bool isEnding(const Worker&, const LiveRun&, TimePoint now) const;
-    double priceOfStop(const LiveRun&, const StepSpecification&, TimePoint now) const;
+    bool endsWithinStopTimeout(const Worker&, const LiveRun&, TimePoint now) const;
+    double evictionCost(const LiveRun&, const StepSpecification&, TimePoint now) const;
 
     const PlacementPolicy& m_placement;
     const QueueOrder& m_order;
     const Milliseconds m_stopTimeout;
     std::map<UnitKey, Reservation> m_reservations;
-    std::map<JobId, int> m_stops; // number of evictions per job
+    std::map<JobId, int> m_evictionCounts; // number of evictions per job
     std::optional<TimePoint> m_urgentSeenAt; // last time with an unfinished job of priority 0
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
-    std::set<Shape> m_failed;
-    std::map<Shape, bool> m_needsSlowPlaces;
+    std::set<Shape> m_unplaceableShapes;
+    std::map<Shape, bool> m_mustRelaxLocality;
     std::set<RunId> m_victims;
-    std::set<WorkerLifetime> m_held; // kept for waiting gangs, closed to less urgent work
-    int m_holds = 0;
+    std::set<WorkerLifetime> m_heldWorkers; // kept for waiting gangs, closed to less urgent work
+    int m_holdCount = 0;
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
-    std::map<UnitKey, std::map<WorkerLifetime, int>> m_siblings;
+    std::map<UnitKey, std::map<WorkerLifetime, int>> m_stepTasksByWorker;
 };
 
 } // namespace anvilmoor::batch
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -168,7 +168,7 @@
         PlacementRequest request = requestOf(step);
         CPPUNIT_ASSERT(!m_packing.place(request, view));
         CPPUNIT_ASSERT(view.workers()[0].room == view.workers()[0].whole);
-        request.mayUseSlowPlaces = true;
+        request.mayRelaxLocality = true;
         CPPUNIT_ASSERT(m_packing.place(request, view));
     }
 
