Rename identifiers of src/batch/leader to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

applyCancel -> cancelIfRequested, batchStored -> batchApplied, claimPauseAfterLoad -> claimPauseAfterLoadTimeout, claimed -> beginLoading, firstLoadLimit -> initialLoadTimeout, giveUpLoading -> abandonLoading, idlePlacementInterval -> maxPlacementInterval, isRetired -> hasSteppedDown, jobRow -> applyJobRow, longestLoadLimit -> maxLoadTimeout, m_claimNotBefore -> m_noClaimUntil, m_isRetiring -> m_isSteppingDown, m_loadLimit -> m_loadTimeout, m_readAgainAt -> m_retryReadAt, placementInterval -> minPlacementInterval, retire -> stepDown, rowsFollowed -> rowsUpdated.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -15,18 +15,18 @@
 namespace {
 
 // Minimum time between two placement rounds. Events that arrive in between are handled by one round.
-constexpr Milliseconds placementInterval { 10 };
+constexpr Milliseconds minPlacementInterval { 10 };
 // Maximum time between two placement rounds. Placement may also become possible through the passage of time
 // alone: an occurrence falls due, or a suspect worker is due for a trial.
-constexpr Milliseconds idlePlacementInterval { 250 };
+constexpr Milliseconds maxPlacementInterval { 250 };
 constexpr Milliseconds readRetryDelay { 100 };
 // A leader that does not finish loading within this time releases the lease: a daemon with too little network
 // bandwidth or CPU time would otherwise hold the lease without scheduling anything. Loading takes about 0.3 s
 // with 350 workers. In case all daemons are too slow, each doubles its time-out after it expires, up to the
 // maximum.
-constexpr Milliseconds firstLoadLimit { 2'000 };
-constexpr Milliseconds longestLoadLimit { 16'000 };
-constexpr Milliseconds claimPauseAfterLoad { 5'000 };
+constexpr Milliseconds initialLoadTimeout { 2'000 };
+constexpr Milliseconds maxLoadTimeout { 16'000 };
+constexpr Milliseconds claimPauseAfterLoadTimeout { 5'000 };
 // Interval at which one row of worker speeds is stored, in rotation. Speeds change little, and the next
 // leader measures lost ones again within seconds.
 constexpr Milliseconds speedStoreInterval { 2'000 };
@@ -48,13 +48,13 @@
     , m_runs(m_workers, m_jobs, settings)
     , m_placement(placement, order, settings.stopTimeout)
     , m_pipeline(lease)
-    , m_loadLimit(firstLoadLimit)
+    , m_loadTimeout(initialLoadTimeout)
 {
 }
 
 bool Scheduler::mayClaim(TimePoint now) const
 {
-    return !m_isRetiring && now >= m_claimNotBefore && m_pipeline.mayClaim(now) && m_lease.isFree(now);
+    return !m_isSteppingDown && now >= m_noClaimUntil && m_pipeline.mayClaim(now) && m_lease.isFree(now);
 }
 
 void Scheduler::tick(Step& step)
@@ -66,36 +66,36 @@
             step.emit(m_pipeline.claim(step.now));
         return;
     }
-    if (m_isRetiring && !m_pipeline.isBusy()) {
+    if (m_isSteppingDown && !m_pipeline.isBusy()) {
         step.emit(m_pipeline.release(step.now));
         return;
     }
-    if (m_phase == Phase::Loading && !m_pipeline.isBusy() && step.now >= m_claimedAt + m_loadLimit) {
-        giveUpLoading(step);
+    if (m_phase == Phase::Loading && !m_pipeline.isBusy() && step.now >= m_claimedAt + m_loadTimeout) {
+        abandonLoading(step);
         return;
     }
-    if (m_phase == Phase::Loading && m_readAgainAt && step.now >= *m_readAgainAt)
+    if (m_phase == Phase::Loading && m_retryReadAt && step.now >= *m_retryReadAt)
         requestProgress(step);
     if (m_phase == Phase::Leading && m_lease.mayAct(step.now)) {
         m_runs.tick(step);
         removeExpired(step);
     }
-    if (step.now >= m_placedAt + idlePlacementInterval)
+    if (step.now >= m_placedAt + maxPlacementInterval)
         m_isPlacementDue = true;
 }
 
-void Scheduler::giveUpLoading(Step& step)
+void Scheduler::abandonLoading(Step& step)
 {
     step.warn("leader.load_timeout",
-        { { "epoch", std::to_string(m_lease.epoch()) }, { "limit_ms", std::to_string(m_loadLimit.count()) },
+        { { "epoch", std::to_string(m_lease.epoch()) }, { "limit_ms", std::to_string(m_loadTimeout.count()) },
             { "has_jobs", m_hasJobs ? "yes" : "no" }, { "has_workers", m_hasWorkers ? "yes" : "no" },
             { "has_progress", m_loadedProgress ? "yes" : "no" } });
-    m_loadLimit = std::min(m_loadLimit * 2, longestLoadLimit);
-    m_claimNotBefore = step.now + claimPauseAfterLoad;
+    m_loadTimeout = std::min(m_loadTimeout * 2, maxLoadTimeout);
+    m_noClaimUntil = step.now + claimPauseAfterLoadTimeout;
     step.emit(m_pipeline.release(step.now));
 }
 
-void Scheduler::claimed(Step& step)
+void Scheduler::beginLoading(Step& step)
 {
     m_claimedAt = step.now;
     step.record("leader.claimed", { { "epoch", std::to_string(m_lease.epoch()) } });
@@ -135,7 +135,7 @@
 
 void Scheduler::requestProgress(Step& step)
 {
-    m_readAgainAt.reset();
+    m_retryReadAt.reset();
     m_progressRead = (m_progressRead + 1) | progressReadBit;
     step.emit(ReadRows { m_progressRead, progressKey(JobId()), {} });
 }
@@ -151,7 +151,7 @@
     if (m_phase != Phase::Loading || answer.operation != m_progressRead)
         return;
     if (!answer.reply.isOk) {
-        m_readAgainAt = step.now + readRetryDelay;
+        m_retryReadAt = step.now + readRetryDelay;
         return;
     }
     m_loadedProgress = answer.reply.rows;
@@ -181,7 +181,7 @@
     }
     m_loadedProgress.reset();
     m_phase = Phase::Leading;
-    m_loadLimit = firstLoadLimit;
+    m_loadTimeout = initialLoadTimeout;
     m_speedsStoredAt = step.now;
     restoreSpeeds(step);
     m_isPlacementDue = true;
@@ -189,7 +189,7 @@
         { { "epoch", std::to_string(m_lease.epoch()) }, { "jobs", std::to_string(m_jobs.size()) },
             { "workers", std::to_string(m_workers.all().size()) } });
     for (JobBook::Entry* entry : m_jobs.openEntries())
-        applyCancel(entry->progress.job().specification.id, step);
+        cancelIfRequested(entry->progress.job().specification.id, step);
 }
 
 void Scheduler::leadershipLost(Step& step)
@@ -205,29 +205,29 @@
     m_hasWorkers = false;
     m_loadedProgress.reset();
     m_loadedSpeeds.clear();
-    m_readAgainAt.reset();
+    m_retryReadAt.reset();
     step.emit(FollowLeaderTables { false });
 }
 
-void Scheduler::rowsFollowed(const RowsUpdated& news, Step& step)
+void Scheduler::rowsUpdated(const RowsUpdated& news, Step& step)
 {
     if (m_phase == Phase::Following || news.table != SchedulerTable::Jobs)
         return;
     for (const Row& row : news.rows)
-        jobRow(row, step);
+        applyJobRow(row, step);
     m_hasJobs = m_hasJobs || news.isComplete;
     m_isPlacementDue = true;
     finishLoading(step);
 }
 
-void Scheduler::jobRow(const Row& row, Step& step)
+void Scheduler::applyJobRow(const Row& row, Step& step)
 {
     const auto name = parseJobKey(row.key.key);
     if (row.isDeleted || !name)
         return;
     if (name->kind == JobRowKind::CancelRequest) {
         m_jobs.requestCancel(name->job);
-        applyCancel(name->job, step);
+        cancelIfRequested(name->job, step);
         return;
     }
     auto job = decodeJob(row.value);
@@ -236,10 +236,10 @@
         return;
     }
     if (m_jobs.add(std::move(*job)))
-        applyCancel(name->job, step);
+        cancelIfRequested(name->job, step);
 }
 
-void Scheduler::applyCancel(const JobId& job, Step& step)
+void Scheduler::cancelIfRequested(const JobId& job, Step& step)
 {
     JobBook::Entry* entry = m_jobs.find(job);
     if (m_phase != Phase::Leading || !entry || !m_jobs.isCancelRequested(job))
@@ -299,10 +299,10 @@
     case CommitPipeline::Result::None:
         return;
     case CommitPipeline::Result::Claimed:
-        claimed(step);
+        beginLoading(step);
         return;
     case CommitPipeline::Result::Applied:
-        batchStored(step);
+        batchApplied(step);
         return;
     case CommitPipeline::Result::Released:
         leadershipLost(step);
@@ -314,7 +314,7 @@
     }
 }
 
-void Scheduler::batchStored(Step& step)
+void Scheduler::batchApplied(Step& step)
 {
     if (!m_batch)
         return;
@@ -330,11 +330,11 @@
 
 void Scheduler::finishEvent(Step& step)
 {
-    if (m_phase == Phase::Following || m_isRetiring)
+    if (m_phase == Phase::Following || m_isSteppingDown)
         return;
     m_isPlacementDue = m_runs.takeRoomChanged() || m_isPlacementDue;
     const bool mayPlace = m_phase == Phase::Leading && m_lease.mayAct(step.now);
-    if (mayPlace && m_isPlacementDue && step.now >= m_placedAt + placementInterval)
+    if (mayPlace && m_isPlacementDue && step.now >= m_placedAt + minPlacementInterval)
         place(step);
     commit(step);
 }
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -28,10 +28,10 @@
 
     void tick(Step&);
     // Releases the lease once no commit is in flight, and never claims it again.
-    void retire() { m_isRetiring = true; }
-    bool isRetired() const { return m_isRetiring && !m_lease.isLeader() && !m_pipeline.isBusy(); }
+    void stepDown() { m_isSteppingDown = true; }
+    bool hasSteppedDown() const { return m_isSteppingDown && !m_lease.isLeader() && !m_pipeline.isBusy(); }
 
-    void rowsFollowed(const RowsUpdated&, Step&);
+    void rowsUpdated(const RowsUpdated&, Step&);
     void workersFollowed(const WorkersUpdated&, Step&);
     void commitAnswered(const CommitAnswered&, Step&);
     void readAnswered(const ReadAnswered&, Step&);
@@ -55,19 +55,19 @@
     };
 
     bool mayClaim(TimePoint now) const;
-    void claimed(Step&);
-    void giveUpLoading(Step&);
+    void beginLoading(Step&);
+    void abandonLoading(Step&);
     void leadershipLost(Step&);
     void requestProgress(Step&);
     void requestSpeeds(Step&);
     void restoreSpeeds(Step&);
     void addSpeedRow(CommitBatch&, TimePoint now);
     void finishLoading(Step&);
-    void jobRow(const Row&, Step&);
-    void applyCancel(const JobId&, Step&);
+    void applyJobRow(const Row&, Step&);
+    void cancelIfRequested(const JobId&, Step&);
     void place(Step&);
     void commit(Step&);
-    void batchStored(Step&);
+    void batchApplied(Step&);
     void removeExpired(Step&);
     void removalAnswered(const CommitAnswered&);
 
@@ -79,15 +79,15 @@
     PlacementRound m_placement;
     CommitPipeline m_pipeline;
     Phase m_phase = Phase::Following;
-    bool m_isRetiring = false;
+    bool m_isSteppingDown = false;
     TimePoint m_claimedAt {};
-    Milliseconds m_loadLimit;
-    TimePoint m_claimNotBefore {};
+    Milliseconds m_loadTimeout;
+    TimePoint m_noClaimUntil {};
     bool m_hasJobs = false;
     bool m_hasWorkers = false;
     std::optional<std::vector<Row>> m_loadedProgress;
     OperationId m_progressRead = 0;
-    std::optional<TimePoint> m_readAgainAt;
+    std::optional<TimePoint> m_retryReadAt;
     OperationId m_speedRead = 0;
     std::vector<Row> m_loadedSpeeds; // applied to the workers once loading is finished
     std::size_t m_nextSpeedRow = 0;
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -63,7 +63,7 @@
     if (!m_shutdownAt || m_hasStopped)
         return;
     const bool hasLingered = step.now >= *m_shutdownAt + shutdownLinger;
-    const bool isDone = hasLingered && m_scheduler.isRetired() && !m_intake.openRequests();
+    const bool isDone = hasLingered && m_scheduler.hasSteppedDown() && !m_intake.openRequests();
     if (!isDone && step.now < *m_shutdownAt + m_settings.shutdownGrace - shutdownMargin)
         return;
     m_hasStopped = true;
@@ -76,7 +76,7 @@
         return;
     step.record("daemon.shutdown", { { "leads", m_lease.isLeader() ? "yes" : "no" } });
     m_shutdownAt = step.now;
-    m_scheduler.retire();
+    m_scheduler.stepDown();
 }
 
 void BatchReducer::on(const CallerRequest& request, Step& step) { m_intake.requested(request, step); }
@@ -99,7 +99,7 @@
 void BatchReducer::on(const RowsUpdated& news, Step& step)
 {
     if (news.table != SchedulerTable::Lease) {
-        m_scheduler.rowsFollowed(news, step);
+        m_scheduler.rowsUpdated(news, step);
         return;
     }
     m_lease.noteAnswer(step.now);
