Rename identifiers of src/batch/jobs to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

holder -> representative, holderOf -> representativeOf, stopGangMates -> stopGangMembers.

--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -140,17 +140,17 @@
 }
 
 // Returns the task that stores the failures and the checkpoint: for a gang, its first task.
-TaskProgress& JobProgress::holderOf(StepProgress& step, const TaskId& task)
+TaskProgress& JobProgress::representativeOf(StepProgress& step, const TaskId& task)
 {
     return step.tasks[specificationOf(task.step).isGang ? 0 : static_cast<std::size_t>(task.index)];
 }
 
 const std::string& JobProgress::checkpointOf(const TaskId& task) const
 {
-    TaskId holder = task;
+    TaskId representative = task;
     if (specificationOf(task.step).isGang)
-        holder.index = 0;
-    const TaskProgress* progress = find(holder);
+        representative.index = 0;
+    const TaskProgress* progress = find(representative);
     return progress ? progress->checkpoint : noCheckpoint;
 }
 
@@ -197,7 +197,7 @@
     else if (end == RunEnd::Failed)
         endFailed(*step, run, consequence);
     if (end != RunEnd::Done && !consequence.newState)
-        stopGangMates(*step, run, consequence);
+        stopGangMembers(*step, run, consequence);
     return consequence;
 }
 
@@ -221,18 +221,20 @@
 
 void JobProgress::endFailed(StepProgress& step, const RunId& run, RunConsequence& consequence)
 {
-    TaskProgress& holder = holderOf(step, run.task);
-    if (holder.lastFailedRun == run.run)
+    TaskProgress& representative = representativeOf(step, run.task);
+    if (representative.lastFailedRun == run.run)
         return;
-    holder.lastFailedRun = run.run;
-    ++holder.failures;
-    if (specificationOf(run.task.step).runsUntilCancelled || holder.failures < m_job.terms.maxAttempts)
+    representative.lastFailedRun = run.run;
+    ++representative.failures;
+    if (specificationOf(run.task.step).runsUntilCancelled
+        || representative.failures < m_job.terms.maxAttempts)
         return;
     consequence = conclude(JobState::Failed);
 }
 
 // A gang makes progress only as a whole, so its remaining members are stopped.
-void JobProgress::stopGangMates(const StepProgress& step, const RunId& run, RunConsequence& consequence) const
+void JobProgress::stopGangMembers(
+    const StepProgress& step, const RunId& run, RunConsequence& consequence) const
 {
     if (!specificationOf(run.task.step).isGang)
         return;
@@ -280,7 +282,7 @@
         return;
     const TaskProgress& task = step->tasks[static_cast<std::size_t>(run.task.index)];
     if (task.assignment && task.assignment->run == run.run)
-        holderOf(*step, run.task).checkpoint = checkpoint;
+        representativeOf(*step, run.task).checkpoint = checkpoint;
 }
 
 std::vector<RunId> JobProgress::assignedRuns() const
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -114,10 +114,10 @@
     void clearAssignment(TaskProgress&);
     void endDone(StepProgress&, const RunId&, RunConsequence&);
     void endFailed(StepProgress&, const RunId&, RunConsequence&);
-    void stopGangMates(const StepProgress&, const RunId&, RunConsequence&) const;
+    void stopGangMembers(const StepProgress&, const RunId&, RunConsequence&) const;
     void finishIfAllDone(RunConsequence&);
     RunConsequence conclude(JobState);
-    TaskProgress& holderOf(StepProgress&, const TaskId&);
+    TaskProgress& representativeOf(StepProgress&, const TaskId&);
 
     AcceptedJob m_job;
     JobState m_state = JobState::Pending;
