Rename identifiers of src/batch/reducer to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

hasLingered -> hasDrained, readyWithin -> readinessTimeout, shutdownLinger -> shutdownDrainTime.

--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -11,13 +11,13 @@
 
 // Time after SIGTERM during which requests are still served. The load balancer needs two failed probes, one
 // second apart, before it sends connections elsewhere.
-constexpr Milliseconds shutdownLinger { 2'600 };
+constexpr Milliseconds shutdownDrainTime { 2'600 };
 // The daemon stops at the latest this long before SIGKILL, so that the last answers leave the host.
 constexpr Milliseconds shutdownMargin { 700 };
 // Maximum age of the last confirmation of the configuration for the daemon to be ready. The store confirms
 // the configuration every 0.6 s, or every second if it is slow. A daemon without a confirmation for longer
 // has most likely lost contact with the store, and another daemon can serve new connections better.
-constexpr Milliseconds readyWithin { 1'300 };
+constexpr Milliseconds readinessTimeout { 1'300 };
 
 } // namespace
 
@@ -41,7 +41,7 @@
 
 bool BatchReducer::isReady(TimePoint now) const
 {
-    return !m_shutdownAt && m_configuration.isFresh(now, readyWithin);
+    return !m_shutdownAt && m_configuration.isFresh(now, readinessTimeout);
 }
 
 std::optional<JobState> BatchReducer::stateOf(const JobId& job, TimePoint now) const
@@ -62,8 +62,8 @@
     m_scheduler.tick(step);
     if (!m_shutdownAt || m_hasStopped)
         return;
-    const bool hasLingered = step.now >= *m_shutdownAt + shutdownLinger;
-    const bool isDone = hasLingered && m_scheduler.hasSteppedDown() && !m_intake.openRequests();
+    const bool hasDrained = step.now >= *m_shutdownAt + shutdownDrainTime;
+    const bool isDone = hasDrained && m_scheduler.hasSteppedDown() && !m_intake.openRequests();
     if (!isDone && step.now < *m_shutdownAt + m_settings.shutdownGrace - shutdownMargin)
         return;
     m_hasStopped = true;
