Rename identifiers of src/batch/workers to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

giveUpRuns -> declareRunsLost, leaseBound -> latestLeaseExpiry, lifetimeOver -> endLifetime, m_failuresOnEnd -> m_consecutiveFailures, m_hasRoomChanged -> m_hasCapacityChanged, m_usualRate -> m_highestRate, mostSteps -> maxSteps, mostWeight -> maxWeight, noteAdvance -> recordAdvance, noteStall -> recordStall, percentsToMeasure -> minPercentForRate, roomDoubt -> placementPause, roomDoubtedUntil -> noPlacementUntil, takeRoomChanged -> takeCapacityChanged, workersFollowed -> workersUpdated.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -253,11 +253,11 @@
     m_runs.stopAll(consequence.toStop, step);
 }
 
-void Scheduler::workersFollowed(const WorkersUpdated& news, Step& step)
+void Scheduler::workersUpdated(const WorkersUpdated& news, Step& step)
 {
     if (m_phase == Phase::Following)
         return;
-    m_runs.workersFollowed(news, step);
+    m_runs.workersUpdated(news, step);
     m_hasWorkers = m_hasWorkers || news.isComplete;
     finishLoading(step);
 }
@@ -332,7 +332,7 @@
 {
     if (m_phase == Phase::Following || m_isSteppingDown)
         return;
-    m_isPlacementDue = m_runs.takeRoomChanged() || m_isPlacementDue;
+    m_isPlacementDue = m_runs.takeCapacityChanged() || m_isPlacementDue;
     const bool mayPlace = m_phase == Phase::Leading && m_lease.mayAct(step.now);
     if (mayPlace && m_isPlacementDue && step.now >= m_placedAt + minPlacementInterval)
         place(step);
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -32,7 +32,7 @@
     bool hasSteppedDown() const { return m_isSteppingDown && !m_lease.isLeader() && !m_pipeline.isBusy(); }
 
     void rowsUpdated(const RowsUpdated&, Step&);
-    void workersFollowed(const WorkersUpdated&, Step&);
+    void workersUpdated(const WorkersUpdated&, Step&);
     void commitAnswered(const CommitAnswered&, Step&);
     void readAnswered(const ReadAnswered&, Step&);
     void startAnswered(const StartAnswered&, Step&);
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -70,7 +70,7 @@
     for (const auto& [lifetime, worker] : pool.all()) {
         if (!worker.isListed || !worker.isConfirmed || worker.record.isDraining)
             continue;
-        if (worker.unansweredHolds || now < worker.roomDoubtedUntil)
+        if (worker.unansweredHolds || now < worker.noPlacementUntil)
             continue;
         const bool isOnTrial = !worker.health.isTrusted();
         if (isOnTrial && (!worker.health.isDueForTrial(now) || !worker.runs.empty()))
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -94,7 +94,7 @@
                 { "queues", std::to_string(m_configuration.current().queues.size()) } });
 }
 
-void BatchReducer::on(const WorkersUpdated& news, Step& step) { m_scheduler.workersFollowed(news, step); }
+void BatchReducer::on(const WorkersUpdated& news, Step& step) { m_scheduler.workersUpdated(news, step); }
 
 void BatchReducer::on(const RowsUpdated& news, Step& step)
 {
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -104,7 +104,7 @@
         run->mayStartLate = true;
         return;
     case OrderOutcome::OtherLifetime:
-        lifetimeOver(*worker, "answer came from another worker lifetime", step);
+        endLifetime(*worker, "answer came from another worker lifetime", step);
         return;
     case OrderOutcome::Rejected:
     case OrderOutcome::InsufficientCapacity:
@@ -116,7 +116,7 @@
 
 void RunSupervisor::rejected(Worker& worker, LiveRun& run, OrderOutcome outcome, Step& step)
 {
-    constexpr Milliseconds roomDoubt { 1'000 };
+    constexpr Milliseconds placementPause { 1'000 };
     step.warn("run.rejected",
         { { "job", run.id.task.job.value() }, { "run", std::to_string(run.id.run) },
             { "worker", worker.record.lifetime.id.value() },
@@ -125,7 +125,7 @@
                     : outcome == OrderOutcome::Outdated       ? "outdated"
                                                               : "unhealthy" } });
     if (outcome == OrderOutcome::InsufficientCapacity)
-        worker.roomDoubtedUntil = step.now + roomDoubt;
+        worker.noPlacementUntil = step.now + placementPause;
     if (outcome == OrderOutcome::Rejected)
         worker.health.orderRefused(step.now);
     if (run.phase == RunPhase::Stopping)
@@ -145,7 +145,7 @@
     if (!run)
         return;
     if (answer.outcome == OrderOutcome::OtherLifetime)
-        lifetimeOver(*worker, "answer came from another worker lifetime", step);
+        endLifetime(*worker, "answer came from another worker lifetime", step);
     else if (answer.outcome == OrderOutcome::Accepted && !run->stopAcceptedAt)
         run->stopAcceptedAt = step.now;
 }
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Progress is reported in whole percent: over 20 percent, the error of the rate is at most 5%.
-constexpr int percentsToMeasure = 20;
+constexpr int minPercentForRate = 20;
 // The pace is judged over windows of a tenth of the estimated duration, which is usually off by a factor of
 // two at most, but no shorter than this.
 constexpr Milliseconds shortestWindow { 1'000 };
@@ -49,9 +49,9 @@
         return;
     const int advance = reading.percent - m_windowStart->percent;
     const double rate = static_cast<double>(advance) / static_cast<double>(elapsed);
-    const bool isLagging = !advance || rate < laggingShare * m_usualRate;
+    const bool isLagging = !advance || rate < laggingShare * m_highestRate;
     m_pace = isLagging ? Pace::Lagging : Pace::Advancing;
-    m_usualRate = std::max(m_usualRate, rate);
+    m_highestRate = std::max(m_highestRate, rate);
     m_windowStart = reading;
 }
 
@@ -70,7 +70,7 @@
         return std::nullopt;
     const int advance = m_last.percent - m_first->percent;
     const WorkerClock elapsed = m_last.at - m_first->at;
-    if (advance < percentsToMeasure || elapsed <= 0)
+    if (advance < minPercentForRate || elapsed <= 0)
         return std::nullopt;
     constexpr double perSecond = 1'000.0 / 100;
     return perSecond * advance / static_cast<double>(elapsed);
--- a/src/batch/workers/run_progress.h
+++ b/src/batch/workers/run_progress.h
@@ -43,7 +43,7 @@
     std::optional<ProgressReading> m_first; // the first reading above 0%
     ProgressReading m_last;
     std::optional<ProgressReading> m_windowStart;
-    double m_usualRate = 0; // highest rate of all windows so far, in percent per millisecond
+    double m_highestRate = 0; // highest rate of all windows so far, in percent per millisecond
     Pace m_pace = Pace::Unknown;
 };
 
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -156,7 +156,7 @@
     }
 }
 
-void RunSupervisor::workersFollowed(const WorkersUpdated& news, Step& step)
+void RunSupervisor::workersUpdated(const WorkersUpdated& news, Step& step)
 {
     std::vector<WorkerId> gone = news.removed;
     if (news.isComplete) {
@@ -172,10 +172,10 @@
     for (const WorkerRecord& record : news.changed) {
         for (const WorkerLifetime& over : m_workers.update(record, step.now)) {
             if (Worker* worker = m_workers.find(over))
-                lifetimeOver(*worker, "worker has restarted", step);
+                endLifetime(*worker, "worker has restarted", step);
         }
     }
-    m_hasRoomChanged = true;
+    m_hasCapacityChanged = true;
 }
 
 LiveRun* RunSupervisor::findRun(Worker& worker, const RunId& run)
@@ -206,7 +206,7 @@
 
 void RunSupervisor::extendLease(Worker& worker, Milliseconds lease, TimePoint now)
 {
-    worker.leaseBound = std::max(worker.leaseBound, now + inRealTime(lease));
+    worker.latestLeaseExpiry = std::max(worker.latestLeaseExpiry, now + inRealTime(lease));
 }
 
 void RunSupervisor::tick(Step& step)
@@ -214,7 +214,7 @@
     std::vector<WorkerLifetime> expired;
     for (auto& [lifetime, worker] : m_workers.all()) {
         tickWorker(worker, step);
-        const bool isOver = worker.runs.empty() ? !worker.isListed : step.now > worker.leaseBound;
+        const bool isOver = worker.runs.empty() ? !worker.isListed : step.now > worker.latestLeaseExpiry;
         if (isOver)
             expired.push_back(lifetime);
     }
@@ -225,7 +225,7 @@
         if (worker->runs.empty())
             forgetIfGone(lifetime);
         else
-            giveUpRuns(*worker, "every lease has passed", step);
+            declareRunsLost(*worker, "every lease has passed", step);
     }
 }
 
@@ -276,7 +276,7 @@
         || (answer.outcome == OrderOutcome::Accepted && answer.status.startedAtMs
             && answer.status.startedAtMs != answer.worker.startedAtMs);
     if (isOther) {
-        lifetimeOver(*worker, "answer came from another worker lifetime", step);
+        endLifetime(*worker, "answer came from another worker lifetime", step);
         return;
     }
     if (answer.outcome != OrderOutcome::Accepted) {
@@ -294,7 +294,7 @@
     worker->nextHoldAt = step.now;
     worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->holdAcknowledges);
     if (!worker->isConfirmed)
-        m_hasRoomChanged = true;
+        m_hasCapacityChanged = true;
     worker->isConfirmed = true;
     noteClock(*worker, answer.status.clock, step.now);
     processEnds(*worker, answer.status.ended, step);
@@ -358,7 +358,7 @@
     Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
 {
     m_workers.detach(worker, run.task);
-    m_hasRoomChanged = true;
+    m_hasCapacityChanged = true;
     applyEnd(worker, run, end, checkpoint, step);
 }
 
@@ -372,7 +372,7 @@
     if (!consequence.isKnown)
         return;
     m_jobs.noteChange(*entry, step.now);
-    m_hasRoomChanged = true;
+    m_hasCapacityChanged = true;
     if (end == RunEnd::Failed)
         entry->failedOn.insert(worker.record.lifetime);
     if (end != RunEnd::Done)
@@ -385,13 +385,13 @@
     stopAll(consequence.toStop, step);
 }
 
-void RunSupervisor::lifetimeOver(Worker& worker, std::string_view reason, Step& step)
+void RunSupervisor::endLifetime(Worker& worker, std::string_view reason, Step& step)
 {
     worker.isListed = false;
-    giveUpRuns(worker, reason, step);
+    declareRunsLost(worker, reason, step);
 }
 
-void RunSupervisor::giveUpRuns(Worker& worker, std::string_view reason, Step& step)
+void RunSupervisor::declareRunsLost(Worker& worker, std::string_view reason, Step& step)
 {
     step.warn("worker.runs_lost",
         { { "worker", worker.record.lifetime.id.value() },
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -42,7 +42,7 @@
     // Called when more job changes are stored. Marks the run ends that led to them for acknowledgement.
     void changesStored();
 
-    void workersFollowed(const WorkersUpdated&, Step&);
+    void workersUpdated(const WorkersUpdated&, Step&);
     void startAnswered(const StartAnswered&, Step&);
     void stopAnswered(const StopAnswered&, Step&);
     void holdAnswered(const HoldAnswered&, Step&);
@@ -53,7 +53,7 @@
     void tick(Step&);
 
     // Whether a change since the last call may allow a waiting task to be placed. Resets the flag.
-    bool takeRoomChanged() { return std::exchange(m_hasRoomChanged, false); }
+    bool takeCapacityChanged() { return std::exchange(m_hasCapacityChanged, false); }
 
 private:
     void tickWorker(Worker&, Step&);
@@ -78,8 +78,8 @@
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
     void applyEnd(const Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
     // Called when the worker has restarted or left.
-    void lifetimeOver(Worker&, std::string_view reason, Step&);
-    void giveUpRuns(Worker&, std::string_view reason, Step&);
+    void endLifetime(Worker&, std::string_view reason, Step&);
+    void declareRunsLost(Worker&, std::string_view reason, Step&);
     void forgetIfGone(const WorkerLifetime&);
     LiveRun* findRun(Worker&, const RunId&);
     Worker* addressee(const WorkerLifetime&, std::uint64_t token);
@@ -88,7 +88,7 @@
     JobBook& m_jobs;
     WorkerLeaseSettings m_settings;
     std::uint64_t m_epoch = 0;
-    bool m_hasRoomChanged = false;
+    bool m_hasCapacityChanged = false;
     StepRates m_stepRates;
     std::optional<TimePoint> m_followedAt; // time of the last update from the registry
 };
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -70,11 +70,11 @@
         advancing += run.progress.pace() == RunProgress::Pace::Advancing;
     }
     const std::string& name = worker.record.lifetime.id.value();
-    if (lagging && !advancing && worker.health.noteStall(step.now))
+    if (lagging && !advancing && worker.health.recordStall(step.now))
         step.warn("worker.stalled", { { "worker", name }, { "lagging", std::to_string(lagging) } });
-    if (advancing && worker.health.noteAdvance()) {
+    if (advancing && worker.health.recordAdvance()) {
         step.record("worker.advances", { { "worker", name }, { "advancing", std::to_string(advancing) } });
-        m_hasRoomChanged = true;
+        m_hasCapacityChanged = true;
     }
 }
 
@@ -86,7 +86,7 @@
         const bool isWithdrawn
             = worker->record.isDraining && isReadWithoutGap && step.now < worker->listedAt + withdrawnWithin;
         if (isWithdrawn)
-            lifetimeOver(*worker, "worker withdrew its registry entry", step);
+            endLifetime(*worker, "worker withdrew its registry entry", step);
     }
 }
 
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -15,14 +15,14 @@
 
 void WorkerHealth::runSucceeded()
 {
-    m_failuresOnEnd = 0;
+    m_consecutiveFailures = 0;
     m_suspicions = 0;
     m_isSuspect = false;
     m_isOnTrial = false;
     m_isStalled = false;
 }
 
-bool WorkerHealth::noteStall(TimePoint now)
+bool WorkerHealth::recordStall(TimePoint now)
 {
     m_stalledAt = now;
     m_isOnTrial = false;
@@ -31,8 +31,8 @@
 
 void WorkerHealth::runFailed(TimePoint now)
 {
-    ++m_failuresOnEnd;
-    if (m_isOnTrial || m_failuresOnEnd >= failuresUntilSuspect)
+    ++m_consecutiveFailures;
+    if (m_isOnTrial || m_consecutiveFailures >= failuresUntilSuspect)
         suspect(now);
 }
 
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -18,9 +18,9 @@
     void orderRefused(TimePoint now);
 
     // None of the worker's runs advances. Returns whether the worker was not stalled before.
-    bool noteStall(TimePoint now);
+    bool recordStall(TimePoint now);
     // A run advances. Returns whether the worker was stalled before.
-    bool noteAdvance() { return std::exchange(m_isStalled, false); }
+    bool recordAdvance() { return std::exchange(m_isStalled, false); }
 
     bool isTrusted() const { return !m_isSuspect && !m_isStalled; }
     // Whether the worker is not trusted but may get one trial run that shows whether it has recovered.
@@ -31,7 +31,7 @@
 private:
     void suspect(TimePoint now);
 
-    int m_failuresOnEnd = 0;
+    int m_consecutiveFailures = 0;
     int m_suspicions = 0;
     bool m_isSuspect = false;
     bool m_isOnTrial = false;
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -56,7 +56,7 @@
     WorkerClock clock = 0;
     // Every lease that this worker may hold has expired after this time, and so have its runs, even if it
     // does not answer.
-    TimePoint leaseBound {};
+    TimePoint latestLeaseExpiry {};
     std::uint64_t processedEnd = 0; // sequence number of the last run end that was processed
     std::uint64_t storedEnd = 0; // run ends up to this one are stored and may be acknowledged
     std::deque<PendingEnd> pendingEnds; // processed and not stored yet, oldest first
@@ -66,7 +66,7 @@
     std::uint64_t holdAcknowledges = 0;
     TimePoint nextHoldAt {};
     int unansweredHolds = 0;
-    TimePoint roomDoubtedUntil {}; // no placements until then: it had less free capacity than calculated
+    TimePoint noPlacementUntil {}; // no placements until then: it had less free capacity than calculated
     std::map<TaskId, LiveRun> runs;
     Resources used;
     WorkerHealth health;
--- a/src/batch/workers/worker_speed.cpp
+++ b/src/batch/workers/worker_speed.cpp
@@ -10,9 +10,9 @@
 constexpr double priorWeight = 0.7;
 // Upper limit of the total weight. Beyond it, older observations decay, so that the estimate follows a worker
 // whose speed changes.
-constexpr double mostWeight = 20;
+constexpr double maxWeight = 20;
 // Maximum number of steps that are remembered for further tasks; the oldest step is evicted first.
-constexpr std::size_t mostSteps = 2'000;
+constexpr std::size_t maxSteps = 2'000;
 
 } // namespace
 
@@ -26,10 +26,10 @@
 {
     m_sum += logSpeed * weight;
     m_weight += weight;
-    if (m_weight <= mostWeight)
+    if (m_weight <= maxWeight)
         return;
-    m_sum *= mostWeight / m_weight;
-    m_weight = mostWeight;
+    m_sum *= maxWeight / m_weight;
+    m_weight = maxWeight;
 }
 
 double WorkerSpeed::logValue() const { return m_sum / (m_weight + priorWeight); }
@@ -42,7 +42,7 @@
     if (!isNew)
         return position->second;
     m_order.push_back(step);
-    if (m_order.size() > mostSteps) {
+    if (m_order.size() > maxSteps) {
         m_steps.erase(m_order.front());
         m_order.pop_front();
     }
--- a/test/batch_run_progress_test.cpp
+++ b/test/batch_run_progress_test.cpp
@@ -150,12 +150,12 @@
     void testStalledWorkerIsTrustedAgainOnceSomethingAdvances()
     {
         WorkerHealth health;
-        CPPUNIT_ASSERT(health.noteStall(TimePoint(Seconds(1))));
-        CPPUNIT_ASSERT(!health.noteStall(TimePoint(Seconds(2))));
+        CPPUNIT_ASSERT(health.recordStall(TimePoint(Seconds(1))));
+        CPPUNIT_ASSERT(!health.recordStall(TimePoint(Seconds(2))));
         CPPUNIT_ASSERT(!health.isTrusted());
-        CPPUNIT_ASSERT(health.noteAdvance());
+        CPPUNIT_ASSERT(health.recordAdvance());
         CPPUNIT_ASSERT(health.isTrusted());
-        CPPUNIT_ASSERT(!health.noteAdvance());
+        CPPUNIT_ASSERT(!health.recordAdvance());
     }
 
     // Guards against excluding a stalled worker forever: once its stalled runs have been removed, no run is
@@ -163,7 +163,7 @@
     void testStalledWorkerThatIsEmptyGetsATrial()
     {
         WorkerHealth health;
-        health.noteStall(TimePoint(Seconds(1)));
+        health.recordStall(TimePoint(Seconds(1)));
         CPPUNIT_ASSERT(!health.isDueForTrial(TimePoint(Seconds(3))));
         CPPUNIT_ASSERT(health.isDueForTrial(TimePoint(Seconds(5))));
         health.trialStarted();
@@ -177,8 +177,8 @@
         WorkerHealth health;
         for (int i = 0; i < 3; ++i)
             health.runFailed(TimePoint(Seconds(1)));
-        health.noteStall(TimePoint(Seconds(1)));
-        health.noteAdvance();
+        health.recordStall(TimePoint(Seconds(1)));
+        health.recordAdvance();
         CPPUNIT_ASSERT(!health.isTrusted());
     }
 };
