Rename identifiers of src/batch/store to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

StoreClockReading -> StoreClockEstimate, contactLostAfter -> storeContactTimeout, isGivenUp -> isReleased, isInTouch -> hasContact, lose -> markLost, m_inTouchSince -> m_contactSince, m_provenAt -> m_confirmedAt, repeat -> resend, repeatDelay -> initialResendDelay, resent -> withCurrentSendTime.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -59,7 +59,7 @@
 
 void Scheduler::tick(Step& step)
 {
-    if (auto repeated = m_pipeline.repeat(step.now))
+    if (auto repeated = m_pipeline.resend(step.now))
         step.emit(std::move(*repeated));
     if (m_phase == Phase::Following) {
         if (mayClaim(step.now))
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Delay before a failed commit is sent again; doubles with each consecutive failure.
-constexpr Milliseconds repeatDelay { 40 };
+constexpr Milliseconds initialResendDelay { 40 };
 constexpr int mostDoublings = 3;
 // While the store refuses claims, all daemons but the leader would otherwise claim at once, and again on each
 // tick.
@@ -70,12 +70,12 @@
     return Commit { m_inFlight->operation, m_inFlight->transaction };
 }
 
-std::optional<Effect> CommitPipeline::repeat(TimePoint now)
+std::optional<Effect> CommitPipeline::resend(TimePoint now)
 {
     if (!m_inFlight || !m_inFlight->repeatAt || now < *m_inFlight->repeatAt)
         return std::nullopt;
     m_inFlight->repeatAt.reset();
-    m_inFlight->record = m_lease.resent(std::move(m_inFlight->record), now);
+    m_inFlight->record = m_lease.withCurrentSendTime(std::move(m_inFlight->record), now);
     m_inFlight->transaction.writes.back().value = encodeLease(m_inFlight->record);
     m_inFlight->operation = ++m_lastOperation | commitOperationBit;
     m_inFlight->lastSentAt = now;
@@ -106,7 +106,7 @@
         }
         break;
     }
-    m_inFlight->repeatAt = now + repeatDelay * (1 << std::min(m_inFlight->failures, mostDoublings));
+    m_inFlight->repeatAt = now + initialResendDelay * (1 << std::min(m_inFlight->failures, mostDoublings));
     ++m_inFlight->failures;
     return {};
 }
@@ -120,7 +120,7 @@
             return applied(row->version, m_inFlight->firstSentAt);
     }
     m_inFlight.reset();
-    m_lease.lose();
+    m_lease.markLost();
     m_lease.observe(row ? std::optional<Row>(*row) : std::nullopt, now, reply.answeredAt);
     return { Result::LeaseLost };
 }
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -48,7 +48,7 @@
     Effect submit(CommitBatch, std::map<std::string, std::uint64_t> waitingJobs, TimePoint now);
     Answer answered(const CommitAnswered&, TimePoint now);
     // Sends the commit in flight again, if that is due.
-    std::optional<Effect> repeat(TimePoint now);
+    std::optional<Effect> resend(TimePoint now);
 
 private:
     enum class Purpose { Claim, Batch, Release };
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -28,14 +28,14 @@
     }
 }
 
-StoreClock StoreClockReading::at(TimePoint now) const
+StoreClock StoreClockEstimate::at(TimePoint now) const
 {
     // Clock rates differ by up to 2%. Assuming the slowest rate keeps the estimate from running ahead.
     constexpr std::int64_t slowestPercent = 98;
     return m_clock ? m_clock + (now - m_readAt).count() * slowestPercent / 100 : 0;
 }
 
-void StoreClockReading::note(StoreClock answeredAt, TimePoint now)
+void StoreClockEstimate::note(StoreClock answeredAt, TimePoint now)
 {
     // An answer that was delayed in transit may be less accurate than the estimate from an earlier one.
     if (!answeredAt || answeredAt < at(now))
@@ -79,8 +79,8 @@
 
 void LeaderLease::noteAnswer(TimePoint now)
 {
-    if (now >= m_answeredAt + contactLostAfter)
-        m_inTouchSince = now;
+    if (now >= m_answeredAt + storeContactTimeout)
+        m_contactSince = now;
     m_answeredAt = now;
 }
 
@@ -88,12 +88,12 @@
 // time at which the store answered again.
 bool LeaderLease::isFree(TimePoint now) const
 {
-    const bool isInTouch = now < m_answeredAt + contactLostAfter;
-    if (!m_hasObserved || m_isLeader || !isInTouch)
+    const bool hasContact = now < m_answeredAt + storeContactTimeout;
+    if (!m_hasObserved || m_isLeader || !hasContact)
         return false;
-    const bool isGivenUp = m_record.holder.empty() || isHeldByPredecessor();
-    const TimePoint lapsedAt = isGivenUp ? m_changedAt : m_changedAt + leaseDuration + leaseMargin;
-    return now >= std::max(lapsedAt, m_inTouchSince) + m_claimDelay;
+    const bool isReleased = m_record.holder.empty() || isHeldByPredecessor();
+    const TimePoint lapsedAt = isReleased ? m_changedAt : m_changedAt + leaseDuration + leaseMargin;
+    return now >= std::max(lapsedAt, m_contactSince) + m_claimDelay;
 }
 
 LeaseRecord LeaderLease::next(std::map<std::string, std::uint64_t> waitingJobs, TimePoint now) const
@@ -111,7 +111,7 @@
     return record;
 }
 
-LeaseRecord LeaderLease::resent(LeaseRecord record, TimePoint now) const
+LeaseRecord LeaderLease::withCurrentSendTime(LeaseRecord record, TimePoint now) const
 {
     record.sentAt = m_storeClock.at(now);
     return record;
@@ -121,11 +121,11 @@
 {
     m_record = record;
     m_version = version;
-    m_provenAt = sentAt;
+    m_confirmedAt = sentAt;
     m_changedAt = sentAt;
     m_isLeader = record.holder == m_name.text();
 }
 
-void LeaderLease::lose() { m_isLeader = false; }
+void LeaderLease::markLost() { m_isLeader = false; }
 
 } // namespace anvilmoor::batch
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -20,7 +20,7 @@
 constexpr Milliseconds leaseMargin { 150 };
 // A daemon that has received no answer from the store for this long has lost contact with it. Answers
 // normally arrive at least every 1.2 s, and a slow store takes about 0.4 s to answer.
-constexpr Milliseconds contactLostAfter { 2'000 };
+constexpr Milliseconds storeContactTimeout { 2'000 };
 // A leader commits at least this often.
 constexpr Milliseconds leaseRenewalInterval { 350 };
 
@@ -42,7 +42,7 @@
 
 // Estimates the store's clock from the answers to this daemon. The estimate is never ahead of the store's
 // clock, and lags behind it by at most the transit time of the fastest answer.
-class StoreClockReading {
+class StoreClockEstimate {
 public:
     void note(StoreClock answeredAt, TimePoint now);
     // 0 if no answer has reported the clock yet.
@@ -80,7 +80,7 @@
 
     bool isLeader() const { return m_isLeader; }
     // A leader may send orders to workers only while this is true.
-    bool mayAct(TimePoint now) const { return m_isLeader && now < m_provenAt + leaseDuration; }
+    bool mayAct(TimePoint now) const { return m_isLeader && now < m_confirmedAt + leaseDuration; }
     std::uint64_t epoch() const { return m_record.epoch; }
     RowVersion version() const { return m_version; }
     const LeaseRecord& record() const { return m_record; }
@@ -89,26 +89,26 @@
     LeaseRecord next(std::map<std::string, std::uint64_t> waitingJobs, TimePoint now) const;
     LeaseRecord released(TimePoint now) const;
     // The record with its send time updated, for sending the commit again.
-    LeaseRecord resent(LeaseRecord, TimePoint now) const;
+    LeaseRecord withCurrentSendTime(LeaseRecord, TimePoint now) const;
     // Records that the commit of a record from next() or released() was applied; it was sent at `sentAt`.
     void committed(const LeaseRecord&, RowVersion, TimePoint sentAt);
     void noteStoreClock(StoreClock answeredAt, TimePoint now) { m_storeClock.note(answeredAt, now); }
-    void lose();
+    void markLost();
 
 private:
     bool isHeldByPredecessor() const;
 
     DaemonName m_name;
     Milliseconds m_claimDelay;
-    StoreClockReading m_storeClock;
+    StoreClockEstimate m_storeClock;
     LeaseRecord m_record;
     RowVersion m_version = 0;
     bool m_hasObserved = false;
     bool m_isLeader = false;
     TimePoint m_answeredAt {};
-    TimePoint m_inTouchSince {};
+    TimePoint m_contactSince {};
     TimePoint m_changedAt {}; // when the current version was sent or, if unknown, first seen
-    TimePoint m_provenAt {};
+    TimePoint m_confirmedAt {};
 };
 
 } // namespace anvilmoor::batch
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -125,7 +125,7 @@
         m_store.commit(commit.transaction);
         first.pipeline.answered({ commit.operation, { CommitOutcome::Unknown } }, m_now);
         m_now += Milliseconds(200);
-        const auto repeated = first.pipeline.repeat(m_now);
+        const auto repeated = first.pipeline.resend(m_now);
         CPPUNIT_ASSERT(repeated);
         const auto& copy = std::get<Commit>(*repeated);
         const auto answer
@@ -247,7 +247,7 @@
         const Effect lost = first.pipeline.submit({ 1 }, {}, m_now);
         first.pipeline.answered({ std::get<Commit>(lost).operation, { CommitOutcome::Refused } }, m_now);
         m_now += Milliseconds(4'000);
-        carryOutWithClock(first, first.pipeline.repeat(m_now).value());
+        carryOutWithClock(first, first.pipeline.resend(m_now).value());
         Candidate second("b");
         second.lease.observe(leaseRow(), m_now, storeClock());
         CPPUNIT_ASSERT(first.lease.mayAct(m_now));
@@ -265,13 +265,13 @@
         Candidate second("b");
         second.lease.observe(leaseRow(), m_now, storeClock());
         CPPUNIT_ASSERT(second.lease.isFree(m_now));
-        carryOutWithClock(first, first.pipeline.repeat(m_now).value());
+        carryOutWithClock(first, first.pipeline.resend(m_now).value());
         CPPUNIT_ASSERT(!first.lease.mayAct(m_now));
     }
 
     void testStoreClockIsNeverAheadWhateverTheAnswersTake()
     {
-        StoreClockReading reading;
+        StoreClockEstimate reading;
         CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, reading.at(m_now));
         for (int i = 0; i < 200; ++i) {
             const StoreClock answeredAt = storeClock();
@@ -289,7 +289,7 @@
         claim(first);
         Candidate second("b");
         second.lease.observe(leaseRow(), m_now, 0);
-        CPPUNIT_ASSERT(!second.lease.isFree(m_now + contactLostAfter + Milliseconds(1'000)));
+        CPPUNIT_ASSERT(!second.lease.isFree(m_now + storeContactTimeout + Milliseconds(1'000)));
     }
 
     // Guards against a small host that becomes leader after an outage: every lease has lapsed by then, so
