Rename identifiers of src/batch/intake to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

JobStates -> JobStateProvider, firstDelay -> initialRetryDelay, followed -> applyUpdate, isOver -> shouldGiveUp, longestUnconfirmed -> maxConfigurationAge, longestWithoutStore -> maxWaitWithoutStore, m_longestUnconfirmed -> m_maxConfigurationAge, mostDoublings -> maxDoublings, mostEndStates -> maxCachedEndStates, over -> abandoned, underWay -> inFlight.

--- a/src/batch/intake/configuration_view.cpp
+++ b/src/batch/intake/configuration_view.cpp
@@ -4,12 +4,12 @@
 
 namespace anvilmoor::batch {
 
-ConfigurationView::ConfigurationView(Milliseconds longestUnconfirmed)
-    : m_longestUnconfirmed(longestUnconfirmed)
+ConfigurationView::ConfigurationView(Milliseconds maxConfigurationAge)
+    : m_maxConfigurationAge(maxConfigurationAge)
 {
 }
 
-bool ConfigurationView::followed(const ConfigurationUpdated& news)
+bool ConfigurationView::applyUpdate(const ConfigurationUpdated& news)
 {
     bool isNewer = false;
     for (const Configuration& configuration : news.versions) {
@@ -22,7 +22,7 @@
     return isNewer;
 }
 
-bool ConfigurationView::isConfirmed(TimePoint now) const { return isFresh(now, m_longestUnconfirmed); }
+bool ConfigurationView::isConfirmed(TimePoint now) const { return isFresh(now, m_maxConfigurationAge); }
 
 bool ConfigurationView::isFresh(TimePoint now, Milliseconds age) const
 {
--- a/src/batch/intake/configuration_view.h
+++ b/src/batch/intake/configuration_view.h
@@ -14,10 +14,10 @@
 // configuration serves no callers.
 class ConfigurationView {
 public:
-    explicit ConfigurationView(Milliseconds longestUnconfirmed);
+    explicit ConfigurationView(Milliseconds maxConfigurationAge);
 
     // Ignores versions older than the current one. Returns whether a newer one came into force.
-    bool followed(const ConfigurationUpdated&);
+    bool applyUpdate(const ConfigurationUpdated&);
 
     bool hasConfiguration() const { return m_configuration.version != 0; }
     bool isConfirmed(TimePoint now) const;
@@ -33,7 +33,7 @@
     const ClientAccountConfiguration* findAccount(std::string_view apiKey) const;
 
 private:
-    Milliseconds m_longestUnconfirmed;
+    Milliseconds m_maxConfigurationAge;
     Configuration m_configuration;
     std::optional<TimePoint> m_knownAt;
 };
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -18,11 +18,11 @@
 constexpr Milliseconds answerMargin { 150 };
 // A request is given up after this time without an answer from the store, because another daemon may still
 // reach it.
-constexpr Milliseconds longestWithoutStore { 1'000 };
+constexpr Milliseconds maxWaitWithoutStore { 1'000 };
 constexpr Milliseconds readRetryDelay { 40 };
-constexpr int mostDoublings = 4;
+constexpr int maxDoublings = 4;
 constexpr std::size_t jobIdLength = 16;
-constexpr std::size_t mostEndStates = 4'096;
+constexpr std::size_t maxCachedEndStates = 4'096;
 
 // Describes a job's steps in the log. "4x8" is a step of four tasks with eight accelerators each; "g" marks a
 // gang, "r" a step that needs one rack.
@@ -44,7 +44,7 @@
 
 } // namespace
 
-JobIntake::JobIntake(const ConfigurationView& configuration, const JobStates& states)
+JobIntake::JobIntake(const ConfigurationView& configuration, const JobStateProvider& states)
     : m_configuration(configuration)
     , m_states(states)
 {
@@ -245,7 +245,7 @@
     m_reads.erase(awaited);
     Request& request = m_requests.at(id);
     if (!answered.reply.isOk) {
-        const Milliseconds delay = readRetryDelay * (1 << std::min(request.failedReads, mostDoublings));
+        const Milliseconds delay = readRetryDelay * (1 << std::min(request.failedReads, maxDoublings));
         ++request.failedReads;
         request.readAgainAt = step.now + delay;
         return;
@@ -266,7 +266,7 @@
     }
     const auto state = decodeJobState(rows.front().value);
     if (state) {
-        if (isTerminal(*state) && m_endStates.size() < mostEndStates)
+        if (isTerminal(*state) && m_endStates.size() < maxCachedEndStates)
             m_endStates.emplace(request.job, *state);
         answer(request, AnswerKind::State, step, *state);
     } else {
@@ -288,23 +288,23 @@
     finish(id);
 }
 
-bool JobIntake::isOver(const Request& request, TimePoint now) const
+bool JobIntake::shouldGiveUp(const Request& request, TimePoint now) const
 {
-    const bool isSlow = now >= request.receivedAt + longestWithoutStore;
-    return now >= request.answerBy || (isSlow && !m_configuration.isFresh(now, longestWithoutStore));
+    const bool isSlow = now >= request.receivedAt + maxWaitWithoutStore;
+    return now >= request.answerBy || (isSlow && !m_configuration.isFresh(now, maxWaitWithoutStore));
 }
 
 void JobIntake::tick(Step& step)
 {
     m_writer.tick(step);
-    std::vector<RequestId> over;
+    std::vector<RequestId> abandoned;
     for (auto& [id, request] : m_requests) {
-        if (isOver(request, step.now))
-            over.push_back(id);
+        if (shouldGiveUp(request, step.now))
+            abandoned.push_back(id);
         else if (request.readAgainAt && step.now >= *request.readAgainAt)
             read(id, request, step);
     }
-    for (const RequestId id : over) {
+    for (const RequestId id : abandoned) {
         if (m_requests.at(id).answerBy != TimePoint::min())
             answer(m_requests.at(id), AnswerKind::OutcomeUnknown, step);
         finish(id);
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -17,9 +17,9 @@
 namespace anvilmoor::batch {
 
 // Gives access to the leader's state of jobs if the leader runs in this process.
-class JobStates {
+class JobStateProvider {
 public:
-    virtual ~JobStates() = default;
+    virtual ~JobStateProvider() = default;
 
     // Empty if the state is not known in this process and has to be read from the store.
     virtual std::optional<JobState> stateOf(const JobId&, TimePoint now) const = 0;
@@ -33,7 +33,7 @@
 // time.
 class JobIntake {
 public:
-    JobIntake(const ConfigurationView&, const JobStates&);
+    JobIntake(const ConfigurationView&, const JobStateProvider&);
 
     void requested(const CallerRequest&, Step&);
     void callerGone(const CallerGone&);
@@ -82,12 +82,12 @@
     void stored(RequestId, Step&);
     void progressRead(RequestId, Request&, const std::vector<Row>&, Step&);
     void jobRead(RequestId, Request&, bool exists, Step&);
-    bool isOver(const Request&, TimePoint now) const;
+    bool shouldGiveUp(const Request&, TimePoint now) const;
     static void answer(const Request&, AnswerKind, Step&, JobState = JobState::Pending);
     void finish(RequestId);
 
     const ConfigurationView& m_configuration;
-    const JobStates& m_states;
+    const JobStateProvider& m_states;
     RowWriter m_writer;
     std::map<RequestId, Request> m_requests;
     std::map<OperationId, RequestId> m_reads;
--- a/src/batch/intake/row_writer.cpp
+++ b/src/batch/intake/row_writer.cpp
@@ -10,8 +10,8 @@
 // The platform accepts 100 entries per transaction. A row may count twice: as an expected version and as a
 // write.
 constexpr std::size_t rowsPerTransaction = 45;
-constexpr Milliseconds firstDelay { 40 };
-constexpr int mostDoublings = 4;
+constexpr Milliseconds initialRetryDelay { 40 };
+constexpr int maxDoublings = 4;
 
 bool isStored(const std::vector<Row>& rows, const RowKey& key)
 {
@@ -43,16 +43,16 @@
 void RowWriter::send(Part& part, Step& step)
 {
     Transaction transaction;
-    while (!part.waiting.empty() && part.underWay.size() < rowsPerTransaction) {
+    while (!part.waiting.empty() && part.inFlight.size() < rowsPerTransaction) {
         Entry entry = std::move(part.waiting.front());
         part.waiting.pop_front();
         if (entry.mustBeNew)
             transaction.expected.push_back({ entry.row.key, 0 });
         transaction.writes.push_back(entry.row);
-        part.underWay.push_back(std::move(entry));
+        part.inFlight.push_back(std::move(entry));
     }
     part.operation = ++m_lastOperation | writerOperationBit;
-    m_operations.emplace(part.operation, part.underWay.front().row.key.part);
+    m_operations.emplace(part.operation, part.inFlight.front().row.key.part);
     step.emit(Commit { part.operation, std::move(transaction) });
 }
 
@@ -64,7 +64,7 @@
         return stored;
     Part& part = m_parts[operation->second];
     m_operations.erase(operation);
-    std::vector<Entry> entries = std::exchange(part.underWay, {});
+    std::vector<Entry> entries = std::exchange(part.inFlight, {});
     part.operation = 0;
     const bool isApplied = answer.reply.outcome == CommitOutcome::Applied;
     const bool isConflict = answer.reply.outcome == CommitOutcome::Conflict;
@@ -85,7 +85,7 @@
 // Half of the delay is random, so that daemons refused at the same time do not retry at the same time.
 void RowWriter::delay(Part& part, Step& step)
 {
-    const Milliseconds longest = firstDelay * (1 << std::min(part.refusals, mostDoublings));
+    const Milliseconds longest = initialRetryDelay * (1 << std::min(part.refusals, maxDoublings));
     ++part.refusals;
     const auto half = static_cast<std::uint64_t>(longest.count() / 2);
     part.sendAt = step.now + longest / 2 + Milliseconds(static_cast<std::int64_t>(step.random % (half + 1)));
--- a/src/batch/intake/row_writer.h
+++ b/src/batch/intake/row_writer.h
@@ -37,7 +37,7 @@
     };
     struct Part {
         std::deque<Entry> waiting;
-        std::vector<Entry> underWay;
+        std::vector<Entry> inFlight;
         OperationId operation = 0; // 0: none in flight
         TimePoint sendAt {};
         int refusals = 0; // consecutive
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -23,7 +23,7 @@
 
 BatchReducer::BatchReducer(BatchSettings settings)
     : m_settings(std::move(settings))
-    , m_configuration(m_settings.longestUnconfirmed)
+    , m_configuration(m_settings.maxConfigurationAge)
     , m_lease(m_settings.daemonName, m_settings.claimDelay)
     , m_scheduler(m_lease, m_configuration.current(), m_placement, m_order, m_settings.workerLeases)
     , m_intake(m_configuration, *this)
@@ -88,7 +88,7 @@
     // Any answer counts as contact with the store. After an outage, the pending read of the lease row may be
     // answered later than this one.
     m_lease.noteAnswer(step.now);
-    if (m_configuration.followed(news))
+    if (m_configuration.applyUpdate(news))
         step.record("configuration.in_force",
             { { "version", std::to_string(m_configuration.current().version) },
                 { "queues", std::to_string(m_configuration.current().queues.size()) } });
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -18,14 +18,14 @@
 struct BatchSettings {
     DaemonName daemonName;
     Milliseconds claimDelay { 0 }; // longer on hosts that should become leader only if no other host does
-    Milliseconds longestUnconfirmed { 4'000 }; // since the configuration was last confirmed
+    Milliseconds maxConfigurationAge { 4'000 }; // since the configuration was last confirmed
     WorkerLeaseSettings workerLeases;
     Milliseconds shutdownGrace { 6'000 }; // time from SIGTERM to SIGKILL
 };
 
 // Dispatches each event to the modules that handle it and returns the resulting effects. All events of the
 // daemon pass through here. Does no I/O and reads no clock.
-class BatchReducer : private JobStates {
+class BatchReducer : private JobStateProvider {
 public:
     explicit BatchReducer(BatchSettings);
 
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -11,7 +11,7 @@
 
 // Delay before a failed commit is sent again; doubles with each consecutive failure.
 constexpr Milliseconds initialResendDelay { 40 };
-constexpr int mostDoublings = 3;
+constexpr int maxDoublings = 3;
 // While the store refuses claims, all daemons but the leader would otherwise claim at once, and again on each
 // tick.
 constexpr Milliseconds claimRetryDelay { 200 };
@@ -106,7 +106,7 @@
         }
         break;
     }
-    m_inFlight->repeatAt = now + initialResendDelay * (1 << std::min(m_inFlight->failures, mostDoublings));
+    m_inFlight->repeatAt = now + initialResendDelay * (1 << std::min(m_inFlight->failures, maxDoublings));
     ++m_inFlight->failures;
     return {};
 }
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -9,7 +9,7 @@
 // One or two consecutive failures may be caused by the runs themselves.
 constexpr int failuresUntilSuspect = 3;
 constexpr Milliseconds firstSuspension { 3'000 };
-constexpr int mostDoublings = 3;
+constexpr int maxDoublings = 3;
 
 } // namespace
 
@@ -40,7 +40,7 @@
 
 void WorkerHealth::suspect(TimePoint now)
 {
-    const int doublings = std::min(m_suspicions, mostDoublings);
+    const int doublings = std::min(m_suspicions, maxDoublings);
     if (!m_isSuspect || m_isOnTrial)
         ++m_suspicions;
     m_isSuspect = true;
--- a/test/batch_row_writer_test.cpp
+++ b/test/batch_row_writer_test.cpp
@@ -142,22 +142,22 @@
     void testSlowStoreTakesAllRowsOfABurst()
     {
         std::size_t stored = 0;
-        std::optional<std::pair<TimePoint, OperationId>> underWay;
+        std::optional<std::pair<TimePoint, OperationId>> inFlight;
         const TimePoint begin = m_now;
         for (int passed = 0; passed < 2'000; passed += 20) {
             m_now = begin + Milliseconds(passed);
-            if (underWay && m_now >= underWay->first) {
-                const OperationId operation = underWay->second;
-                underWay.reset();
+            if (inFlight && m_now >= inFlight->first) {
+                const OperationId operation = inFlight->second;
+                inFlight.reset();
                 stored += answer(operation, { CommitOutcome::Applied }).size();
                 if (!m_effects.empty())
-                    underWay.emplace(m_now + Milliseconds(400), lastCommit().operation);
+                    inFlight.emplace(m_now + Milliseconds(400), lastCommit().operation);
             }
             if (passed >= 1'200)
                 continue;
             write("p", passed);
             if (!m_effects.empty())
-                underWay.emplace(m_now + Milliseconds(400), lastCommit().operation);
+                inFlight.emplace(m_now + Milliseconds(400), lastCommit().operation);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 60 }, stored);
     }
