Rename identifiers of src/batch/daemon to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 // Confirms the configuration every 0.6 s and reports changes at once.
-constexpr FollowRhythm configurationRhythm { Milliseconds(600), Milliseconds(0) };
+constexpr FollowTiming configurationTiming { Milliseconds(600), Milliseconds(0) };
 // The leader rewrites its lease row with every commit. A candidate only needs to see that the lease is still
 // renewed, not every single write: the row contains the store time at which it was sent, which gives its age.
-constexpr FollowRhythm leaseRhythm { Milliseconds(600), Milliseconds(600) };
-constexpr FollowRhythm jobRhythm { Milliseconds(1'000), Milliseconds(0) };
+constexpr FollowTiming leaseTiming { Milliseconds(600), Milliseconds(600) };
+constexpr FollowTiming jobTiming { Milliseconds(1'000), Milliseconds(0) };
 // Each worker updates its entry every 1.5 s. The pause between requests lets one answer contain many updates.
-constexpr FollowRhythm workerRhythm { Milliseconds(1'000), Milliseconds(400) };
+constexpr FollowTiming workerTiming { Milliseconds(1'000), Milliseconds(400) };
 
 std::string nameOf(CallerAction action)
 {
@@ -55,9 +55,9 @@
     , m_loop(loop)
     , m_reducer(std::move(settings))
     , m_random(std::random_device {}())
-    , m_ticks(loop)
+    , m_tickTimer(loop)
 {
-    m_ticks.startRepeating(tickInterval, [this] { dispatch(Tick {}); });
+    m_tickTimer.startRepeating(tickInterval, [this] { dispatch(Tick {}); });
     followConfiguration();
     followLease();
 }
@@ -67,52 +67,52 @@
 void BatchDaemon::followConfiguration()
 {
     m_configurationFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.configurationTable(),
-        std::vector<std::string> { {} }, configurationRhythm, now,
-        [this](const TableFollower::News& news) { configurationNews(news); });
+        std::vector<std::string> { {} }, configurationTiming, now,
+        [this](const TableFollower::Update& update) { onConfigurationUpdate(update); });
 }
 
 void BatchDaemon::followLease()
 {
     const RowKey lease = leaseKey();
     m_leaseFollower = std::make_unique<TableFollower>(m_loop, m_store, lease.table,
-        std::vector<std::string> { lease.part }, leaseRhythm, now, [this](TableFollower::News news) {
-            dispatch(RowsUpdated { SchedulerTable::Lease, news.isComplete, std::move(news.rows), news.knownAt,
-                news.answeredAt });
+        std::vector<std::string> { lease.part }, leaseTiming, now, [this](TableFollower::Update update) {
+            dispatch(RowsUpdated { SchedulerTable::Lease, update.isComplete, std::move(update.rows),
+                update.knownAt, update.answeredAt });
         });
 }
 
-void BatchDaemon::configurationNews(const TableFollower::News& news)
+void BatchDaemon::onConfigurationUpdate(const TableFollower::Update& update)
 {
-    ConfigurationUpdated followed { {}, news.knownAt };
-    for (const Row& row : news.rows) {
+    ConfigurationUpdated event { {}, update.knownAt };
+    for (const Row& row : update.rows) {
         if (row.isDeleted || !m_records.isConfiguration(row))
             continue;
         auto configuration = m_records.configuration(row);
         if (configuration)
-            followed.versions.push_back(std::move(*configuration));
+            event.versions.push_back(std::move(*configuration));
         else
             m_log.log(telemetry::LogLevel::Error, "configuration.unreadable",
                 { { "reason", configuration.error() } });
     }
-    dispatch(std::move(followed));
+    dispatch(std::move(event));
 }
 
-void BatchDaemon::workerNews(const TableFollower::News& news)
+void BatchDaemon::onWorkerUpdate(const TableFollower::Update& update)
 {
-    WorkersUpdated followed { news.isComplete, {}, {}, news.knownAt };
-    for (const Row& row : news.rows) {
+    WorkersUpdated event { update.isComplete, {}, {}, update.knownAt };
+    for (const Row& row : update.rows) {
         if (row.isDeleted) {
-            followed.removed.emplace_back(row.key.key);
+            event.removed.emplace_back(row.key.key);
             continue;
         }
         auto worker = m_records.worker(row);
         if (worker)
-            followed.changed.push_back(std::move(*worker));
+            event.changed.push_back(std::move(*worker));
         else
             m_log.log(telemetry::LogLevel::Warning, "worker.unreadable_entry",
                 { { "worker", row.key.key }, { "reason", worker.error() } });
     }
-    dispatch(std::move(followed));
+    dispatch(std::move(event));
 }
 
 CallerHandle BatchDaemon::request(CallerRequest request, Answer answer)
@@ -203,13 +203,13 @@
     for (int part = 0; part < jobParts; ++part)
         parts.push_back(jobPartName(part));
     m_jobFollower = std::make_unique<TableFollower>(m_loop, m_store, std::string(jobTable), std::move(parts),
-        jobRhythm, now, [this](TableFollower::News news) {
-            dispatch(
-                RowsUpdated { SchedulerTable::Jobs, news.isComplete, std::move(news.rows), news.knownAt });
+        jobTiming, now, [this](TableFollower::Update update) {
+            dispatch(RowsUpdated {
+                SchedulerTable::Jobs, update.isComplete, std::move(update.rows), update.knownAt });
         });
     m_workerFollower = std::make_unique<TableFollower>(m_loop, m_store, m_records.workerTable(),
-        std::vector<std::string> { {} }, workerRhythm, now,
-        [this](const TableFollower::News& news) { workerNews(news); });
+        std::vector<std::string> { {} }, workerTiming, now,
+        [this](const TableFollower::Update& update) { onWorkerUpdate(update); });
 }
 
 void BatchDaemon::carryOut(AnswerCaller& answer)
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -56,8 +56,8 @@
     void carryOut(RecordEvent&);
     void followConfiguration();
     void followLease();
-    void configurationNews(const TableFollower::News&);
-    void workerNews(const TableFollower::News&);
+    void onConfigurationUpdate(const TableFollower::Update&);
+    void onWorkerUpdate(const TableFollower::Update&);
 
     RowStore& m_store;
     WorkerGateway& m_workers;
@@ -67,7 +67,7 @@
     net::EventLoop& m_loop;
     BatchReducer m_reducer;
     std::mt19937_64 m_random;
-    net::Timer m_ticks;
+    net::Timer m_tickTimer;
     std::unique_ptr<TableFollower> m_configurationFollower;
     std::unique_ptr<TableFollower> m_leaseFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
--- a/src/batch/daemon/table_follower.h
+++ b/src/batch/daemon/table_follower.h
@@ -10,7 +10,7 @@
 
 namespace anvilmoor::batch {
 
-struct FollowRhythm {
+struct FollowTiming {
     Milliseconds wait { 800 }; // longest time that the store holds a request open until there is a change
     Milliseconds pause { 0 }; // between an answer and the next request
 };
@@ -19,44 +19,44 @@
 // again if the store has dropped the change history. Stops when it is destroyed.
 class TableFollower {
 public:
-    struct News {
+    struct Update {
         bool isComplete = false; // `rows` are all rows of the followed parts rather than changes
         std::vector<Row> rows;
         TimePoint knownAt {}; // when the request was sent
         StoreClock answeredAt = 0; // when the store answered
     };
-    using Callback = std::function<void(News)>;
+    using Callback = std::function<void(Update)>;
     using Clock = std::function<TimePoint()>;
 
     // The initial read covers these parts. Changes to other parts of the table are reported too.
-    TableFollower(net::EventLoop&, RowStore&, std::string table, std::vector<std::string> parts, FollowRhythm,
+    TableFollower(net::EventLoop&, RowStore&, std::string table, std::vector<std::string> parts, FollowTiming,
         Clock, Callback);
     ~TableFollower();
     TableFollower(const TableFollower&) = delete;
     TableFollower& operator=(const TableFollower&) = delete;
 
     // Whether the last request to the store was answered.
-    bool isInTouch() const { return m_isInTouch; }
+    bool isStoreReachable() const { return m_isStoreReachable; }
 
 private:
-    void ask();
-    void list();
-    void listed(TableSnapshot, TimePoint sentAt);
-    void feed();
-    void later(Milliseconds);
+    void sendRequest();
+    void readAllParts();
+    void onPartRead(TableSnapshot, TimePoint sentAt);
+    void requestChanges();
+    void sendRequestAfter(Milliseconds);
 
     RowStore& m_store;
     std::string m_table;
     std::vector<std::string> m_parts;
     std::size_t m_unreadParts = 0; // parts that the read in progress still waits for
     TableSnapshot m_snapshot; // rows of the parts read so far
-    FollowRhythm m_rhythm;
+    FollowTiming m_timing;
     Clock m_clock;
     Callback m_callback;
     net::Timer m_timer;
     RowVersion m_version = 0;
-    bool m_isListed = false;
-    bool m_isInTouch = false;
+    bool m_hasSnapshot = false;
+    bool m_isStoreReachable = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/batch/intake/configuration_view.cpp
+++ b/src/batch/intake/configuration_view.cpp
@@ -9,16 +9,16 @@
 {
 }
 
-bool ConfigurationView::applyUpdate(const ConfigurationUpdated& news)
+bool ConfigurationView::applyUpdate(const ConfigurationUpdated& update)
 {
     bool isNewer = false;
-    for (const Configuration& configuration : news.versions) {
+    for (const Configuration& configuration : update.versions) {
         if (configuration.version <= m_configuration.version)
             continue;
         m_configuration = configuration;
         isNewer = true;
     }
-    m_knownAt = std::max(m_knownAt.value_or(news.knownAt), news.knownAt);
+    m_knownAt = std::max(m_knownAt.value_or(update.knownAt), update.knownAt);
     return isNewer;
 }
 
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -209,13 +209,13 @@
     step.emit(FollowLeaderTables { false });
 }
 
-void Scheduler::rowsUpdated(const RowsUpdated& news, Step& step)
+void Scheduler::rowsUpdated(const RowsUpdated& update, Step& step)
 {
-    if (m_phase == Phase::Following || news.table != SchedulerTable::Jobs)
+    if (m_phase == Phase::Following || update.table != SchedulerTable::Jobs)
         return;
-    for (const Row& row : news.rows)
+    for (const Row& row : update.rows)
         applyJobRow(row, step);
-    m_hasJobs = m_hasJobs || news.isComplete;
+    m_hasJobs = m_hasJobs || update.isComplete;
     m_isPlacementDue = true;
     finishLoading(step);
 }
@@ -253,12 +253,12 @@
     m_runs.stopAll(consequence.toStop, step);
 }
 
-void Scheduler::workersUpdated(const WorkersUpdated& news, Step& step)
+void Scheduler::workersUpdated(const WorkersUpdated& update, Step& step)
 {
     if (m_phase == Phase::Following)
         return;
-    m_runs.workersUpdated(news, step);
-    m_hasWorkers = m_hasWorkers || news.isComplete;
+    m_runs.workersUpdated(update, step);
+    m_hasWorkers = m_hasWorkers || update.isComplete;
     finishLoading(step);
 }
 
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -83,31 +83,31 @@
 
 void BatchReducer::on(const CallerGone& gone, Step&) { m_intake.callerGone(gone); }
 
-void BatchReducer::on(const ConfigurationUpdated& news, Step& step)
+void BatchReducer::on(const ConfigurationUpdated& update, Step& step)
 {
     // Any answer counts as contact with the store. After an outage, the pending read of the lease row may be
     // answered later than this one.
     m_lease.noteAnswer(step.now);
-    if (m_configuration.applyUpdate(news))
+    if (m_configuration.applyUpdate(update))
         step.record("configuration.in_force",
             { { "version", std::to_string(m_configuration.current().version) },
                 { "queues", std::to_string(m_configuration.current().queues.size()) } });
 }
 
-void BatchReducer::on(const WorkersUpdated& news, Step& step) { m_scheduler.workersUpdated(news, step); }
+void BatchReducer::on(const WorkersUpdated& update, Step& step) { m_scheduler.workersUpdated(update, step); }
 
-void BatchReducer::on(const RowsUpdated& news, Step& step)
+void BatchReducer::on(const RowsUpdated& update, Step& step)
 {
-    if (news.table != SchedulerTable::Lease) {
-        m_scheduler.rowsUpdated(news, step);
+    if (update.table != SchedulerTable::Lease) {
+        m_scheduler.rowsUpdated(update, step);
         return;
     }
     m_lease.noteAnswer(step.now);
-    if (news.isComplete && news.rows.empty())
-        m_lease.observe(std::nullopt, step.now, news.answeredAt);
-    for (const Row& row : news.rows) {
+    if (update.isComplete && update.rows.empty())
+        m_lease.observe(std::nullopt, step.now, update.answeredAt);
+    for (const Row& row : update.rows) {
         if (row.key == leaseKey() && !m_lease.isLeader())
-            m_lease.observe(row, step.now, news.answeredAt);
+            m_lease.observe(row, step.now, update.answeredAt);
     }
 }
 
