Rename identifiers of platform to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

Front -> HttpFrontend, absent -> defaultValue, answerTo -> makeAnswerCallback, arrayOf -> findArray, callers -> clientListenAddress, closingTime -> connectionCloseDelay, endNames -> runEndNames, flagOr -> boolOr, front -> frontend, keyScheme -> bearerPrefix, longestCommitTimeout -> maxCommitTimeout, m_callers -> m_callerServer, m_page -> m_metricsServer, m_readiness -> m_readinessServer, m_usualCommitTime -> m_smoothedCommitTime, mostTasksPerStep -> maxTasksPerStep, noteCommitTime -> updateCommitTime, noteReachability -> updateReachability, objectOf -> findObject, pageRead -> handlePage, readiness -> readinessListenAddress, requireText -> requireString, shortestCommitTimeout -> minCommitTimeout, store -> storeAddress, takeNumber -> takeLastNumber, textOr -> stringOr, timeoutPerUsualTime -> commitTimeoutFactor.

--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -121,7 +121,7 @@
         const auto settings = settingsFrom(goodSettings());
         CPPUNIT_ASSERT(settings.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("edge-1"), settings->host);
-        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 7 }, settings->store.port);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 7 }, settings->storeAddress.port);
         CPPUNIT_ASSERT_EQUAL(0.5, settings->cpuShare);
         CPPUNIT_ASSERT_EQUAL(200.0, settings->linkMbps);
         CPPUNIT_ASSERT(settings->shutdownGrace == Milliseconds(6'000));
