Rename identifiers of src/jobs to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

Vanished -> MemberMissing, canHold -> acquiresAccelerators, certainLapse -> maxMemberLifetime, claimRetriesAtOnce -> immediateGuaranteedRetries, committed -> onCommitted, countThrottle -> recordConfirmedThrottle, dropHopelessClaims -> dropUnsatisfiableClaims, enterHolder -> becomeHolder, freeGoneMembers -> freeReleasedMembers, hasLapsed -> hasExpired, haveAllLeft -> areAllGone, isBooked -> fitsInventory, isClaim -> isGuaranteed, isNews -> isNewReport, isOutOfSight -> isRackSilent, isQuiet -> isIdleForHandover, isQuietEnough -> fitsNoiseLimit, isSecond -> isWatchDue, isThrottleWished -> isThrottleRequested, isThrottling -> isThrottlePending, isTooLoud -> isNoiseLimitExceeded, keepNoiseLimit -> enforceNoiseLimit, leastOf -> minOverUnfinished, lessonThrottlePatience -> lessonThrottleTimeout, longestSilenceOfTable -> maxTableSilence, m_isDirty -> m_isPlanNeeded, m_strayReleases -> m_orphanReleases, m_takeOver -> m_takeoverTime, m_throttleWish -> m_requestedThrottle, m_throttleWishedAt -> m_throttleRequestedAt, makeQuiet -> reduceNoiseForClaims, maxFailuresInAll -> maxTotalFailures, mayLive -> mayRenewAsCaretaker, membersLeft -> unreleasedMembers, moveForShape -> moveForDefragmentation, noticePlaced -> notifyPeersOfPlacement, placementRetry -> placementRetryDelay, pollNews -> pollSubmissions, rackSilence -> rackReportTimeout, releaseStrays -> releaseOrphanTasks, renewalSight -> maxReportAgeForRenewal, renewed -> recordRenewal, replied -> handleResult, reportSlack -> startReportGrace, reservationLapse -> maxReservationLifetime, shutdownPatience -> shutdownTimeout, sightLoss -> rackLossTimeout, startTrial -> earlyFailureWindow, storedKind -> storedReasonWithoutDigits, strayRetry -> orphanReleaseRetryInterval, take -> applyReport, takeOver -> takeoverTime, throttlePatience -> claimThrottleTimeout, throttleWishedAt -> throttleRequestedAt, withoutFigures -> withoutDigits.

--- a/src/jobs/caretaker.cpp
+++ b/src/jobs/caretaker.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Milliseconds renewalSight { 10'000 };
+constexpr Milliseconds maxReportAgeForRenewal { 10'000 };
 
 } // namespace
 
@@ -25,7 +25,7 @@
     return std::all_of(members.begin(), members.end(), [&](const GangMember& member) {
         const WorkerObservation* worker = m_observation.find(member.worker);
         if (!worker || !worker->isReported || !worker->isLive
-            || now - m_observation.rackOf(*worker).answeredAt > renewalSight)
+            || now - m_observation.rackOf(*worker).answeredAt > maxReportAgeForRenewal)
             return false;
         if (worker->finished.contains(task))
             return true;
--- a/src/jobs/gang_controller.cpp
+++ b/src/jobs/gang_controller.cpp
@@ -18,7 +18,7 @@
 // A command without a reply is sent again after this. The worker client replies well before.
 constexpr Milliseconds commandTimeout { 5'000 };
 
-bool canHold(WorkerCommandKind kind)
+bool acquiresAccelerators(WorkerCommandKind kind)
 {
     return kind == WorkerCommandKind::Reserve || kind == WorkerCommandKind::Confirm
         || kind == WorkerCommandKind::Run;
@@ -41,17 +41,17 @@
 }
 
 GangController GangController::recovered(JobId job, AttemptNumber attempt, std::vector<GangMember> members,
-    Milliseconds runTime, bool isRunning, TimePoint takeOver)
+    Milliseconds runTime, bool isRunning, TimePoint takeoverTime)
 {
-    GangController gang(std::move(job), attempt, std::move(members), runTime, takeOver);
+    GangController gang(std::move(job), attempt, std::move(members), runTime, takeoverTime);
     gang.m_phase = GangPhase::Recovering;
     gang.m_isCommitted = true;
     gang.m_isRowRunning = isRunning;
-    gang.m_runningSince = takeOver;
+    gang.m_runningSince = takeoverTime;
     // Commands and renewals of the former holder may still arrive after the takeover, so a member counts as
     // expired no earlier than maxMemberLifetime after it.
     for (Member& member : gang.m_members)
-        member.lastCommandAt = takeOver;
+        member.lastCommandAt = takeoverTime;
     return gang;
 }
 
@@ -138,7 +138,7 @@
     }
 }
 
-void GangController::committed(GangContext& context)
+void GangController::onCommitted(GangContext& context)
 {
     if (m_phase != GangPhase::Committing)
         return;
@@ -179,8 +179,8 @@
 
 void GangController::setThrottled(bool isThrottled, GangContext& context)
 {
-    m_throttleWish = isThrottled;
-    m_throttleWishedAt = context.step.now;
+    m_requestedThrottle = isThrottled;
+    m_throttleRequestedAt = context.step.now;
     for (Member& member : m_members)
         member.throttleOperation = 0;
     sendThrottles(context);
@@ -193,7 +193,7 @@
     member.operation = id.sequence;
     member.sent = kind;
     member.sentAt = context.step.now;
-    if (canHold(kind))
+    if (acquiresAccelerators(kind))
         member.lastCommandAt = context.step.now;
     WorkerCommand command;
     command.kind = kind;
@@ -237,10 +237,10 @@
 
 void GangController::sendThrottles(GangContext& context)
 {
-    if (!m_throttleWish || m_phase != GangPhase::Running)
+    if (!m_requestedThrottle || m_phase != GangPhase::Running)
         return;
     for (Member& member : m_members) {
-        if (member.isThrottled == *m_throttleWish || member.isFinished)
+        if (member.isThrottled == *m_requestedThrottle || member.isFinished)
             continue;
         if (member.throttleOperation && context.step.now - member.throttleSentAt < commandTimeout)
             continue;
@@ -256,7 +256,7 @@
         command.job = m_job;
         command.attempt = m_attempt;
         command.accelerators = member.member.accelerators;
-        command.throttled = *m_throttleWish;
+        command.throttled = *m_requestedThrottle;
         context.step.emit(SendWorkerCommand { id, member.member.worker, std::move(command) });
     }
 }
@@ -273,18 +273,18 @@
             m_isTokenRefused = true;
         } else if (isThrottle) {
             member.throttleOperation = 0;
-            if (replied.result == WorkerCommandResult::Ok && m_throttleWish)
-                member.isThrottled = *m_throttleWish;
+            if (replied.result == WorkerCommandResult::Ok && m_requestedThrottle)
+                member.isThrottled = *m_requestedThrottle;
         } else {
             member.operation = 0;
-            this->replied(member, replied.result, context);
+            handleResult(member, replied.result, context);
         }
         return true;
     }
     return false;
 }
 
-void GangController::replied(Member& member, WorkerCommandResult result, GangContext& context)
+void GangController::handleResult(Member& member, WorkerCommandResult result, GangContext& context)
 {
     const TimePoint now = context.step.now;
     if (result == WorkerCommandResult::Ok) {
@@ -330,10 +330,10 @@
         m_phase = GangPhase::Finished;
         return;
     }
-    bool haveAllLeft = true;
+    bool areAllGone = true;
     for (Member& member : m_members)
-        haveAllLeft = haveAllLeft && (member.isFinished || isAbsent(member, context, m_phaseSince));
-    if (haveAllLeft || context.step.now >= m_stopAt) {
+        areAllGone = areAllGone && (member.isFinished || isAbsent(member, context, m_phaseSince));
+    if (areAllGone || context.step.now >= m_stopAt) {
         enter(GangPhase::Stopping, context.step.now);
         advanceStopping(context);
         return;
@@ -343,16 +343,16 @@
 
 void GangController::advanceStopping(GangContext& context)
 {
-    bool haveAllLeft = true;
+    bool areAllGone = true;
     for (Member& member : m_members) {
         member.isGone = member.isGone || member.isFinished || isAbsent(member, context, m_phaseSince)
-            || hasLapsed(member, context.step.now);
-        haveAllLeft = haveAllLeft && member.isGone;
+            || hasExpired(member, context.step.now);
+        areAllGone = areAllGone && member.isGone;
         const bool isInFlight = member.operation && context.step.now - member.sentAt < commandTimeout;
         if (!member.isGone && !isInFlight && context.step.now >= member.dueAt)
             send(member, WorkerCommandKind::Stop, context);
     }
-    if (!haveAllLeft)
+    if (!areAllGone)
         return;
     const bool isFinished = areAllFinished() && m_stop.cause != StopCause::Cancelled;
     m_phase = isFinished ? GangPhase::Finished : GangPhase::Stopped;
--- a/src/jobs/gang_controller.h
+++ b/src/jobs/gang_controller.h
@@ -15,7 +15,7 @@
 
 // Time after which a confirmed or running member that cannot be reached has certainly expired: confirm
 // lifetime (5 s) plus task lease (30 s), increased by 10% for timer drift.
-constexpr Milliseconds certainLapse { 38'500 };
+constexpr Milliseconds maxMemberLifetime { 38'500 };
 
 enum class GangPhase {
     Recovering, // a new holder waits for reports of the members' racks
@@ -34,7 +34,7 @@
     None,
     NotPlaced, // stopped before or during the start; no worker is at fault
     Failed, // a worker reported that a member failed
-    Vanished, // a live worker no longer has its member
+    MemberMissing, // a live worker no longer has its member
     WorkerLost,
     Evicted,
     Cancelled,
@@ -64,7 +64,7 @@
     // Restores a committed attempt that a new holder found in the job's row. `takeoverTime` is the time at
     // which the new holder took over the role.
     static GangController recovered(JobId, AttemptNumber, std::vector<GangMember>, Milliseconds runTime,
-        bool isRunning, TimePoint takeOver);
+        bool isRunning, TimePoint takeoverTime);
 
     const JobId& job() const { return m_job; }
     AttemptNumber attempt() const { return m_attempt; }
@@ -77,7 +77,7 @@
     // Sends due commands and enters the next phase when the current one is complete.
     void advance(GangContext&);
     // Called when the placement is stored in the job's row; starts to confirm the members.
-    void committed(GangContext&);
+    void onCommitted(GangContext&);
     // Lets the members save their progress for at most `grace`, then stops them. Stops them immediately if
     // `grace` is zero or the gang is not running.
     void evict(Milliseconds grace, std::string reason, GangContext&);
@@ -91,7 +91,7 @@
 
     // True if every member was reported running, or finished, within the last 10 s.
     bool isRenewable(const ZoneObservation&, TimePoint now) const;
-    void renewed(TimePoint now) { m_renewedAt = now; }
+    void recordRenewal(TimePoint now) { m_renewedAt = now; }
 
     // Minimum progress over all members, as last reported.
     Milliseconds progress() const;
@@ -100,13 +100,13 @@
     // True if every member is known to be throttled.
     bool isThrottled() const;
     // True if some member has not yet confirmed the state last requested by setThrottled().
-    bool isThrottling() const;
+    bool isThrottlePending() const;
     // True if the last call of setThrottled() requested a throttle.
-    bool isThrottleWished() const { return m_throttleWish.value_or(false); }
+    bool isThrottleRequested() const { return m_requestedThrottle.value_or(false); }
     // When setThrottled() was last called.
-    TimePoint throttleWishedAt() const { return m_throttleWishedAt; }
+    TimePoint throttleRequestedAt() const { return m_throttleRequestedAt; }
     // Members that are not known to have released their accelerators. Empty once stopped.
-    std::vector<GangMember> membersLeft() const;
+    std::vector<GangMember> unreleasedMembers() const;
 
 private:
     struct Member {
@@ -133,7 +133,7 @@
     bool sendToAll(WorkerCommandKind, GangContext&);
     void keepAlive(WorkerCommandKind, GangContext&);
     void sendThrottles(GangContext&);
-    void replied(Member&, WorkerCommandResult, GangContext&);
+    void handleResult(Member&, WorkerCommandResult, GangContext&);
 
     // --- gang_watch.cpp: reacts to reports
     void watch(GangContext&);
@@ -144,9 +144,9 @@
     void advanceCheckpointing(GangContext&);
     void advanceStopping(GangContext&);
     bool isAbsent(const Member&, const GangContext&, TimePoint since) const;
-    bool hasLapsed(const Member&, TimePoint now) const;
+    bool hasExpired(const Member&, TimePoint now) const;
     bool areAllFinished() const;
-    std::optional<Milliseconds> leastOf(Milliseconds Member::*) const;
+    std::optional<Milliseconds> minOverUnfinished(Milliseconds Member::*) const;
 
     JobId m_job;
     AttemptNumber m_attempt;
@@ -160,8 +160,8 @@
     bool m_isCommitted = false;
     bool m_isRowRunning = false; // recovered from a row in state running
     bool m_isTokenRefused = false;
-    std::optional<bool> m_throttleWish;
-    TimePoint m_throttleWishedAt {};
+    std::optional<bool> m_requestedThrottle;
+    TimePoint m_throttleRequestedAt {};
     GangStop m_stop;
 };
 
--- a/src/jobs/gang_watch.cpp
+++ b/src/jobs/gang_watch.cpp
@@ -8,13 +8,13 @@
 
 // A reservation that cannot be reached has certainly expired after this: twice its lifetime of 5 s, increased
 // by 10% for timer drift.
-constexpr Milliseconds reservationLapse { 11'000 };
+constexpr Milliseconds maxReservationLifetime { 11'000 };
 // A report sent this soon after a start may have been generated before it.
-constexpr Milliseconds reportSlack { 2'000 };
-constexpr Milliseconds renewalSight { 10'000 };
+constexpr Milliseconds startReportGrace { 2'000 };
+constexpr Milliseconds maxReportAgeForRenewal { 10'000 };
 // Members on a rack that has not answered for this long count as lost, so that the gang stops before the
 // leases of its other members expire.
-constexpr Milliseconds sightLoss { 20'000 };
+constexpr Milliseconds rackLossTimeout { 20'000 };
 
 } // namespace
 
@@ -44,10 +44,10 @@
             continue;
         const WorkerId& id = member.member.worker;
         const WorkerObservation* worker = context.observation.find(id);
-        const bool isOutOfSight
-            = worker && context.step.now - context.observation.rackOf(*worker).answeredAt >= sightLoss;
+        const bool isRackSilent
+            = worker && context.step.now - context.observation.rackOf(*worker).answeredAt >= rackLossTimeout;
         const bool isDead = !worker || (worker->isReported && !worker->isLive);
-        if (!isDead && !isOutOfSight)
+        if (!isDead && !isRackSilent)
             continue;
         stop({ StopCause::WorkerLost, "worker " + id.value() + " was lost", {} }, context);
         return true;
@@ -107,7 +107,7 @@
         return;
     }
     if (!areAllReached) {
-        if (context.step.now - m_phaseSince >= certainLapse)
+        if (context.step.now - m_phaseSince >= maxMemberLifetime)
             stop({ StopCause::WorkerLost, "a worker was not reached after a change of the role", {} },
                 context);
         return;
@@ -145,8 +145,8 @@
         if (member.isFinished)
             continue;
         const WorkerId& id = member.member.worker;
-        if (isAbsent(member, context, m_runningSince + reportSlack)) {
-            stop({ StopCause::Vanished, "a member vanished from worker " + id.value(), id }, context);
+        if (isAbsent(member, context, m_runningSince + startReportGrace)) {
+            stop({ StopCause::MemberMissing, "a member vanished from worker " + id.value(), id }, context);
             return;
         }
     }
@@ -167,9 +167,9 @@
     return isListed || context.observation.rackOf(*worker).asOf >= since;
 }
 
-bool GangController::hasLapsed(const Member& member, TimePoint now) const
+bool GangController::hasExpired(const Member& member, TimePoint now) const
 {
-    const Milliseconds lifetime = m_isCommitted ? certainLapse : reservationLapse;
+    const Milliseconds lifetime = m_isCommitted ? maxMemberLifetime : maxReservationLifetime;
     return now - std::max(member.lastCommandAt, m_renewedAt) >= lifetime;
 }
 
@@ -187,7 +187,7 @@
         const WorkerObservation* worker = observation.find(member.member.worker);
         if (!worker || !worker->isReported || !worker->isLive)
             return false;
-        if (now - observation.rackOf(*worker).answeredAt > renewalSight)
+        if (now - observation.rackOf(*worker).answeredAt > maxReportAgeForRenewal)
             return false;
         const TaskKey key { m_job, m_attempt };
         const auto task = worker->tasks.find(key);
@@ -197,7 +197,7 @@
 }
 
 // Minimum over the members that have not finished; empty if all have.
-std::optional<Milliseconds> GangController::leastOf(Milliseconds Member::*time) const
+std::optional<Milliseconds> GangController::minOverUnfinished(Milliseconds Member::*time) const
 {
     std::optional<Milliseconds> least;
     for (const Member& member : m_members) {
@@ -207,11 +207,14 @@
     return least;
 }
 
-Milliseconds GangController::progress() const { return leastOf(&Member::progress).value_or(m_runTime); }
+Milliseconds GangController::progress() const
+{
+    return minOverUnfinished(&Member::progress).value_or(m_runTime);
+}
 
 Milliseconds GangController::checkpointed() const
 {
-    return leastOf(&Member::checkpointed).value_or(Milliseconds(0));
+    return minOverUnfinished(&Member::checkpointed).value_or(Milliseconds(0));
 }
 
 bool GangController::isThrottled() const
@@ -220,14 +223,15 @@
         [](const Member& member) { return member.isThrottled || member.isFinished; });
 }
 
-bool GangController::isThrottling() const
+bool GangController::isThrottlePending() const
 {
-    return m_throttleWish && std::any_of(m_members.begin(), m_members.end(), [this](const Member& member) {
-        return member.isThrottled != *m_throttleWish && !member.isFinished;
-    });
+    return m_requestedThrottle
+        && std::any_of(m_members.begin(), m_members.end(), [this](const Member& member) {
+               return member.isThrottled != *m_requestedThrottle && !member.isFinished;
+           });
 }
 
-std::vector<GangMember> GangController::membersLeft() const
+std::vector<GangMember> GangController::unreleasedMembers() const
 {
     std::vector<GangMember> left;
     for (const Member& member : m_members) {
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -14,7 +14,7 @@
 constexpr Milliseconds standbyPollInterval { 60'000 };
 constexpr Milliseconds cleanupInterval { 10'000 };
 // A stopping process waits no longer than this; the next holder completes the remaining work from the rows.
-constexpr Milliseconds shutdownPatience { 10'000 };
+constexpr Milliseconds shutdownTimeout { 10'000 };
 constexpr int maxChangeRounds = 16;
 
 } // namespace
@@ -56,7 +56,7 @@
         const bool isSameTerm
             = m_term && m_term->token == held->token && m_term->ownerVersion == held->ownerVersion;
         if (m_mode != Mode::Holder || !isSameTerm)
-            enterHolder(*held, step);
+            becomeHolder(*held, step);
         return;
     }
     const bool isCaretaker = m_role.isCaretaker(step.now);
@@ -70,7 +70,7 @@
     }
 }
 
-void JobScheduler::enterHolder(const HeldRole& held, Step& step)
+void JobScheduler::becomeHolder(const HeldRole& held, Step& step)
 {
     const bool isSameTerm
         = m_term && m_term->token == held.token && m_term->ownerVersion == held.ownerVersion;
@@ -99,7 +99,7 @@
         const std::set<JobId> changed = m_store.takeChanged();
         if (changed.empty())
             return;
-        noticePlaced(changed, step);
+        notifyPeersOfPlacement(changed, step);
         m_controller.entriesChanged(changed, *role, step);
     }
 }
@@ -168,7 +168,7 @@
         m_store.read(notice.job, step);
 }
 
-void JobScheduler::noticePlaced(const std::set<JobId>& changed, Step& step)
+void JobScheduler::notifyPeersOfPlacement(const std::set<JobId>& changed, Step& step)
 {
     for (const JobId& job : changed) {
         const JobEntry* entry = m_store.find(job);
@@ -201,7 +201,8 @@
         m_syncer.tick(
             [&](const TaskKey& task) {
                 // The leases of a gang that this daemon itself is stopping must not be renewed.
-                return m_caretaker.isRenewable(task, step.now) && m_controller.mayLive(task, step.now);
+                return m_caretaker.isRenewable(task, step.now)
+                    && m_controller.mayRenewAsCaretaker(task, step.now);
             },
             step);
     }
@@ -225,7 +226,7 @@
         return;
     m_nextPoll = step.now + (m_mode == Mode::Holder ? holderPollInterval : standbyPollInterval);
     if (m_mode == Mode::Holder)
-        m_store.pollNews(step);
+        m_store.pollSubmissions(step);
     else
         m_store.poll(step);
 }
@@ -255,8 +256,9 @@
 {
     if (!m_shutdownAt)
         return;
-    const bool isZoneIdle = !actingRole(step.now) || (m_controller.isQuiet() && !m_store.writesPending());
-    m_isIdle = (m_requests.isIdle() && isZoneIdle) || step.now - *m_shutdownAt >= shutdownPatience;
+    const bool isZoneIdle
+        = !actingRole(step.now) || (m_controller.isIdleForHandover() && !m_store.writesPending());
+    m_isIdle = (m_requests.isIdle() && isZoneIdle) || step.now - *m_shutdownAt >= shutdownTimeout;
 }
 
 } // namespace anvilmoor
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -61,10 +61,10 @@
     // The held role, unless a worker or the table showed that a newer holder exists.
     std::optional<HeldRole> actingRole(TimePoint now) const;
     void updateMode(Step&);
-    void enterHolder(const HeldRole&, Step&);
+    void becomeHolder(const HeldRole&, Step&);
     void applyChanges(Step&);
     // Notifies the other daemons of the zone about gangs whose placement is now in the table.
-    void noticePlaced(const std::set<JobId>& changed, Step&);
+    void notifyPeersOfPlacement(const std::set<JobId>& changed, Step&);
     void poll(Step&);
     void updateIdle(Step&);
 
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -41,7 +41,7 @@
     // Reads what submitters have written: the markers of new jobs, and cancellations. Does nothing while a
     // poll is in flight. Reads all rows, as poll() does, if no complete poll has succeeded yet or the last
     // one is too old.
-    void pollNews(Step&);
+    void pollSubmissions(Step&);
     // When the last successful complete poll was sent; empty before the first and after forgetOperations().
     std::optional<TimePoint> lastPoll() const { return m_lastPoll; }
     // When the table last answered a poll; empty before the first answer and after forgetOperations().
--- a/src/jobs/job_store_reads.cpp
+++ b/src/jobs/job_store_reads.cpp
@@ -29,7 +29,7 @@
     step.emit(ReadTable { id, { {}, { m_jobPrefix, m_newPrefix, m_cancelPrefix } } });
 }
 
-void JobStore::pollNews(Step& step)
+void JobStore::pollSubmissions(Step& step)
 {
     if (!m_lastPoll || step.now - *m_lastPoll >= completePollInterval) {
         poll(step);
--- a/src/jobs/placement_queue.cpp
+++ b/src/jobs/placement_queue.cpp
@@ -10,7 +10,7 @@
 constexpr Milliseconds reasonDelay { 5'000 };
 constexpr Milliseconds reasonInterval { 60'000 };
 
-std::string withoutFigures(std::string reason)
+std::string withoutDigits(std::string reason)
 {
     std::erase_if(reason, [](char c) { return c >= '0' && c <= '9'; });
     return reason;
@@ -27,7 +27,7 @@
     Entry& entry = found->second;
     entry.job = { specification, queuedAt, {} };
     entry.notBefore = notBefore;
-    entry.storedKind = withoutFigures(storedReason);
+    entry.storedReasonWithoutDigits = withoutDigits(storedReason);
     m_order.emplace(std::pair(queuedAt, specification.id), &entry);
 }
 
@@ -110,10 +110,10 @@
             || (entry->storedAt && now - *entry->storedAt < reasonInterval);
         if (isEarly || entry->reason.empty())
             continue;
-        std::string kind = withoutFigures(entry->reason);
-        if (kind == entry->storedKind)
+        std::string kind = withoutDigits(entry->reason);
+        if (kind == entry->storedReasonWithoutDigits)
             continue;
-        entry->storedKind = std::move(kind);
+        entry->storedReasonWithoutDigits = std::move(kind);
         entry->storedAt = now;
         result.push_back(key.second);
     }
--- a/src/jobs/placement_queue.h
+++ b/src/jobs/placement_queue.h
@@ -47,7 +47,7 @@
 
 private:
     struct Entry {
-        std::string storedKind; // stored reason without its digits
+        std::string storedReasonWithoutDigits; // stored reason without its digits
         std::optional<TimePoint> storedAt;
         QueuedJob job;
         TimePoint notBefore {};
--- a/src/jobs/rack_syncer.cpp
+++ b/src/jobs/rack_syncer.cpp
@@ -96,9 +96,9 @@
         return {};
     // An incremental report must follow a complete one, and needs a higher sequence if it contains changes.
     // Anything else is a repeated or late reply.
-    const bool isNews
+    const bool isNewReport
         = synced.sequence > rack.sequence || (synced.sequence == rack.sequence && synced.workers.empty());
-    if (!synced.isComplete && (!isNews || !m_observation.racks()[*index].isReached))
+    if (!synced.isComplete && (!isNewReport || !m_observation.racks()[*index].isReached))
         return {};
     const TimePoint asOf = rack.unanswered.front();
     rack.unanswered.pop_front();
@@ -107,7 +107,7 @@
     rack.refusals = 0;
     rack.sequence = synced.sequence;
     rack.nextAt = step.now;
-    return m_observation.take(*index, synced, asOf, step.now);
+    return m_observation.applyReport(*index, synced, asOf, step.now);
 }
 
 void RackSyncer::handle(const RackSyncFailed& failed, Step& step)
--- a/src/jobs/zone_controller.cpp
+++ b/src/jobs/zone_controller.cpp
@@ -42,13 +42,13 @@
     m_queue.clear();
     m_lastAttempt.clear();
     m_notBefore.clear();
-    m_strayReleases.clear();
+    m_orphanReleases.clear();
     m_commands.clear();
     m_quarantine.clear();
     m_areRowsRead = false;
     m_isRecovered = false;
     m_isTokenRefused = false;
-    m_takeOver = step.now;
+    m_takeoverTime = step.now;
     m_nextSecond = step.now;
     m_nextMove = step.now + moveInterval;
     if (const AvailabilityZoneConfiguration* configured = zone())
@@ -67,7 +67,7 @@
     m_inventory.emplace(std::move(inventory));
     m_queue.dropClaims();
     updateUsable(step);
-    m_isDirty = true;
+    m_isPlanNeeded = true;
 }
 
 void ZoneController::tick(const HeldRole& role, Step& step)
@@ -84,25 +84,25 @@
             all.insert(job);
         entriesChanged(all, role, step);
     }
-    const bool isSecond = step.now >= m_nextSecond;
-    if (isSecond) {
+    const bool isWatchDue = step.now >= m_nextSecond;
+    if (isWatchDue) {
         m_nextSecond = step.now + watchInterval;
         updateUsable(step);
     }
-    advanceGangs(isSecond, role, step);
+    advanceGangs(isWatchDue, role, step);
     startClaims(role, step);
-    if (isSecond) {
+    if (isWatchDue) {
         finishRecovery(step);
-        releaseStrays(role, step);
+        releaseOrphanTasks(role, step);
         updateProgress();
-        keepNoiseLimit(role, step);
+        enforceNoiseLimit(role, step);
     }
-    if (isSecond || (m_isDirty && step.now >= m_nextPlan)) {
+    if (isWatchDue || (m_isPlanNeeded && step.now >= m_nextPlan)) {
         m_nextPlan = step.now + planInterval;
         place(role, step);
     }
-    if (isSecond) {
-        moveForShape(role, step);
+    if (isWatchDue) {
+        moveForDefragmentation(role, step);
         storeReasons(role, step);
         updateSummary(step);
     }
@@ -139,7 +139,7 @@
             gang.advance(gangContext);
         },
         role, step);
-    countThrottle(job);
+    recordConfirmedThrottle(job);
     // The reply may free the accelerators or the noise allowance that a claim waits for; starting the claim
     // on the next tick would cost 50 ms.
     startClaims(role, step);
@@ -172,11 +172,11 @@
     if (found == m_gangs.end() || found->second.attempt() != task.second
         || !found->second.isRenewable(m_observation, now))
         return false;
-    found->second.renewed(now);
+    found->second.recordRenewal(now);
     return true;
 }
 
-bool ZoneController::mayLive(const TaskKey& task, TimePoint now)
+bool ZoneController::mayRenewAsCaretaker(const TaskKey& task, TimePoint now)
 {
     const auto found = m_gangs.find(task.first);
     if (found == m_gangs.end())
@@ -186,7 +186,7 @@
         return true;
     if (found->second.attempt() != task.second || found->second.phase() != GangPhase::Running)
         return false;
-    found->second.renewed(now);
+    found->second.recordRenewal(now);
     return true;
 }
 
@@ -214,7 +214,7 @@
             { { "job", job.value() }, { "attempt", std::to_string(gang->second.attempt()) },
                 { "token", std::to_string(role.token) } });
         changeGang(
-            job, [](GangController& found, GangContext& context) { found.committed(context); }, role, step);
+            job, [](GangController& found, GangContext& context) { found.onCommitted(context); }, role, step);
         return;
     }
     if (!entry || isTerminal(entry->record.status.state)) {
@@ -252,7 +252,7 @@
     const auto notBefore = m_notBefore.find(job);
     m_queue.add(status.specification, step.now - waited,
         notBefore == m_notBefore.end() ? step.now : notBefore->second, status.reason);
-    m_isDirty = true;
+    m_isPlanNeeded = true;
 }
 
 void ZoneController::beginShutdown()
@@ -261,7 +261,7 @@
     m_queue.dropClaims();
 }
 
-bool ZoneController::isQuiet() const
+bool ZoneController::isIdleForHandover() const
 {
     return std::none_of(m_inTransition.begin(), m_inTransition.end(),
         [this](const JobId& job) { return m_gangs.at(job).phase() != GangPhase::Recovering; });
--- a/src/jobs/zone_controller.h
+++ b/src/jobs/zone_controller.h
@@ -21,7 +21,7 @@
 namespace anvilmoor {
 
 // Workers of a rack that has not answered a sync for this long get no new tasks.
-constexpr Milliseconds rackSilence { 5'000 };
+constexpr Milliseconds rackReportTimeout { 5'000 };
 
 // Controls the jobs of a zone on the daemon that holds the zone's role: recovers them after a takeover,
 // places queued jobs, and drives each job to a terminal state. Acts only in calls that pass the held role;
@@ -51,14 +51,14 @@
     // Asked before this daemon renews a lease as the caretaker. False if, in this daemon's last term, the
     // attempt was stopped, superseded, or not in phase Running. Otherwise the lease counts as renewed at
     // `now`.
-    bool mayLive(const TaskKey&, TimePoint now);
+    bool mayRenewAsCaretaker(const TaskKey&, TimePoint now);
 
     void setObjectStoreDown(bool isDown) { m_isObjectStoreDown = isDown; }
     // No new placement starts from now on.
     void beginShutdown();
     // True if no gang is starting or stopping. Gangs in recovery do not count: a member that cannot be
     // reached is left to the next holder.
-    bool isQuiet() const;
+    bool isIdleForHandover() const;
     bool isTokenRefused() const { return m_isTokenRefused; }
 
     const ZoneSummary& summary() const { return m_summary; }
@@ -73,7 +73,7 @@
     void changeGang(
         const JobId&, const std::function<void(GangController&, GangContext&)>&, const HeldRole&, Step&);
     void phaseChanged(const JobId&, GangPhase before, const HeldRole&, Step&);
-    void freeGoneMembers(const JobId&);
+    void freeReleasedMembers(const JobId&);
     void gangReserved(const JobId&, const HeldRole&, Step&);
     void gangRunning(const JobId&, const HeldRole&, Step&);
     void gangFinished(const JobId&, const HeldRole&, Step&);
@@ -91,7 +91,7 @@
     void recoverGang(const JobId&, const JobRecord&, const HeldRole&, Step&);
     void finishRecovery(Step&);
     // Releases reported tasks that belong to no gang.
-    void releaseStrays(const HeldRole&, Step&);
+    void releaseOrphanTasks(const HeldRole&, Step&);
     void updateUsable(Step&);
     void updateProgress();
 
@@ -102,24 +102,24 @@
     bool start(const JobId&, const std::vector<GangMember>&, const HeldRole&, Step&);
     void evict(const JobId&, const std::string& reason, const HeldRole&, Step&);
     bool mayMove(const Step&) const;
-    void moveForShape(const HeldRole&, Step&);
+    void moveForDefragmentation(const HeldRole&, Step&);
     AttemptNumber nextAttempt(const JobId&, const JobStatus&) const;
     void storeReasons(const HeldRole&, Step&);
     void updateSummary(Step&);
-    void dropHopelessClaims();
+    void dropUnsatisfiableClaims();
     bool isFree(const std::vector<GangMember>&) const;
     bool canBecomeFree(const std::vector<GangMember>&) const;
     const AvailabilityZoneConfiguration* zone() const;
 
     // --- zone_noise.cpp
     std::vector<GangMember> claimedMembers(const JobId& except) const;
-    bool isQuietEnough(
+    bool fitsNoiseLimit(
         const JobId&, std::vector<GangMember>, const std::vector<JobId>& leaving, const Step&) const;
-    void makeQuiet(const HeldRole&, Step&);
+    void reduceNoiseForClaims(const HeldRole&, Step&);
     bool isThrottleOverdue(const JobId&, Milliseconds patience, TimePoint now) const;
-    void keepNoiseLimit(const HeldRole&, Step&);
+    void enforceNoiseLimit(const HeldRole&, Step&);
     void applyNoiseAction(const NoiseAction&, const HeldRole&, Step&);
-    void countThrottle(const JobId&);
+    void recordConfirmedThrottle(const JobId&);
 
     const DaemonSettings& m_settings;
     const ConfigurationView& m_configuration;
@@ -137,18 +137,18 @@
     WorkerQuarantine m_quarantine;
     std::map<JobId, AttemptNumber> m_lastAttempt; // includes attempts that were never committed
     std::map<JobId, TimePoint> m_notBefore;
-    std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_strayReleases;
+    std::map<std::pair<WorkerId, TaskKey>, TimePoint> m_orphanReleases;
 
     std::map<std::uint64_t, JobId> m_commands; // commands in flight, by operation sequence
 
     bool m_areRowsRead = false;
     bool m_mustReconcileAll = false;
     bool m_isRecovered = false;
-    TimePoint m_takeOver {};
+    TimePoint m_takeoverTime {};
     TimePoint m_nextSecond {};
     TimePoint m_nextPlan {};
     TimePoint m_nextMove {};
-    bool m_isDirty = false; // a placement that was impossible may be possible now
+    bool m_isPlanNeeded = false; // a placement that was impossible may be possible now
     bool m_isStopping = false;
     bool m_isTokenRefused = false;
     bool m_isObjectStoreDown = false;
--- a/src/jobs/zone_gangs.cpp
+++ b/src/jobs/zone_gangs.cpp
@@ -9,14 +9,14 @@
 
 constexpr int maxFailedAttempts = 5;
 // Counts excused failures as well, so that a job ends even if it only runs on workers that fail other jobs.
-constexpr int maxFailuresInAll = 20;
+constexpr int maxTotalFailures = 20;
 // A member that vanishes later than this after the start does not count as a failed attempt, because a host
 // restart makes members vanish, too.
-constexpr Milliseconds startTrial { 60'000 };
-constexpr Milliseconds placementRetry { 500 };
+constexpr Milliseconds earlyFailureWindow { 60'000 };
+constexpr Milliseconds placementRetryDelay { 500 };
 constexpr Milliseconds firstFailureDelay { 1'000 };
 constexpr int maxFailureDoublings = 5;
-constexpr int claimRetriesAtOnce = 3;
+constexpr int immediateGuaranteedRetries = 3;
 
 } // namespace
 
@@ -30,12 +30,12 @@
     GangContext gangContext = context(role, step);
     change(found->second, gangContext);
     phaseChanged(job, before, role, step);
-    freeGoneMembers(job);
+    freeReleasedMembers(job);
 }
 
 // Frees the accelerators that a stopping gang has already released, so that a claim on them does not wait
 // until the lease of a dead member of the gang expires.
-void ZoneController::freeGoneMembers(const JobId& job)
+void ZoneController::freeReleasedMembers(const JobId& job)
 {
     const auto gang = m_gangs.find(job);
     const Holding* holding = m_inventory ? m_inventory->find(job) : nullptr;
@@ -44,14 +44,14 @@
     // The size of a guaranteed holding determines which guarantee it uses, so it must not shrink.
     if (holding->jobClass == JobClass::Guaranteed)
         return;
-    std::vector<GangMember> left = gang->second.membersLeft();
+    std::vector<GangMember> left = gang->second.unreleasedMembers();
     if (left.empty() || left.size() == holding->members.size())
         return;
     Holding rest = *holding;
     rest.members = std::move(left);
     m_inventory->remove(job);
     static_cast<void>(m_inventory->add(std::move(rest))); // fits: smaller than the removed holding
-    m_isDirty = true;
+    m_isPlanNeeded = true;
 }
 
 void ZoneController::phaseChanged(const JobId& job, GangPhase before, const HeldRole& role, Step& step)
@@ -150,10 +150,10 @@
         status.state = JobState::Cancelled;
         status.reason = "cancelled by request";
         status.finishedAt = step.wallTime;
-    } else if (cause == StopCause::Failed || cause == StopCause::Vanished) {
+    } else if (cause == StopCause::Failed || cause == StopCause::MemberMissing) {
         applyFailure(record, gang, step);
     } else if (cause == StopCause::NotPlaced) {
-        m_notBefore[job] = step.now + placementRetry;
+        m_notBefore[job] = step.now + placementRetryDelay;
     }
     const bool isUncommitted = entry->record.status.state == JobState::Queued && !m_store.isWriting(job);
     if (isUncommitted && status.state == JobState::Queued && cause != StopCause::Failed) {
@@ -172,8 +172,9 @@
 void ZoneController::applyFailure(JobRecord& record, const GangController& gang, Step& step)
 {
     const GangStop& stop = gang.stopCause();
-    const bool isEarly = gang.runningSince() == TimePoint {} || step.now - gang.runningSince() < startTrial;
-    if (stop.cause == StopCause::Vanished && !isEarly)
+    const bool isEarly
+        = gang.runningSince() == TimePoint {} || step.now - gang.runningSince() < earlyFailureWindow;
+    if (stop.cause == StopCause::MemberMissing && !isEarly)
         return;
     const bool isQuarantined
         = !stop.worker.isEmpty() && m_quarantine.recordFailure(stop.worker, gang.job(), step.now);
@@ -183,7 +184,7 @@
     const bool isExcused = m_inventory && m_quarantine.isAtFault(stop.worker, m_inventory->workers().size());
     ++(isExcused ? record.excusedFailures : record.failedAttempts);
     const int failures = record.failedAttempts + record.excusedFailures;
-    if (record.failedAttempts >= maxFailedAttempts || failures >= maxFailuresInAll) {
+    if (record.failedAttempts >= maxFailedAttempts || failures >= maxTotalFailures) {
         record.status.state = JobState::Failed;
         record.status.reason
             = std::to_string(failures) + " attempts failed; the last one: " + record.status.reason;
@@ -191,8 +192,8 @@
         return;
     }
     // A guaranteed job must run within the reclaim bound, so its first retries follow without a delay.
-    const bool isClaim = record.status.specification.jobClass == JobClass::Guaranteed;
-    if (isClaim && failures <= claimRetriesAtOnce)
+    const bool isGuaranteed = record.status.specification.jobClass == JobClass::Guaranteed;
+    if (isGuaranteed && failures <= immediateGuaranteedRetries)
         return;
     const int doublings = std::min(failures - 1, maxFailureDoublings);
     m_notBefore[gang.job()] = step.now + firstFailureDelay * (1 << doublings);
@@ -209,7 +210,7 @@
     m_inTransition.erase(job);
     if (m_inventory)
         m_inventory->remove(job);
-    m_isDirty = true;
+    m_isPlanNeeded = true;
 }
 
 } // namespace anvilmoor
--- a/src/jobs/zone_noise.cpp
+++ b/src/jobs/zone_noise.cpp
@@ -8,9 +8,9 @@
 
 // Throttling takes one command. Borrowed work that has not confirmed it within this time is evicted instead,
 // so that a claim still starts within the reclaim bound.
-constexpr Milliseconds throttlePatience { 400 };
+constexpr Milliseconds claimThrottleTimeout { 400 };
 // Before a lesson begins there is time to resend the throttle command.
-constexpr Milliseconds lessonThrottlePatience { 2'000 };
+constexpr Milliseconds lessonThrottleTimeout { 2'000 };
 
 } // namespace
 
@@ -20,8 +20,8 @@
     std::vector<GangMember> members;
     for (const auto& [job, claim] : m_queue.claims()) {
         const JobSpecification* specification = m_queue.find(job);
-        const bool isClaim = specification && specification->jobClass == JobClass::Guaranteed;
-        if (isClaim && job != except)
+        const bool isGuaranteed = specification && specification->jobClass == JobClass::Guaranteed;
+        if (isGuaranteed && job != except)
             members.insert(members.end(), claim.members.begin(), claim.members.end());
     }
     return members;
@@ -29,7 +29,7 @@
 
 // True if the members may become active within the room's noise limit once the jobs in `leaving` have
 // stopped. A borrowed job must also leave the pending claims their share of the limit.
-bool ZoneController::isQuietEnough(const JobId& job, std::vector<GangMember> members,
+bool ZoneController::fitsNoiseLimit(const JobId& job, std::vector<GangMember> members,
     const std::vector<JobId>& leaving, const Step& step) const
 {
     const AvailabilityZoneConfiguration* configured = zone();
@@ -49,7 +49,7 @@
 }
 
 // Throttles or evicts borrowed work so that the noise of all pending claims fits the limit.
-void ZoneController::makeQuiet(const HeldRole& role, Step& step)
+void ZoneController::reduceNoiseForClaims(const HeldRole& role, Step& step)
 {
     const AvailabilityZoneConfiguration* configured = zone();
     const std::vector<GangMember> claimed = claimedMembers({});
@@ -59,7 +59,7 @@
         = m_noise.planForStart(*m_inventory, configured->room, claimed, step.localTime);
     for (const NoiseAction& action : actions) {
         if (action.kind == NoiseActionKind::Throttle
-            && isThrottleOverdue(action.job, throttlePatience, step.now))
+            && isThrottleOverdue(action.job, claimThrottleTimeout, step.now))
             evict(action.job, "makes room for a claim within the noise limit", role, step);
         else if (action.kind != NoiseActionKind::Unthrottle)
             applyNoiseAction(action, role, step);
@@ -69,11 +69,11 @@
 bool ZoneController::isThrottleOverdue(const JobId& job, Milliseconds patience, TimePoint now) const
 {
     const auto found = m_gangs.find(job);
-    return found != m_gangs.end() && found->second.isThrottling()
-        && now - found->second.throttleWishedAt() >= patience;
+    return found != m_gangs.end() && found->second.isThrottlePending()
+        && now - found->second.throttleRequestedAt() >= patience;
 }
 
-void ZoneController::keepNoiseLimit(const HeldRole& role, Step& step)
+void ZoneController::enforceNoiseLimit(const HeldRole& role, Step& step)
 {
     const AvailabilityZoneConfiguration* configured = zone();
     if (!configured)
@@ -83,7 +83,7 @@
         = m_noise.planForStart(*m_inventory, configured->room, claimedMembers({}), step.localTime);
     for (const NoiseAction& action : actions) {
         if (action.kind == NoiseActionKind::Throttle
-            && isThrottleOverdue(action.job, lessonThrottlePatience, step.now))
+            && isThrottleOverdue(action.job, lessonThrottleTimeout, step.now))
             evict(action.job, "was not throttled in time for the room's noise limit", role, step);
         else
             applyNoiseAction(action, role, step);
@@ -98,7 +98,7 @@
     const GangController& gang = found->second;
     switch (action.kind) {
     case NoiseActionKind::Throttle:
-        if (gang.phase() != GangPhase::Running || gang.isThrottled() || gang.isThrottleWished())
+        if (gang.phase() != GangPhase::Running || gang.isThrottled() || gang.isThrottleRequested())
             return;
         changeGang(
             action.job,
@@ -120,13 +120,13 @@
 }
 
 // Counts the job as throttled in the noise estimate once every member has confirmed the throttle.
-void ZoneController::countThrottle(const JobId& job)
+void ZoneController::recordConfirmedThrottle(const JobId& job)
 {
     const auto found = m_gangs.find(job);
     const Holding* holding = m_inventory ? m_inventory->find(job) : nullptr;
     if (found == m_gangs.end() || !holding || holding->isThrottled)
         return;
-    if (found->second.isThrottled() && !found->second.isThrottling())
+    if (found->second.isThrottled() && !found->second.isThrottlePending())
         m_inventory->setThrottled(job, true);
 }
 
--- a/src/jobs/zone_observation.cpp
+++ b/src/jobs/zone_observation.cpp
@@ -60,7 +60,7 @@
     }
 }
 
-std::set<TaskKey> ZoneObservation::take(
+std::set<TaskKey> ZoneObservation::applyReport(
     std::size_t rackIndex, const RackSynced& synced, TimePoint asOf, TimePoint now)
 {
     RackObservation& rack = m_racks.at(rackIndex);
--- a/src/jobs/zone_observation.h
+++ b/src/jobs/zone_observation.h
@@ -47,7 +47,7 @@
 
     // Precondition: the report answers a sync of that rack sent at `asOf`. Returns the tasks whose
     // reports changed.
-    std::set<TaskKey> take(std::size_t rack, const RackSynced&, TimePoint asOf, TimePoint now);
+    std::set<TaskKey> applyReport(std::size_t rack, const RackSynced&, TimePoint asOf, TimePoint now);
     // Discards the record that the worker finished the task.
     void forgetFinished(const WorkerId&, const TaskKey&);
 
--- a/src/jobs/zone_placement.cpp
+++ b/src/jobs/zone_placement.cpp
@@ -16,7 +16,7 @@
 constexpr Milliseconds moveRetryInterval { 10'000 };
 // No job is moved after the table has been silent for this long, because a moved job cannot be requeued
 // without it. The table is polled more often than this.
-constexpr Milliseconds longestSilenceOfTable { 5'000 };
+constexpr Milliseconds maxTableSilence { 5'000 };
 
 } // namespace
 
@@ -28,7 +28,7 @@
 
 void ZoneController::place(const HeldRole& role, Step& step)
 {
-    m_isDirty = false;
+    m_isPlanNeeded = false;
     const Configuration* configuration = m_configuration.current();
     if (m_isStopping || !configuration || !m_queue.size())
         return;
@@ -40,18 +40,18 @@
         m_queue.setReason(wait.job, wait.reason);
     for (const PlacementStart& planned : plan.starts)
         applyStart(planned, role, step);
-    dropHopelessClaims();
+    dropUnsatisfiableClaims();
 }
 
 // Drops claims that the plan neither replaced nor evicted work for; their jobs are planned again like others.
-void ZoneController::dropHopelessClaims()
+void ZoneController::dropUnsatisfiableClaims()
 {
     const std::map<JobId, PlacementClaim> claims = m_queue.claims();
     for (const auto& [job, claim] : claims) {
         if (canBecomeFree(claim.members))
             continue;
         m_queue.dropClaim(job);
-        m_isDirty = true;
+        m_isPlanNeeded = true;
     }
 }
 
@@ -60,21 +60,21 @@
     const JobSpecification* specification = m_queue.find(planned.job);
     if (!specification)
         return;
-    const bool isClaim = specification->jobClass == JobClass::Guaranteed;
+    const bool isGuaranteed = specification->jobClass == JobClass::Guaranteed;
     if (planned.evictions.empty()) {
-        if (isQuietEnough(planned.job, planned.members, {}, step)) {
+        if (fitsNoiseLimit(planned.job, planned.members, {}, step)) {
             m_queue.dropClaim(planned.job);
             // A start fails while the job's row is being written; the next plan starts the job.
             if (!start(planned.job, planned.members, role, step))
-                m_isDirty = true;
+                m_isPlanNeeded = true;
             return;
         }
         m_queue.setReason(planned.job, "starting it would exceed the room's noise limit");
-        if (!isClaim) {
+        if (!isGuaranteed) {
             m_queue.dropClaim(planned.job);
             return;
         }
-    } else if (!isClaim && !isQuietEnough(planned.job, planned.members, planned.evictions, step)) {
+    } else if (!isGuaranteed && !fitsNoiseLimit(planned.job, planned.members, planned.evictions, step)) {
         // Evicting would be useless: the noise limit would refuse the start afterwards.
         m_queue.dropClaim(planned.job);
         m_queue.setReason(planned.job, "starting it would exceed the room's noise limit");
@@ -86,8 +86,8 @@
     m_queue.setClaim(planned.job, { planned.members });
     for (const JobId& victim : planned.evictions)
         evict(victim, "makes room for job " + planned.job.value(), role, step);
-    if (isClaim)
-        makeQuiet(role, step);
+    if (isGuaranteed)
+        reduceNoiseForClaims(role, step);
 }
 
 // Starts claims whose accelerators are free without waiting for a plan. The next plan decides about the
@@ -97,24 +97,24 @@
     if (!m_inventory || m_queue.claims().empty())
         return;
     const std::map<JobId, PlacementClaim> claims = m_queue.claims();
-    bool isTooLoud = false;
+    bool isNoiseLimitExceeded = false;
     for (const auto& [job, claim] : claims) {
         if (!isFree(claim.members)) {
-            m_isDirty = m_isDirty || !canBecomeFree(claim.members);
+            m_isPlanNeeded = m_isPlanNeeded || !canBecomeFree(claim.members);
             continue;
         }
-        if (!isQuietEnough(job, claim.members, {}, step)) {
+        if (!fitsNoiseLimit(job, claim.members, {}, step)) {
             m_queue.setReason(job, "starting it would exceed the room's noise limit");
-            isTooLoud = true;
+            isNoiseLimitExceeded = true;
             continue;
         }
         if (start(job, claim.members, role, step))
             continue;
         m_queue.dropClaim(job);
-        m_isDirty = true;
+        m_isPlanNeeded = true;
     }
-    if (isTooLoud)
-        makeQuiet(role, step);
+    if (isNoiseLimitExceeded)
+        reduceNoiseForClaims(role, step);
 }
 
 bool ZoneController::isFree(const std::vector<GangMember>& members) const
@@ -211,12 +211,12 @@
     const std::optional<TimePoint> lastAnswer = m_store.lastAnswer();
     return step.now >= m_nextMove && m_isRecovered && !m_isStopping && !m_isTokenRefused
         && !m_isObjectStoreDown && !m_queue.size() && m_inTransition.empty() && lastAnswer
-        && step.now - *lastAnswer < longestSilenceOfTable;
+        && step.now - *lastAnswer < maxTableSilence;
 }
 
 // Moves a job by evicting it. The job is requeued and placed like any other; while no other job waits, the
 // policy places it where whole shapes stay free, which is the target of the move.
-void ZoneController::moveForShape(const HeldRole& role, Step& step)
+void ZoneController::moveForDefragmentation(const HeldRole& role, Step& step)
 {
     const Configuration* configuration = m_configuration.current();
     if (!configuration || !mayMove(step))
@@ -224,7 +224,7 @@
     const std::optional<DefragmentationMove> move
         = m_placement.proposeMove(*m_inventory, *configuration, step.now);
     if (!move || m_store.isWriting(move->job)
-        || !isQuietEnough(move->job, move->members, { move->job }, step)) {
+        || !fitsNoiseLimit(move->job, move->members, { move->job }, step)) {
         m_nextMove = step.now + moveRetryInterval;
         return;
     }
--- a/src/jobs/zone_recovery.cpp
+++ b/src/jobs/zone_recovery.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Milliseconds strayRetry { 1'000 };
+constexpr Milliseconds orphanReleaseRetryInterval { 1'000 };
 // Rows do not hold the start time of an attempt. Work that a new holder finds running counts as started this
 // long before the takeover, that is before any queued job arrived, so that it is never treated as work that
 // overtook a queued job.
@@ -22,15 +22,16 @@
         = std::max(Milliseconds(1), status.specification.declaredRunTime - status.checkpointed);
     m_gangs.emplace(job,
         GangController::recovered(
-            job, status.attempt, status.members, left, status.state == JobState::Running, m_takeOver));
+            job, status.attempt, status.members, left, status.state == JobState::Running, m_takeoverTime));
     m_inTransition.insert(job);
     Holding holding { job, status.specification.account, status.specification.jobClass,
-        status.specification.priority, status.members, m_takeOver - recoveredAge, {}, status.checkpointed };
-    const bool isBooked = m_inventory && m_inventory->add(std::move(holding));
+        status.specification.priority, status.members, m_takeoverTime - recoveredAge, {},
+        status.checkpointed };
+    const bool fitsInventory = m_inventory && m_inventory->add(std::move(holding));
     changeGang(
         job,
-        [isBooked](GangController& gang, GangContext& context) {
-            if (isBooked)
+        [fitsInventory](GangController& gang, GangContext& context) {
+            if (fitsInventory)
                 gang.advance(context);
             else
                 gang.stop({ StopCause::NotPlaced, "the placement no longer fits the zone", {} }, context);
@@ -45,7 +46,7 @@
     const auto& racks = m_observation.racks();
     const bool areAllReached
         = std::all_of(racks.begin(), racks.end(), [](const RackObservation& rack) { return rack.isReached; });
-    if (!areAllReached && step.now - m_takeOver < certainLapse)
+    if (!areAllReached && step.now - m_takeoverTime < maxMemberLifetime)
         return;
     m_isRecovered = true;
     step.record("zone.recovered",
@@ -53,9 +54,10 @@
             { "queued", std::to_string(m_queue.size()) } });
 }
 
-void ZoneController::releaseStrays(const HeldRole& role, Step& step)
+void ZoneController::releaseOrphanTasks(const HeldRole& role, Step& step)
 {
-    std::erase_if(m_strayReleases, [&](const auto& item) { return step.now - item.second >= strayRetry; });
+    std::erase_if(m_orphanReleases,
+        [&](const auto& item) { return step.now - item.second >= orphanReleaseRetryInterval; });
     for (const auto& [id, worker] : m_observation.workers()) {
         if (!worker.isReported || !worker.isLive)
             continue;
@@ -63,7 +65,7 @@
             const auto gang = m_gangs.find(key.first);
             const bool isOwn = gang != m_gangs.end() && gang->second.attempt() == key.second
                 && gang->second.hasMember(id, task.accelerators);
-            if (isOwn || !isPresent(task) || !m_strayReleases.emplace(std::pair(id, key), step.now).second)
+            if (isOwn || !isPresent(task) || !m_orphanReleases.emplace(std::pair(id, key), step.now).second)
                 continue;
             WorkerCommand command;
             command.kind = WorkerCommandKind::Release;
@@ -83,13 +85,13 @@
     for (const WorkerCapacity& worker : m_inventory->workers()) {
         const WorkerObservation* observed = m_observation.find(worker.id);
         const bool isReached = observed && observed->isReported && observed->isLive
-            && step.now - m_observation.rackOf(*observed).answeredAt < rackSilence;
+            && step.now - m_observation.rackOf(*observed).answeredAt < rackReportTimeout;
         const bool isNowUsable = isReached && !m_quarantine.isQuarantined(worker.id, step.now)
             && m_endpoints.workerState(worker.id) != EndpointState::Leaving;
         if (isNowUsable == worker.isUsable)
             continue;
         m_inventory->setUsable(worker.id, isNowUsable);
-        m_isDirty = true;
+        m_isPlanNeeded = true;
     }
 }
 
@@ -101,7 +103,7 @@
             continue;
         const Milliseconds base = entry->record.status.checkpointed;
         m_inventory->updateProgress(job, base + gang.progress(), base + gang.checkpointed());
-        countThrottle(job);
+        recordConfirmedThrottle(job);
     }
 }
 
