Rename identifiers of src/noise to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

PowerMemo -> CachedPowerConversion, Source -> NoiseSource, liftLead -> unthrottleLeadTime, liftMarginDb -> unthrottleMarginDb, liftUpTo -> unthrottleUpTo.

--- a/src/noise/sound_power_noise.cpp
+++ b/src/noise/sound_power_noise.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Converts levels to powers and caches the last result, because consecutive workers mostly have equal levels.
-class PowerMemo {
+class CachedPowerConversion {
 public:
     double operator()(double levelDb)
     {
@@ -33,9 +33,9 @@
 
 double totalPower(const ZoneInventory& inventory)
 {
-    PowerMemo idle;
-    PowerMemo active;
-    PowerMemo throttled;
+    CachedPowerConversion idle;
+    CachedPowerConversion active;
+    CachedPowerConversion throttled;
     double power = 0;
     for (const WorkerCapacity& worker : inventory.workers()) {
         power += idle(worker.noise.idleDb);
@@ -61,7 +61,7 @@
 }
 
 // A borrowed job that is not leaving, and its sound power at full and at throttled rate.
-struct Source {
+struct NoiseSource {
     const Holding* holding = nullptr;
     double full = 0;
     double throttled = 0;
@@ -82,7 +82,7 @@
         : m_power(totalPower(inventory) + extraPower)
     {
         for (const auto& [job, holding] : inventory.holdings()) {
-            const Source source { &holding, powerOf(inventory, holding.members, false),
+            const NoiseSource source { &holding, powerOf(inventory, holding.members, false),
                 powerOf(inventory, holding.members, true) };
             if (holding.jobClass == JobClass::Guaranteed) {
                 if (holding.isThrottled) {
@@ -104,12 +104,13 @@
         evictTo(limit);
     }
 
-    void liftUpTo(double limit)
+    void unthrottleUpTo(double limit)
     {
-        std::stable_sort(m_sources.begin(), m_sources.end(), [](const Source& left, const Source& right) {
-            return left.holding->priority > right.holding->priority;
-        });
-        for (const Source& source : m_sources) {
+        std::stable_sort(
+            m_sources.begin(), m_sources.end(), [](const NoiseSource& left, const NoiseSource& right) {
+                return left.holding->priority > right.holding->priority;
+            });
+        for (const NoiseSource& source : m_sources) {
             const double increase = source.full - source.throttled;
             if (!source.holding->isThrottled || m_power + increase > limit)
                 continue;
@@ -124,11 +125,12 @@
 private:
     void throttleTo(double limit)
     {
-        std::stable_sort(m_sources.begin(), m_sources.end(), [](const Source& left, const Source& right) {
-            return std::tuple(left.holding->priority, right.full - right.throttled)
-                < std::tuple(right.holding->priority, left.full - left.throttled);
-        });
-        for (Source& source : m_sources) {
+        std::stable_sort(
+            m_sources.begin(), m_sources.end(), [](const NoiseSource& left, const NoiseSource& right) {
+                return std::tuple(left.holding->priority, right.full - right.throttled)
+                    < std::tuple(right.holding->priority, left.full - left.throttled);
+            });
+        for (NoiseSource& source : m_sources) {
             if (m_power <= limit)
                 return;
             if (source.holding->isThrottled || source.throttled >= source.full)
@@ -141,10 +143,11 @@
 
     void evictTo(double limit)
     {
-        std::stable_sort(m_sources.begin(), m_sources.end(), [](const Source& left, const Source& right) {
-            return left.evictionRank() < right.evictionRank();
-        });
-        for (const Source& source : m_sources) {
+        std::stable_sort(
+            m_sources.begin(), m_sources.end(), [](const NoiseSource& left, const NoiseSource& right) {
+                return left.evictionRank() < right.evictionRank();
+            });
+        for (const NoiseSource& source : m_sources) {
             if (m_power <= limit)
                 return;
             m_power -= source.current();
@@ -153,7 +156,7 @@
     }
 
     double m_power;
-    std::vector<Source> m_sources;
+    std::vector<NoiseSource> m_sources;
     std::vector<NoiseAction> m_actions;
 };
 
@@ -190,10 +193,10 @@
     const double limit = powerOfDb(room.limitDb);
     if (isLessonWithin(room, localTime, noiseLead) && plan.power() > limit)
         plan.reduceTo(limit);
-    else if (isLessonWithin(room, localTime, liftLead))
-        plan.liftUpTo(powerOfDb(room.limitDb - liftMarginDb));
+    else if (isLessonWithin(room, localTime, unthrottleLeadTime))
+        plan.unthrottleUpTo(powerOfDb(room.limitDb - unthrottleMarginDb));
     else
-        plan.liftUpTo(std::numeric_limits<double>::infinity());
+        plan.unthrottleUpTo(std::numeric_limits<double>::infinity());
     return plan.finish();
 }
 
--- a/src/noise/sound_power_noise.h
+++ b/src/noise/sound_power_noise.h
@@ -6,9 +6,9 @@
 
 // In or shortly before a lesson, work is unthrottled only if the estimate then stays this far below the
 // limit. The margin keeps small changes of load from throttling and unthrottling the same work repeatedly.
-constexpr double liftMarginDb = 0.5;
+constexpr double unthrottleMarginDb = 0.5;
 // Work that would have to be throttled again for a lesson that begins within this time stays throttled.
-constexpr Seconds liftLead { 120 };
+constexpr Seconds unthrottleLeadTime { 120 };
 
 // Adds the sound powers of idle workers and of active and throttled accelerators. Workers that don't answer
 // still count as idle, and the accelerators booked on them as active, because they may be running.
