Rename identifiers of src/reclaim to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

emptyNewestFirst -> evictNewestFirst, keepNeeded -> undoNeedlessEvictions, keepsLimits -> isWithinLimits, mayLeave -> isEvictionAllowed, preferSingle -> replaceBySingleEviction, soon -> availableSoon.

--- a/src/reclaim/least_lost_work_reclaim.cpp
+++ b/src/reclaim/least_lost_work_reclaim.cpp
@@ -38,7 +38,7 @@
 }
 
 // Undoes evictions without which the claim still fits, the most expensive first.
-void keepNeeded(ReclaimSite& site, std::vector<ReclaimCandidate>& evicted)
+void undoNeedlessEvictions(ReclaimSite& site, std::vector<ReclaimCandidate>& evicted)
 {
     std::stable_sort(evicted.begin(), evicted.end(),
         [](const ReclaimCandidate& left, const ReclaimCandidate& right) { return left.cost > right.cost; });
@@ -52,7 +52,7 @@
 }
 
 // Replaces the evictions by that of a single job, if one job makes enough room alone at a lower cost.
-void preferSingle(
+void replaceBySingleEviction(
     ReclaimSite& site, const std::vector<ReclaimCandidate>& all, std::vector<ReclaimCandidate>& evicted)
 {
     double cost = 0;
@@ -89,8 +89,8 @@
         evictCheapest(site, evicted);
         if (site.missing() > 0)
             return std::nullopt;
-        keepNeeded(site, evicted);
-        preferSingle(site, all, evicted);
+        undoNeedlessEvictions(site, evicted);
+        replaceBySingleEviction(site, all, evicted);
         if (!site.members()) { // an inner rack has no room, which breaks adjacency: evict all candidates
             for (const ReclaimCandidate& candidate : evicted)
                 site.undoEvict(candidate);
@@ -163,11 +163,11 @@
 {
     std::vector<std::size_t> order(reach.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    const auto soon = [&](std::size_t rack) {
+    const auto availableSoon = [&](std::size_t rack) {
         return std::min(reach[rack], room.racks()[rack].free + room.racks()[rack].leaving);
     };
     std::stable_sort(order.begin(), order.end(),
-        [&](std::size_t left, std::size_t right) { return soon(left) > soon(right); });
+        [&](std::size_t left, std::size_t right) { return availableSoon(left) > availableSoon(right); });
     int sum = 0;
     std::size_t count = 0;
     while (count < order.size() && sum < request.accelerators)
--- a/src/reclaim/newest_first_reclaim.cpp
+++ b/src/reclaim/newest_first_reclaim.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-std::optional<ReclaimChoice> emptyNewestFirst(
+std::optional<ReclaimChoice> evictNewestFirst(
     const PlacementRoom& room, const ReclaimRequest& request, std::vector<std::size_t> racks)
 {
     ReclaimSite site(room, request, std::move(racks));
@@ -50,12 +50,12 @@
     if (!request.adjacent) {
         std::vector<std::size_t> all(reach.size());
         std::iota(all.begin(), all.end(), std::size_t { 0 });
-        return emptyNewestFirst(room, request, std::move(all));
+        return evictNewestFirst(room, request, std::move(all));
     }
     for (const RackRun& run : fittingRuns(reach, request.accelerators, room.inventory().rackSize())) {
         std::vector<std::size_t> racks(run.count);
         std::iota(racks.begin(), racks.end(), run.first);
-        if (std::optional<ReclaimChoice> choice = emptyNewestFirst(room, request, std::move(racks)))
+        if (std::optional<ReclaimChoice> choice = evictNewestFirst(room, request, std::move(racks)))
             return choice;
     }
     return std::nullopt;
--- a/src/reclaim/reclaim_policy.cpp
+++ b/src/reclaim/reclaim_policy.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-bool keepsLimits(
+bool isWithinLimits(
     const ZoneInventory& inventory, std::span<const GangMember> members, std::span<const int> limits)
 {
     std::vector<int> left(limits.begin(), limits.end());
@@ -25,7 +25,7 @@
     std::optional<ReclaimChoice> choice
         = choose(inventory, request.accelerators, request.adjacent, request.now);
     if (!choice || !room.canReach(choice->members)
-        || !keepsLimits(inventory, choice->members, request.rackLimits))
+        || !isWithinLimits(inventory, choice->members, request.rackLimits))
         return std::nullopt;
     // After the evictions, each member's accelerators must be free or leaving.
     PlacementRoom after = room;
--- a/src/reclaim/reclaim_site.cpp
+++ b/src/reclaim/reclaim_site.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-bool mayLeave(const PlacementRoom& room, const ReclaimRequest& request, const Holding& holding)
+bool isEvictionAllowed(const PlacementRoom& room, const ReclaimRequest& request, const Holding& holding)
 {
     return room.isEvictable(holding) && (!request.mayEvict || request.mayEvict(holding));
 }
@@ -58,7 +58,7 @@
             if (!inventory.workers()[worker].isUsable)
                 continue;
             for (const WorkerUse& use : inventory.usesOf(worker)) {
-                if (!mayLeave(m_room, m_request, *use.holding))
+                if (!isEvictionAllowed(m_room, m_request, *use.holding))
                     continue;
                 const auto [entry, isNew] = positions.emplace(use.holding, found.size());
                 if (isNew)
@@ -162,7 +162,7 @@
                 if (!inventory.workers()[worker].isUsable)
                     continue;
                 for (const WorkerUse& use : inventory.usesOf(worker))
-                    evictable += mayLeave(room, request, *use.holding) ? use.accelerators : 0;
+                    evictable += isEvictionAllowed(room, request, *use.holding) ? use.accelerators : 0;
             }
             reach[rack] = room.racks()[rack].free + room.racks()[rack].leaving + evictable;
         }
