--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -9,42 +9,42 @@
 // and the runs that workers start.
 class BatchClusterTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BatchClusterTest);
-    CPPUNIT_TEST(testAcceptedJobCompletesOnCalmDay);
+    CPPUNIT_TEST(testAcceptedJobCompletesWithoutFaults);
     CPPUNIT_TEST(testSubmissionIsStoredBeforeItIsAccepted);
-    CPPUNIT_TEST(testFirstRunOnWorkerBackFromCutIsNotGivenUp);
+    CPPUNIT_TEST(testFirstRunOnWorkerAfterPartitionIsNotDeclaredLost);
     CPPUNIT_TEST(testRepeatedSubmissionRemainsOneJob);
     CPPUNIT_TEST(testStoreOutageLeavesOutcomeUnknownAndRefusesNothing);
-    CPPUNIT_TEST(testUnknownJobIsToldOnlyOnTheWordOfTheStore);
-    CPPUNIT_TEST(testKilledLeaderIsReplacedAndItsRunsGoOn);
-    CPPUNIT_TEST(testRunsSurviveTheDeathOfAllDaemons);
+    CPPUNIT_TEST(testUnknownJobIsReportedOnlyIfStoreConfirmsIt);
+    CPPUNIT_TEST(testKilledLeaderIsReplacedAndItsRunsContinue);
+    CPPUNIT_TEST(testRunsContinueAfterAllDaemonsAreKilled);
     CPPUNIT_TEST(testTerminatedLeaderHandsOverAtOnce);
-    CPPUNIT_TEST(testLeaderCutFromStoreGivesNoOrderAfterItsLease);
-    CPPUNIT_TEST(testRunOnCutWorkerIsNotRepeatedBeforeItsLeaseHasPassed);
-    CPPUNIT_TEST(testWorkerBornAgainGetsItsRunsRepeated);
+    CPPUNIT_TEST(testLeaderCutFromStoreSendsNoOrderAfterLeaseExpiry);
+    CPPUNIT_TEST(testRunOnUnreachableWorkerIsNotRepeatedBeforeLeaseExpiry);
+    CPPUNIT_TEST(testRunsOfRestartedWorkerAreRepeated);
     CPPUNIT_TEST(testOrderCarriedOutLateStartsNoSecondRun);
-    CPPUNIT_TEST(testLostCommitAnswersLoseNothing);
+    CPPUNIT_TEST(testLostCommitAnswersLoseNoAcceptedJob);
     CPPUNIT_TEST(testCancelStopsRunsWithinItsBound);
     CPPUNIT_TEST(testJobThatAlwaysFailsIsFailedAfterItsAttempts);
-    CPPUNIT_TEST(testWorkerThatFailsEverythingIsLeftOut);
-    CPPUNIT_TEST(testWorkerOnWhichNothingAdvancesGetsNothingNew);
-    CPPUNIT_TEST(testUrgentWorkGoesToTheFastestWorkerAlsoUnderTheNextLeader);
+    CPPUNIT_TEST(testWorkerThatFailsEveryRunIsAvoided);
+    CPPUNIT_TEST(testWorkerWithoutProgressGetsNoNewRuns);
+    CPPUNIT_TEST(testUrgentWorkGoesToFastestWorkerUnderNextLeader);
     CPPUNIT_TEST(testGuaranteedWorkStartsWithinReclaimTime);
     CPPUNIT_TEST(testEvictedWorkCompletesAfterwards);
     CPPUNIT_TEST(testGangStartsOnlyWhereAllOfItFits);
-    CPPUNIT_TEST(testDrainingWorkerGetsNothingNew);
+    CPPUNIT_TEST(testDrainingWorkerGetsNoNewRuns);
     CPPUNIT_TEST(testRunsOfDrainedWorkerThatLeftAreRepeatedAtOnce);
     CPPUNIT_TEST(testRemovedKeyIsRefusedAndRemovedQueueNotFound);
-    CPPUNIT_TEST(testDaemonThatCannotConfirmConfigurationServesNobody);
-    CPPUNIT_TEST(testConfigurationNeverGoesBack);
+    CPPUNIT_TEST(testDaemonThatCannotConfirmConfigurationRefusesRequests);
+    CPPUNIT_TEST(testOlderConfigurationIsIgnored);
     CPPUNIT_TEST(testWaitingJobsAreCounted);
     CPPUNIT_TEST(testEndsBeyondOneCommitAreAcknowledgedOnlyOnceStored);
     CPPUNIT_TEST(testDaemonWithoutStoreLeavesNewConnectionsToOthers);
-    CPPUNIT_TEST(testLeaderThatCannotLoadGivesTheLeaseUp);
-    CPPUNIT_TEST(testLeaseIsTriedForLongerIfNobodyLoadsAtOnce);
-    CPPUNIT_TEST(testRandomFaultsBreakNothing);
+    CPPUNIT_TEST(testLeaderThatCannotLoadReleasesLease);
+    CPPUNIT_TEST(testLoadTimeoutGrowsIfNoDaemonLoadsInTime);
+    CPPUNIT_TEST(testRandomFaultsViolateNoGuarantee);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr Milliseconds aMinute { 60'000 };
+    static constexpr Milliseconds oneMinute { 60'000 };
 
     void requireNoViolation(const BatchCluster& cluster) const
     {
@@ -57,7 +57,7 @@
         return cluster.stateOf(job) == JobState::Completed;
     }
 
-    void requireCompleted(BatchCluster& cluster, const JobId& job, Milliseconds limit = aMinute) const
+    void requireCompleted(BatchCluster& cluster, const JobId& job, Milliseconds limit = oneMinute) const
     {
         CPPUNIT_ASSERT(cluster.runUntil([&] { return isCompleted(cluster, job); }, limit));
         requireNoViolation(cluster);
@@ -83,7 +83,7 @@
     }
 
 public:
-    void testAcceptedJobCompletesOnCalmDay()
+    void testAcceptedJobCompletesWithoutFaults()
     {
         BatchCluster cluster;
         cluster.addWorkers(2, 4);
@@ -116,7 +116,7 @@
     // recorded scenario inc-f0cb of lbgia: a worker was reachable again, reported old run ends and was
     // assigned a run at once. That run was declared lost because the lease from before the partition had
     // expired.
-    void testFirstRunOnWorkerBackFromCutIsNotGivenUp()
+    void testFirstRunOnWorkerAfterPartitionIsNotDeclaredLost()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 1);
@@ -162,7 +162,7 @@
         CPPUNIT_ASSERT(cluster.answerTo(job)->kind == AnswerKind::OutcomeUnknown);
     }
 
-    void testUnknownJobIsToldOnlyOnTheWordOfTheStore()
+    void testUnknownJobIsReportedOnlyIfStoreConfirmsIt()
     {
         BatchCluster cluster;
         cluster.run(Milliseconds(500));
@@ -176,7 +176,7 @@
         CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::OutcomeUnknown);
     }
 
-    void testKilledLeaderIsReplacedAndItsRunsGoOn()
+    void testKilledLeaderIsReplacedAndItsRunsContinue()
     {
         BatchCluster cluster;
         cluster.addWorkers(2, 4);
@@ -189,7 +189,7 @@
         CPPUNIT_ASSERT_EQUAL(4, cluster.startsOf(job));
     }
 
-    void testRunsSurviveTheDeathOfAllDaemons()
+    void testRunsContinueAfterAllDaemonsAreKilled()
     {
         BatchCluster cluster;
         cluster.addWorkers(2, 4);
@@ -226,7 +226,7 @@
     // Guards against a leader that keeps the lease although it cannot load the stored state. Seen in scenario
     // scale-1 of the grown lbgia, seed 12: a host with a 10 Mbit/s link held the lease for 18 s and could not
     // read the jobs.
-    void testLeaderThatCannotLoadGivesTheLeaseUp()
+    void testLeaderThatCannotLoadReleasesLease()
     {
         BatchCluster cluster;
         cluster.cannotRead = { 0 };
@@ -238,7 +238,7 @@
         CPPUNIT_ASSERT(cluster.leader().value() != 0);
     }
 
-    void testLeaseIsTriedForLongerIfNobodyLoadsAtOnce()
+    void testLoadTimeoutGrowsIfNoDaemonLoadsInTime()
     {
         BatchCluster cluster;
         cluster.cannotRead = { 0, 1, 2 };
@@ -288,7 +288,7 @@
         CPPUNIT_ASSERT(cluster.runUntil([&] { return !cluster.isRunning(old); }, Milliseconds(6'000)));
     }
 
-    void testLeaderCutFromStoreGivesNoOrderAfterItsLease()
+    void testLeaderCutFromStoreSendsNoOrderAfterLeaseExpiry()
     {
         BatchCluster cluster;
         cluster.addWorkers(2, 4);
@@ -303,7 +303,7 @@
         CPPUNIT_ASSERT_EQUAL(6, cluster.startsOf(job));
     }
 
-    void testRunOnCutWorkerIsNotRepeatedBeforeItsLeaseHasPassed()
+    void testRunOnUnreachableWorkerIsNotRepeatedBeforeLeaseExpiry()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 3);
@@ -319,7 +319,7 @@
         requireNoViolation(cluster);
     }
 
-    void testWorkerBornAgainGetsItsRunsRepeated()
+    void testRunsOfRestartedWorkerAreRepeated()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 3);
@@ -353,7 +353,7 @@
         }
     }
 
-    void testLostCommitAnswersLoseNothing()
+    void testLostCommitAnswersLoseNoAcceptedJob()
     {
         for (std::uint64_t seed = 1; seed <= 8; ++seed) {
             BatchCluster cluster(3, seed);
@@ -408,7 +408,7 @@
         CPPUNIT_ASSERT_EQUAL(2, cluster.startsOf(job));
     }
 
-    void testWorkerThatFailsEverythingIsLeftOut()
+    void testWorkerThatFailsEveryRunIsAvoided()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 4);
@@ -425,20 +425,20 @@
     }
 
     // Guards against placing work on a worker that answers every poll although its runs make no progress.
-    void testWorkerOnWhichNothingAdvancesGetsNothingNew()
+    void testWorkerWithoutProgressGetsNoNewRuns()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 2);
         cluster.run(Milliseconds(500));
         const JobId stuck = cluster.submit(1, "small", { makeStep(1, 2, Milliseconds(5'000)) });
         runUntilStarted(cluster, stuck);
-        FakeWorker& hanging = workerOf(cluster, stuck);
-        hanging.speed = 0;
+        FakeWorker& stalled = workerOf(cluster, stuck);
+        stalled.speed = 0;
         cluster.run(Milliseconds(3'000));
         // By free capacity alone, placement would prefer the stalled worker to the idle one.
         const JobId job = cluster.submit(1, "urgent", { makeStep(2, 2) });
         requireCompleted(cluster, job, Milliseconds(3'000));
-        hanging.speed = 1;
+        stalled.speed = 1;
         requireCompleted(cluster, stuck, Milliseconds(8'000));
         const JobId later = cluster.submit(1, "small", { makeStep(16, 1) });
         requireCompleted(cluster, later, Milliseconds(3'000));
@@ -446,15 +446,15 @@
 
     // Guards against placing urgent work on slow workers, and against a new leader that has not restored the
     // measured speeds.
-    void testUrgentWorkGoesToTheFastestWorkerAlsoUnderTheNextLeader()
+    void testUrgentWorkGoesToFastestWorkerUnderNextLeader()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 4);
         cluster.worker(2).speed = 1.5;
         cluster.run(Milliseconds(500));
         for (int i = 0; i < 4; ++i) {
-            const JobId teacher = cluster.submit(1, "small", { makeStep(4, 8, Milliseconds(4'000)) });
-            requireCompleted(cluster, teacher);
+            const JobId warmUp = cluster.submit(1, "small", { makeStep(4, 8, Milliseconds(4'000)) });
+            requireCompleted(cluster, warmUp);
         }
         cluster.run(Milliseconds(2'500));
         cluster.kill(*cluster.leader());
@@ -511,7 +511,7 @@
         CPPUNIT_ASSERT(isCompleted(cluster, blocker));
     }
 
-    void testDrainingWorkerGetsNothingNew()
+    void testDrainingWorkerGetsNoNewRuns()
     {
         BatchCluster cluster;
         cluster.addWorkers(1, 2);
@@ -561,7 +561,7 @@
     }
 
     // Guards against a daemon that still accepts an API key because it cannot learn of the key's removal.
-    void testDaemonThatCannotConfirmConfigurationServesNobody()
+    void testDaemonThatCannotConfirmConfigurationRefusesRequests()
     {
         BatchCluster cluster;
         cluster.run(Milliseconds(500));
@@ -573,7 +573,7 @@
         CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::NoConfiguration);
     }
 
-    void testConfigurationNeverGoesBack()
+    void testOlderConfigurationIsIgnored()
     {
         BatchCluster cluster;
         batch::Configuration newer = BatchCluster::defaultConfiguration();
@@ -600,7 +600,7 @@
 
     // Injects daemon kills, network partitions, lost answers, late orders and worker restarts in random
     // order, with a different sequence for each seed.
-    void testRandomFaultsBreakNothing()
+    void testRandomFaultsViolateNoGuarantee()
     {
         for (std::uint64_t seed = 1; seed <= 25; ++seed) {
             BatchCluster cluster(4, seed);
@@ -608,18 +608,18 @@
             cluster.run(Milliseconds(500));
             std::mt19937_64 random(seed * 977);
             std::vector<JobId> jobs;
-            for (int moment = 0; moment < 40; ++moment) {
-                disturb(cluster, random);
-                submitSomething(cluster, random, jobs);
+            for (int round = 0; round < 40; ++round) {
+                injectFault(cluster, random);
+                submitRandomJob(cluster, random, jobs);
                 cluster.run(Milliseconds(300));
             }
-            heal(cluster);
+            clearFaults(cluster);
             for (const JobId& job : jobs) {
                 const auto answer = cluster.answerTo(job);
                 if (!answer || answer->kind != AnswerKind::Accepted)
                     continue;
-                const bool hasEnded
-                    = cluster.runUntil([&] { return batch::isTerminal(cluster.stateOf(job)); }, 2 * aMinute);
+                const bool hasEnded = cluster.runUntil(
+                    [&] { return batch::isTerminal(cluster.stateOf(job)); }, 2 * oneMinute);
                 CPPUNIT_ASSERT_MESSAGE(
                     fmt::format("seed {}: job {} has not ended", seed, job.value()), hasEnded);
             }
@@ -629,7 +629,7 @@
     }
 
 private:
-    static void submitSomething(BatchCluster& cluster, std::mt19937_64& random, std::vector<JobId>& jobs)
+    static void submitRandomJob(BatchCluster& cluster, std::mt19937_64& random, std::vector<JobId>& jobs)
     {
         const std::size_t daemon = random() % 4;
         if (!cluster.isRunning(daemon))
@@ -646,7 +646,7 @@
         }
     }
 
-    static void disturb(BatchCluster& cluster, std::mt19937_64& random)
+    static void injectFault(BatchCluster& cluster, std::mt19937_64& random)
     {
         const std::size_t daemon = random() % 4;
         FakeWorker& worker = cluster.worker(random() % cluster.workerCount());
@@ -691,7 +691,7 @@
         }
     }
 
-    static void heal(BatchCluster& cluster)
+    static void clearFaults(BatchCluster& cluster)
     {
         cluster.cutFromStore.clear();
         cluster.cutFromWorkers.clear();
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -11,16 +11,16 @@
 class BatchPlacementTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BatchPlacementTest);
     CPPUNIT_TEST(testSmallTaskFillsUsedWorkerBeforeIdleOne);
-    CPPUNIT_TEST(testGangInOneRackTakesTheRackThatIsLeftWithLeast);
-    CPPUNIT_TEST(testGangThatFitsNoRackIsPlacedOnlyWhereSlowPlacesAreAllowed);
-    CPPUNIT_TEST(testTaskStaysNearItsData);
-    CPPUNIT_TEST(testRequiredLabelIsKept);
+    CPPUNIT_TEST(testSingleRackGangTakesRackWithLeastCapacityLeft);
+    CPPUNIT_TEST(testGangThatFitsNoRackIsPlacedOnlyWithRelaxedLocality);
+    CPPUNIT_TEST(testTaskWithDataRackIsPlacedOnlyInThatRack);
+    CPPUNIT_TEST(testTaskWithRequiredLabelIsPlacedOnlyOnMatchingWorker);
     CPPUNIT_TEST(testLimitPerWorkerCountsTasksOfTheSameRound);
     CPPUNIT_TEST(testWorkerOnTrialGetsOneTask);
     CPPUNIT_TEST(testJobIsNotRetriedWhereItFailed);
     CPPUNIT_TEST(testJobThatFailedEverywhereIsRetriedAnywhere);
     CPPUNIT_TEST(testEvictionTakesCheapestWorker);
-    CPPUNIT_TEST(testEvictionLeavesOutNeedlessVictims);
+    CPPUNIT_TEST(testEvictionOmitsUnneededVictims);
     CPPUNIT_TEST(testEvictionStopsGangAsWhole);
     CPPUNIT_TEST(testUrgentGangTakesTheFastestIdleWorkers);
     CPPUNIT_TEST(testUrgentGangTakesTheRackWithoutSlowWorkers);
@@ -28,22 +28,22 @@
     CPPUNIT_TEST(testHeadroomIsKeptOnTheFastestWorkers);
     CPPUNIT_TEST(testRunThatEndsAsSoonAsAStopIsWaitedFor);
     CPPUNIT_TEST(testRunThatEndsLaterThanAStopIsStopped);
-    CPPUNIT_TEST(testRoomOfAnEndingRunIsPromisedOnce);
+    CPPUNIT_TEST(testRoomOfEndingRunIsReservedForOneUnit);
     CPPUNIT_TEST(testRoomOfACancelledRunIsWaitedFor);
     CPPUNIT_TEST(testReservedRoomIsNotGivenToLessUrgentWork);
     CPPUNIT_TEST(testLateUrgentWorkBeyondGuaranteeEvictsNothing);
-    CPPUNIT_TEST(testLessUrgentWorkLeavesIdleWorkersWhileUrgentWorkComes);
-    CPPUNIT_TEST(testHeadroomEndsWhenNoUrgentWorkComes);
+    CPPUNIT_TEST(testLessUrgentWorkLeavesHeadroomWhileUrgentWorkIsUnfinished);
+    CPPUNIT_TEST(testHeadroomEndsWhenUrgentWorkHasCeased);
     CPPUNIT_TEST(testHeadroomIsNotKeptWhileServiceIsMostlyIdle);
-    CPPUNIT_TEST(testOrderPutsInTimeBeforeLateWithinPriority);
-    CPPUNIT_TEST(testWaitingGangGetsItsRackWhileSmallWorkFloods);
+    CPPUNIT_TEST(testJobInTimeIsPlacedBeforeLateJobOfSamePriority);
+    CPPUNIT_TEST(testWaitingGangGetsRackDespiteManySmallTasks);
     CPPUNIT_TEST_SUITE_END();
 
     const PackingPlacement m_packing;
     const ObjectiveOrder m_order;
     const Milliseconds m_stopTimeout { 200 };
     TimePoint m_now { Seconds(100) };
-    WallTime m_wall { Seconds(1'000) };
+    WallTime m_wallTime { Seconds(1'000) };
 
     static WorkerCapacity capacityOf(int rack, int index, std::int64_t accelerators = 8)
     {
@@ -70,42 +70,42 @@
     }
 
     // The leader's view of workers, jobs and configuration.
-    struct Site {
+    struct LeaderState {
         WorkerPool pool;
         JobBook jobs;
         Configuration configuration = testing::BatchCluster::defaultConfiguration();
     };
 
-    void addWorkers(Site& site, int racks, int perRack) const
+    void addWorkers(LeaderState& state, int racks, int perRack) const
     {
         for (int rack = 0; rack < racks; ++rack) {
             for (int index = 0; index < perRack; ++index) {
                 const WorkerCapacity capacity = capacityOf(rack, index);
                 WorkerRecord record { capacity.lifetime, "10.0.0.1:1", ServiceId("planner"),
                     AvailabilityZoneId("z"), capacity.whole, "a", capacity.rack };
-                site.pool.update(record, m_now);
-                site.pool.find(record.lifetime)->isConfirmed = true;
+                state.pool.update(record, m_now);
+                state.pool.find(record.lifetime)->isConfirmed = true;
             }
         }
     }
 
-    JobId addJob(Site& site, const char* id, int priority, StepSpecification step,
+    JobId addJob(LeaderState& state, const char* id, int priority, StepSpecification step,
         const char* account = "account-a", Milliseconds age = Milliseconds(0))
     {
         AcceptedJob job;
         job.specification = { JobId(id), "payload", { std::move(step) }, {} };
         job.terms = { "queue", ServiceId("planner"), ClientAccountId(account), priority, 2, 1.5,
             Milliseconds(250) };
-        job.acceptedAt = m_wall - age;
-        site.jobs.add(job);
+        job.acceptedAt = m_wallTime - age;
+        state.jobs.add(job);
         return JobId(id);
     }
 
     // Assigns the placed units and attaches their runs to the workers in the phase Running.
-    void apply(Site& site, const PlacementOutcome& outcome)
+    void assignAndAttach(LeaderState& state, const PlacementOutcome& outcome)
     {
         for (const PlacementDecision& decision : outcome.placed) {
-            JobProgress& progress = site.jobs.find(decision.unit.job)->progress;
+            JobProgress& progress = state.jobs.find(decision.unit.job)->progress;
             progress.assign(decision.unit, decision.workers);
             for (std::size_t i = 0; i < decision.workers.size(); ++i) {
                 const RunId run { { decision.unit.job, 0, decision.unit.step, decision.unit.tasks[i] },
@@ -113,15 +113,15 @@
                 LiveRun live { run, progress.specificationOf(0).perTask, progress.job().terms.priority,
                     RunPhase::Running };
                 live.acceptedAt = m_now;
-                site.pool.attach(*site.pool.find(decision.workers[i]), live);
+                state.pool.attach(*state.pool.find(decision.workers[i]), live);
             }
         }
     }
 
-    PlacementOutcome place(PlacementRound& round, Site& site)
+    PlacementOutcome place(PlacementRound& round, LeaderState& state)
     {
-        PlacementOutcome outcome = round.run(site.jobs, site.pool, site.configuration, m_now, m_wall);
-        apply(site, outcome);
+        PlacementOutcome outcome = round.run(state.jobs, state.pool, state.configuration, m_now, m_wallTime);
+        assignAndAttach(state, outcome);
         return outcome;
     }
 
@@ -133,10 +133,10 @@
         return tasks;
     }
 
-    static std::size_t idleWorkers(const Site& site)
+    static std::size_t idleWorkers(const LeaderState& state)
     {
         std::size_t idle = 0;
-        for (const auto& [lifetime, worker] : site.pool.all())
+        for (const auto& [lifetime, worker] : state.pool.all())
             idle += worker.runs.empty() ? 1 : 0;
         return idle;
     }
@@ -151,7 +151,7 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, view.workers()[1].room.accelerators);
     }
 
-    void testGangInOneRackTakesTheRackThatIsLeftWithLeast()
+    void testSingleRackGangTakesRackWithLeastCapacityLeft()
     {
         CapacityView view = viewOf(
             { capacityOf(0, 0), capacityOf(0, 1), capacityOf(0, 2), capacityOf(1, 0), capacityOf(1, 1) });
@@ -161,7 +161,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string("r1"), view.find(worker)->rack.value());
     }
 
-    void testGangThatFitsNoRackIsPlacedOnlyWhereSlowPlacesAreAllowed()
+    void testGangThatFitsNoRackIsPlacedOnlyWithRelaxedLocality()
     {
         CapacityView view = viewOf({ capacityOf(0, 0), capacityOf(1, 0) });
         const StepSpecification step = testing::makeGang(2, 8, true);
@@ -172,7 +172,7 @@
         CPPUNIT_ASSERT(m_packing.place(request, view));
     }
 
-    void testTaskStaysNearItsData()
+    void testTaskWithDataRackIsPlacedOnlyInThatRack()
     {
         CapacityView view = viewOf({ capacityOf(0, 0, 2), capacityOf(1, 0) });
         StepSpecification step = testing::makeStep(1, 1);
@@ -183,7 +183,7 @@
         CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
     }
 
-    void testRequiredLabelIsKept()
+    void testTaskWithRequiredLabelIsPlacedOnlyOnMatchingWorker()
     {
         CapacityView view = viewOf({ capacityOf(0, 0, 2), capacityOf(1, 0) });
         StepSpecification step = testing::makeStep(1, 1);
@@ -198,14 +198,14 @@
     // in the same round did not count towards the limit.
     void testLimitPerWorkerCountsTasksOfTheSameRound()
     {
-        Site site;
-        addWorkers(site, 1, 2);
+        LeaderState state;
+        addWorkers(state, 1, 2);
         StepSpecification step = testing::makeStep(4, 1);
         step.maxTasksPerWorker = 1;
-        const JobId job = addJob(site, "job", 2, step);
+        const JobId job = addJob(state, "job", 2, step);
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placedTasks(place(round, site), job));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, placedTasks(place(round, site), job));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placedTasks(place(round, state), job));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, placedTasks(place(round, state), job));
     }
 
     void testWorkerOnTrialGetsOneTask()
@@ -222,23 +222,23 @@
     // elsewhere.
     void testJobIsNotRetriedWhereItFailed()
     {
-        Site site;
-        addWorkers(site, 1, 2);
-        const JobId job = addJob(site, "job", 1, testing::makeStep(1, 1));
-        site.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime };
+        LeaderState state;
+        addWorkers(state, 1, 2);
+        const JobId job = addJob(state, "job", 1, testing::makeStep(1, 1));
+        state.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime };
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        const PlacementOutcome outcome = place(round, site);
+        const PlacementOutcome outcome = place(round, state);
         CPPUNIT_ASSERT(outcome.placed.front().workers.front() == capacityOf(0, 1).lifetime);
     }
 
     void testJobThatFailedEverywhereIsRetriedAnywhere()
     {
-        Site site;
-        addWorkers(site, 1, 2);
-        const JobId job = addJob(site, "job", 1, testing::makeStep(1, 1));
-        site.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime, capacityOf(0, 1).lifetime };
+        LeaderState state;
+        addWorkers(state, 1, 2);
+        const JobId job = addJob(state, "job", 1, testing::makeStep(1, 1));
+        state.jobs.find(job)->failedOn = { capacityOf(0, 0).lifetime, capacityOf(0, 1).lifetime };
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), job));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, state), job));
     }
 
     static EvictionCandidate candidateOf(
@@ -263,7 +263,7 @@
         CPPUNIT_ASSERT(plan->workers.front() == capacityOf(0, 1).lifetime);
     }
 
-    void testEvictionLeavesOutNeedlessVictims()
+    void testEvictionOmitsUnneededVictims()
     {
         const CapacityView view = viewOf({ capacityOf(0, 0, 0) });
         const StepSpecification step = testing::makeStep(1, 7);
@@ -337,12 +337,12 @@
 
     // Places a task on the only worker. The task has done half of its work in about one second and needs
     // about one second more.
-    JobId addHalfDoneRun(PlacementRound& round, Site& site)
+    JobId addHalfDoneRun(PlacementRound& round, LeaderState& state)
     {
-        addWorkers(site, 1, 1);
-        const JobId job = addJob(site, "filler", 2, testing::makeStep(1, 8));
-        place(round, site);
-        Worker& worker = *site.pool.find(capacityOf(0, 0).lifetime);
+        addWorkers(state, 1, 1);
+        const JobId job = addJob(state, "filler", 2, testing::makeStep(1, 8));
+        place(round, state);
+        Worker& worker = *state.pool.find(capacityOf(0, 0).lifetime);
         worker.clock = 10'000;
         worker.clockReadAt = m_now;
         LiveRun& run = worker.runs.begin()->second;
@@ -355,173 +355,173 @@
     // just as soon.
     void testRunThatEndsAsSoonAsAStopIsWaitedFor()
     {
-        Site site;
+        LeaderState state;
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        addHalfDoneRun(round, site);
-        addJob(site, "urgent", 0, testing::makeStep(1, 8));
+        addHalfDoneRun(round, state);
+        addJob(state, "urgent", 0, testing::makeStep(1, 8));
         m_now += Milliseconds(900);
-        CPPUNIT_ASSERT(place(round, site).evictions.empty());
+        CPPUNIT_ASSERT(place(round, state).evictions.empty());
         // The resources of the ended run stay reserved for the urgent task.
         const TaskId ended { JobId("filler"), 0, 0, 0 };
-        site.pool.detach(*site.pool.find(capacityOf(0, 0).lifetime), ended);
-        site.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
-        addJob(site, "other", 1, testing::makeStep(1, 8));
-        const PlacementOutcome outcome = place(round, site);
+        state.pool.detach(*state.pool.find(capacityOf(0, 0).lifetime), ended);
+        state.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
+        addJob(state, "other", 1, testing::makeStep(1, 8));
+        const PlacementOutcome outcome = place(round, state);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(outcome, JobId("urgent")));
     }
 
     void testRunThatEndsLaterThanAStopIsStopped()
     {
-        Site site;
+        LeaderState state;
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        addHalfDoneRun(round, site);
-        addJob(site, "urgent", 0, testing::makeStep(1, 8));
+        addHalfDoneRun(round, state);
+        addJob(state, "urgent", 0, testing::makeStep(1, 8));
         m_now += Milliseconds(700);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, place(round, site).evictions.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, place(round, state).evictions.size());
     }
 
-    void testRoomOfAnEndingRunIsPromisedOnce()
+    void testRoomOfEndingRunIsReservedForOneUnit()
     {
-        Site site;
+        LeaderState state;
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        addHalfDoneRun(round, site);
+        addHalfDoneRun(round, state);
         m_now += Milliseconds(900);
-        addJob(site, "urgent-1", 0, testing::makeStep(1, 8));
-        addJob(site, "urgent-2", 0, testing::makeStep(1, 8));
-        place(round, site);
-        place(round, site);
+        addJob(state, "urgent-1", 0, testing::makeStep(1, 8));
+        addJob(state, "urgent-2", 0, testing::makeStep(1, 8));
+        place(round, state);
+        place(round, state);
         const TaskId ended { JobId("filler"), 0, 0, 0 };
-        site.pool.detach(*site.pool.find(capacityOf(0, 0).lifetime), ended);
-        site.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, place(round, site).placed.size());
+        state.pool.detach(*state.pool.find(capacityOf(0, 0).lifetime), ended);
+        state.jobs.find(JobId("filler"))->progress.runEnded({ ended, 1 }, RunEnd::Done, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, place(round, state).placed.size());
     }
 
     void testRoomOfACancelledRunIsWaitedFor()
     {
-        Site site;
+        LeaderState state;
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        addWorkers(site, 1, 2);
-        addJob(site, "cancelled", 0, testing::makeStep(1, 8));
-        addJob(site, "filler", 2, testing::makeStep(1, 8));
-        place(round, site);
-        site.pool.find(capacityOf(0, 0).lifetime)->runs.begin()->second.phase = RunPhase::Stopping;
-        addJob(site, "urgent", 0, testing::makeStep(1, 8));
-        CPPUNIT_ASSERT(place(round, site).evictions.empty());
+        addWorkers(state, 1, 2);
+        addJob(state, "cancelled", 0, testing::makeStep(1, 8));
+        addJob(state, "filler", 2, testing::makeStep(1, 8));
+        place(round, state);
+        state.pool.find(capacityOf(0, 0).lifetime)->runs.begin()->second.phase = RunPhase::Stopping;
+        addJob(state, "urgent", 0, testing::makeStep(1, 8));
+        CPPUNIT_ASSERT(place(round, state).evictions.empty());
     }
 
     // Guards against resources that an eviction has freed for an urgent unit and that other work takes first.
     void testReservedRoomIsNotGivenToLessUrgentWork()
     {
-        Site site;
-        addWorkers(site, 1, 1);
-        addJob(site, "filler", 2, testing::makeStep(8, 1));
+        LeaderState state;
+        addWorkers(state, 1, 1);
+        addJob(state, "filler", 2, testing::makeStep(8, 1));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        place(round, site);
-        const JobId urgent = addJob(site, "urgent", 0, testing::makeStep(1, 8));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, place(round, site).evictions.front().victims.size());
+        place(round, state);
+        const JobId urgent = addJob(state, "urgent", 0, testing::makeStep(1, 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 8 }, place(round, state).evictions.front().victims.size());
         // Half of the victims have ended, and their tasks wait to be placed again.
-        Worker& worker = *site.pool.find(capacityOf(0, 0).lifetime);
+        Worker& worker = *state.pool.find(capacityOf(0, 0).lifetime);
         for (int index = 0; index < 4; ++index) {
             const TaskId task { JobId("filler"), 0, 0, index };
-            site.pool.detach(worker, task);
-            site.jobs.find(JobId("filler"))->progress.runEnded({ task, 1 }, RunEnd::Stopped, {});
+            state.pool.detach(worker, task);
+            state.jobs.find(JobId("filler"))->progress.runEnded({ task, 1 }, RunEnd::Stopped, {});
         }
-        CPPUNIT_ASSERT(place(round, site).placed.empty());
+        CPPUNIT_ASSERT(place(round, state).placed.empty());
         for (int index = 4; index < 8; ++index) {
             const TaskId task { JobId("filler"), 0, 0, index };
-            site.pool.detach(worker, task);
-            site.jobs.find(JobId("filler"))->progress.runEnded({ task, 1 }, RunEnd::Stopped, {});
+            state.pool.detach(worker, task);
+            state.jobs.find(JobId("filler"))->progress.runEnded({ task, 1 }, RunEnd::Stopped, {});
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), urgent));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, state), urgent));
     }
 
     void testLateUrgentWorkBeyondGuaranteeEvictsNothing()
     {
-        Site site;
-        addWorkers(site, 1, 4);
-        addJob(site, "filler", 2, testing::makeStep(32, 1));
+        LeaderState state;
+        addWorkers(state, 1, 4);
+        addJob(state, "filler", 2, testing::makeStep(32, 1));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        place(round, site);
+        place(round, state);
         // Client account A has a guarantee of 16 accelerators.
-        addJob(site, "urgent", 0, testing::makeGang(3, 8), "account-a", Milliseconds(5'000));
-        CPPUNIT_ASSERT(place(round, site).evictions.empty());
-        addJob(site, "covered", 0, testing::makeGang(2, 8), "account-a", Milliseconds(5'000));
-        CPPUNIT_ASSERT(!place(round, site).evictions.empty());
+        addJob(state, "urgent", 0, testing::makeGang(3, 8), "account-a", Milliseconds(5'000));
+        CPPUNIT_ASSERT(place(round, state).evictions.empty());
+        addJob(state, "covered", 0, testing::makeGang(2, 8), "account-a", Milliseconds(5'000));
+        CPPUNIT_ASSERT(!place(round, state).evictions.empty());
     }
 
-    void testLessUrgentWorkLeavesIdleWorkersWhileUrgentWorkComes()
+    void testLessUrgentWorkLeavesHeadroomWhileUrgentWorkIsUnfinished()
     {
-        Site site;
-        addWorkers(site, 1, 8);
-        addJob(site, "urgent", 0, testing::makeGang(5, 8));
+        LeaderState state;
+        addWorkers(state, 1, 8);
+        addJob(state, "urgent", 0, testing::makeGang(5, 8));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        place(round, site);
-        addJob(site, "small", 2, testing::makeStep(64, 1));
-        place(round, site);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, idleWorkers(site));
+        place(round, state);
+        addJob(state, "small", 2, testing::makeStep(64, 1));
+        place(round, state);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, idleWorkers(state));
     }
 
     // Guards against headroom that is kept after urgent work has ceased. Found by the fault search in
     // scenario trouble-3, seed 581707070283: at the end of the run a job was still waiting although workers
     // were idle.
-    void testHeadroomEndsWhenNoUrgentWorkComes()
+    void testHeadroomEndsWhenUrgentWorkHasCeased()
     {
-        Site site;
-        addWorkers(site, 1, 8);
-        const JobId urgent = addJob(site, "urgent", 0, testing::makeGang(5, 8));
+        LeaderState state;
+        addWorkers(state, 1, 8);
+        const JobId urgent = addJob(state, "urgent", 0, testing::makeGang(5, 8));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        place(round, site);
+        place(round, state);
         // The runs stay attached to their workers, but the job no longer counts as unfinished urgent work.
-        site.jobs.find(urgent)->progress.cancel();
-        site.jobs.noteChange(*site.jobs.find(urgent), m_now);
-        const JobId small = addJob(site, "small", 2, testing::makeStep(64, 1));
+        state.jobs.find(urgent)->progress.cancel();
+        state.jobs.noteChange(*state.jobs.find(urgent), m_now);
+        const JobId small = addJob(state, "small", 2, testing::makeStep(64, 1));
         m_now += Milliseconds(3'000);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 24 }, placedTasks(place(round, site), small));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 24 }, placedTasks(place(round, state), small));
     }
 
     void testHeadroomIsNotKeptWhileServiceIsMostlyIdle()
     {
-        Site site;
-        addWorkers(site, 1, 4);
-        addJob(site, "urgent", 0, testing::makeStep(1, 1));
-        const JobId gang = addJob(site, "gang", 1, testing::makeGang(3, 8, true));
+        LeaderState state;
+        addWorkers(state, 1, 4);
+        addJob(state, "urgent", 0, testing::makeStep(1, 1));
+        const JobId gang = addJob(state, "gang", 1, testing::makeGang(3, 8, true));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, placedTasks(place(round, site), gang));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, placedTasks(place(round, state), gang));
     }
 
-    void testOrderPutsInTimeBeforeLateWithinPriority()
+    void testJobInTimeIsPlacedBeforeLateJobOfSamePriority()
     {
-        Site site;
-        addWorkers(site, 1, 1);
-        addJob(site, "a-late", 1, testing::makeStep(1, 8), "account-a", Milliseconds(5'000));
-        const JobId inTime = addJob(site, "b-in-time", 1, testing::makeStep(1, 8));
+        LeaderState state;
+        addWorkers(state, 1, 1);
+        addJob(state, "a-late", 1, testing::makeStep(1, 8), "account-a", Milliseconds(5'000));
+        const JobId inTime = addJob(state, "b-in-time", 1, testing::makeStep(1, 8));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, site), inTime));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(place(round, state), inTime));
     }
 
     // Guards against starvation of gangs under full load, when a small task takes each accelerator that
     // becomes free.
-    void testWaitingGangGetsItsRackWhileSmallWorkFloods()
+    void testWaitingGangGetsRackDespiteManySmallTasks()
     {
-        Site site;
-        addWorkers(site, 2, 2);
-        addJob(site, "a-small", 2, testing::makeStep(32, 1));
+        LeaderState state;
+        addWorkers(state, 2, 2);
+        addJob(state, "a-small", 2, testing::makeStep(32, 1));
         PlacementRound round(m_packing, m_order, m_stopTimeout);
-        place(round, site);
-        const JobId gang = addJob(site, "gang", 1, testing::makeGang(2, 8, true));
-        const JobId more = addJob(site, "b-small", 2, testing::makeStep(32, 1));
-        place(round, site);
+        place(round, state);
+        const JobId gang = addJob(state, "gang", 1, testing::makeGang(2, 8, true));
+        const JobId more = addJob(state, "b-small", 2, testing::makeStep(32, 1));
+        place(round, state);
         // The tasks end one at a time, on each worker in turn.
         std::size_t placed = 0;
         for (int index = 0; index < 32 && !placed; ++index) {
             const TaskId task { JobId("a-small"), 0, 0, (index % 4) * 8 + index / 4 };
-            JobProgress& progress = site.jobs.find(JobId("a-small"))->progress;
-            site.pool.detach(*site.pool.find(progress.find(task)->assignment->worker), task);
+            JobProgress& progress = state.jobs.find(JobId("a-small"))->progress;
+            state.pool.detach(*state.pool.find(progress.find(task)->assignment->worker), task);
             progress.runEnded({ task, 1 }, RunEnd::Done, {});
-            placed = placedTasks(place(round, site), gang);
+            placed = placedTasks(place(round, state), gang);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placed);
-        CPPUNIT_ASSERT(site.jobs.find(more)->progress.hasAssignments());
+        CPPUNIT_ASSERT(state.jobs.find(more)->progress.hasAssignments());
     }
 };
 
--- a/test/batch_run_progress_test.cpp
+++ b/test/batch_run_progress_test.cpp
@@ -12,17 +12,17 @@
     CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
     CPPUNIT_TEST(testExpectedEndIsUnknownWithoutProgress);
     CPPUNIT_TEST(testExpectedEndDoesNotCountTheWaitForTheGang);
-    CPPUNIT_TEST(testRateIsToldOnceTheRunHasAdvancedFarEnough);
-    CPPUNIT_TEST(testRunThatStandsStillLags);
+    CPPUNIT_TEST(testRateIsKnownOnceTheRunHasAdvancedFarEnough);
+    CPPUNIT_TEST(testRunThatStopsAdvancingLags);
     CPPUNIT_TEST(testRunThatBecomesMuchSlowerLags);
-    CPPUNIT_TEST(testRunThatNeverBeginsLags);
+    CPPUNIT_TEST(testRunThatStaysAtZeroPercentLags);
     CPPUNIT_TEST(testGangMemberThatWaitsDoesNotLag);
-    CPPUNIT_TEST(testDoneMemberThatWaitsForItsGangDoesNotLag);
+    CPPUNIT_TEST(testFinishedMemberThatWaitsForItsGangDoesNotLag);
     CPPUNIT_TEST(testLongTaskIsGivenTimeToShowProgress);
-    CPPUNIT_TEST(testRunThatGoesOnIsAdvancing);
+    CPPUNIT_TEST(testRunWithSteadyProgressIsAdvancing);
     CPPUNIT_TEST(testStalledWorkerIsTrustedAgainOnceSomethingAdvances);
-    CPPUNIT_TEST(testStalledWorkerThatIsEmptyGetsATrial);
-    CPPUNIT_TEST(testFailuresOutlastProgress);
+    CPPUNIT_TEST(testStalledWorkerWithoutRunsGetsATrial);
+    CPPUNIT_TEST(testWorkerWithFailuresIsNotTrustedDespiteProgress);
     CPPUNIT_TEST_SUITE_END();
 
     using Pace = RunProgress::Pace;
@@ -68,7 +68,7 @@
         CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'000 }, run.expectedEnd().value());
     }
 
-    void testRateIsToldOnceTheRunHasAdvancedFarEnough()
+    void testRateIsKnownOnceTheRunHasAdvancedFarEnough()
     {
         RunProgress run;
         run.note({ 4, 1'000 });
@@ -78,7 +78,7 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, run.rate().value(), 1e-9);
     }
 
-    void testRunThatStandsStillLags()
+    void testRunThatStopsAdvancingLags()
     {
         RunProgress run(Milliseconds(6'000), false);
         WorkerClock at = 0;
@@ -98,7 +98,7 @@
         CPPUNIT_ASSERT(run.pace() == Pace::Advancing);
     }
 
-    void testRunThatNeverBeginsLags()
+    void testRunThatStaysAtZeroPercentLags()
     {
         RunProgress run(Milliseconds(6'000), false);
         WorkerClock at = 0;
@@ -116,7 +116,7 @@
         CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
     }
 
-    void testDoneMemberThatWaitsForItsGangDoesNotLag()
+    void testFinishedMemberThatWaitsForItsGangDoesNotLag()
     {
         RunProgress run(Milliseconds(6'000), true);
         WorkerClock at = 0;
@@ -136,7 +136,7 @@
         }
     }
 
-    void testRunThatGoesOnIsAdvancing()
+    void testRunWithSteadyProgressIsAdvancing()
     {
         RunProgress run(Milliseconds(20'000), false);
         WorkerClock at = 0;
@@ -160,7 +160,7 @@
 
     // Guards against excluding a stalled worker forever: once its stalled runs have been removed, no run is
     // left that could show progress.
-    void testStalledWorkerThatIsEmptyGetsATrial()
+    void testStalledWorkerWithoutRunsGetsATrial()
     {
         WorkerHealth health;
         health.recordStall(TimePoint(Seconds(1)));
@@ -172,7 +172,7 @@
         CPPUNIT_ASSERT(health.isTrusted());
     }
 
-    void testFailuresOutlastProgress()
+    void testWorkerWithFailuresIsNotTrustedDespiteProgress()
     {
         WorkerHealth health;
         for (int i = 0; i < 3; ++i)
--- a/test/batch_worker_speed_test.cpp
+++ b/test/batch_worker_speed_test.cpp
@@ -15,9 +15,9 @@
     CPPUNIT_TEST_SUITE(BatchWorkerSpeedTest);
     CPPUNIT_TEST(testWorkerThatAdvancesFasterThanItsSiblingsIsFaster);
     CPPUNIT_TEST(testStepWithMoreWorkDoesNotMakeItsWorkersSlow);
-    CPPUNIT_TEST(testSingleTaskSaysNothing);
-    CPPUNIT_TEST(testOneObservationCountsForLittle);
-    CPPUNIT_TEST(testWorkerThatChangesIsNoticed);
+    CPPUNIT_TEST(testSingleTaskOfAStepLeavesItsWorkerUnrated);
+    CPPUNIT_TEST(testSpeedAfterOneObservationStaysNearAverage);
+    CPPUNIT_TEST(testSpeedFollowsAWorkerThatBecomesSlower);
     CPPUNIT_TEST(testSpeedIsRestoredFromItsValueAndWeight);
     CPPUNIT_TEST(testStoredSpeedsAreRestoredForTheSameLifetimes);
     CPPUNIT_TEST(testBetterKnownSpeedIsNotReplacedByTheStoredOne);
@@ -59,7 +59,7 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, m_speeds["c"].value(), 0.01);
     }
 
-    void testSingleTaskSaysNothing()
+    void testSingleTaskOfAStepLeavesItsWorkerUnrated()
     {
         runStep({ { "a", 0.01 } });
         CPPUNIT_ASSERT_EQUAL(0.0, m_speeds["a"].weight());
@@ -67,14 +67,14 @@
     }
 
     // The amount of work differs by about 15% between tasks of one step, so one observation is unreliable.
-    void testOneObservationCountsForLittle()
+    void testSpeedAfterOneObservationStaysNearAverage()
     {
         runStep({ { "a", 0.24 }, { "b", 0.2 } });
         CPPUNIT_ASSERT(m_speeds["a"].value() > 1);
         CPPUNIT_ASSERT(m_speeds["a"].value() < 1.1);
     }
 
-    void testWorkerThatChangesIsNoticed()
+    void testSpeedFollowsAWorkerThatBecomesSlower()
     {
         WorkerSpeed speed;
         for (int i = 0; i < 1'000; ++i)
@@ -113,9 +113,9 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.25, next.find(first)->speed.value(), 0.01);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(6, next.find(first)->speed.weight(), 0.01);
         // In a new lifetime, a worker may be of a different type.
-        WorkerPool reborn = poolOf(2, 2);
-        CPPUNIT_ASSERT(!restoreSpeeds(row.value, reborn));
-        CPPUNIT_ASSERT_EQUAL(0.0, reborn.find({ WorkerId("worker-0"), 2 })->speed.weight());
+        WorkerPool nextLifetime = poolOf(2, 2);
+        CPPUNIT_ASSERT(!restoreSpeeds(row.value, nextLifetime));
+        CPPUNIT_ASSERT_EQUAL(0.0, nextLifetime.find({ WorkerId("worker-0"), 2 })->speed.weight());
     }
 
     void testBetterKnownSpeedIsNotReplacedByTheStoredOne()
--- a/test/job_placement_test.cpp
+++ b/test/job_placement_test.cpp
@@ -20,10 +20,10 @@
 // "north" has 64 accelerators on 8 workers, of which 58 may be active during a lesson.
 class JobPlacementTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(JobPlacementTest);
-    CPPUNIT_TEST(testClaimInLessonHoursMakesBorrowedWorkQuieter);
+    CPPUNIT_TEST(testClaimInLessonHoursThrottlesBorrowedWork);
     CPPUNIT_TEST(testEvictingClaimInLessonHoursIsWithinTheBound);
     CPPUNIT_TEST(testLessonBeginsWithinTheLimitWhenWorkersDoNotAnswer);
-    CPPUNIT_TEST(testClaimInLessonEvictsWhatIsNotThrottledInTime);
+    CPPUNIT_TEST(testClaimInLessonEvictsWorkThatIsNotThrottledInTime);
     CPPUNIT_TEST(testGangWithDeadWorkerLeavesForTwoClaims);
     CPPUNIT_TEST(testEvictedJobThatRunsElsewhereDoesNotHoldUpTheClaim);
     CPPUNIT_TEST(testClaimThatMeetsAFailingWorkerRunsElsewhereWithinBound);
@@ -38,24 +38,24 @@
 public:
     // Guards against a claim that waits until the lesson or the borrowed work ends instead of having the
     // borrowed work throttled.
-    void testClaimInLessonHoursMakesBorrowedWorkQuieter()
+    void testClaimInLessonHoursThrottlesBorrowedWork()
     {
-        TestCluster cluster(lesson());
-        settle(cluster);
+        TestCluster cluster(lessonOptions());
+        waitForHolders(cluster);
         submit(cluster, "mill", "b", 56);
         cluster.runFor(3 * second);
         const CallerHandle claim = submit(cluster, "press", "c", 8, JobClass::Guaranteed);
         assertRunsWithin(cluster, claim, reclaimBound);
         cluster.runFor(5 * second); // the noise plan must not lift the throttle again
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
     // Guards against a claim that evicts work to free its accelerators and then has to wait because the
     // remaining work is too loud.
     void testEvictingClaimInLessonHoursIsWithinTheBound()
     {
-        TestCluster cluster(lesson());
-        settle(cluster);
+        TestCluster cluster(lessonOptions());
+        waitForHolders(cluster);
         for (int i = 0; i < 7; ++i)
             submit(cluster, "mill", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
@@ -64,7 +64,7 @@
         assertRunsWithin(cluster, claim, reclaimBound);
         assertRunsWithin(cluster, other, reclaimBound);
         cluster.runFor(5 * second);
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
     // Guards against a lesson that begins above the noise limit because workers did not receive their
@@ -78,7 +78,7 @@
             options.seed = 1 + trial;
             options.localTimeAtStart = 8 * 60 * 60 - 120; // Monday 07:58
             TestCluster cluster(options);
-            settle(cluster);
+            waitForHolders(cluster);
             for (int i = 0; i < 4; ++i)
                 submit(cluster, "mill", fmt::format("b{}", i), 16);
             cluster.runFor(10 * second + Milliseconds(400) * trial);
@@ -89,15 +89,15 @@
                 return isLost ? Fate::Drop : Fate::Deliver;
             };
             cluster.runFor(140 * second);
-            assertClean(cluster);
+            assertNoViolations(cluster);
         }
     }
 
     // Guards against a claim that waits during a lesson for a throttle that never takes effect.
-    void testClaimInLessonEvictsWhatIsNotThrottledInTime()
+    void testClaimInLessonEvictsWorkThatIsNotThrottledInTime()
     {
-        TestCluster cluster(lesson());
-        settle(cluster);
+        TestCluster cluster(lessonOptions());
+        waitForHolders(cluster);
         for (int i = 0; i < 7; ++i)
             submit(cluster, "mill", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
@@ -110,7 +110,7 @@
         const CallerHandle claim = submit(cluster, "press", "c", 8, JobClass::Guaranteed);
         assertRunsWithin(cluster, claim, reclaimBound);
         cluster.runFor(5 * second);
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
     // Guards against claims that wait for each other, or for the lease of a dead worker, when the gang that
@@ -118,7 +118,7 @@
     void testGangWithDeadWorkerLeavesForTwoClaims()
     {
         TestCluster cluster({});
-        settle(cluster);
+        waitForHolders(cluster);
         submit(cluster, "press", "b", 64);
         cluster.runFor(3 * second);
         const WorkerId dead = cluster.workersOf("north").front();
@@ -129,7 +129,7 @@
         for (const CallerHandle claim : { first, other })
             assertRunsWithin(cluster, claim, 4 * second);
         cluster.runFor(60 * second);
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
     // Guards against a delay before a claim's next attempt, and against a retry on the same worker: a worker
@@ -137,11 +137,11 @@
     void testClaimThatMeetsAFailingWorkerRunsElsewhereWithinBound()
     {
         TestCluster cluster({});
-        settle(cluster);
+        waitForHolders(cluster);
         for (int i = 0; i < 8; ++i)
             submit(cluster, "press", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
-        const JobId first = idOf("press", "b0");
+        const JobId first = jobIdOf("press", "b0");
         for (const WorkerId& worker : cluster.workersOf("north")) {
             for (const auto& [key, task] : cluster.worker(worker).tasks())
                 cluster.worker(worker).failsEverything |= key.first == first;
@@ -151,7 +151,7 @@
         const CallerHandle claim = submit(cluster, "mill", "c", 16, JobClass::Guaranteed);
         assertRunsWithin(cluster, claim, Milliseconds(1'600));
         CPPUNIT_ASSERT(cluster.countEvents("job.requeued") > 0);
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
     // Guards against a claim that keeps waiting for an evicted job that has released the claimed accelerators
@@ -159,7 +159,7 @@
     void testEvictedJobThatRunsElsewhereDoesNotHoldUpTheClaim()
     {
         TestCluster cluster({});
-        settle(cluster);
+        waitForHolders(cluster);
         for (int i = 0; i < 8; ++i)
             submit(cluster, "press", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
@@ -174,7 +174,8 @@
                 return Fate::Deliver;
             asked.insert(command->command.job);
             // The second evicted job stops later than the first.
-            return asked.size() > 1 && command->command.job != *m_first ? Fate::Delay : remember(command);
+            return asked.size() > 1 && command->command.job != *m_firstVictim ? Fate::Delay
+                                                                              : recordFirstVictim(command);
         };
         // The delayed stop is a fault, so the cluster's own check counts its bound from the end of the fault;
         // this test checks a bound of its own.
@@ -183,17 +184,17 @@
         CPPUNIT_ASSERT(cluster.runUntil([&] { return asked.size() >= 2; }, 2 * second));
         // Another borrowed job ends, so that the first evicted job can run there.
         for (int i = 0; i < 8; ++i) {
-            const JobId job = idOf("press", fmt::format("b{}", i));
+            const JobId job = jobIdOf("press", fmt::format("b{}", i));
             if (asked.contains(job))
                 continue;
             cluster.cancelJob(cluster.hosts()[0], job);
             break;
         }
         CPPUNIT_ASSERT(
-            cluster.runUntil([&] { return running(cluster, *m_first) == 8; }, Milliseconds(3'000)));
+            cluster.runUntil([&] { return running(cluster, *m_firstVictim) == 8; }, Milliseconds(3'000)));
         assertRunsWithin(cluster, claim, Milliseconds(6'000));
-        m_first.reset();
-        assertClean(cluster);
+        m_firstVictim.reset();
+        assertNoViolations(cluster);
     }
 
     // Guards against a takeover after which a waiting gang evicts work that had started long before the gang
@@ -201,7 +202,7 @@
     void testRecoveredWorkDoesNotCountAsOvertakingAWaitingGang()
     {
         TestCluster cluster({});
-        settle(cluster);
+        waitForHolders(cluster);
         for (int i = 0; i < 8; ++i)
             submit(cluster, "press", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
@@ -212,14 +213,14 @@
         CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.holderOf("north").has_value(); }, 10 * second));
         cluster.runFor(90 * second); // longer than a gang waits before it may evict work that overtook it
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), cluster.countEvents("job.evicting"));
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
     // Guards against a pending claim that keeps its workers when one of them dies.
     void testClaimWithDeadWorkerIsPlacedAnew()
     {
         TestCluster cluster({});
-        settle(cluster);
+        waitForHolders(cluster);
         for (int i = 0; i < 8; ++i)
             submit(cluster, "press", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
@@ -243,11 +244,11 @@
             for (std::size_t host = 0; host < 4; ++host) {
                 TestCluster cluster({ .seed = 7 + host });
                 cluster.objectMode = objects;
-                fill(cluster);
+                fillNorthZone(cluster);
                 const CallerHandle claim = submit(cluster, "mill", "c", 16, JobClass::Guaranteed, host);
                 assertRunsWithin(
                     cluster, claim, objects == ServiceMode::Up ? reclaimBound : Milliseconds(500));
-                assertClean(cluster);
+                assertNoViolations(cluster);
             }
         }
     }
@@ -258,13 +259,13 @@
         for (const ServiceMode objects : { ServiceMode::Up, ServiceMode::Down }) {
             TestCluster cluster({});
             cluster.objectMode = objects;
-            fill(cluster);
+            fillNorthZone(cluster);
             const TimePoint begin = cluster.now();
             const CallerHandle mill = submit(cluster, "mill", "c", 16, JobClass::Guaranteed, 2);
             const CallerHandle press = submit(cluster, "press", "c", 8, JobClass::Guaranteed, 1);
             assertRunsWithin(cluster, mill, reclaimBound);
             assertRunsWithin(cluster, press, begin + reclaimBound - cluster.now());
-            assertClean(cluster);
+            assertNoViolations(cluster);
         }
     }
 
@@ -273,7 +274,7 @@
     {
         for (std::uint64_t seed = 1; seed <= 8; ++seed) {
             TestCluster cluster({ .seed = seed });
-            fill(cluster);
+            fillNorthZone(cluster);
             cluster.runFor(Milliseconds(260 * static_cast<std::int64_t>(seed)));
             cluster.onPassage = [](const Passage& passage) {
                 const auto* sent = std::get_if<SendToPeer>(passage.effect);
@@ -281,7 +282,7 @@
             };
             const CallerHandle claim = submit(cluster, "mill", "c", 16, JobClass::Guaranteed, 2);
             assertRunsWithin(cluster, claim, reclaimBound);
-            assertClean(cluster);
+            assertNoViolations(cluster);
         }
     }
 
@@ -290,7 +291,7 @@
     void testEveryDaemonTellsWhyAJobWaits()
     {
         TestCluster cluster({});
-        fill(cluster);
+        fillNorthZone(cluster);
         const CallerHandle waiting = submit(cluster, "press", "waiting", 32);
         cluster.runFor(8 * second);
         const JobId job = cluster.jobOf(waiting)->specification.id;
@@ -308,32 +309,32 @@
         }
         cluster.runFor(30 * second);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), writes);
-        assertClean(cluster);
+        assertNoViolations(cluster);
     }
 
 private:
-    static void fill(TestCluster& cluster)
+    static void fillNorthZone(TestCluster& cluster)
     {
-        settle(cluster);
+        waitForHolders(cluster);
         for (int i = 0; i < 8; ++i)
             submit(cluster, "press", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
     }
 
-    Fate remember(const SendWorkerCommand* command)
+    Fate recordFirstVictim(const SendWorkerCommand* command)
     {
-        m_first = m_first.value_or(command->command.job);
+        m_firstVictim = m_firstVictim.value_or(command->command.job);
         return Fate::Deliver;
     }
 
-    static TestClusterOptions lesson()
+    static TestClusterOptions lessonOptions()
     {
         TestClusterOptions options;
         options.localTimeAtStart = mondayLesson;
         return options;
     }
 
-    static void settle(TestCluster& cluster)
+    static void waitForHolders(TestCluster& cluster)
     {
         CPPUNIT_ASSERT(cluster.runUntil(
             [&] { return cluster.holderOf("north") && cluster.holderOf("south"); }, 30 * second));
@@ -354,7 +355,7 @@
         return cluster.submitJob(cluster.hosts()[host], job);
     }
 
-    static JobId idOf(const std::string& account, const std::string& key)
+    static JobId jobIdOf(const std::string& account, const std::string& key)
     {
         return jobIdFor(AvailabilityZoneId("north"), ClientAccountId(account), key);
     }
@@ -383,7 +384,7 @@
         CPPUNIT_ASSERT_MESSAGE(events, isRunning);
     }
 
-    static void assertClean(const TestCluster& cluster)
+    static void assertNoViolations(const TestCluster& cluster)
     {
         std::string text;
         for (const std::string& violation : cluster.violations())
@@ -391,7 +392,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), text);
     }
 
-    std::optional<JobId> m_first; // the job that was asked to leave first
+    std::optional<JobId> m_firstVictim; // the job that was asked to leave first
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobPlacementTest);
--- a/test/job_scheduler_test.cpp
+++ b/test/job_scheduler_test.cpp
@@ -17,7 +17,7 @@
 constexpr std::array startPoints { StartPoint::Reserve, StartPoint::Commit, StartPoint::Confirm,
     StartPoint::Run, StartPoint::Running };
 
-bool isPlacedWrite(const TableTransaction& transaction, const std::string& state)
+bool writesJobState(const TableTransaction& transaction, const std::string& state)
 {
     for (const TableWrite& write : transaction.writes) {
         if ((write.key.starts_with("job/") || write.key.starts_with("jobdone/")) && write.value
@@ -36,8 +36,8 @@
             action();
     };
     zone.writeFault = [point, once](std::size_t, const TableTransaction& write) {
-        if ((point == StartPoint::Commit && isPlacedWrite(write, "placed"))
-            || (point == StartPoint::Running && isPlacedWrite(write, "running")))
+        if ((point == StartPoint::Commit && writesJobState(write, "placed"))
+            || (point == StartPoint::Running && writesJobState(write, "running")))
             once();
         return Fault::None;
     };
@@ -51,7 +51,7 @@
 }
 
 // Proposes to move any borrowed job at any time.
-std::optional<DefragmentationMove> moveAnything(const ZoneInventory& inventory)
+std::optional<DefragmentationMove> proposeAnyBorrowedJob(const ZoneInventory& inventory)
 {
     for (const auto& [job, holding] : inventory.holdings()) {
         if (holding.jobClass == JobClass::Borrowed && !holding.isLeaving)
@@ -60,7 +60,7 @@
     return std::nullopt;
 }
 
-void assertPromises(const ZoneSimulation& zone) { CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation()); }
+void assertNoViolation(const ZoneSimulation& zone) { CPPUNIT_ASSERT_EQUAL(std::string(), zone.violation()); }
 
 } // namespace
 
@@ -112,7 +112,7 @@
         CPPUNIT_ASSERT(zone.runUntil([&] { return zone.isInState(job, JobState::Finished); }, 25 * second));
         zone.run(2 * second);
         CPPUNIT_ASSERT_EQUAL(128, zone.daemons[zone.holder().value()]->scheduler->summary().freeAccelerators);
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against a second job for a repeated submission, and against a different job that is accepted
@@ -122,10 +122,10 @@
         ZoneSimulation zone(2);
         zone.run(5 * second);
         const CallerHandle first = zone.submit(0, borrowedJob("k1", 8, 60 * second));
-        const CallerHandle second1 = zone.submit(1, borrowedJob("k1", 8, 60 * second));
+        const CallerHandle repeatedCaller = zone.submit(1, borrowedJob("k1", 8, 60 * second));
         const CallerHandle other = zone.submit(1, borrowedJob("k1", 16, 60 * second));
         zone.run(2 * second);
-        CPPUNIT_ASSERT(zone.job(first).specification.id == zone.job(second1).specification.id);
+        CPPUNIT_ASSERT(zone.job(first).specification.id == zone.job(repeatedCaller).specification.id);
         const auto* refusal = std::get_if<Refusal>(&zone.answer(other)->answer);
         CPPUNIT_ASSERT(refusal && refusal->kind == RefusalKind::Conflict);
         CPPUNIT_ASSERT_EQUAL(8, zone.runningAccelerators(zone.job(first).specification.id));
@@ -207,7 +207,7 @@
                 zone.run(5 * second);
                 bool isLost = false;
                 zone.writeFault = [&](std::size_t, const TableTransaction& write) {
-                    return isPlacedWrite(write, state) && !std::exchange(isLost, true) ? fault : Fault::None;
+                    return writesJobState(write, state) && !std::exchange(isLost, true) ? fault : Fault::None;
                 };
                 const CallerHandle caller = zone.submit(0, borrowedJob("k1", 24, 4 * second));
                 zone.run(4 * second);
@@ -219,7 +219,7 @@
                     state, zone.runUntil([&] { return zone.isInState(job, end); }, 60 * second));
                 CPPUNIT_ASSERT(isLost);
                 CPPUNIT_ASSERT_EQUAL(AttemptNumber(1), zone.row(job)->attempt);
-                assertPromises(zone);
+                assertNoViolation(zone);
             }
         }
     }
@@ -242,7 +242,7 @@
             zone.run(10 * second);
             CPPUNIT_ASSERT_EQUAL(60, zone.runningAccelerators(job));
             CPPUNIT_ASSERT_EQUAL(attempt, zone.row(job)->attempt);
-            assertPromises(zone);
+            assertNoViolation(zone);
         }
     }
 
@@ -254,7 +254,7 @@
         zone.run(5 * second);
         std::optional<TableTransaction> commit;
         zone.writeFault = [&](std::size_t, const TableTransaction& write) {
-            if (!commit && isPlacedWrite(write, "placed"))
+            if (!commit && writesJobState(write, "placed"))
                 commit = write;
             return commit ? Fault::LoseRequest : Fault::None;
         };
@@ -287,7 +287,7 @@
             CPPUNIT_ASSERT(
                 zone.runUntil([&] { return zone.isInState(job, JobState::Finished); }, 90 * second));
             CPPUNIT_ASSERT_EQUAL(std::size_t(2), zone.countRecords("zone.recovered"));
-            assertPromises(zone);
+            assertNoViolation(zone);
         }
     }
 
@@ -307,7 +307,7 @@
             CPPUNIT_ASSERT(reachable == 40 || reachable == 0);
             CPPUNIT_ASSERT(
                 zone.runUntil([&] { return zone.isInState(job, JobState::Finished); }, 120 * second));
-            assertPromises(zone);
+            assertNoViolation(zone);
         }
     }
 
@@ -331,7 +331,7 @@
             for (std::size_t i = 0; i < 16; ++i)
                 CPPUNIT_ASSERT(zone.worker(i).tasks().empty());
             CPPUNIT_ASSERT(!zone.table.rows().contains(jobCancelRowKey(job)));
-            assertPromises(zone);
+            assertNoViolation(zone);
         }
     }
 
@@ -371,7 +371,7 @@
         CPPUNIT_ASSERT(evicted.checkpointed > 9 * second);
         CPPUNIT_ASSERT(
             zone.runUntil([&] { return zone.isInState(victim, JobState::Finished); }, 90 * second));
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against progress that counts although it was not saved, and against a guaranteed job that waits
@@ -394,7 +394,7 @@
             CPPUNIT_ASSERT(command.kind != WorkerCommandKind::Checkpoint);
         CPPUNIT_ASSERT(
             zone.runUntil([&] { return zone.isInState(victim, JobState::Finished); }, 120 * second));
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against a worker that attracts work because it fails fast and so is free again, and against jobs
@@ -416,7 +416,7 @@
         for (const CallerHandle caller : callers)
             CPPUNIT_ASSERT(zone.isInState(zone.job(caller).specification.id, JobState::Finished));
         CPPUNIT_ASSERT(zone.countRecords("worker.quarantined") >= 1);
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against a job that is retried forever.
@@ -457,7 +457,7 @@
         CPPUNIT_ASSERT_EQUAL(AttemptNumber(1), finished.attempt);
         CPPUNIT_ASSERT_EQUAL(AttemptNumber(1), zone.row(running)->attempt);
         CPPUNIT_ASSERT_EQUAL(40, zone.runningAccelerators(running));
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against a partial gang that runs on while the rack of its other members cannot be reached.
@@ -481,7 +481,7 @@
         zone.syncFault = {};
         zone.commandFault = {};
         CPPUNIT_ASSERT(zone.runUntil([&] { return zone.runningAccelerators(job) == 100; }, 60 * second));
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against a noise plan that counts a throttle before every member has applied it.
@@ -577,7 +577,7 @@
     void testMovedJobRunsOnceAndKeepsItsProgress()
     {
         ZoneSimulation zone(2);
-        zone.placement.propose = moveAnything;
+        zone.placement.propose = proposeAnyBorrowedJob;
         zone.run(5 * second);
         const CallerHandle caller = zone.submit(0, borrowedJob("m", 40, 300 * second));
         CPPUNIT_ASSERT(zone.runUntil([&] { return zone.countRecords("job.moving") == 1; }, moveInterval));
@@ -589,7 +589,7 @@
         zone.run(moveInterval - 15 * second);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), zone.countRecords("job.moving"));
         CPPUNIT_ASSERT(zone.runUntil([&] { return zone.isInState(job, JobState::Finished); }, 120 * second));
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guards against a moved job that is never restarted because the holder died during the move.
@@ -598,7 +598,7 @@
         for (const WorkerCommandKind point :
             { WorkerCommandKind::Checkpoint, WorkerCommandKind::Reserve, WorkerCommandKind::Run }) {
             ZoneSimulation zone(2);
-            zone.placement.propose = moveAnything;
+            zone.placement.propose = proposeAnyBorrowedJob;
             zone.run(5 * second);
             const CallerHandle caller = zone.submit(0, borrowedJob("m", 40, 200 * second));
             zone.run(5 * second);
@@ -614,7 +614,7 @@
             zone.kill(zone.holder().value());
             CPPUNIT_ASSERT(
                 zone.runUntil([&] { return zone.isInState(job, JobState::Finished); }, 400 * second));
-            assertPromises(zone);
+            assertNoViolation(zone);
         }
     }
 
@@ -623,7 +623,7 @@
     void testNothingMovesWhileJobsWaitOrServicesAreDown()
     {
         ZoneSimulation zone(2);
-        zone.placement.propose = moveAnything;
+        zone.placement.propose = proposeAnyBorrowedJob;
         zone.run(5 * second);
         zone.submit(0, borrowedJob("a", 100, 3'600 * second));
         const CallerHandle waiting = zone.submit(0, borrowedJob("b", 100, 3'600 * second));
@@ -650,7 +650,7 @@
         CPPUNIT_ASSERT_EQUAL(moved, zone.countRecords("job.moving"));
         zone.run(10 * second);
         CPPUNIT_ASSERT_EQUAL(moved + 1, zone.countRecords("job.moving"));
-        assertPromises(zone);
+        assertNoViolation(zone);
     }
 
     // Guard against violations of the invariants that ZoneSimulation checks, under a random mix of faults.
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -21,21 +21,21 @@
     CPPUNIT_TEST(testSettingsAreRead);
     CPPUNIT_TEST(testBadSettingsNameFieldAndReason);
     CPPUNIT_TEST(testSubmissionIsDecoded);
-    CPPUNIT_TEST(testBodyThatIsNoJobNamesFieldAndReason);
-    CPPUNIT_TEST(testOmittedFieldsAreNeutral);
-    CPPUNIT_TEST(testOtherMethodsAreNoRequests);
-    CPPUNIT_TEST(testAnswersHaveTheirStatus);
-    CPPUNIT_TEST(testRefusalsSayWhenToComeBack);
+    CPPUNIT_TEST(testMalformedJobBodyGivesErrorWithFieldAndReason);
+    CPPUNIT_TEST(testOmittedFieldsHaveDefaults);
+    CPPUNIT_TEST(testUnsupportedMethodIsNotDecoded);
+    CPPUNIT_TEST(testAnswerKindGivesHttpStatusAndBody);
+    CPPUNIT_TEST(testRefusalHasRetryAfterHeader);
     CPPUNIT_TEST(testConfigurationIsDecoded);
     CPPUNIT_TEST(testWorkerEntryIsDecoded);
-    CPPUNIT_TEST(testBrokenWorkerEntriesNameTheirFault);
+    CPPUNIT_TEST(testMalformedWorkerEntryGivesError);
     CPPUNIT_TEST(testStartOrderCarriesLeaseTokenAndCheckpoint);
-    CPPUNIT_TEST(testWorkerAnswersMeanWhatTheySay);
-    CPPUNIT_TEST(testHoldListsRuns);
-    CPPUNIT_TEST(testMalformedHoldIsNoAnswer);
-    CPPUNIT_TEST(testCommitOutcomesTellCertainFromUnknown);
+    CPPUNIT_TEST(testWorkerAnswerGivesOrderOutcome);
+    CPPUNIT_TEST(testHoldAnswerListsActiveAndEndedRuns);
+    CPPUNIT_TEST(testMalformedHoldAnswerGivesUnknownOutcome);
+    CPPUNIT_TEST(testCommitAnswerOrFailureGivesOutcome);
     CPPUNIT_TEST(testReadFollowsPages);
-    CPPUNIT_TEST(testFeedTellsLostHistory);
+    CPPUNIT_TEST(testFeedAnswerGivesOutcome);
     CPPUNIT_TEST_SUITE_END();
 
     class RecordingClient : public net::HttpClient {
@@ -165,7 +165,7 @@
         CPPUNIT_ASSERT_EQUAL(3, job.schedule.occurrences);
     }
 
-    void testBodyThatIsNoJobNamesFieldAndReason()
+    void testMalformedJobBodyGivesErrorWithFieldAndReason()
     {
         CPPUNIT_ASSERT(contains(problemOf("nothing"), "no JSON"));
         CPPUNIT_ASSERT(contains(problemOf("{}"), "\"steps\" is missing"));
@@ -175,7 +175,7 @@
         CPPUNIT_ASSERT(contains(problemOf(R"({"steps":[{"gpu":-1}]})"), "negative"));
     }
 
-    void testOmittedFieldsAreNeutral()
+    void testOmittedFieldsHaveDefaults()
     {
         const auto request = decodeRequest(post(R"({"steps":[{}]})"));
         CPPUNIT_ASSERT(request->problem.empty());
@@ -185,14 +185,14 @@
         CPPUNIT_ASSERT_EQUAL(0, request->specification.schedule.occurrences);
     }
 
-    void testOtherMethodsAreNoRequests()
+    void testUnsupportedMethodIsNotDecoded()
     {
         CPPUNIT_ASSERT(!decodeRequest({ "PUT", "/x" }));
         CPPUNIT_ASSERT(decodeRequest({ "GET", "/x" })->action == batch::CallerAction::Query);
         CPPUNIT_ASSERT(decodeRequest({ "DELETE", "/x" })->action == batch::CallerAction::Cancel);
     }
 
-    void testAnswersHaveTheirStatus()
+    void testAnswerKindGivesHttpStatusAndBody()
     {
         using batch::AnswerKind;
         const std::vector<std::pair<AnswerKind, int>> expected { { AnswerKind::Accepted, 200 },
@@ -208,7 +208,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"queuedCount":12})"), encodeAnswer(count).body);
     }
 
-    void testRefusalsSayWhenToComeBack()
+    void testRefusalHasRetryAfterHeader()
     {
         batch::AnswerCaller refusal { 1, batch::AnswerKind::NotAccepted };
         refusal.retryAfter = Milliseconds(2'100);
@@ -248,7 +248,7 @@
         CPPUNIT_ASSERT(worker->capacity == (batch::Resources { 16000, 32768, 8 }));
     }
 
-    void testBrokenWorkerEntriesNameTheirFault()
+    void testMalformedWorkerEntryGivesError()
     {
         const auto reader = makeRecordReader();
         const std::vector<std::string> broken { "\xff", "[]", without(goodEntry(), R"("born":1700,)"),
@@ -280,7 +280,7 @@
         CPPUNIT_ASSERT(!parseObject(m_client.requests.back().body).contains("lastCheckpoint"));
     }
 
-    void testWorkerAnswersMeanWhatTheySay()
+    void testWorkerAnswerGivesOrderOutcome()
     {
         using batch::OrderOutcome;
         const auto workers = makeWorkerClient(m_client, m_log);
@@ -306,7 +306,7 @@
         CPPUNIT_ASSERT(lost == OrderOutcome::Unknown);
     }
 
-    void testHoldListsRuns()
+    void testHoldAnswerListsActiveAndEndedRuns()
     {
         const auto workers = makeWorkerClient(m_client, m_log);
         batch::HoldAnswered answer;
@@ -326,7 +326,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 58 }, answer.status.ended.front().sequence);
     }
 
-    void testMalformedHoldIsNoAnswer()
+    void testMalformedHoldAnswerGivesUnknownOutcome()
     {
         const auto workers = makeWorkerClient(m_client, m_log);
         for (const char* body :
@@ -340,7 +340,7 @@
         }
     }
 
-    void testCommitOutcomesTellCertainFromUnknown()
+    void testCommitAnswerOrFailureGivesOutcome()
     {
         using batch::CommitOutcome;
         const auto store = makeStoreClient(m_client, { "10.0.0.9", 7 }, m_log);
@@ -389,7 +389,7 @@
         CPPUNIT_ASSERT_EQUAL(batch::RowVersion { 20 }, snapshot.version);
     }
 
-    void testFeedTellsLostHistory()
+    void testFeedAnswerGivesOutcome()
     {
         const auto store = makeStoreClient(m_client, { "10.0.0.9", 7 }, m_log);
         batch::FeedReply reply;
