--- a/src/placement/borrowed_placement.cpp
+++ b/src/placement/borrowed_placement.cpp
@@ -38,14 +38,14 @@
     return members;
 }
 
-// Accelerators of planned space that the guarantee could no longer have without an eviction.
+// Number of planned accelerators that a guarantee could then get only by an eviction.
 int BorrowedPlacement::harm(std::size_t rack, int taken) const
 {
     const int free = m_room.racks()[rack].free;
     return std::max(0, m_planned[rack] - (free - taken)) - std::max(0, m_planned[rack] - free);
 }
 
-// Whole shapes that fit in so many free accelerators.
+// Number of whole shapes that fit in this many free accelerators.
 int BorrowedPlacement::shapesIn(int free) const { return m_shape > 0 ? free / m_shape : 0; }
 
 std::optional<std::vector<GangMember>> BorrowedPlacement::findInRack(
@@ -54,7 +54,7 @@
     const auto rank = [&](std::size_t rack) {
         const int free = m_room.racks()[rack].free;
         const int broken = shapesIn(free) - shapesIn(free - accelerators);
-        // What no whole shape can use is filled first, the smallest remainder of all before the others.
+        // Remainders that no whole shape can use are filled first, the smallest one before the others.
         const int left = broken > 0 ? free : free - shapesIn(free) * m_shape;
         return std::tuple(isReserved(rack), broken, left, harm(rack, accelerators));
     };
@@ -62,8 +62,8 @@
     for (std::size_t rack = 0; rack < m_room.racks().size(); ++rack) {
         if (m_room.racks()[rack].free < accelerators || (isReserved(rack) && !mayUseReserved))
             continue;
-        // Of equal racks the last one: the guarantee plan fills the first ones, and what stays free between
-        // them is in one piece.
+        // Of equal racks, chooses the last one: the guarantee plan fills the first ones, so that the free
+        // racks in between stay contiguous.
         if (best == m_room.racks().size() || rank(rack) <= rank(best))
             best = rack;
     }
@@ -84,7 +84,7 @@
     return free;
 }
 
-// All of the run but what is left over in its last rack.
+// The accelerators to use in each rack: all free ones, except for the surplus in the last rack.
 std::vector<int> BorrowedPlacement::sharesOf(const RackRun& run, int accelerators) const
 {
     std::vector<int> shares;
@@ -129,7 +129,8 @@
         return std::nullopt;
     std::vector<std::size_t> order(free.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    // The smallest remainders first: adjacent shapes can use them least.
+    // Unreserved racks without planned space first; among these, racks with the least free room first,
+    // because they are the least useful for adjacent shapes.
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
         return std::tuple(isReserved(left), m_planned[left] > 0, free[left])
             < std::tuple(isReserved(right), m_planned[right] > 0, free[right]);
--- a/src/placement/borrowed_placement.h
+++ b/src/placement/borrowed_placement.h
@@ -10,17 +10,20 @@
 
 namespace anvilmoor {
 
-// Places borrowed work in free room. In one rack: where fewest whole shapes are lost, in the smallest
-// remainder that a whole shape cannot use, then away from space that unclaimed guarantees will need. In
-// several racks: away from that space, then best fit. Remembers which sizes found no room; room
-// must only shrink while an object is used.
+// Places borrowed work in free room. A job in one rack goes where the fewest whole shapes are lost, then into
+// the smallest remainder that no whole shape can use, then where it uses the least space that is planned for
+// unclaimed guarantees. A job in several racks goes to the run with the fewest racks, then the least planned
+// space, then the tightest fit.
+// Caches the sizes that found no room, so the room must only shrink during the lifetime of an object.
 class BorrowedPlacement {
 public:
-    // `planned` is what the guarantee plan wants of each rack; empty: nothing. `shape` is the adjacent shape
-    // that should stay free as a whole; 0: none. Above a rack it counts as a whole rack.
+    // `planned`: accelerators of each rack that the guarantee plan uses; empty: none. `shape`: the adjacent
+    // shape of which as many as possible should stay free as a whole; 0: none. A shape above a rack counts as
+    // a whole rack.
     BorrowedPlacement(const PlacementRoom&, std::vector<int> planned, int shape);
 
-    // Racks kept for a waiting gang. They are used last, and only by jobs that may use them.
+    // Sets the racks that are reserved for a waiting gang. They are used last, and only for jobs that may use
+    // reserved racks.
     void reserve(std::vector<bool> racks);
 
     std::optional<std::vector<GangMember>> find(int accelerators, bool adjacent, bool mayUseReserved);
@@ -40,7 +43,7 @@
     std::vector<int> m_planned;
     int m_shape;
     std::vector<bool> m_reserved;
-    // Smallest size that found no room, by kind of search and use of reserved racks.
+    // Smallest size that found no room, by kind of search and permission to use reserved racks; 0: none.
     std::array<std::array<int, 2>, 3> m_failed {};
 };
 
--- a/src/placement/claim_placement.cpp
+++ b/src/placement/claim_placement.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-// Places of least cost that are checked against the other guarantees before the plan decides the place.
+// Number of cheapest choices that are checked against the other guarantees before a packing of all guarantees
+// determines the place.
 constexpr int maxCheckedChoices = 8;
 
-// Guarantees that are tried to be kept when not all fit. Bounds the work in a zone with many dead workers.
+// Number of guarantees for which room is sought when not all of them fit. Limits the computation in a zone
+// with many dead workers.
 constexpr std::size_t maxKeptWhenDegraded = 64;
 
 class ClaimPlacement {
@@ -67,7 +69,8 @@
         return std::nullopt;
     }
 
-    // What the claim may take from each rack so that these other shapes fit. Empty if they don't.
+    // Accelerators that the claim may use in each rack so that these other shapes still fit. Empty if they do
+    // not fit.
     std::optional<std::vector<int>> planAround(std::span<const int> others) const
     {
         std::vector<int> shapes(others.begin(), others.end());
--- a/src/placement/defragmentation.cpp
+++ b/src/placement/defragmentation.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Runs that are looked at, those with least room missing first.
+// Number of rack runs that are examined, those that lack the fewest accelerators first.
 constexpr std::size_t maxRuns = 32;
 
 int missingIn(const PlacementRoom& room, const RackRun& run, int accelerators)
@@ -22,7 +22,8 @@
     return accelerators;
 }
 
-// Moves whose new place is looked for, the cheapest first. Bounds the work in a large zone.
+// Number of moves for which a destination is sought, the cheapest first. Limits the computation in a large
+// zone.
 constexpr std::size_t maxMovesTried = 32;
 
 struct MoveCandidate {
@@ -31,7 +32,8 @@
     double lost = 0;
 };
 
-// The rack that holds all of the job on usable workers; empty if there is none.
+// The rack in which the job holds all its accelerators, on usable workers only. Empty if there is no such
+// rack.
 std::optional<std::size_t> rackOf(const ZoneInventory& inventory, const Holding& holding)
 {
     const std::size_t rack = inventory.find(holding.members.front().worker)->rack;
@@ -43,7 +45,8 @@
     return rack;
 }
 
-// Where the job fits outside of the run. Adjacent, as it may have been submitted so.
+// A place for the job outside of the run. The place is adjacent, because the job may have been submitted as
+// adjacent and a holding does not record that.
 std::optional<std::vector<GangMember>> placeOutside(
     const PlacementRoom& room, const RackRun& run, const Holding& holding, int shape)
 {
--- a/src/placement/defragmentation.h
+++ b/src/placement/defragmentation.h
@@ -7,22 +7,22 @@
 
 namespace anvilmoor {
 
-// A job that has run shorter than this is not moved: it may have been moved just now.
+// Jobs that have run for less than this are not moved, because they may just have been moved.
 constexpr Milliseconds leastRunBeforeMove { 5 * 60 * 1'000 };
 
-// Proposes to move one borrowed job when that frees an adjacent shape. Pure.
+// Proposes to move one borrowed job if that frees an adjacent shape. Has no side effects.
 class DefragmentationPolicy {
 public:
-    // A move that would lose this much uncheckpointed work, in accelerator-seconds, or more is not proposed.
+    // Moves that would lose this much uncheckpointed work, in accelerator-seconds, or more are not proposed.
     explicit DefragmentationPolicy(double lostWorkLimit);
 
-    // For a waiting gang. Empty if the gang already has room, or if no single cheap move frees it. Guaranteed
-    // jobs and jobs that are leaving are never moved. The new place is adjacent, outside of the freed racks
-    // and free now.
+    // Proposes a move that makes room for a waiting gang. Empty if the gang already has room, or if no single
+    // move below the limit makes room for it. Guaranteed jobs and jobs that are leaving are never moved. The
+    // destination is adjacent, outside of the freed racks and free now.
     std::optional<DefragmentationMove> propose(const ZoneInventory&, int gangAccelerators) const;
 
-    // Without a waiting gang: the cheapest move after which one more whole shape of at most a rack is free.
-    // The new place is adjacent, in another rack, and free now.
+    // Proposes the cheapest move after which one more whole shape is free, while no gang waits. Empty if the
+    // shape is larger than a rack. The destination is adjacent, in another rack and free now.
     std::optional<DefragmentationMove> proposeForShape(const ZoneInventory&, int shape, TimePoint now) const;
 
 private:
--- a/src/placement/fair_queue.cpp
+++ b/src/placement/fair_queue.cpp
@@ -20,7 +20,7 @@
 
 double FairQueue::Account::load() const
 {
-    constexpr double smallestShare = 1e-9; // a share of 0 comes last, but is served
+    constexpr double smallestShare = 1e-9; // an account with a share of 0 is served too, after the others
     return held / std::max(smallestShare, configuration->share);
 }
 
--- a/src/placement/fair_queue.h
+++ b/src/placement/fair_queue.h
@@ -9,27 +9,28 @@
 
 constexpr int highestPriority = 9;
 
-// A queued job gains one priority level for each of these, so that a job of priority 0 is among the most
-// urgent after 90 minutes.
+// A queued job gains one priority level per interval, so that a job of priority 0 reaches the highest level
+// after 90 minutes.
 constexpr Milliseconds ageingInterval { 10 * 60 * 1'000 };
 
 // Priority with ageing, 0 to highestPriority.
 int effectivePriority(const QueuedJob&, TimePoint now);
 
-// Queued jobs by effective priority, then by the account that holds least for its share, then by arrival.
-// Accounts are compared anew after each start, so that one account's burst does not pass the others.
+// Orders queued jobs by effective priority, then by the account that holds the fewest accelerators relative
+// to its share, then by arrival. Accounts are compared again after each start, so that a burst of one account
+// does not overtake the others.
 class FairQueue {
 public:
     FairQueue(const ZoneInventory&, const Configuration&, TimePoint now);
 
-    // In order of arrival. Jobs of accounts that the configuration doesn't have are not taken: returns
-    // false. The job must outlive the queue.
+    // Call in order of arrival. Returns false and does not queue the job if its account is not in the
+    // configuration. The job must outlive the queue.
     [[nodiscard]] bool push(const QueuedJob&);
 
     // Null when empty.
     const QueuedJob* pop();
 
-    // Accelerators that the account holds, starts included. Precondition: the account exists.
+    // Accelerators that the account holds, including those of addStart(). Precondition: the account exists.
     int heldBy(const ClientAccountId&) const;
     int quotaOf(const ClientAccountId&) const;
     void addStart(const QueuedJob&);
@@ -52,7 +53,8 @@
 
     TimePoint m_now;
     std::vector<Account> m_accounts;
-    std::array<std::vector<Lane>, highestPriority + 1> m_lanes; // lanes in order of their first arrival
+    // By effective priority; the lanes of a priority are in order of their first arrival.
+    std::array<std::vector<Lane>, highestPriority + 1> m_lanes;
 };
 
 } // namespace anvilmoor
--- a/src/placement/first_fit_placement.cpp
+++ b/src/placement/first_fit_placement.cpp
@@ -14,12 +14,12 @@
 {
     PlanDraft draft(inventory);
     GuaranteeLedger ledger(inventory, configuration);
-    FairQueue accounts(inventory, configuration, now); // only counts what accounts hold
+    FairQueue accounts(inventory, configuration, now); // used only to count the accelerators of each account
     for (const QueuedJob& job : queue) {
         const JobSpecification& specification = job.specification;
         const ClientAccountConfiguration* account = configuration.findAccount(specification.account);
         if (!account || inventory.find(specification.id)) {
-            draft.wait(job, "the account is not in the configuration, or the job holds accelerators");
+            draft.wait(job, "the account is not in the configuration, or the job already holds accelerators");
             continue;
         }
         const bool isClaim = specification.jobClass == JobClass::Guaranteed;
@@ -27,7 +27,9 @@
             ? ledger.claim(account->id, specification.accelerators).has_value()
             : accounts.heldBy(account->id) + specification.accelerators <= account->acceleratorQuota;
         if (!isAllowed) {
-            draft.wait(job, isClaim ? "no unclaimed guarantee is large enough" : "the quota is used up");
+            draft.wait(job,
+                isClaim ? "no unclaimed guarantee is large enough"
+                        : "the job exceeds what is left of the quota");
             continue;
         }
         if (draft.resume(job)) {
@@ -40,9 +42,9 @@
                 .now = now,
                 .rackLimits = {},
                 .mayEvict = [&](const Holding&) { return isClaim; } });
-        // Borrowed work doesn't wait for accelerators that others are leaving.
+        // Borrowed jobs do not wait for the accelerators of jobs that are leaving.
         if (!choice || (!isClaim && !draft.room().isFree(choice->members))) {
-            draft.wait(job, "the accelerators are not free");
+            draft.wait(job, "too few suitable accelerators are free");
             continue;
         }
         draft.start(job, std::move(*choice));
--- a/src/placement/first_fit_placement.h
+++ b/src/placement/first_fit_placement.h
@@ -5,8 +5,8 @@
 
 namespace anvilmoor {
 
-// Baseline: jobs in order of arrival, each in the first rack or racks with room; jobs without room are
-// skipped. A claim takes the first place that can be freed, whatever other guarantees need.
+// Baseline: places jobs in order of arrival, each in the first rack or racks with room, and skips jobs
+// without room. A claim takes the first place that can be freed, even if other guarantees need it.
 class FirstFitPlacement : public PlacementPolicy {
 public:
     PlacementPlan plan(const ZoneInventory&, const Configuration&, std::span<const QueuedJob> queue,
--- a/src/placement/gang_reservation.cpp
+++ b/src/placement/gang_reservation.cpp
@@ -26,7 +26,7 @@
 {
     if (!mayEvict() || holding.priority > m_priority)
         return false;
-    // Members are looked at last: in a large zone, each look is a cache miss.
+    // The members are read last: in a large zone, each access to them is a cache miss.
     if (holding.startedAt > m_job.queuedAt
         && acceleratorsOf(holding.members) * 2 <= m_job.specification.accelerators)
         return true;
@@ -39,7 +39,7 @@
         && backfill.specification.priority <= m_priority;
 }
 
-// Accelerators of the rack that the gang could have now or as soon as leaving work has left.
+// Accelerators of the rack that are free, leaving or held by jobs that the gang may evict.
 int GangReservation::roomIn(std::size_t rack) const
 {
     const RackCapacity& capacity = m_room.inventory().racks()[rack];
--- a/src/placement/gang_reservation.h
+++ b/src/placement/gang_reservation.h
@@ -7,41 +7,44 @@
 
 namespace anvilmoor {
 
-// A large gang that has waited this long may evict work that overtook it.
+// A large gang that has waited this long may evict jobs that overtook it in the queue.
 constexpr Milliseconds backfillPatience { 60 * 1'000 };
-// A large gang that has waited this long may evict work that has run this long.
+// A large gang that has waited this long may evict jobs that have run this long.
 constexpr Milliseconds turnLength { 60 * 60 * 1'000 };
 
-// How the first job of the queue that finds no room gets it in bounded time.
+// Reserves racks for the first queued job that finds no room, so that it gets room in bounded time.
 //
-// Declared run times may be off by 10x, so no time is computed from them. The rule rests on what is
-// certain, who holds which accelerators since when:
-// - The racks with most room that is free, leaving or held by work that the gang may evict are reserved.
-//   Work behind the gang in the queue is placed there only if the gang may evict it. So this room shrinks
-//   only by claims and by work ahead of the gang, and the choice moves only to racks with more room.
-// - The gang may evict borrowed work of no higher priority that started after the gang was queued, once
-//   the gang has waited backfillPatience. Such work has to be at most half as large as the gang:
-//   otherwise two jobs could evict each other in turn.
-// - After turnLength it may also evict borrowed work of no higher priority that has run for turnLength.
-//   Everything in a run of racks is then older than turnLength or has overtaken the gang. With ageing
-//   its priority reaches the highest within 90 minutes, so after that only larger jobs in their first
-//   hour and guaranteed work are in its way.
+// Declared run times may be off by a factor of 10, so no time is computed from them. The rules use only known
+// facts: which job holds which accelerators, and since when.
+// - The racks with the most room that is free, leaving or held by jobs that the gang may evict are reserved.
+//   Jobs behind the gang in the queue are placed there only if the gang may evict them. So this room shrinks
+//   only by claims and by jobs ahead of the gang, and the reservation moves only to racks with more room.
+// - Once the gang has waited backfillPatience, it may evict borrowed jobs of no higher priority that started
+//   after the gang was queued. Such a job has to be at most half as large as the gang: otherwise two jobs
+//   could evict each other in turn.
+// - Once the gang has waited turnLength, it may also evict borrowed jobs of no higher priority that have run
+//   for turnLength. Every job in a run of racks has then either run for longer than turnLength or overtaken
+//   the gang. By ageing, the priority of the gang reaches the highest level within 90 minutes. After that,
+//   only guaranteed jobs and, in their first hour, jobs larger than half the gang can block it.
 class GangReservation {
 public:
-    // Rests on the room as it is now: make a new one when the room has changed. Room and job must outlive it.
+    // Uses the room as it is at construction: construct a new object when the room has changed. The room and
+    // the job must outlive it.
     GangReservation(const PlacementRoom&, const QueuedJob&, TimePoint now);
 
-    // Large: at least half a rack. Smaller jobs find room soon enough without evicting anything.
+    // True for a job of at least half a rack that has waited long enough. Smaller jobs find room soon enough
+    // without evictions.
     bool mayEvict() const { return m_isLarge && m_waited >= backfillPatience; }
     bool mayEvict(const Holding&) const;
 
-    // False if even the evictions that are allowed don't make room.
+    // False if the job does not fit even after all evictions that are allowed.
     bool canMakeRoom() const;
 
-    // True if the job, placed on reserved racks, would be evictable for the gang.
+    // True if the gang could evict the job after a start on reserved racks.
     bool admits(const QueuedJob& backfill) const;
 
-    // Per rack; all false if guaranteed work and unusable workers leave no room for the gang.
+    // Per rack, whether it is reserved. All false if guaranteed work and unusable workers leave no room for
+    // the gang.
     std::vector<bool> racks() const;
 
 private:
@@ -54,7 +57,7 @@
     Milliseconds m_waited;
     int m_priority;
     bool m_isLarge;
-    std::vector<int> m_reach; // per rack, without guaranteed work
+    std::vector<int> m_reach; // per rack, free if all borrowed work were evicted
     std::vector<int> m_certain; // per rack, see roomIn()
 };
 
--- a/src/placement/guarantee_aware_placement.cpp
+++ b/src/placement/guarantee_aware_placement.cpp
@@ -19,11 +19,11 @@
 
 namespace {
 
-// Jobs for which a reservation is tried: those that guaranteed work and unusable workers leave no room for
-// get none, and must not use up the time of a call.
+// Number of jobs per plan for which a reservation is attempted. Jobs for which guaranteed work and unusable
+// workers leave no room get no reservation; the limit keeps them from using up the time of a call.
 constexpr int maxReservationAttempts = 8;
 
-// One call of plan().
+// The state of one call of plan().
 class Planner {
 public:
     Planner(const ReclaimPolicy& reclaim, const ZoneInventory& inventory, const Configuration& configuration,
@@ -44,7 +44,7 @@
         std::vector<const QueuedJob*> borrowedClaims;
         for (const QueuedJob& job : queue) {
             if (m_inventory.find(job.specification.id) || job.specification.accelerators <= 0)
-                m_draft.wait(job, "already holds accelerators, or asks for none");
+                m_draft.wait(job, "the job already holds accelerators, or requests none");
             else if (job.specification.jobClass == JobClass::Guaranteed)
                 takeClaim(job);
             else if (!job.claimedMembers.empty())
@@ -65,7 +65,7 @@
     }
 
 private:
-    // Claims that have room already are booked before any new claim is placed.
+    // Resumes claims that already have members before any new claim is placed.
     void takeClaim(const QueuedJob& job)
     {
         const JobSpecification& specification = job.specification;
--- a/src/placement/guarantee_aware_placement.h
+++ b/src/placement/guarantee_aware_placement.h
@@ -5,12 +5,15 @@
 
 namespace anvilmoor {
 
-// Guaranteed claims first: a claim inside a guarantee always starts, by eviction of borrowed work if need
-// be, and never where it would make another unclaimed guarantee unsatisfiable. Borrowed work by priority
-// with ageing, account share and arrival, placed where its eviction would hurt least, within quota. The
-// first borrowed job that finds no room gets a reservation.
+// Places guaranteed claims first: a claim inside a guarantee starts wherever guaranteed work and unusable
+// workers leave room, if necessary by evicting borrowed work. It is never placed where another unclaimed
+// guarantee would no longer fit, unless the guarantees do not all fit anyway.
+// Borrowed work follows by priority with ageing, account share and arrival, within the quota, and is placed
+// where it takes the least space from whole shapes and unclaimed guarantees. The first borrowed job that
+// finds no room gets a reservation.
 //
-// The quota counts what the account holds in this zone: other zones' holdings are not known here.
+// The quota is compared with the accelerators that the account holds in this zone: its holdings in other
+// zones are not known here.
 class GuaranteeAwarePlacement : public PlacementPolicy {
 public:
     // The reclaim policy must outlive this object.
@@ -18,7 +21,8 @@
 
     PlacementPlan plan(const ZoneInventory&, const Configuration&, std::span<const QueuedJob> queue,
         TimePoint now) const override;
-    // Pays if less work is at risk than the won shape could do until the next move.
+    // A move is worthwhile if the work that it may lose is less than the freed shape could do until the next
+    // move.
     std::optional<DefragmentationMove> proposeMove(
         const ZoneInventory&, const Configuration&, TimePoint now) const override;
     std::string reasonItCanNeverRun(
--- a/src/placement/guarantee_ledger.cpp
+++ b/src/placement/guarantee_ledger.cpp
@@ -14,13 +14,15 @@
         }
         std::stable_sort(m_shapes.begin() + begin, m_shapes.end(),
             [](const Shape& left, const Shape& right) { return left.accelerators < right.accelerators; });
-        // Ascending sizes, each with the smallest shape left, leave the largest shapes unclaimed.
+        // Claiming the smallest sufficient shape for each holding, in ascending order of size, leaves the
+        // largest shapes unclaimed.
         for (const int size : inventory.guaranteedSizesOf(account.id))
             claim(account.id, size);
     }
 }
 
-// Index into m_shapes, or its size if none is left.
+// Index of the smallest unclaimed shape of the account that is large enough; m_shapes.size() if there is
+// none.
 std::size_t GuaranteeLedger::find(const ClientAccountId& account, int accelerators) const
 {
     const auto found = std::find_if(m_shapes.begin(), m_shapes.end(), [&](const Shape& shape) {
--- a/src/placement/guarantee_ledger.h
+++ b/src/placement/guarantee_ledger.h
@@ -8,8 +8,8 @@
 
 namespace anvilmoor {
 
-// Which guaranteed shapes of a zone are claimed, and which are not. A guaranteed job claims the smallest
-// unclaimed shape of its account that is large enough.
+// Tracks which guaranteed shapes of a zone are claimed. A guaranteed job claims the smallest unclaimed shape
+// of its account that is large enough.
 class GuaranteeLedger {
 public:
     // Guaranteed holdings of the inventory count as claims.
--- a/src/placement/guarantee_planner.cpp
+++ b/src/placement/guarantee_planner.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Racks looked at while backtracking, beyond one pass for each shape. Bounds a call to about 1 ms; all
-// placements of 16 shapes among 16 racks are mostly decided within it.
+// Racks examined while backtracking, in addition to one pass for each shape. Limits a call to about 1 ms;
+// most placements of 16 shapes among 16 racks are decided within this limit.
 constexpr std::int64_t searchSteps = 400'000;
 
 // Depth-first search over placements, the largest shape first and the tightest rack first. Its first
@@ -52,7 +52,8 @@
 
     bool placeInRack(std::size_t position, std::size_t shape)
     {
-        // Only smaller shapes follow, and those don't care which of two racks with equal room is used.
+        // The shapes that follow are no larger, so racks with equal room are interchangeable for them: one of
+        // these is tried.
         int tried = 0;
         while (m_stepsLeft >= 0) {
             const std::size_t rack = tightestRack(m_shapes[shape], tried);
@@ -65,7 +66,8 @@
         return false;
     }
 
-    // The first rack with the least room that is at least `size` and above `tried`.
+    // The first of the racks with the least room, among those with room for `size` and with more room than
+    // `tried`.
     std::size_t tightestRack(int size, int tried)
     {
         m_stepsLeft -= static_cast<std::int64_t>(tried > 0 ? m_room.size() : 0);
--- a/src/placement/guarantee_planner.h
+++ b/src/placement/guarantee_planner.h
@@ -12,18 +12,19 @@
     int accelerators = 0;
 };
 
-// Where a shape goes: one rack, or consecutive racks in ascending order.
+// The racks in which a shape is placed: one rack, or consecutive racks in ascending order.
 struct ShapePlacement {
     std::vector<RackShare> shares;
 };
 
-// Finds room for all adjacent shapes at once. `room` is what each rack could free, in the order in which
-// the racks stand. Shapes up to rackSize go into one rack, larger ones into consecutive racks; rackSize 0
-// stands for the largest room. The result has one entry for each shape, in the order of `shapes`.
+// Places all adjacent shapes at once. `room` is the number of accelerators that each rack could free, in the
+// physical order of the racks. Shapes up to rackSize are placed in one rack, larger ones in consecutive
+// racks; a rackSize of 0 means the largest entry of `room`. The result has one entry for each shape, in the
+// order of `shapes`.
 //
-// Empty means that the shapes don't fit, or, for large numbers of shapes, that none of the placements
-// tried within a bounded search fits. A result always fits. A shape above rackSize fills all racks of its
-// run but the first or the last one, so that what is left over stays in one piece.
+// Empty means that the shapes do not fit or, for large numbers of shapes, that a bounded search found no
+// placement. A placement that is returned always fits. A shape above rackSize uses all room of its racks
+// except in the first or the last one, so that the surplus stays in one piece.
 std::optional<std::vector<ShapePlacement>> packShapes(
     std::span<const int> room, std::span<const int> shapes, int rackSize = 0);
 
--- a/src/placement/job_limits.cpp
+++ b/src/placement/job_limits.cpp
@@ -35,7 +35,7 @@
     return {};
 }
 
-// Largest sum over at most `count` neighbouring racks with room.
+// Largest sum of free accelerators over at most `count` consecutive racks, each of which has room.
 int largestRoom(std::span<const RackCapacity> racks, std::size_t count)
 {
     int largest = 0;
@@ -77,7 +77,7 @@
     int largest = largestRoom(inventory.racks(), 1);
     if (rackSize == 0 || largest < rackSize)
         return largest;
-    // Sizes up to this many whole racks share one bound on the length of a run.
+    // All sizes above whole - 1 racks and up to `whole` racks have the same maximum length of a run.
     for (int whole = 2; (whole - 1) * rackSize < maxGangAccelerators; ++whole) {
         const int upper = std::min(whole * rackSize, maxGangAccelerators);
         const int room = largestRoom(inventory.racks(), longestRun(upper, rackSize));
--- a/src/placement/member_choice.cpp
+++ b/src/placement/member_choice.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// The tightest worker that has `amount`; if none has, the one with most.
+// The worker with the fewest accelerators that suffice for `amount`; if none suffices, the one with the most.
 std::size_t bestWorker(std::span<const int> available, int amount)
 {
     std::size_t best = 0;
--- a/src/placement/member_choice.h
+++ b/src/placement/member_choice.h
@@ -7,9 +7,10 @@
 
 namespace anvilmoor {
 
-// Adds members that take `amount` accelerators from the workers of a rack. `available` has one entry for
-// each worker of the rack. Uses few workers: the largest ones first, and the tightest one that is enough
-// for the rest. Precondition: the sum of `available` is at least `amount`.
+// Appends members with a total of `amount` accelerators on the workers of a rack. `available` has one entry
+// for each worker of the rack. Keeps the number of workers low: uses the workers with the most available
+// accelerators first, and the tightest fit for the remainder. Precondition: the sum of `available` is at
+// least `amount`.
 void appendMembers(const ZoneInventory&, const RackCapacity&, std::span<const int> available, int amount,
     std::vector<GangMember>&);
 
--- a/src/placement/placement_policy.h
+++ b/src/placement/placement_policy.h
@@ -13,11 +13,12 @@
 struct QueuedJob {
     JobSpecification specification;
     TimePoint queuedAt {};
-    // Accelerators held back for this job: it waits for evictions that were already asked for.
+    // Members reserved for this job while it waits for evictions that an earlier plan requested.
     std::vector<GangMember> claimedMembers;
 };
 
-// Start the job on these members once the evicted jobs have left. Without evictions: start now.
+// Starts the job on these members: immediately if there are no evictions, otherwise after the evicted jobs
+// have left.
 struct PlacementStart {
     JobId job;
     std::vector<GangMember> members;
@@ -31,41 +32,44 @@
 };
 
 struct PlacementPlan {
-    std::vector<PlacementStart> starts; // in the order in which they are to be booked
+    std::vector<PlacementStart> starts; // in the order in which to book them
     std::vector<PlacementWait> waits;
 };
 
-// Move a borrowed job by checkpoint: stop it where it is and start it on these members.
+// Moves a borrowed job by checkpoint: stops it at its present place and starts it on these members.
 struct DefragmentationMove {
     JobId job;
     std::vector<GangMember> members;
 };
 
-// A zone moves at most one job in this time.
+// A zone moves at most one job per interval.
 constexpr Milliseconds moveInterval { 120 * 1'000 };
 
-// Decides which queued jobs start now, and where. Pure: equal arguments give equal plans.
+// Decides which queued jobs start now, and on which members. Has no side effects: equal arguments give equal
+// plans.
 class PlacementPolicy {
 public:
     virtual ~PlacementPolicy() = default;
 
-    // `queue` is in order of arrival. `configuration` is the one in force; guarantees are taken from it.
+    // `queue` is in order of arrival. The guarantees are taken from `configuration`, which has to be the one
+    // in force.
     virtual PlacementPlan plan(const ZoneInventory&, const Configuration&, std::span<const QueuedJob> queue,
         TimePoint now) const = 0;
 
-    // A job to move so that one more whole shape is free, if that pays. Only asked while no job waits: then
-    // nobody else takes the room that the job is to move to. The default moves nothing.
+    // Proposes a job to move so that one more whole shape becomes free, if the move is worthwhile. Called
+    // only while no job waits, because a waiting job could take the room at the destination. The default
+    // implementation proposes nothing.
     virtual std::optional<DefragmentationMove> proposeMove(
         const ZoneInventory&, const Configuration&, TimePoint) const
     {
         return std::nullopt;
     }
 
-    // Empty if the job could run in an otherwise empty zone; otherwise why it never can.
+    // Returns why the job can never run. Empty if it could run in an otherwise empty zone.
     virtual std::string reasonItCanNeverRun(
         const AvailabilityZoneConfiguration&, const Configuration&, const JobSpecification&) const = 0;
 
-    // Most adjacent accelerators that a borrowed job could have now.
+    // Largest number of adjacent accelerators that a borrowed job could get now.
     virtual int largestFreeShape(const ZoneInventory&) const = 0;
 };
 
--- a/src/placement/placement_room.h
+++ b/src/placement/placement_room.h
@@ -8,15 +8,15 @@
 
 namespace anvilmoor {
 
-// Accelerators of one worker or rack as a plan sees them, without those that the plan has given away.
+// Accelerators of one worker or rack during planning, without those that the plan has already allocated.
 struct Room {
     int free = 0; // free now
-    int leaving = 0; // free as soon as borrowed work that was asked to leave has left
-    int reach = 0; // free if all borrowed work left; at least free + leaving
+    int leaving = 0; // become free when the borrowed jobs that are being evicted have left
+    int reach = 0; // free if all borrowed work were evicted; at least free + leaving
 };
 
-// The room of a zone while a plan is being made: the inventory's, changed by the evictions and starts
-// that the plan holds so far. Cheap to make: numbers only, no copy of holdings.
+// The room of a zone during planning: the inventory's room after the evictions and starts that the plan
+// contains so far. Cheap to construct: only numbers are copied, not the holdings.
 class PlacementRoom {
 public:
     explicit PlacementRoom(const ZoneInventory&);
@@ -28,20 +28,22 @@
     std::vector<int> freePerRack() const;
     std::vector<int> reachPerRack() const;
 
-    // True for borrowed work that can still be asked to leave.
+    // True for borrowed jobs that are neither leaving nor evicted by the plan.
     bool isEvictable(const Holding& holding) const
     {
         return holding.jobClass == JobClass::Borrowed && !holding.isLeaving
             && !m_evicted.contains(holding.job);
     }
-    // Counts the accelerators of a borrowed holding as leaving. Ignores unknown and leaving jobs.
+    // Counts the accelerators of a borrowed holding as leaving. Ignores jobs that are unknown or not
+    // evictable.
     void evict(const JobId&);
 
-    // True if the members can be had, be it after evictions.
+    // True if the members are free or can be freed by evictions.
     bool canReach(std::span<const GangMember>) const;
     // True if the members are free now.
     bool isFree(std::span<const GangMember>) const;
-    // Gives members away, those that are free now first. Precondition: canReach().
+    // Allocates the members, on each worker from the free accelerators first and then from the leaving ones.
+    // Precondition: canReach().
     void take(std::span<const GangMember>);
 
 private:
--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -26,11 +26,12 @@
         return true;
     }
     m_room.take(members);
-    wait(job, "waits for evicted work to leave");
+    wait(job, "waiting for evicted jobs to leave");
     return true;
 }
 
-// Borrowed work on the members' workers that has to leave and was not asked to, the newest first.
+// Borrowed jobs on the members' workers that have to be evicted and are not leaving yet, on each worker the
+// most recently booked first.
 std::vector<JobId> PlanDraft::missingEvictions(std::span<const GangMember> members) const
 {
     PlacementRoom after = m_room;
--- a/src/placement/plan_draft.h
+++ b/src/placement/plan_draft.h
@@ -8,20 +8,20 @@
 
 namespace anvilmoor {
 
-// A plan under construction and the room that it leaves.
+// A plan under construction and the room that it has not allocated.
 class PlanDraft {
 public:
     explicit PlanDraft(const ZoneInventory&);
 
     const PlacementRoom& room() const { return m_room; }
 
-    // Goes on with a claim whose evictions were asked for by an earlier plan: starts it if its room is
-    // free, asks again for borrowed work that is not leaving, or waits. Returns false, and does nothing,
-    // if the job has no claim or its room cannot be had any more.
+    // Continues a job for which an earlier plan requested evictions: starts it if its claimed members are
+    // free, requests the evictions that are missing, or lets it wait for jobs that are leaving. Returns false
+    // and does nothing if the job has no claimed members, or if they can no longer be freed.
     bool resume(const QueuedJob&);
-    // Precondition: after the evictions the members are free or leaving. Work that is leaving already and
-    // whose accelerators the job waits for is added to the evictions of the start: a start without
-    // evictions is free now.
+    // Precondition: the members are free or leaving after the evictions. Jobs that are already leaving and
+    // whose accelerators are needed are added to the evictions of the start, so that a start without
+    // evictions needs only accelerators that are free now.
     void start(const QueuedJob&, ReclaimChoice);
     void wait(const QueuedJob&, std::string reason);
 
--- a/src/placement/rack_runs.cpp
+++ b/src/placement/rack_runs.cpp
@@ -20,7 +20,7 @@
         std::size_t end = first;
         while (end < room.size() && end - first < longest && room[end] > 0 && sum < shape)
             sum += room[end++];
-        // A run that fits without its first rack is found again from the next rack.
+        // A run that also fits without its first rack is skipped here and found from the next rack.
         if (end > first && sum >= shape && sum - room[first] < shape)
             runs.push_back({ first, end - first, sum });
     }
--- a/src/placement/rack_runs.h
+++ b/src/placement/rack_runs.h
@@ -6,19 +6,20 @@
 
 namespace anvilmoor {
 
-// Neighbouring racks that together have room for a shape. No rack at either end can be left out.
+// Consecutive racks that together have room for a shape. The shape does not fit without the first or without
+// the last rack.
 struct RackRun {
     std::size_t first = 0;
     std::size_t count = 0;
     int room = 0;
 };
 
-// Most racks that a shape may stretch over: one more than it needs when the racks are empty. Without
-// this bound a gang would count as adjacent when it is spread thinly over a whole row.
+// Maximum number of racks that a shape may span: 1 up to rackSize, above it one more than the shape needs in
+// empty racks. Without this limit, a gang that is spread thinly over a whole row would count as adjacent.
 std::size_t longestRun(int shape, int rackSize);
 
-// Every place for an adjacent shape: single racks for shapes up to rackSize, runs above it. `room` is in
-// the order in which the racks stand. A rack without room breaks a run.
+// All places for an adjacent shape: single racks for shapes up to rackSize, runs of racks for larger ones.
+// `room` has one entry per rack, in the physical order of the racks. A rack without room ends a run.
 std::vector<RackRun> fittingRuns(std::span<const int> room, int shape, int rackSize);
 
 } // namespace anvilmoor
--- a/src/placement/zone_inventory.cpp
+++ b/src/placement/zone_inventory.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Sums up members on the same worker, so that each worker is checked against its whole share.
+// Merges members on the same worker, so that each worker is checked against their sum.
 std::vector<GangMember> mergedByWorker(std::vector<GangMember> members)
 {
     std::sort(members.begin(), members.end(),
@@ -72,7 +72,7 @@
     return *this;
 }
 
-// Points the uses of a copy at its own holdings.
+// After a copy, redirects the uses from the original's holdings to this object's own.
 void ZoneInventory::linkUses()
 {
     for (std::vector<WorkerUse>& uses : m_uses) {
@@ -180,7 +180,7 @@
     return found == m_guaranteedSizes.end() ? std::span<const int>() : std::span<const int>(found->second);
 }
 
-// Books (sign 1) or frees (sign -1) the members of a holding in all sums.
+// Adds the members of a holding to all sums (sign 1) or subtracts them (sign -1).
 void ZoneInventory::changeHeld(const Holding& holding, int sign)
 {
     const bool isGuaranteed = holding.jobClass == JobClass::Guaranteed;
--- a/src/placement/zone_inventory.h
+++ b/src/placement/zone_inventory.h
@@ -16,7 +16,7 @@
 // Sum over all members.
 int acceleratorsOf(std::span<const GangMember>);
 
-// What a job holds in the zone, or is about to hold.
+// The accelerators that a job holds in the zone or is about to hold.
 struct Holding {
     JobId job;
     ClientAccountId account;
@@ -24,8 +24,8 @@
     int priority = 0;
     std::vector<GangMember> members;
     TimePoint startedAt {};
-    Milliseconds progress { 0 }; // as last reported; lags
-    Milliseconds checkpointed { 0 }; // progress that survives a stop
+    Milliseconds progress { 0 }; // as last reported; behind the actual progress
+    Milliseconds checkpointed { 0 }; // progress that is kept if the job is stopped
     bool isThrottled = false;
     bool isLeaving = false; // being checkpointed or stopped; its accelerators are not free yet
 };
@@ -38,30 +38,30 @@
     int heldByGuaranteed = 0;
     int heldByLeaving = 0; // by borrowed holdings that are leaving
     int heldByThrottled = 0;
-    bool isUsable = false; // live, reached under the current token, not quarantined
+    bool isUsable = false; // live, reached under the current fencing token, not quarantined
     NoiseProfile noise;
 
     int free() const { return isUsable ? accelerators - held : 0; }
 };
 
-// What one holding has on one worker.
+// The accelerators that one holding uses on one worker.
 struct WorkerUse {
     const Holding* holding = nullptr; // valid until the holding is removed
     int accelerators = 0;
 };
 
-// Workers with the same index range are one rack; neighbouring racks are adjacent.
+// The workers of a rack are consecutive in workers(). Racks next to each other in racks() are adjacent.
 struct RackCapacity {
     RackId id;
     std::size_t firstWorker = 0;
     std::size_t workerCount = 0;
     int free = 0; // over usable workers
-    int freeIfEvicted = 0; // free, plus what borrowed holdings have on usable workers
+    int freeIfEvicted = 0; // free, plus those of borrowed holdings on usable workers
     int accelerators = 0; // over usable workers
 };
 
-// The accelerators of one availability zone and who holds them. Rack sums are kept up to date at each
-// change, so that a placement reads racks first and workers only in racks that can fit.
+// The accelerators of one availability zone and the jobs that hold them. Rack sums are updated at each
+// change, so that a placement reads the racks first and then only the workers of racks with enough room.
 class ZoneInventory {
 public:
     explicit ZoneInventory(const AvailabilityZoneConfiguration&);
@@ -72,8 +72,8 @@
     ~ZoneInventory() = default;
 
     const AvailabilityZoneId& zone() const { return m_zone; }
-    // Accelerators of the zone's largest rack, whether its workers are usable or not. Shapes up to this
-    // size are adjacent in one rack only, larger ones in consecutive racks.
+    // Accelerators of the zone's largest rack, including those of unusable workers. A shape up to this size
+    // is adjacent only within one rack, a larger one in consecutive racks.
     int rackSize() const { return m_rackSize; }
     std::span<const RackCapacity> racks() const { return m_racks; }
     std::span<const WorkerCapacity> workers() const { return m_workers; }
@@ -85,8 +85,9 @@
     // Index into workers(). Precondition: the worker exists.
     std::size_t indexOf(const WorkerId& worker) const { return m_workerIndex.at(worker); }
 
-    // Books the members. Precondition: each worker exists and has that many accelerators not held.
-    // Returns false, and books nothing, otherwise.
+    // Books the members. Returns false and books nothing if the job already has a holding, if there are no
+    // members, if a member has no accelerators, or if a worker does not exist or has too few accelerators
+    // that are not held.
     [[nodiscard]] bool add(Holding);
     void remove(const JobId&);
     void setUsable(const WorkerId&, bool isUsable);
@@ -94,7 +95,7 @@
     void setThrottled(const JobId&, bool isThrottled);
     void setLeaving(const JobId&);
 
-    // Who holds accelerators of the worker at this index of workers(), in order of booking.
+    // The uses of the worker at this index of workers(), in order of booking.
     std::span<const WorkerUse> usesOf(std::size_t worker) const { return m_uses[worker]; }
 
     // Accelerators that the account holds, over all its holdings.
--- a/test/guarantee_planner_test.cpp
+++ b/test/guarantee_planner_test.cpp
@@ -17,8 +17,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against refusing a configuration that does fit: best-fit decreasing puts one 6
-    // into each rack, and then has no rack for the second 5.
+    // Guards against rejecting a configuration that does fit: best-fit decreasing places one 6 in each rack
+    // and then has no rack for the second 5.
     void testShapesThatBestFitMissesAreFoundBySearch()
     {
         const std::vector<int> room { 12, 10 };
@@ -27,7 +27,7 @@
         CPPUNIT_ASSERT(!packShapes(room, std::vector<int> { 7, 7, 7 }));
     }
 
-    // Guards against counting scattered room as adjacent.
+    // Guards against room in racks that are not adjacent being counted as adjacent.
     void testShapeAboveARackNeedsConsecutiveRacks()
     {
         const std::vector<int> shapes { 100 };
@@ -40,7 +40,7 @@
         CPPUNIT_ASSERT(!packShapes(std::vector<int> { 64, 64, 64 }, std::vector<int> { 96, 97 }, 64));
     }
 
-    // Guards against a search that prunes too much or books too much.
+    // Guards against a search that prunes valid placements or overbooks racks.
     void testRandomRacksAgreeWithFullEnumeration()
     {
         std::mt19937 random(5);
@@ -61,7 +61,7 @@
         CPPUNIT_ASSERT(fits > 400 && fits < 1'600);
     }
 
-    // Guards against overbooked racks when the search is cut short.
+    // Guards against overbooked racks when the search reaches its limit before it has tried all placements.
     void testManyShapesArePackedSoundly()
     {
         std::mt19937 random(6);
--- a/test/naive_baselines_test.cpp
+++ b/test/naive_baselines_test.cpp
@@ -21,7 +21,7 @@
     return text;
 }
 
-// Noise in lesson hours ignored: no limit, no actions.
+// A noise policy without a limit in lesson hours, so that it never acts.
 class DeafNoise : public CountingNoise {
 public:
     DeafNoise()
@@ -35,8 +35,8 @@
 
 } // namespace
 
-// Each naive variant breaks one promise, and the checker must say so; the same events without the variant
-// must pass. Guards against invariants that cannot fail.
+// Each naive variant violates one invariant, and the checker has to report it; the same events without the
+// variant must pass. Guards against invariant checks that can never fail.
 class NaiveBaselinesTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(NaiveBaselinesTest);
     CPPUNIT_TEST(testWorkersWithoutFencingRunTwoAttempts);
@@ -115,7 +115,8 @@
         return cluster.submitJob(cluster.hosts()[2], job);
     }
 
-    // Late copies of a former holder's commands meet a newer attempt of the job.
+    // Workers receive a former role holder's commands a second time, late, while a newer attempt of the job
+    // runs.
     std::string runStaleCommands(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -137,7 +138,7 @@
         cluster.runFor(Milliseconds(3'000));
         cluster.kill(cluster.holderOf("north").value());
         cluster.runFor(Milliseconds(7'000));
-        // The first attempt ends with its workers. They come back when the job runs elsewhere.
+        // The first attempt ends when its workers die. They restart while the job runs elsewhere.
         for (const WorkerId& worker : first)
             cluster.worker(worker).isDead = true;
         cluster.runFor(Milliseconds(60'000));
@@ -149,7 +150,8 @@
         return textOf(cluster);
     }
 
-    // A claim that is taken as written before it is: the record comes after the call, or never.
+    // The naive daemon treats its request claim as written before it is: the record is written after the
+    // call, or never.
     std::string runCopies(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -170,7 +172,8 @@
         return textOf(cluster);
     }
 
-    // Two calls under way; a daemon that matches by order takes the newest answer for the older call.
+    // Two calls are in flight. The naive daemon assigns answers by order, so that the body of one answer is
+    // taken for the answer to the other call.
     std::string runCrossedReplies(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -183,7 +186,7 @@
             const EndpointAnswered own = *answer;
             if (!newest.empty())
                 answer->body = newest;
-            // The real daemon compares the identity that comes with the body; the naive one does not.
+            // The real daemon compares the identity that accompanies the body; the naive one does not.
             if (!newest.empty() && variant == Variant::Real)
                 answer->identity.key = "q1";
             if (variant == Variant::Naive)
@@ -196,7 +199,8 @@
         return textOf(cluster);
     }
 
-    // One worker refuses; a daemon that takes a sent command for a done one starts the others.
+    // One worker rejects its command. The naive daemon treats a command as done once it is sent, and starts
+    // the other members.
     std::string runRefusedMember(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -220,7 +224,7 @@
         return textOf(cluster);
     }
 
-    // An older document is pushed again; without committed versions it looks like the newest.
+    // An older document is pushed again. Without committed versions it appears to be the newest.
     std::string runOldPush(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -245,7 +249,8 @@
         return textOf(cluster);
     }
 
-    // A daemon restarts in a zone without platform, and a peer speaks from before the last change.
+    // A daemon restarts in a zone that is cut off from the platform, and its peers send the configuration
+    // from before the last change.
     std::string runRestartInCutZone(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -278,7 +283,7 @@
         return textOf(cluster);
     }
 
-    // Drains reach no other daemon, neither by push nor by poll.
+    // The drain does not reach any other daemon in the naive variant, neither by push nor by poll.
     std::string runDrain(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -305,7 +310,7 @@
         return textOf(cluster);
     }
 
-    // Monday 08:10, in lesson hours: borrowed work for the whole zone.
+    // Monday 08:10, in lesson hours: borrowed work is submitted for the whole zone.
     std::string runLesson(Variant variant)
     {
         TestClusterOptions options;
@@ -324,7 +329,8 @@
         return textOf(cluster);
     }
 
-    // The guarantees fit the zone only if the smaller one takes the smaller rack, which comes second.
+    // The guarantees fit in the zone only if the smaller one is placed in the smaller rack, which is the
+    // second one.
     static std::string tightDocument()
     {
         std::string document = testDocument();
@@ -340,7 +346,7 @@
         return document;
     }
 
-    // Borrowed work in the whole zone, then one claim after the other.
+    // Borrowed work occupies the whole zone; then one claim follows the other.
     std::string runClaims(Variant variant)
     {
         TestClusterOptions options;
@@ -363,7 +369,8 @@
         return textOf(cluster);
     }
 
-    // A caller's copy is told "not run" by a daemon that does not look at the record.
+    // The naive daemon answers "not run" to a second copy of a request, because it does not read the record
+    // of the first.
     std::string runUnreadRecord(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -30,7 +30,7 @@
     return job;
 }
 
-// Accounts "a0", "a1"... with one guarantee each.
+// Accounts "a0", "a1"... with one guarantee each, or none where the size is 0.
 Configuration configurationOf(AvailabilityZoneConfiguration zone, const std::vector<int>& guarantees)
 {
     Configuration configuration;
@@ -68,7 +68,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against claims that wait for each other or behind borrowed work.
+    // Guards against claims that wait for each other or for borrowed work that fills the zone.
     void testAllGuaranteesClaimedAtOnceInFullFleetStart()
     {
         PlacementSimulation zone(m_policy, configurationOf(uniformZone(4, 8), { 64, 40, 24, 128 }));
@@ -90,7 +90,8 @@
             CPPUNIT_ASSERT(zone.isRunning(JobId(fmt::format("g{}", account))));
     }
 
-    // Guards against a claim that takes the only whole rack another account is guaranteed. First fit does.
+    // Guards against a claim placed in the only rack that can still hold another account's guarantee,
+    // although the eviction of a borrowed job elsewhere makes room. First fit does this.
     void testClaimThatWouldSplitAnotherGuaranteeGoesElsewhere()
     {
         const Configuration configuration = configurationOf(uniformZone(2, 2), { 8, 16, 8 });
@@ -111,7 +112,8 @@
         CPPUNIT_ASSERT(!planFaults(inventory, configuration, queue, naive, true).empty());
     }
 
-    // Guards against a claim that stays bound to a worker that died while it waited for evictions.
+    // Guards against a claim that remains assigned to a worker that died while the claim waited for
+    // evictions, and against a second claim that starts although the only guarantee is claimed.
     void testClaimOnDeadWorkersMovesAndBeyondGuaranteeWaits()
     {
         PlacementSimulation zone(m_policy, configurationOf(uniformZone(2, 2), { 16, 0 }));
@@ -130,7 +132,8 @@
         CPPUNIT_ASSERT(!zone.isRunning(JobId("more")));
     }
 
-    // Guards against gangs that are spread over racks which are not neighbours.
+    // Guards against gangs that are placed in racks that are not adjacent, because a rack of dead workers
+    // lies between them.
     void testGangAboveOneRackUsesConsecutiveRacks()
     {
         PlacementSimulation zone(m_policy, configurationOf(uniformZone(6, 8), { 0 }));
@@ -149,15 +152,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("r3"), plan.starts.at(0).members.at(0).worker.value().substr(0, 2));
     }
 
-    // Guards against a stream of small jobs that never leaves a large gang its racks, although all of them
-    // run ten times longer than declared. First fit starves the gang.
+    // Guards against starvation of a large gang by a continuous stream of small jobs, all of which run ten
+    // times longer than declared. First fit starves the gang.
     void testLargeGangAmongSmallJobsStartsInBoundedSteps()
     {
         CPPUNIT_ASSERT(stepsUntilGangRuns(m_policy, 1'000) < 150);
         CPPUNIT_ASSERT_EQUAL(1'000, stepsUntilGangRuns(FirstFitPlacement(), 1'000));
     }
 
-    // Guards against backfill that takes the room of the job at the head and that it may not evict.
+    // Guards against backfill in the room of the job at the head of the queue, unless that job may evict the
+    // backfill.
     void testReservedRackAdmitsOnlyBackfillThatGivesWay()
     {
         for (const int head : { 7, 8 }) { // 8 is half a rack: large enough to evict backfill
@@ -172,7 +176,7 @@
         }
     }
 
-    // Guards against one account's burst that takes the zone, and against a burst beyond its quota.
+    // Guards against a burst of one account that uses the whole zone or more than the account's quota.
     void testAccountsShareAndQuotaLimitsBurst()
     {
         Configuration configuration = configurationOf(uniformZone(2, 4), { 0, 0, 0 });
@@ -191,7 +195,8 @@
         CPPUNIT_ASSERT_EQUAL(20, zone.inventory().heldBy(ClientAccountId("a2")));
     }
 
-    // Guards against fragmentation by placement and against evictions that a free rack would have spared.
+    // Guards against borrowed jobs that are spread over all racks, so that the zone is fragmented and a claim
+    // needs evictions although there is room for a free rack.
     void testBorrowedWorkKeepsWholeRacksAndPlannedSpaceFree()
     {
         PlacementSimulation zone(m_policy, configurationOf(uniformZone(4, 2), { 16 }));
@@ -203,7 +208,7 @@
         CPPUNIT_ASSERT(zone.step(minute).starts.at(0).evictions.empty());
     }
 
-    // Guards against jobs that wait for ever because nobody tells that they cannot run.
+    // Guards against jobs that wait for ever because they are accepted although they can never run.
     void testImpossibleJobsAreNamed()
     {
         Configuration configuration = configurationOf(uniformZone(2, 8), { 64 });
@@ -223,7 +228,8 @@
         CPPUNIT_ASSERT(!reason(borrowed("j", "a0", 129)).empty());
     }
 
-    // Guards against small jobs that break a free shape although a remainder elsewhere holds them.
+    // Guards against small jobs that use part of a free whole shape although a smaller remainder in another
+    // rack has room for them.
     void testBorrowedWorkUsesRemaindersBeforeWholeShapes()
     {
         const Configuration configuration = configurationOf(uniformZone(2, 8), { 32 });
@@ -244,7 +250,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), inventory.find(plan.starts[0].members.at(0).worker)->rack);
     }
 
-    // Guards against moves that lose more work than the limit, or that free nothing.
+    // Guards against moves that lose more work than the limit, or that free no room that the gang lacks.
     void testCheapMoveThatFreesAShapeIsProposed()
     {
         ZoneInventory inventory = usableInventory(uniformZone(2, 2));
@@ -261,7 +267,8 @@
         CPPUNIT_ASSERT(!DefragmentationPolicy(300).propose(inventory, 12));
     }
 
-    // Guards against moves that win no whole shape, cost more than they win, or repeat at once.
+    // Guards against moves that free no additional whole shape, lose more work than the limit, or move a job
+    // again right after its start.
     void testMoveThatMakesAShapeWholeIsProposedOnlyIfItPays()
     {
         const TimePoint now = TimePoint {} + hour;
@@ -277,16 +284,17 @@
             return DefragmentationPolicy(limit).proposeForShape(inventory, 32, now);
         };
         const Milliseconds ran
-            = 10 * minute; // 2 accelerators: 1,200 accelerator-seconds, and 60 for the move
+            = 10 * minute; // on 2 accelerators: loses 1,200 accelerator-seconds, and 60 for the move
         const auto move = propose("r0w0", ran, 1'300);
         CPPUNIT_ASSERT(move && move->job == JobId("small"));
         CPPUNIT_ASSERT_EQUAL(std::string("r0"), move->members.at(0).worker.value().substr(0, 2));
-        CPPUNIT_ASSERT(!propose("r0w0", ran, 1'260)); // costs too much
-        CPPUNIT_ASSERT(!propose("r1w1", ran, 1'300)); // wins nothing: it would break r0
-        CPPUNIT_ASSERT(!propose("r0w0", 4 * minute, 1'300)); // was started just now
+        CPPUNIT_ASSERT(!propose("r0w0", ran, 1'260)); // loses too much work
+        CPPUNIT_ASSERT(!propose("r1w1", ran, 1'300)); // gains nothing: it would break the shape in r0
+        CPPUNIT_ASSERT(!propose("r0w0", 4 * minute, 1'300)); // started too recently
     }
 
-    // Guards against any sequence of starts, ends, deaths and claims that breaks a promise of the plan.
+    // Guards against sequences of starts, ends, worker deaths and claims after which a plan violates an
+    // invariant.
     void testRandomHistoriesKeepEveryPromise()
     {
         int claimsStarted = 0;
@@ -297,7 +305,7 @@
             naiveFaults += faults;
         }
         CPPUNIT_ASSERT(claimsStarted > 1'000);
-        CPPUNIT_ASSERT(naiveFaults > 0); // the check catches what first fit breaks
+        CPPUNIT_ASSERT(naiveFaults > 0); // the check detects the violations of first fit
     }
 
 private:
@@ -308,7 +316,8 @@
             CPPUNIT_FAIL(fault);
     }
 
-    // Steps of one minute; a gang of 128 in a zone of 256 full of small jobs, with more of them at each step.
+    // Number of one-minute steps until a gang of 128 runs in a zone of 256 accelerators that is full of small
+    // jobs, with more of them queued at each step.
     static int stepsUntilGangRuns(const PlacementPolicy& policy, int limit)
     {
         std::mt19937 random(11);
@@ -358,7 +367,7 @@
         job.adjacent = random() % 4 != 0;
         if (random() % 3 != 0)
             return job;
-        // A claim below its shape is sure to fit in one rack only if its shape does.
+        // A claim below its guaranteed shape is certain to fit in one rack only if the shape does.
         const int shape = account.guarantees[0].accelerators;
         job.jobClass = JobClass::Guaranteed;
         job.accelerators = shape <= ZoneInventory(configuration.zones[0]).rackSize() && random() % 3 == 0
--- a/test/zone_inventory_test.cpp
+++ b/test/zone_inventory_test.cpp
@@ -15,7 +15,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a partly booked gang: two members on one worker each fit alone, but not together.
+    // Guards against a partially booked gang: two members on the same worker fit there one by one, but not
+    // together.
     void testBookingBeyondAWorkerBooksNothing()
     {
         ZoneInventory inventory = emptyInventory();
@@ -29,7 +30,8 @@
         CPPUNIT_ASSERT_EQUAL(0, inventory.workers()[1].held);
     }
 
-    // Guards against sums that drift when workers die and return under running jobs.
+    // Guards against rack and worker sums that drift when workers become unusable and usable again while jobs
+    // run on them.
     void testRackSumsAfterRandomChangesEqualADirectSum()
     {
         std::mt19937 random(20'261'204);
