Reword comments and messages in src/admission

Comments spoke of what others leave, lent capacity and hopeless requests; they now use the terms of fair queueing, and say which request a full queue displaces and when callers share a queue. Tests without a comment now state the failure that they guard against. Code tokens other than one reworded refusal, which no test matches, are unchanged.

--- a/src/admission/admission_policy.h
+++ b/src/admission/admission_policy.h
@@ -11,10 +11,10 @@
 
 namespace anvilmoor {
 
-// Names a queued request inside one daemon.
+// Identifies a queued request within one daemon.
 using RequestNumber = std::uint64_t;
 
-// Bounds of all queues together. 16,384 requests of 1 KiB stay under a fifth of a daemon's 128 MB.
+// Limits for all queues together. 16,384 requests of 1 KiB use less than a fifth of a daemon's 128 MB.
 constexpr std::size_t maxQueuedRequests = 16'384;
 constexpr std::size_t maxQueuedRequestsPerAccount = 8'192;
 
@@ -31,30 +31,30 @@
 struct AdmissionVerdict {
     bool isQueued = false;
     std::string reason; // if refused
-    Milliseconds retryAfter { 0 }; // if refused: when the queue may have room
-    std::optional<RequestNumber> displaced; // this earlier request left the queue to make room
+    Milliseconds retryAfter { 0 }; // if refused: time until the queue may have room
+    std::optional<RequestNumber> displaced; // earlier request that was removed to make room
 };
 
-// Holds requests that wait for an endpoint, and decides which one is served next. Every queue is
-// bounded. Services have separate queues: a busy service does not hold up another one.
+// Holds requests that wait for an endpoint, and decides which one is served next. Every queue is bounded.
+// Each service has its own queue, so that a busy service does not delay another one.
 class AdmissionPolicy {
 public:
     virtual ~AdmissionPolicy() = default;
 
-    // Takes the accounts' shares.
+    // Applies the accounts' shares.
     virtual void configure(const Configuration&) = 0;
 
-    // `parallelism`: how many requests of the service this daemon has in service at present. Refuses
-    // work that would not be served before its deadline at that rate.
+    // `parallelism`: number of requests of the service that this daemon has in flight now. Refuses a request
+    // that would not be served before its deadline with this parallelism.
     virtual AdmissionVerdict enqueue(const AdmissionItem&, int parallelism, TimePoint now) = 0;
 
-    // The request to serve next, which stays queued until pop(). Empty if none waits.
+    // The request to serve next, which stays queued until pop(). Empty if the queue is empty.
     virtual std::optional<RequestNumber> peek(const ServiceId&) const = 0;
 
     // Removes the request that peek() returns and charges its cost.
     virtual void pop(const ServiceId&) = 0;
 
-    // Removes a request wherever it stands. Ignores unknown ones.
+    // Removes a request at any position of its queue. Ignores unknown requests.
     virtual void remove(RequestNumber) = 0;
 
     virtual std::size_t queued() const = 0;
--- a/src/admission/fair_order.h
+++ b/src/admission/fair_order.h
@@ -9,8 +9,8 @@
 
 namespace anvilmoor {
 
-// Start-time fair queueing over numbered flows: each flow gets service in proportion to its weight
-// while it has work; what idle flows leave goes to the others.
+// Start-time fair queueing over numbered flows: each flow is served in proportion to its weight while it has
+// work. Service that idle flows do not use is divided among the others.
 class FairOrder {
 public:
     using Flow = std::uint32_t;
@@ -24,7 +24,7 @@
 
     void setWeight(Flow flow, double weight) { m_flows[flow].weight = std::max(weight, minWeight); }
 
-    // The flow has work.
+    // Marks the flow as having work.
     void activate(Flow flow)
     {
         State& state = m_flows[flow];
@@ -32,12 +32,12 @@
             return;
         state.isActive = true;
         m_activeWeight += state.weight;
-        // A flow that was idle gets no credit for the time in which it asked for nothing.
+        // A flow gets no credit for the time in which it was idle.
         state.start = std::max(state.start, m_virtualTime);
         m_active.insert({ state.start, flow });
     }
 
-    // The flow has no more work.
+    // Marks the flow as having no work.
     void deactivate(Flow flow)
     {
         State& state = m_flows[flow];
@@ -51,7 +51,7 @@
     bool hasActive() const { return !m_active.empty(); }
     Flow next() const { return m_active.begin()->second; }
 
-    // The active flow is served work of this cost.
+    // Charges the flow for service of this cost. Precondition: the flow is active.
     void charge(Flow flow, double cost)
     {
         State& state = m_flows[flow];
@@ -61,7 +61,7 @@
         m_active.insert({ state.start, flow });
     }
 
-    // The part of the service that the flow gets if it is active, in (0, 1].
+    // The fraction of the service that the flow gets, or would get if it were active, in (0, 1].
     double fraction(Flow flow) const
     {
         const State& state = m_flows[flow];
@@ -77,7 +77,7 @@
 
     struct State {
         double weight = 1;
-        double start = 0; // virtual time at which its next work starts
+        double start = 0; // virtual start time of the next work of the flow
         bool isActive = false;
     };
 
--- a/src/admission/fair_share_admission.cpp
+++ b/src/admission/fair_share_admission.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Callers beyond this many in one account share one queue, so that invented caller names cannot use up
-// memory.
+// Further callers of an account use the queue of an idle caller or, if no caller is idle, share the first
+// queue, so that invented caller names cannot use up memory.
 constexpr std::size_t maxCallersPerAccount = 1'024;
 
 } // namespace
@@ -22,7 +22,8 @@
         for (FairOrder::Flow flow = 0; flow < service.accounts.size(); ++flow) {
             const auto share = m_shares.find(service.accounts[flow].id);
             const bool isActive = service.accounts[flow].count > 0;
-            // The weight of an active flow is part of a sum, so it changes only while inactive.
+            // The weight of an active flow is included in the sum of active weights, so it may change only
+            // while the flow is inactive.
             service.order.deactivate(flow);
             service.order.setWeight(flow, share == m_shares.end() ? 0 : share->second);
             if (isActive)
@@ -50,8 +51,8 @@
     if (found != account.callerFlows.end())
         return found->second;
     if (account.callers.size() >= maxCallersPerAccount) {
-        // An idle caller's place is free for reuse; its start tags remain, which can only delay the
-        // new caller by the cost of one request.
+        // Reuses the queue of an idle caller. Its start tags remain, which can delay the new caller only by
+        // the cost of one request.
         for (FairOrder::Flow flow = 0; flow < account.callers.size(); ++flow) {
             if (account.callers[flow].count > 0)
                 continue;
@@ -78,8 +79,8 @@
     const CallerQueue& callerQueue = accountQueue.callers[caller];
     const double fraction = service.order.fraction(account) * accountQueue.order.fraction(caller)
         * callerQueue.order.fraction(FairOrder::Flow(level));
-    // The queue of the caller's priority at its rate, but never more than the whole backlog at the
-    // whole rate: what other flows leave is lent out.
+    // The backlog of the caller's priority at the rate of this flow, but at most the whole backlog of the
+    // service at the full rate, because the flow also gets the capacity that other flows do not use.
     const double slots = std::max(parallelism, 1);
     return std::min(service.cost / slots, callerQueue.levels[level].cost / (slots * fraction));
 }
@@ -87,7 +88,7 @@
 AdmissionVerdict FairShareAdmission::enqueue(const AdmissionItem& item, int parallelism, TimePoint now)
 {
     if (m_places.contains(item.request))
-        return { false, "the request is queued already", Seconds(1), {} };
+        return { false, "the request is already queued", Seconds(1), {} };
     ServiceQueue& service = m_services[item.service];
     const FairOrder::Flow account = accountFlow(service, item.account);
     const int level = std::clamp(item.priority, 0, priorityLevels - 1);
@@ -96,8 +97,8 @@
     const double cost = std::max<double>(1, double(item.expectedServiceTime.count()));
     const double waitMs = expectedWaitMs(service, account, caller, level, parallelism);
     const Milliseconds wait { Milliseconds::rep(waitMs) };
-    // Without a backlog the request is tried: were it refused by the estimate alone, an estimate that
-    // is too high could never be corrected.
+    // Without a backlog the request is queued whatever the estimate: if the estimate alone could refuse it,
+    // an estimate that is too high could never be corrected.
     if (service.count > 0 && now + wait + item.expectedServiceTime > item.deadline)
         return { false, "the queue is too long to serve the request before its deadline", wait, {} };
 
--- a/src/admission/fair_share_admission.h
+++ b/src/admission/fair_share_admission.h
@@ -12,12 +12,14 @@
 
 namespace anvilmoor {
 
-// Shares each service fairly: among accounts by their configured share, inside an account equally
-// among callers, inside a caller among priorities by weight 1 + priority. An urgent operation thus
-// gets at most ten times the part of the caller's least urgent one and cannot shut it out. Callers come
-// first, since a large caller that fills every priority would otherwise leave the lowest one, and the
-// small callers in it, only that priority's part. A queue that is full displaces the newest request
-// of whoever holds most of it.
+// Divides each service among the accounts by their configured shares, within an account equally among the
+// callers, and within a caller among the priorities by weight 1 + priority. A caller's most urgent operations
+// thus get at most ten times the service of its least urgent ones and cannot starve them.
+// Callers are ranked above priorities: otherwise a large caller with requests of every priority would leave
+// to the lowest priority, and to the small callers in it, only the fraction of that priority.
+// When all queues together are full, a request of the account with the most requests relative to its share is
+// displaced; when the queue of an account is full, one of its own. It is the newest request of the caller
+// with the most requests in the lowest priority that the account has queued.
 class FairShareAdmission : public AdmissionPolicy {
 public:
     void configure(const Configuration&) override;
--- a/src/admission/fifo_admission.cpp
+++ b/src/admission/fifo_admission.cpp
@@ -9,7 +9,7 @@
     if (m_services.size() >= maxQueuedRequests)
         return { false, "the queue is full", Seconds(1), {} };
     if (!m_services.emplace(item.request, item.service).second)
-        return { false, "the request is queued already", Seconds(1), {} };
+        return { false, "the request is already queued", Seconds(1), {} };
     m_queues[item.service].push_back(item.request);
     return { true, {}, {}, {} };
 }
--- a/src/admission/fifo_admission.h
+++ b/src/admission/fifo_admission.h
@@ -8,7 +8,8 @@
 
 namespace anvilmoor {
 
-// Baseline: one bounded queue in order of arrival for each service, without shares or deadlines.
+// Baseline: for each service one queue in order of arrival, without shares or deadlines. The number of
+// requests in all queues is bounded.
 class FifoAdmission : public AdmissionPolicy {
 public:
     void configure(const Configuration&) override { }
--- a/src/admission/retry_budget.h
+++ b/src/admission/retry_budget.h
@@ -9,7 +9,7 @@
 public:
     void onRequest() { m_tokens = std::min(m_tokens + tokensPerRequest, maxTokens); }
 
-    // True if a retry may be made now; takes its token.
+    // Consumes a token and returns true if a retry may be made now.
     bool takeRetry()
     {
         if (m_tokens < 1)
--- a/src/admission/service_times.h
+++ b/src/admission/service_times.h
@@ -10,17 +10,18 @@
 
 namespace anvilmoor {
 
-// Exponentially weighted mean of the time that endpoints take, per operation.
+// Exponentially weighted moving average of the time that endpoints need, per operation.
 class ServiceTimes {
 public:
-    // A guess for an operation that was never called.
+    // Estimate for an operation that has not been called yet.
     static constexpr Milliseconds initialEstimate { 20 };
 
     void add(const ServiceId& service, const std::string& operation, Milliseconds took)
     {
         const auto entry = m_means.try_emplace({ service, operation }, double(initialEstimate.count())).first;
         double& mean = entry->second;
-        // One stalled call must not make every request look hopeless.
+        // Limits the effect of one stalled call. Otherwise every request would be expected to miss its
+        // deadline.
         const double sample = std::min(double(took.count()), maxGrowth * std::max(mean, 1.0));
         mean += weightOfNewest * (sample - mean);
     }
--- a/test/admission_test.cpp
+++ b/test/admission_test.cpp
@@ -39,7 +39,7 @@
         return admission.enqueue(item, 4, m_now);
     }
 
-    // How many of the next requests served belong to the account, caller and priority.
+    // Serves the next `count` requests and returns how many of them match.
     int served(
         AdmissionPolicy& admission, int count, const std::function<bool(const AdmissionItem&)>& matches)
     {
@@ -66,6 +66,7 @@
     }
 
 public:
+    // Guards against an account that starves another one by filling the queue first, as in FIFO order.
     void testFloodOfOneAccountLeavesOthersTheirShare()
     {
         FairShareAdmission admission;
@@ -79,9 +80,10 @@
         CPPUNIT_ASSERT_EQUAL(50, served(admission, 200, isSmall)); // shares are 3 to 1
         for (const auto& [number, item] : m_items)
             fifo.enqueue(item, 4, m_now);
-        CPPUNIT_ASSERT_EQUAL(0, served(fifo, 200, isSmall)); // what the shares are for
+        CPPUNIT_ASSERT_EQUAL(0, served(fifo, 200, isSmall)); // FIFO order starves the small account
     }
 
+    // Guards against a caller that starves the other callers of its account by filling the queue first.
     void testFloodOfOneCallerLeavesOthersTheirPart()
     {
         FairShareAdmission admission;
@@ -95,8 +97,8 @@
             45, served(admission, 52, [](const AdmissionItem& item) { return item.caller != "greedy"; }));
     }
 
-    // Guards against a large caller whose urgent work leaves small callers of less urgent work only the part
-    // of their priority.
+    // Guards against a large caller with requests of several priorities that leaves small callers with less
+    // urgent requests only the fraction of their priority.
     void testFloodOfOneCallerInEveryPriorityLeavesOthersTheirPart()
     {
         FairShareAdmission admission;
@@ -112,6 +114,7 @@
             45, served(admission, 52, [](const AdmissionItem& item) { return item.caller != "greedy"; }));
     }
 
+    // Guards against strict priorities, by which a flood of urgent requests starves the others.
     void testFloodOfUrgentWorkLeavesTheRestItsMinimum()
     {
         FairShareAdmission admission;
@@ -122,7 +125,7 @@
         const auto isUrgent = [](const AdmissionItem& item) { return item.priority == 9; };
         const int urgent = served(admission, 220, isUrgent);
         CPPUNIT_ASSERT(urgent >= 199 && urgent <= 201);
-        // Urgent work that comes after a flood of the rest does not wait behind it.
+        // Urgent requests that arrive after many less urgent ones are not served after all of these.
         FairShareAdmission other;
         for (int index = 0; index < 1'000; ++index)
             enqueue(other, "large", "a", 0);
@@ -132,6 +135,8 @@
         CPPUNIT_ASSERT_EQUAL(10, served(other, 12, isUrgent));
     }
 
+    // Guards against capacity that stays unused, or is charged later, because the account it belongs to is
+    // idle.
     void testIdleSharesAreLentOut()
     {
         FairShareAdmission admission;
@@ -140,7 +145,7 @@
             enqueue(admission, "small", "b");
         CPPUNIT_ASSERT_EQUAL(50, served(admission, 50, [](const AdmissionItem&) { return true; }));
         CPPUNIT_ASSERT(!admission.peek(m_service));
-        // Having used lent capacity is not held against the account.
+        // The account is not penalized for capacity that it used while the other account was idle.
         for (int index = 0; index < 50; ++index) {
             enqueue(admission, "large", "a");
             enqueue(admission, "small", "b");
@@ -150,6 +155,7 @@
         CPPUNIT_ASSERT(small >= 9 && small <= 11);
     }
 
+    // Guards against requests that are queued although their deadline passes before they are served.
     void testHopelessDeadlineIsRefusedAtOnce()
     {
         FairShareAdmission admission;
@@ -161,6 +167,7 @@
         CPPUNIT_ASSERT(enqueue(admission, "large", "a", 0, Seconds(3)).isQueued);
     }
 
+    // Guards against refusals to a small account because of another account's backlog.
     void testDeadlineOfSmallAccountIsJudgedByItsOwnShare()
     {
         FairShareAdmission admission;
@@ -169,7 +176,8 @@
         CPPUNIT_ASSERT(enqueue(admission, "small", "b", 0, Seconds(1)).isQueued);
     }
 
-    // Guards against a service that is refused for good after one slow call.
+    // Guards against a service whose requests are all refused after one slow call, because without another
+    // call the estimate cannot be corrected.
     void testTooHighEstimateWithoutBacklogIsTried()
     {
         FairShareAdmission admission;
@@ -181,6 +189,7 @@
         CPPUNIT_ASSERT(times.expected(m_service, "tare-check") < Milliseconds(100));
     }
 
+    // Guards against refusals to a small account because large accounts have filled all queues.
     void testFullQueueDisplacesTheFlood()
     {
         FairShareAdmission admission;
@@ -198,7 +207,7 @@
         CPPUNIT_ASSERT_EQUAL(maxQueuedRequests, fifo.queued());
     }
 
-    // Guards against urgent work that is refused while less urgent work of the account waits.
+    // Guards against an urgent request that is refused while less urgent requests of its account are queued.
     void testFullQueueOfOneAccountDisplacesItsLeastUrgentWork()
     {
         FairShareAdmission admission;
@@ -217,6 +226,7 @@
         CPPUNIT_ASSERT(!enqueue(admission, "large", "new", 1).isQueued);
     }
 
+    // Guards against lost requests when an account has more callers than queues and callers share them.
     void testInventedCallerNamesStayBounded()
     {
         FairShareAdmission admission;
@@ -229,6 +239,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), admission.queued());
     }
 
+    // Guards against retries that multiply the load of an overloaded service.
     void testRetryBudgetIsATenth()
     {
         RetryBudget budget;
