Reword comments in bench

Comments were terse or figurative ('asks for', 'takes the rest', 'the same, were the same amounts free'); they now name what is measured, from when to when, and relative to what. Code tokens, printed keys and target texts are unchanged.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -35,7 +35,7 @@
 constexpr int designZoneWorkers = 1'727;
 constexpr int acceleratorsPerWorker = 8;
 
-std::string directory; // of this run's files
+std::string directory; // for the files of this run
 
 void print(const Json& line)
 {
@@ -43,7 +43,7 @@
     std::fflush(stdout);
 }
 
-// Least squares; the residual tells how far the growth is from linear.
+// Prints a least-squares fit; the largest residual shows how far the growth is from linear.
 void printFit(const std::string& name, const std::string& per, const Points& points)
 {
     if (points.size() < 2)
@@ -74,7 +74,7 @@
 
 std::string zoneName(int zone) { return fmt::format("z{}", zone); }
 
-// Racks of 8; the last one takes the rest.
+// Writes a declaration with racks of 8 workers; the last rack of a zone has the remaining workers.
 std::string writeDeclaration(const std::string& name, int zones, int workersPerZone, int variant = 0)
 {
     std::string text = fmt::format("deployment = \"capacity\"\n[worker]\ncores = 128\nmemory_gb = 512\n"
@@ -215,7 +215,7 @@
     return 0;
 }
 
-// One JSON line: what a daemon used and sent in a window.
+// Prints one JSON line: CPU time, memory and traffic of a daemon during a time window.
 Json measure(
     const Cluster& cluster, std::size_t daemon, int seconds, const std::string& scenario, const Json& line)
 {
@@ -308,7 +308,7 @@
         thread.join();
 }
 
-// Kills the holder and waits until the standby has recovered the zone.
+// Ends the holder with a signal and waits until the standby has recovered the zone. Then restarts the daemon.
 Json handOver(Cluster& cluster, std::size_t holder, int tasks, int signal)
 {
     const std::size_t next = 1 - holder;
@@ -336,7 +336,7 @@
     return line;
 }
 
-// Holds the daemon's idle cost during the starts too.
+// The figures include the daemon's idle cost during the starts.
 void addPerTask(Json& line, const Sample& before, const Sample& after, int tasks)
 {
     if (!tasks)
@@ -385,7 +385,7 @@
 void measureClaims(const Plan& plan)
 {
     Cluster cluster = startCluster("claims", 1, designZoneWorkers, 1);
-    // Borrowed work holds every accelerator, so each claim has to reclaim its own.
+    // Borrowed work holds every accelerator, so each claim has to evict some of it.
     submitMany(cluster, 0, "fill", 0, designZoneWorkers, 8);
     waitFor(60, [&] { return runningTasks(cluster, 0) >= designZoneWorkers; });
     print({ { "measure", "filled" }, { "running", runningTasks(cluster, 0) },
@@ -453,7 +453,7 @@
     fitAll("in_force", "processes", inForce);
 }
 
-// One zone of the design with the documents and the host list of all zones.
+// Measures one zone of the design while the documents and the host list cover all zones.
 void measureFleet(const Plan& plan)
 {
     for (const int zones : plan.isQuick ? std::vector<int> { 11 } : std::vector<int> { 1, 4, 11 }) {
--- a/bench/capacity_processes.h
+++ b/bench/capacity_processes.h
@@ -23,7 +23,7 @@
 #include <unistd.h>
 #include <vector>
 
-// Starts, watches and ends the programs that bench/capacity.cpp measures.
+// Starts, monitors and ends the programs that bench/capacity.cpp measures.
 namespace anvilmoor::capacity {
 
 inline double now()
@@ -40,7 +40,7 @@
     std::string command;
 };
 
-// Processes that were started and not yet ended.
+// Processes that were started and have not been ended yet.
 inline std::set<pid_t>& runningProcesses()
 {
     static std::set<pid_t> pids;
@@ -99,7 +99,7 @@
     return std::atoi(text.c_str() + at + (text[at + 7] == '"' ? 8 : 7));
 }
 
-// Port 0: waits until the program says which one it took.
+// Starts a program. If `port` is 0, waits until the program has logged the port that it listens on.
 inline Process start(const std::string& name, const std::vector<std::string>& arguments,
     const std::string& directory, int port)
 {
@@ -111,7 +111,7 @@
     std::vector<std::string> words { process.command };
     for (const std::string& argument : arguments) {
         words.push_back(argument);
-        // The list of peers would hide the rest.
+        // Truncated, because the long list of peers would hide the other arguments.
         process.command += " " + (argument.size() > 120 ? argument.substr(0, 117) + "..." : argument);
     }
     std::vector<char*> pointers;
@@ -146,7 +146,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    // Without a port the caller's program fails to listen, which its log tells.
+    // If this fails, the caller's program cannot listen and logs that.
     const bool isBound = bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0
         && getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0;
     close(descriptor);
@@ -198,7 +198,7 @@
     double time = 0;
     double cpuSeconds = 0;
     long residentKb = 0;
-    std::map<std::string, double> values; // of the metrics page, without labels
+    std::map<std::string, double> values; // metrics without labels, by name
     std::map<std::string, double> traffic; // "<kind>_<messages|bytes>_<sent|received>"
 };
 
--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -1,6 +1,7 @@
-// Measures the policies against their naive twins for both users. Usage:
+// Measures the policies against their baselines, with the configurations of two users. Usage:
 //   measure [--only=requests|jobs|claims] CONFIG_DIR OUT_DIR PREVIOUS_JSON [PLACEMENT_COSTS REQUEST_COSTS]
-// The last two are the outputs of placement-benchmark and request-path. Prints the table on standard output.
+// PLACEMENT_COSTS and REQUEST_COSTS are outputs of placement-benchmark and request-path. Prints the table on
+// standard output.
 
 #include "configuration/configuration_document.h"
 #include "ctl/declaration_files.h"
--- a/bench/measure/claim_run.cpp
+++ b/bench/measure/claim_run.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-constexpr int zoneAccelerators = 128; // the baseline's cap in lesson hours: all of a zone
+constexpr int zoneAccelerators = 128; // cap of the baseline in lesson hours: all of a zone
 constexpr Milliseconds stepLength { 10 };
-constexpr Milliseconds longestWait { 20'000 }; // a claim that does not run by then is counted with this
+constexpr Milliseconds longestWait { 20'000 }; // recorded for a claim that does not run by then
 
 ReducerPolicies baselinePolicies()
 {
@@ -86,7 +86,7 @@
             m_cluster.worker(zone.racks.front().workers[3].id).failsEverything = true;
     }
 
-    // More borrowed jobs of mixed sizes than a zone holds; what does not fit stays queued.
+    // Submits more borrowed jobs of mixed sizes than a zone holds; jobs that do not fit stay queued.
     void fill()
     {
         for (const AvailabilityZoneConfiguration& zone : m_configuration.zones) {
@@ -117,7 +117,7 @@
             m_cluster.tableMode = test::ServiceMode::Down;
             m_cluster.runFor(std::chrono::minutes(10));
             m_cluster.tableMode = test::ServiceMode::Up;
-            // Zone roles are taken again after at most the take-over time.
+            // Zone roles are acquired again within the takeover time.
             m_cluster.runFor(Seconds(10));
         }
         if (m_fault == ClaimFault::ObjectStoreDown || m_fault == ClaimFault::ZoneCut)
--- a/bench/measure/claim_run.h
+++ b/bench/measure/claim_run.h
@@ -10,15 +10,15 @@
 enum class ClaimFault { None, ObjectStoreDown, FailingWorkers, TableOutage, ZoneCut };
 
 struct ClaimResult {
-    std::vector<double> waitMs; // from acceptance until every member runs; those never running: the limit
+    std::vector<double> waitMs; // from acceptance until every member runs, or the limit if they never do
     std::size_t claims = 0; // accepted
     std::size_t refused = 0; // not accepted: the submitter was told so
     std::size_t late = 0; // not running within the bound
-    std::string firstLate; // the first late claim and why the job waits
+    std::string firstLate; // table row of the first claim that never ran, with the reason why the job waits
 };
 
-// Claims of all accounts at once against zones full of borrowed work, on real reducers in the in-memory
-// cluster. A claim waits in steps of 10 ms.
+// Submits the claims of all accounts at once in zones full of borrowed work, with real reducers in the
+// in-memory cluster. Waits are measured in steps of 10 ms.
 ClaimResult runClaims(
     const std::string& document, const Configuration&, ClaimFault, PolicySet, std::uint64_t seed);
 
--- a/bench/measure/job_run.cpp
+++ b/bench/measure/job_run.cpp
@@ -18,11 +18,11 @@
 namespace {
 
 constexpr Milliseconds startDelay { 20 }; // reserve, commit, confirm and run
-constexpr Milliseconds drainLimit { std::chrono::hours(24) }; // after the last arrival
+constexpr Milliseconds drainLimit { std::chrono::hours(24) }; // after the end of the arrivals
 
 struct Job {
     JobSpecification specification;
-    Milliseconds runTime { 0 }; // real
+    Milliseconds runTime { 0 }; // the real one
     Milliseconds done { 0 }; // progress kept over evictions
     TimePoint submittedAt {};
     TimePoint startedAt {};
@@ -104,8 +104,9 @@
 
     int unusableOf(int free) const { return m_largestShape > 0 ? free % m_largestShape : 0; }
 
-    // Least sum of remainders for each number of free accelerators, over all ways to spread it over the
-    // racks. A lower bound: it does not ask whether the jobs at hand can be packed like that.
+    // For each number of free accelerators, the least sum of unusable remainders over all ways to distribute
+    // the free accelerators among the racks. This is a lower bound: it ignores whether the present jobs can
+    // be packed in this way.
     void findLeastUnusable()
     {
         m_leastUnusable = { 0 };
@@ -121,7 +122,7 @@
         }
     }
 
-    // Accounts ask in proportion to their shares.
+    // Draws accounts in proportion to their shares.
     const ClientAccountId& drawAccount()
     {
         double sum = 0;
@@ -136,7 +137,7 @@
         return m_configuration.accounts.back().id;
     }
 
-    // Arrivals as a Poisson process of that load.
+    // Adds jobs with arrivals from a Poisson process of this load.
     template <typename Draw> void makeJobs(double load, double meanAcceleratorMinutes, Draw draw)
     {
         if (load <= 0)
@@ -160,7 +161,7 @@
         const int half = m_inventory.rackSize() / 2;
         makeJobs(m_scenario.gangLoad, 1.25 * half * 20, [&](TimePoint at) {
             const int size = m_random.below(4) == 0 ? 2 * half : half;
-            // Small accounts' quotas hold one such gang, so that the large ones submit them.
+            // The quota of a small account holds only one such gang, so the large accounts submit the gangs.
             const ClientAccountId& account = m_configuration.accounts[m_random.below(2)].id;
             add(size, m_random.between(10, 30), JobClass::Borrowed, account, at, true);
         });
@@ -173,7 +174,8 @@
             for (const GuaranteeConfiguration& guarantee : account.guarantees) {
                 if (guarantee.zone != m_zone.id)
                     continue;
-                // Each in its own part of the shift, so that an account never claims more than it may.
+                // Each claim has its own part of the shift, so that an account never claims more than it is
+                // guaranteed.
                 for (int claim = 0; claim < m_scenario.claimsPerGuarantee; ++claim) {
                     const double at
                         = (claim + m_random.between(0.1, 0.4)) * length / m_scenario.claimsPerGuarantee;
@@ -221,8 +223,9 @@
         }
     }
 
-    // Like ZoneController: a claim whose room is free starts before the next plan, so that no job takes the
-    // room that others were evicted from for the claim. A claim whose room was lost is planned anew.
+    // As in ZoneController, a claim whose members are free starts before the next plan, so that no other job
+    // takes the room for which jobs were evicted. A claim whose members can no longer become free is planned
+    // again.
     void startClaims()
     {
         std::vector<PlacementStart> claims;
@@ -251,14 +254,15 @@
         for (const PlacementStart& start : plan.starts)
             carryOut(start);
         move();
-        // Priorities age and turns end without an event.
+        // Plans again every 10 s while jobs wait, because priorities age and waits reach the limits for
+        // evictions without an event.
         if (!m_queue.empty() && m_nextLook <= m_now) {
             m_nextLook = m_now + Seconds(10);
             m_due.emplace(m_nextLook, std::pair(Kind::Look, m_queue.front().specification.id));
         }
     }
 
-    // On the same conditions as ZoneController: nothing waits and nothing is leaving.
+    // Moves a job under the same conditions as ZoneController: no job waits and none is leaving.
     void move()
     {
         const bool isLeaving = std::any_of(m_inventory.holdings().begin(), m_inventory.holdings().end(),
@@ -339,7 +343,7 @@
     Random m_random;
     int m_capacity = 0;
     int m_largestShape = 0;
-    std::vector<int> m_leastUnusable; // by free accelerators of the zone
+    std::vector<int> m_leastUnusable; // by the number of free accelerators of the zone
     std::map<JobId, Job> m_jobs;
     std::vector<QueuedJob> m_queue;
     std::multimap<TimePoint, std::pair<Kind, JobId>> m_due;
--- a/bench/measure/report.h
+++ b/bench/measure/report.h
@@ -8,14 +8,14 @@
 
 namespace anvilmoor::measure {
 
-// The table, the JSON file and the chart of one run, beside the figures of an earlier version.
+// The table, the JSON file and the chart of one run, compared with the figures of an earlier version.
 class Report {
 public:
     // A missing file means that there is no earlier version.
     explicit Report(const std::string& previousFile);
 
     void add(const std::string& user, Figures baseline, Figures current);
-    // Times of decisions on this machine's real clock, which differ from run to run.
+    // Adds decision times. They are real times on this machine, so they differ from run to run.
     void addCosts(const std::string& placementFile, const std::string& requestFile);
 
     std::string table() const;
--- a/bench/measure/request_run.cpp
+++ b/bench/measure/request_run.cpp
@@ -42,7 +42,7 @@
     std::span<const PeerStatus> peers() const override { return {}; }
 };
 
-// The baseline: random routing in which each daemon keeps to its part of the slots. Without the cap, six
+// The baseline: random routing that limits each daemon to its part of the slots. Without this cap, six
 // daemons that know nothing of each other send each request up to 64 times under load.
 class CappedRandomRouting : public RoutingPolicy {
 public:
@@ -114,7 +114,7 @@
                 addDaemon(zone, policies);
         }
         for (std::size_t stream = 0; stream < scenario.streams.size(); ++stream) {
-            // Its own generator, so that a stream is the same whatever the policies do.
+            // A generator of its own keeps each stream independent of the behaviour of the policies.
             m_streamRandoms.emplace_back(scenario.seed * 1'000 + stream);
             scheduleArrival(stream, double(scenario.streams[stream].from.count()));
         }
@@ -122,7 +122,8 @@
 
     RequestResult run()
     {
-        // The longest deadline of the declarations is 30 s; what has not ended then counts as not served.
+        // The longest deadline in the declarations is 30 s; requests that have not ended by then count as not
+        // served.
         const TimePoint end = start + m_scenario.length + Seconds(31);
         m_tickAt = start;
         while (m_now < end) {
@@ -195,7 +196,8 @@
         m_events[std::max(time, m_now + Milliseconds(1))].push_back(std::move(action));
     }
 
-    // `previousMs`: time of the stream's previous arrival. Several may come in one ms.
+    // `previousMs`: time of the stream's previous arrival. Several requests can arrive in the same
+    // millisecond.
     void scheduleArrival(std::size_t stream, double previousMs)
     {
         const ArrivalStream& arrivals = m_scenario.streams[stream];
@@ -331,7 +333,8 @@
             reply(daemon, link, EndpointFailed { call.call, EndpointFailure::Error, "failed" });
             return;
         }
-        // The key is the caller's handle; the service time is the request's, wherever it runs.
+        // The key is the caller's handle. The service time belongs to the request, so it is the same on every
+        // endpoint.
         const auto submission = m_submissions.find(std::stoull(call.identity.key));
         const double serviceMs = submission == m_submissions.end() ? 1 : submission->second.serviceMs;
         const Milliseconds took { std::max<Milliseconds::rep>(1, Milliseconds::rep(serviceMs)) };
--- a/bench/measure/scenarios.cpp
+++ b/bench/measure/scenarios.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr double quietLoad = 0.5; // of all slots
+constexpr double quietLoad = 0.5; // as a fraction of all slots
 constexpr int callersPerAccount = 20;
 constexpr int nights = 5; // seeds of the job scenarios
 constexpr int claimSeeds = 3;
@@ -72,7 +72,8 @@
         return slotMs / meanServiceMs(service().operations[operation]);
     }
 
-    // Every account asks for `load` times its share, in equal parts of slot time for each operation.
+    // Adds streams in which every account demands `load` times its share, with an equal part of the slot time
+    // for each operation.
     void addStreams(RequestScenario& scenario, double load, Seconds from, Seconds until, int group) const
     {
         for (std::size_t account = 0; account < m_configuration.accounts.size(); ++account) {
@@ -82,7 +83,7 @@
         }
     }
 
-    // Sum over the streams of a group, of one account unless negative.
+    // Sums the outcomes of the streams that the predicate accepts.
     template <typename Predicate>
     StreamOutcome gather(
         const RequestScenario& scenario, const RequestResult& result, Predicate isWanted) const
@@ -133,7 +134,7 @@
             - operations.begin());
     }
 
-    // Goodput in slot time over what a max-min fair division by shares would give.
+    // Jain index of the goodput of the accounts, in slot time relative to a max-min fair division by shares.
     double jain(const RequestScenario& scenario, const RequestResult& result, Milliseconds length,
         std::initializer_list<int> groups) const
     {
@@ -155,7 +156,7 @@
         return jainIndex(got);
     }
 
-    // The first account floods ten times the whole quiet rate; the others stay inside their shares.
+    // The first account floods with ten times the total quiet rate; the others stay within their shares.
     void measureFlood()
     {
         RequestScenario scenario;
@@ -191,7 +192,7 @@
                 const StreamOutcome before = of(0);
                 const StreamOutcome during = of(phase);
                 kept = std::min(kept, goodput(during) / goodput(before));
-                // Without any completion there is no p99; the longest deadline stands for it.
+                // Without any completion there is no p99: the longest deadline is used instead.
                 const double p99 = during.completionMs.empty() ? 30'000 : quantile(during.completionMs, 0.99);
                 ratio = std::max(ratio, p99 / quantile(before.completionMs, 0.99));
             }
@@ -202,7 +203,8 @@
             jain(scenario, result, highEnd - lowEnd, { 2, 12 }));
     }
 
-    // One caller of the first account asks for 100 times what the account's other callers ask for each.
+    // One caller of the first account sends 100 times as many requests as each of the account's other
+    // callers.
     void measureLargeCaller()
     {
         RequestScenario scenario;
@@ -228,7 +230,7 @@
         m_figures["large_caller.small_goodput"] = goodput(group(scenario, result, 1));
     }
 
-    // Everyone asks for three times its share.
+    // Every account demands three times its share.
     void measureSaturation()
     {
         RequestScenario scenario;
@@ -253,7 +255,7 @@
         m_figures["failing.request_p99"] = quantile(all.completionMs, 0.99);
     }
 
-    // At a twentieth of the quiet load, since ten minutes have many requests.
+    // Uses a twentieth of the quiet load, because an outage of ten minutes has many requests.
     void measureOutage()
     {
         RequestScenario scenario;
--- a/bench/measure/scenarios.h
+++ b/bench/measure/scenarios.h
@@ -7,7 +7,7 @@
 
 namespace anvilmoor::measure {
 
-// One user's declarations.
+// A user's configuration.
 struct User {
     std::string name;
     std::string document; // merged, as committed to the table
@@ -16,7 +16,8 @@
 
 enum class Part { All, Requests, Jobs, Claims };
 
-// Runs the scenarios of a part for the user. `log` gets one line about each claim that did not run in time.
+// Runs the scenarios of a part for the user. Appends to `log` one line for each run with a claim that never
+// started, about the first such claim.
 Figures measureUser(const User&, PolicySet, Part, std::string& log);
 
 } // namespace anvilmoor::measure
--- a/bench/measure/statistics.h
+++ b/bench/measure/statistics.h
@@ -7,17 +7,20 @@
 
 namespace anvilmoor::measure {
 
-// Nearest-rank quantile, q in [0, 1]. 0 without values.
+// Nearest-rank quantile, q in [0, 1]. Returns 0 if there are no values.
 double quantile(std::vector<double> values, double q);
 
-// (sum x)^2 / (n * sum x^2): 1 if all are equal, 1/n if one has everything. 1 without values.
+// Jain's fairness index, (sum x)^2 / (n * sum x^2): 1 if all values are equal, 1/n if all but one are 0.
+// Returns 1 if there are no values.
 double jainIndex(std::span<const double> values);
 
-// Max-min fair division of a capacity: what a flow does not ask for goes to the others by weight.
+// Weighted max-min fair division of a capacity: what a flow does not demand is divided among the others by
+// weight.
 std::vector<double> fairDivision(
     double capacity, std::span<const double> demands, std::span<const double> weights);
 
-// splitmix64. The standard distributions differ between libraries; these draws do not.
+// The splitmix64 generator. Unlike the distributions of the standard library, these draws are the same with
+// every library.
 class Random {
 public:
     explicit Random(std::uint64_t seed)
--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -1,5 +1,5 @@
-// Time of placement decisions by zone size, at 85% load. Prints one JSON line for each case. Arguments, if
-// any, are the zone sizes in workers.
+// Measures the time of placement decisions by zone size, at 85% load. Prints one JSON line for each case.
+// Arguments, if any, are the zone sizes in workers.
 
 #include "placement/first_fit_placement.h"
 #include "placement/guarantee_aware_placement.h"
@@ -46,7 +46,8 @@
 
 enum class Load { Scattered, Packed };
 
-// Small jobs until 85% are held: on random workers, or on one worker after the other.
+// Adds small jobs until 85% of the accelerators are held: on random workers, or filling one worker after the
+// other.
 ZoneInventory loadedInventory(const Configuration& configuration, Load load)
 {
     std::mt19937 random(42);
--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -64,7 +64,7 @@
             if (endpoint)
                 inFlight.push_back(*endpoint);
         }
-        // Half of the own zone's slots stay taken.
+        // Keeps half of the slots of the daemon's own zone in use.
         if (inFlight.size() > 6'900) {
             routing.finish(service, inFlight.front(), CallResult::Succeeded, now);
             inFlight.pop_front();
@@ -93,7 +93,7 @@
     admission.configure(configuration.configuration);
     ZoneAwareRouting zoneAware(settings, configuration, membership);
     measure("fair share, zone aware", zoneAware, admission, configuration, 200'000);
-    // One of 66 daemons, after an endpoint refused a call.
+    // A daemon with 65 peers, after an endpoint has refused a call.
     DaemonSettings contendedSettings = settings;
     for (int host = 1; host < 66; ++host)
         contendedSettings.peers.push_back({ HostId(fmt::format("entry-{}", host)),
