Rename identifiers of src/admission to the usual terms

Names that were figurative or vague (place, victim, excess, room) now say what is held or bounded. All are private to their files. Behaviour and the names that leave the process are as before.

Place -> QueuePosition, m_places -> m_positions, Waiting -> QueuedRequest, waiting -> requests, countOfAccount -> queuedOfAccount, m_accountCounts -> m_queuedPerAccount, makeRoom -> displaceRequest, victim -> displacedAccount, excess -> requestsPerWeight, FifoAdmission::m_services -> m_serviceOfRequest, weightOfNewest -> smoothingFactor, maxGrowth -> maxSampleRatio, took -> serviceTime. Tests: names state condition and result (for instance testHopelessDeadlineIsRefusedAtOnce -> testRequestThatWouldMissDeadlineIsRefused).

--- a/src/admission/fair_share_admission.cpp
+++ b/src/admission/fair_share_admission.cpp
@@ -87,7 +87,7 @@
 
 AdmissionVerdict FairShareAdmission::enqueue(const AdmissionItem& item, int parallelism, TimePoint now)
 {
-    if (m_places.contains(item.request))
+    if (m_positions.contains(item.request))
         return { false, "the request is already queued", Seconds(1), {} };
     ServiceQueue& service = m_services[item.service];
     const FairOrder::Flow account = accountFlow(service, item.account);
@@ -103,8 +103,9 @@
         return { false, "the queue is too long to serve the request before its deadline", wait, {} };
 
     AdmissionVerdict verdict { true, {}, {}, {} };
-    if (m_places.size() >= maxQueuedRequests || countOfAccount(item.account) >= maxQueuedRequestsPerAccount) {
-        verdict.displaced = makeRoom(service, account, caller, level);
+    if (m_positions.size() >= maxQueuedRequests
+        || queuedOfAccount(item.account) >= maxQueuedRequestsPerAccount) {
+        verdict.displaced = displaceRequest(service, account, caller, level);
         if (!verdict.displaced)
             return { false, "the queue is full", std::max(wait, Milliseconds(Seconds(1))), {} };
     }
@@ -112,67 +113,67 @@
     AccountQueue& accountQueue = service.accounts[account];
     CallerQueue& callerQueue = accountQueue.callers[caller];
     Level& levelQueue = callerQueue.levels[level];
-    levelQueue.waiting.push_back({ item.request, cost });
+    levelQueue.requests.push_back({ item.request, cost });
     levelQueue.cost += cost;
     ++callerQueue.count;
     ++accountQueue.levelCounts[level];
     ++accountQueue.count;
     ++service.count;
-    ++m_accountCounts[item.account];
+    ++m_queuedPerAccount[item.account];
     service.cost += cost;
     service.order.activate(account);
     accountQueue.order.activate(caller);
     callerQueue.order.activate(FairOrder::Flow(level));
-    m_places.emplace(
-        item.request, Place { &service, account, caller, level, std::prev(levelQueue.waiting.end()) });
+    m_positions.emplace(item.request,
+        QueuePosition { &service, account, caller, level, std::prev(levelQueue.requests.end()) });
     return verdict;
 }
 
-std::size_t FairShareAdmission::countOfAccount(const ClientAccountId& id) const
+std::size_t FairShareAdmission::queuedOfAccount(const ClientAccountId& id) const
 {
-    const auto found = m_accountCounts.find(id);
-    return found == m_accountCounts.end() ? 0 : found->second;
+    const auto found = m_queuedPerAccount.find(id);
+    return found == m_queuedPerAccount.end() ? 0 : found->second;
 }
 
-std::optional<RequestNumber> FairShareAdmission::makeRoom(
+std::optional<RequestNumber> FairShareAdmission::displaceRequest(
     ServiceQueue& service, FairOrder::Flow account, FairOrder::Flow caller, int level)
 {
-    const auto excess = [&](FairOrder::Flow flow) {
+    const auto requestsPerWeight = [&](FairOrder::Flow flow) {
         return double(service.accounts[flow].count) / service.order.weight(flow);
     };
-    FairOrder::Flow victim = account;
-    if (countOfAccount(service.accounts[account].id) < maxQueuedRequestsPerAccount) {
+    FairOrder::Flow displacedAccount = account;
+    if (queuedOfAccount(service.accounts[account].id) < maxQueuedRequestsPerAccount) {
         for (FairOrder::Flow flow = 0; flow < service.accounts.size(); ++flow) {
-            if (excess(flow) > excess(victim))
-                victim = flow;
+            if (requestsPerWeight(flow) > requestsPerWeight(displacedAccount))
+                displacedAccount = flow;
         }
     }
-    AccountQueue& accountQueue = service.accounts[victim];
+    AccountQueue& accountQueue = service.accounts[displacedAccount];
     for (int lowest = 0; lowest < priorityLevels; ++lowest) {
         if (accountQueue.levelCounts[lowest] == 0)
             continue;
-        if (victim == account && lowest > level)
+        if (displacedAccount == account && lowest > level)
             return {};
-        const auto sizeOf = [&](const CallerQueue& queue) { return queue.levels[lowest].waiting.size(); };
+        const auto sizeOf = [&](const CallerQueue& queue) { return queue.levels[lowest].requests.size(); };
         const auto longest = std::ranges::max_element(accountQueue.callers, {}, sizeOf);
-        const bool isOwnLevel = victim == account && lowest == level;
+        const bool isOwnLevel = displacedAccount == account && lowest == level;
         if (isOwnLevel && sizeOf(*longest) <= sizeOf(accountQueue.callers[caller]) + 1)
             return {};
-        const RequestNumber displaced = longest->levels[lowest].waiting.back().request;
+        const RequestNumber displaced = longest->levels[lowest].requests.back().request;
         remove(displaced);
         return displaced;
     }
     return {};
 }
 
-FairShareAdmission::Place FairShareAdmission::head(const ServiceQueue& service)
+FairShareAdmission::QueuePosition FairShareAdmission::head(const ServiceQueue& service)
 {
-    Place place;
-    place.account = service.order.next();
-    const AccountQueue& account = service.accounts[place.account];
-    place.caller = account.order.next();
-    place.level = int(account.callers[place.caller].order.next());
-    return place;
+    QueuePosition queuePosition;
+    queuePosition.account = service.order.next();
+    const AccountQueue& account = service.accounts[queuePosition.account];
+    queuePosition.caller = account.order.next();
+    queuePosition.level = int(account.callers[queuePosition.caller].order.next());
+    return queuePosition;
 }
 
 std::optional<RequestNumber> FairShareAdmission::peek(const ServiceId& id) const
@@ -180,11 +181,11 @@
     const auto found = m_services.find(id);
     if (found == m_services.end() || found->second.count == 0)
         return {};
-    const Place place = head(found->second);
-    return found->second.accounts[place.account]
-        .callers[place.caller]
-        .levels[place.level]
-        .waiting.front()
+    const QueuePosition queuePosition = head(found->second);
+    return found->second.accounts[queuePosition.account]
+        .callers[queuePosition.caller]
+        .levels[queuePosition.level]
+        .requests.front()
         .request;
 }
 
@@ -193,44 +194,44 @@
     const std::optional<RequestNumber> request = peek(id);
     if (!request)
         return;
-    const Place place = m_places.at(*request);
-    const double cost = place.position->cost;
-    AccountQueue& account = place.service->accounts[place.account];
-    place.service->order.charge(place.account, cost);
-    account.order.charge(place.caller, cost);
-    account.callers[place.caller].order.charge(FairOrder::Flow(place.level), cost);
-    erase(place);
-    m_places.erase(*request);
+    const QueuePosition queuePosition = m_positions.at(*request);
+    const double cost = queuePosition.position->cost;
+    AccountQueue& account = queuePosition.service->accounts[queuePosition.account];
+    queuePosition.service->order.charge(queuePosition.account, cost);
+    account.order.charge(queuePosition.caller, cost);
+    account.callers[queuePosition.caller].order.charge(FairOrder::Flow(queuePosition.level), cost);
+    erase(queuePosition);
+    m_positions.erase(*request);
 }
 
 void FairShareAdmission::remove(RequestNumber request)
 {
-    const auto found = m_places.find(request);
-    if (found == m_places.end())
+    const auto found = m_positions.find(request);
+    if (found == m_positions.end())
         return;
     erase(found->second);
-    m_places.erase(found);
+    m_positions.erase(found);
 }
 
-void FairShareAdmission::erase(const Place& place)
+void FairShareAdmission::erase(const QueuePosition& queuePosition)
 {
-    ServiceQueue& service = *place.service;
-    AccountQueue& account = service.accounts[place.account];
-    CallerQueue& caller = account.callers[place.caller];
-    Level& level = caller.levels[place.level];
-    level.cost -= place.position->cost;
-    service.cost -= place.position->cost;
-    level.waiting.erase(place.position);
-    --m_accountCounts[account.id];
-    --account.levelCounts[place.level];
-    if (level.waiting.empty()) {
+    ServiceQueue& service = *queuePosition.service;
+    AccountQueue& account = service.accounts[queuePosition.account];
+    CallerQueue& caller = account.callers[queuePosition.caller];
+    Level& level = caller.levels[queuePosition.level];
+    level.cost -= queuePosition.position->cost;
+    service.cost -= queuePosition.position->cost;
+    level.requests.erase(queuePosition.position);
+    --m_queuedPerAccount[account.id];
+    --account.levelCounts[queuePosition.level];
+    if (level.requests.empty()) {
         level.cost = 0; // clears rounding errors
-        caller.order.deactivate(FairOrder::Flow(place.level));
+        caller.order.deactivate(FairOrder::Flow(queuePosition.level));
     }
     if (--caller.count == 0)
-        account.order.deactivate(place.caller);
+        account.order.deactivate(queuePosition.caller);
     if (--account.count == 0)
-        service.order.deactivate(place.account);
+        service.order.deactivate(queuePosition.account);
     if (--service.count == 0)
         service.cost = 0;
 }
--- a/src/admission/fair_share_admission.h
+++ b/src/admission/fair_share_admission.h
@@ -27,19 +27,19 @@
     std::optional<RequestNumber> peek(const ServiceId&) const override;
     void pop(const ServiceId&) override;
     void remove(RequestNumber) override;
-    std::size_t queued() const override { return m_places.size(); }
+    std::size_t queued() const override { return m_positions.size(); }
     std::size_t queued(const ServiceId&) const override;
 
 private:
     static constexpr int priorityLevels = 10;
 
-    struct Waiting {
+    struct QueuedRequest {
         RequestNumber request = 0;
         double cost = 0; // ms
     };
 
     struct Level {
-        std::list<Waiting> waiting; // in order of arrival
+        std::list<QueuedRequest> requests; // in order of arrival
         double cost = 0;
     };
 
@@ -67,28 +67,28 @@
         double cost = 0;
     };
 
-    struct Place {
+    struct QueuePosition {
         ServiceQueue* service = nullptr;
         FairOrder::Flow account = 0;
         FairOrder::Flow caller = 0;
         int level = 0;
-        std::list<Waiting>::iterator position;
+        std::list<QueuedRequest>::iterator position;
     };
 
     FairOrder::Flow accountFlow(ServiceQueue&, const ClientAccountId&);
     static FairOrder::Flow callerFlow(AccountQueue&, const std::string& caller);
-    static Place head(const ServiceQueue&);
+    static QueuePosition head(const ServiceQueue&);
     static double expectedWaitMs(
         const ServiceQueue&, FairOrder::Flow account, FairOrder::Flow caller, int level, int parallelism);
-    std::optional<RequestNumber> makeRoom(
+    std::optional<RequestNumber> displaceRequest(
         ServiceQueue&, FairOrder::Flow account, FairOrder::Flow caller, int level);
-    std::size_t countOfAccount(const ClientAccountId&) const;
-    void erase(const Place&);
+    std::size_t queuedOfAccount(const ClientAccountId&) const;
+    void erase(const QueuePosition&);
 
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ClientAccountId, double> m_shares;
-    std::map<ClientAccountId, std::size_t> m_accountCounts; // over all services
-    std::unordered_map<RequestNumber, Place> m_places;
+    std::map<ClientAccountId, std::size_t> m_queuedPerAccount; // over all services
+    std::unordered_map<RequestNumber, QueuePosition> m_positions;
 };
 
 } // namespace anvilmoor
--- a/src/admission/fifo_admission.cpp
+++ b/src/admission/fifo_admission.cpp
@@ -6,9 +6,9 @@
 
 AdmissionVerdict FifoAdmission::enqueue(const AdmissionItem& item, int, TimePoint)
 {
-    if (m_services.size() >= maxQueuedRequests)
+    if (m_serviceOfRequest.size() >= maxQueuedRequests)
         return { false, "the queue is full", Seconds(1), {} };
-    if (!m_services.emplace(item.request, item.service).second)
+    if (!m_serviceOfRequest.emplace(item.request, item.service).second)
         return { false, "the request is already queued", Seconds(1), {} };
     m_queues[item.service].push_back(item.request);
     return { true, {}, {}, {} };
@@ -27,18 +27,18 @@
     const auto found = m_queues.find(service);
     if (found == m_queues.end() || found->second.empty())
         return;
-    m_services.erase(found->second.front());
+    m_serviceOfRequest.erase(found->second.front());
     found->second.pop_front();
 }
 
 void FifoAdmission::remove(RequestNumber request)
 {
-    const auto service = m_services.find(request);
-    if (service == m_services.end())
+    const auto service = m_serviceOfRequest.find(request);
+    if (service == m_serviceOfRequest.end())
         return;
     std::deque<RequestNumber>& queue = m_queues[service->second];
     queue.erase(std::remove(queue.begin(), queue.end(), request), queue.end());
-    m_services.erase(service);
+    m_serviceOfRequest.erase(service);
 }
 
 std::size_t FifoAdmission::queued(const ServiceId& service) const
--- a/src/admission/fifo_admission.h
+++ b/src/admission/fifo_admission.h
@@ -17,12 +17,12 @@
     std::optional<RequestNumber> peek(const ServiceId&) const override;
     void pop(const ServiceId&) override;
     void remove(RequestNumber) override;
-    std::size_t queued() const override { return m_services.size(); }
+    std::size_t queued() const override { return m_serviceOfRequest.size(); }
     std::size_t queued(const ServiceId&) const override;
 
 private:
     std::map<ServiceId, std::deque<RequestNumber>> m_queues;
-    std::unordered_map<RequestNumber, ServiceId> m_services;
+    std::unordered_map<RequestNumber, ServiceId> m_serviceOfRequest;
 };
 
 } // namespace anvilmoor
--- a/src/admission/service_times.h
+++ b/src/admission/service_times.h
@@ -16,14 +16,14 @@
     // Estimate for an operation that has not been called yet.
     static constexpr Milliseconds initialEstimate { 20 };
 
-    void add(const ServiceId& service, const std::string& operation, Milliseconds took)
+    void add(const ServiceId& service, const std::string& operation, Milliseconds serviceTime)
     {
         const auto entry = m_means.try_emplace({ service, operation }, double(initialEstimate.count())).first;
         double& mean = entry->second;
         // Limits the effect of one stalled call. Otherwise every request would be expected to miss its
         // deadline.
-        const double sample = std::min(double(took.count()), maxGrowth * std::max(mean, 1.0));
-        mean += weightOfNewest * (sample - mean);
+        const double sample = std::min(double(serviceTime.count()), maxSampleRatio * std::max(mean, 1.0));
+        mean += smoothingFactor * (sample - mean);
     }
 
     // At least 1 ms, so that every request has a cost.
@@ -36,8 +36,8 @@
     }
 
 private:
-    static constexpr double weightOfNewest = 0.1;
-    static constexpr double maxGrowth = 8;
+    static constexpr double smoothingFactor = 0.1;
+    static constexpr double maxSampleRatio = 8;
 
     std::map<std::pair<ServiceId, std::string>, double> m_means; // bounded by the configured operations
 };
--- a/test/admission_test.cpp
+++ b/test/admission_test.cpp
@@ -12,29 +12,29 @@
 class AdmissionTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(AdmissionTest);
     CPPUNIT_TEST(testFloodOfOneAccountLeavesOthersTheirShare);
-    CPPUNIT_TEST(testFloodOfOneCallerLeavesOthersTheirPart);
-    CPPUNIT_TEST(testFloodOfOneCallerInEveryPriorityLeavesOthersTheirPart);
-    CPPUNIT_TEST(testFloodOfUrgentWorkLeavesTheRestItsMinimum);
-    CPPUNIT_TEST(testIdleSharesAreLentOut);
-    CPPUNIT_TEST(testHopelessDeadlineIsRefusedAtOnce);
-    CPPUNIT_TEST(testDeadlineOfSmallAccountIsJudgedByItsOwnShare);
-    CPPUNIT_TEST(testTooHighEstimateWithoutBacklogIsTried);
-    CPPUNIT_TEST(testFullQueueDisplacesTheFlood);
-    CPPUNIT_TEST(testFullQueueOfOneAccountDisplacesItsLeastUrgentWork);
-    CPPUNIT_TEST(testInventedCallerNamesStayBounded);
-    CPPUNIT_TEST(testRetryBudgetIsATenth);
+    CPPUNIT_TEST(testFloodOfOneCallerLeavesOthersTheirShare);
+    CPPUNIT_TEST(testFloodOfOneCallerInEveryPriorityLeavesOthersTheirShare);
+    CPPUNIT_TEST(testFloodOfUrgentRequestsDoesNotStarveOthers);
+    CPPUNIT_TEST(testIdleSharesAreUsedByOthers);
+    CPPUNIT_TEST(testRequestThatWouldMissDeadlineIsRefused);
+    CPPUNIT_TEST(testExpectedWaitOfSmallAccountDependsOnItsOwnShare);
+    CPPUNIT_TEST(testRequestWithoutBacklogIsQueuedDespiteHighEstimate);
+    CPPUNIT_TEST(testFullQueueDisplacesRequestOfLargeAccount);
+    CPPUNIT_TEST(testFullQueueOfOneAccountDisplacesItsLeastUrgentRequest);
+    CPPUNIT_TEST(testCallersAboveLimitShareQueues);
+    CPPUNIT_TEST(testRetryBudgetAllowsOneRetryPerTenRequests);
     CPPUNIT_TEST_SUITE_END();
 
     const ServiceId m_service { "intake" };
     const TimePoint m_now { Seconds(10) };
-    RequestNumber m_last = 0;
+    RequestNumber m_lastRequest = 0;
     std::map<RequestNumber, AdmissionItem> m_items;
 
     AdmissionVerdict enqueue(AdmissionPolicy& admission, const char* account, std::string caller,
-        int priority = 0, Milliseconds patience = Seconds(100'000))
+        int priority = 0, Milliseconds timeToDeadline = Seconds(100'000))
     {
-        const AdmissionItem item { ++m_last, m_service, ClientAccountId(account), std::move(caller), priority,
-            m_now + patience, Milliseconds(20) };
+        const AdmissionItem item { ++m_lastRequest, m_service, ClientAccountId(account), std::move(caller),
+            priority, m_now + timeToDeadline, Milliseconds(20) };
         m_items[item.request] = item;
         return admission.enqueue(item, 4, m_now);
     }
@@ -84,7 +84,7 @@
     }
 
     // Guards against a caller that starves the other callers of its account by filling the queue first.
-    void testFloodOfOneCallerLeavesOthersTheirPart()
+    void testFloodOfOneCallerLeavesOthersTheirShare()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 1'000; ++index)
@@ -99,7 +99,7 @@
 
     // Guards against a large caller with requests of several priorities that leaves small callers with less
     // urgent requests only the fraction of their priority.
-    void testFloodOfOneCallerInEveryPriorityLeavesOthersTheirPart()
+    void testFloodOfOneCallerInEveryPriorityLeavesOthersTheirShare()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 500; ++index) {
@@ -115,7 +115,7 @@
     }
 
     // Guards against strict priorities, by which a flood of urgent requests starves the others.
-    void testFloodOfUrgentWorkLeavesTheRestItsMinimum()
+    void testFloodOfUrgentRequestsDoesNotStarveOthers()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 1'000; ++index) {
@@ -137,7 +137,7 @@
 
     // Guards against capacity that stays unused, or is charged later, because the account it belongs to is
     // idle.
-    void testIdleSharesAreLentOut()
+    void testIdleSharesAreUsedByOthers()
     {
         FairShareAdmission admission;
         admission.configure(twoAccounts());
@@ -156,7 +156,7 @@
     }
 
     // Guards against requests that are queued although their deadline passes before they are served.
-    void testHopelessDeadlineIsRefusedAtOnce()
+    void testRequestThatWouldMissDeadlineIsRefused()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 400; ++index) // 400 * 20 ms / 4 in parallel: 2 s
@@ -168,7 +168,7 @@
     }
 
     // Guards against refusals to a small account because of another account's backlog.
-    void testDeadlineOfSmallAccountIsJudgedByItsOwnShare()
+    void testExpectedWaitOfSmallAccountDependsOnItsOwnShare()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 4'000; ++index)
@@ -178,7 +178,7 @@
 
     // Guards against a service whose requests are all refused after one slow call, because without another
     // call the estimate cannot be corrected.
-    void testTooHighEstimateWithoutBacklogIsTried()
+    void testRequestWithoutBacklogIsQueuedDespiteHighEstimate()
     {
         FairShareAdmission admission;
         const AdmissionItem item { 1, m_service, ClientAccountId("small"), "b", 0, m_now + Seconds(1),
@@ -190,7 +190,7 @@
     }
 
     // Guards against refusals to a small account because large accounts have filled all queues.
-    void testFullQueueDisplacesTheFlood()
+    void testFullQueueDisplacesRequestOfLargeAccount()
     {
         FairShareAdmission admission;
         for (const char* account : { "large", "other" }) {
@@ -208,7 +208,7 @@
     }
 
     // Guards against an urgent request that is refused while less urgent requests of its account are queued.
-    void testFullQueueOfOneAccountDisplacesItsLeastUrgentWork()
+    void testFullQueueOfOneAccountDisplacesItsLeastUrgentRequest()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 3; ++index)
@@ -227,7 +227,7 @@
     }
 
     // Guards against lost requests when an account has more callers than queues and callers share them.
-    void testInventedCallerNamesStayBounded()
+    void testCallersAboveLimitShareQueues()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 5'000; ++index)
@@ -240,7 +240,7 @@
     }
 
     // Guards against retries that multiply the load of an overloaded service.
-    void testRetryBudgetIsATenth()
+    void testRetryBudgetAllowsOneRetryPerTenRequests()
     {
         RetryBudget budget;
         while (budget.takeRetry()) { }
