Rename identifiers of bench to the usual terms

Names that were vague or figurative (happen, look, due, gather, got, given, most, least, longest) now name the event, the sum or the limit. Printed keys, target texts and keys of submitted jobs are unchanged.

job_run: Kind -> EventKind, Look -> Replan, happen -> handleEvent, m_due -> m_events, m_nextLook -> m_nextReplan, account() -> accumulateUsage(), move() -> startMove(), done -> savedProgress, drainLimit -> maxDrainTime, leastUnusable... -> minUnusable..., m_aware -> m_guaranteeAware. claim_run: longestWait -> maxWait, fill -> submitBorrowedJobs, count -> recordResult, firstLate -> firstUnstartedClaim (only a claim that never ran was entered there). scenarios: gather -> sumStreams, got -> goodputs, nights -> jobScenarioSeeds (also the seeds of the shift). figures: at -> valueOrZero, measured -> valueOrNan. capacity: handOver -> measureHandOver, isWhole -> isAllRunning. Others are locals.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -309,7 +309,7 @@
 }
 
 // Ends the holder with a signal and waits until the standby has recovered the zone. Then restarts the daemon.
-Json handOver(Cluster& cluster, std::size_t holder, int tasks, int signal)
+Json measureHandOver(Cluster& cluster, std::size_t holder, int tasks, int signal)
 {
     const std::size_t next = 1 - holder;
     const std::size_t before = countInLog(cluster.daemons[next], "zone.recovered");
@@ -324,10 +324,10 @@
         return countInLog(cluster.daemons[next], "zone.recovered") > before;
     });
     const double done = now();
-    const bool isWhole = waitFor(60, [&] { return runningTasks(cluster, next) >= tasks; });
+    const bool isAllRunning = waitFor(60, [&] { return runningTasks(cluster, next) >= tasks; });
     Json line { { "measure", "hand_over" }, { "tasks", tasks }, { "signal", signal },
         { "recovered", isRecovered }, { "recovered_ms", 1e3 * (done - begin) },
-        { "after_role_ms", roleAt > 0 ? 1e3 * (done - roleAt) : -1 }, { "all_running", isWhole },
+        { "after_role_ms", roleAt > 0 ? 1e3 * (done - roleAt) : -1 }, { "all_running", isAllRunning },
         { "all_running_ms", 1e3 * (now() - begin) },
         { "cpu_ms", 1e3 * (sample(cluster.daemons[next]).cpuSeconds - start.cpuSeconds) } };
     print(line);
@@ -374,7 +374,7 @@
             count, measure(cluster, holder, plan.seconds, "idle_by_tasks", { { "tasks", count } }));
         standby.emplace_back(
             count, measure(cluster, 1 - holder, plan.seconds, "standby_by_tasks", { { "tasks", count } }));
-        handOvers.emplace_back(count, handOver(cluster, holder, count, 9));
+        handOvers.emplace_back(count, measureHandOver(cluster, holder, count, 9));
     }
     cluster.stop();
     fitAll("idle_by_tasks", "tasks", lines);
--- a/bench/measure/claim_run.cpp
+++ b/bench/measure/claim_run.cpp
@@ -19,7 +19,7 @@
 
 constexpr int zoneAccelerators = 128; // cap of the baseline in lesson hours: all of a zone
 constexpr Milliseconds stepLength { 10 };
-constexpr Milliseconds longestWait { 20'000 }; // recorded for a claim that does not run by then
+constexpr Milliseconds maxWait { 20'000 }; // recorded for a claim that does not run by then
 
 ReducerPolicies baselinePolicies()
 {
@@ -64,17 +64,17 @@
         m_cluster.runFor(Seconds(15));
         if (m_fault == ClaimFault::FailingWorkers)
             failWorkers();
-        fill();
+        submitBorrowedJobs();
         m_cluster.runFor(Seconds(40));
         beginFault();
         submitClaims();
-        const TimePoint end = m_cluster.now() + longestWait;
+        const TimePoint end = m_cluster.now() + maxWait;
         while (m_cluster.now() < end && !isDone()) {
             m_cluster.runFor(stepLength);
             observe();
         }
         for (Claim& claim : m_claims)
-            count(claim);
+            recordResult(claim);
         return m_result;
     }
 
@@ -87,7 +87,7 @@
     }
 
     // Submits more borrowed jobs of mixed sizes than a zone holds; jobs that do not fit stay queued.
-    void fill()
+    void submitBorrowedJobs()
     {
         for (const AvailabilityZoneConfiguration& zone : m_configuration.zones) {
             for (int left = 150; left > 0;) {
@@ -181,19 +181,19 @@
         return running;
     }
 
-    void count(const Claim& claim)
+    void recordResult(const Claim& claim)
     {
         m_result.refused += claim.isAccepted ? 0 : 1;
         m_result.claims += claim.isAccepted ? 1 : 0;
         if (!claim.isAccepted)
             return;
         if (!claim.isRunning)
-            m_result.waitMs.push_back(double(longestWait.count()));
+            m_result.waitMs.push_back(double(maxWait.count()));
         if (claim.isRunning)
             return;
         const std::optional<JobStatus> job = m_cluster.jobOf(claim.handle);
-        if (m_result.firstLate.empty() && job)
-            m_result.firstLate = m_cluster.jobRow(job->specification.id).value_or("no row");
+        if (m_result.firstUnstartedClaim.empty() && job)
+            m_result.firstUnstartedClaim = m_cluster.jobRow(job->specification.id).value_or("no row");
     }
 
     const Configuration& m_configuration;
--- a/bench/measure/claim_run.h
+++ b/bench/measure/claim_run.h
@@ -14,7 +14,7 @@
     std::size_t claims = 0; // accepted
     std::size_t refused = 0; // not accepted: the submitter was told so
     std::size_t late = 0; // not running within the bound
-    std::string firstLate; // table row of the first claim that never ran, with the reason why the job waits
+    std::string firstUnstartedClaim; // its table row, with the reason why the job waits
 };
 
 // Submits the claims of all accounts at once in zones full of borrowed work, with real reducers in the
--- a/bench/measure/figures.cpp
+++ b/bench/measure/figures.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-double at(const Figures& figures, const std::string& key)
+double valueOrZero(const Figures& figures, const std::string& key)
 {
     const auto found = figures.find(key);
     return found == figures.end() ? 0 : found->second;
 }
 
 // NaN for a figure of a part that was not run.
-double measured(const Figures& figures, const std::string& key)
+double valueOrNan(const Figures& figures, const std::string& key)
 {
     const auto found = figures.find(key);
     return found == figures.end() ? std::numeric_limits<double>::quiet_NaN() : found->second;
@@ -23,10 +23,10 @@
 
 double worst(const Figures& figures, bool isSmallerBetter, std::initializer_list<const char*> keys)
 {
-    double result = measured(figures, *keys.begin());
+    double result = valueOrNan(figures, *keys.begin());
     for (const char* key : keys)
-        result = isSmallerBetter ? std::max(result, measured(figures, key))
-                                 : std::min(result, measured(figures, key));
+        result = isSmallerBetter ? std::max(result, valueOrNan(figures, key))
+                                 : std::min(result, valueOrNan(figures, key));
     return result;
 }
 
@@ -114,28 +114,28 @@
 std::vector<Target> targets(const Figures& baseline, const Figures& current)
 {
     return {
-        { "claims run within 1.6 s, share of all scenarios", measured(current, "claims.within_bound"), 1,
+        { "claims run within 1.6 s, share of all scenarios", valueOrNan(current, "claims.within_bound"), 1,
             false },
-        { "flood: goodput kept inside the share", measured(current, "flood.kept"), 0.95, false },
-        { "flood: p99 over quiet p99", measured(current, "flood.p99_ratio"), 1.5, true },
+        { "flood: goodput kept inside the share", valueOrNan(current, "flood.kept"), 0.95, false },
+        { "flood: p99 over quiet p99", valueOrNan(current, "flood.p99_ratio"), 1.5, true },
         { "small callers: p99 beside a 100x caller over without",
             worst(current, true, { "large_caller.p99_ratio", "large_caller.same_account_p99_ratio" }), 1.2,
             true },
         { "Jain index of goodput over entitled share",
             worst(current, false, { "flood.jain", "saturated.jain" }), 0.95, false },
-        { "gang p95 wait, s, at most half of first fit", measured(current, "night.gang_wait_p95"),
-            measured(baseline, "night.gang_wait_p95") / 2, true },
-        { "longest gang wait, s, at most half a night", measured(current, "night.gang_wait_max"), 5 * 3'600,
+        { "gang p95 wait, s, at most half of first fit", valueOrNan(current, "night.gang_wait_p95"),
+            valueOrNan(baseline, "night.gang_wait_p95") / 2, true },
+        { "longest gang wait, s, at most half a night", valueOrNan(current, "night.gang_wait_max"), 5 * 3'600,
             true },
-        { "gangs that never start", measured(current, "night.gangs_never_started"), 0, true },
-        { "night fragmentation at most half of first fit", measured(current, "night.fragmentation"),
-            measured(baseline, "night.fragmentation") / 2, true },
-        { "shift fragmentation at most half of first fit", measured(current, "shift.fragmentation"),
-            measured(baseline, "shift.fragmentation") / 2, true },
-        { "accelerator utilisation at least first fit's", measured(current, "night.utilisation"),
-            measured(baseline, "night.utilisation"), false },
-        { "slot utilisation at least the baseline's", measured(current, "saturated.slot_utilisation"),
-            measured(baseline, "saturated.slot_utilisation"), false },
+        { "gangs that never start", valueOrNan(current, "night.gangs_never_started"), 0, true },
+        { "night fragmentation at most half of first fit", valueOrNan(current, "night.fragmentation"),
+            valueOrNan(baseline, "night.fragmentation") / 2, true },
+        { "shift fragmentation at most half of first fit", valueOrNan(current, "shift.fragmentation"),
+            valueOrNan(baseline, "shift.fragmentation") / 2, true },
+        { "accelerator utilisation at least first fit's", valueOrNan(current, "night.utilisation"),
+            valueOrNan(baseline, "night.utilisation"), false },
+        { "slot utilisation at least the baseline's", valueOrNan(current, "saturated.slot_utilisation"),
+            valueOrNan(baseline, "saturated.slot_utilisation"), false },
     };
 }
 
@@ -143,8 +143,8 @@
 {
     double sum = 0;
     for (const Weight& weight : weights) {
-        const double before = at(baseline, weight.key);
-        const double now = at(current, weight.key);
+        const double before = valueOrZero(baseline, weight.key);
+        const double now = valueOrZero(current, weight.key);
         const double part
             = before + now <= 0 ? 0.5 : (weight.isSmallerBetter ? before : now) / (before + now);
         sum += part * (user == "drahtwerk" ? weight.drahtwerk : weight.lakeshore);
--- a/bench/measure/job_run.cpp
+++ b/bench/measure/job_run.cpp
@@ -18,12 +18,12 @@
 namespace {
 
 constexpr Milliseconds startDelay { 20 }; // reserve, commit, confirm and run
-constexpr Milliseconds drainLimit { std::chrono::hours(24) }; // after the end of the arrivals
+constexpr Milliseconds maxDrainTime { std::chrono::hours(24) }; // after the end of the arrivals
 
 struct Job {
     JobSpecification specification;
     Milliseconds runTime { 0 }; // the real one
-    Milliseconds done { 0 }; // progress kept over evictions
+    Milliseconds savedProgress { 0 }; // progress kept over evictions
     TimePoint submittedAt {};
     TimePoint startedAt {};
     TimePoint endsAt {};
@@ -38,15 +38,16 @@
         : m_configuration(configuration)
         , m_zone(m_configuration.zones[zone])
         , m_scenario(scenario)
-        , m_aware(m_reclaim)
-        , m_policy(policies == PolicySet::Current ? static_cast<const PlacementPolicy&>(m_aware) : m_firstFit)
+        , m_guaranteeAware(m_reclaim)
+        , m_policy(policies == PolicySet::Current ? static_cast<const PlacementPolicy&>(m_guaranteeAware)
+                                                  : m_firstFit)
         , m_inventory(usableInventory(m_zone))
         , m_random(scenario.seed * 100 + zone)
     {
         for (const WorkerCapacity& worker : m_inventory.workers())
             m_capacity += worker.accelerators;
         m_largestShape = largestGuaranteedShape(m_configuration, m_zone.id);
-        findLeastUnusable();
+        computeMinUnusable();
         makeSmallJobs();
         makeGangs();
         makeClaims();
@@ -55,15 +56,15 @@
     JobResult run()
     {
         m_result.availableSeconds = double(m_capacity) * seconds(m_scenario.length);
-        const TimePoint limit = TimePoint {} + m_scenario.length + drainLimit;
-        while (!m_due.empty() && m_due.begin()->first < limit) {
-            const TimePoint next = m_due.begin()->first;
-            account(next);
+        const TimePoint limit = TimePoint {} + m_scenario.length + maxDrainTime;
+        while (!m_events.empty() && m_events.begin()->first < limit) {
+            const TimePoint next = m_events.begin()->first;
+            accumulateUsage(next);
             m_now = next;
-            while (!m_due.empty() && m_due.begin()->first == m_now) {
-                const auto [kind, job] = m_due.begin()->second;
-                m_due.erase(m_due.begin());
-                happen(kind, job);
+            while (!m_events.empty() && m_events.begin()->first == m_now) {
+                const auto [kind, job] = m_events.begin()->second;
+                m_events.erase(m_events.begin());
+                handleEvent(kind, job);
             }
             startClaims();
             plan();
@@ -80,7 +81,7 @@
     }
 
 private:
-    enum class Kind { Arrive, End, Leave, Look };
+    enum class EventKind { Arrive, End, Leave, Replan };
 
     static double seconds(Milliseconds time) { return double(time.count()) / 1'000; }
     static Milliseconds minutes(double value) { return Milliseconds(Milliseconds::rep(value * 60'000)); }
@@ -98,7 +99,7 @@
         const double error = std::pow(m_scenario.runTimeError, m_random.between(-1, 1));
         job.specification.declaredRunTime = minutes(runMinutes * error);
         job.isGang = isGang;
-        m_due.emplace(at, std::pair(Kind::Arrive, job.specification.id));
+        m_events.emplace(at, std::pair(EventKind::Arrive, job.specification.id));
         m_jobs.emplace(job.specification.id, std::move(job));
     }
 
@@ -107,18 +108,18 @@
     // For each number of free accelerators, the least sum of unusable remainders over all ways to distribute
     // the free accelerators among the racks. This is a lower bound: it ignores whether the present jobs can
     // be packed in this way.
-    void findLeastUnusable()
+    void computeMinUnusable()
     {
-        m_leastUnusable = { 0 };
+        m_minUnusable = { 0 };
         for (const RackCapacity& rack : m_inventory.racks()) {
-            std::vector<int> next(m_leastUnusable.size() + std::size_t(rack.accelerators), m_capacity);
-            for (std::size_t others = 0; others < m_leastUnusable.size(); ++others) {
+            std::vector<int> next(m_minUnusable.size() + std::size_t(rack.accelerators), m_capacity);
+            for (std::size_t others = 0; others < m_minUnusable.size(); ++others) {
                 for (int free = 0; free <= rack.accelerators; ++free) {
                     int& least = next[others + std::size_t(free)];
-                    least = std::min(least, m_leastUnusable[others] + unusableOf(free));
+                    least = std::min(least, m_minUnusable[others] + unusableOf(free));
                 }
             }
-            m_leastUnusable = std::move(next);
+            m_minUnusable = std::move(next);
         }
     }
 
@@ -186,7 +187,7 @@
         }
     }
 
-    void account(TimePoint until)
+    void accumulateUsage(TimePoint until)
     {
         const TimePoint horizon = TimePoint {} + m_scenario.length;
         const double passed = seconds(std::min(until, horizon) - std::min(m_now, horizon));
@@ -200,22 +201,22 @@
         }
         m_result.freeSeconds += passed * free;
         m_result.unusableFreeSeconds += passed * unusable;
-        m_result.leastUnusableFreeSeconds += passed * m_leastUnusable[std::size_t(free)];
+        m_result.minUnusableFreeSeconds += passed * m_minUnusable[std::size_t(free)];
         m_result.heldSeconds += passed * (m_capacity - free);
     }
 
-    void happen(Kind kind, const JobId& id)
+    void handleEvent(EventKind kind, const JobId& id)
     {
         Job& job = m_jobs[id];
         const Holding* holding = m_inventory.find(id);
-        if (kind == Kind::Arrive) {
+        if (kind == EventKind::Arrive) {
             job.submittedAt = m_now;
             m_queue.push_back({ .specification = job.specification, .queuedAt = m_now });
-        } else if (kind == Kind::End && holding && job.endsAt == m_now) {
+        } else if (kind == EventKind::End && holding && job.endsAt == m_now) {
             m_inventory.remove(id);
             m_result.completionMs.push_back(double((m_now - job.submittedAt).count()));
-        } else if (kind == Kind::Leave && holding && holding->isLeaving) {
-            job.done += m_now - job.startedAt;
+        } else if (kind == EventKind::Leave && holding && holding->isLeaving) {
+            job.savedProgress += m_now - job.startedAt;
             m_inventory.remove(id);
             m_queue.push_back({ .specification = job.specification, .queuedAt = job.submittedAt });
             std::stable_sort(m_queue.begin(), m_queue.end(),
@@ -244,26 +245,26 @@
     void plan()
     {
         for (const auto& [id, holding] : m_inventory.holdings()) {
-            const Milliseconds progress = m_jobs[id].done + (m_now - holding.startedAt);
+            const Milliseconds progress = m_jobs[id].savedProgress + (m_now - holding.startedAt);
             m_progress.emplace_back(id, progress);
         }
         for (const auto& [id, progress] : m_progress)
-            m_inventory.updateProgress(id, progress, m_jobs[id].done);
+            m_inventory.updateProgress(id, progress, m_jobs[id].savedProgress);
         m_progress.clear();
         const PlacementPlan plan = m_policy.plan(m_inventory, m_configuration, m_queue, m_now);
         for (const PlacementStart& start : plan.starts)
             carryOut(start);
-        move();
+        startMove();
         // Plans again every 10 s while jobs wait, because priorities age and waits reach the limits for
         // evictions without an event.
-        if (!m_queue.empty() && m_nextLook <= m_now) {
-            m_nextLook = m_now + Seconds(10);
-            m_due.emplace(m_nextLook, std::pair(Kind::Look, m_queue.front().specification.id));
+        if (!m_queue.empty() && m_nextReplan <= m_now) {
+            m_nextReplan = m_now + Seconds(10);
+            m_events.emplace(m_nextReplan, std::pair(EventKind::Replan, m_queue.front().specification.id));
         }
     }
 
     // Moves a job under the same conditions as ZoneController: no job waits and none is leaving.
-    void move()
+    void startMove()
     {
         const bool isLeaving = std::any_of(m_inventory.holdings().begin(), m_inventory.holdings().end(),
             [](const auto& holding) { return holding.second.isLeaving; });
@@ -276,7 +277,7 @@
         m_nextMove = m_now + moveInterval;
         ++m_result.moves;
         m_inventory.setLeaving(move->job);
-        m_due.emplace(m_now + checkpointGrace, std::pair(Kind::Leave, move->job));
+        m_events.emplace(m_now + checkpointGrace, std::pair(EventKind::Leave, move->job));
     }
 
     void carryOut(const PlacementStart& start)
@@ -291,7 +292,7 @@
                 continue;
             ++m_result.evictions;
             m_inventory.setLeaving(eviction);
-            m_due.emplace(m_now + checkpointGrace, std::pair(Kind::Leave, eviction));
+            m_events.emplace(m_now + checkpointGrace, std::pair(EventKind::Leave, eviction));
         }
         if (!start.evictions.empty() || isBusy(start.members)) {
             queued->claimedMembers = start.members;
@@ -313,8 +314,8 @@
         if (job.specification.jobClass == JobClass::Guaranteed)
             m_result.claimWaitMs.push_back(waited);
         job.hasStarted = true;
-        job.endsAt = job.startedAt + (job.runTime - job.done);
-        m_due.emplace(job.endsAt, std::pair(Kind::End, start.job));
+        job.endsAt = job.startedAt + (job.runTime - job.savedProgress);
+        m_events.emplace(job.endsAt, std::pair(EventKind::End, start.job));
     }
 
     bool isBusy(const std::vector<GangMember>& members) const
@@ -336,20 +337,20 @@
     const AvailabilityZoneConfiguration& m_zone;
     const JobScenario& m_scenario;
     LeastLostWorkReclaim m_reclaim;
-    GuaranteeAwarePlacement m_aware;
+    GuaranteeAwarePlacement m_guaranteeAware;
     FirstFitPlacement m_firstFit;
     const PlacementPolicy& m_policy;
     ZoneInventory m_inventory;
     Random m_random;
     int m_capacity = 0;
     int m_largestShape = 0;
-    std::vector<int> m_leastUnusable; // by the number of free accelerators of the zone
+    std::vector<int> m_minUnusable; // by the number of free accelerators of the zone
     std::map<JobId, Job> m_jobs;
     std::vector<QueuedJob> m_queue;
-    std::multimap<TimePoint, std::pair<Kind, JobId>> m_due;
+    std::multimap<TimePoint, std::pair<EventKind, JobId>> m_events;
     std::vector<std::pair<JobId, Milliseconds>> m_progress;
     TimePoint m_now {};
-    TimePoint m_nextLook {};
+    TimePoint m_nextReplan {};
     TimePoint m_nextMove {};
     JobResult m_result;
 };
--- a/bench/measure/job_run.h
+++ b/bench/measure/job_run.h
@@ -30,7 +30,7 @@
     std::size_t moves = 0; // of running jobs, so that whole shapes stay free
     double freeSeconds = 0; // accelerator-seconds
     double unusableFreeSeconds = 0; // of freeSeconds, not usable for the largest guaranteed shape
-    double leastUnusableFreeSeconds = 0; // the same, with the free ones in the best racks
+    double minUnusableFreeSeconds = 0; // the same, with the free ones in the best racks
     double heldSeconds = 0;
     double availableSeconds = 0;
 };
--- a/bench/measure/report.cpp
+++ b/bench/measure/report.cpp
@@ -142,10 +142,10 @@
         for (const FigureKind& kind : figureKinds()) {
             text += fmt::format("<text x=\"{}\" y=\"{}\">{} [{}]{}</text>\n", left, top + 20, kind.key,
                 kind.unit, kind.isSmallerBetter ? "" : " (more is better)");
-            double most = 0;
+            double largest = 0;
             for (const Figures* figures : { &user.baseline, &user.previous, &user.current }) {
                 const auto found = figures->find(kind.key);
-                most = std::max(most, found == figures->end() ? 0 : found->second);
+                largest = std::max(largest, found == figures->end() ? 0 : found->second);
             }
             int bar = 0;
             for (const auto& [figures, colour] : { std::pair(&user.baseline, "#999999"),
@@ -155,7 +155,7 @@
                     ++bar;
                     continue;
                 }
-                const double width = most > 0 ? barWidth * found->second / most : 0;
+                const double width = largest > 0 ? barWidth * found->second / largest : 0;
                 text += fmt::format(
                     "<rect x=\"{}\" y=\"{}\" width=\"{:.1f}\" height=\"{}\" fill=\"{}\"/><text x=\"{:.1f}\" "
                     "y=\"{}\" font-size=\"9\">{:.3f}</text>\n",
--- a/bench/measure/request_run.cpp
+++ b/bench/measure/request_run.cpp
@@ -125,11 +125,11 @@
         // The longest deadline in the declarations is 30 s; requests that have not ended by then count as not
         // served.
         const TimePoint end = start + m_scenario.length + Seconds(31);
-        m_tickAt = start;
+        m_nextTick = start;
         while (m_now < end) {
-            if (m_events.empty() || m_events.begin()->first >= m_tickAt) {
-                m_now = m_tickAt;
-                m_tickAt += tickInterval;
+            if (m_events.empty() || m_events.begin()->first >= m_nextTick) {
+                m_now = m_nextTick;
+                m_nextTick += tickInterval;
                 for (Daemon& daemon : m_daemons)
                     deliver(daemon, Tick {});
                 continue;
@@ -366,7 +366,7 @@
     CallerHandle m_lastCaller = 0;
     int m_slots = 0;
     TimePoint m_now { start };
-    TimePoint m_tickAt { start };
+    TimePoint m_nextTick { start };
     RequestResult m_result;
 };
 
--- a/bench/measure/scenarios.cpp
+++ b/bench/measure/scenarios.cpp
@@ -16,7 +16,7 @@
 
 constexpr double quietLoad = 0.5; // as a fraction of all slots
 constexpr int callersPerAccount = 20;
-constexpr int nights = 5; // seeds of the job scenarios
+constexpr int jobScenarioSeeds = 5; // one night or shift per seed and zone
 constexpr int claimSeeds = 3;
 
 class UserMeasurement {
@@ -85,7 +85,7 @@
 
     // Sums the outcomes of the streams that the predicate accepts.
     template <typename Predicate>
-    StreamOutcome gather(
+    StreamOutcome sumStreams(
         const RequestScenario& scenario, const RequestResult& result, Predicate isWanted) const
     {
         StreamOutcome sum;
@@ -105,7 +105,8 @@
 
     StreamOutcome group(const RequestScenario& scenario, const RequestResult& result, int wanted) const
     {
-        return gather(scenario, result, [&](const ArrivalStream& stream) { return stream.group == wanted; });
+        return sumStreams(
+            scenario, result, [&](const ArrivalStream& stream) { return stream.group == wanted; });
     }
 
     bool isIdempotent(const ArrivalStream& stream) const
@@ -139,21 +140,21 @@
         std::initializer_list<int> groups) const
     {
         std::vector<double> demands;
-        std::vector<double> got;
+        std::vector<double> goodputs;
         std::vector<double> shares;
         for (std::size_t account = 0; account < m_configuration.accounts.size(); ++account) {
-            const StreamOutcome outcome = gather(scenario, result, [&](const ArrivalStream& stream) {
+            const StreamOutcome outcome = sumStreams(scenario, result, [&](const ArrivalStream& stream) {
                 return stream.account == account
                     && std::find(groups.begin(), groups.end(), stream.group) != groups.end();
             });
             demands.push_back(outcome.offeredSlotMs);
-            got.push_back(outcome.goodSlotMs);
+            goodputs.push_back(outcome.goodSlotMs);
             shares.push_back(m_configuration.accounts[account].share);
         }
         const std::vector<double> entitled = fairDivision(m_slots * double(length.count()), demands, shares);
-        for (std::size_t account = 0; account < got.size(); ++account)
-            got[account] /= entitled[account];
-        return jainIndex(got);
+        for (std::size_t account = 0; account < goodputs.size(); ++account)
+            goodputs[account] /= entitled[account];
+        return jainIndex(goodputs);
     }
 
     // The first account floods with ten times the total quiet rate; the others stay within their shares.
@@ -185,7 +186,7 @@
             double ratio = 0;
             for (std::size_t account = 1; account < m_configuration.accounts.size(); ++account) {
                 const auto of = [&](int wanted) {
-                    return gather(scenario, result, [&](const ArrivalStream& stream) {
+                    return sumStreams(scenario, result, [&](const ArrivalStream& stream) {
                         return stream.account == account && stream.group == wanted;
                     });
                 };
@@ -218,7 +219,7 @@
                 100 * perSecond(quietLoad, 0, operation) / callersPerAccount, quietEnd, end, 2 });
         const RequestResult result = runRequests(m_configuration, scenario, m_policies);
         const auto p99 = [&](int wanted, bool isSameAccount) {
-            return quantile(gather(scenario, result,
+            return quantile(sumStreams(scenario, result,
                                 [&](const ArrivalStream& stream) {
                                     return stream.group == wanted && (stream.account == 0) == isSameAccount;
                                 })
@@ -268,7 +269,7 @@
         addStreams(scenario, quietLoad / 20, begin, outageEnd, 1);
         addStreams(scenario, quietLoad / 20, outageEnd + Seconds(5), end, 2);
         const RequestResult result = runRequests(m_configuration, scenario, m_policies);
-        m_figures["outage.idempotent_goodput"] = goodput(gather(scenario, result,
+        m_figures["outage.idempotent_goodput"] = goodput(sumStreams(scenario, result,
             [&](const ArrivalStream& stream) { return stream.group == 1 && isIdempotent(stream); }));
         m_figures["outage.goodput_after"] = goodput(group(scenario, result, 2));
     }
@@ -284,7 +285,7 @@
         addStreams(scenario, quietLoad, Seconds(0), begin, 0);
         addStreams(scenario, quietLoad, begin, end, 1);
         const RequestResult result = runRequests(m_configuration, scenario, m_policies);
-        const StreamOutcome during = gather(scenario, result,
+        const StreamOutcome during = sumStreams(scenario, result,
             [&](const ArrivalStream& stream) { return stream.group == 1 && isIdempotent(stream); });
         m_figures["cut.idempotent_goodput"] = goodput(during);
         m_figures["cut.request_p99"] = quantile(during.completionMs, 0.99);
@@ -296,7 +297,7 @@
         const auto append = [](std::vector<double>& to, const std::vector<double>& from) {
             to.insert(to.end(), from.begin(), from.end());
         };
-        for (int seed = 1; seed <= nights; ++seed) {
+        for (int seed = 1; seed <= jobScenarioSeeds; ++seed) {
             scenario.seed = std::uint64_t(seed);
             for (std::size_t zone = 0; zone < m_configuration.zones.size(); ++zone) {
                 const JobResult result = runJobs(m_configuration, zone, scenario, m_policies);
@@ -309,7 +310,7 @@
                 sum.moves += result.moves;
                 sum.freeSeconds += result.freeSeconds;
                 sum.unusableFreeSeconds += result.unusableFreeSeconds;
-                sum.leastUnusableFreeSeconds += result.leastUnusableFreeSeconds;
+                sum.minUnusableFreeSeconds += result.minUnusableFreeSeconds;
                 sum.heldSeconds += result.heldSeconds;
                 sum.availableSeconds += result.availableSeconds;
             }
@@ -325,9 +326,9 @@
         m_figures[name + ".fragmentation"]
             = result.freeSeconds > 0 ? result.unusableFreeSeconds / result.freeSeconds : 0;
         m_figures[name + ".least_fragmentation"]
-            = result.freeSeconds > 0 ? result.leastUnusableFreeSeconds / result.freeSeconds : 0;
-        const double zoneSeconds
-            = double(scenario.length.count()) / 1'000 * nights * double(m_configuration.zones.size());
+            = result.freeSeconds > 0 ? result.minUnusableFreeSeconds / result.freeSeconds : 0;
+        const double zoneSeconds = double(scenario.length.count()) / 1'000 * jobScenarioSeeds
+            * double(m_configuration.zones.size());
         m_figures[name + ".mean_free"] = result.freeSeconds / zoneSeconds;
         m_figures[name + ".utilisation"] = result.heldSeconds / result.availableSeconds;
         m_figures[name + ".moves"] = double(result.moves);
@@ -379,8 +380,9 @@
                 claims += result.claims;
                 late += result.late;
                 refused += double(result.refused);
-                if (!result.firstLate.empty())
-                    m_log += fmt::format("{} {} seed {}: {}\n", m_user.name, name, seed, result.firstLate);
+                if (!result.firstUnstartedClaim.empty())
+                    m_log += fmt::format(
+                        "{} {} seed {}: {}\n", m_user.name, name, seed, result.firstUnstartedClaim);
             }
             const double share = claims ? 1 - double(late) / double(claims) : 0;
             m_figures[fmt::format("claims.{}_within_bound", name)] = share;
--- a/bench/measure/statistics.cpp
+++ b/bench/measure/statistics.cpp
@@ -29,28 +29,28 @@
 std::vector<double> fairDivision(
     double capacity, std::span<const double> demands, std::span<const double> weights)
 {
-    std::vector<double> given(demands.size(), 0);
+    std::vector<double> allocated(demands.size(), 0);
     std::vector<bool> isSatisfied(demands.size(), false);
     while (true) {
-        double left = capacity;
+        double remaining = capacity;
         double weight = 0;
         for (std::size_t flow = 0; flow < demands.size(); ++flow) {
-            left -= isSatisfied[flow] ? demands[flow] : 0;
+            remaining -= isSatisfied[flow] ? demands[flow] : 0;
             weight += isSatisfied[flow] ? 0 : weights[flow];
         }
         bool isChanged = false;
         for (std::size_t flow = 0; flow < demands.size(); ++flow) {
             if (isSatisfied[flow])
                 continue;
-            given[flow] = left * weights[flow] / weight;
-            if (given[flow] < demands[flow])
+            allocated[flow] = remaining * weights[flow] / weight;
+            if (allocated[flow] < demands[flow])
                 continue;
-            given[flow] = demands[flow];
+            allocated[flow] = demands[flow];
             isSatisfied[flow] = true;
             isChanged = true;
         }
         if (!isChanged)
-            return given;
+            return allocated;
     }
 }
 
--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -53,8 +53,8 @@
     std::mt19937 random(42);
     ZoneInventory inventory = usableInventory(configuration.zones[0]);
     const std::size_t workers = inventory.workers().size();
-    int left = static_cast<int>(workers) * acceleratorsPerWorker * 85 / 100;
-    for (std::size_t job = 0; left > 0; ++job) {
+    int remaining = static_cast<int>(workers) * acceleratorsPerWorker * 85 / 100;
+    for (std::size_t job = 0; remaining > 0; ++job) {
         const std::size_t worker = load == Load::Scattered ? random() % workers : job / 2;
         const int size = load == Load::Scattered ? 1 + static_cast<int>(random() % acceleratorsPerWorker) : 4;
         const bool isAdded = inventory.add({ .job = JobId(fmt::format("b{}", job)),
@@ -63,7 +63,7 @@
             .startedAt = now - std::chrono::minutes(random() % 300),
             .progress = Milliseconds(random() % 3'600'000),
             .checkpointed = Milliseconds(random() % 3'600'000) });
-        left -= isAdded ? size : 0;
+        remaining -= isAdded ? size : 0;
     }
     return inventory;
 }
@@ -113,17 +113,17 @@
     const LeastLostWorkReclaim reclaim;
     const GuaranteeAwarePlacement aware(reclaim);
     const FirstFitPlacement firstFit;
-    const auto both = [&](std::string_view caseName, const std::vector<QueuedJob>& queue) {
+    const auto measureBothPolicies = [&](std::string_view caseName, const std::vector<QueuedJob>& queue) {
         const std::string name
             = fmt::format("{}_{}", load == Load::Packed ? "packed" : "scattered", caseName);
         measure("guarantee_aware", aware, name, inventory, configuration, queue);
         measure("first_fit", firstFit, name, inventory, configuration, queue);
     };
-    both("gang_512", queueOf(1, 512, JobClass::Borrowed));
-    both("gang_8", queueOf(1, 8, JobClass::Borrowed));
-    both("claim_64", queueOf(1, 64, JobClass::Guaranteed));
-    both("claim_512", queueOf(1, 512, JobClass::Guaranteed, accountCount - 1));
-    both("queue_200_mixed", queueOf(200, 0, JobClass::Borrowed));
+    measureBothPolicies("gang_512", queueOf(1, 512, JobClass::Borrowed));
+    measureBothPolicies("gang_8", queueOf(1, 8, JobClass::Borrowed));
+    measureBothPolicies("claim_64", queueOf(1, 64, JobClass::Guaranteed));
+    measureBothPolicies("claim_512", queueOf(1, 512, JobClass::Guaranteed, accountCount - 1));
+    measureBothPolicies("queue_200_mixed", queueOf(200, 0, JobClass::Borrowed));
 }
 
 } // namespace
--- a/bench/request_path.cpp
+++ b/bench/request_path.cpp
@@ -48,7 +48,7 @@
     const TimePoint now { Seconds(1) };
     AdmissionItem item { 0, service, {}, {}, 0, now + Seconds(1'000), Milliseconds(20) };
     std::uint64_t random = 1;
-    std::chrono::nanoseconds longest { 0 };
+    std::chrono::nanoseconds maxTime { 0 };
     const auto begin = std::chrono::steady_clock::now();
     for (int decision = 0; decision < decisions; ++decision) {
         const auto start = std::chrono::steady_clock::now();
@@ -69,11 +69,11 @@
             routing.finish(service, inFlight.front(), CallResult::Succeeded, now);
             inFlight.pop_front();
         }
-        longest = std::max<std::chrono::nanoseconds>(longest, std::chrono::steady_clock::now() - start);
+        maxTime = std::max<std::chrono::nanoseconds>(maxTime, std::chrono::steady_clock::now() - start);
     }
-    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begin;
+    const std::chrono::duration<double, std::micro> totalTime = std::chrono::steady_clock::now() - begin;
     fmt::print("{}: {} decisions, mean {:.2f} us, longest {:.1f} us\n", name, decisions,
-        took.count() / decisions, double(longest.count()) / 1'000);
+        totalTime.count() / decisions, double(maxTime.count()) / 1'000);
 }
 
 } // namespace
