--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -1,5 +1,5 @@
-// Time of placement decisions by zone size, at 85% load. Prints one JSON line for each case. Arguments, if
-// any, are the zone sizes in workers.
+// Measures the time of placement decisions by zone size, at 85% load. Prints one JSON line for each case.
+// Arguments, if any, are the zone sizes in workers.
 
 #include "placement/first_fit_placement.h"
 #include "placement/guarantee_aware_placement.h"
@@ -46,14 +46,15 @@
 
 enum class Load { Scattered, Packed };
 
-// Small jobs until 85% are held: on random workers, or on one worker after the other.
+// Adds small jobs until 85% of the accelerators are held: on random workers, or filling one worker after the
+// other.
 ZoneInventory loadedInventory(const Configuration& configuration, Load load)
 {
     std::mt19937 random(42);
     ZoneInventory inventory = usableInventory(configuration.zones[0]);
     const std::size_t workers = inventory.workers().size();
-    int left = static_cast<int>(workers) * acceleratorsPerWorker * 85 / 100;
-    for (std::size_t job = 0; left > 0; ++job) {
+    int remaining = static_cast<int>(workers) * acceleratorsPerWorker * 85 / 100;
+    for (std::size_t job = 0; remaining > 0; ++job) {
         const std::size_t worker = load == Load::Scattered ? random() % workers : job / 2;
         const int size = load == Load::Scattered ? 1 + static_cast<int>(random() % acceleratorsPerWorker) : 4;
         const bool isAdded = inventory.add({ .job = JobId(fmt::format("b{}", job)),
@@ -62,7 +63,7 @@
             .startedAt = now - std::chrono::minutes(random() % 300),
             .progress = Milliseconds(random() % 3'600'000),
             .checkpointed = Milliseconds(random() % 3'600'000) });
-        left -= isAdded ? size : 0;
+        remaining -= isAdded ? size : 0;
     }
     return inventory;
 }
@@ -112,17 +113,17 @@
     const LeastLostWorkReclaim reclaim;
     const GuaranteeAwarePlacement aware(reclaim);
     const FirstFitPlacement firstFit;
-    const auto both = [&](std::string_view caseName, const std::vector<QueuedJob>& queue) {
+    const auto measureBothPolicies = [&](std::string_view caseName, const std::vector<QueuedJob>& queue) {
         const std::string name
             = fmt::format("{}_{}", load == Load::Packed ? "packed" : "scattered", caseName);
         measure("guarantee_aware", aware, name, inventory, configuration, queue);
         measure("first_fit", firstFit, name, inventory, configuration, queue);
     };
-    both("gang_512", queueOf(1, 512, JobClass::Borrowed));
-    both("gang_8", queueOf(1, 8, JobClass::Borrowed));
-    both("claim_64", queueOf(1, 64, JobClass::Guaranteed));
-    both("claim_512", queueOf(1, 512, JobClass::Guaranteed, accountCount - 1));
-    both("queue_200_mixed", queueOf(200, 0, JobClass::Borrowed));
+    measureBothPolicies("gang_512", queueOf(1, 512, JobClass::Borrowed));
+    measureBothPolicies("gang_8", queueOf(1, 8, JobClass::Borrowed));
+    measureBothPolicies("claim_64", queueOf(1, 64, JobClass::Guaranteed));
+    measureBothPolicies("claim_512", queueOf(1, 512, JobClass::Guaranteed, accountCount - 1));
+    measureBothPolicies("queue_200_mixed", queueOf(200, 0, JobClass::Borrowed));
 }
 
 } // namespace
--- a/src/admission/fair_share_admission.h
+++ b/src/admission/fair_share_admission.h
@@ -12,12 +12,14 @@
 
 namespace anvilmoor {
 
-// Shares each service fairly: among accounts by their configured share, inside an account equally
-// among callers, inside a caller among priorities by weight 1 + priority. An urgent operation thus
-// gets at most ten times the part of the caller's least urgent one and cannot shut it out. Callers come
-// first, since a large caller that fills every priority would otherwise leave the lowest one, and the
-// small callers in it, only that priority's part. A queue that is full displaces the newest request
-// of whoever holds most of it.
+// Divides each service among the accounts by their configured shares, within an account equally among the
+// callers, and within a caller among the priorities by weight 1 + priority. A caller's most urgent operations
+// thus get at most ten times the service of its least urgent ones and cannot starve them.
+// Callers are ranked above priorities: otherwise a large caller with requests of every priority would leave
+// to the lowest priority, and to the small callers in it, only the fraction of that priority.
+// When all queues together are full, a request of the account with the most requests relative to its share is
+// displaced; when the queue of an account is full, one of its own. It is the newest request of the caller
+// with the most requests in the lowest priority that the account has queued.
 class FairShareAdmission : public AdmissionPolicy {
 public:
     void configure(const Configuration&) override;
@@ -25,19 +27,19 @@
     std::optional<RequestNumber> peek(const ServiceId&) const override;
     void pop(const ServiceId&) override;
     void remove(RequestNumber) override;
-    std::size_t queued() const override { return m_places.size(); }
+    std::size_t queued() const override { return m_positions.size(); }
     std::size_t queued(const ServiceId&) const override;
 
 private:
     static constexpr int priorityLevels = 10;
 
-    struct Waiting {
+    struct QueuedRequest {
         RequestNumber request = 0;
         double cost = 0; // ms
     };
 
     struct Level {
-        std::list<Waiting> waiting; // in order of arrival
+        std::list<QueuedRequest> requests; // in order of arrival
         double cost = 0;
     };
 
@@ -65,28 +67,28 @@
         double cost = 0;
     };
 
-    struct Place {
+    struct QueuePosition {
         ServiceQueue* service = nullptr;
         FairOrder::Flow account = 0;
         FairOrder::Flow caller = 0;
         int level = 0;
-        std::list<Waiting>::iterator position;
+        std::list<QueuedRequest>::iterator position;
     };
 
     FairOrder::Flow accountFlow(ServiceQueue&, const ClientAccountId&);
     static FairOrder::Flow callerFlow(AccountQueue&, const std::string& caller);
-    static Place head(const ServiceQueue&);
+    static QueuePosition head(const ServiceQueue&);
     static double expectedWaitMs(
         const ServiceQueue&, FairOrder::Flow account, FairOrder::Flow caller, int level, int parallelism);
-    std::optional<RequestNumber> makeRoom(
+    std::optional<RequestNumber> displaceRequest(
         ServiceQueue&, FairOrder::Flow account, FairOrder::Flow caller, int level);
-    std::size_t countOfAccount(const ClientAccountId&) const;
-    void erase(const Place&);
+    std::size_t queuedOfAccount(const ClientAccountId&) const;
+    void erase(const QueuePosition&);
 
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ClientAccountId, double> m_shares;
-    std::map<ClientAccountId, std::size_t> m_accountCounts; // over all services
-    std::unordered_map<RequestNumber, Place> m_places;
+    std::map<ClientAccountId, std::size_t> m_queuedPerAccount; // over all services
+    std::unordered_map<RequestNumber, QueuePosition> m_positions;
 };
 
 } // namespace anvilmoor
--- a/src/admission/fifo_admission.h
+++ b/src/admission/fifo_admission.h
@@ -8,7 +8,8 @@
 
 namespace anvilmoor {
 
-// Baseline: one bounded queue in order of arrival for each service, without shares or deadlines.
+// Baseline: for each service one queue in order of arrival, without shares or deadlines. The number of
+// requests in all queues is bounded.
 class FifoAdmission : public AdmissionPolicy {
 public:
     void configure(const Configuration&) override { }
@@ -16,12 +17,12 @@
     std::optional<RequestNumber> peek(const ServiceId&) const override;
     void pop(const ServiceId&) override;
     void remove(RequestNumber) override;
-    std::size_t queued() const override { return m_services.size(); }
+    std::size_t queued() const override { return m_serviceOfRequest.size(); }
     std::size_t queued(const ServiceId&) const override;
 
 private:
     std::map<ServiceId, std::deque<RequestNumber>> m_queues;
-    std::unordered_map<RequestNumber, ServiceId> m_services;
+    std::unordered_map<RequestNumber, ServiceId> m_serviceOfRequest;
 };
 
 } // namespace anvilmoor
--- a/src/placement/borrowed_placement.cpp
+++ b/src/placement/borrowed_placement.cpp
@@ -21,31 +21,31 @@
 std::optional<std::vector<GangMember>> BorrowedPlacement::find(
     int accelerators, bool adjacent, bool mayUseReserved)
 {
-    const bool isWide = accelerators > m_room.inventory().rackSize();
-    const std::size_t kind = !adjacent ? 2 : isWide ? 1 : 0;
-    int& failed = m_failed[kind][mayUseReserved ? 1 : 0];
-    if (failed > 0 && accelerators >= failed)
+    const bool isLargerThanRack = accelerators > m_room.inventory().rackSize();
+    const std::size_t kind = !adjacent ? 2 : isLargerThanRack ? 1 : 0;
+    int& smallestFailedSize = m_smallestFailedSize[kind][mayUseReserved ? 1 : 0];
+    if (smallestFailedSize > 0 && accelerators >= smallestFailedSize)
         return std::nullopt;
     std::optional<std::vector<GangMember>> members;
     if (!adjacent)
         members = findScattered(accelerators, mayUseReserved);
-    else if (isWide)
+    else if (isLargerThanRack)
         members = findInRun(accelerators, mayUseReserved);
     else
         members = findInRack(accelerators, mayUseReserved);
     if (!members)
-        failed = accelerators;
+        smallestFailedSize = accelerators;
     return members;
 }
 
-// Accelerators of planned space that the guarantee could no longer have without an eviction.
-int BorrowedPlacement::harm(std::size_t rack, int taken) const
+// Number of planned accelerators that a guarantee could then get only by an eviction.
+int BorrowedPlacement::plannedSpaceLost(std::size_t rack, int taken) const
 {
     const int free = m_room.racks()[rack].free;
     return std::max(0, m_planned[rack] - (free - taken)) - std::max(0, m_planned[rack] - free);
 }
 
-// Whole shapes that fit in so many free accelerators.
+// Number of whole shapes that fit in this many free accelerators.
 int BorrowedPlacement::shapesIn(int free) const { return m_shape > 0 ? free / m_shape : 0; }
 
 std::optional<std::vector<GangMember>> BorrowedPlacement::findInRack(
@@ -53,17 +53,17 @@
 {
     const auto rank = [&](std::size_t rack) {
         const int free = m_room.racks()[rack].free;
-        const int broken = shapesIn(free) - shapesIn(free - accelerators);
-        // What no whole shape can use is filled first, the smallest remainder of all before the others.
-        const int left = broken > 0 ? free : free - shapesIn(free) * m_shape;
-        return std::tuple(isReserved(rack), broken, left, harm(rack, accelerators));
+        const int shapesLost = shapesIn(free) - shapesIn(free - accelerators);
+        // Remainders that no whole shape can use are filled first, the smallest one before the others.
+        const int remaining = shapesLost > 0 ? free : free - shapesIn(free) * m_shape;
+        return std::tuple(isReserved(rack), shapesLost, remaining, plannedSpaceLost(rack, accelerators));
     };
     std::size_t best = m_room.racks().size();
     for (std::size_t rack = 0; rack < m_room.racks().size(); ++rack) {
         if (m_room.racks()[rack].free < accelerators || (isReserved(rack) && !mayUseReserved))
             continue;
-        // Of equal racks the last one: the guarantee plan fills the first ones, and what stays free between
-        // them is in one piece.
+        // Of equal racks, chooses the last one: the guarantee plan fills the first ones, so that the free
+        // racks in between stay contiguous.
         if (best == m_room.racks().size() || rank(rack) <= rank(best))
             best = rack;
     }
@@ -84,7 +84,7 @@
     return free;
 }
 
-// All of the run but what is left over in its last rack.
+// The accelerators to use in each rack: all free ones, except for the surplus in the last rack.
 std::vector<int> BorrowedPlacement::sharesOf(const RackRun& run, int accelerators) const
 {
     std::vector<int> shares;
@@ -100,13 +100,13 @@
 {
     const auto rank = [&](const RackRun& run) {
         int reserved = 0;
-        int harmed = 0;
+        int plannedLost = 0;
         const std::vector<int> shares = sharesOf(run, accelerators);
         for (std::size_t index = 0; index < run.count; ++index) {
             reserved += isReserved(run.first + index) ? 1 : 0;
-            harmed += harm(run.first + index, shares[index]);
+            plannedLost += plannedSpaceLost(run.first + index, shares[index]);
         }
-        return std::tuple(reserved, run.count, harmed, run.room);
+        return std::tuple(reserved, run.count, plannedLost, run.room);
     };
     const std::vector<RackRun> runs
         = fittingRuns(usableFree(mayUseReserved), accelerators, m_room.inventory().rackSize());
@@ -129,7 +129,8 @@
         return std::nullopt;
     std::vector<std::size_t> order(free.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    // The smallest remainders first: adjacent shapes can use them least.
+    // Unreserved racks without planned space first; among these, racks with the least free room first,
+    // because they are the least useful for adjacent shapes.
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
         return std::tuple(isReserved(left), m_planned[left] > 0, free[left])
             < std::tuple(isReserved(right), m_planned[right] > 0, free[right]);
--- a/src/placement/claim_placement.cpp
+++ b/src/placement/claim_placement.cpp
@@ -9,11 +9,13 @@
 
 namespace {
 
-// Places of least cost that are checked against the other guarantees before the plan decides the place.
+// Number of cheapest choices that are checked against the other guarantees before a packing of all guarantees
+// determines the place.
 constexpr int maxCheckedChoices = 8;
 
-// Guarantees that are tried to be kept when not all fit. Bounds the work in a zone with many dead workers.
-constexpr std::size_t maxKeptWhenDegraded = 64;
+// Number of guarantees for which room is sought when not all of them fit. Limits the computation in a zone
+// with many dead workers.
+constexpr std::size_t maxGuaranteesTried = 64;
 
 class ClaimPlacement {
 public:
@@ -22,7 +24,7 @@
         : m_reclaim(reclaim)
         , m_room(room)
         , m_specification(specification)
-        , m_others(others.begin(), others.end())
+        , m_otherGuarantees(others.begin(), others.end())
         , m_now(now)
         , m_reach(room.reachPerRack())
     {
@@ -30,15 +32,15 @@
 
     std::optional<ReclaimChoice> run() const
     {
-        if (std::optional<ReclaimChoice> choice = cheapestThatKeepsOthers())
+        if (std::optional<ReclaimChoice> choice = findCheapestKeepingOthers())
             return choice;
-        if (std::optional<std::vector<int>> limits = planAround(m_others))
-            return chooseIn(*limits);
+        if (std::optional<std::vector<int>> limits = planAround(m_otherGuarantees))
+            return chooseWithinLimits(*limits);
         return placeWithMostOthers();
     }
 
 private:
-    std::optional<ReclaimChoice> chooseIn(std::span<const int> limits) const
+    std::optional<ReclaimChoice> chooseWithinLimits(std::span<const int> limits) const
     {
         return m_reclaim.chooseWithin(m_room,
             { .accelerators = m_specification.accelerators,
@@ -48,26 +50,27 @@
                 .mayEvict = {} });
     }
 
-    std::optional<ReclaimChoice> cheapestThatKeepsOthers() const
+    std::optional<ReclaimChoice> findCheapestKeepingOthers() const
     {
         std::vector<int> limits = m_reach;
         for (int attempt = 0; attempt < maxCheckedChoices; ++attempt) {
-            std::optional<ReclaimChoice> choice = chooseIn(limits);
+            std::optional<ReclaimChoice> choice = chooseWithinLimits(limits);
             if (!choice)
                 return std::nullopt;
-            std::vector<int> left = m_reach;
+            std::vector<int> remaining = m_reach;
             for (const GangMember& member : choice->members) {
                 const std::size_t rack = m_room.inventory().find(member.worker)->rack;
-                left[rack] -= member.accelerators;
+                remaining[rack] -= member.accelerators;
                 limits[rack] = 0;
             }
-            if (packShapes(left, m_others, m_room.inventory().rackSize()))
+            if (packShapes(remaining, m_otherGuarantees, m_room.inventory().rackSize()))
                 return choice;
         }
         return std::nullopt;
     }
 
-    // What the claim may take from each rack so that these other shapes fit. Empty if they don't.
+    // Accelerators that the claim may use in each rack so that these other shapes still fit. Empty if they do
+    // not fit.
     std::optional<std::vector<int>> planAround(std::span<const int> others) const
     {
         std::vector<int> shapes(others.begin(), others.end());
@@ -92,9 +95,9 @@
 
     std::optional<ReclaimChoice> placeWithMostOthers() const
     {
-        std::vector<int> order = m_others;
+        std::vector<int> order = m_otherGuarantees;
         std::sort(order.begin(), order.end(), std::greater<>());
-        order.resize(std::min(order.size(), maxKeptWhenDegraded));
+        order.resize(std::min(order.size(), maxGuaranteesTried));
         std::vector<int> kept;
         std::optional<std::vector<int>> limits = planAround(kept);
         int rejected = 0;
@@ -110,13 +113,13 @@
                 rejected = shape;
             }
         }
-        return limits ? chooseIn(*limits) : std::nullopt;
+        return limits ? chooseWithinLimits(*limits) : std::nullopt;
     }
 
     const ReclaimPolicy& m_reclaim;
     const PlacementRoom& m_room;
     const JobSpecification& m_specification;
-    std::vector<int> m_others;
+    std::vector<int> m_otherGuarantees;
     TimePoint m_now;
     std::vector<int> m_reach;
 };
--- a/test/admission_test.cpp
+++ b/test/admission_test.cpp
@@ -12,34 +12,34 @@
 class AdmissionTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(AdmissionTest);
     CPPUNIT_TEST(testFloodOfOneAccountLeavesOthersTheirShare);
-    CPPUNIT_TEST(testFloodOfOneCallerLeavesOthersTheirPart);
-    CPPUNIT_TEST(testFloodOfOneCallerInEveryPriorityLeavesOthersTheirPart);
-    CPPUNIT_TEST(testFloodOfUrgentWorkLeavesTheRestItsMinimum);
-    CPPUNIT_TEST(testIdleSharesAreLentOut);
-    CPPUNIT_TEST(testHopelessDeadlineIsRefusedAtOnce);
-    CPPUNIT_TEST(testDeadlineOfSmallAccountIsJudgedByItsOwnShare);
-    CPPUNIT_TEST(testTooHighEstimateWithoutBacklogIsTried);
-    CPPUNIT_TEST(testFullQueueDisplacesTheFlood);
-    CPPUNIT_TEST(testFullQueueOfOneAccountDisplacesItsLeastUrgentWork);
-    CPPUNIT_TEST(testInventedCallerNamesStayBounded);
-    CPPUNIT_TEST(testRetryBudgetIsATenth);
+    CPPUNIT_TEST(testFloodOfOneCallerLeavesOthersTheirShare);
+    CPPUNIT_TEST(testFloodOfOneCallerInEveryPriorityLeavesOthersTheirShare);
+    CPPUNIT_TEST(testFloodOfUrgentRequestsDoesNotStarveOthers);
+    CPPUNIT_TEST(testIdleSharesAreUsedByOthers);
+    CPPUNIT_TEST(testRequestThatWouldMissDeadlineIsRefused);
+    CPPUNIT_TEST(testExpectedWaitOfSmallAccountDependsOnItsOwnShare);
+    CPPUNIT_TEST(testRequestWithoutBacklogIsQueuedDespiteHighEstimate);
+    CPPUNIT_TEST(testFullQueueDisplacesRequestOfLargeAccount);
+    CPPUNIT_TEST(testFullQueueOfOneAccountDisplacesItsLeastUrgentRequest);
+    CPPUNIT_TEST(testCallersAboveLimitShareQueues);
+    CPPUNIT_TEST(testRetryBudgetAllowsOneRetryPerTenRequests);
     CPPUNIT_TEST_SUITE_END();
 
     const ServiceId m_service { "intake" };
     const TimePoint m_now { Seconds(10) };
-    RequestNumber m_last = 0;
+    RequestNumber m_lastRequest = 0;
     std::map<RequestNumber, AdmissionItem> m_items;
 
     AdmissionVerdict enqueue(AdmissionPolicy& admission, const char* account, std::string caller,
-        int priority = 0, Milliseconds patience = Seconds(100'000))
+        int priority = 0, Milliseconds timeToDeadline = Seconds(100'000))
     {
-        const AdmissionItem item { ++m_last, m_service, ClientAccountId(account), std::move(caller), priority,
-            m_now + patience, Milliseconds(20) };
+        const AdmissionItem item { ++m_lastRequest, m_service, ClientAccountId(account), std::move(caller),
+            priority, m_now + timeToDeadline, Milliseconds(20) };
         m_items[item.request] = item;
         return admission.enqueue(item, 4, m_now);
     }
 
-    // How many of the next requests served belong to the account, caller and priority.
+    // Serves the next `count` requests and returns how many of them match.
     int served(
         AdmissionPolicy& admission, int count, const std::function<bool(const AdmissionItem&)>& matches)
     {
@@ -66,6 +66,7 @@
     }
 
 public:
+    // Guards against an account that starves another one by filling the queue first, as in FIFO order.
     void testFloodOfOneAccountLeavesOthersTheirShare()
     {
         FairShareAdmission admission;
@@ -79,10 +80,11 @@
         CPPUNIT_ASSERT_EQUAL(50, served(admission, 200, isSmall)); // shares are 3 to 1
         for (const auto& [number, item] : m_items)
             fifo.enqueue(item, 4, m_now);
-        CPPUNIT_ASSERT_EQUAL(0, served(fifo, 200, isSmall)); // what the shares are for
+        CPPUNIT_ASSERT_EQUAL(0, served(fifo, 200, isSmall)); // FIFO order starves the small account
     }
 
-    void testFloodOfOneCallerLeavesOthersTheirPart()
+    // Guards against a caller that starves the other callers of its account by filling the queue first.
+    void testFloodOfOneCallerLeavesOthersTheirShare()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 1'000; ++index)
@@ -95,9 +97,9 @@
             45, served(admission, 52, [](const AdmissionItem& item) { return item.caller != "greedy"; }));
     }
 
-    // Guards against a large caller whose urgent work leaves small callers of less urgent work only the part
-    // of their priority.
-    void testFloodOfOneCallerInEveryPriorityLeavesOthersTheirPart()
+    // Guards against a large caller with requests of several priorities that leaves small callers with less
+    // urgent requests only the fraction of their priority.
+    void testFloodOfOneCallerInEveryPriorityLeavesOthersTheirShare()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 500; ++index) {
@@ -112,7 +114,8 @@
             45, served(admission, 52, [](const AdmissionItem& item) { return item.caller != "greedy"; }));
     }
 
-    void testFloodOfUrgentWorkLeavesTheRestItsMinimum()
+    // Guards against strict priorities, by which a flood of urgent requests starves the others.
+    void testFloodOfUrgentRequestsDoesNotStarveOthers()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 1'000; ++index) {
@@ -122,7 +125,7 @@
         const auto isUrgent = [](const AdmissionItem& item) { return item.priority == 9; };
         const int urgent = served(admission, 220, isUrgent);
         CPPUNIT_ASSERT(urgent >= 199 && urgent <= 201);
-        // Urgent work that comes after a flood of the rest does not wait behind it.
+        // Urgent requests that arrive after many less urgent ones are not served after all of these.
         FairShareAdmission other;
         for (int index = 0; index < 1'000; ++index)
             enqueue(other, "large", "a", 0);
@@ -132,7 +135,9 @@
         CPPUNIT_ASSERT_EQUAL(10, served(other, 12, isUrgent));
     }
 
-    void testIdleSharesAreLentOut()
+    // Guards against capacity that stays unused, or is charged later, because the account it belongs to is
+    // idle.
+    void testIdleSharesAreUsedByOthers()
     {
         FairShareAdmission admission;
         admission.configure(twoAccounts());
@@ -140,7 +145,7 @@
             enqueue(admission, "small", "b");
         CPPUNIT_ASSERT_EQUAL(50, served(admission, 50, [](const AdmissionItem&) { return true; }));
         CPPUNIT_ASSERT(!admission.peek(m_service));
-        // Having used lent capacity is not held against the account.
+        // The account is not penalized for capacity that it used while the other account was idle.
         for (int index = 0; index < 50; ++index) {
             enqueue(admission, "large", "a");
             enqueue(admission, "small", "b");
@@ -150,7 +155,8 @@
         CPPUNIT_ASSERT(small >= 9 && small <= 11);
     }
 
-    void testHopelessDeadlineIsRefusedAtOnce()
+    // Guards against requests that are queued although their deadline passes before they are served.
+    void testRequestThatWouldMissDeadlineIsRefused()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 400; ++index) // 400 * 20 ms / 4 in parallel: 2 s
@@ -161,7 +167,8 @@
         CPPUNIT_ASSERT(enqueue(admission, "large", "a", 0, Seconds(3)).isQueued);
     }
 
-    void testDeadlineOfSmallAccountIsJudgedByItsOwnShare()
+    // Guards against refusals to a small account because of another account's backlog.
+    void testExpectedWaitOfSmallAccountDependsOnItsOwnShare()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 4'000; ++index)
@@ -169,8 +176,9 @@
         CPPUNIT_ASSERT(enqueue(admission, "small", "b", 0, Seconds(1)).isQueued);
     }
 
-    // Guards against a service that is refused for good after one slow call.
-    void testTooHighEstimateWithoutBacklogIsTried()
+    // Guards against a service whose requests are all refused after one slow call, because without another
+    // call the estimate cannot be corrected.
+    void testRequestWithoutBacklogIsQueuedDespiteHighEstimate()
     {
         FairShareAdmission admission;
         const AdmissionItem item { 1, m_service, ClientAccountId("small"), "b", 0, m_now + Seconds(1),
@@ -181,7 +189,8 @@
         CPPUNIT_ASSERT(times.expected(m_service, "tare-check") < Milliseconds(100));
     }
 
-    void testFullQueueDisplacesTheFlood()
+    // Guards against refusals to a small account because large accounts have filled all queues.
+    void testFullQueueDisplacesRequestOfLargeAccount()
     {
         FairShareAdmission admission;
         for (const char* account : { "large", "other" }) {
@@ -198,8 +207,8 @@
         CPPUNIT_ASSERT_EQUAL(maxQueuedRequests, fifo.queued());
     }
 
-    // Guards against urgent work that is refused while less urgent work of the account waits.
-    void testFullQueueOfOneAccountDisplacesItsLeastUrgentWork()
+    // Guards against an urgent request that is refused while less urgent requests of its account are queued.
+    void testFullQueueOfOneAccountDisplacesItsLeastUrgentRequest()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 3; ++index)
@@ -217,7 +226,8 @@
         CPPUNIT_ASSERT(!enqueue(admission, "large", "new", 1).isQueued);
     }
 
-    void testInventedCallerNamesStayBounded()
+    // Guards against lost requests when an account has more callers than queues and callers share them.
+    void testCallersAboveLimitShareQueues()
     {
         FairShareAdmission admission;
         for (int index = 0; index < 5'000; ++index)
@@ -229,7 +239,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), admission.queued());
     }
 
-    void testRetryBudgetIsATenth()
+    // Guards against retries that multiply the load of an overloaded service.
+    void testRetryBudgetAllowsOneRetryPerTenRequests()
     {
         RetryBudget budget;
         while (budget.takeRetry()) { }
--- a/test/naive_baselines_test.cpp
+++ b/test/naive_baselines_test.cpp
@@ -13,7 +13,7 @@
 
 enum class Variant { Real, Naive };
 
-std::string textOf(const TestCluster& cluster)
+std::string violationText(const TestCluster& cluster)
 {
     std::string text;
     for (const std::string& violation : cluster.violations())
@@ -21,73 +21,84 @@
     return text;
 }
 
-// Noise in lesson hours ignored: no limit, no actions.
-class DeafNoise : public CountingNoise {
+// A noise policy without a limit in lesson hours, so that it never acts.
+class UnlimitedNoise : public CountingNoise {
 public:
-    DeafNoise()
-        : CountingNoise(noCap)
+    UnlimitedNoise()
+        : CountingNoise(unreachableCap)
     {
     }
 
 private:
-    static constexpr int noCap = 1'000'000;
+    static constexpr int unreachableCap = 1'000'000;
 };
 
 } // namespace
 
-// Each naive variant breaks one promise, and the checker must say so; the same events without the variant
-// must pass. Guards against invariants that cannot fail.
+// Each naive variant violates one invariant, and the checker has to report it; the same events without the
+// variant must pass. Guards against invariant checks that can never fail.
 class NaiveBaselinesTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(NaiveBaselinesTest);
     CPPUNIT_TEST(testWorkersWithoutFencingRunTwoAttempts);
     CPPUNIT_TEST(testCallBeforeRecordExecutesTwice);
-    CPPUNIT_TEST(testNewestReplyWinsAnswersAnotherRequest);
+    CPPUNIT_TEST(testAnswerMatchedByOrderReachesAnotherRequest);
     CPPUNIT_TEST(testGangWithoutRollbackStartsPartially);
     CPPUNIT_TEST(testConfigurationWithoutVersionsIsNeverCommitted);
-    CPPUNIT_TEST(testRestartWithoutAskingPeersGoesBack);
-    CPPUNIT_TEST(testIgnoredDrainIsCalledLater);
-    CPPUNIT_TEST(testIgnoredNoiseExceedsLimit);
+    CPPUNIT_TEST(testRestartAmongOutdatedPeersRevertsConfiguration);
+    CPPUNIT_TEST(testEndpointIsCalledAfterIgnoredDrain);
+    CPPUNIT_TEST(testPolicyWithoutNoiseLimitExceedsLimit);
     CPPUNIT_TEST(testFirstFitLetsClaimWait);
-    CPPUNIT_TEST(testNotRunWithoutRecordIsFalse);
+    CPPUNIT_TEST(testNotRunWithoutReadingRecordIsWrong);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void testWorkersWithoutFencingRunTwoAttempts()
     {
-        expect(&NaiveBaselinesTest::runStaleCommands, "runs as attempts");
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runStaleCommands, "runs as attempts");
     }
     void testCallBeforeRecordExecutesTwice()
     {
-        expect(&NaiveBaselinesTest::runCopies, "was executed 2 times");
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runCopies, "was executed 2 times");
     }
-    void testNewestReplyWinsAnswersAnotherRequest()
+    void testAnswerMatchedByOrderReachesAnotherRequest()
     {
-        expect(&NaiveBaselinesTest::runCrossedReplies, "got the answer");
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runCrossedReplies, "got the answer");
     }
     void testGangWithoutRollbackStartsPartially()
     {
-        expect(&NaiveBaselinesTest::runRefusedMember, "started with 8 of 16");
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runRefusedMember, "started with 8 of 16");
     }
     void testConfigurationWithoutVersionsIsNeverCommitted()
     {
-        expect(&NaiveBaselinesTest::runOldPush, "never committed");
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runOldPush, "never committed");
     }
-    void testRestartWithoutAskingPeersGoesBack()
+    void testRestartAmongOutdatedPeersRevertsConfiguration()
     {
-        expect(&NaiveBaselinesTest::runRestartInCutZone, "went back from configuration");
+        expectViolationOfNaiveVariant(
+            &NaiveBaselinesTest::runRestartInCutZone, "went back from configuration");
     }
-    void testIgnoredDrainIsCalledLater() { expect(&NaiveBaselinesTest::runDrain, "after its drain"); }
-    void testIgnoredNoiseExceedsLimit() { expect(&NaiveBaselinesTest::runLesson, "dB in lesson hours"); }
-    void testFirstFitLetsClaimWait() { expect(&NaiveBaselinesTest::runClaims, "claims a guarantee"); }
-    void testNotRunWithoutRecordIsFalse()
+    void testEndpointIsCalledAfterIgnoredDrain()
     {
-        expect(&NaiveBaselinesTest::runUnreadRecord, "\"not run\" after it was executed");
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runDrain, "after its drain");
+    }
+    void testPolicyWithoutNoiseLimitExceedsLimit()
+    {
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runLesson, "dB in lesson hours");
+    }
+    void testFirstFitLetsClaimWait()
+    {
+        expectViolationOfNaiveVariant(&NaiveBaselinesTest::runClaims, "claims a guarantee");
+    }
+    void testNotRunWithoutReadingRecordIsWrong()
+    {
+        expectViolationOfNaiveVariant(
+            &NaiveBaselinesTest::runUnreadRecord, "\"not run\" after it was executed");
     }
 
 private:
     using Scenario = std::string (NaiveBaselinesTest::*)(Variant);
 
-    void expect(Scenario scenario, const std::string& violation)
+    void expectViolationOfNaiveVariant(Scenario scenario, const std::string& violation)
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), (this->*scenario)(Variant::Real));
         const std::string text = (this->*scenario)(Variant::Naive);
@@ -115,7 +126,8 @@
         return cluster.submitJob(cluster.hosts()[2], job);
     }
 
-    // Late copies of a former holder's commands meet a newer attempt of the job.
+    // Workers receive a former role holder's commands a second time, late, while a newer attempt of the job
+    // runs.
     std::string runStaleCommands(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -137,7 +149,7 @@
         cluster.runFor(Milliseconds(3'000));
         cluster.kill(cluster.holderOf("north").value());
         cluster.runFor(Milliseconds(7'000));
-        // The first attempt ends with its workers. They come back when the job runs elsewhere.
+        // The first attempt ends when its workers die. They restart while the job runs elsewhere.
         for (const WorkerId& worker : first)
             cluster.worker(worker).isDead = true;
         cluster.runFor(Milliseconds(60'000));
@@ -146,10 +158,11 @@
             cluster.worker(worker).isDead = false;
         }
         cluster.runFor(Milliseconds(60'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // A claim that is taken as written before it is: the record comes after the call, or never.
+    // The naive daemon treats its request claim as written before it is: the record is written after the
+    // call, or never.
     std::string runCopies(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -167,10 +180,11 @@
         cluster.request(cluster.hosts()[0], "mill", "k1", "book");
         cluster.request(cluster.hosts()[2], "mill", "k1", "book");
         cluster.runFor(Milliseconds(10'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // Two calls under way; a daemon that matches by order takes the newest answer for the older call.
+    // Two calls are in flight. The naive daemon assigns answers by order, so that the body of one answer is
+    // taken for the answer to the other call.
     std::string runCrossedReplies(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -183,7 +197,7 @@
             const EndpointAnswered own = *answer;
             if (!newest.empty())
                 answer->body = newest;
-            // The real daemon compares the identity that comes with the body; the naive one does not.
+            // The real daemon compares the identity that accompanies the body; the naive one does not.
             if (!newest.empty() && variant == Variant::Real)
                 answer->identity.key = "q1";
             if (variant == Variant::Naive)
@@ -193,10 +207,11 @@
         cluster.request(cluster.hosts()[0], "mill", "q1", "quote");
         cluster.request(cluster.hosts()[0], "mill", "q2", "quote");
         cluster.runFor(Milliseconds(10'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // One worker refuses; a daemon that takes a sent command for a done one starts the others.
+    // One worker rejects its command. The naive daemon treats a command as done once it is sent, and starts
+    // the other members.
     std::string runRefusedMember(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -217,16 +232,16 @@
         };
         submit(cluster, "mill", "gang", 16, Milliseconds(10'000));
         cluster.runFor(Milliseconds(10'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // An older document is pushed again; without committed versions it looks like the newest.
+    // An older document is pushed again. Without committed versions it appears to be the newest.
     std::string runOldPush(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
         settle(cluster);
         cluster.rewriteEffect = [&](Effect& effect) {
-            const auto raise = [&](PeerMessage& message) {
+            const auto replacePush = [&](PeerMessage& message) {
                 auto* push = std::get_if<ConfigurationPush>(&message);
                 if (!push)
                     return;
@@ -234,18 +249,19 @@
                 push->version = variant == Variant::Naive ? push->version + 1 : 1;
             };
             if (auto* single = std::get_if<SendToPeer>(&effect))
-                raise(single->message);
+                replacePush(single->message);
             if (auto* all = std::get_if<SendToAllPeers>(&effect))
-                raise(all->message);
+                replacePush(all->message);
         };
         std::string document = testDocument();
         document.replace(document.find("58.0"), 4, "59.0");
         cluster.submitConfiguration(cluster.hosts()[1], document, 1);
         cluster.runFor(Milliseconds(6'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // A daemon restarts in a zone without platform, and a peer speaks from before the last change.
+    // A daemon restarts in a zone that is cut off from the platform, and its peers send the configuration
+    // from before the last change.
     std::string runRestartInCutZone(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -260,7 +276,7 @@
         cluster.zonesCutFromPeers.insert("north");
         if (variant == Variant::Naive)
             cluster.rewriteEffect = [](Effect& effect) {
-                const auto age = [](PeerMessage& message) {
+                const auto makeOutdated = [](PeerMessage& message) {
                     if (auto* push = std::get_if<ConfigurationPush>(&message)) {
                         push->version = 1;
                         push->document = testDocument();
@@ -269,16 +285,16 @@
                         heartbeat->configurationVersion = heartbeat->knownConfigurationVersion = 1;
                 };
                 if (auto* single = std::get_if<SendToPeer>(&effect))
-                    age(single->message);
+                    makeOutdated(single->message);
                 if (auto* all = std::get_if<SendToAllPeers>(&effect))
-                    age(all->message);
+                    makeOutdated(all->message);
             };
         cluster.start(restarted);
         cluster.runFor(Milliseconds(20'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // Drains reach no other daemon, neither by push nor by poll.
+    // The drain does not reach any other daemon in the naive variant, neither by push nor by poll.
     std::string runDrain(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -302,10 +318,10 @@
                 fmt::format("q{}", index), "quote");
             cluster.runFor(Milliseconds(30));
         }
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // Monday 08:10, in lesson hours: borrowed work for the whole zone.
+    // Monday 08:10, in lesson hours: borrowed work is submitted for the whole zone.
     std::string runLesson(Variant variant)
     {
         TestClusterOptions options;
@@ -314,17 +330,18 @@
         if (variant == Variant::Naive)
             options.policies = [] {
                 ReducerPolicies policies = defaultPolicies();
-                policies.noise = std::make_unique<DeafNoise>();
+                policies.noise = std::make_unique<UnlimitedNoise>();
                 return policies;
             };
         TestCluster cluster(options);
         settle(cluster);
         submit(cluster, "mill", "night", 64, Milliseconds(20'000));
         cluster.runFor(Milliseconds(10'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // The guarantees fit the zone only if the smaller one takes the smaller rack, which comes second.
+    // The guarantees fit in the zone only if the smaller one is placed in the smaller rack, which is the
+    // second one.
     static std::string tightDocument()
     {
         std::string document = testDocument();
@@ -340,7 +357,7 @@
         return document;
     }
 
-    // Borrowed work in the whole zone, then one claim after the other.
+    // Borrowed work occupies the whole zone; then one claim follows the other.
     std::string runClaims(Variant variant)
     {
         TestClusterOptions options;
@@ -360,10 +377,11 @@
         cluster.runFor(Milliseconds(3'000));
         submit(cluster, "press", "claim", 32, Milliseconds(20'000), JobClass::Guaranteed);
         cluster.runFor(Milliseconds(10'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 
-    // A caller's copy is told "not run" by a daemon that does not look at the record.
+    // The naive daemon answers "not run" to a second copy of a request, because it does not read the record
+    // of the first.
     std::string runUnreadRecord(Variant variant)
     {
         TestCluster cluster(TestClusterOptions {});
@@ -377,7 +395,7 @@
             };
         cluster.request(cluster.hosts()[2], "mill", "k1", "book");
         cluster.runFor(Milliseconds(2'000));
-        return textOf(cluster);
+        return violationText(cluster);
     }
 };
 
