Reword comments and messages in src/routing

Comments used words of this project's own (part, hold, take back, out of use). They now use share, contention, borrowing limit, parked and usable, and state the reasons behind the constants in full sentences.

--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -6,15 +6,16 @@
 
 namespace {
 
-constexpr std::uint32_t minCalls = 5; // fewer tell little
-constexpr std::uint32_t windowCalls = 50; // older calls then count half
+constexpr std::uint32_t minCalls = 5; // the failure rate of fewer calls is not significant
+constexpr std::uint32_t windowCalls = 50; // after this many calls, the counts are halved
 constexpr double minFailureRate = 0.5;
-constexpr double minExcess = 0.3; // above the service's own failure rate
+constexpr double minExcess = 0.3; // over the failure rate of the whole service
 constexpr Milliseconds firstEjection { 1'000 };
 constexpr Milliseconds longestEjection { 64'000 };
 constexpr std::uint32_t maxDoublings = 6;
-constexpr Seconds healthyPeriod { 60 }; // after it, the next ejection is short again
-// A moving mean over about 200 calls, slow enough that one endpoint's burst does not move it.
+constexpr Seconds healthyPeriod { 60 }; // after it, ejection durations start again at the first one
+// Exponential moving average over about 200 calls, slow enough that a burst of failures of one endpoint
+// hardly changes it.
 constexpr double weightOfNewest = 0.005;
 
 } // namespace
@@ -23,7 +24,7 @@
 {
     if (health.isEjected) {
         if (now < health.ejectedUntil)
-            return false; // a call from before the ejection
+            return false; // the call started before the ejection
         if (isFailure) {
             eject(health, now);
             return true;
--- a/src/routing/outlier_detector.h
+++ b/src/routing/outlier_detector.h
@@ -7,28 +7,28 @@
 
 namespace anvilmoor {
 
-// What the calls to one endpoint tell about its health.
+// Health of one endpoint, derived from the results of its calls.
 struct EndpointHealth {
-    std::uint32_t calls = 0; // in the present window
+    std::uint32_t calls = 0; // in the current window
     std::uint32_t failures = 0;
     bool isEjected = false;
-    std::uint32_t ejections = 0; // since it last stayed healthy
-    TimePoint ejectedUntil {}; // then one call at a time probes it
+    std::uint32_t ejections = 0; // consecutive; reset after a healthy period
+    TimePoint ejectedUntil {}; // afterwards it is probed with one call at a time
     TimePoint healthySince {};
 };
 
-// Ejects endpoints of one service that fail much more often than the service as a whole. A worker that
-// fails everything fast frees its slots at once and would otherwise attract most of the work. Failures
-// that all endpoints share, such as those of a malformed request, eject none.
+// Ejects endpoints of one service that fail much more often than the service as a whole. An endpoint that
+// fails every call quickly frees its slots at once and would otherwise attract most of the requests. Failures
+// common to all endpoints, such as those of malformed requests, eject none.
 class OutlierDetector {
 public:
     // `endpoints`: number of endpoints of the service.
     void setEndpointCount(std::size_t endpoints) { m_endpoints = endpoints; }
 
-    // True if the call ejects the endpoint or ends its ejection.
+    // Returns true if the call ejects the endpoint, extends its ejection or ends it.
     bool onCall(EndpointHealth&, bool isFailure, TimePoint now);
 
-    // Call it for a health that is dropped.
+    // Must be called before the health of a removed endpoint is destroyed; updates the count of ejected ones.
     void forget(const EndpointHealth&);
 
     std::size_t ejected() const { return m_ejected; }
@@ -44,7 +44,7 @@
 
     std::size_t m_endpoints = 0;
     std::size_t m_ejected = 0;
-    double m_failureRate = 0; // of all calls to endpoints in use, moving mean
+    double m_failureRate = 0; // of all calls to endpoints that are not ejected; moving average
 };
 
 } // namespace anvilmoor
--- a/src/routing/random_routing.h
+++ b/src/routing/random_routing.h
@@ -7,7 +7,8 @@
 
 namespace anvilmoor {
 
-// Baseline: any live endpoint in any zone with a slot that this daemon does not use, at random. Scans.
+// Baseline policy: chooses at random among the live endpoints of all zones on which this daemon has a free
+// slot. Each choice scans all endpoints of the service.
 class RandomRouting : public RoutingPolicy {
 public:
     RandomRouting(const ConfigurationView&, const EndpointDirectory&);
--- a/src/routing/routing_policy.h
+++ b/src/routing/routing_policy.h
@@ -14,31 +14,32 @@
     const ServiceId& service;
     bool isIdempotent = false;
     Milliseconds serviceTime { 0 }; // expected
-    std::size_t queueAhead = 0; // requests of the service that wait too
-    // Endpoints that failed this request. One of them is taken only if no other endpoint is in use.
+    std::size_t queueAhead = 0; // other requests of the service that are waiting
+    // Endpoints that failed this request. One of them is chosen only if no other endpoint is usable.
     std::span<const EndpointId> avoided;
 };
 
-// How a call ended, as far as it tells something about the endpoint.
+// Result of a call, as evidence about the health and load of its endpoint.
 enum class CallResult {
     Succeeded,
     Failed, // executed with an error, lost, or not reachable
-    Busy, // refused before execution: other daemons use its slots
-    Cancelled, // tells nothing
+    Busy, // refused before execution because other daemons use the endpoint's slots
+    Cancelled, // no evidence about the endpoint
 };
 
-// Chooses endpoints by their free slots and connections, as far as this daemon knows them.
+// Chooses an endpoint for each call by the free slots and connections that this daemon knows of.
 class RoutingPolicy {
 public:
     virtual ~RoutingPolicy() = default;
 
-    // Takes a slot of an endpoint. Empty: wait. Each choice ends with finish().
+    // Occupies a slot of the chosen endpoint. Empty if the request has to wait. Each chosen endpoint must be
+    // passed to finish() when the call ends.
     virtual std::optional<EndpointId> choose(const RoutingQuery&, TimePoint now, std::uint64_t random) = 0;
 
-    // Returns the slot.
+    // Releases the slot and records the result of the call.
     virtual void finish(const ServiceId&, const EndpointId&, CallResult, TimePoint now) = 0;
 
-    // Looks again at endpoints that were out of use. Call it at each tick.
+    // Checks which unusable endpoints are usable again or due for a probe. Must be called at each tick.
     virtual void refresh(TimePoint now) = 0;
 
     // Free slots of usable endpoints in the daemon's own zone.
--- a/src/routing/zone_aware_routing.cpp
+++ b/src/routing/zone_aware_routing.cpp
@@ -7,22 +7,23 @@
 
 namespace {
 
-// Two crossings of 3.5 ms, and as much again for loss and for the higher price of the link.
+// A round trip over the link takes 2 * 3.5 ms; doubled for packet loss and for the higher price of the link.
 constexpr Milliseconds linkCost { 14 };
-// A lost answer leaves a non-idempotent request with an unknown outcome, so it waits longer for its
-// own zone before it crosses a lossy link.
+// A lost answer leaves a non-idempotent request with an unknown outcome, so such a request waits longer for a
+// slot in its own zone before it crosses a lossy link.
 constexpr Milliseconds linkCostNonIdempotent { 100 };
 
 constexpr Milliseconds firstBusyBackoff { 50 };
 constexpr Milliseconds longestBusyBackoff { 400 };
-// Contention ends when the daemon's own part of the slots was enough for so long.
+// Contention ends after the daemon's own share of the slots has been sufficient for this long.
 constexpr Seconds contentionHold { 5 };
-// From a refusal to the first call beyond the part. Long beside a call, so that daemons that all have too
-// much work lose few calls by trying.
+// Time from a refusal to the next call beyond the daemon's share. Long compared with a call, so that few
+// calls are refused when all daemons are overloaded.
 constexpr Seconds borrowingPause { 1 };
 constexpr Milliseconds firstProbeBackoff { 500 };
 constexpr Milliseconds longestProbeBackoff { 30'000 };
-// A probe may fail, so requests that can be repeated go first. Where none comes, others probe too.
+// A probe may fail, so idempotent requests are preferred as probes. If none arrives for this long after a
+// probe is due, a non-idempotent request is used.
 constexpr Seconds probeWaitForIdempotent { 5 };
 
 } // namespace
@@ -186,7 +187,7 @@
             const EndpointState state = search.records[index].state;
             if (state == EndpointState::Live)
                 return index;
-            park(pool, index, state, search.now); // another one takes its place in the bucket
+            park(pool, index, state, search.now); // moves the bucket's last endpoint to this position
             rejected = 0;
         }
     }
@@ -195,7 +196,7 @@
 
 std::optional<ZoneAwareRouting::Index> ZoneAwareRouting::pickElsewhere(Pool& pool, const Search& search)
 {
-    // Zones are few: the one with the most free slots is found by a scan.
+    // There are few zones, so a scan finds the one with the most free slots.
     std::vector<bool> isTried(pool.zones.size(), false);
     while (true) {
         Index best = noPosition;
@@ -222,7 +223,7 @@
     return search.mayCross ? pickElsewhere(pool, search) : std::nullopt;
 }
 
-// Avoided endpoints are few, one for each failed call of a request.
+// There are few avoided endpoints: at most one for each failed call of a request.
 bool ZoneAwareRouting::hasOtherInUse(const Pool& pool, Avoided avoided)
 {
     std::size_t inUse = pool.endpoints.size() - pool.parked.size();
@@ -264,15 +265,15 @@
     return endpoint.id;
 }
 
-// The slots of an endpoint that this daemon may use while the daemons of its zone contend: the parts of all
-// of them fit.
+// Returns the number of slots of one endpoint that this daemon may use during contention. The slots are
+// divided evenly among the daemons of the zone, so that all shares fit; a share is at least one slot.
 int ZoneAwareRouting::partOf(int slots) const
 {
     const auto others = std::ranges::count(m_settings.peers, m_settings.zone, &PeerSetting::zone);
     return std::min(slots, std::max(1, slots / int(others + 1)));
 }
 
-// Calls to an endpoint beyond the daemon's part. In other zones it has none.
+// Calls in flight beyond the daemon's share of the endpoint. The daemon has no share in other zones.
 int ZoneAwareRouting::borrowedOf(const Pool& pool, const Endpoint& endpoint)
 {
     return endpoint.zone == pool.ownZone ? std::max(0, endpoint.inFlight - pool.part) : endpoint.inFlight;
@@ -283,7 +284,7 @@
     return now >= zone.borrowing.from && zone.borrowing.inFlight < zone.borrowing.limit;
 }
 
-// Doubles the limit with each round of calls, as long as none is refused.
+// Each successful call raises the limit by one, so each round of calls without a refusal doubles it.
 void ZoneAwareRouting::onBorrowedCallEnded(const Pool& pool, Zone& zone, CallResult result)
 {
     --zone.borrowing.inFlight;
@@ -291,8 +292,8 @@
         zone.borrowing.limit = std::min(zone.borrowing.limit + 1, pool.slots * int(pool.endpoints.size()));
 }
 
-// Once contention has begun, only the zone that refused is taken back to one call: others may have slots
-// to spare.
+// A first refusal resets the borrowing limit of all zones to one call. During contention, a refusal resets
+// only the zone of the refusing endpoint, because other zones may have free slots.
 void ZoneAwareRouting::onRefused(Pool& pool, Zone& zone, TimePoint now)
 {
     const auto takeBack = [now](Zone& refusing) {
@@ -307,7 +308,7 @@
 
 bool ZoneAwareRouting::isWorthCrossing(const RoutingQuery& query, const Pool& pool)
 {
-    // Slots come free at the rate at which the calls in flight end.
+    // Slots become free at the rate at which the calls in flight end.
     const int inFlight = pool.ownZone == noPosition ? 0 : pool.zones[pool.ownZone].inFlight;
     if (inFlight <= 0)
         return true;
@@ -322,7 +323,7 @@
     if (pool.slots == 0 || pool.endpoints.empty())
         return {};
     const std::span<const EndpointRecord> records = m_directory.endpoints(query.service);
-    // A request that has lost one call must not be spent on a probe of a suspect endpoint.
+    // A request that already failed once is not used as a probe, because a probe is likely to fail too.
     if (!pool.probes.empty() && query.avoided.empty()) {
         if (const std::optional<Index> probe = takeProbe(pool, records, query.isIdempotent, now))
             return take(pool, *probe);
@@ -330,7 +331,8 @@
     const bool isContended = now < pool.contendedUntil;
     const bool isHeld = isContended && !m_settings.peers.empty() && pool.ownZone != noPosition
         && pool.zones[pool.ownZone].inFlight > 0;
-    // After a failed call the rest of the own zone may be silent too, for instance behind one switch.
+    // After a failed call, the other endpoints of the own zone may be unreachable too, for example behind the
+    // same switch, so the retry may cross zones.
     const bool isWorthIt = !query.avoided.empty() || isWorthCrossing(query, pool);
     Search search { records, query.avoided, isContended ? pool.slots - pool.part + 1 : 1,
         isWorthIt && (!isHeld || !query.avoided.empty()), false, now, random };
--- a/src/routing/zone_aware_routing.h
+++ b/src/routing/zone_aware_routing.h
@@ -10,12 +10,14 @@
 
 namespace anvilmoor {
 
-// Prefers the endpoint with the most free slots in the daemon's own zone. Another zone is used only
-// if the own one is full and waiting costs more than the link. Endpoints are kept in buckets by free
-// slots, so that a choice does not depend on their number. When endpoints refuse work, because all daemons
-// together ask for more slots than there are, the daemon keeps to its part of its own zone until that is
-// enough for some time. Beyond its part it borrows: at first one call at a time, then twice as many after
-// each round without a refusal, so that what idle or dead daemons leave is used.
+// Prefers the endpoint with the most free slots in the daemon's own zone. Uses another zone only if the own
+// one is full and waiting costs more than crossing the link. Endpoints are kept in buckets by number of free
+// slots, so that the cost of a choice does not depend on the number of endpoints.
+//
+// Endpoints refuse calls when all daemons together need more slots than exist (contention). The daemon then
+// keeps to its share of the slots in its own zone until the share has been sufficient for some time. It
+// borrows slots beyond the share: one call at a time at first, twice as many after each round without a
+// refusal, so that slots unused by idle or dead daemons are not wasted.
 class ZoneAwareRouting : public RoutingPolicy {
 public:
     ZoneAwareRouting(const DaemonSettings&, const ConfigurationView&, const EndpointDirectory&);
@@ -25,7 +27,7 @@
     void refresh(TimePoint now) override;
     std::size_t freeSlots(const ServiceId&) override;
 
-    // Endpoints of a service that are ejected now.
+    // Number of currently ejected endpoints of the service.
     std::size_t ejected(const ServiceId&) const;
 
 private:
@@ -36,43 +38,43 @@
         EndpointId id;
         Index zone = 0;
         int inFlight = 0;
-        int bucket = 0; // free slots; meaningful with a position
-        Index position = noPosition; // in its bucket; none: out of use
-        bool isParked = false; // out of use for another reason than full slots
+        int bucket = 0; // number of free slots; valid if position is set
+        Index position = noPosition; // in its bucket; noPosition if parked or full
+        bool isParked = false; // unusable for a reason other than full slots
         EndpointHealth health;
-        TimePoint busyUntil {}; // refused work lately
+        TimePoint busyUntil {}; // gets no calls until then after a refusal
         Milliseconds busyBackoff { 0 };
-        TimePoint probeAt {}; // when suspect
+        TimePoint probeAt {}; // next probe if suspect
         Milliseconds probeBackoff { 0 };
     };
 
-    // Calls beyond the daemon's part; in other zones it has none.
+    // Calls beyond the daemon's share. In other zones, where the daemon has no share, all calls count.
     struct Borrowing {
         int inFlight = 0;
-        int limit = 1; // while contended
-        TimePoint from {}; // not before
+        int limit = 1; // most borrowed calls in flight during contention
+        TimePoint from {}; // earliest time of the next borrowed call
     };
 
     struct Zone {
         AvailabilityZoneId id;
         std::vector<std::vector<Index>> buckets; // by free slots
         std::size_t freeSlots = 0;
-        int inFlight = 0; // calls to endpoints in use
+        int inFlight = 0; // calls to endpoints that are not parked
         Borrowing borrowing;
     };
 
     struct Pool {
         std::uint64_t generation = 0;
         int slots = 0; // per endpoint
-        std::vector<Endpoint> endpoints; // same order as the directory's
+        std::vector<Endpoint> endpoints; // in the order of the directory
         std::unordered_map<EndpointId, Index> indexes;
         std::vector<Zone> zones;
         Index ownZone = noPosition;
         std::vector<Index> parked;
-        std::vector<Index> probes; // parked ones that may get one call now
+        std::vector<Index> probes; // parked endpoints that are due for a probe
         OutlierDetector outliers;
-        int part = 0; // slots of each endpoint of the own zone that are this daemon's while contended
-        TimePoint contendedUntil {}; // daemons ask for more slots than there are
+        int part = 0; // slots of each endpoint in the own zone that this daemon may use during contention
+        TimePoint contendedUntil {}; // end of contention unless it is extended
     };
 
     Pool& syncedPool(const ServiceId&, TimePoint now);
@@ -84,11 +86,11 @@
     void park(Pool&, Index, EndpointState, TimePoint now);
     using Avoided = std::span<const EndpointId>;
 
-    // What a choice may take.
+    // Criteria of one search for an endpoint.
     struct Search {
         std::span<const EndpointRecord> records;
         Avoided avoided;
-        int leastFree = 1; // slots that the endpoint must have free
+        int leastFree = 1; // free slots that the endpoint must have
         bool mayCross = false;
         bool isBorrowing = false;
         TimePoint now {};
--- a/test/routing_test.cpp
+++ b/test/routing_test.cpp
@@ -62,8 +62,7 @@
             { m_service, isIdempotent, serviceTime, queueAhead, avoided }, m_now, m_random());
     }
 
-    // Calls one at a time; the endpoint fails or succeeds at once. Returns the number of calls that went
-    // to failing endpoints.
+    // Makes calls one at a time, each of which ends at once. Returns the number of failed calls.
     int callOneByOne(RoutingPolicy& routing, int calls, const std::function<bool(const EndpointId&)>& fails)
     {
         int failed = 0;
@@ -81,7 +80,8 @@
         return failed;
     }
 
-    // Two endpoints of 8 slots in the own zone, where one more daemon is, and two in another zone.
+    // Two zones with two endpoints of 8 slots each. The daemon has one peer in its own zone and one in the
+    // other zone.
     ZoneAwareRouting routingBesidePeers()
     {
         m_settings.peers
@@ -102,7 +102,7 @@
         routing.refresh(m_now);
     }
 
-    // Calls until none is possible, with a queue that is worth crossing zones.
+    // Makes calls until no endpoint can be chosen, with a queue long enough to justify crossing zones.
     std::vector<EndpointId> callUntilFull(ZoneAwareRouting& routing)
     {
         std::vector<EndpointId> called;
@@ -137,12 +137,12 @@
         ZoneAwareRouting routing(m_settings, m_configuration, m_directory);
         for (int call = 0; call < 32; ++call)
             CPPUNIT_ASSERT(choose(routing));
-        // 100 ms / 32 in flight: a slot comes free every 3 ms, the link costs 14 ms.
+        // 100 ms / 32 calls in flight: a slot becomes free every 3 ms, while crossing the link costs 14 ms.
         CPPUNIT_ASSERT(!choose(routing));
         CPPUNIT_ASSERT(choose(routing, true, Milliseconds(100), 10)->value().starts_with("intake@maumee"));
-        CPPUNIT_ASSERT(!choose(routing, false, Milliseconds(100), 10)); // lost answers cost more
+        CPPUNIT_ASSERT(!choose(routing, false, Milliseconds(100), 10)); // a lost answer costs more
         CPPUNIT_ASSERT(choose(routing, false, Milliseconds(100), 100));
-        // A zone of its own that is out of use is no reason to wait.
+        // If no endpoint of the own zone is usable, waiting for one is pointless.
         for (EndpointRecord& record : m_directory.records) {
             if (record.zone == m_settings.zone)
                 record.state = EndpointState::Lost;
@@ -190,7 +190,7 @@
         CPPUNIT_ASSERT(routing.ejected(m_service) >= 3);
     }
 
-    // Guards against malformed requests that take a whole service out of use.
+    // Guards against malformed requests, which fail on every endpoint, ejecting all endpoints of a service.
     void testFailuresOfAllEndpointsEjectNone()
     {
         m_directory.add("thumb", 10);
@@ -237,14 +237,14 @@
         CPPUNIT_ASSERT(*choose(routing) != suspect); // one at a time
         routing.finish(m_service, suspect, CallResult::Failed, m_now);
         routing.refresh(m_now);
-        CPPUNIT_ASSERT(*choose(routing) != suspect); // backs off
+        CPPUNIT_ASSERT(*choose(routing) != suspect); // the next probe is delayed after a failed one
         m_now += Seconds(31);
         routing.refresh(m_now);
-        CPPUNIT_ASSERT(*choose(routing, false) == suspect); // no other work came to probe with
+        CPPUNIT_ASSERT(*choose(routing, false) == suspect); // no idempotent request arrived to probe with
         m_directory.records[0].state = EndpointState::Live;
         routing.finish(m_service, suspect, CallResult::Succeeded, m_now);
         routing.refresh(m_now);
-        CPPUNIT_ASSERT(*choose(routing) == suspect); // most free slots
+        CPPUNIT_ASSERT(*choose(routing) == suspect); // has the most free slots
     }
 
     void testBusyEndpointRestsForAWhile()
@@ -259,7 +259,7 @@
         CPPUNIT_ASSERT(choose(routing));
     }
 
-    // Guards against a request that meets the same silent endpoints until its calls are used up.
+    // Guards against a request that is retried on the same unreachable endpoints until its calls are used up.
     void testRetryAvoidsEveryEndpointThatFailedTheRequest()
     {
         m_directory.add("thumb", 4);
@@ -270,12 +270,13 @@
         const EndpointId& last = m_directory.records[3].id;
         for (int call = 0; call < 8; ++call)
             CPPUNIT_ASSERT(choose(routing, true, Milliseconds(100), 0, failed) == last);
-        CPPUNIT_ASSERT(!choose(routing, true, Milliseconds(100), 0, failed)); // it waits for a slot
+        CPPUNIT_ASSERT(!choose(routing, true, Milliseconds(100), 0, failed)); // the request waits for a slot
         failed.push_back(last);
-        CPPUNIT_ASSERT(choose(routing, true, Milliseconds(100), 0, failed)); // there is no other
+        CPPUNIT_ASSERT(choose(routing, true, Milliseconds(100), 0, failed)); // no other endpoint is left
     }
 
-    // Guards against an unknown outcome when one whole zone is silent and another one answers.
+    // Guards against an unknown outcome when no endpoint of the own zone answers, although another zone's
+    // endpoints do.
     void testRetryCrossesIfItsOwnZoneFailedItAndProbesNothing()
     {
         m_directory.add("thumb", 2);
@@ -295,7 +296,8 @@
         CPPUNIT_ASSERT(choose(routing) == m_directory.records[0].id);
     }
 
-    // Guards against daemons that go on to run into each other's calls.
+    // Guards against daemons of one zone that keep competing for the same slots, so that endpoints keep
+    // refusing calls.
     void testRefusalHoldsTheDaemonToItsPartOfItsZoneForFiveSeconds()
     {
         ZoneAwareRouting routing = routingBesidePeers();
@@ -307,14 +309,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), calls.size());
         for (const auto& [endpoint, count] : calls) {
             CPPUNIT_ASSERT(endpoint.value().starts_with("intake@thumb"));
-            CPPUNIT_ASSERT_EQUAL(4, count); // of 8, two daemons
+            CPPUNIT_ASSERT_EQUAL(4, count); // half of 8 slots, shared by two daemons
         }
         wait(routing, Seconds(5));
         CPPUNIT_ASSERT_EQUAL(std::size_t(8 + 16), callUntilFull(routing).size());
     }
 
-    // Guards against a burst of refusals, and a second of waiting after it, whenever the hold ends under
-    // load.
+    // Guards against a burst of refusals, followed by a second without calls, each time contention ends while
+    // the load is still too high.
     void testPartThatIsNotEnoughHoldsOnWithOneTryASecondInEachZone()
     {
         ZoneAwareRouting routing = routingBesidePeers();
@@ -333,7 +335,7 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(tries), tries >= 10 && tries <= 20);
     }
 
-    // Guards against slots that stand idle while the daemon they are kept for is dead or has no work.
+    // Guards against slots that stay unused because they are reserved for a daemon that is dead or idle.
     void testPartOfIdlePeersIsBorrowedWithinTwoSeconds()
     {
         ZoneAwareRouting routing = routingBesidePeers();
@@ -350,7 +352,7 @@
         const auto own = std::ranges::count_if(
             inFlight, [](const EndpointId& id) { return id.value().starts_with("intake@thumb"); });
         CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(16), own);
-        // One refusal takes it back in that zone.
+        // One refusal resets the borrowing limit of that zone.
         CPPUNIT_ASSERT(inFlight.back().value().starts_with("intake@maumee"));
         refuse(routing, inFlight.back());
         inFlight.pop_back();
@@ -360,7 +362,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(16), callUntilFull(routing).size());
     }
 
-    // Guards against a daemon with most of the work that leaves idle zones unused.
+    // Guards against idle endpoints in other zones while the daemon that has most of the load is refused in
+    // its own zone.
     void testOtherZonesAreBorrowedFromWhileTheOwnOneRefuses()
     {
         ZoneAwareRouting routing = routingBesidePeers();
@@ -377,17 +380,18 @@
         }
         const auto elsewhere = std::ranges::count_if(
             inFlight, [](const EndpointId& id) { return id.value().starts_with("intake@maumee"); });
-        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(16), elsewhere); // all slots there
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(16), elsewhere); // all slots of that zone
     }
 
-    // Guards against a limit that is lost, or can never be used again, when endpoints come and go.
+    // Guards against a borrowing limit that is forgotten, or stays exhausted forever, after endpoints are
+    // added or removed.
     void testConfigurationChangeKeepsBorrowedCallsCounted()
     {
         ZoneAwareRouting routing = routingBesidePeers();
         refuse(routing, *choose(routing));
         wait(routing, Seconds(1));
         std::vector<EndpointId> inFlight = callUntilFull(routing);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(8 + 2), inFlight.size()); // one more in each zone
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8 + 2), inFlight.size()); // one borrowed call in each zone
         ++m_directory.number;
         CPPUNIT_ASSERT(callUntilFull(routing).empty());
         routing.finish(m_service, inFlight.back(), CallResult::Succeeded, m_now);
