Reword comments and messages in src/role

Lapse, acting time and answer stood for the expiry of the lease, the time a holder may use the role, and a table reply. The comments name these and the two table rows they depend on.

--- a/src/role/zone_role.cpp
+++ b/src/role/zone_role.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds pollInterval { 1'000 };
 constexpr Milliseconds retryInterval { 250 };
 constexpr std::uint64_t maxRandomDelayMs = 500;
-// The table client answers each operation well before this; a reply that never came counts as lost.
+// The table client replies to each operation well before this time-out. After it, the reply counts as lost.
 constexpr Milliseconds operationTimeout { 10'000 };
 
 } // namespace
@@ -197,7 +197,8 @@
                 owner.token = json.value("token", FencingToken { 0 });
                 owner.isReleased = json.value("released", false);
             } catch (const Json::exception&) {
-                // A row with fields of another type is not this daemon's; the lapse decides.
+                // A row with fields of an unexpected type was not written by this daemon. The role then
+                // becomes free only when the lease expires.
                 owner.holder.clear();
             }
         }
@@ -212,7 +213,7 @@
             m_heartbeatSeen = 0;
         }
     }
-    // The token never falls, even if the row was damaged.
+    // The token never decreases, even if the row is damaged.
     owner.token = std::max(owner.token, m_owner.token);
     const bool isSame
         = m_hasObserved && ownerBefore == m_ownerVersion && heartbeatBefore == m_heartbeatVersion;
@@ -240,13 +241,13 @@
         return;
     }
     if (m_phase == Phase::Held)
-        lose("another daemon took the role over", step);
+        lose("another daemon took over the role", step);
     standbyObserved(m_operationSentAt, step);
 }
 
 void ZoneRole::standbyObserved(TimePoint readSentAt, Step& step)
 {
-    // A take-over of this daemon whose answer was lost.
+    // The row shows a takeover by this daemon whose reply was lost.
     if (isOwn(m_owner) && !m_owner.isReleased) {
         acquire(m_unconfirmedSentAt, step);
         return;
@@ -297,12 +298,12 @@
         m_nextAction = m_phase == Phase::Releasing ? step.now : m_operationSentAt + roleRenewalInterval;
         return;
     case TableStatus::Conflict:
-        // The only condition is the owner row's version.
+        // The transaction's only condition is the version of the owner row, so another daemon has written it.
         if (m_phase == Phase::Releasing) {
             finishRelease(step);
             return;
         }
-        lose("another daemon took the role over", step);
+        lose("another daemon took over the role", step);
         return;
     case TableStatus::Unavailable:
         m_nextAction = step.now + retryInterval;
--- a/src/role/zone_role.h
+++ b/src/role/zone_role.h
@@ -11,15 +11,17 @@
 namespace anvilmoor {
 
 constexpr Milliseconds roleRenewalInterval { 1'000 };
-// A standby takes over when it has seen the heartbeat row unchanged for this long.
+// A standby takes over after it has seen the owner and heartbeat rows unchanged for this long.
 constexpr Milliseconds roleLapse { 4'000 };
-// A holder stops acting this long after it sent its last successful renewal. Shorter than the lapse, so
-// that a holder has stopped before a standby takes over.
+// The holder stops using the role this long after it sent its last successful renewal. Shorter than the
+// expiry time, so that the holder has stopped before a standby takes over.
 constexpr Milliseconds roleActingTime { 3'000 };
-// The platform counts as unreachable after this long without any answer.
+// The platform counts as unreachable after this long without a reply.
 constexpr Milliseconds platformSilence { 4'000 };
 
-// The lease of a zone's role: renewal by the holder, take-over by standbys, release at shutdown.
+// The lease of a zone's role, kept in two rows of the table: the owner row with the holder and its fencing
+// token, and the heartbeat row, which the holder renews. Standbys take over when the lease expires; the
+// holder releases it at shutdown.
 class ZoneRole : public RoleView {
 public:
     ZoneRole(const DaemonSettings&, const PeerDirectory&);
@@ -28,8 +30,9 @@
     void handle(const Tick&, Step&);
     void handle(const TableReplied&, Step&);
 
-    // Gives the role up, so that a standby takes over without waiting for the lapse. Takes no role
-    // afterwards. Ends with isReleased(), at the latest after the acting time when the table is down.
+    // Releases the role, so that a standby takes over without waiting for the lease to expire. The daemon
+    // does not acquire the role again. isReleased() becomes true when the release is complete, or after
+    // roleActingTime if the table is unreachable.
     void release(Step&);
     bool isReleased() const { return m_phase == Phase::Released; }
 
@@ -81,16 +84,16 @@
     TimePoint m_operationSentAt {};
     TimePoint m_nextAction {};
     TimePoint m_releaseDeadline {};
-    bool m_mustRead = false; // an answer was lost
+    bool m_mustRead = false; // a reply was lost, so the rows must be read before the next write
 
-    // As last read or written.
+    // The owner and heartbeat rows as last read or written.
     Owner m_owner;
     RowVersion m_ownerVersion = 0;
     RowVersion m_heartbeatVersion = 0;
-    std::uint64_t m_heartbeatSequence = 0; // of this daemon's last write
-    std::uint64_t m_heartbeatSeen = 0; // sequence found in the row, if this daemon wrote it
-    TimePoint m_unconfirmedSentAt {}; // when the write with an unknown result was sent
-    TimePoint m_unchangedSince {}; // standby: since when both rows are as they are now
+    std::uint64_t m_heartbeatSequence = 0; // sequence of this daemon's last write
+    std::uint64_t m_heartbeatSeen = 0; // sequence in the row as last read; 0 if another daemon wrote it
+    TimePoint m_unconfirmedSentAt {}; // send time of the last write with an unknown result
+    TimePoint m_unchangedSince {}; // time of the first read that returned both rows in their current versions
     bool m_hasObserved = false;
     Milliseconds m_extraDelay { 0 };
 
--- a/test/zone_role_test.cpp
+++ b/test/zone_role_test.cpp
@@ -31,7 +31,8 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a holder that acts on, or silently gets back, a role that passed to another.
+    // Guards against a holder that, after a pause longer than its lease, still uses a role that another
+    // daemon has taken over, or regains it without a takeover.
     void testPausedHolderIsReplacedAndWakesAsStandby()
     {
         ZoneSimulation zone(2);
@@ -50,7 +51,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), zone.countRecords("role.lost"));
     }
 
-    // Guards against a role that nobody uses because its taker did not learn that it has it.
+    // Guards against a role that stays unused because the reply to the takeover was lost and the daemon does
+    // not notice that it holds the role.
     void testTakeOverWithLostAnswerIsFoundByReading()
     {
         ZoneSimulation zone(1);
@@ -63,7 +65,8 @@
         CPPUNIT_ASSERT_EQUAL(FencingToken(1), tokenOf(zone, 0));
     }
 
-    // Guards against two holders, or a token that moved twice, when a write is applied after the read.
+    // Guards against two holders, or a token that increases twice, when a takeover takes effect only after
+    // the daemon has read the rows again.
     void testTakeOverThatTakesEffectLateGivesOneHolder()
     {
         ZoneSimulation zone(2);
@@ -81,7 +84,7 @@
         CPPUNIT_ASSERT_EQUAL(FencingToken(1), tokenOf(zone, *zone.holder()));
     }
 
-    // Guards against a hand-over for a lost answer alone.
+    // Guards against a holder that loses the role although only the replies to its renewals are lost.
     void testRenewalsWithLostAnswersKeepTheRole()
     {
         ZoneSimulation zone(2);
@@ -95,8 +98,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), zone.countRecords("role.acquired"));
     }
 
-    // Guards against an acting time that is measured from the reply: a slow answer would let the holder
-    // act beyond the lapse.
+    // Guards against an acting time that starts at the reply instead of the send time: after a slow reply,
+    // the holder would still act when the lease has expired.
     void testHolderStopsActingThreeSecondsAfterItSentItsLastRenewal()
     {
         FakePeers peers;
@@ -122,13 +125,14 @@
         Step ticked(event, effects);
         role.handle(Tick {}, ticked);
         const TimePoint sent = event.now;
-        answer(sent); // the read; the take-over is sent at once
+        answer(sent); // replies to the read; the takeover is sent at once
         answer(sent + Milliseconds(2'900));
         CPPUNIT_ASSERT(role.held(sent + Milliseconds(3'000)));
         CPPUNIT_ASSERT(!role.held(sent + Milliseconds(3'001)));
     }
 
-    // Guards against a planned stop that leaves the zone without a holder for the whole lapse.
+    // Guards against a planned shutdown that leaves the zone without a holder until the lease expires, also
+    // if the reply to the release is lost.
     void testReleasedRoleIsTakenBeforeTheLapse()
     {
         ZoneSimulation zone(2);
@@ -144,7 +148,7 @@
         Step step(event, effects);
         zone.daemons[first]->role->release(step);
         CPPUNIT_ASSERT(!zone.daemons[first]->role->held(zone.now));
-        // The effect of a role that is asked directly is executed here.
+        // release() is called outside the event queue, so the test executes its effects.
         for (const Effect& effect : effects) {
             if (const auto* write = std::get_if<ExecuteTransaction>(&effect)) {
                 static_cast<void>(zone.table.execute(write->transaction));
@@ -156,7 +160,7 @@
         CPPUNIT_ASSERT(zone.daemons[first]->role->isReleased());
     }
 
-    // Guards against a process that never ends because the table is down.
+    // Guards against a daemon that never stops because the table is unreachable.
     void testReleaseWithTableDownEnds()
     {
         ZoneSimulation zone(1);
@@ -170,7 +174,8 @@
         CPPUNIT_ASSERT(zone.daemons[0]->role->isReleased());
     }
 
-    // Guards against leases that nobody renews in a partition, and against a caretaker beside a holder.
+    // Guards against task leases that no daemon renews while the zone is cut off from the platform, and
+    // against a caretaker beside a holder.
     void testCaretakerOnlyWhilePlatformAndHolderAreUnreachable()
     {
         ZoneSimulation zone(2);
