Rename identifiers of src/role to the usual terms

Names that were figurative, vague or private to the project now use the terms of the field. Behaviour and the names that leave the process are as before.

acquire -> onRoleAcquired, hasLapsed -> hasExpired, isOwn -> isThisDaemon, isSame -> isUnchanged, isTakingPart -> isParticipating, lapse -> takeOverTime, lose -> onRoleLost, m_extraDelay -> m_takeOverDelay, m_heartbeatSeen -> m_observedHeartbeatSequence, m_lastAnswer -> m_lastReplyAt, m_lastRenewalSent -> m_lastRenewalSentAt, observe -> recordRows, platformSilence -> platformSilenceTimeout, readReplied -> onReadReply, releaseReplied -> onReleaseReply, renewReplied -> onRenewReply, retryInterval -> retryDelay, roleActingTime -> roleUseTimeout, roleLapse -> roleExpiryTimeout, standbyObserved -> takeOverOrWait, takeOverReplied -> onTakeOverReply.

6 test names state subject, condition and result.

--- a/src/role/zone_role.cpp
+++ b/src/role/zone_role.cpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 constexpr Milliseconds pollInterval { 1'000 };
-constexpr Milliseconds retryInterval { 250 };
+constexpr Milliseconds retryDelay { 250 };
 constexpr std::uint64_t maxRandomDelayMs = 500;
 // The table client replies to each operation well before this time-out. After it, the reply counts as lost.
 constexpr Milliseconds operationTimeout { 10'000 };
@@ -30,7 +30,7 @@
 
 void ZoneRole::handle(const Started&, Step& step)
 {
-    m_lastAnswer = step.now;
+    m_lastReplyAt = step.now;
     m_nextAction = step.now + randomDelay(step);
 }
 
@@ -45,8 +45,8 @@
     if (m_operation != OperationKind::None) {
         if (step.now - m_operationSentAt < operationTimeout)
             return;
-        TableReplied lost { { ModuleId::Role, m_sequence }, { TableStatus::Unknown, {} } };
-        handle(lost, step);
+        TableReplied lostReply { { ModuleId::Role, m_sequence }, { TableStatus::Unknown, {} } };
+        handle(lostReply, step);
         return;
     }
     if (step.now < m_nextAction)
@@ -73,16 +73,16 @@
         return;
     const TableReply& reply = replied.reply;
     if (reply.status == TableStatus::Ok || reply.status == TableStatus::Conflict)
-        m_lastAnswer = step.now;
+        m_lastReplyAt = step.now;
     switch (kind) {
     case OperationKind::Read:
-        return readReplied(reply, step);
+        return onReadReply(reply, step);
     case OperationKind::TakeOver:
-        return takeOverReplied(reply, step);
+        return onTakeOverReply(reply, step);
     case OperationKind::Renew:
-        return renewReplied(reply, step);
+        return onRenewReply(reply, step);
     case OperationKind::Release:
-        return releaseReplied(reply, step);
+        return onReleaseReply(reply, step);
     case OperationKind::None:
         return;
     }
@@ -97,7 +97,7 @@
         return;
     }
     m_phase = Phase::Releasing;
-    m_releaseDeadline = step.now + roleActingTime;
+    m_releaseDeadline = step.now + roleUseTimeout;
     m_nextAction = step.now;
     if (m_operation == OperationKind::None && !m_mustRead)
         sendRelease(step);
@@ -105,15 +105,15 @@
 
 std::optional<HeldRole> ZoneRole::held(TimePoint now) const
 {
-    if (m_phase != Phase::Held || now - m_lastRenewalSent > roleActingTime)
+    if (m_phase != Phase::Held || now - m_lastRenewalSentAt > roleUseTimeout)
         return std::nullopt;
     return HeldRole { m_owner.token, m_ownerVersion };
 }
 
 bool ZoneRole::isCaretaker(TimePoint now) const
 {
-    const bool isTakingPart = m_phase == Phase::Standby || m_phase == Phase::Held;
-    if (!isTakingPart || held(now) || now - m_lastAnswer < platformSilence)
+    const bool isParticipating = m_phase == Phase::Standby || m_phase == Phase::Held;
+    if (!isParticipating || held(now) || now - m_lastReplyAt < platformSilenceTimeout)
         return false;
     const auto peers = m_peers.peers();
     return std::none_of(peers.begin(), peers.end(), [this](const PeerStatus& peer) {
@@ -169,23 +169,23 @@
         "role.released", { { "zone", m_settings.zone.value() }, { "token", std::to_string(m_owner.token) } });
 }
 
-void ZoneRole::readReplied(const TableReply& reply, Step& step)
+void ZoneRole::onReadReply(const TableReply& reply, Step& step)
 {
     if (reply.status != TableStatus::Ok) {
-        m_nextAction = step.now + retryInterval;
+        m_nextAction = step.now + retryDelay;
         return;
     }
     m_mustRead = false;
-    observe(reply, step);
+    recordRows(reply, step);
 }
 
-void ZoneRole::observe(const TableReply& reply, Step& step)
+void ZoneRole::recordRows(const TableReply& reply, Step& step)
 {
     const RowVersion ownerBefore = m_ownerVersion;
     const RowVersion heartbeatBefore = m_heartbeatVersion;
     m_ownerVersion = 0;
     m_heartbeatVersion = 0;
-    m_heartbeatSeen = 0;
+    m_observedHeartbeatSequence = 0;
     Owner owner;
     if (const TableRow* row = findPresentRow(reply, m_ownerKey)) {
         m_ownerVersion = row->version;
@@ -208,31 +208,31 @@
         const Json json = Json::parse(row->value, nullptr, false);
         try {
             if (json.is_object() && json.value("incarnation", std::uint64_t { 0 }) == m_settings.incarnation)
-                m_heartbeatSeen = json.value("sequence", std::uint64_t { 0 });
+                m_observedHeartbeatSequence = json.value("sequence", std::uint64_t { 0 });
         } catch (const Json::exception&) {
-            m_heartbeatSeen = 0;
+            m_observedHeartbeatSequence = 0;
         }
     }
     // The token never decreases, even if the row is damaged.
     owner.token = std::max(owner.token, m_owner.token);
-    const bool isSame
+    const bool isUnchanged
         = m_hasObserved && ownerBefore == m_ownerVersion && heartbeatBefore == m_heartbeatVersion;
-    if (!isSame) {
+    if (!isUnchanged) {
         m_unchangedSince = step.now;
-        m_extraDelay = randomDelay(step);
+        m_takeOverDelay = randomDelay(step);
     }
     m_hasObserved = true;
 
     const bool wasHolder = m_phase == Phase::Held || m_phase == Phase::Releasing;
-    if (wasHolder && ownerBefore && ownerBefore == m_ownerVersion && isOwn(owner)) {
+    if (wasHolder && ownerBefore && ownerBefore == m_ownerVersion && isThisDaemon(owner)) {
         m_owner = owner;
-        if (m_heartbeatSeen && m_heartbeatSeen == m_heartbeatSequence)
-            m_lastRenewalSent = std::max(m_lastRenewalSent, m_unconfirmedSentAt);
+        if (m_observedHeartbeatSequence && m_observedHeartbeatSequence == m_heartbeatSequence)
+            m_lastRenewalSentAt = std::max(m_lastRenewalSentAt, m_unconfirmedSentAt);
         m_nextAction = step.now;
         return;
     }
     m_owner = owner;
-    if (m_phase == Phase::Releasing && isOwn(owner) && !owner.isReleased) {
+    if (m_phase == Phase::Releasing && isThisDaemon(owner) && !owner.isReleased) {
         m_nextAction = step.now;
         return;
     }
@@ -241,28 +241,28 @@
         return;
     }
     if (m_phase == Phase::Held)
-        lose("another daemon took over the role", step);
-    standbyObserved(m_operationSentAt, step);
+        onRoleLost("another daemon took over the role", step);
+    takeOverOrWait(m_operationSentAt, step);
 }
 
-void ZoneRole::standbyObserved(TimePoint readSentAt, Step& step)
+void ZoneRole::takeOverOrWait(TimePoint readSentAt, Step& step)
 {
     // The row shows a takeover by this daemon whose reply was lost.
-    if (isOwn(m_owner) && !m_owner.isReleased) {
-        acquire(m_unconfirmedSentAt, step);
+    if (isThisDaemon(m_owner) && !m_owner.isReleased) {
+        onRoleAcquired(m_unconfirmedSentAt, step);
         return;
     }
     const bool isFree = !m_ownerVersion || m_owner.isReleased;
-    const bool hasLapsed = readSentAt - m_unchangedSince >= roleLapse;
-    if (isFree || hasLapsed) {
+    const bool hasExpired = readSentAt - m_unchangedSince >= roleExpiryTimeout;
+    if (isFree || hasExpired) {
         takeOver(step);
         return;
     }
-    const TimePoint lapse = m_unchangedSince + roleLapse + m_extraDelay;
-    m_nextAction = std::min(step.now + pollInterval, std::max(lapse, step.now + tickInterval));
+    const TimePoint takeOverTime = m_unchangedSince + roleExpiryTimeout + m_takeOverDelay;
+    m_nextAction = std::min(step.now + pollInterval, std::max(takeOverTime, step.now + tickInterval));
 }
 
-void ZoneRole::takeOverReplied(const TableReply& reply, Step& step)
+void ZoneRole::onTakeOverReply(const TableReply& reply, Step& step)
 {
     if (reply.status == TableStatus::Ok) {
         const TableRow* owner = findPresentRow(reply, m_ownerKey);
@@ -272,7 +272,7 @@
             m_heartbeatVersion = heartbeat->version;
             ++m_owner.token;
             const bool isReleasing = m_phase == Phase::Releasing;
-            acquire(m_operationSentAt, step);
+            onRoleAcquired(m_operationSentAt, step);
             if (isReleasing) {
                 m_phase = Phase::Releasing;
                 sendRelease(step);
@@ -290,11 +290,11 @@
     m_nextAction = step.now + (reply.status == TableStatus::Unavailable ? pollInterval : Milliseconds(0));
 }
 
-void ZoneRole::renewReplied(const TableReply& reply, Step& step)
+void ZoneRole::onRenewReply(const TableReply& reply, Step& step)
 {
     switch (reply.status) {
     case TableStatus::Ok:
-        m_lastRenewalSent = std::max(m_lastRenewalSent, m_operationSentAt);
+        m_lastRenewalSentAt = std::max(m_lastRenewalSentAt, m_operationSentAt);
         m_nextAction = m_phase == Phase::Releasing ? step.now : m_operationSentAt + roleRenewalInterval;
         return;
     case TableStatus::Conflict:
@@ -303,10 +303,10 @@
             finishRelease(step);
             return;
         }
-        lose("another daemon took over the role", step);
+        onRoleLost("another daemon took over the role", step);
         return;
     case TableStatus::Unavailable:
-        m_nextAction = step.now + retryInterval;
+        m_nextAction = step.now + retryDelay;
         return;
     case TableStatus::Unknown:
         m_unconfirmedSentAt = m_operationSentAt;
@@ -316,29 +316,29 @@
     }
 }
 
-void ZoneRole::releaseReplied(const TableReply& reply, Step& step)
+void ZoneRole::onReleaseReply(const TableReply& reply, Step& step)
 {
     if (reply.status == TableStatus::Ok || reply.status == TableStatus::Conflict) {
         finishRelease(step);
         return;
     }
     m_mustRead = reply.status == TableStatus::Unknown;
-    m_nextAction = step.now + retryInterval;
+    m_nextAction = step.now + retryDelay;
 }
 
-void ZoneRole::acquire(TimePoint sentAt, Step& step)
+void ZoneRole::onRoleAcquired(TimePoint sentAt, Step& step)
 {
     m_owner.holder = m_settings.host.value();
     m_owner.incarnation = m_settings.incarnation;
     m_owner.isReleased = false;
     m_phase = Phase::Held;
-    m_lastRenewalSent = sentAt;
+    m_lastRenewalSentAt = sentAt;
     m_nextAction = step.now - sentAt >= roleRenewalInterval ? step.now : sentAt + roleRenewalInterval;
     step.record(
         "role.acquired", { { "zone", m_settings.zone.value() }, { "token", std::to_string(m_owner.token) } });
 }
 
-void ZoneRole::lose(const std::string& reason, Step& step)
+void ZoneRole::onRoleLost(const std::string& reason, Step& step)
 {
     m_phase = Phase::Standby;
     m_hasObserved = false;
@@ -348,7 +348,7 @@
             { "reason", reason } });
 }
 
-bool ZoneRole::isOwn(const Owner& owner) const
+bool ZoneRole::isThisDaemon(const Owner& owner) const
 {
     return owner.holder == m_settings.host.value() && owner.incarnation == m_settings.incarnation;
 }
--- a/src/role/zone_role.h
+++ b/src/role/zone_role.h
@@ -12,12 +12,12 @@
 
 constexpr Milliseconds roleRenewalInterval { 1'000 };
 // A standby takes over after it has seen the owner and heartbeat rows unchanged for this long.
-constexpr Milliseconds roleLapse { 4'000 };
+constexpr Milliseconds roleExpiryTimeout { 4'000 };
 // The holder stops using the role this long after it sent its last successful renewal. Shorter than the
 // expiry time, so that the holder has stopped before a standby takes over.
-constexpr Milliseconds roleActingTime { 3'000 };
+constexpr Milliseconds roleUseTimeout { 3'000 };
 // The platform counts as unreachable after this long without a reply.
-constexpr Milliseconds platformSilence { 4'000 };
+constexpr Milliseconds platformSilenceTimeout { 4'000 };
 
 // The lease of a zone's role, kept in two rows of the table: the owner row with the holder and its fencing
 // token, and the heartbeat row, which the holder renews. Standbys take over when the lease expires; the
@@ -32,7 +32,7 @@
 
     // Releases the role, so that a standby takes over without waiting for the lease to expire. The daemon
     // does not acquire the role again. isReleased() becomes true when the release is complete, or after
-    // roleActingTime if the table is unreachable.
+    // roleUseTimeout if the table is unreachable.
     void release(Step&);
     bool isReleased() const { return m_phase == Phase::Released; }
 
@@ -59,16 +59,16 @@
     void sendRelease(Step&);
     void finishRelease(Step&);
 
-    void readReplied(const TableReply&, Step&);
-    void takeOverReplied(const TableReply&, Step&);
-    void renewReplied(const TableReply&, Step&);
-    void releaseReplied(const TableReply&, Step&);
-    void observe(const TableReply&, Step&);
-    void standbyObserved(TimePoint readSentAt, Step&);
+    void onReadReply(const TableReply&, Step&);
+    void onTakeOverReply(const TableReply&, Step&);
+    void onRenewReply(const TableReply&, Step&);
+    void onReleaseReply(const TableReply&, Step&);
+    void recordRows(const TableReply&, Step&);
+    void takeOverOrWait(TimePoint readSentAt, Step&);
 
-    void acquire(TimePoint sentAt, Step&);
-    void lose(const std::string& reason, Step&);
-    bool isOwn(const Owner&) const;
+    void onRoleAcquired(TimePoint sentAt, Step&);
+    void onRoleLost(const std::string& reason, Step&);
+    bool isThisDaemon(const Owner&) const;
     std::string ownerValue(FencingToken, bool isReleased) const;
     std::string heartbeatValue();
     Milliseconds randomDelay(Step&) const;
@@ -91,14 +91,14 @@
     RowVersion m_ownerVersion = 0;
     RowVersion m_heartbeatVersion = 0;
     std::uint64_t m_heartbeatSequence = 0; // sequence of this daemon's last write
-    std::uint64_t m_heartbeatSeen = 0; // sequence in the row as last read; 0 if another daemon wrote it
+    std::uint64_t m_observedHeartbeatSequence = 0; // as last read; 0 if another daemon wrote the row
     TimePoint m_unconfirmedSentAt {}; // send time of the last write with an unknown result
     TimePoint m_unchangedSince {}; // time of the first read that returned both rows in their current versions
     bool m_hasObserved = false;
-    Milliseconds m_extraDelay { 0 };
+    Milliseconds m_takeOverDelay { 0 };
 
-    TimePoint m_lastRenewalSent {};
-    TimePoint m_lastAnswer {};
+    TimePoint m_lastRenewalSentAt {};
+    TimePoint m_lastReplyAt {};
 };
 
 } // namespace anvilmoor
--- a/test/zone_role_test.cpp
+++ b/test/zone_role_test.cpp
@@ -20,20 +20,20 @@
 
 class ZoneRoleTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ZoneRoleTest);
-    CPPUNIT_TEST(testPausedHolderIsReplacedAndWakesAsStandby);
-    CPPUNIT_TEST(testTakeOverWithLostAnswerIsFoundByReading);
-    CPPUNIT_TEST(testTakeOverThatTakesEffectLateGivesOneHolder);
-    CPPUNIT_TEST(testRenewalsWithLostAnswersKeepTheRole);
+    CPPUNIT_TEST(testHolderPausedBeyondExpiryResumesAsStandby);
+    CPPUNIT_TEST(testTakeOverWithLostReplyIsDetectedByRead);
+    CPPUNIT_TEST(testDelayedTakeOverWriteGivesOneHolder);
+    CPPUNIT_TEST(testHolderKeepsRoleIfRenewalRepliesAreLost);
     CPPUNIT_TEST(testHolderStopsActingThreeSecondsAfterItSentItsLastRenewal);
-    CPPUNIT_TEST(testReleasedRoleIsTakenBeforeTheLapse);
-    CPPUNIT_TEST(testReleaseWithTableDownEnds);
+    CPPUNIT_TEST(testReleasedRoleIsTakenOverBeforeExpiry);
+    CPPUNIT_TEST(testReleaseCompletesIfTableIsUnreachable);
     CPPUNIT_TEST(testCaretakerOnlyWhilePlatformAndHolderAreUnreachable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against a holder that, after a pause longer than its lease, still uses a role that another
     // daemon has taken over, or regains it without a takeover.
-    void testPausedHolderIsReplacedAndWakesAsStandby()
+    void testHolderPausedBeyondExpiryResumesAsStandby()
     {
         ZoneSimulation zone(2);
         zone.run(Milliseconds(3'000));
@@ -53,39 +53,39 @@
 
     // Guards against a role that stays unused because the reply to the takeover was lost and the daemon does
     // not notice that it holds the role.
-    void testTakeOverWithLostAnswerIsFoundByReading()
+    void testTakeOverWithLostReplyIsDetectedByRead()
     {
         ZoneSimulation zone(1);
-        int lost = 0;
+        int ownerRowWrites = 0;
         zone.writeFault = [&](std::size_t, const TableTransaction& write) {
-            return writesOwnerRow(write) && ++lost == 1 ? Fault::LoseReply : Fault::None;
+            return writesOwnerRow(write) && ++ownerRowWrites == 1 ? Fault::LoseReply : Fault::None;
         };
         zone.run(Milliseconds(3'000));
-        CPPUNIT_ASSERT_EQUAL(1, lost);
+        CPPUNIT_ASSERT_EQUAL(1, ownerRowWrites);
         CPPUNIT_ASSERT_EQUAL(FencingToken(1), tokenOf(zone, 0));
     }
 
     // Guards against two holders, or a token that increases twice, when a takeover takes effect only after
     // the daemon has read the rows again.
-    void testTakeOverThatTakesEffectLateGivesOneHolder()
+    void testDelayedTakeOverWriteGivesOneHolder()
     {
         ZoneSimulation zone(2);
-        int lost = 0;
+        int ownerRowWrites = 0;
         zone.writeFault = [&](std::size_t, const TableTransaction& write) {
-            return writesOwnerRow(write) && ++lost <= 2 ? Fault::LoseRequest : Fault::None;
+            return writesOwnerRow(write) && ++ownerRowWrites <= 2 ? Fault::LoseRequest : Fault::None;
         };
         for (int i = 0; i < 200; ++i) {
             zone.tick();
-            const bool areBoth
+            const bool doBothHoldRole
                 = zone.daemons[0]->role->held(zone.now) && zone.daemons[1]->role->held(zone.now);
-            CPPUNIT_ASSERT(!areBoth);
+            CPPUNIT_ASSERT(!doBothHoldRole);
         }
         CPPUNIT_ASSERT(zone.holder());
         CPPUNIT_ASSERT_EQUAL(FencingToken(1), tokenOf(zone, *zone.holder()));
     }
 
     // Guards against a holder that loses the role although only the replies to its renewals are lost.
-    void testRenewalsWithLostAnswersKeepTheRole()
+    void testHolderKeepsRoleIfRenewalRepliesAreLost()
     {
         ZoneSimulation zone(2);
         zone.run(Milliseconds(2'000));
@@ -98,8 +98,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), zone.countRecords("role.acquired"));
     }
 
-    // Guards against an acting time that starts at the reply instead of the send time: after a slow reply,
-    // the holder would still act when the lease has expired.
+    // Guards against a role use time-out that starts at the reply instead of the send time: after a slow
+    // reply, the holder would still act when the lease has expired.
     void testHolderStopsActingThreeSecondsAfterItSentItsLastRenewal()
     {
         FakePeers peers;
@@ -108,7 +108,7 @@
         standin::TableStore table;
         std::vector<Effect> effects;
         Event event { TimePoint(Milliseconds(1'000)), {}, 0, 1, Started {} };
-        const auto answer = [&](TimePoint when) {
+        const auto replyAt = [&](TimePoint when) {
             const auto* read = std::get_if<ReadTable>(&effects.back());
             const auto* write = std::get_if<ExecuteTransaction>(&effects.back());
             CPPUNIT_ASSERT(read || write);
@@ -124,16 +124,16 @@
         event.now += Milliseconds(600);
         Step ticked(event, effects);
         role.handle(Tick {}, ticked);
-        const TimePoint sent = event.now;
-        answer(sent); // replies to the read; the takeover is sent at once
-        answer(sent + Milliseconds(2'900));
-        CPPUNIT_ASSERT(role.held(sent + Milliseconds(3'000)));
-        CPPUNIT_ASSERT(!role.held(sent + Milliseconds(3'001)));
+        const TimePoint sentAt = event.now;
+        replyAt(sentAt); // replies to the read; the takeover is sent at once
+        replyAt(sentAt + Milliseconds(2'900));
+        CPPUNIT_ASSERT(role.held(sentAt + Milliseconds(3'000)));
+        CPPUNIT_ASSERT(!role.held(sentAt + Milliseconds(3'001)));
     }
 
     // Guards against a planned shutdown that leaves the zone without a holder until the lease expires, also
     // if the reply to the release is lost.
-    void testReleasedRoleIsTakenBeforeTheLapse()
+    void testReleasedRoleIsTakenOverBeforeExpiry()
     {
         ZoneSimulation zone(2);
         zone.run(Milliseconds(3'000));
@@ -161,7 +161,7 @@
     }
 
     // Guards against a daemon that never stops because the table is unreachable.
-    void testReleaseWithTableDownEnds()
+    void testReleaseCompletesIfTableIsUnreachable()
     {
         ZoneSimulation zone(1);
         zone.run(Milliseconds(2'000));
