Reword comments in include/anvilmoor

Doc comments used pronouns and verbs such as ends with, comes, lags, asks and tells. They now say what an event or effect means, which reply an effect results in and what a special value such as 0 stands for.

--- a/include/anvilmoor/configuration.h
+++ b/include/anvilmoor/configuration.h
@@ -40,7 +40,7 @@
     NoiseProfile noise;
 };
 
-// Racks of a zone are listed in the order in which they stand: neighbours in the list are adjacent.
+// Racks of a zone are listed in their physical order: racks next to each other in the list are adjacent.
 struct RackConfiguration {
     RackId id;
     std::vector<WorkerConfiguration> workers;
@@ -68,22 +68,22 @@
     std::vector<OperationConfiguration> operations;
 };
 
-// A shape of adjacent accelerators that the account can claim at any moment.
+// A shape of adjacent accelerators that the client account can claim at any time.
 struct GuaranteeConfiguration {
     std::string name;
     AvailabilityZoneId zone;
     int accelerators = 0; // adjacent: in one rack up to its size, in consecutive racks above
-    int count = 1; // how many such shapes may be held at once
+    int count = 1; // maximum number of these shapes held at once
 };
 
 struct ClientAccountConfiguration {
     ClientAccountId id;
     double share = 1; // weight among accounts when requests or borrowed accelerators are scarce
-    int acceleratorQuota = 0; // most accelerators held at once in all zones, guaranteed and borrowed
+    int acceleratorQuota = 0; // maximum held at once in all zones, guaranteed and borrowed together
     std::vector<GuaranteeConfiguration> guarantees;
 };
 
-// What operators declare, checked and merged from base file and overlays.
+// The operators' declaration, merged from the base file and overlays and validated.
 struct Configuration {
     ConfigurationVersion version = 0;
     std::string deployment;
--- a/include/anvilmoor/effect.h
+++ b/include/anvilmoor/effect.h
@@ -16,7 +16,7 @@
     RequestAnswer answer;
 };
 
-// Ends with EndpointAnswered or EndpointFailed for the call, at the latest after timeout.
+// Results in EndpointAnswered or EndpointFailed for the call, at the latest after the time-out.
 struct CallEndpoint {
     CallId call = 0;
     EndpointId endpoint;
@@ -26,52 +26,52 @@
     Milliseconds timeout { 0 };
 };
 
-// Drops the call; no event follows.
+// Cancels the call; no event for it follows.
 struct CancelEndpointCall {
     CallId call = 0;
 };
 
-// Ends with TableReplied.
+// Results in TableReplied.
 struct ExecuteTransaction {
     OperationId operation;
     TableTransaction transaction;
 };
 
-// Ends with TableReplied.
+// Results in TableReplied.
 struct ReadTable {
     OperationId operation;
     TableRead read;
 };
 
-// Ends with ObjectReplied.
+// Results in ObjectReplied.
 struct PutObject {
     OperationId operation;
     std::string key;
     std::string value;
 };
 
-// Ends with ObjectReplied.
+// Results in ObjectReplied.
 struct GetObject {
     OperationId operation;
     std::string key;
 };
 
-// Ends with ObjectReplied. An object that does not exist counts as deleted.
+// Results in ObjectReplied. Deleting an object that does not exist succeeds.
 struct DeleteObject {
     OperationId operation;
     std::string key;
 };
 
-// Ends with RackSynced or RackSyncFailed. The rack answers at a change, or after wait.
+// Results in RackSynced or RackSyncFailed. The rack replies at the first change, or after `wait`.
 struct SyncRack {
     RackId rack;
-    FencingToken token = 0; // 0: caretaker, renews leases only
-    std::uint64_t since = 0; // 0: report everything
+    FencingToken token = 0; // 0: the sender is a caretaker, which only renews leases
+    std::uint64_t since = 0; // report changes after this sequence number; 0: report everything
     Milliseconds wait { 0 };
     std::vector<LeaseRenewal> renewals;
 };
 
-// Ends with WorkerReplied.
+// Results in WorkerReplied.
 struct SendWorkerCommand {
     OperationId operation;
     WorkerId worker;
@@ -87,17 +87,17 @@
     PeerMessage message;
 };
 
-// Why an operator's or submitter's call was not carried out.
+// Why a call of an operator or job submitter was refused.
 enum class RefusalKind { Invalid, NotFound, Conflict, Unavailable, Unknown };
 
 struct Refusal {
     RefusalKind kind = RefusalKind::Invalid;
-    std::vector<std::string> reasons; // each names the field and what to do
+    std::vector<std::string> reasons; // each names the field and how to correct it
 };
 
 struct JobsAnswer {
     std::vector<JobStatus> jobs;
-    bool isSingle = false; // the answer to a call about one job
+    bool isSingle = false; // answers a call about one job, not a list
 };
 
 struct ConfigurationAnswer {
@@ -110,10 +110,10 @@
     AvailabilityZoneId zone;
     bool isReachable = false;
     bool isReady = false;
-    ConfigurationVersion configurationVersion = 0; // in force there
+    ConfigurationVersion configurationVersion = 0; // in force at the peer
     FencingToken heldToken = 0;
     ZoneSummary summary;
-    ConfigurationVersion knownConfigurationVersion = 0; // held there, in force or not
+    ConfigurationVersion knownConfigurationVersion = 0; // highest version held by the peer, in force or not
 };
 
 enum class EndpointState { Live, Suspect, Leaving, Lost };
@@ -127,33 +127,33 @@
 struct SiteAnswer {
     HostId host;
     ConfigurationVersion configurationVersion = 0;
-    std::vector<PeerStatus> hosts; // this daemon and every peer of its settings
+    std::vector<PeerStatus> hosts; // this daemon and all peers in its settings
     std::vector<EndpointStatus> endpoints;
     double noiseDb = 0; // estimate for this daemon's zone, if it holds the role
-    double noiseLimitDb = 0; // 0: no limit now
+    double noiseLimitDb = 0; // 0: no limit applies now
 };
 
 struct DrainAnswer {
     std::uint64_t version = 0;
 };
 
-// Answers every call but requests to services.
+// Answers calls of operators and job submitters. Requests to services get AnswerRequest.
 struct AnswerOperator {
     CallerHandle caller = 0;
     std::variant<Refusal, JobsAnswer, ConfigurationAnswer, SiteAnswer, DrainAnswer> answer;
 };
 
-// The daemon may serve, or must not.
+// Sets whether the daemon reports itself ready to serve.
 struct SetReadiness {
     bool isReady = false;
 };
 
-// Tells the adapters which workers, racks and endpoints exist in a configuration newly put in force.
+// A new configuration is in force; the adapters update their sets of workers, racks and endpoints.
 struct ConfigurationAdopted {
     ConfigurationVersion version = 0;
 };
 
-// One line of the event time line.
+// One entry of the event log.
 struct RecordEvent {
     std::string name; // dotted, for example "job.running"
     std::vector<std::pair<std::string, std::string>> fields; // job, request, worker, zone, detail...
--- a/include/anvilmoor/event.h
+++ b/include/anvilmoor/event.h
@@ -25,14 +25,14 @@
     auto operator<=>(const OperationId&) const = default;
 };
 
-// The first event of a daemon.
+// The first event after the daemon starts.
 struct Started { };
 
-// Comes every tickInterval.
+// Occurs every tickInterval.
 struct Tick { };
 constexpr Milliseconds tickInterval { 50 };
 
-// SIGTERM: finish what is in flight, then stop.
+// SIGTERM was received: finish the work in flight, then stop.
 struct ShutdownRequested { };
 
 // --- callers
@@ -40,31 +40,31 @@
 struct RequestReceived {
     CallerHandle caller = 0;
     RequestIdentity identity; // key may be empty for idempotent operations
-    std::string callerName; // who inside the account asks, for fairness between callers
+    std::string callerName; // the caller within the account, for fairness between callers
     ServiceId service;
     std::string operation;
     std::optional<WallTime> issuedAt;
-    Milliseconds deadline { 0 }; // from now; 0: the operation's default
+    Milliseconds deadline { 0 }; // relative to now; 0: default of the operation
     std::string body;
-    // The caller states that it has sent no copy of the request before, and sends none until this one is
-    // answered. Only then may a daemon that could not read the record say "not run".
+    // The caller guarantees that it has sent no earlier copy of the request and sends no other one until this
+    // one is answered. Only then may a daemon that could not read the request's record answer "not run".
     bool isFirstCopy = false;
 };
 
-// The caller asks again for the outcome of an earlier request.
+// The caller asks for the outcome of an earlier request.
 struct RequestQueried {
     CallerHandle caller = 0;
     RequestIdentity identity;
 };
 
-// The caller's connection closed. Its answer, if any comes, is only recorded.
+// The caller's connection closed. The answer to its request, if any, is recorded but not sent.
 struct CallerGone {
     CallerHandle caller = 0;
 };
 
 struct JobSubmitted {
     CallerHandle caller = 0;
-    JobSpecification specification; // id empty; zone empty: any
+    JobSpecification specification; // id is empty; an empty zone means any zone
 };
 
 struct JobQueried {
@@ -87,7 +87,7 @@
 struct ConfigurationSubmitted {
     CallerHandle caller = 0;
     std::string document; // canonical JSON of base and overlays
-    ConfigurationVersion expectedVersion = 0; // the version that the operator's change starts from
+    ConfigurationVersion expectedVersion = 0; // the version that the operator's change is based on
 };
 
 struct ConfigurationQueried {
@@ -97,7 +97,7 @@
 struct DrainRequested {
     CallerHandle caller = 0;
     EndpointId endpoint;
-    bool isLeaving = true; // false: take a drain back
+    bool isLeaving = true; // false: cancel a drain
 };
 
 struct SiteQueried {
@@ -109,15 +109,15 @@
 
 struct EndpointAnswered {
     CallId call = 0;
-    RequestIdentity identity; // as the endpoint reports it back
+    RequestIdentity identity; // as returned by the endpoint
     std::string body;
 };
 
 enum class EndpointFailure {
     NotSent, // certain: the request did not reach the endpoint
-    RefusedBeforeExecution, // the endpoint said so
-    Lost, // sent, then silence, a closed connection, or a short or malformed answer
-    Error, // the endpoint executed it and reports failure
+    RefusedBeforeExecution, // refused by the endpoint, which did not execute it
+    Lost, // sent, then no answer, a closed connection, or a truncated or malformed answer
+    Error, // executed by the endpoint, which reports failure
 };
 
 struct EndpointFailed {
@@ -136,18 +136,18 @@
 struct ObjectReplied {
     OperationId operation;
     bool isOk = false;
-    std::string value; // of a get
+    std::string value; // of the object, for GetObject
 };
 
 enum class HostState { Live, Leaving };
 
 struct HostListEntry {
-    std::string id; // a worker's id
+    std::string id; // of a worker
     AvailabilityZoneId zone;
     HostState state = HostState::Live;
 };
 
-// A host that is missing from the list is gone. The list lags.
+// A host that is not in the list has been removed. The list may be out of date.
 struct HostListReceived {
     std::vector<HostListEntry> hosts;
 };
@@ -156,18 +156,18 @@
 
 // --- workers
 
-// Answers SyncRack. Holds every worker of the rack that changed since the sequence asked for.
+// Reply to SyncRack. Lists every worker of the rack that changed after the requested sequence number.
 struct RackSynced {
     RackId rack;
-    FencingToken token = 0; // that the sync carried
+    FencingToken token = 0; // as sent in SyncRack
     std::uint64_t sequence = 0;
-    bool isComplete = false; // true: the report lists all workers of the rack with all tasks
+    bool isComplete = false; // true: lists all workers of the rack with all their tasks
     std::vector<WorkerReport> workers;
 };
 
 struct RackSyncFailed {
     RackId rack;
-    bool isStaleToken = false; // the rack has seen a newer holder
+    bool isStaleToken = false; // the rack has seen the token of a newer holder
 };
 
 struct WorkerReplied {
@@ -193,7 +193,7 @@
     ObjectReplied, HostListReceived, HostListFailed, RackSynced, RackSyncFailed, WorkerReplied,
     PeerMessageReceived, PeerLost>;
 
-// Everything that a decision may depend on besides the state.
+// All input of a decision besides the state of the modules.
 struct Event {
     TimePoint now;
     WallTime wallTime;
--- a/include/anvilmoor/identifiers.h
+++ b/include/anvilmoor/identifiers.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor {
 
-// A name with its own type, so that a worker's name cannot be passed where a rack's is expected.
+// A strongly typed name, so that, for example, a WorkerId cannot be passed where a RackId is expected.
 template <typename Tag> class Identifier {
 public:
     Identifier() = default;
--- a/include/anvilmoor/job.h
+++ b/include/anvilmoor/job.h
@@ -9,20 +9,20 @@
 
 namespace anvilmoor {
 
-// Grows by one each time a zone's role changes hands. Workers refuse commands below the highest seen.
+// Incremented each time a zone's role gets a new holder. Workers refuse tokens below the highest seen.
 using FencingToken = std::uint64_t;
 
-// Grows by one each time a job is placed anew. Attempt 0 is before the first placement.
+// Incremented each time a job is placed. Attempt 0 means that it has not been placed yet.
 using AttemptNumber = std::uint32_t;
 
 constexpr int maxGangAccelerators = 512;
 
 enum class JobClass {
     Guaranteed, // claims a guaranteed shape of its account; evicts borrowed work
-    Borrowed, // uses what is free; may be evicted at any time
+    Borrowed, // uses free accelerators; may be evicted at any time
 };
 
-// What a submitter asks for. A job with several members is a gang: all run or none does.
+// A submitter's specification of a job. A job with several members is a gang: all members run or none does.
 struct JobSpecification {
     JobId id; // assigned by the accepting daemon
     ClientAccountId account;
@@ -32,7 +32,7 @@
     int accelerators = 0; // total over all members, 1 to maxGangAccelerators
     bool adjacent = true; // members in one rack, or in consecutive racks where one rack is too small
     int priority = 0; // 0 to 9, higher first
-    Milliseconds declaredRunTime { 0 }; // an estimate; it may be far off
+    Milliseconds declaredRunTime { 0 }; // an estimate, which may be inaccurate
 };
 
 enum class JobState {
@@ -58,7 +58,7 @@
     AttemptNumber attempt = 0;
     FencingToken token = 0; // of the holder that committed the placement
     std::vector<GangMember> members; // empty unless placed or running
-    std::string reason; // of a failure, or why a queued job waits
+    std::string reason; // why the job failed, or why it is still queued
     Milliseconds checkpointed { 0 }; // progress saved by the last checkpoint
     WallTime submittedAt {};
     WallTime finishedAt {};
@@ -68,9 +68,9 @@
     Reserve, // hold accelerators for ttl
     Confirm, // extend a reservation to the confirm lifetime; only after the placement is committed
     Run, // start the task on confirmed accelerators
-    Release, // drop a reservation or stop the task at once
+    Release, // cancel a reservation or stop the task at once
     Checkpoint, // save progress to the object store, then stop and release
-    Throttle, // reduce or restore the task's rate
+    Throttle, // reduce or restore the task's speed
     Stop, // stop the task and release its accelerators
 };
 
@@ -82,7 +82,7 @@
     AttemptNumber attempt = 0;
     int accelerators = 0;
     Milliseconds ttl { 0 }; // Reserve: lifetime; Checkpoint: grace until the worker stops the task
-    Milliseconds runTime { 0 }; // Run: declared run time left, for the stand-in and for reports
+    Milliseconds runTime { 0 }; // Run: remaining declared run time, for the stand-in and for reports
     bool throttled = false; // Throttle
 };
 
@@ -90,8 +90,8 @@
     Ok,
     StaleToken, // a newer holder exists
     NoCapacity,
-    UnknownTask, // the reservation or task has lapsed or never was
-    Failed, // the worker tried and failed
+    UnknownTask, // the reservation or task has expired or never existed
+    Failed, // the worker tried to execute the command and failed
     Unreachable, // no answer; the command may have taken effect
 };
 
@@ -104,7 +104,7 @@
     Failed,
 };
 
-// One task as its worker reports it. Usage lags.
+// One task as reported by its worker. The report may be out of date.
 struct TaskReport {
     JobId job;
     AttemptNumber attempt = 0;
@@ -121,7 +121,7 @@
     std::vector<TaskReport> tasks;
 };
 
-// A task lease that the syncing daemon renews: every member of the gang was seen.
+// A task lease to be renewed by a rack sync, because all members of the gang have been reported.
 struct LeaseRenewal {
     JobId job;
     AttemptNumber attempt = 0;
--- a/include/anvilmoor/peer_message.h
+++ b/include/anvilmoor/peer_message.h
@@ -12,15 +12,15 @@
 
 namespace anvilmoor {
 
-// What a zone offers, as its role holder last saw it.
+// Capacity and load of a zone, as last known to its role holder.
 struct ZoneSummary {
     int freeAccelerators = 0;
-    int largestFreeShape = 0; // most adjacent accelerators that a borrowed job could have now
+    int largestFreeShape = 0; // largest adjacent shape available to a borrowed job now
     int queuedJobs = 0;
     int runningTasks = 0;
 };
 
-// Sent to every peer at each heartbeat interval.
+// Sent to all peers once per heartbeat interval.
 struct PeerHeartbeat {
     HostId host;
     AvailabilityZoneId zone;
@@ -29,31 +29,31 @@
     bool isStopping = false;
     ConfigurationVersion configurationVersion = 0; // in force at the sender
     std::uint64_t drainVersion = 0;
-    FencingToken heldToken = 0; // 0: does not hold its zone's role
-    ZoneSummary summary; // meaningful only with a held token
-    // The highest version that the sender holds a document of, in force or not. 0 from an earlier release.
+    FencingToken heldToken = 0; // 0: the sender does not hold the role of its zone
+    ZoneSummary summary; // valid only if heldToken is not 0
+    // The highest version whose document the sender holds, in force or not. 0 if sent by an earlier release.
     ConfigurationVersion knownConfigurationVersion = 0;
 };
 
-// The highest version that the sender of the heartbeat holds, also of an earlier release.
+// The highest version that the sender of the heartbeat holds. Also valid if it runs an earlier release.
 inline ConfigurationVersion heldConfigurationVersion(const PeerHeartbeat& heartbeat)
 {
     return std::max(heartbeat.knownConfigurationVersion, heartbeat.configurationVersion);
 }
 
-// A whole configuration, as committed.
+// A complete committed configuration.
 struct ConfigurationPush {
     ConfigurationVersion version = 0;
     std::string document; // canonical JSON
 };
 
-// All endpoints that operators have asked to drain.
+// All endpoints that operators have requested to drain.
 struct DrainPush {
     std::uint64_t version = 0;
     std::vector<EndpointId> endpoints;
 };
 
-// Tells the holder of a zone's role that a job row or a cancellation was written.
+// Notifies the holder of a zone's role that a job row or a cancellation was written.
 struct JobNotice {
     AvailabilityZoneId zone;
     JobId job;
@@ -68,7 +68,7 @@
 struct RequestLookupAnswer {
     std::uint64_t lookup = 0;
     bool isKnown = false; // false: this daemon does not know the request
-    bool isFinished = false; // false: still in flight there
+    bool isFinished = false; // false: still in flight at this daemon
     RequestAnswer answer;
 };
 
--- a/include/anvilmoor/request.h
+++ b/include/anvilmoor/request.h
@@ -10,7 +10,7 @@
 
 namespace anvilmoor {
 
-// The caller's own name for a request; a copy of the request carries the same one.
+// Identifies a request of a client account; all copies of the request have the same identity.
 struct RequestIdentity {
     ClientAccountId account;
     std::string key;
@@ -20,30 +20,30 @@
 
 enum class RequestOutcome {
     Done, // the endpoint answered
-    NotRun, // certain: no endpoint executed it, nor any earlier copy of it
-    Unknown, // sent, and no answer came; the caller may ask again
-    Refused, // malformed, or the same key came with another body; nothing was sent for this copy
+    NotRun, // certain: no endpoint executed the request or any earlier copy of it
+    Unknown, // sent without getting an answer; the caller may query the outcome later
+    Refused, // malformed, or its key was already used with another body; this copy was not sent
 };
 
-// The name in headers, records and logs: "done", "not_run", "unknown" or "refused".
+// The name used in headers, records and logs: "done", "not_run", "unknown" or "refused".
 std::string_view nameOf(RequestOutcome);
 
 struct RequestAnswer {
     RequestOutcome outcome = RequestOutcome::Unknown;
-    std::string body; // Done: the endpoint's whole answer
-    std::string reason; // otherwise: why, and what the caller can do
+    std::string body; // Done: the complete answer of the endpoint
+    std::string reason; // other outcomes: the cause, and what the caller can do
     Milliseconds retryAfter { 0 }; // 0: no hint
-    bool isFromRecord = false; // answered from an earlier copy's record
+    bool isFromRecord = false; // taken from the record of an earlier copy
     bool isConflict = false; // Refused: another request has the same key
 };
 
-// Numbers a call to an endpoint; unique within one incarnation of a daemon.
+// Identifies a call to an endpoint; unique within one incarnation of a daemon.
 using CallId = std::uint64_t;
 
-// Names the caller's open HTTP exchange inside one daemon.
+// Identifies the caller's open HTTP exchange within one daemon.
 using CallerHandle = std::uint64_t;
 
-// "Not run" speaks of the request, not of one copy. Without the record, an earlier copy may have run.
+// Turns NotRun into Unknown, because an earlier copy may have run if the request's record cannot be read.
 inline RequestAnswer withoutRecord(RequestAnswer answer)
 {
     if (answer.outcome != RequestOutcome::NotRun)
--- a/include/anvilmoor/table.h
+++ b/include/anvilmoor/table.h
@@ -7,7 +7,7 @@
 
 namespace anvilmoor {
 
-// The version of a row grows with each write. Version 0 stands for an absent row.
+// The version of a row increases with each write. Version 0 denotes an absent row.
 using RowVersion = std::uint64_t;
 
 struct TableRow {
@@ -16,7 +16,7 @@
     std::string value;
 };
 
-// Holds if the row's version is exactly this one.
+// Holds if the current version of the row equals `version`.
 struct TableCondition {
     std::string key;
     RowVersion version = 0;
@@ -24,10 +24,10 @@
 
 struct TableWrite {
     std::string key;
-    std::optional<std::string> value; // empty: delete the row
+    std::optional<std::string> value; // nullopt: delete the row
 };
 
-// All writes take effect together if all conditions hold; otherwise none does.
+// Applies all writes atomically if all conditions hold; otherwise applies none.
 struct TableTransaction {
     std::vector<TableCondition> conditions;
     std::vector<TableWrite> writes;
@@ -42,13 +42,13 @@
     Ok, // committed, or read
     Conflict, // a condition did not hold; nothing was written
     Unavailable, // certain that nothing was written
-    Unknown, // no answer: the write may have taken effect, now or later
+    Unknown, // no reply: the write may have taken effect or may still do so
 };
 
 struct TableReply {
     TableStatus status = TableStatus::Unknown;
-    // A read: the rows found. A conflict: the current rows of the failed conditions, absent ones with
-    // version 0. A commit: the written rows with their new versions and empty values.
+    // After a read: the rows found. After a conflict: the current rows of the failed conditions, absent ones
+    // with version 0. After a commit: the written rows with their new versions and empty values.
     std::vector<TableRow> rows;
 };
 
--- a/include/anvilmoor/time.h
+++ b/include/anvilmoor/time.h
@@ -8,8 +8,8 @@
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
-// Tag of the monotonic clock whose readings arrive inside events. It has no now(): decision modules
-// never read a clock.
+// The monotonic clock whose readings are passed in events. It has no now(), because decision modules must
+// not read a clock.
 struct EventClock {
     using rep = std::int64_t;
     using period = std::milli;
@@ -22,7 +22,7 @@
 // Monotonic time since an arbitrary start, in ms. Not comparable between processes.
 using TimePoint = EventClock::time_point;
 
-// Milliseconds since the Unix epoch, UTC. For people and for record retention, never for safety.
+// Milliseconds since the Unix epoch, UTC. For display and record retention only; safety never depends on it.
 using WallTime = std::chrono::sys_time<Milliseconds>;
 
 // Local time of a room as seconds since Monday 00:00, in [0, 604800).
