Reword comments in src/core and src/reducer

Pronouns and figurative verbs (sees, learns, hands, gives up, twin) give way to the terms of the interfaces. The comments name the modules' shared operation ids, the order of shutdown and the replaceable policies in full sentences.

--- a/src/core/step.h
+++ b/src/core/step.h
@@ -12,7 +12,7 @@
 
 namespace anvilmoor {
 
-// What a decision module sees of the event at hand, and where its effects go.
+// Context of a decision module for one event: its times, its random numbers and the output of effects.
 class Step {
 public:
     Step(const Event& event, std::vector<Effect>& effects)
@@ -31,8 +31,8 @@
         m_effects.push_back(RecordEvent { std::string(name), { fields.begin(), fields.end() } });
     }
 
-    // Derives as many random values as needed from the event's one (splitmix64), so that a replay of
-    // the same events draws the same values.
+    // Derives any number of random values from the random value of the event (splitmix64), so that a replay
+    // of the same events yields the same values.
     std::uint64_t random()
     {
         m_randomState += 0x9e3779b97f4a7c15ULL;
--- a/src/core/table_rows.h
+++ b/src/core/table_rows.h
@@ -7,14 +7,14 @@
 
 namespace anvilmoor {
 
-// Null if the reply does not hold the row. A row of version 0 is absent from the table.
+// Null if the reply does not contain the row. A returned row of version 0 is absent from the table.
 inline const TableRow* findRow(const TableReply& reply, std::string_view key)
 {
     const auto found = std::ranges::find(reply.rows, key, &TableRow::key);
     return found == reply.rows.end() ? nullptr : &*found;
 }
 
-// Null also for a row that is absent from the table.
+// Null if the reply does not contain the row or if the row is absent from the table.
 inline const TableRow* findPresentRow(const TableReply& reply, std::string_view key)
 {
     const TableRow* row = findRow(reply, key);
--- a/src/core/views.h
+++ b/src/core/views.h
@@ -13,18 +13,18 @@
 
 namespace anvilmoor {
 
-// Read-only views through which decision modules see each other's state. The owner of the state
-// implements the view; users get it through their constructor.
+// Read-only interfaces through which decision modules access each other's state. The module that owns the
+// state implements the interface; other modules receive it in their constructors.
 
 class ConfigurationView {
 public:
     virtual ~ConfigurationView() = default;
 
-    // The configuration in force; null before the first one is adopted.
+    // The configuration in force. Null until the first one is adopted.
     virtual const Configuration* current() const = 0;
 };
 
-// One endpoint of a service, as membership sees it.
+// One endpoint of a service, with its state as determined by the membership module.
 struct EndpointRecord {
     EndpointId id;
     ServiceId service;
@@ -37,11 +37,11 @@
 public:
     virtual ~EndpointDirectory() = default;
 
-    // All endpoints of a service in configuration order, whatever their state. Valid until the next
-    // event. Empty for an unknown service.
+    // All endpoints of a service, in any state, in configuration order. Valid until the next event. Empty
+    // for an unknown service.
     virtual std::span<const EndpointRecord> endpoints(const ServiceId&) const = 0;
 
-    // Lost for an unknown worker.
+    // EndpointState::Lost for an unknown worker.
     virtual EndpointState workerState(const WorkerId&) const = 0;
 
     // Changes whenever endpoints are added, removed or reordered, not when their states change.
@@ -52,32 +52,32 @@
 public:
     virtual ~PeerDirectory() = default;
 
-    // Every peer of the settings, without this daemon.
+    // All peers in the settings, excluding this daemon.
     virtual std::span<const PeerStatus> peers() const = 0;
 };
 
 // The zone role as held by this daemon.
 struct HeldRole {
     FencingToken token = 0;
-    RowVersion ownerVersion = 0; // condition for every table write of the holder
+    RowVersion ownerVersion = 0; // version condition of every table write by the holder
 };
 
 class RoleView {
 public:
     virtual ~RoleView() = default;
 
-    // Empty if this daemon does not hold its zone's role, or its last renewal is too old to act on.
+    // Empty if this daemon does not hold its zone's role or if its last renewal is too old to rely on.
     virtual std::optional<HeldRole> held(TimePoint now) const = 0;
 
     // The table key of the zone's owner row.
     virtual const std::string& ownerKey() const = 0;
 
     // True if neither this daemon nor a reachable peer holds the zone's role and the platform is
-    // unreachable: this daemon then renews task leases, and nothing else.
+    // unreachable. The daemon then only renews task leases.
     virtual bool isCaretaker(TimePoint now) const = 0;
 };
 
-// What a process learns from its flags and environment.
+// Settings of a daemon process, from its flags and environment. PeerSetting describes one of its peers.
 struct PeerSetting {
     HostId host;
     AvailabilityZoneId zone;
@@ -86,7 +86,7 @@
 struct DaemonSettings {
     HostId host;
     AvailabilityZoneId zone;
-    std::vector<PeerSetting> peers; // without this daemon
+    std::vector<PeerSetting> peers; // excluding this daemon
     std::uint64_t incarnation = 0; // drawn at random at each start
 };
 
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -44,7 +44,7 @@
 {
 }
 
-// Hands each kind of event to the modules that it concerns.
+// Passes each type of event to the modules that handle it.
 struct Reducer::Dispatcher {
     Reducer& reducer;
     Step& step;
@@ -91,7 +91,7 @@
     void operator()(const ObjectReplied& event)
     {
         if (event.operation.module == ModuleId::Requests) {
-            // Each ignores replies to the other.
+            // Both use this module id. Each ignores replies to operations of the other.
             reducer.m_sweeper.handle(event, step);
             reducer.m_requests.handle(event, step);
         } else if (event.operation.module == ModuleId::Jobs)
@@ -131,7 +131,7 @@
 {
     m_membership.onConfigurationAdopted(step);
     m_jobs.onConfigurationAdopted(step);
-    // The others learn the version from the next heartbeat at the latest.
+    // Announces the new version to all peers at once rather than at the next heartbeat interval.
     sendHeartbeat(step);
 }
 
@@ -160,7 +160,7 @@
         m_membership.handle(event, step);
         break;
     case ModuleId::Requests:
-        // Each ignores replies to the other.
+        // Both use this module id. Each ignores replies to operations of the other.
         m_sweeper.handle(event, step);
         m_requests.handle(event, step);
         break;
@@ -252,8 +252,8 @@
     sendHeartbeat(step);
 }
 
-// Requests and job starts in flight end first; then the zone role is given up, so that a standby takes
-// over at once rather than after the lease.
+// Waits until no request, job start or configuration write is in flight, then releases the zone role, so that
+// a standby takes over at once instead of after the lease expires.
 void Reducer::continueShutdown(Step& step)
 {
     if (!m_requests.isIdle() || !m_jobs.isIdle() || !m_configuration.isIdle())
--- a/src/reducer/reducer.h
+++ b/src/reducer/reducer.h
@@ -22,31 +22,31 @@
 
 namespace anvilmoor {
 
-// The policies that vary. Each has a naive twin, which tests and measurements put in its place.
+// The replaceable policies. Each has a naive baseline implementation, used by tests and measurements.
 struct ReducerPolicies {
     std::unique_ptr<ReclaimPolicy> reclaim;
     std::unique_ptr<PlacementPolicy> placement; // may refer to reclaim
     std::unique_ptr<NoisePolicy> noise;
     std::unique_ptr<AdmissionPolicy> admission;
-    // Routing keeps an index of the endpoints, so it is made inside the reducer.
+    // Creates the routing policy, which refers to the reducer's configuration and endpoint directory.
     std::function<std::unique_ptr<RoutingPolicy>(
         const DaemonSettings&, const ConfigurationView&, const EndpointDirectory&)>
         makeRouting;
 };
 
-// The policies that the daemon runs with.
+// The policies used by the entry daemon.
 ReducerPolicies defaultPolicies();
 
-// All decisions of one entry daemon: turns each event into effects. Does no I/O and reads no clock, so
-// equal events give equal effects. Not thread-safe; never throws on any sequence of events.
+// Makes all decisions of one entry daemon by turning each event into effects. Performs no I/O and reads no
+// clock, so that the same events always produce the same effects. Not thread-safe. No event makes it throw.
 class Reducer {
 public:
     Reducer(const DaemonSettings&, ReducerPolicies);
 
-    // Appends the effects of the event, in the order in which they are to be executed.
+    // Appends the effects of the event in the order in which they must be executed.
     void apply(const Event&, std::vector<Effect>&);
 
-    // The configuration in force; null before the first one. Valid until the next event.
+    // The configuration in force. Null until the first one is adopted. Valid until the next event.
     const Configuration* configuration() const { return m_configuration.current(); }
 
     const RequestBroker& requests() const { return m_requests; }
@@ -65,13 +65,13 @@
     void onTableReplied(const TableReplied&, Step&);
     PeerHeartbeat heartbeat(TimePoint now) const;
     void sendHeartbeat(Step&);
-    // Tells the peers of the zone at once of a version that is known and not yet in force.
+    // Announces a newly known configuration version, even if not yet in force, to the zone's peers at once.
     void announceKnownConfiguration(Step&);
     void updateReadiness(Step&);
     void continueShutdown(Step&);
     void answerSiteQuery(const SiteQueried&, Step&);
 
-    // Declared in the order in which later ones refer to earlier ones.
+    // In order of initialization: modules refer to modules declared before them.
     DaemonSettings m_settings;
     ReducerPolicies m_policies;
     PeerRegistry m_peers;
@@ -84,7 +84,7 @@
     JobScheduler m_jobs;
 
     TimePoint m_nextHeartbeat {};
-    ConfigurationVersion m_announcedConfiguration = 0; // known version in the last heartbeat
+    ConfigurationVersion m_announcedConfiguration = 0; // version known when last announced to peers
     bool m_isReady = false;
     bool m_isStopping = false;
     bool m_isStopped = false;
