--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-// Fields with these names would hide the line's own; they get the prefix "field_".
+// Members of every line. Event fields with these names get the prefix "field_", so that they do not replace
+// them.
 constexpr std::array<std::string_view, 7> reservedNames { "ts", "mono_ms", "host", "zone", "pid", "level",
     "event" };
 
@@ -123,7 +124,7 @@
 
 namespace {
 
-// Lines up to PIPE_BUF bytes are written whole if the pipe has room.
+// True if a write does not block. A line of at most PIPE_BUF bytes is then written completely.
 bool hasRoomForLine(int descriptor)
 {
     pollfd state { descriptor, POLLOUT, 0 };
@@ -144,7 +145,7 @@
         note.add("event", "log.dropped").add("lines", static_cast<std::int64_t>(dropped));
         const std::string text = note.finish();
         dropped = 0;
-        // The count is for the reader; if even this line is lost, the next loss is counted anew.
+        // The count is only informative. If this line is lost too, counting restarts at zero.
         (void)!::write(STDOUT_FILENO, text.data(), text.size());
     }
     if (::write(STDOUT_FILENO, line.data(), line.size()) < 0)
@@ -153,7 +154,8 @@
 
 void EventLog::writeToStandardError(std::string_view line)
 {
-    // A reader that stalls blocks the daemon here; a short write is finished, an error gives the line up.
+    // Blocks while the reader does not read. A partial write is completed; after an error, the line is
+    // dropped.
     while (!line.empty()) {
         const ssize_t written = ::write(STDERR_FILENO, line.data(), line.size());
         if (written <= 0)
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -17,7 +17,7 @@
 enum class LogLevel { Debug, Info, Warning, Error };
 
 std::string_view toString(LogLevel);
-// "debug", "info", "warning" or "error".
+// Accepts "debug", "info", "warning" and "error".
 std::optional<LogLevel> logLevelFrom(std::string_view);
 
 // "2026-01-02T03:04:05.678Z"
@@ -25,7 +25,8 @@
 
 using LogField = std::pair<std::string, std::string>;
 
-// Writes events as JSON lines: ts, mono_ms, host, zone, pid, level, event, then the event's own fields.
+// Writes events as JSON lines with the members ts, mono_ms, host, zone, pid, level and event, followed by the
+// fields of the event.
 class EventLog {
 public:
     struct Process {
@@ -37,23 +38,23 @@
         std::function<WallTime()> wallTime;
         std::function<TimePoint()> now;
     };
-    // Gets one whole line with its end.
+    // Receives one complete line including the line end.
     using Sink = std::function<void(std::string_view)>;
 
     EventLog(Process, LogLevel minimum, Clocks, Sink = writeToStandardError);
 
-    // Writes at most this many lines of an event's name in a second; a line "log.suppressed" then counts what
-    // was left out. Without a limit, all lines are written.
+    // Limits the lines per second and event name. The next line of that name in a later second is preceded by
+    // a "log.suppressed" line with the number of omitted lines. There is no limit by default.
     void limitLines(std::size_t perNameAndSecond) { m_linesPerSecond = perNameAndSecond; }
 
     void log(LogLevel, std::string_view event, std::span<const LogField> fields = {});
     void log(LogLevel, std::string_view event, std::initializer_list<LogField> fields);
 
-    // One write per line, so that lines of several processes on one pipe do not mix. A line that cannot be
-    // written is dropped.
+    // Writes each line with a single write call if possible, so that lines of processes that share a pipe do
+    // not interleave. Drops a line that cannot be written.
     static void writeToStandardError(std::string_view line);
-    // Never waits for the reader: a line that does not fit into the pipe is dropped, and the next line that
-    // does is preceded by one with the number of dropped lines.
+    // Never blocks: a line that does not fit into the pipe is dropped. The next line that fits is preceded by
+    // a "log.dropped" line with the number of dropped lines.
     static void writeToStandardOutput(std::string_view line);
 
 private:
--- a/src/telemetry/json_line.cpp
+++ b/src/telemetry/json_line.cpp
@@ -13,8 +13,8 @@
     return static_cast<unsigned char>(text[position]);
 }
 
-// Bytes of the UTF-8 sequence at the position; 0 if it is none. Refuses overlong forms, surrogates and
-// values above U+10FFFF.
+// Returns the length in bytes of the UTF-8 sequence at the position, or 0 if it is invalid. Overlong forms,
+// surrogates and values above U+10FFFF are invalid.
 std::size_t sequenceLength(std::string_view text, std::size_t position)
 {
     const unsigned char lead = byteAt(text, position);
--- a/src/telemetry/json_line.h
+++ b/src/telemetry/json_line.h
@@ -6,16 +6,16 @@
 
 namespace anvilmoor::telemetry {
 
-// The text as a JSON string with its quotes. Bytes that are no valid UTF-8 become U+FFFD.
+// Returns the text as a quoted JSON string. Each byte that is not part of valid UTF-8 becomes U+FFFD.
 std::string jsonString(std::string_view);
 
-// Builds one JSON object on one line, members in the order in which they are added.
+// Builds one JSON object on a single line, with its members in the order in which they are added.
 class JsonLine {
 public:
     JsonLine& add(std::string_view name, std::string_view value);
     JsonLine& add(std::string_view name, std::int64_t value);
 
-    // The object, with a line end.
+    // Returns the object followed by a line end. Must be called only once, after the last add().
     std::string finish();
 
 private:
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -75,7 +75,7 @@
         family->second.kind = kind;
         family->second.help = help;
     } else if (family->second.kind != kind) {
-        throw std::logic_error("metric " + name + " is registered with another kind");
+        throw std::logic_error("metric " + name + " is already registered as another kind of metric");
     }
     return family->second.samples[labels];
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -18,7 +18,7 @@
 class Counter {
 public:
     void add(std::uint64_t amount = 1) { m_value += amount; }
-    // For a total that is counted elsewhere. Never lowers the value.
+    // Sets the value to a total counted elsewhere, unless the value is already higher.
     void raiseTo(std::uint64_t total) { m_value = std::max(m_value, total); }
     std::uint64_t value() const { return m_value; }
 
@@ -35,14 +35,14 @@
     double m_value = 0;
 };
 
-// Estimates quantiles in constant memory.
+// Records latencies and estimates their quantiles in constant memory.
 class Latency {
 public:
     Latency();
     void record(Milliseconds);
     std::uint64_t count() const;
     double sumSeconds() const;
-    double p50Seconds() const; // 0 before the first record
+    double p50Seconds() const; // 0 before the first recorded latency
     double p99Seconds() const;
 
 private:
@@ -55,8 +55,8 @@
     Quantile m_p99;
 };
 
-// Owns the metrics of a process and prints them as a Prometheus text page. References stay valid. A name has
-// one kind; asking for it as another one throws std::logic_error.
+// Owns the metrics of a process and formats them as Prometheus text. Returned references stay valid.
+// Requesting a name as a different kind of metric than before throws std::logic_error.
 class MetricsRegistry {
 public:
     Counter& counter(const std::string& name, const std::string& help, const Labels& = {});
--- a/src/telemetry/timeline.cpp
+++ b/src/telemetry/timeline.cpp
@@ -19,7 +19,7 @@
 // The first event of each daemon process.
 constexpr std::string_view processStartEvent = "process.started";
 
-// A longer line is no line of ours.
+// Event logs contain no longer lines; longer ones are skipped without parsing.
 constexpr std::size_t maxLineBytes = 1024U * 1024U;
 
 std::optional<WallTime> parseTimestamp(const std::string& text)
@@ -95,7 +95,7 @@
     const TimelineEvent* end = nullptr;
 };
 
-// Spans by name, "job <id>" or "request <id>".
+// Returns spans by name: "job <id>" or "request <id>".
 std::map<std::string, Span> spansOf(const std::vector<TimelineEvent>& events)
 {
     std::map<std::string, Span> spans;
@@ -206,7 +206,7 @@
             { "args", { { "name", processes[i] } } } });
     for (const TimelineEvent& event : events)
         trace.push_back(instantOf(event));
-    int thread = 0; // one line per span, so that overlapping ones do not nest
+    int thread = 0; // a separate thread per span, so that viewers do not nest overlapping spans
     for (const auto& [name, span] : spansOf(events)) {
         if (!span.end || span.end == span.start)
             continue;
--- a/test/telemetry_test.cpp
+++ b/test/telemetry_test.cpp
@@ -57,7 +57,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a field that breaks the line format or replaces one of the line's own members.
+    // Guards against an event field that breaks the line format or replaces a member common to all lines.
     void testLoggedLineWithHostileFieldsIsOneJsonObject()
     {
         std::string written;
@@ -97,7 +97,8 @@
         CPPUNIT_ASSERT_EQUAL(7, note.at("lines").get<int>());
     }
 
-    // Standard output is a pipe that nobody reads. A blocked write would never return.
+    // Guards against a process that blocks on standard output when the reader of the pipe stops reading. A
+    // blocked write makes the test hang.
     void testReaderThatStopsReadingCostsLinesAndNoTime()
     {
         std::array<int, 2> ends {};
@@ -156,7 +157,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a1 a2 b1 b2 "), names(merge(timeline, { a, b })));
     }
 
-    // Host b's clock is behind, and host a's is set back while it runs.
+    // The clock of host b is slow, and the clock of host a is set back between its events.
     void testSkewedAndSteppedClocksNeverReverseAProcess()
     {
         Timeline timeline;
