--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -83,9 +83,9 @@
     for (const std::string& reason : error.reasons)
         fmt::print(m_error, "anvilmoorctl: {}\n", reason);
     if (error.code == ExitCode::Unavailable)
-        fmt::print(m_error, "Nothing was changed. Trying again is safe.\n");
+        fmt::print(m_error, "Nothing was changed. It is safe to try again.\n");
     if (error.code == ExitCode::Unknown)
-        fmt::print(m_error, "It may have taken effect. Look at the state before trying again.\n");
+        fmt::print(m_error, "The call may have taken effect. Check the state before trying again.\n");
     return error.code;
 }
 
@@ -123,7 +123,7 @@
     if (operands.size() < entry.minOperands || operands.size() > entry.maxOperands)
         return usage(fmt::format("\"{}\" got {} operands", name, operands.size()));
     if (entry.needsEntry && m_options.entries.empty())
-        return usage("name an entry host with --entry=IP:PORT or ANVILMOOR_ENTRY");
+        return usage("no entry host was given; set --entry=IP:PORT or ANVILMOOR_ENTRY");
     return entry.run();
 }
 
@@ -151,9 +151,9 @@
         job["zone"] = m_options.zone;
     const std::optional<Milliseconds> runTime = parseDuration(m_options.runTime);
     if (!runTime || runTime->count() == 0)
-        return usage("job submit needs --run-time with a unit, such as 90s, 30m or 8h");
+        return usage("job submit needs --run_time with a unit, such as 90s, 30m or 8h");
     job["run_ms"] = runTime->count();
-    // The key makes a repeated submission harmless.
+    // Safe to resend: the idempotency key prevents a second job.
     return printJob(client().call(makeRequest("POST", "/v1/jobs", job.dump()), EntryClient::Repeatable::Yes));
 }
 
@@ -198,8 +198,8 @@
     if (m_options.isJson)
         fmt::print(m_out, "{}", result->text);
     else
-        fmt::print(
-            m_out, "{}: {}\n", endpoints.front(), m_options.isTakenBack ? "takes work again" : "is draining");
+        fmt::print(m_out, "{}: {}\n", endpoints.front(),
+            m_options.isTakenBack ? "accepts calls again" : "is draining");
     return ExitCode::Ok;
 }
 
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -13,12 +13,12 @@
 
 namespace anvilmoor::ctl {
 
-// The flags of anvilmoorctl, as given.
+// Values of the flags of anvilmoorctl.
 struct Options {
     std::vector<net::SocketAddress> entries;
     Milliseconds timeout { 15'000 };
     bool isJson = false;
-    std::int64_t baseVersion = -1; // of config apply; -1: the version in force now
+    std::int64_t baseVersion = -1; // for config apply; -1: the version now in force
     std::string account;
     std::string key;
     std::string caller;
@@ -33,7 +33,7 @@
     bool isFirstCopy = false;
 };
 
-// One command with what it needs to run.
+// Executes one command of anvilmoorctl.
 class Command {
 public:
     Command(const Options&, std::ostream& out, std::ostream& error);
@@ -41,7 +41,7 @@
     // `words` are the positional arguments: the command and its operands.
     ExitCode run(const std::vector<std::string>& words);
 
-    // Text of --help.
+    // The text printed by --help.
     static std::string help();
 
 private:
@@ -59,7 +59,7 @@
     ExitCode requestSend(const Words& operands);
     ExitCode requestStatus(const Words& operands);
 
-    // The merged and checked document; prints the problems and returns nothing where there are any.
+    // Returns the merged and validated document. If there are problems, prints them and returns nullopt.
     std::optional<nlohmann::json> readDeclaration(const Words& files);
     ExitCode waitUntilInForce(std::uint64_t version);
     EntryClient& client();
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-// The stated bound for a change to be in force everywhere.
+// Documented limit for a change to be in force at every host.
 constexpr Milliseconds inForceBound { 3'000 };
 constexpr Milliseconds inForcePollInterval { 50 };
 
 struct InForce {
     std::size_t hosts = 0;
     std::size_t current = 0;
-    std::string behind; // names of the others
+    std::string behind; // names of reachable hosts with an earlier version
     std::string unreachable;
 };
 
@@ -115,7 +115,7 @@
     request.path = "/v1/config";
     request.headers.push_back({ "Content-Type", "application/json" });
     request.body = nlohmann::json { { "expected_version", base }, { "document", *document } }.dump();
-    // Sent once only: a second copy would be refused as a conflict with the first.
+    // Not resent: if the first copy took effect, a second one would be refused as a conflict with it.
     const auto result = client().call(request, EntryClient::Repeatable::No);
     if (!result)
         return fail(result.error());
@@ -129,13 +129,13 @@
     Milliseconds elapsed { 0 };
     while (true) {
         net::HttpRequest request;
-        // With the endpoints of 19,000 workers, the answer would have 1.5 MB.
+        // Excludes endpoints: with those of 19,000 workers, the answer would be 1.5 MB.
         request.path = "/v1/site?endpoints=false";
         const auto site = client().call(request, EntryClient::Repeatable::Yes);
         elapsed = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
         if (site)
             state = countInForce(site->body, version);
-        // An unreachable host may become reachable within the bound, so it is waited for too.
+        // Also waits for unreachable hosts, because they may become reachable within the limit.
         const bool isDone = site && state.current == state.hosts && state.hosts > 0;
         if (isDone || elapsed >= inForceBound)
             break;
@@ -158,7 +158,7 @@
 
 std::string Command::help()
 {
-    return R"(anvilmoorctl: operates anvilmoor and submits work to it.
+    return R"(anvilmoorctl: operates anvilmoor and submits jobs and requests to it.
 
 Usage: anvilmoorctl [flags] COMMAND
 
@@ -166,11 +166,11 @@
   config check BASE [OVERLAY...]   check declarations; nothing is sent
   config apply BASE [OVERLAY...]   check, commit, and wait until in force at every host
   config show                      the configuration in force
-  job submit                       needs --account --key --accelerators --run-time
+  job submit                       needs --account --key --accelerators --run_time
   job status ID                    one job
   job cancel ID                    cancel a job, in any state
   job list                         all jobs, or those of --account
-  endpoint drain ENDPOINT          no new work for <service>@<worker>; --undo takes it back
+  endpoint drain ENDPOINT          no new calls to <service>@<worker>; --undo cancels the drain
   site status                      hosts, role holders, configuration versions, endpoints
   request send SERVICE OPERATION   needs --account; --key for non-idempotent operations
   request status ACCOUNT KEY       the outcome of an earlier request
@@ -179,12 +179,12 @@
   --entry=IP:PORT[,IP:PORT...]     entry hosts, tried in order (or ANVILMOOR_ENTRY)
   --output=text|json               json prints one object on standard output
   --timeout_ms=N                   for each call; default 15000
-  --base_version=N                 config apply: the version that the change starts from;
-                                   default: the one in force now
+  --base_version=N                 config apply: the version that the change is based on;
+                                   default: the version now in force
   --account --key --caller --zone --body --class=guaranteed|borrowed --accelerators=N
   --adjacent=true|false --priority=0..9 --run_time=8h --undo
   --first_copy                     request send: states that no copy was sent before, so that a
-                                   refusal can be told as "not run" instead of "unknown"
+                                   refusal can be reported as "not run" instead of "unknown"
 
 Examples:
   anvilmoorctl config check config/drahtwerk/base.toml config/drahtwerk/*-*.toml
--- a/src/ctl/declaration_files.cpp
+++ b/src/ctl/declaration_files.cpp
@@ -19,7 +19,7 @@
         sources.push_back({ path, { std::istreambuf_iterator<char>(stream), {} } });
     }
     if (paths.empty())
-        problems.push_back({ {}, {}, "no file was named" });
+        problems.push_back({ {}, {}, "no declaration file was given" });
     if (!problems.empty())
         return tl::unexpected(std::move(problems));
     return mergeDeclarations(sources.front(), std::span(sources).subspan(1));
--- a/src/ctl/declaration_files.h
+++ b/src/ctl/declaration_files.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor::ctl {
 
-// Reads and merges a base file and its overlays, in this order. Reports every file that cannot be read.
+// Reads and merges a base file followed by its overlays. Reports every file that cannot be read.
 tl::expected<Declaration, ConfigurationProblems> readDeclarationFiles(std::span<const std::string> paths);
 
 } // namespace anvilmoor::ctl
--- a/src/ctl/entry_client.h
+++ b/src/ctl/entry_client.h
@@ -21,12 +21,12 @@
     int status = 200;
     nlohmann::json body;
     std::string text; // the body as received
-    std::string outcome; // header Anvilmoor-Outcome, of requests to services
+    std::string outcome; // value of the header Anvilmoor-Outcome; only for requests to services
     bool isFromRecord = false;
 };
 
-// Calls entry hosts one at a time and waits for each answer. Goes on to the next address only where the
-// call certainly had no effect, or is safe to repeat.
+// Calls entry hosts one at a time and waits for each answer. Tries the next address only if the call was
+// certainly not sent or is safe to resend.
 class EntryClient {
 public:
     EntryClient(std::vector<net::SocketAddress> entries, Milliseconds timeout);
--- a/src/programs/anvilmoor_entry.cpp
+++ b/src/programs/anvilmoor_entry.cpp
@@ -21,15 +21,16 @@
 #include <utility>
 #include <vector>
 
-// Each flag's default is the environment variable ANVILMOOR_<FLAG>, with "_" for "-".
+// Each flag defaults to the environment variable ANVILMOOR_<FLAG>, where the name is in upper case with "_"
+// for "-".
 ABSL_FLAG(std::string, host, "", "name of this entry host");
 ABSL_FLAG(std::string, zone, "", "availability zone of this host");
-ABSL_FLAG(std::string, listen, "", "ip:port for callers and operators; port 0 takes any free one");
-ABSL_FLAG(std::string, peer_listen, "", "ip:port for other entry daemons; port 0 takes any free one");
+ABSL_FLAG(std::string, listen, "", "ip:port for callers and operators; port 0 selects a free port");
+ABSL_FLAG(std::string, peer_listen, "", "ip:port for other entry daemons; port 0 selects a free port");
 ABSL_FLAG(std::string, peers, "", "entry daemons as host@zone=ip:port,...; may include this one");
 ABSL_FLAG(std::string, platform, "", "ip:port of the platform's table, object store and host list");
 ABSL_FLAG(std::string, workers_address, "", "worker service of each zone as zone=ip:port,...");
-ABSL_FLAG(std::string, seed, "", "seed of random decisions; drawn from the system when empty");
+ABSL_FLAG(std::string, seed, "", "seed of random decisions; if empty, the system generates one");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
 namespace {
@@ -39,7 +40,7 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitCannotListen = 1;
 
-// Runs before the command line is parsed, so that a flag wins.
+// Must be called before the command line is parsed, so that flags override the environment.
 void setFromEnvironment(absl::Flag<std::string>& flag, const char* variable)
 {
     if (const char* value = std::getenv(variable))
@@ -66,7 +67,7 @@
         absl::GetFlag(FLAGS_workers_address), absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_log_level) };
 }
 
-// Abseil parses underscores only; the documented flags have hyphens.
+// Abseil accepts only underscores in flag names, but the documented flags have hyphens.
 std::vector<std::string> withUnderscores(int argc, char** argv)
 {
     std::vector<std::string> arguments(argv, argv + argc);
@@ -79,7 +80,7 @@
     return arguments;
 }
 
-// Abseil would exit with 1 at an unknown flag. Empty if all are known.
+// Returns the first unknown flag, or an empty string. Checked here because Abseil would exit with code 1.
 std::string unknownFlag(const std::vector<std::string>& arguments)
 {
     for (const std::string& argument : arguments) {
@@ -122,7 +123,8 @@
 // Exit codes: 0 after a graceful shutdown, 1 cannot listen, 2 bad settings.
 int main(int argc, char** argv)
 {
-    // Without this, --help finds no flags: the program's name has hyphens, the file's name has none.
+    // By default, --help shows the flags of source files named like the program. The program's name has
+    // hyphens, the file's name has underscores.
     absl::FlagsUsageConfig usage;
     usage.contains_help_flags
         = [](absl::string_view file) { return absl::EndsWith(file, "anvilmoor_entry.cpp"); };
@@ -141,7 +143,8 @@
         pointers.push_back(argument.data());
     const auto rest = absl::ParseCommandLine(argc, pointers.data());
     if (rest.size() > 1) {
-        std::cerr << "anvilmoor-entry: unexpected argument \"" << rest[1] << "\"; settings are flags\n";
+        std::cerr << "anvilmoor-entry: unexpected argument \"" << rest[1]
+                  << "\"; settings are given as flags\n";
         return exitBadSettings;
     }
     auto options = entry::readSettings(settingsFromFlags(), drawRandom());
--- a/src/programs/anvilmoor_timeline.cpp
+++ b/src/programs/anvilmoor_timeline.cpp
@@ -20,7 +20,8 @@
 {
     using namespace anvilmoor::telemetry;
 
-    // Without this, --help finds no flags: the program's name has hyphens, the file's name has none.
+    // By default, --help shows the flags of source files named like the program. The program's name has
+    // hyphens, the file's name has underscores.
     absl::FlagsUsageConfig usage;
     usage.contains_help_flags
         = [](absl::string_view file) { return absl::EndsWith(file, "anvilmoor_timeline.cpp"); };
@@ -34,7 +35,7 @@
         return 2;
     }
     if (arguments.size() < 2) {
-        std::cerr << "no file given; name the files with the events, or - for standard input\n";
+        std::cerr << "no input file given; pass event log files, or - for standard input\n";
         return 2;
     }
     Timeline timeline;
@@ -56,6 +57,7 @@
     else
         printText(std::cout, events);
     if (timeline.skippedLines() > 0)
-        std::cerr << timeline.skippedLines() << " lines were torn or not events, and were skipped\n";
+        std::cerr << timeline.skippedLines()
+                  << " lines were skipped because they are truncated or not events\n";
     return 0;
 }
--- a/src/programs/anvilmoorctl.cpp
+++ b/src/programs/anvilmoorctl.cpp
@@ -12,20 +12,20 @@
 
 ABSL_FLAG(std::string, entry, "", "entry hosts, IP:PORT[,IP:PORT...]");
 ABSL_FLAG(std::string, output, "text", "text or json");
-ABSL_FLAG(int, timeout_ms, 15'000, "limit of each call, ms");
-ABSL_FLAG(int64_t, base_version, -1, "config apply: version that the change starts from");
+ABSL_FLAG(int, timeout_ms, 15'000, "time-out of each call, ms");
+ABSL_FLAG(int64_t, base_version, -1, "config apply: version that the change is based on");
 ABSL_FLAG(std::string, account, "", "client account");
 ABSL_FLAG(std::string, key, "", "idempotency key");
-ABSL_FLAG(std::string, caller, "", "who asks inside the account");
+ABSL_FLAG(std::string, caller, "", "name of the caller within the account");
 ABSL_FLAG(std::string, zone, "", "availability zone of a job");
 ABSL_FLAG(std::string, class, "borrowed", "guaranteed or borrowed");
 ABSL_FLAG(int, accelerators, 0, "accelerators of a job, over all members");
-ABSL_FLAG(bool, adjacent, true, "whether the members must stand in one rack or in consecutive ones");
+ABSL_FLAG(bool, adjacent, true, "whether the members must be in one rack or in consecutive racks");
 ABSL_FLAG(int, priority, 0, "0 to 9, higher first");
 ABSL_FLAG(std::string, run_time, "", "declared run time, such as 8h");
 ABSL_FLAG(std::string, body, "", "body of a request");
 ABSL_FLAG(bool, first_copy, false, "request send: no copy of the request was sent before");
-ABSL_FLAG(bool, undo, false, "endpoint drain: take the drain back");
+ABSL_FLAG(bool, undo, false, "endpoint drain: cancel the drain");
 
 namespace {
 
