Rename identifiers of src/reducer to the usual terms

Behaviour and the names that leave the process are as before.

adoptIf -> notifyIfAdopted, heartbeat -> makeHeartbeat, m_announcedConfiguration -> m_announcedVersion (it holds a version, not a configuration).

--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -81,7 +81,7 @@
 
     void operator()(const ConfigurationSubmitted& event)
     {
-        adoptIf(reducer.m_configuration.handle(event, step));
+        notifyIfAdopted(reducer.m_configuration.handle(event, step));
     }
     void operator()(const ConfigurationQueried& event) { reducer.m_configuration.handle(event, step); }
     void operator()(const DrainRequested& event) { reducer.m_membership.handle(event, step); }
@@ -108,7 +108,7 @@
         reducer.m_jobs.handle(event, step);
     }
 
-    void adoptIf(bool hasAdopted)
+    void notifyIfAdopted(bool hasAdopted)
     {
         if (hasAdopted)
             reducer.onConfigurationAdopted(step);
@@ -195,7 +195,7 @@
     }
 }
 
-PeerHeartbeat Reducer::heartbeat(TimePoint now) const
+PeerHeartbeat Reducer::makeHeartbeat(TimePoint now) const
 {
     PeerHeartbeat heartbeat;
     heartbeat.host = m_settings.host;
@@ -216,18 +216,18 @@
 void Reducer::sendHeartbeat(Step& step)
 {
     m_nextHeartbeat = step.now + heartbeatInterval;
-    m_announcedConfiguration = m_configuration.knownVersion();
-    step.emit(SendToAllPeers { heartbeat(step.now) });
+    m_announcedVersion = m_configuration.knownVersion();
+    step.emit(SendToAllPeers { makeHeartbeat(step.now) });
 }
 
 void Reducer::announceKnownConfiguration(Step& step)
 {
-    if (m_configuration.knownVersion() == m_announcedConfiguration)
+    if (m_configuration.knownVersion() == m_announcedVersion)
         return;
-    m_announcedConfiguration = m_configuration.knownVersion();
+    m_announcedVersion = m_configuration.knownVersion();
     for (const PeerSetting& peer : m_settings.peers) {
         if (peer.zone == m_settings.zone)
-            step.emit(SendToPeer { peer.host, heartbeat(step.now) });
+            step.emit(SendToPeer { peer.host, makeHeartbeat(step.now) });
     }
 }
 
--- a/src/reducer/reducer.h
+++ b/src/reducer/reducer.h
@@ -63,7 +63,7 @@
     void onShutdownRequested(Step&);
     void onPeerMessage(const PeerMessageReceived&, Step&);
     void onTableReplied(const TableReplied&, Step&);
-    PeerHeartbeat heartbeat(TimePoint now) const;
+    PeerHeartbeat makeHeartbeat(TimePoint now) const;
     void sendHeartbeat(Step&);
     // Announces a newly known configuration version, even if not yet in force, to the zone's peers at once.
     void announceKnownConfiguration(Step&);
@@ -84,7 +84,7 @@
     JobScheduler m_jobs;
 
     TimePoint m_nextHeartbeat {};
-    ConfigurationVersion m_announcedConfiguration = 0; // version known when last announced to peers
+    ConfigurationVersion m_announcedVersion = 0; // version known when last announced to peers
     bool m_isReady = false;
     bool m_isStopping = false;
     bool m_isStopped = false;
