Rename identifiers of src/telemetry to the usual terms

Behaviour and the names that leave the process are as before.

Volume -> LineCounts, common -> member, instantOf -> makeInstant, isEnd -> isEndEvent, isRepeated -> isCommonMember, m_current -> m_currentProcesses, m_minimum -> m_minLevel, m_volumes -> m_lineCounts, mayWrite -> admitLine (it also counts the line), minimum -> minLevel, note -> notice, order -> sortTime, spansOf -> findSpans, textOf -> stringOf, volume -> counts.

6 test names state subject, condition and result.

--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -57,9 +57,9 @@
         "{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(second.time_since_epoch().count()), fraction);
 }
 
-EventLog::EventLog(Process process, LogLevel minimum, Clocks clocks, Sink sink)
+EventLog::EventLog(Process process, LogLevel minLevel, Clocks clocks, Sink sink)
     : m_process(std::move(process))
-    , m_minimum(minimum)
+    , m_minLevel(minLevel)
     , m_clocks(std::move(clocks))
     , m_sink(std::move(sink))
 {
@@ -78,40 +78,40 @@
     return line;
 }
 
-bool EventLog::mayWrite(std::string_view event)
+bool EventLog::admitLine(std::string_view event)
 {
     if (!m_linesPerSecond)
         return true;
-    auto found = m_volumes.find(event);
-    if (found == m_volumes.end())
-        found = m_volumes.emplace(std::string(event), Volume {}).first;
-    Volume& volume = found->second;
+    auto found = m_lineCounts.find(event);
+    if (found == m_lineCounts.end())
+        found = m_lineCounts.emplace(std::string(event), LineCounts {}).first;
+    LineCounts& counts = found->second;
     const std::int64_t second = std::chrono::floor<Seconds>(m_clocks.now().time_since_epoch()).count();
-    if (second != volume.second) {
-        if (volume.suppressed) {
-            JsonLine note = startLine(LogLevel::Warning, "log.suppressed");
-            note.add("of", event).add("lines", static_cast<std::int64_t>(volume.suppressed));
-            m_sink(note.finish());
+    if (second != counts.second) {
+        if (counts.suppressed) {
+            JsonLine notice = startLine(LogLevel::Warning, "log.suppressed");
+            notice.add("of", event).add("lines", static_cast<std::int64_t>(counts.suppressed));
+            m_sink(notice.finish());
         }
-        volume = { second };
+        counts = { second };
     }
-    if (volume.written < m_linesPerSecond) {
-        ++volume.written;
+    if (counts.written < m_linesPerSecond) {
+        ++counts.written;
         return true;
     }
-    ++volume.suppressed;
+    ++counts.suppressed;
     return false;
 }
 
 void EventLog::log(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
-    if (level < m_minimum || !mayWrite(event))
+    if (level < m_minLevel || !admitLine(event))
         return;
     JsonLine line = startLine(level, event);
     for (const auto& [name, value] : fields) {
-        const bool isRepeated
+        const bool isCommonMember
             = (name == "host" && value == m_process.host) || (name == "zone" && value == m_process.zone);
-        if (!isRepeated)
+        if (!isCommonMember)
             line.add(isReserved(name) ? "field_" + name : name, value);
     }
     m_sink(line.finish());
@@ -141,9 +141,9 @@
         return;
     }
     if (dropped) {
-        JsonLine note;
-        note.add("event", "log.dropped").add("lines", static_cast<std::int64_t>(dropped));
-        const std::string text = note.finish();
+        JsonLine notice;
+        notice.add("event", "log.dropped").add("lines", static_cast<std::int64_t>(dropped));
+        const std::string text = notice.finish();
         dropped = 0;
         // The count is only informative. If this line is lost too, counting restarts at zero.
         (void)!::write(STDOUT_FILENO, text.data(), text.size());
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -41,7 +41,7 @@
     // Receives one complete line including the line end.
     using Sink = std::function<void(std::string_view)>;
 
-    EventLog(Process, LogLevel minimum, Clocks, Sink = writeToStandardError);
+    EventLog(Process, LogLevel minLevel, Clocks, Sink = writeToStandardError);
 
     // Limits the lines per second and event name. The next line of that name in a later second is preceded by
     // a "log.suppressed" line with the number of omitted lines. There is no limit by default.
@@ -58,19 +58,19 @@
     static void writeToStandardOutput(std::string_view line);
 
 private:
-    struct Volume {
+    struct LineCounts {
         std::int64_t second = 0;
         std::size_t written = 0;
         std::size_t suppressed = 0;
     };
 
-    bool mayWrite(std::string_view event);
+    bool admitLine(std::string_view event);
     JsonLine startLine(LogLevel, std::string_view event) const;
 
     std::size_t m_linesPerSecond = 0; // 0: no limit
-    std::map<std::string, Volume, std::less<>> m_volumes;
+    std::map<std::string, LineCounts, std::less<>> m_lineCounts;
     Process m_process;
-    LogLevel m_minimum;
+    LogLevel m_minLevel;
     Clocks m_clocks;
     Sink m_sink;
 };
--- a/src/telemetry/timeline.cpp
+++ b/src/telemetry/timeline.cpp
@@ -45,7 +45,7 @@
         + Seconds(second) + Milliseconds(millisecond);
 }
 
-std::string textOf(const Json& object, const char* name)
+std::string stringOf(const Json& object, const char* name)
 {
     const auto found = object.find(name);
     if (found == object.end())
@@ -63,15 +63,15 @@
 {
     if (!filter.host.empty() && event.host != filter.host)
         return false;
-    if (!filter.job.empty() && textOf(event.fields, "job") != filter.job)
+    if (!filter.job.empty() && stringOf(event.fields, "job") != filter.job)
         return false;
-    if (!filter.request.empty() && textOf(event.fields, "request") != filter.request
-        && textOf(event.fields, "key") != filter.request)
+    if (!filter.request.empty() && stringOf(event.fields, "request") != filter.request
+        && stringOf(event.fields, "key") != filter.request)
         return false;
     return matchesName(event.name, filter.event);
 }
 
-bool isEnd(const std::string& name)
+bool isEndEvent(const std::string& name)
 {
     static const std::set<std::string, std::less<>> ends { "job.finished", "job.cancelled", "job.failed",
         "request.done", "request.not_run", "request.unknown", "request.refused", "request.answered",
@@ -81,10 +81,10 @@
 
 std::int64_t microseconds(const TimelineEvent& event)
 {
-    return event.order.time_since_epoch().count() * 1000;
+    return event.sortTime.time_since_epoch().count() * 1000;
 }
 
-Json instantOf(const TimelineEvent& event)
+Json makeInstant(const TimelineEvent& event)
 {
     return { { "name", event.name }, { "ph", "i" }, { "s", "p" }, { "ts", microseconds(event) },
         { "pid", event.process }, { "tid", 0 }, { "args", event.fields } };
@@ -96,18 +96,18 @@
 };
 
 // Returns spans by name: "job <id>" or "request <id>".
-std::map<std::string, Span> spansOf(const std::vector<TimelineEvent>& events)
+std::map<std::string, Span> findSpans(const std::vector<TimelineEvent>& events)
 {
     std::map<std::string, Span> spans;
     for (const TimelineEvent& event : events) {
         for (const char* kind : { "job", "request" }) {
-            const std::string id = textOf(event.fields, kind);
+            const std::string id = stringOf(event.fields, kind);
             if (id.empty() || !matchesName(event.name, kind))
                 continue;
             Span& span = spans[fmt::format("{} {}", kind, id)];
             if (!span.start)
                 span.start = &event;
-            if (isEnd(event.name))
+            if (isEndEvent(event.name))
                 span.end = &event;
         }
     }
@@ -132,21 +132,21 @@
     Json object = Json::parse(line, nullptr, false);
     if (!object.is_object())
         return false;
-    const std::string name = textOf(object, "event");
-    const auto wallTime = parseTimestamp(textOf(object, "ts"));
+    const std::string name = stringOf(object, "event");
+    const auto wallTime = parseTimestamp(stringOf(object, "ts"));
     const auto monotonic = object.find("mono_ms");
     if (name.empty() || !wallTime || monotonic == object.end() || !monotonic->is_number_integer())
         return false;
     TimelineEvent event;
     event.wallTime = *wallTime;
     event.monotonicMs = monotonic->get<std::int64_t>();
-    event.host = textOf(object, "host");
+    event.host = stringOf(object, "host");
     event.name = name;
-    const std::string pid = textOf(object, "pid");
+    const std::string pid = stringOf(object, "pid");
     event.process
         = processIndex(event.host.empty() && pid.empty() ? source : event.host + "/" + pid, event.name);
-    for (const char* common : { "ts", "mono_ms", "host", "zone", "pid", "event" })
-        object.erase(common);
+    for (const char* member : { "ts", "mono_ms", "host", "zone", "pid", "event" })
+        object.erase(member);
     event.fields = std::move(object);
     m_events.push_back(std::move(event));
     return true;
@@ -154,11 +154,11 @@
 
 std::size_t Timeline::processIndex(const std::string& name, const std::string& event)
 {
-    const auto found = m_current.find(name);
-    if (found != m_current.end() && event != processStartEvent)
+    const auto found = m_currentProcesses.find(name);
+    if (found != m_currentProcesses.end() && event != processStartEvent)
         return found->second;
     m_processes.push_back(name);
-    return m_current[name] = m_processes.size() - 1;
+    return m_currentProcesses[name] = m_processes.size() - 1;
 }
 
 std::vector<TimelineEvent> Timeline::merged(const TimelineFilter& filter) const
@@ -169,9 +169,10 @@
     });
     for (std::size_t i = 0; i < events.size(); ++i) {
         const bool isFirst = i == 0 || events[i - 1].process != events[i].process;
-        events[i].order = isFirst ? events[i].wallTime : std::max(events[i].wallTime, events[i - 1].order);
+        events[i].sortTime
+            = isFirst ? events[i].wallTime : std::max(events[i].wallTime, events[i - 1].sortTime);
     }
-    std::ranges::stable_sort(events, {}, &TimelineEvent::order);
+    std::ranges::stable_sort(events, {}, &TimelineEvent::sortTime);
     std::erase_if(events, [&](const TimelineEvent& event) { return !matches(event, filter); });
     return events;
 }
@@ -205,9 +206,9 @@
         trace.push_back({ { "name", "process_name" }, { "ph", "M" }, { "pid", i },
             { "args", { { "name", processes[i] } } } });
     for (const TimelineEvent& event : events)
-        trace.push_back(instantOf(event));
+        trace.push_back(makeInstant(event));
     int thread = 0; // a separate thread per span, so that viewers do not nest overlapping spans
-    for (const auto& [name, span] : spansOf(events)) {
+    for (const auto& [name, span] : findSpans(events)) {
         if (!span.end || span.end == span.start)
             continue;
         trace.push_back({ { "name", name }, { "ph", "X" }, { "ts", microseconds(*span.start) },
--- a/src/telemetry/timeline.h
+++ b/src/telemetry/timeline.h
@@ -16,7 +16,7 @@
 
 struct TimelineEvent {
     WallTime wallTime {}; // as logged
-    WallTime order {}; // sort key: wallTime, but never decreasing within a process
+    WallTime sortTime {}; // wallTime, but never decreasing within a process
     std::int64_t monotonicMs = 0;
     std::size_t process = 0; // index into Timeline::processes()
     std::string host;
@@ -53,7 +53,7 @@
 
     std::vector<TimelineEvent> m_events;
     std::vector<std::string> m_processes;
-    std::map<std::string, std::size_t> m_current; // index of the latest process of each name
+    std::map<std::string, std::size_t> m_currentProcesses; // index of the latest process of each name
     std::size_t m_skippedLines = 0;
 };
 
--- a/test/telemetry_test.cpp
+++ b/test/telemetry_test.cpp
@@ -23,7 +23,7 @@
         + "}\n";
 }
 
-std::string names(const std::vector<TimelineEvent>& events)
+std::string joinedNames(const std::vector<TimelineEvent>& events)
 {
     std::string joined;
     for (const TimelineEvent& event : events)
@@ -44,21 +44,21 @@
 
 class TelemetryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TelemetryTest);
-    CPPUNIT_TEST(testLoggedLineWithHostileFieldsIsOneJsonObject);
+    CPPUNIT_TEST(testLineWithInvalidAndReservedFieldsIsOneJsonObject);
     CPPUNIT_TEST(testLinesBeyondTheLimitAreCountedInsteadOfWritten);
-    CPPUNIT_TEST(testReaderThatStopsReadingCostsLinesAndNoTime);
+    CPPUNIT_TEST(testFullOutputPipeDropsLinesWithoutBlocking);
     CPPUNIT_TEST(testMetricsPageWithLabelsAndLatencyIsPrometheusText);
-    CPPUNIT_TEST(testTornAndForeignLinesAreSkippedAndCounted);
+    CPPUNIT_TEST(testTruncatedAndUnrelatedLinesAreSkippedAndCounted);
     CPPUNIT_TEST(testEqualTimestampsKeepOrderOfProcesses);
-    CPPUNIT_TEST(testSkewedAndSteppedClocksNeverReverseAProcess);
-    CPPUNIT_TEST(testRestartedProcessWithOldPidIsNotMixedWithItsPredecessor);
+    CPPUNIT_TEST(testSkewedAndSteppedClocksKeepEventOrderOfEachProcess);
+    CPPUNIT_TEST(testProcessRestartedWithSamePidIsSeparateProcess);
     CPPUNIT_TEST(testFiltersSelectByJobRequestHostAndEvent);
-    CPPUNIT_TEST(testTraceOfFinishedJobHasItsSpan);
+    CPPUNIT_TEST(testTraceHasSpanOfFinishedJobOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against an event field that breaks the line format or replaces a member common to all lines.
-    void testLoggedLineWithHostileFieldsIsOneJsonObject()
+    void testLineWithInvalidAndReservedFieldsIsOneJsonObject()
     {
         std::string written;
         EventLog log({ "h\"1", "z", 7 }, LogLevel::Info,
@@ -99,7 +99,7 @@
 
     // Guards against a process that blocks on standard output when the reader of the pipe stops reading. A
     // blocked write makes the test hang.
-    void testReaderThatStopsReadingCostsLinesAndNoTime()
+    void testFullOutputPipeDropsLinesWithoutBlocking()
     {
         std::array<int, 2> ends {};
         CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
@@ -139,13 +139,13 @@
             CPPUNIT_ASSERT_MESSAGE(expected, page.find(expected) != std::string::npos);
     }
 
-    void testTornAndForeignLinesAreSkippedAndCounted()
+    void testTruncatedAndUnrelatedLinesAreSkippedAndCounted()
     {
         Timeline timeline;
         const std::string good = line("a", "01.000", 1, "one");
         const std::string file = good + "free text\n" + good.substr(0, 40) + "\n[1]\n{\"ts\":\"x\"}\n\n"
             + line("a", "02.000", 2, "two") + good.substr(0, 60);
-        CPPUNIT_ASSERT_EQUAL(std::string("one two "), names(merge(timeline, { file })));
+        CPPUNIT_ASSERT_EQUAL(std::string("one two "), joinedNames(merge(timeline, { file })));
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), timeline.skippedLines());
     }
 
@@ -154,26 +154,26 @@
         Timeline timeline;
         const std::string a = line("a", "01.000", 5, "a1") + line("a", "01.000", 5, "a2");
         const std::string b = line("b", "01.000", 1, "b1") + line("b", "00.999", 1, "b2");
-        CPPUNIT_ASSERT_EQUAL(std::string("a1 a2 b1 b2 "), names(merge(timeline, { a, b })));
+        CPPUNIT_ASSERT_EQUAL(std::string("a1 a2 b1 b2 "), joinedNames(merge(timeline, { a, b })));
     }
 
     // The clock of host b is slow, and the clock of host a is set back between its events.
-    void testSkewedAndSteppedClocksNeverReverseAProcess()
+    void testSkewedAndSteppedClocksKeepEventOrderOfEachProcess()
     {
         Timeline timeline;
         const std::string a
             = line("a", "10.000", 1, "a1") + line("a", "02.000", 2, "a2") + line("a", "11.000", 3, "a3");
         const std::string b = line("b", "05.000", 900, "b1") + line("b", "10.500", 901, "b2");
-        CPPUNIT_ASSERT_EQUAL(std::string("b1 a1 a2 b2 a3 "), names(merge(timeline, { a, b })));
+        CPPUNIT_ASSERT_EQUAL(std::string("b1 a1 a2 b2 a3 "), joinedNames(merge(timeline, { a, b })));
     }
 
-    void testRestartedProcessWithOldPidIsNotMixedWithItsPredecessor()
+    void testProcessRestartedWithSamePidIsSeparateProcess()
     {
         Timeline timeline;
         const std::string a = line("a", "01.000", 900, "process.started") + line("a", "02.000", 901, "old")
             + line("a", "03.000", 1, "process.started") + line("a", "04.000", 2, "new");
         CPPUNIT_ASSERT_EQUAL(
-            std::string("process.started old process.started new "), names(merge(timeline, { a })));
+            std::string("process.started old process.started new "), joinedNames(merge(timeline, { a })));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), timeline.processes().size());
     }
 
@@ -184,13 +184,13 @@
             { line("a", "01.000", 1, "job.accepted", R"(,"job":"j1")")
                     + line("a", "02.000", 2, "request.done", R"(,"request":"r1")"),
                 line("b", "03.000", 1, "jobs.other", R"(,"job":"j2")") });
-        CPPUNIT_ASSERT_EQUAL(std::string("job.accepted "), names(timeline.merged({ .job = "j1" })));
-        CPPUNIT_ASSERT_EQUAL(std::string("request.done "), names(timeline.merged({ .request = "r1" })));
-        CPPUNIT_ASSERT_EQUAL(std::string("jobs.other "), names(timeline.merged({ .host = "b" })));
-        CPPUNIT_ASSERT_EQUAL(std::string("job.accepted "), names(timeline.merged({ .event = "job" })));
+        CPPUNIT_ASSERT_EQUAL(std::string("job.accepted "), joinedNames(timeline.merged({ .job = "j1" })));
+        CPPUNIT_ASSERT_EQUAL(std::string("request.done "), joinedNames(timeline.merged({ .request = "r1" })));
+        CPPUNIT_ASSERT_EQUAL(std::string("jobs.other "), joinedNames(timeline.merged({ .host = "b" })));
+        CPPUNIT_ASSERT_EQUAL(std::string("job.accepted "), joinedNames(timeline.merged({ .event = "job" })));
     }
 
-    void testTraceOfFinishedJobHasItsSpan()
+    void testTraceHasSpanOfFinishedJobOnly()
     {
         Timeline timeline;
         const auto events = merge(timeline,
