Rename identifiers of src/ctl and src/programs to the usual terms

Behaviour and the names that leave the process are as before.

InForce -> InForceCount, behind -> notYetInForce, current -> inForce (field of InForceCount), inForceBound -> inForceTimeout, isOver -> hasElapsed, isTakenBack -> isDrainCancelled, many -> maxFiles, rest -> positional, usage -> usageError.

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -66,7 +66,7 @@
     return *m_client;
 }
 
-ExitCode Command::usage(const std::string& text)
+ExitCode Command::usageError(const std::string& text)
 {
     fmt::print(m_error, "anvilmoorctl: {}\nRun 'anvilmoorctl --help' for the commands.\n", text);
     return ExitCode::Usage;
@@ -92,7 +92,7 @@
 ExitCode Command::run(const std::vector<std::string>& words)
 {
     if (words.empty())
-        return usage("no command was given");
+        return usageError("no command was given");
     const std::string name = words.size() > 1 ? words[0] + " " + words[1] : words[0];
     const Words operands(words.begin() + std::min<std::ptrdiff_t>(2, std::ssize(words)), words.end());
 
@@ -102,10 +102,10 @@
         std::size_t maxOperands;
         bool needsEntry;
     };
-    constexpr std::size_t many = 1'000;
+    constexpr std::size_t maxFiles = 1'000;
     const std::map<std::string, Entry> commands {
-        { "config check", { [&] { return configCheck(operands); }, 1, many, false } },
-        { "config apply", { [&] { return configApply(operands); }, 1, many, true } },
+        { "config check", { [&] { return configCheck(operands); }, 1, maxFiles, false } },
+        { "config apply", { [&] { return configApply(operands); }, 1, maxFiles, true } },
         { "config show", { [&] { return configShow(); }, 0, 0, true } },
         { "job submit", { [&] { return jobSubmit(); }, 0, 0, true } },
         { "job status", { [&] { return jobStatus(operands); }, 1, 1, true } },
@@ -118,12 +118,12 @@
     };
     const auto found = commands.find(name);
     if (found == commands.end())
-        return usage(fmt::format("there is no command \"{}\"", name));
+        return usageError(fmt::format("there is no command \"{}\"", name));
     const Entry& entry = found->second;
     if (operands.size() < entry.minOperands || operands.size() > entry.maxOperands)
-        return usage(fmt::format("\"{}\" got {} operands", name, operands.size()));
+        return usageError(fmt::format("\"{}\" got {} operands", name, operands.size()));
     if (entry.needsEntry && m_options.entries.empty())
-        return usage("no entry host was given; set --entry=IP:PORT or ANVILMOOR_ENTRY");
+        return usageError("no entry host was given; set --entry=IP:PORT or ANVILMOOR_ENTRY");
     return entry.run();
 }
 
@@ -143,7 +143,7 @@
 ExitCode Command::jobSubmit()
 {
     if (m_options.account.empty() || m_options.key.empty() || m_options.accelerators <= 0)
-        return usage("job submit needs --account, --key and --accelerators");
+        return usageError("job submit needs --account, --key and --accelerators");
     nlohmann::json job { { "account", m_options.account }, { "key", m_options.key },
         { "class", m_options.jobClass }, { "accelerators", m_options.accelerators },
         { "adjacent", m_options.isAdjacent }, { "priority", m_options.priority } };
@@ -151,7 +151,7 @@
         job["zone"] = m_options.zone;
     const std::optional<Milliseconds> runTime = parseDuration(m_options.runTime);
     if (!runTime || runTime->count() == 0)
-        return usage("job submit needs --run_time with a unit, such as 90s, 30m or 8h");
+        return usageError("job submit needs --run_time with a unit, such as 90s, 30m or 8h");
     job["run_ms"] = runTime->count();
     // Safe to resend: the idempotency key prevents a second job.
     return printJob(client().call(makeRequest("POST", "/v1/jobs", job.dump()), EntryClient::Repeatable::Yes));
@@ -192,14 +192,14 @@
 {
     const std::string path = "/v1/endpoints/" + net::encodePathSegment(endpoints.front()) + "/drain";
     const auto result = client().call(
-        makeRequest(m_options.isTakenBack ? "DELETE" : "POST", path), EntryClient::Repeatable::Yes);
+        makeRequest(m_options.isDrainCancelled ? "DELETE" : "POST", path), EntryClient::Repeatable::Yes);
     if (!result)
         return fail(result.error());
     if (m_options.isJson)
         fmt::print(m_out, "{}", result->text);
     else
         fmt::print(m_out, "{}: {}\n", endpoints.front(),
-            m_options.isTakenBack ? "accepts calls again" : "is draining");
+            m_options.isDrainCancelled ? "accepts calls again" : "is draining");
     return ExitCode::Ok;
 }
 
@@ -245,7 +245,7 @@
 ExitCode Command::requestSend(const Words& operands)
 {
     if (m_options.account.empty())
-        return usage("request send needs --account");
+        return usageError("request send needs --account");
     net::HttpRequest request = makeRequest("POST",
         fmt::format(
             "/v1/services/{}/{}", net::encodePathSegment(operands[0]), net::encodePathSegment(operands[1])),
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -29,7 +29,7 @@
     int priority = 0;
     std::string runTime;
     std::string body;
-    bool isTakenBack = false;
+    bool isDrainCancelled = false;
     bool isFirstCopy = false;
 };
 
@@ -64,7 +64,7 @@
     ExitCode waitUntilInForce(std::uint64_t version);
     EntryClient& client();
     ExitCode fail(const CallError&);
-    ExitCode usage(const std::string& text);
+    ExitCode usageError(const std::string& text);
     ExitCode printJob(const tl::expected<CallResult, CallError>&);
 
     const Options& m_options;
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -11,28 +11,28 @@
 namespace {
 
 // Documented limit for a change to be in force at every host.
-constexpr Milliseconds inForceBound { 3'000 };
+constexpr Milliseconds inForceTimeout { 3'000 };
 constexpr Milliseconds inForcePollInterval { 50 };
 
-struct InForce {
+struct InForceCount {
     std::size_t hosts = 0;
-    std::size_t current = 0;
-    std::string behind; // names of reachable hosts with an earlier version
+    std::size_t inForce = 0;
+    std::string notYetInForce; // names of reachable hosts with an earlier version
     std::string unreachable;
 };
 
-InForce countInForce(const nlohmann::json& site, std::uint64_t version)
+InForceCount countInForce(const nlohmann::json& site, std::uint64_t version)
 {
-    InForce result;
+    InForceCount result;
     for (const nlohmann::json& host : site.value("hosts", nlohmann::json::array())) {
         ++result.hosts;
         const std::string name = " " + host.value("host", "-");
         if (!host.value("reachable", false))
             result.unreachable += name;
         else if (host.value("config_version", std::uint64_t { 0 }) >= version)
-            ++result.current;
+            ++result.inForce;
         else
-            result.behind += name;
+            result.notYetInForce += name;
     }
     return result;
 }
@@ -125,7 +125,7 @@
 ExitCode Command::waitUntilInForce(std::uint64_t version)
 {
     const auto begin = std::chrono::steady_clock::now();
-    InForce state;
+    InForceCount state;
     Milliseconds elapsed { 0 };
     while (true) {
         net::HttpRequest request;
@@ -136,24 +136,24 @@
         if (site)
             state = countInForce(site->body, version);
         // Also waits for unreachable hosts, because they may become reachable within the limit.
-        const bool isDone = site && state.current == state.hosts && state.hosts > 0;
-        if (isDone || elapsed >= inForceBound)
+        const bool isDone = site && state.inForce == state.hosts && state.hosts > 0;
+        if (isDone || elapsed >= inForceTimeout)
             break;
         client().wait(inForcePollInterval);
     }
     if (m_options.isJson) {
         const nlohmann::json body { { "version", version }, { "hosts", state.hosts },
-            { "in_force", state.current }, { "elapsed_ms", elapsed.count() } };
+            { "in_force", state.inForce }, { "elapsed_ms", elapsed.count() } };
         fmt::print(m_out, "{}\n", body.dump());
     } else {
         fmt::print(m_out, "version {} accepted; in force at {} of {} hosts after {} ms\n", version,
-            state.current, state.hosts, elapsed.count());
+            state.inForce, state.hosts, elapsed.count());
         if (!state.unreachable.empty())
             fmt::print(m_out, "unreachable:{}\n", state.unreachable);
-        if (!state.behind.empty())
-            fmt::print(m_out, "not in force yet:{}\n", state.behind);
+        if (!state.notYetInForce.empty())
+            fmt::print(m_out, "not in force yet:{}\n", state.notYetInForce);
     }
-    return state.current == state.hosts && state.hosts > 0 ? ExitCode::Ok : ExitCode::NotInForce;
+    return state.inForce == state.hosts && state.hosts > 0 ? ExitCode::Ok : ExitCode::NotInForce;
 }
 
 std::string Command::help()
--- a/src/ctl/entry_client.cpp
+++ b/src/ctl/entry_client.cpp
@@ -62,10 +62,10 @@
 
 void EntryClient::wait(Milliseconds duration)
 {
-    bool isOver = false;
+    bool hasElapsed = false;
     net::Timer timer(m_loop);
-    timer.startOnce(duration, [&isOver] { isOver = true; });
-    while (!isOver)
+    timer.startOnce(duration, [&hasElapsed] { hasElapsed = true; });
+    while (!hasElapsed)
         m_loop.runOnce();
 }
 
--- a/src/programs/anvilmoor_entry.cpp
+++ b/src/programs/anvilmoor_entry.cpp
@@ -141,9 +141,9 @@
     pointers.reserve(arguments.size());
     for (std::string& argument : arguments)
         pointers.push_back(argument.data());
-    const auto rest = absl::ParseCommandLine(argc, pointers.data());
-    if (rest.size() > 1) {
-        std::cerr << "anvilmoor-entry: unexpected argument \"" << rest[1]
+    const auto positional = absl::ParseCommandLine(argc, pointers.data());
+    if (positional.size() > 1) {
+        std::cerr << "anvilmoor-entry: unexpected argument \"" << positional[1]
                   << "\"; settings are given as flags\n";
         return exitBadSettings;
     }
--- a/src/programs/anvilmoorctl.cpp
+++ b/src/programs/anvilmoorctl.cpp
@@ -84,6 +84,6 @@
     options.runTime = absl::GetFlag(FLAGS_run_time);
     options.body = absl::GetFlag(FLAGS_body);
     options.isFirstCopy = absl::GetFlag(FLAGS_first_copy);
-    options.isTakenBack = absl::GetFlag(FLAGS_undo);
+    options.isDrainCancelled = absl::GetFlag(FLAGS_undo);
     return static_cast<int>(anvilmoor::ctl::Command(options, std::cout, std::cerr).run(words));
 }
