--- a/src/requests/record_log.cpp
+++ b/src/requests/record_log.cpp
@@ -11,9 +11,9 @@
 
 constexpr std::size_t maxGroupRows = 64;
 constexpr Milliseconds maxGroupDelay { 5 };
-// More would let a slow table collect work without end.
+// Bounds the work that accumulates in a slow table.
 constexpr std::size_t maxGroupsInFlight = 4;
-// Longer than the platform client's own time limit: guards against a reply that never comes.
+// Longer than the platform client's own timeout. Expires only if the client delivers no reply at all.
 constexpr Seconds replyTimeout { 4 };
 
 } // namespace
@@ -106,7 +106,8 @@
         } else if (reply.status == TableStatus::Unavailable) {
             results.push_back({ entry.request, RecordResultKind::Unavailable, {} });
         } else {
-            // Also a reply without the rows that it must have: a read will tell.
+            // Also for a reply that lacks the expected rows. The broker then reads the row to determine
+            // whether the write took effect.
             results.push_back({ entry.request, RecordResultKind::Unknown, {} });
         }
     }
--- a/src/requests/record_log.h
+++ b/src/requests/record_log.h
@@ -13,11 +13,11 @@
 namespace anvilmoor {
 
 enum class RecordResultKind {
-    Written, // `row` holds the new version
-    Conflict, // `row` is the present row; version 0: absent
-    Found, // a read; `row` is the present row; version 0: absent
-    Unavailable, // certain: nothing was written, or nothing was read
-    Unknown, // a write whose reply is lost
+    Written, // `row` is the row with its new version
+    Conflict, // the write condition failed; `row` is the current row, with version 0 if it is absent
+    Found, // result of a read; `row` is the current row, with version 0 if it is absent
+    Unavailable, // the operation certainly had no effect
+    Unknown, // a write without a valid reply; it may have taken effect
 };
 
 struct RecordResult {
@@ -26,22 +26,24 @@
     TableRow row;
 };
 
-// Writes and reads request records in groups. A write goes out at once while no transaction is in
-// flight; otherwise it joins the next group, which goes out when a transaction returns, at 64 rows, or
-// when it has waited. A row that conflicts leaves its group, and the rest is sent again.
+// Writes and reads request records in groups. A write is sent at once if no write transaction is in flight.
+// Otherwise it waits for the next group, which is sent when no write transaction is in flight any more, when
+// it has 64 rows, or when its oldest write has waited 5 ms. After a conflict, the conflicting rows are
+// reported and the other rows of the group are sent again.
 class RecordLog {
 public:
-    // The caller keeps at most one operation for a key in the log.
+    // The caller must not have more than one operation per key queued or in flight.
     void write(RequestNumber, std::string key, RowVersion condition, std::string value, TimePoint now);
     void read(RequestNumber, std::string key, TimePoint now);
 
-    // Sends what is due. Call it at the end of each event.
+    // Sends the operations that are due. Must be called at the end of each event.
     void flush(Step&);
 
-    // The results of a reply; empty for an unknown or repeated one.
+    // Returns the results of a reply. Empty if no operation in flight matches the reply, for example because
+    // the reply was delivered twice.
     std::vector<RecordResult> handle(const TableReplied&, Step&);
 
-    // Gives up operations whose reply never came.
+    // Ends operations without a reply within the reply timeout: reads as Unavailable, writes as Unknown.
     std::vector<RecordResult> expire(TimePoint now);
 
     bool isIdle() const { return m_writes.empty() && m_reads.empty() && m_inFlight.empty(); }
--- a/src/requests/record_sweeper.cpp
+++ b/src/requests/record_sweeper.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 constexpr std::size_t maxBatchRows = 64;
-// A sweep that finds more leaves the rest to the next one.
+// Per sweep. Further expired rows are deleted by the next sweep.
 constexpr std::size_t maxExpiredRows = 65'536;
-// In one sweep. At one sweep in 10 min, 36,864 a day.
+// Per sweep. One sweep every 10 min gives 36,864 per day.
 constexpr std::size_t maxObjectDeletions = 256;
 constexpr Seconds replyTimeout { 30 };
 
-// The object that may hold the record's response; empty if there can be none. The outcome of a claimed row
-// was perhaps never written, though its response was stored.
+// Key of the object that may hold the record's response; empty if there can be none. A claimed row may have
+// one: if the daemon dies between the two writes, the response is stored but the outcome is not recorded.
 std::string objectOf(const std::string& recordKey, const RequestRecord& record)
 {
     if (record.state == RequestRecordState::Claimed)
@@ -35,7 +35,7 @@
 {
     if ((m_isReading || m_isDeleting) && step.now - m_sentAt >= replyTimeout) {
         m_isReading = m_isDeleting = false;
-        ++m_sequence; // a late reply is ignored
+        ++m_sequence; // so that a late reply is ignored
         m_batch.clear();
         m_expired.clear();
     }
@@ -47,7 +47,7 @@
     if (m_isReading || m_isDeleting || step.now < m_nextSweep)
         return;
     m_nextSweep = step.now + sweepInterval;
-    m_objectDeletions.clear(); // replies that did not come: the rows are still there
+    m_objectDeletions.clear(); // without a reply so far; this sweep finds their rows again
     m_isReading = true;
     m_sentAt = step.now;
     step.emit(ReadTable {
@@ -66,7 +66,7 @@
         if (event.reply.status == TableStatus::Ok) {
             m_deleted += m_batch.size();
         } else if (event.reply.status == TableStatus::Conflict) {
-            // Rows that changed stay; the others go into the next batch.
+            // Changed rows are kept; the others are deleted in a later batch.
             for (const TableCondition& condition : m_batch) {
                 const bool isChanged = std::any_of(event.reply.rows.begin(), event.reply.rows.end(),
                     [&](const TableRow& row) { return row.key == condition.key; });
--- a/src/requests/record_sweeper.h
+++ b/src/requests/record_sweeper.h
@@ -11,20 +11,20 @@
 
 namespace anvilmoor {
 
-// Operations of ModuleId::Requests with this bit belong to the RecordSweeper, the others to the
-// RequestBroker.
+// Set in the sequence numbers of the RecordSweeper's operations. They share ModuleId::Requests with the
+// operations of the RequestBroker, which do not have this bit.
 constexpr std::uint64_t recordSweeperSequenceBit = std::uint64_t(1) << 63U;
 
-// Deletes request records that are older than their lifetime, while this daemon holds its zone's
-// role. The object of a large response is deleted before its row, so that none stays without a row. Deletions
-// are conditional on the versions read, so that holders of several zones, and copies that claim a row anew,
-// do no harm to each other.
+// Deletes request records that are older than their lifetime, while this daemon holds its zone's role. The
+// object of a large response is deleted before its row, because an object without a row would never be found
+// again. Deletions are conditional on the row versions read: sweepers of other zones work on the same rows,
+// and a copy of a request may claim an expired row again.
 class RecordSweeper {
 public:
     explicit RecordSweeper(const RoleView&);
 
     void handle(const Tick&, Step&);
-    // Ignores replies that are not its own.
+    // These ignore replies to operations of other modules and of the RequestBroker.
     void handle(const TableReplied&, Step&);
     void handle(const ObjectReplied&, Step&);
 
--- a/src/requests/request_broker.cpp
+++ b/src/requests/request_broker.cpp
@@ -7,16 +7,17 @@
 
 namespace {
 
-constexpr std::chrono::minutes maxClockLead { 5 }; // of callers' clocks
+constexpr std::chrono::minutes maxClockLead { 5 }; // of a caller's clock over this daemon's clock
 constexpr std::chrono::minutes longestDeadline { 10 };
 constexpr std::size_t maxKeyBytes = 200;
 constexpr std::size_t maxCallers = 32'768;
-// Bodies and unwritten responses together; leaves most of a daemon's 128 MB to the rest.
+// Bodies and unwritten responses together. Leaves most of a daemon's 128 MB for its other data.
 constexpr std::size_t maxHeldBytes = 32U << 20U;
-// The rest of the held bytes is for new work while responses cannot be stored.
+// The other half of the held bytes stays available to new requests while responses cannot be stored.
 constexpr std::size_t maxUnwrittenBytes = maxHeldBytes / 2;
 constexpr std::size_t maxUnwrittenOutcomes = 8'192;
-constexpr Seconds outcomePatience { 10 }; // at shutdown
+// At shutdown, for recording outcomes after the last request is answered.
+constexpr Seconds outcomePatience { 10 };
 constexpr Milliseconds retryHint { 1'000 };
 
 bool isPrintable(std::string_view text)
@@ -41,7 +42,7 @@
     , m_peers(peers)
     , m_admission(admission)
     , m_routing(routing)
-    // Call ids of different incarnations must not meet, so they start at a mixed incarnation.
+    // The first ids are hashed from the incarnation, so that different incarnations do not use the same ids.
     , m_lastCall(settings.incarnation * 0x9e3779b97f4a7c15ULL)
     , m_lastLookup(settings.incarnation * 0xbf58476d1ce4e5b9ULL)
 {
@@ -67,7 +68,7 @@
     m_asked.erase(execution.number);
     m_heldBytes -= execution.body.size() + execution.answer.body.size();
     m_unwrittenBytes -= execution.answer.body.size();
-    const RequestNumber number = execution.number; // the reference ends with the entry
+    const RequestNumber number = execution.number; // copied, as erasing the entry invalidates the reference
     m_executions.erase(number);
 }
 
@@ -126,16 +127,18 @@
             return answerOf(RequestOutcome::NotRun, "the request's issue time is more than 5 min ahead");
     }
     if (m_isStopping)
-        return answerOf(RequestOutcome::NotRun, "this daemon is shutting down; send again", retryHint);
+        return answerOf(
+            RequestOutcome::NotRun, "this daemon is shutting down; send the request again", retryHint);
     if (m_callers.size() >= maxCallers || m_heldBytes + event.body.size() > maxHeldBytes)
-        return answerOf(RequestOutcome::NotRun, "this daemon holds too many requests", retryHint);
+        return answerOf(RequestOutcome::NotRun,
+            "this daemon is at its limit of waiting callers or request bytes", retryHint);
     return {};
 }
 
 void RequestBroker::handle(const RequestReceived& event, Step& step)
 {
     if (m_callers.contains(event.caller))
-        return; // a repeated event
+        return; // the event was delivered twice
     ++m_counters.received;
     const Configuration* configuration = m_configuration.current();
     const ServiceConfiguration* service = configuration ? configuration->findService(event.service) : nullptr;
@@ -200,11 +203,12 @@
     constexpr std::size_t maxAbandoned = 32;
     if (execution.record.abandoned.size() >= maxAbandoned) {
         answerCaller(event.caller,
-            withoutRecord(answerOf(RequestOutcome::NotRun, "earlier copies are not recorded yet", retryHint)),
+            withoutRecord(answerOf(
+                RequestOutcome::NotRun, "the outcomes of earlier copies are not recorded yet", retryHint)),
             step);
         return;
     }
-    // The earlier copies were told "not run". This one gets a claim of its own.
+    // The earlier copies were answered "not run". This copy makes a claim of its own.
     setPhase(execution, RequestPhase::Queued);
     execution.body = event.body;
     m_heldBytes += event.body.size();
@@ -236,7 +240,7 @@
     if (!verdict.displaced)
         return;
     if (Execution* displaced = find(*verdict.displaced))
-        giveUp(*displaced, "the queue is full and this account or caller holds most of it", step);
+        giveUp(*displaced, "the queue is full and this account or caller has the largest part of it", step);
 }
 
 void RequestBroker::answerCaller(CallerHandle caller, RequestAnswer answer, Step& step)
@@ -265,7 +269,7 @@
     step.emit(AnswerRequest { caller, std::move(answer) });
 }
 
-// The request is not sent, and will not be.
+// Ends a request that is not at an endpoint and will not be sent again.
 void RequestBroker::giveUp(Execution& execution, std::string reason, Step& step)
 {
     m_admission.remove(execution.number);
@@ -288,8 +292,9 @@
                 { "reason", execution.answer.reason } });
     const std::vector<RequestWaiter> waiters = std::move(execution.waiters);
     execution.waiters.clear();
-    // While this daemon holds the claim, no other copy can have been sent: the row was absent or given up.
-    // It does not hold a claim that it has begun to give up.
+    // While this daemon holds the claim, no other copy can have been sent: before the claim, the row was
+    // absent or said "not run". Once "not run" may have been written for the claim, it no longer counts as
+    // held.
     const bool isClaimHeld = execution.record.nonce && execution.record.heldNonce == execution.record.nonce
         && !execution.record.isGivenUp;
     const bool isRecordKnown = execution.isIdempotent || execution.answer.isFromRecord || isClaimHeld;
@@ -306,7 +311,7 @@
         recordOutcome(execution, step);
 }
 
-// The outcome is another copy's, so there is nothing to record.
+// Answers with the outcome of another copy, so there is no outcome to record.
 void RequestBroker::finishAsCopy(Execution& execution, RequestAnswer answer, Step& step)
 {
     execution.record = {};
@@ -318,7 +323,8 @@
     const auto entry = m_callers.find(caller);
     Execution* execution = entry == m_callers.end() ? nullptr : find(entry->second.request);
     if (!execution) {
-        answerCaller(caller, answerOf(RequestOutcome::Unknown, "the request is not known any more"), step);
+        answerCaller(
+            caller, answerOf(RequestOutcome::Unknown, "this daemon no longer has the request"), step);
         return;
     }
     if (execution->waiters.size() > 1 || execution->phase == RequestPhase::Calling) {
@@ -327,15 +333,17 @@
         const bool isSent = execution->phase == RequestPhase::Calling || execution->isPerhapsExecuted;
         answerCaller(caller,
             answerOf(RequestOutcome::Unknown,
-                isSent ? "no answer before the deadline; ask again for the outcome"
-                       : "a copy of the request still waits; ask again for the outcome",
+                isSent ? "no endpoint answered before the deadline; query the outcome later"
+                       : "another copy of the request is still waiting; query the outcome later",
                 retryHint),
             step);
         return;
     }
     if (execution->phase == RequestPhase::Resolving) {
         finishAsCopy(*execution,
-            answerOf(RequestOutcome::Unknown, "the outcome could not be found in time; ask again", retryHint),
+            answerOf(RequestOutcome::Unknown,
+                "the outcome of an earlier copy was not found before the deadline; query it again",
+                retryHint),
             step);
         return;
     }
--- a/src/requests/request_broker.h
+++ b/src/requests/request_broker.h
@@ -33,12 +33,12 @@
     std::uint64_t retries = 0;
     std::uint64_t staleReplies = 0; // for unknown or ended calls
     std::uint64_t foreignAnswers = 0; // with another request's identity
-    std::uint64_t droppedOutcomes = 0; // unwritten outcomes given up to bound memory
+    std::uint64_t droppedOutcomes = 0; // discarded before they were recorded, to bound memory
 };
 
-// Carries requests from callers to endpoints and answers each caller once, at the latest at the first
-// tick after its deadline. Non-idempotent requests are claimed in the table before they are sent, and
-// sent by no one but the daemon whose nonce the row holds.
+// Forwards requests from callers to endpoints and answers each caller once, at the latest at the first tick
+// after its deadline. A non-idempotent request is claimed in the table before it is sent, and only the daemon
+// whose nonce is in the row sends it.
 class RequestBroker {
 public:
     RequestBroker(const DaemonSettings&, const ConfigurationView&, const EndpointDirectory&,
@@ -49,7 +49,7 @@
     void handle(const CallerGone&, Step&);
     void handle(const EndpointAnswered&, Step&);
     void handle(const EndpointFailed&, Step&);
-    // Ignores replies to other modules and to the RecordSweeper.
+    // Ignore replies to operations of other modules and of the RecordSweeper.
     void handle(const TableReplied&, Step&);
     void handle(const ObjectReplied&, Step&);
     void handle(const RequestLookup&, const HostId& from, Step&);
@@ -57,10 +57,11 @@
     void handle(const PeerLost&, Step&);
     void handle(const Tick&, Step&);
 
-    // From now on new requests are answered "not run"; those under way are finished.
+    // From now on, new requests are answered "not run"; requests in progress are finished.
     void beginShutdown(Step&);
 
-    // True if nothing is in flight and every outcome is recorded, or could not be for a while.
+    // True if all requests are answered and their outcomes are recorded. During shutdown also true if
+    // outcomes could not be recorded within 10 s after the last answer.
     bool isIdle() const;
 
     const RequestCounters& counters() const { return m_counters; }
@@ -90,7 +91,7 @@
         TimePoint giveUpAt {};
     };
 
-    // The requests of one service that left admission.
+    // The requests of one service that have left the admission queue.
     struct Lane {
         std::deque<RequestNumber> ready;
         std::size_t claiming = 0;
@@ -147,7 +148,7 @@
     void onQueriedRow(Execution&, const TableRow&, Step&);
     void resolve(Execution&, const RequestRecord&, Step&);
     void tellAskers(Execution&, Step&);
-    // Tells the callers of such lookups that the outcome is unknown.
+    // Ends the selected lookups and answers "unknown" to the callers that wait for them.
     void giveUpLookups(const std::function<bool(const Lookup&)>& isOver, const std::string& reason, Step&);
     void expireLookups(Step&);
 
@@ -176,7 +177,7 @@
     std::deque<RequestNumber> m_finishedOrder;
     std::size_t m_unfinished = 0;
     std::size_t m_heldBytes = 0; // bodies and unwritten responses
-    std::size_t m_unwrittenBytes = 0; // unwritten responses alone
+    std::size_t m_unwrittenBytes = 0; // unwritten responses only
     ConfigurationVersion m_configuredVersion = 0;
     RequestNumber m_lastNumber = 0;
     CallId m_lastCall = 0;
--- a/src/requests/request_calls.cpp
+++ b/src/requests/request_calls.cpp
@@ -6,20 +6,24 @@
 
 namespace {
 
-// Claims ahead of free slots: a group's worth, so that slots do not stand idle while the table answers.
+// Claimed requests beyond the free slots: one full group of the record log, so that slots are not idle while
+// the table answers.
 constexpr std::size_t claimsAhead = 64;
-// Only a service whose endpoints all refuse gets near this.
+// Per request. Only reached if all endpoints of a service refuse requests.
 constexpr int maxCalls = 64;
-constexpr int maxRepeats = 4; // of idempotent requests that may have been executed
-// Each is looked up at every choice. Endpoints that cannot be reached become suspect long before.
+// An idempotent request that may have been executed is not sent again after this number of calls.
+constexpr int maxRepeats = 4;
+// Every choice of an endpoint searches all of them. Unreachable endpoints become suspect long before this
+// many are listed.
 constexpr std::size_t maxFailedEndpoints = 16;
-// An answer that comes after the caller's deadline is still recorded.
+// After the caller's deadline. An answer within this time is still recorded.
 constexpr Seconds lateAnswerWait { 10 };
-// The slot of a late idempotent call stays taken, since the endpoint may still work on it.
+// After the caller's deadline. The slot of a late idempotent call stays occupied, because the endpoint may
+// still be executing it.
 constexpr Seconds lateIdempotentWait { 1 };
 constexpr Seconds silentCallGrace { 2 };
-// An idempotent call that takes so many times the usual time, and half of what is left until the deadline,
-// is given up, so that there is time for another endpoint.
+// An idempotent call times out after this multiple of the expected service time, but not before half of the
+// time until the deadline has passed. The remaining time is for a call to another endpoint.
 constexpr int overdueFactor = 4;
 constexpr Seconds callCheckInterval { 1 };
 constexpr Milliseconds retryHint { 1'000 };
@@ -109,7 +113,7 @@
         execution.body, timeout });
 }
 
-// Null for a call that is not under way.
+// Returns null if the call is not in flight.
 RequestBroker::Execution* RequestBroker::endCall(CallId call, CallResult result, Step& step)
 {
     const auto found = m_calls.find(call);
@@ -134,8 +138,9 @@
         step.record("request.foreign_answer",
             { { "endpoint", caller->endpoint.value() }, { "account", caller->identity.account.value() },
                 { "request", caller->identity.key } });
-        handle(
-            EndpointFailed { event.call, EndpointFailure::Lost, "the answer names another request" }, step);
+        handle(EndpointFailed { event.call, EndpointFailure::Lost,
+                   "the answer carries the identity of another request" },
+            step);
         return;
     }
     Execution* execution = endCall(event.call, CallResult::Succeeded, step);
@@ -157,7 +162,8 @@
         m_observer.onEndpointSuccess(execution->endpoint, step);
     else
         m_observer.onEndpointFailure(execution->endpoint, step);
-    // An endpoint that refused for want of a slot may have one again; routing leaves it out for a while.
+    // An endpoint that refused for lack of a free slot may have one later, so it is not listed as failed.
+    // The routing excludes it for a while.
     if (!isBusy && execution->failedEndpoints.size() < maxFailedEndpoints)
         execution->failedEndpoints.push_back(execution->endpoint);
     switch (event.failure) {
@@ -165,13 +171,14 @@
         retryUnsent(*execution, "the endpoint could not be reached", step);
         break;
     case EndpointFailure::RefusedBeforeExecution:
-        retryUnsent(*execution, "every endpoint tried refused the request", step);
+        retryUnsent(*execution, "the endpoints refused the request before execution", step);
         break;
     case EndpointFailure::Lost:
         execution->isPerhapsExecuted = true;
         retryExecuted(*execution,
             { RequestOutcome::Unknown, {},
-                "the request was sent and no answer came; ask again for the outcome", retryHint, false },
+                "the request was sent, but the endpoint's answer was lost; query the outcome later",
+                retryHint, false },
             step);
         break;
     case EndpointFailure::Error:
@@ -196,7 +203,7 @@
     m_lanes[execution.service].ready.push_back(execution.number);
 }
 
-// A non-idempotent request that may have been executed is never sent again.
+// For requests that may have been executed. Only idempotent ones are sent again.
 void RequestBroker::retryExecuted(Execution& execution, RequestAnswer otherwise, Step& step)
 {
     const bool mayRepeat = execution.isIdempotent && !execution.waiters.empty()
@@ -210,8 +217,8 @@
     m_lanes[execution.service].ready.push_back(execution.number);
 }
 
-// Every call ends by an event. This guards against one that does not, which would hold its slot and
-// its request for good.
+// Normally, an event ends every call. Without such an event, the call would occupy its slot and its request
+// forever.
 void RequestBroker::giveUpSilentCalls(Step& step)
 {
     if (step.now < m_nextCallCheck)
@@ -224,7 +231,8 @@
     }
     for (const CallId id : silent) {
         step.emit(CancelEndpointCall { id });
-        handle(EndpointFailed { id, EndpointFailure::Lost, "no event ended the call" }, step);
+        handle(EndpointFailed { id, EndpointFailure::Lost, "no event ended the call within its time limit" },
+            step);
     }
 }
 
--- a/src/requests/request_claims.cpp
+++ b/src/requests/request_claims.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Bridges a short outage of the table. A longer one is told to the caller, who may know another site.
+// Tolerates a short outage of the table. After a longer one, the caller is answered and may use another site.
 constexpr Seconds claimPatience { 1 };
 constexpr Milliseconds firstRecordBackoff { 100 };
 constexpr Milliseconds longestRecordBackoff { 5'000 };
@@ -116,7 +116,7 @@
     if (!execution)
         return;
     if (execution->phase == RequestPhase::Resolving) {
-        // Records of earlier versions have no digest.
+        // Records written by earlier versions of this software have no digest.
         const bool isWhole = event.isOk
             && (execution->objectDigest.empty() || execution->objectDigest == responseDigest(event.value));
         if (event.isOk && !isWhole)
@@ -125,7 +125,7 @@
             finishAsCopy(*execution, { RequestOutcome::Done, event.value, {}, {}, true }, step);
         else
             finishAsCopy(*execution,
-                { RequestOutcome::Unknown, {}, "the request was done; its response cannot be read now",
+                { RequestOutcome::Unknown, {}, "the request was done, but its stored response cannot be read",
                     retryHint, true },
                 step);
     } else if (execution->isObjectPending) {
@@ -175,7 +175,8 @@
             onQueriedRow(*execution, result.row, step);
         else
             finish(*execution,
-                { RequestOutcome::Unknown, {}, "the record cannot be read now; ask again", retryHint, false },
+                { RequestOutcome::Unknown, {},
+                    "the record cannot be read from the table; query the outcome again", retryHint, false },
                 step);
         return;
     }
@@ -206,8 +207,8 @@
     }
 }
 
-// `version` is the condition of the next write, so it takes over only versions of rows that this
-// request may overwrite: absent, its own, or given up by another copy.
+// `version` is the condition of the next write. It is set only to the version of a row that this request may
+// overwrite: an absent row, a row with one of its own nonces, or a row that another copy set to "not run".
 void RequestBroker::onRow(Execution& execution, const TableRow& row, Step& step)
 {
     RecordProgress& record = execution.record;
@@ -218,7 +219,7 @@
         if (isSwept && execution.phase == RequestPhase::Finished)
             erase(execution);
         else
-            pursue(execution, step); // a lost create may still take effect: the write settles it
+            pursue(execution, step); // an earlier write may still create the row, and then this one conflicts
         return;
     }
     record.isUncertain = false;
@@ -262,7 +263,7 @@
 {
     RecordProgress& record = execution.record;
     if (record.goal == RecordGoal::Outcome) {
-        // Another copy has the row. An unsent claim of this one can have no effect any more.
+        // Another copy has claimed the row, so an unsent claim of this one can no longer take effect.
         if (execution.answer.outcome != RequestOutcome::NotRun)
             step.record("request.record_overtaken", { { "request", execution.identity.key } });
         record.isOutcomeWritten = true;
@@ -287,7 +288,9 @@
     const bool isClaiming = execution.phase == RequestPhase::Claiming;
     if (isClaiming && step.now - record.claimingSince >= claimPatience) {
         finish(execution,
-            { RequestOutcome::NotRun, {}, "the table is unavailable; this copy of the request was not sent",
+            { RequestOutcome::NotRun, {},
+                "the table is unavailable: this copy of the request could not be claimed within 1 s and was "
+                "not sent",
                 retryHint, false },
             step);
         return;
--- a/src/requests/request_execution.h
+++ b/src/requests/request_execution.h
@@ -11,30 +11,30 @@
 
 namespace anvilmoor {
 
-// Tells sequence numbers of object operations from those of table operations.
+// Set in the sequence numbers of object operations, to distinguish them from those of table operations.
 constexpr std::uint64_t objectSequenceBit = std::uint64_t(1) << 62U;
 
-// Guards against a reply of the object store that never comes. Longer than the time limit of the object
-// client (5 s), so that a late reply is not taken for none.
+// Expires if the object store client delivers no reply at all. Longer than the client's own timeout (5 s), so
+// that a reply just before that timeout is still handled.
 constexpr Seconds objectReplyTimeout { 6 };
 
 enum class RequestPhase {
-    Queued, // in admission
-    Claiming, // its record is being written
+    Queued, // in the admission queue
+    Claiming, // its claim is being written to the table
     Ready, // may be sent; waits for an endpoint
-    Calling, // at an endpoint
-    Resolving, // a copy or a query: reads the record, or asks the daemon that claimed it
+    Calling, // sent to an endpoint
+    Resolving, // a copy or a query: reads the record or its object, or asks the daemon that made the claim
     Finished, // answered; its outcome is being recorded
 };
 
 struct RequestWaiter {
     CallerHandle caller = 0;
     TimePoint deadline {};
-    bool isCopy = false; // joined a request that was under way
-    bool isFirstCopy = false; // by the caller's own word
+    bool isCopy = false; // joined a request that was already in progress, or queries its outcome
+    bool isFirstCopy = false; // the caller declared that it sent no earlier copy
 };
 
-// A peer that asked for the outcome.
+// A lookup of the outcome by a peer, answered when the request is finished or at `replyBy`.
 struct RequestAsker {
     HostId peer;
     std::uint64_t lookup = 0;
@@ -43,28 +43,28 @@
 
 enum class RecordGoal { None, Claim, Outcome };
 
-// How far the table row of a request is known and what it shall become. At most one operation on the
-// row is under way at a time.
+// The known state of a request's table row, and the state to be written to it. At most one operation on the
+// row is in flight at a time.
 struct RecordProgress {
     RecordGoal goal = RecordGoal::None;
-    std::uint32_t goalNumber = 0; // grows with each change of the goal
-    std::uint64_t nonce = 0; // of the present claim; 0: none yet
-    std::vector<std::uint64_t> abandoned; // earlier nonces of this request that were given up unsent
-    std::uint64_t heldNonce = 0; // own nonce last seen in the row; 0: none
+    std::uint32_t goalNumber = 0; // incremented with each change of the goal
+    std::uint64_t nonce = 0; // of the current claim; 0: none yet
+    std::vector<std::uint64_t> abandoned; // nonces of earlier claims, abandoned before the request was sent
+    std::uint64_t heldNonce = 0; // nonce of this execution last seen in the row; 0: none
     RowVersion version = 0; // condition of the next write
-    bool isUncertain = false; // some write may have taken effect unseen
+    bool isUncertain = false; // a write without a reply may have taken effect
     bool isReadNeeded = false; // before the next write
-    bool isOutcomeWritten = false; // for the present nonce
-    // "Not run" may be in the row for the present nonce, so that another copy may have claimed it since.
+    bool isOutcomeWritten = false; // for the current nonce
+    // "Not run" may have been written for the current nonce, after which another copy may claim the row.
     bool isGivenUp = false;
     bool isBusy = false;
-    std::uint32_t busyGoal = 0; // goal number and nonce of the operation under way
+    std::uint32_t busyGoal = 0; // goal number and nonce of the operation in flight
     std::uint64_t busyNonce = 0;
     TimePoint claimingSince {};
     Milliseconds backoff { 0 };
 };
 
-// The key of a request came with another body.
+// The answer to a request whose key was used before with another service, operation or body.
 inline RequestAnswer keyConflict()
 {
     RequestAnswer answer;
@@ -74,7 +74,7 @@
     return answer;
 }
 
-// One request as this daemon carries it out. Copies of a non-idempotent request join it.
+// The execution of one request by this daemon. Copies of a non-idempotent request share one execution.
 struct RequestExecution {
     RequestNumber number = 0;
     RequestIdentity identity;
@@ -86,15 +86,15 @@
     WallTime issuedAt;
     int priority = 0;
     bool isIdempotent = false;
-    bool isQuery = false; // only asks for an outcome
+    bool isQuery = false; // reads the outcome of an earlier request; is never sent
 
     RequestPhase phase = RequestPhase::Queued;
-    TimePoint deadline {}; // the latest of all waiters so far
+    TimePoint deadline {}; // the latest deadline of all waiters so far
     std::vector<RequestWaiter> waiters;
     std::vector<RequestAsker> askers;
 
     CallId call = 0;
-    EndpointId endpoint; // of the present or last call
+    EndpointId endpoint; // of the current or last call
     TimePoint calledAt {};
     int calls = 0;
     std::vector<EndpointId> failedEndpoints; // of calls that were lost, not sent, or ended with an error
@@ -102,12 +102,13 @@
 
     RecordProgress record;
     RequestAnswer answer; // when finished
-    std::string objectKey; // of a large response that is stored
-    std::string objectDigest; // that a copy's object must have
-    bool isObjectPending = false; // a large response that is not stored yet
+    std::string objectKey; // of a large response that has been stored
+    std::string objectDigest; // expected of the object that a copy reads; empty: not checked
+    bool isObjectPending = false; // a large response has not been stored yet
 };
 
-// Requests without a key are too many, and cannot be asked for by name.
+// Whether events of the request are recorded. Requests without a key are too numerous for that, and their
+// events could not be looked up by key.
 inline bool isTraced(const RequestExecution& execution)
 {
     return !execution.identity.key.empty() && !execution.isQuery;
--- a/src/requests/request_lookups.cpp
+++ b/src/requests/request_lookups.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Milliseconds lookupTimeout { 500 };
-// Shorter than the asker's own limit, so that "still in flight" arrives in time.
+// Shorter than lookupTimeout, so that the reply "still in flight" arrives before the peer's lookup expires.
 constexpr Milliseconds lookupHold { 400 };
 constexpr std::size_t maxAskers = 64; // per request
 constexpr Seconds queryPatience { 2 };
@@ -23,11 +23,11 @@
 void RequestBroker::handle(const RequestQueried& event, Step& step)
 {
     if (m_callers.contains(event.caller))
-        return; // a repeated event
+        return; // the event was delivered twice
     const TimePoint deadline = step.now + queryPatience;
     m_callers.emplace(event.caller, Caller { 0, deadline });
     if (const Execution* execution = find(event.identity)) {
-        RequestAnswer answer = unknownAnswer("the request is still in progress; ask again");
+        RequestAnswer answer = unknownAnswer("the request is still in progress; query the outcome later");
         if (execution->phase == RequestPhase::Finished) {
             answer = execution->answer;
             answer.isFromRecord = true;
@@ -51,14 +51,15 @@
         resolve(query, *found, step);
         return;
     }
-    // A create may be under way elsewhere, so an absent record does not prove "not run".
+    // Another daemon may be creating the record, so its absence does not prove "not run".
     finish(query,
         unknownAnswer(row.version == 0 ? "there is no record of the request; send it again with the same key"
                                        : "the record is malformed"),
         step);
 }
 
-// Answers with what the record of another copy says, or its daemon knows.
+// Answers with the outcome in the record of another copy. If the record is only a claim, asks the daemon that
+// made it.
 void RequestBroker::resolve(Execution& execution, const RequestRecord& found, Step& step)
 {
     setPhase(execution, RequestPhase::Resolving);
@@ -85,7 +86,9 @@
         [&](const PeerStatus& peer) { return peer.host == found.host && peer.isReachable; });
     if (!isReachable) {
         finishAsCopy(execution,
-            unknownAnswer("an earlier copy was claimed by a daemon that cannot be asked; ask again"), step);
+            unknownAnswer(
+                "the daemon that claimed an earlier copy is not connected; query the outcome later"),
+            step);
         return;
     }
     m_lookups.emplace(++m_lastLookup, Lookup { execution.number, found.host, step.now + lookupTimeout });
@@ -96,8 +99,8 @@
 {
     Execution* execution = find(event.identity);
     RequestLookupAnswer reply { event.lookup, false, false, {} };
-    // The asker has read a claim of this host, perhaps of an earlier incarnation. Only a request whose
-    // present nonce was seen in the row is certain to be the one that the row is about.
+    // The peer has read a claim of this host in the row, possibly by an earlier incarnation. Only a request
+    // whose current nonce was seen in the row is certain to be the one that made this claim.
     const bool isKnown
         = execution && execution->record.nonce && execution->record.heldNonce == execution->record.nonce;
     if (isKnown) {
@@ -140,8 +143,9 @@
         finishAsCopy(*execution, std::move(answer), step);
     } else {
         finishAsCopy(*execution,
-            unknownAnswer(event.isKnown ? "an earlier copy is still in progress; ask again"
-                                        : "the outcome of an earlier copy is not known; ask again"),
+            unknownAnswer(event.isKnown
+                    ? "an earlier copy is still in progress; query the outcome later"
+                    : "the daemon that claimed an earlier copy does not have its outcome; query it later"),
             step);
     }
     endOfEvent(step);
@@ -165,14 +169,14 @@
 void RequestBroker::handle(const PeerLost& event, Step& step)
 {
     giveUpLookups([&](const Lookup& lookup) { return lookup.peer == event.peer; },
-        "the daemon that claimed an earlier copy cannot be reached; ask again", step);
+        "the connection to the daemon that claimed an earlier copy was lost; query the outcome later", step);
     endOfEvent(step);
 }
 
 void RequestBroker::expireLookups(Step& step)
 {
     giveUpLookups([&](const Lookup& lookup) { return lookup.giveUpAt <= step.now; },
-        "the daemon that claimed an earlier copy did not answer; ask again", step);
+        "the daemon that claimed an earlier copy did not answer in time; query the outcome later", step);
     for (auto number = m_asked.begin(); number != m_asked.end();) {
         Execution* execution = find(*number);
         if (execution) {
--- a/src/requests/request_record.cpp
+++ b/src/requests/request_record.cpp
@@ -93,7 +93,8 @@
     try {
         return document.dump();
     } catch (const nlohmann::json::type_error&) {
-        // Not UTF-8. The reason may quote the endpoint, so it is replaced too.
+        // The record has text that is not UTF-8. The reason may quote the endpoint, so invalid bytes in it
+        // are replaced.
         document.erase("body");
         document["body_hex"] = toHex(record.body);
         return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -145,7 +146,7 @@
 
 std::string requestDigest(const ServiceId& service, std::string_view operation, std::string_view body)
 {
-    // Lengths keep the boundaries between the parts distinct.
+    // The lengths make the boundaries between the parts unambiguous.
     std::string text
         = fmt::format("{}:{} {}:{} ", service.value().size(), service.value(), operation.size(), operation);
     text += body;
--- a/test/request_broker_test.cpp
+++ b/test/request_broker_test.cpp
@@ -88,7 +88,7 @@
     }
 
 public:
-    // Guards against taking an own claim for a copy's.
+    // Guards against mistaking the daemon's own claim, whose write got no reply, for the claim of a copy.
     void testClaimWithLostReplyIsSentOnce()
     {
         RequestSite site(1);
@@ -107,7 +107,8 @@
         assertDoneOnce(site, caller, "k");
     }
 
-    // The first create takes effect after the read that found the row absent.
+    // Guards against a second claim or call when the first write creates the row only after the read that
+    // found the row absent.
     void testClaimWithLateEffectIsSentOnce()
     {
         RequestSite site(1);
@@ -117,11 +118,11 @@
         assertDoneOnce(site, caller, "k");
     }
 
-    // Guards against an execution under a nonce whose caller was told "not run".
+    // Guards against sending a request on an abandoned claim, after its caller was answered "not run".
     void testClaimGivenUpBeforeLateEffectEndsNotRunAndMayBeSentAnew()
     {
         RequestSite site(2);
-        // The read that would show whether the create took effect fails until the caller was answered.
+        // The read that would show the effect of the write fails until the caller has been answered.
         site.tableFaults = { TableFault::LateEffect, TableFault::Unavailable };
         const CallerHandle first = site.submit(0, "k", "tare-check", "load", Milliseconds(40));
         site.run(Seconds(1));
@@ -133,7 +134,8 @@
         assertDoneOnce(site, second, "k");
     }
 
-    // Guards against a copy that is sent on the reply to the write of its predecessor's "not run".
+    // Guards against sending a copy when the write that records "not run" for the previous copy succeeds: the
+    // broker could take its reply for the reply to the new claim.
     void testCopyDuringRecordingOfNotRunClaimsAnew()
     {
         for (const int pause : { 0, 40, 80, 120, 160 }) {
@@ -158,7 +160,7 @@
         const CallerHandle copy = site.submit(1, "k");
         site.run(Seconds(1));
         assertOutcome(site, copy, RequestOutcome::Unknown);
-        // The new incarnation of the same host does not know the outcome either.
+        // The new incarnation of the claiming daemon does not have the outcome either.
         site.start(0);
         const CallerHandle third = site.submit(0, "k");
         site.run(Seconds(1));
@@ -166,7 +168,8 @@
         CPPUNIT_ASSERT_EQUAL(1, site.executions("k"));
     }
 
-    // The restarted daemon's own copy was not run, but the claim asked about was executed.
+    // Guards against answering a lookup with the outcome of another claim: the restarted daemon's own copy
+    // was not run, but the claim of its previous incarnation was executed.
     void testLookupOfEarlierIncarnationsClaimIsUnknown()
     {
         RequestSite site(2);
@@ -232,12 +235,12 @@
         assertOutcome(site, atSame, RequestOutcome::Refused);
         assertOutcome(site, elsewhere, RequestOutcome::Refused);
         CPPUNIT_ASSERT_EQUAL(1, site.executions("k"));
-        // The wire answer is 409 only with the flag; it was lost once.
+        // Without the flag, the HTTP status is not 409. An earlier version lost the flag.
         CPPUNIT_ASSERT(site.answer(atSame)->isConflict);
         CPPUNIT_ASSERT(site.answer(elsewhere)->isConflict);
     }
 
-    // Also guards responses that are not UTF-8, which JSON cannot hold.
+    // The responses are not valid UTF-8, which a JSON string cannot hold.
     void testCopyOfDoneWithLargeResponseIsAnsweredFromRecord()
     {
         for (const std::size_t size : { std::size_t(100), std::size_t(40'000) }) {
@@ -253,7 +256,8 @@
         }
     }
 
-    // Guards against a record that stays "claimed" after an outage, above all when a put gets no reply.
+    // Guards against a record that stays "claimed" after an outage of the object store, especially if a put
+    // gets no reply.
     void testLargeResponseDuringObjectOutageIsRecordedAfterIt()
     {
         for (const ObjectFault fault : { ObjectFault::Down, ObjectFault::Lost, ObjectFault::LostReply }) {
@@ -280,7 +284,8 @@
         }
     }
 
-    // Guards against a second execution when the only holder of a response dies before it is stored.
+    // Guards against a second execution when the daemon that holds the only copy of a response dies before it
+    // is stored.
     void testLargeResponseLostWithItsDaemonIsUnknown()
     {
         RequestSite site(2);
@@ -299,7 +304,7 @@
         CPPUNIT_ASSERT_EQUAL(1, site.executions("k"));
     }
 
-    // Guards against a cut or foreign object that is passed on as the response.
+    // Guards against answering with an object that is truncated or holds another response.
     void testLargeResponseReadWithFaultIsUnknown()
     {
         RequestSite site(2);
@@ -322,7 +327,8 @@
         CPPUNIT_ASSERT_EQUAL(1, site.executions("k"));
     }
 
-    // Responses that cannot be stored once filled the memory bound, and all new requests were turned away.
+    // Guards against refusing all new requests during an outage of the object store, because responses that
+    // cannot be stored use up the memory limit.
     void testObjectOutageLeavesRoomForNewWork()
     {
         constexpr int requests = 100;
@@ -356,12 +362,13 @@
         CPPUNIT_ASSERT_EQUAL(site.daemon(0).broker->counters().droppedOutcomes, std::uint64_t(unknown));
     }
 
-    // Guards against a copy that is sent, or told "not run", on a claim that nobody will settle.
+    // Guards against sending a copy, or answering it "not run", after the "not run" of an earlier copy was
+    // dropped unrecorded: its row stays "claimed".
     void testDroppedNotRunIsUnknownForCopies()
     {
-        constexpr int requests = 8'320; // above the bound of 8,192
+        constexpr int requests = 8'320; // above the limit of 8,192 unwritten outcomes
         RequestSite site(2);
-        site.drawTableFault = [] { return TableFault::LostReply; }; // claims take effect unseen
+        site.drawTableFault = [] { return TableFault::LostReply; }; // claims take effect without a reply
         for (int number = 0; number < requests; ++number) {
             site.submit(0, numbered("k", number), "tare-check", "load", Milliseconds(30));
             if (number % 64 == 63)
@@ -374,7 +381,7 @@
         CPPUNIT_ASSERT_EQUAL(requests - 8'192, dropped);
         site.drawTableFault = nullptr;
         site.run(Seconds(20));
-        // The oldest are dropped; the others end as "not run" and may be sent.
+        // The oldest outcomes are dropped. The others are recorded as "not run", so their copies are sent.
         for (const int number : { 0, 1, dropped - 1, dropped, requests - 1 }) {
             const bool isDropped = number < dropped;
             const std::string key = numbered("k", number);
@@ -387,7 +394,8 @@
         }
     }
 
-    // Guards against "not run", a second execution, or a late answer of a lookup that has ended.
+    // Guards against "not run", a second execution or a late answer after a lookup ended because the claiming
+    // daemon was lost or restarted.
     void testPeerLostOrRestartedDuringLookupIsUnknown()
     {
         for (const bool isRestarted : { false, true }) {
@@ -402,7 +410,7 @@
                 site.kill(0);
                 site.start(0);
                 site.tableDownFor = { 0 };
-                // The new incarnation has a copy of its own, which is not run.
+                // The new incarnation receives a copy, which is not run.
                 site.submit(0, "k", "tare-check", "load", Milliseconds(100));
             } else {
                 site.deliverToBroker(1, PeerLost { RequestSite::host(0) });
@@ -417,8 +425,8 @@
         }
     }
 
-    // Guards against two executions, or "not run" after one, when copies come to two daemons while the table
-    // loses what becomes of an earlier "not run".
+    // Guards against two executions, or "not run" after an execution, when two daemons receive copies while
+    // the table loses requests and replies of the write that records an earlier "not run".
     void testCopiesDuringRecordingOfNotRunWithLostAnswersRunOnce()
     {
         int done = 0;
@@ -440,7 +448,8 @@
                     if (submission.answers.empty() || !isHeard.insert(caller).second)
                         continue;
                     const RequestOutcome outcome = submission.answers.front().outcome;
-                    CPPUNIT_ASSERT_MESSAGE(numbered("trial ", trial) + " told not run after an execution",
+                    CPPUNIT_ASSERT_MESSAGE(
+                        numbered("trial ", trial) + " answered \"not run\" after an execution",
                         outcome != RequestOutcome::NotRun || executions == 0);
                     done += outcome == RequestOutcome::Done ? 1 : 0;
                 }
@@ -449,18 +458,19 @@
             CPPUNIT_ASSERT_MESSAGE(numbered("trial ", trial), site.executions("k") <= 1);
             CPPUNIT_ASSERT_MESSAGE(numbered("trial ", trial), site.violations.empty());
         }
-        CPPUNIT_ASSERT_MESSAGE("hardly anything was done", done > 300);
+        CPPUNIT_ASSERT_MESSAGE("at most 300 requests were done", done > 300);
     }
 
-    // The row says "not run" although the daemon has not heard so: a copy elsewhere takes it and runs. A
-    // copy that is given up in this daemon's queue was told "not run" as if the claim were still held.
+    // Guards against a wrong "not run" when the write of an earlier "not run" takes effect without a reply: a
+    // copy at another daemon claims the row and runs, and this daemon, which takes its claim for held,
+    // answers "not run" to a copy that expires in its queue.
     void testQueuedCopyAfterNotRunIsNotCertainWhenAnotherCopyRan()
     {
         RequestSite site(2);
         site.drawCallFault = [] { return CallFault::Refuse; };
         const CallerHandle first = site.submit(0, "k", "tare-check", "load", Milliseconds(60));
         site.run(Milliseconds(20));
-        // The write of "not run" takes effect, and no read shows it.
+        // The write of "not run" takes effect, but its reply is lost and the following reads fail.
         site.tableFaults = { TableFault::LostReply };
         site.drawTableFault = [] { return TableFault::Unavailable; };
         site.run(Milliseconds(180));
@@ -489,13 +499,14 @@
         assertOutcome(site, tare, RequestOutcome::NotRun);
         assertOutcome(site, sugar, RequestOutcome::Done);
         CPPUNIT_ASSERT(site.daemon(0).broker->isIdle());
-        // Nothing is left that could be sent when the table returns.
+        // The request must not be sent when the table is available again.
         site.drawTableFault = nullptr;
         site.run(Seconds(10));
         CPPUNIT_ASSERT_EQUAL(0, site.executions("k"));
     }
 
-    // Guards against a second billing: a caller that hears "not run" submits the tare under a new key.
+    // Guards against "not run" for an executed request: the caller would submit it again under a new key and
+    // be billed twice.
     void testCopyOfExecutedRequestDuringTableOutageIsUnknown()
     {
         RequestSite site(2);
@@ -555,7 +566,8 @@
         CPPUNIT_ASSERT(site.calls[0].second.endpoint != site.calls[1].second.endpoint);
     }
 
-    // Guards against "unknown" although endpoints answer: a retry met one again that was silent before.
+    // Guards against "unknown" while other endpoints answer: a retry could choose an endpoint again that had
+    // already failed to answer the request.
     void testIdempotentRequestIsNeverSentTwiceToOneFailedEndpoint()
     {
         RequestSite site(1, 6);
@@ -586,7 +598,7 @@
         assertDoneOnce(site, copy, "k");
     }
 
-    // Guards against a response that reaches a caller twice, or the wrong one.
+    // Guards against answering a caller twice, or with the response to another request.
     void testRepeatedAndForeignAnswersReachNoCaller()
     {
         RequestSite site(1);
@@ -606,7 +618,7 @@
         RequestSite site(2);
         site.submit(1, "taken");
         site.run(Milliseconds(500));
-        site.submit(0, "alone"); // the rest joins one group while this claim is under way
+        site.submit(0, "alone"); // the following claims wait in one group while this claim is in flight
         constexpr int requests = 20;
         std::vector<CallerHandle> callers;
         callers.reserve(requests);
@@ -650,7 +662,7 @@
         for (const auto age : { std::chrono::minutes(24 * 60 + 1), std::chrono::minutes(-6) }) {
             RequestReceived event { 900, { ClientAccountId("small"), "old" }, {}, ServiceId("intake"),
                 "tare-check", issued - age, Milliseconds(500), {} };
-            // An earlier copy may have run while the request was young enough.
+            // Unless this is the first copy, an earlier one may have run before the request was too old.
             site.submissions[900] = {};
             site.deliverToBroker(0, event);
             assertOutcome(site, 900, RequestOutcome::Unknown);
@@ -671,8 +683,8 @@
         std::string m_key = "role/thumb/owner";
     };
 
-    // Guards against objects of large responses that stay for good, also those whose outcome was never
-    // written, and against rows that are deleted while their object is still there.
+    // Guards against objects of large responses that are never deleted, including those whose outcome was not
+    // recorded, and against rows that are deleted before their objects.
     void testSweepDeletesObjectsBeforeTheirRows()
     {
         const Holder role;
@@ -742,13 +754,13 @@
             if (const auto* read = std::get_if<ReadTable>(&effect))
                 sweeper.handle(TableReplied { read->operation, store.read(read->read) }, step);
             if (const auto* write = std::get_if<ExecuteTransaction>(&effect)) {
-                // Another copy touches an expired row between the read and the deletion.
+                // Another copy changes an expired row between the read and the deletion.
                 if (store.rows().size() == 100)
                     store.execute({ {}, { { "request/a/99", "changed" } } });
                 sweeper.handle(TableReplied { write->operation, store.execute(write->transaction) }, step);
             }
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(49), store.rows().size()); // ages 0 to 47 h, and the touched one
+        CPPUNIT_ASSERT_EQUAL(std::size_t(49), store.rows().size()); // ages 0 to 47 h, and the changed row
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(51), sweeper.deleted());
     }
 
@@ -768,7 +780,7 @@
         site.isPeerMessageDropped = [&] { return isDrawn(20); };
         site.drawTableFault = [&] { return isDrawn(25) ? TableFault(1 + random() % 4) : TableFault::None; };
         site.drawCallFault = [&] {
-            // Error has another body, so it is left to its own test.
+            // Not Error: its response body differs from the expected one. It has its own test.
             static constexpr CallFault faults[]
                 = { CallFault::NotSent, CallFault::Refuse, CallFault::LostBefore, CallFault::LostAfter,
                       CallFault::LateAnswer, CallFault::Repeat, CallFault::Foreign };
@@ -807,7 +819,8 @@
                 CPPUNIT_ASSERT_MESSAGE(where + " got no answer", isDaemonGone);
             } else {
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(where, std::size_t(1), submission.answers.size());
-                CPPUNIT_ASSERT_MESSAGE(where + " late", submission.answeredAt <= submission.answerBy);
+                CPPUNIT_ASSERT_MESSAGE(
+                    where + " was answered after its deadline", submission.answeredAt <= submission.answerBy);
                 if (submission.answers[0].outcome == RequestOutcome::Done) {
                     ++done;
                     CPPUNIT_ASSERT_EQUAL_MESSAGE(
@@ -816,21 +829,22 @@
             }
             copies[submission.identity].push_back(&submission);
         }
-        CPPUNIT_ASSERT_MESSAGE(message + ": hardly anything was done", done > 100);
+        CPPUNIT_ASSERT_MESSAGE(message + ": at most 100 requests were done", done > 100);
         for (const auto& [identity, submissions] : copies) {
             const bool isNonIdempotent = std::all_of(submissions.begin(), submissions.end(),
                 [](const auto* submission) { return submission->operation == "tare-check"; });
             if (!isNonIdempotent)
                 continue;
             const std::string where = message + " " + identity.key;
-            CPPUNIT_ASSERT_MESSAGE(where + " ran twice", site.executions(identity) <= 1);
+            CPPUNIT_ASSERT_MESSAGE(where + " was executed more than once", site.executions(identity) <= 1);
             const bool isNotRunForAll
                 = std::all_of(submissions.begin(), submissions.end(), [](const auto* submission) {
                       return !submission->answers.empty()
                           && submission->answers[0].outcome == RequestOutcome::NotRun;
                   });
             if (isNotRunForAll)
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(where + " told not run", 0, site.executions(identity));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    where + " was answered \"not run\" but executed", 0, site.executions(identity));
         }
     }
 };
--- a/test/support/request_site.h
+++ b/test/support/request_site.h
@@ -59,10 +59,16 @@
     return configuration;
 }
 
+// Unavailable: reported as such, no effect. LostRequest: no effect and a reply "unknown". LostReply: takes
+// effect, but the reply is "unknown". LateEffect: takes effect 60 ms after a reply "unknown".
+// Unavailable and LostReply make a read fail as unavailable; the others do not affect it.
 enum class TableFault { None, Unavailable, LostRequest, LostReply, LateEffect };
-// LostBefore: silence, not executed. LostAfter: executed, then silence.
-// Lost: no effect and no reply. LostReply: stored. Cut: half of the object is read.
+// Down: every operation fails. Lost: no effect and no reply. LostReply: a put takes effect but is reported as
+// failed; other operations fail. Cut: a read returns only the first half of the object.
 enum class ObjectFault { None, Down, Lost, LostReply, Cut };
+// NotSent: fails before it is sent. Refuse: refused before execution. LostBefore: lost without an execution.
+// LostAfter: executed, but the answer is lost. Error: executed with an error. LateAnswer: answered 200 ms
+// before the timeout of the call. Repeat: answered twice. Foreign: the answer names another request.
 enum class CallFault { None, NotSent, Refuse, LostBefore, LostAfter, Error, LateAnswer, Repeat, Foreign };
 
 // Several entry daemons over one table and one set of endpoints, in virtual time.
@@ -105,7 +111,7 @@
     void start(std::size_t index)
     {
         Daemon& daemon = m_daemons[index];
-        daemon.broker.reset(); // before what it refers to
+        daemon.broker.reset(); // before the objects that it refers to
         daemon.settings = { host(index), AvailabilityZoneId("thumb"), {}, ++m_lastIncarnation };
         daemon.incarnation = m_lastIncarnation;
         daemon.membership = std::make_unique<Membership>(daemon.settings, m_configuration);
@@ -179,10 +185,10 @@
     Daemon& daemon(std::size_t index) { return m_daemons[index]; }
     static HostId host(std::size_t index) { return HostId("entry-" + std::to_string(index)); }
 
-    // Faults are taken from the front; an empty queue asks the function, if there is one.
+    // Each operation takes its fault from the front of the queue, or from the function if the queue is empty.
     std::deque<TableFault> tableFaults;
     std::function<TableFault()> drawTableFault;
-    std::set<std::size_t> tableDownFor; // daemons
+    std::set<std::size_t> tableDownFor; // indices of daemons
     std::deque<CallFault> callFaults;
     std::function<CallFault()> drawCallFault;
     std::function<bool()> isPeerMessageDropped;
@@ -193,7 +199,7 @@
     std::map<std::string, std::string> objects;
     std::map<CallerHandle, Submission> submissions;
     std::vector<std::string> violations;
-    std::vector<std::pair<std::size_t, CallEndpoint>> calls; // by daemon
+    std::vector<std::pair<std::size_t, CallEndpoint>> calls; // with the index of the calling daemon
     std::vector<std::size_t> transactionSizes;
     TimePoint now { Seconds(1'000) };
 
@@ -233,7 +239,7 @@
             std::visit([&](auto& value) { execute(index, value); }, effect);
     }
 
-    // Runs the function later unless the daemon's incarnation has ended.
+    // Runs the function after the delay, unless the daemon's current incarnation has ended by then.
     void later(std::size_t index, Milliseconds delay, std::function<void()> function)
     {
         const std::uint64_t incarnation = m_daemons[index].incarnation;
@@ -281,7 +287,7 @@
             reply(index, there + Milliseconds(100), lost);
         } else if (fault == TableFault::LateEffect) {
             reply(index, there, lost);
-            // After several operations of the daemon that got no reply.
+            // Late enough for the daemon to attempt several operations before.
             m_queue.emplace(now + there + Milliseconds(60),
                 [this, transaction = effect.transaction] { store.execute(transaction); });
         } else {
@@ -404,7 +410,7 @@
         }
     }
 
-    // A request is sent only for a caller who has not been told an outcome.
+    // A request must only be sent while one of its callers has no answer yet.
     void checkSomeoneWaits(std::size_t index, const CallEndpoint& effect)
     {
         for (const auto& [caller, submission] : submissions) {
@@ -412,10 +418,11 @@
                 && submission.incarnation == m_daemons[index].incarnation && submission.answers.empty())
                 return;
         }
-        violations.push_back("a call for " + effect.identity.key + " for which no caller waits");
+        violations.push_back(
+            "the call for " + effect.identity.key + " was sent although all its callers have been answered");
     }
 
-    // A non-idempotent request is sent only by the daemon whose claim the table holds.
+    // A non-idempotent request must only be sent by the daemon whose claim is in the table.
     void checkClaim(std::size_t index, const CallEndpoint& effect)
     {
         if (effect.operation != "tare-check")
@@ -425,7 +432,8 @@
             = row == store.rows().end() ? std::nullopt : parseRequestRecord(row->second.value);
         if (!record || record->state != RequestRecordState::Claimed || record->host != host(index)
             || record->incarnation != m_daemons[index].incarnation)
-            violations.push_back("a call for " + effect.identity.key + " without a claim");
+            violations.push_back("the call for " + effect.identity.key
+                + " was sent without a claim of the daemon in the table");
     }
 
     FixedConfiguration m_configuration;
@@ -438,7 +446,7 @@
     std::uint64_t m_lastIncarnation = 100;
 
 public:
-    std::optional<std::string> largeAnswer; // replaces the endpoints' answers
+    std::optional<std::string> largeAnswer; // replaces the answer of every endpoint
 };
 
 } // namespace anvilmoor::testing
