--- a/src/requests/record_log.cpp
+++ b/src/requests/record_log.cpp
@@ -31,10 +31,10 @@
 
 bool RecordLog::isWriteDue(TimePoint now) const
 {
-    if (m_writes.empty() || m_writeGroups >= maxGroupsInFlight)
+    if (m_writes.empty() || m_writeGroupsInFlight >= maxGroupsInFlight)
         return false;
-    return m_writeGroups == 0 || m_writes.size() >= maxGroupRows
-        || now - m_writes.front().since >= maxGroupDelay;
+    return m_writeGroupsInFlight == 0 || m_writes.size() >= maxGroupRows
+        || now - m_writes.front().queuedAt >= maxGroupDelay;
 }
 
 std::vector<RecordLog::Entry> RecordLog::takeGroup(std::deque<Entry>& queue)
@@ -53,7 +53,7 @@
         transaction.conditions.push_back({ entry.key, entry.condition });
         transaction.writes.push_back({ entry.key, entry.value });
     }
-    ++m_writeGroups;
+    ++m_writeGroupsInFlight;
     step.emit(ExecuteTransaction { { ModuleId::Requests, ++m_sequence }, std::move(transaction) });
     m_inFlight.emplace(m_sequence, std::move(group));
 }
@@ -64,7 +64,7 @@
     TableRead read;
     for (const Entry& entry : group.entries)
         read.keys.push_back(entry.key);
-    ++m_readGroups;
+    ++m_readGroupsInFlight;
     step.emit(ReadTable { { ModuleId::Requests, ++m_sequence }, std::move(read) });
     m_inFlight.emplace(m_sequence, std::move(group));
 }
@@ -73,7 +73,7 @@
 {
     while (isWriteDue(step.now))
         sendWrites(step);
-    while (!m_reads.empty() && m_readGroups < maxGroupsInFlight)
+    while (!m_reads.empty() && m_readGroupsInFlight < maxGroupsInFlight)
         sendReads(step);
 }
 
@@ -86,21 +86,21 @@
     }
     Group group = std::move(found->second);
     m_inFlight.erase(found);
-    --(group.isRead ? m_readGroups : m_writeGroups);
+    --(group.isRead ? m_readGroupsInFlight : m_writeGroupsInFlight);
     return group.isRead ? finishReads(group, event.reply) : finishWrites(group, event.reply);
 }
 
 std::vector<RecordResult> RecordLog::finishWrites(Group& group, const TableReply& reply)
 {
     std::vector<RecordResult> results;
-    std::vector<Entry> rest;
+    std::vector<Entry> remaining;
     for (Entry& entry : group.entries) {
         const TableRow* row = findRow(reply, entry.key);
         if (reply.status == TableStatus::Conflict && !reply.rows.empty()) {
             if (row)
                 results.push_back({ entry.request, RecordResultKind::Conflict, *row });
             else
-                rest.push_back(std::move(entry));
+                remaining.push_back(std::move(entry));
         } else if (reply.status == TableStatus::Ok && row) {
             results.push_back({ entry.request, RecordResultKind::Written, *row });
         } else if (reply.status == TableStatus::Unavailable) {
@@ -111,8 +111,8 @@
             results.push_back({ entry.request, RecordResultKind::Unknown, {} });
         }
     }
-    m_writes.insert(
-        m_writes.begin(), std::make_move_iterator(rest.begin()), std::make_move_iterator(rest.end()));
+    m_writes.insert(m_writes.begin(), std::make_move_iterator(remaining.begin()),
+        std::make_move_iterator(remaining.end()));
     return results;
 }
 
@@ -140,7 +140,7 @@
             continue;
         }
         const bool isRead = group->second.isRead;
-        --(isRead ? m_readGroups : m_writeGroups);
+        --(isRead ? m_readGroupsInFlight : m_writeGroupsInFlight);
         for (const Entry& entry : group->second.entries) {
             results.push_back(
                 { entry.request, isRead ? RecordResultKind::Unavailable : RecordResultKind::Unknown, {} });
--- a/src/requests/record_log.h
+++ b/src/requests/record_log.h
@@ -54,7 +54,7 @@
         std::string key;
         RowVersion condition = 0;
         std::string value;
-        TimePoint since {};
+        TimePoint queuedAt {};
     };
 
     struct Group {
@@ -73,8 +73,8 @@
     std::deque<Entry> m_writes;
     std::deque<Entry> m_reads;
     std::map<std::uint64_t, Group> m_inFlight; // by operation sequence
-    std::size_t m_writeGroups = 0; // in flight
-    std::size_t m_readGroups = 0; // in flight
+    std::size_t m_writeGroupsInFlight = 0;
+    std::size_t m_readGroupsInFlight = 0;
     std::uint64_t m_sequence = 0;
 };
 
--- a/src/requests/request_broker.cpp
+++ b/src/requests/request_broker.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::chrono::minutes maxClockLead { 5 }; // of a caller's clock over this daemon's clock
-constexpr std::chrono::minutes longestDeadline { 10 };
+constexpr std::chrono::minutes maxDeadline { 10 };
 constexpr std::size_t maxKeyBytes = 200;
 constexpr std::size_t maxCallers = 32'768;
 // Bodies and unwritten responses together. Leaves most of a daemon's 128 MB for its other data.
@@ -17,15 +17,15 @@
 constexpr std::size_t maxUnwrittenBytes = maxHeldBytes / 2;
 constexpr std::size_t maxUnwrittenOutcomes = 8'192;
 // At shutdown, for recording outcomes after the last request is answered.
-constexpr Seconds outcomePatience { 10 };
-constexpr Milliseconds retryHint { 1'000 };
+constexpr Seconds outcomeTimeout { 10 };
+constexpr Milliseconds callerRetryDelay { 1'000 };
 
 bool isPrintable(std::string_view text)
 {
     return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
 }
 
-RequestAnswer answerOf(RequestOutcome outcome, std::string reason, Milliseconds retryAfter = {})
+RequestAnswer makeAnswer(RequestOutcome outcome, std::string reason, Milliseconds retryAfter = {})
 {
     return { outcome, {}, std::move(reason), retryAfter, false };
 }
@@ -65,7 +65,7 @@
     const auto byIdentity = m_byIdentity.find(execution.identity);
     if (byIdentity != m_byIdentity.end() && byIdentity->second == execution.number)
         m_byIdentity.erase(byIdentity);
-    m_asked.erase(execution.number);
+    m_withInboundLookups.erase(execution.number);
     m_heldBytes -= execution.body.size() + execution.answer.body.size();
     m_unwrittenBytes -= execution.answer.body.size();
     const RequestNumber number = execution.number; // copied, as erasing the entry invalidates the reference
@@ -87,13 +87,13 @@
 void RequestBroker::setPhase(Execution& execution, RequestPhase phase)
 {
     if (execution.phase == RequestPhase::Claiming)
-        --m_lanes[execution.service].claiming;
+        --m_dispatchQueues[execution.service].claiming;
     if (execution.phase == RequestPhase::Calling)
-        --m_lanes[execution.service].calling;
+        --m_dispatchQueues[execution.service].calling;
     if (phase == RequestPhase::Claiming)
-        ++m_lanes[execution.service].claiming;
+        ++m_dispatchQueues[execution.service].claiming;
     if (phase == RequestPhase::Calling)
-        ++m_lanes[execution.service].calling;
+        ++m_dispatchQueues[execution.service].calling;
     if (execution.phase == RequestPhase::Finished && phase != RequestPhase::Finished)
         ++m_unfinished;
     if (execution.phase != RequestPhase::Finished && phase == RequestPhase::Finished)
@@ -101,37 +101,37 @@
     execution.phase = phase;
 }
 
-std::optional<RequestAnswer> RequestBroker::reasonToTurnAway(
+std::optional<RequestAnswer> RequestBroker::rejectionFor(
     const RequestReceived& event, const OperationConfiguration* operation, const Step& step) const
 {
     const Configuration* configuration = m_configuration.current();
     if (!configuration)
-        return answerOf(RequestOutcome::NotRun, "this daemon has no configuration yet", retryHint);
+        return makeAnswer(RequestOutcome::NotRun, "this daemon has no configuration yet", callerRetryDelay);
     if (!operation)
-        return answerOf(RequestOutcome::Refused,
+        return makeAnswer(RequestOutcome::Refused,
             "no operation \"" + event.operation + "\" of service \"" + event.service.value() + "\"");
     if (!configuration->findAccount(event.identity.account))
-        return answerOf(
+        return makeAnswer(
             RequestOutcome::Refused, "unknown account \"" + event.identity.account.value() + "\"");
     if (event.identity.key.size() > maxKeyBytes || !isPrintable(event.identity.key))
-        return answerOf(
+        return makeAnswer(
             RequestOutcome::Refused, "Idempotency-Key must be at most 200 printable ASCII characters");
     if (!operation->idempotent) {
         if (event.identity.key.empty())
-            return answerOf(RequestOutcome::Refused, "this operation needs an Idempotency-Key");
+            return makeAnswer(RequestOutcome::Refused, "this operation needs an Idempotency-Key");
         if (!event.issuedAt)
-            return answerOf(RequestOutcome::Refused, "this operation needs Anvilmoor-Issued-At");
+            return makeAnswer(RequestOutcome::Refused, "this operation needs Anvilmoor-Issued-At");
         if (step.wallTime - *event.issuedAt > maxRequestAge)
-            return answerOf(RequestOutcome::NotRun, "the request was issued more than 24 h ago");
+            return makeAnswer(RequestOutcome::NotRun, "the request was issued more than 24 h ago");
         if (*event.issuedAt - step.wallTime > maxClockLead)
-            return answerOf(RequestOutcome::NotRun, "the request's issue time is more than 5 min ahead");
+            return makeAnswer(RequestOutcome::NotRun, "the request's issue time is more than 5 min ahead");
     }
     if (m_isStopping)
-        return answerOf(
-            RequestOutcome::NotRun, "this daemon is shutting down; send the request again", retryHint);
+        return makeAnswer(
+            RequestOutcome::NotRun, "this daemon is shutting down; send the request again", callerRetryDelay);
     if (m_callers.size() >= maxCallers || m_heldBytes + event.body.size() > maxHeldBytes)
-        return answerOf(RequestOutcome::NotRun,
-            "this daemon is at its limit of waiting callers or request bytes", retryHint);
+        return makeAnswer(RequestOutcome::NotRun,
+            "this daemon is at its limit of waiting callers or request bytes", callerRetryDelay);
     return {};
 }
 
@@ -147,14 +147,14 @@
         m_configuredVersion = configuration->version;
         m_admission.configure(*configuration);
     }
-    const Milliseconds patience
+    const Milliseconds timeout
         = event.deadline.count() > 0 || !operation ? event.deadline : operation->defaultDeadline;
-    const TimePoint deadline = step.now + std::min<Milliseconds>(patience, longestDeadline);
+    const TimePoint deadline = step.now + std::min<Milliseconds>(timeout, maxDeadline);
     m_callers.emplace(event.caller, Caller { 0, deadline });
-    if (std::optional<RequestAnswer> answer = reasonToTurnAway(event, operation, step)) {
-        const bool isRepeatable = event.identity.key.empty() || (operation && operation->idempotent);
+    if (std::optional<RequestAnswer> answer = rejectionFor(event, operation, step)) {
+        const bool isResendSafe = event.identity.key.empty() || (operation && operation->idempotent);
         answerCaller(event.caller,
-            isRepeatable || event.isFirstCopy ? std::move(*answer) : withoutRecord(std::move(*answer)), step);
+            isResendSafe || event.isFirstCopy ? std::move(*answer) : withoutRecord(std::move(*answer)), step);
         return;
     }
     m_retryBudget.onRequest();
@@ -162,7 +162,7 @@
     if (!operation->idempotent) {
         if (Execution* earlier = find(event.identity)) {
             join(*earlier, event, deadline, step);
-            endOfEvent(step);
+            dispatchAndFlush(step);
             return;
         }
     }
@@ -181,13 +181,13 @@
     }
     addWaiter(execution, { event.caller, deadline, false, event.isFirstCopy });
     enqueue(execution, step);
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::join(Execution& execution, const RequestReceived& event, TimePoint deadline, Step& step)
 {
     if (execution.digest != requestDigest(event.service, event.operation, event.body)) {
-        answerCaller(event.caller, keyConflict(), step);
+        answerCaller(event.caller, keyConflictAnswer(), step);
         return;
     }
     if (execution.phase != RequestPhase::Finished) {
@@ -200,11 +200,11 @@
         answerCaller(event.caller, std::move(answer), step);
         return;
     }
-    constexpr std::size_t maxAbandoned = 32;
-    if (execution.record.abandoned.size() >= maxAbandoned) {
+    constexpr std::size_t maxAbandonedClaims = 32;
+    if (execution.record.abandonedNonces.size() >= maxAbandonedClaims) {
         answerCaller(event.caller,
-            withoutRecord(answerOf(
-                RequestOutcome::NotRun, "the outcomes of earlier copies are not recorded yet", retryHint)),
+            withoutRecord(makeAnswer(RequestOutcome::NotRun,
+                "the outcomes of earlier copies are not recorded yet", callerRetryDelay)),
             step);
         return;
     }
@@ -213,7 +213,7 @@
     execution.body = event.body;
     m_heldBytes += event.body.size();
     execution.issuedAt = *event.issuedAt;
-    execution.calls = 0;
+    execution.callCount = 0;
     execution.failedEndpoints.clear();
     execution.deadline = deadline;
     addWaiter(execution, { event.caller, deadline, false, event.isFirstCopy });
@@ -230,17 +230,17 @@
 
 void RequestBroker::enqueue(Execution& execution, Step& step)
 {
-    const Lane& lane = m_lanes[execution.service];
+    const DispatchQueue& queue = m_dispatchQueues[execution.service];
     const AdmissionItem item { execution.number, execution.service, execution.identity.account,
         execution.callerName, execution.priority, execution.deadline,
         m_serviceTimes.expected(execution.service, execution.operation) };
-    const AdmissionVerdict verdict = m_admission.enqueue(item, int(lane.calling + lane.claiming), step.now);
+    const AdmissionVerdict verdict = m_admission.enqueue(item, int(queue.calling + queue.claiming), step.now);
     if (!verdict.isQueued)
-        finish(execution, answerOf(RequestOutcome::NotRun, verdict.reason, verdict.retryAfter), step);
+        finish(execution, makeAnswer(RequestOutcome::NotRun, verdict.reason, verdict.retryAfter), step);
     if (!verdict.displaced)
         return;
     if (Execution* displaced = find(*verdict.displaced))
-        giveUp(*displaced, "the queue is full and this account or caller has the largest part of it", step);
+        abandon(*displaced, "the queue is full and this account or caller has the largest part of it", step);
 }
 
 void RequestBroker::answerCaller(CallerHandle caller, RequestAnswer answer, Step& step)
@@ -270,12 +270,12 @@
 }
 
 // Ends a request that is not at an endpoint and will not be sent again.
-void RequestBroker::giveUp(Execution& execution, std::string reason, Step& step)
+void RequestBroker::abandon(Execution& execution, std::string reason, Step& step)
 {
     m_admission.remove(execution.number);
     const RequestOutcome outcome
-        = execution.isPerhapsExecuted ? RequestOutcome::Unknown : RequestOutcome::NotRun;
-    finish(execution, answerOf(outcome, std::move(reason), retryHint), step);
+        = execution.isPossiblyExecuted ? RequestOutcome::Unknown : RequestOutcome::NotRun;
+    finish(execution, makeAnswer(outcome, std::move(reason), callerRetryDelay), step);
 }
 
 void RequestBroker::finish(Execution& execution, RequestAnswer answer, Step& step)
@@ -296,7 +296,7 @@
     // absent or said "not run". Once "not run" may have been written for the claim, it no longer counts as
     // held.
     const bool isClaimHeld = execution.record.nonce && execution.record.heldNonce == execution.record.nonce
-        && !execution.record.isGivenUp;
+        && !execution.record.isReleased;
     const bool isRecordKnown = execution.isIdempotent || execution.answer.isFromRecord || isClaimHeld;
     for (const RequestWaiter& waiter : waiters) {
         const bool isCertain = isRecordKnown || waiter.isFirstCopy;
@@ -304,7 +304,7 @@
         copy.isFromRecord = copy.isFromRecord || waiter.isCopy;
         answerCaller(waiter.caller, std::move(copy), step);
     }
-    tellAskers(execution, step);
+    answerInboundLookups(execution, step);
     if (execution.isIdempotent || execution.isQuery)
         erase(execution);
     else
@@ -324,34 +324,35 @@
     Execution* execution = entry == m_callers.end() ? nullptr : find(entry->second.request);
     if (!execution) {
         answerCaller(
-            caller, answerOf(RequestOutcome::Unknown, "this daemon no longer has the request"), step);
+            caller, makeAnswer(RequestOutcome::Unknown, "this daemon no longer has the request"), step);
         return;
     }
     if (execution->waiters.size() > 1 || execution->phase == RequestPhase::Calling) {
         std::erase_if(
             execution->waiters, [&](const RequestWaiter& waiter) { return waiter.caller == caller; });
-        const bool isSent = execution->phase == RequestPhase::Calling || execution->isPerhapsExecuted;
+        const bool isSent = execution->phase == RequestPhase::Calling || execution->isPossiblyExecuted;
         answerCaller(caller,
-            answerOf(RequestOutcome::Unknown,
+            makeAnswer(RequestOutcome::Unknown,
                 isSent ? "no endpoint answered before the deadline; query the outcome later"
                        : "another copy of the request is still waiting; query the outcome later",
-                retryHint),
+                callerRetryDelay),
             step);
         return;
     }
     if (execution->phase == RequestPhase::Resolving) {
         finishAsCopy(*execution,
-            answerOf(RequestOutcome::Unknown,
+            makeAnswer(RequestOutcome::Unknown,
                 "the outcome of an earlier copy was not found before the deadline; query it again",
-                retryHint),
+                callerRetryDelay),
             step);
         return;
     }
     const std::span<const EndpointRecord> endpoints = m_directory.endpoints(execution->service);
-    const bool isServed = std::any_of(endpoints.begin(), endpoints.end(),
+    const bool hasLiveEndpoint = std::any_of(endpoints.begin(), endpoints.end(),
         [](const EndpointRecord& endpoint) { return endpoint.state == EndpointState::Live; });
-    giveUp(*execution,
-        isServed ? "the request was not served before its deadline" : "no endpoint of the service is live",
+    abandon(*execution,
+        hasLiveEndpoint ? "the request was not served before its deadline"
+                        : "no endpoint of the service is live",
         step);
 }
 
@@ -370,18 +371,18 @@
     if (!execution->waiters.empty())
         return;
     if (execution->phase == RequestPhase::Resolving) {
-        finishAsCopy(*execution, answerOf(RequestOutcome::Unknown, {}), step);
+        finishAsCopy(*execution, makeAnswer(RequestOutcome::Unknown, {}), step);
     } else if (execution->phase != RequestPhase::Calling) {
-        giveUp(*execution, "the caller closed its connection", step);
+        abandon(*execution, "the caller closed its connection", step);
     } else if (execution->isIdempotent) {
         step.emit(CancelEndpointCall { execution->call });
         endCall(execution->call, CallResult::Cancelled, step);
-        finish(*execution, answerOf(RequestOutcome::Unknown, {}), step);
+        finish(*execution, makeAnswer(RequestOutcome::Unknown, {}), step);
     }
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
-void RequestBroker::boundUnwritten(Step& step)
+void RequestBroker::dropExcessOutcomes(Step& step)
 {
     while (!m_finishedOrder.empty()) {
         Execution* oldest = find(m_finishedOrder.front());
@@ -409,17 +410,17 @@
         onRecordResult(result, step);
     retryDueRecords(step);
     expireObjectOperations(step);
-    giveUpSilentCalls(step);
-    boundUnwritten(step);
-    endOfEvent(step);
+    expireCalls(step);
+    dropExcessOutcomes(step);
+    dispatchAndFlush(step);
     if (m_isStopping && !m_drainedAt && m_unfinished == 0)
         m_drainedAt = step.now;
 }
 
-void RequestBroker::endOfEvent(Step& step)
+void RequestBroker::dispatchAndFlush(Step& step)
 {
-    for (auto& [service, lane] : m_lanes)
-        dispatch(service, lane, step);
+    for (auto& [service, queue] : m_dispatchQueues)
+        dispatch(service, queue, step);
     m_log.flush(step);
 }
 
@@ -433,7 +434,7 @@
 {
     if (m_unfinished > 0)
         return false;
-    return m_executions.empty() || (m_drainedAt && m_now - *m_drainedAt >= outcomePatience);
+    return m_executions.empty() || (m_drainedAt && m_now - *m_drainedAt >= outcomeTimeout);
 }
 
 } // namespace anvilmoor
--- a/src/requests/request_broker.h
+++ b/src/requests/request_broker.h
@@ -77,36 +77,36 @@
 
     struct Call {
         RequestNumber request = 0;
-        TimePoint giveUpAt {};
+        TimePoint expiresAt {};
     };
 
     struct Lookup {
         RequestNumber request = 0;
         HostId peer;
-        TimePoint giveUpAt {};
+        TimePoint expiresAt {};
     };
 
     struct ObjectOperation {
         RequestNumber request = 0;
-        TimePoint giveUpAt {};
+        TimePoint expiresAt {};
     };
 
     // The requests of one service that have left the admission queue.
-    struct Lane {
+    struct DispatchQueue {
         std::deque<RequestNumber> ready;
         std::size_t claiming = 0;
         std::size_t calling = 0;
     };
 
     // --- callers (request_broker.cpp)
-    std::optional<RequestAnswer> reasonToTurnAway(
+    std::optional<RequestAnswer> rejectionFor(
         const RequestReceived&, const OperationConfiguration*, const Step&) const;
     void join(Execution&, const RequestReceived&, TimePoint deadline, Step&);
     void enqueue(Execution&, Step&);
     void addWaiter(Execution&, RequestWaiter);
     void answerCaller(CallerHandle, RequestAnswer, Step&);
     void expireCaller(CallerHandle, Step&);
-    void giveUp(Execution&, std::string reason, Step&);
+    void abandon(Execution&, std::string reason, Step&);
     void finish(Execution&, RequestAnswer, Step&);
     void finishAsCopy(Execution&, RequestAnswer, Step&);
     Execution& create(RequestIdentity);
@@ -114,23 +114,23 @@
     Execution* find(RequestNumber);
     Execution* find(const RequestIdentity&);
     void setPhase(Execution&, RequestPhase);
-    void boundUnwritten(Step&);
-    void endOfEvent(Step&);
+    void dropExcessOutcomes(Step&);
+    void dispatchAndFlush(Step&);
 
     // --- calls (request_calls.cpp)
-    void dispatch(const ServiceId&, Lane&, Step&);
-    void serveReady(const ServiceId&, Lane&, Step&);
-    std::optional<EndpointId> choose(const Execution&, const Lane&, Step&);
+    void dispatch(const ServiceId&, DispatchQueue&, Step&);
+    void dispatchReady(const ServiceId&, DispatchQueue&, Step&);
+    std::optional<EndpointId> chooseEndpoint(const Execution&, const DispatchQueue&, Step&);
     Milliseconds callTimeout(const Execution&, TimePoint now) const;
     void call(Execution&, EndpointId, Step&);
     Execution* endCall(CallId, CallResult, Step&);
     void retryUnsent(Execution&, const std::string& reason, Step&);
-    void retryExecuted(Execution&, RequestAnswer otherwise, Step&);
-    void giveUpSilentCalls(Step&);
+    void retryPossiblyExecuted(Execution&, RequestAnswer fallback, Step&);
+    void expireCalls(Step&);
 
     // --- records (request_claims.cpp)
     void startClaim(Execution&, Step&);
-    void pursue(Execution&, Step&);
+    void startRecordOperation(Execution&, Step&);
     void recordOutcome(Execution&, Step&);
     void storeResponse(Execution&, Step&);
     OperationId nextObjectOperation(const Execution&, Step&);
@@ -141,15 +141,16 @@
     void onOwnRow(Execution&, const RequestRecord&, Step&);
     void onForeignRow(Execution&, const RequestRecord&, Step&);
     void onUnavailable(Execution&, Step&);
-    void onSettled(Execution&);
+    void onGoalReached(Execution&);
     void retryDueRecords(Step&);
 
     // --- copies (request_lookups.cpp)
     void onQueriedRow(Execution&, const TableRow&, Step&);
     void resolve(Execution&, const RequestRecord&, Step&);
-    void tellAskers(Execution&, Step&);
+    void answerInboundLookups(Execution&, Step&);
     // Ends the selected lookups and answers "unknown" to the callers that wait for them.
-    void giveUpLookups(const std::function<bool(const Lookup&)>& isOver, const std::string& reason, Step&);
+    void abandonLookups(
+        const std::function<bool(const Lookup&)>& isSelected, const std::string& reason, Step&);
     void expireLookups(Step&);
 
     const DaemonSettings& m_settings;
@@ -168,12 +169,12 @@
     std::map<RequestIdentity, RequestNumber> m_byIdentity; // non-idempotent
     std::unordered_map<CallerHandle, Caller> m_callers;
     std::set<std::pair<TimePoint, CallerHandle>> m_deadlines;
-    std::map<ServiceId, Lane> m_lanes;
+    std::map<ServiceId, DispatchQueue> m_dispatchQueues;
     std::map<CallId, Call> m_calls;
     std::map<std::uint64_t, Lookup> m_lookups;
     std::map<std::uint64_t, ObjectOperation> m_objectOperations; // by sequence
     std::set<std::pair<TimePoint, RequestNumber>> m_recordRetries;
-    std::set<RequestNumber> m_asked; // requests with askers
+    std::set<RequestNumber> m_withInboundLookups;
     std::deque<RequestNumber> m_finishedOrder;
     std::size_t m_unfinished = 0;
     std::size_t m_heldBytes = 0; // bodies and unwritten responses
--- a/src/requests/request_calls.cpp
+++ b/src/requests/request_calls.cpp
@@ -8,53 +8,54 @@
 
 // Claimed requests beyond the free slots: one full group of the record log, so that slots are not idle while
 // the table answers.
-constexpr std::size_t claimsAhead = 64;
+constexpr std::size_t maxClaimsAhead = 64;
 // Per request. Only reached if all endpoints of a service refuse requests.
 constexpr int maxCalls = 64;
 // An idempotent request that may have been executed is not sent again after this number of calls.
-constexpr int maxRepeats = 4;
+constexpr int maxIdempotentCalls = 4;
 // Every choice of an endpoint searches all of them. Unreachable endpoints become suspect long before this
 // many are listed.
 constexpr std::size_t maxFailedEndpoints = 16;
 // After the caller's deadline. An answer within this time is still recorded.
-constexpr Seconds lateAnswerWait { 10 };
+constexpr Seconds lateAnswerTimeout { 10 };
 // After the caller's deadline. The slot of a late idempotent call stays occupied, because the endpoint may
 // still be executing it.
-constexpr Seconds lateIdempotentWait { 1 };
-constexpr Seconds silentCallGrace { 2 };
+constexpr Seconds lateIdempotentAnswerTimeout { 1 };
+constexpr Seconds callExpiryDelay { 2 };
 // An idempotent call times out after this multiple of the expected service time, but not before half of the
 // time until the deadline has passed. The remaining time is for a call to another endpoint.
 constexpr int overdueFactor = 4;
 constexpr Seconds callCheckInterval { 1 };
-constexpr Milliseconds retryHint { 1'000 };
+constexpr Milliseconds callerRetryDelay { 1'000 };
 
 } // namespace
 
-std::optional<EndpointId> RequestBroker::choose(const Execution& execution, const Lane& lane, Step& step)
+std::optional<EndpointId> RequestBroker::chooseEndpoint(
+    const Execution& execution, const DispatchQueue& queue, Step& step)
 {
     const RoutingQuery query { execution.service, execution.isIdempotent,
         m_serviceTimes.expected(execution.service, execution.operation),
-        lane.ready.size() + m_admission.queued(execution.service), execution.failedEndpoints };
+        queue.ready.size() + m_admission.queued(execution.service), execution.failedEndpoints };
     return m_routing.choose(query, step.now, step.random());
 }
 
-void RequestBroker::serveReady(const ServiceId&, Lane& lane, Step& step)
+void RequestBroker::dispatchReady(const ServiceId&, DispatchQueue& queue, Step& step)
 {
-    while (!lane.ready.empty()) {
-        Execution* execution = find(lane.ready.front());
+    while (!queue.ready.empty()) {
+        Execution* execution = find(queue.ready.front());
         if (execution && execution->phase == RequestPhase::Ready) {
-            const std::optional<EndpointId> endpoint = choose(*execution, lane, step);
+            const std::optional<EndpointId> endpoint = chooseEndpoint(*execution, queue, step);
             if (!endpoint)
                 return;
             call(*execution, *endpoint, step);
         }
-        lane.ready.pop_front();
+        queue.ready.pop_front();
     }
 }
 
-void RequestBroker::dispatch(const ServiceId& service, Lane& lane, Step& step)
+void RequestBroker::dispatch(const ServiceId& service, DispatchQueue& queue, Step& step)
 {
-    serveReady(service, lane, step);
+    dispatchReady(service, queue, step);
     while (const std::optional<RequestNumber> number = m_admission.peek(service)) {
         Execution* execution = find(*number);
         if (!execution || execution->phase != RequestPhase::Queued) {
@@ -64,17 +65,17 @@
         const Milliseconds expected = m_serviceTimes.expected(service, execution->operation);
         const bool isBacklog = m_admission.queued(service) > 1;
         if (isBacklog && step.now + expected / 2 > execution->deadline) {
-            giveUp(*execution, "the request cannot be served before its deadline", step);
+            abandon(*execution, "the request cannot be served before its deadline", step);
             continue;
         }
         if (!execution->isIdempotent) {
-            if (lane.claiming + lane.ready.size() >= claimsAhead + m_routing.freeSlots(service))
+            if (queue.claiming + queue.ready.size() >= maxClaimsAhead + m_routing.freeSlots(service))
                 return;
             m_admission.pop(service);
             startClaim(*execution, step);
             continue;
         }
-        const std::optional<EndpointId> endpoint = choose(*execution, lane, step);
+        const std::optional<EndpointId> endpoint = chooseEndpoint(*execution, queue, step);
         if (!endpoint)
             return;
         m_admission.pop(service);
@@ -86,13 +87,13 @@
 {
     const Milliseconds remaining = std::max(execution.deadline - now, Milliseconds(1));
     if (!execution.isIdempotent)
-        return remaining + lateAnswerWait;
-    const Milliseconds longest = remaining + lateIdempotentWait;
-    if (execution.calls + 1 >= maxRepeats)
-        return longest;
+        return remaining + lateAnswerTimeout;
+    const Milliseconds maxTimeout = remaining + lateIdempotentAnswerTimeout;
+    if (execution.callCount + 1 >= maxIdempotentCalls)
+        return maxTimeout;
     const Milliseconds overdue
         = overdueFactor * m_serviceTimes.expected(execution.service, execution.operation);
-    return std::min(longest, std::max(remaining / 2, overdue));
+    return std::min(maxTimeout, std::max(remaining / 2, overdue));
 }
 
 void RequestBroker::call(Execution& execution, EndpointId endpoint, Step& step)
@@ -102,9 +103,9 @@
     execution.call = ++m_lastCall;
     execution.endpoint = std::move(endpoint);
     execution.calledAt = step.now;
-    ++execution.calls;
+    ++execution.callCount;
     ++m_counters.calls;
-    m_calls.emplace(execution.call, Call { execution.number, step.now + timeout + silentCallGrace });
+    m_calls.emplace(execution.call, Call { execution.number, step.now + timeout + callExpiryDelay });
     if (isTraced(execution))
         step.record("request.sent",
             { { "request", execution.identity.key }, { "account", execution.identity.account.value() },
@@ -149,7 +150,7 @@
     m_observer.onEndpointSuccess(execution->endpoint, step);
     m_serviceTimes.add(execution->service, execution->operation, step.now - execution->calledAt);
     finish(*execution, { RequestOutcome::Done, event.body, {}, {}, false }, step);
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::handle(const EndpointFailed& event, Step& step)
@@ -174,62 +175,63 @@
         retryUnsent(*execution, "the endpoints refused the request before execution", step);
         break;
     case EndpointFailure::Lost:
-        execution->isPerhapsExecuted = true;
-        retryExecuted(*execution,
+        execution->isPossiblyExecuted = true;
+        retryPossiblyExecuted(*execution,
             { RequestOutcome::Unknown, {},
                 "the request was sent, but the endpoint's answer was lost; query the outcome later",
-                retryHint, false },
+                callerRetryDelay, false },
             step);
         break;
     case EndpointFailure::Error:
-        execution->isPerhapsExecuted = true;
-        retryExecuted(*execution,
+        execution->isPossiblyExecuted = true;
+        retryPossiblyExecuted(*execution,
             { RequestOutcome::Done, event.detail, "the endpoint executed the request and reported an error",
                 {}, false },
             step);
         break;
     }
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::retryUnsent(Execution& execution, const std::string& reason, Step& step)
 {
-    if (execution.waiters.empty() || step.now >= execution.deadline || execution.calls >= maxCalls) {
-        giveUp(execution, reason, step);
+    if (execution.waiters.empty() || step.now >= execution.deadline || execution.callCount >= maxCalls) {
+        abandon(execution, reason, step);
         return;
     }
     ++m_counters.retries;
     setPhase(execution, RequestPhase::Ready);
-    m_lanes[execution.service].ready.push_back(execution.number);
+    m_dispatchQueues[execution.service].ready.push_back(execution.number);
 }
 
 // For requests that may have been executed. Only idempotent ones are sent again.
-void RequestBroker::retryExecuted(Execution& execution, RequestAnswer otherwise, Step& step)
+void RequestBroker::retryPossiblyExecuted(Execution& execution, RequestAnswer fallback, Step& step)
 {
-    const bool mayRepeat = execution.isIdempotent && !execution.waiters.empty()
-        && step.now < execution.deadline && execution.calls < maxRepeats && m_retryBudget.takeRetry();
-    if (!mayRepeat) {
-        finish(execution, std::move(otherwise), step);
+    const bool canResend = execution.isIdempotent && !execution.waiters.empty()
+        && step.now < execution.deadline && execution.callCount < maxIdempotentCalls
+        && m_retryBudget.takeRetry();
+    if (!canResend) {
+        finish(execution, std::move(fallback), step);
         return;
     }
     ++m_counters.retries;
     setPhase(execution, RequestPhase::Ready);
-    m_lanes[execution.service].ready.push_back(execution.number);
+    m_dispatchQueues[execution.service].ready.push_back(execution.number);
 }
 
 // Normally, an event ends every call. Without such an event, the call would occupy its slot and its request
 // forever.
-void RequestBroker::giveUpSilentCalls(Step& step)
+void RequestBroker::expireCalls(Step& step)
 {
     if (step.now < m_nextCallCheck)
         return;
     m_nextCallCheck = step.now + callCheckInterval;
-    std::vector<CallId> silent;
+    std::vector<CallId> expired;
     for (const auto& [id, call] : m_calls) {
-        if (call.giveUpAt <= step.now)
-            silent.push_back(id);
+        if (call.expiresAt <= step.now)
+            expired.push_back(id);
     }
-    for (const CallId id : silent) {
+    for (const CallId id : expired) {
         step.emit(CancelEndpointCall { id });
         handle(EndpointFailed { id, EndpointFailure::Lost, "no event ended the call within its time limit" },
             step);
--- a/src/requests/request_claims.cpp
+++ b/src/requests/request_claims.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 // Tolerates a short outage of the table. After a longer one, the caller is answered and may use another site.
-constexpr Seconds claimPatience { 1 };
-constexpr Milliseconds firstRecordBackoff { 100 };
-constexpr Milliseconds longestRecordBackoff { 5'000 };
+constexpr Seconds claimTimeout { 1 };
+constexpr Milliseconds initialRecordRetryDelay { 100 };
+constexpr Milliseconds maxRecordRetryDelay { 5'000 };
 constexpr std::size_t maxInlineResponseBytes = 16U << 10U;
-constexpr Milliseconds retryHint { 1'000 };
+constexpr Milliseconds callerRetryDelay { 1'000 };
 
 } // namespace
 
@@ -20,27 +20,27 @@
 {
     RecordProgress& record = execution.record;
     if (record.nonce)
-        record.abandoned.push_back(record.nonce);
+        record.abandonedNonces.push_back(record.nonce);
     record.nonce = std::max<std::uint64_t>(1, step.random());
     record.goal = RecordGoal::Claim;
     ++record.goalNumber;
     record.isOutcomeWritten = false;
-    record.isGivenUp = false;
+    record.isReleased = false;
     record.claimingSince = step.now;
-    record.backoff = Milliseconds(0);
+    record.retryDelay = Milliseconds(0);
     setPhase(execution, RequestPhase::Claiming);
-    pursue(execution, step);
+    startRecordOperation(execution, step);
 }
 
-void RequestBroker::pursue(Execution& execution, Step& step)
+void RequestBroker::startRecordOperation(Execution& execution, Step& step)
 {
     RecordProgress& record = execution.record;
     const bool isWaitingForObject = record.goal == RecordGoal::Outcome && execution.isObjectPending;
-    if (record.isBusy || record.goal == RecordGoal::None || isWaitingForObject)
+    if (record.isInFlight || record.goal == RecordGoal::None || isWaitingForObject)
         return;
-    record.isBusy = true;
-    record.busyGoal = record.goalNumber;
-    record.busyNonce = record.nonce;
+    record.isInFlight = true;
+    record.inFlightGoalNumber = record.goalNumber;
+    record.inFlightNonce = record.nonce;
     std::string key = requestRecordKey(execution.identity);
     if (record.isReadNeeded)
         m_log.read(execution.number, std::move(key), step.now);
@@ -75,20 +75,20 @@
 void RequestBroker::recordOutcome(Execution& execution, Step& step)
 {
     RecordProgress& record = execution.record;
-    const bool mayHaveRow = record.heldNonce || record.isUncertain || record.isBusy;
+    const bool mayHaveRow = record.heldNonce || record.isUncertain || record.isInFlight;
     if (!record.nonce || !mayHaveRow || record.isOutcomeWritten) {
         erase(execution);
         return;
     }
     record.goal = RecordGoal::Outcome;
-    record.isGivenUp = execution.answer.outcome == RequestOutcome::NotRun;
+    record.isReleased = execution.answer.outcome == RequestOutcome::NotRun;
     ++record.goalNumber;
     m_finishedOrder.push_back(execution.number);
     if (execution.answer.outcome == RequestOutcome::Done
         && execution.answer.body.size() > maxInlineResponseBytes)
         storeResponse(execution, step);
     else
-        pursue(execution, step);
+        startRecordOperation(execution, step);
 }
 
 OperationId RequestBroker::nextObjectOperation(const Execution& execution, Step& step)
@@ -117,38 +117,38 @@
         return;
     if (execution->phase == RequestPhase::Resolving) {
         // Records written by earlier versions of this software have no digest.
-        const bool isWhole = event.isOk
+        const bool isIntact = event.isOk
             && (execution->objectDigest.empty() || execution->objectDigest == responseDigest(event.value));
-        if (event.isOk && !isWhole)
+        if (event.isOk && !isIntact)
             step.record("request.damaged_object", { { "request", execution->identity.key } });
-        if (isWhole)
+        if (isIntact)
             finishAsCopy(*execution, { RequestOutcome::Done, event.value, {}, {}, true }, step);
         else
             finishAsCopy(*execution,
                 { RequestOutcome::Unknown, {}, "the request was done, but its stored response cannot be read",
-                    retryHint, true },
+                    callerRetryDelay, true },
                 step);
     } else if (execution->isObjectPending) {
         if (event.isOk) {
             execution->isObjectPending = false;
             execution->objectKey
                 = responseObjectKey(requestRecordKey(execution->identity), execution->record.nonce);
-            pursue(*execution, step);
+            startRecordOperation(*execution, step);
         } else {
-            m_recordRetries.insert({ step.now + longestRecordBackoff, execution->number });
+            m_recordRetries.insert({ step.now + maxRecordRetryDelay, execution->number });
         }
     }
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::expireObjectOperations(Step& step)
 {
-    std::vector<std::uint64_t> silent;
+    std::vector<std::uint64_t> expired;
     for (const auto& [sequence, operation] : m_objectOperations) {
-        if (operation.giveUpAt <= step.now)
-            silent.push_back(sequence);
+        if (operation.expiresAt <= step.now)
+            expired.push_back(sequence);
     }
-    for (const std::uint64_t sequence : silent)
+    for (const std::uint64_t sequence : expired)
         handle(ObjectReplied { { ModuleId::Requests, sequence }, false, {} }, step);
 }
 
@@ -160,36 +160,37 @@
         return;
     for (const RecordResult& result : m_log.handle(event, step))
         onRecordResult(result, step);
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::onRecordResult(const RecordResult& result, Step& step)
 {
     Execution* execution = find(result.request);
-    if (!execution || !execution->record.isBusy)
+    if (!execution || !execution->record.isInFlight)
         return;
     RecordProgress& record = execution->record;
-    record.isBusy = false;
+    record.isInFlight = false;
     if (execution->isQuery) {
         if (result.kind == RecordResultKind::Found)
             onQueriedRow(*execution, result.row, step);
         else
             finish(*execution,
                 { RequestOutcome::Unknown, {},
-                    "the record cannot be read from the table; query the outcome again", retryHint, false },
+                    "the record cannot be read from the table; query the outcome again", callerRetryDelay,
+                    false },
                 step);
         return;
     }
     switch (result.kind) {
     case RecordResultKind::Written:
         record.version = result.row.version;
-        record.heldNonce = record.busyNonce;
+        record.heldNonce = record.inFlightNonce;
         record.isUncertain = false;
-        record.backoff = Milliseconds(0);
-        if (record.busyGoal == record.goalNumber)
-            onSettled(*execution);
+        record.retryDelay = Milliseconds(0);
+        if (record.inFlightGoalNumber == record.goalNumber)
+            onGoalReached(*execution);
         else
-            pursue(*execution, step);
+            startRecordOperation(*execution, step);
         break;
     case RecordResultKind::Conflict:
     case RecordResultKind::Found:
@@ -202,7 +203,7 @@
     case RecordResultKind::Unknown:
         record.isUncertain = true;
         record.isReadNeeded = true;
-        pursue(*execution, step);
+        startRecordOperation(*execution, step);
         break;
     }
 }
@@ -214,12 +215,14 @@
     RecordProgress& record = execution.record;
     record.version = 0;
     if (row.version == 0) {
-        const bool isSwept = record.heldNonce == record.nonce && record.goal == RecordGoal::Outcome;
+        const bool isDeletedBySweeper
+            = record.heldNonce == record.nonce && record.goal == RecordGoal::Outcome;
         record.heldNonce = 0;
-        if (isSwept && execution.phase == RequestPhase::Finished)
+        if (isDeletedBySweeper && execution.phase == RequestPhase::Finished)
             erase(execution);
         else
-            pursue(execution, step); // an earlier write may still create the row, and then this one conflicts
+            // An earlier write may still create the row; this write then conflicts.
+            startRecordOperation(execution, step);
         return;
     }
     record.isUncertain = false;
@@ -234,17 +237,18 @@
         return;
     }
     const bool isAbandoned
-        = std::find(record.abandoned.begin(), record.abandoned.end(), found->nonce) != record.abandoned.end();
+        = std::find(record.abandonedNonces.begin(), record.abandonedNonces.end(), found->nonce)
+        != record.abandonedNonces.end();
     const bool isOwn = found->nonce == record.nonce || isAbandoned;
-    const bool isGivenUp = found->state == RequestRecordState::NotRun && found->digest == execution.digest;
-    if (isOwn || isGivenUp)
+    const bool isReleased = found->state == RequestRecordState::NotRun && found->digest == execution.digest;
+    if (isOwn || isReleased)
         record.version = row.version;
     if (isOwn)
         record.heldNonce = found->nonce;
     if (found->nonce == record.nonce)
         onOwnRow(execution, *found, step);
     else if (isAbandoned)
-        pursue(execution, step);
+        startRecordOperation(execution, step);
     else
         onForeignRow(execution, *found, step);
 }
@@ -254,9 +258,9 @@
     const bool isClaim = execution.record.goal == RecordGoal::Claim;
     const bool isClaimInRow = found.state == RequestRecordState::Claimed;
     if (isClaim == isClaimInRow)
-        onSettled(execution);
+        onGoalReached(execution);
     else
-        pursue(execution, step);
+        startRecordOperation(execution, step);
 }
 
 void RequestBroker::onForeignRow(Execution& execution, const RequestRecord& found, Step& step)
@@ -273,11 +277,11 @@
         return;
     }
     if (found.digest != execution.digest) {
-        finishAsCopy(execution, keyConflict(), step);
+        finishAsCopy(execution, keyConflictAnswer(), step);
         return;
     }
     if (found.state == RequestRecordState::NotRun)
-        pursue(execution, step);
+        startRecordOperation(execution, step);
     else
         resolve(execution, found, step);
 }
@@ -286,12 +290,12 @@
 {
     RecordProgress& record = execution.record;
     const bool isClaiming = execution.phase == RequestPhase::Claiming;
-    if (isClaiming && step.now - record.claimingSince >= claimPatience) {
+    if (isClaiming && step.now - record.claimingSince >= claimTimeout) {
         finish(execution,
             { RequestOutcome::NotRun, {},
                 "the table is unavailable: this copy of the request could not be claimed within 1 s and was "
                 "not sent",
-                retryHint, false },
+                callerRetryDelay, false },
             step);
         return;
     }
@@ -300,19 +304,19 @@
         erase(execution);
         return;
     }
-    record.backoff = std::clamp(record.backoff * 2, firstRecordBackoff, longestRecordBackoff);
+    record.retryDelay = std::clamp(record.retryDelay * 2, initialRecordRetryDelay, maxRecordRetryDelay);
     // Spreads the retries of many requests after an outage.
-    const Milliseconds jitter(step.random() % std::uint64_t(record.backoff.count()));
-    m_recordRetries.insert({ step.now + record.backoff + jitter, execution.number });
+    const Milliseconds jitter(step.random() % std::uint64_t(record.retryDelay.count()));
+    m_recordRetries.insert({ step.now + record.retryDelay + jitter, execution.number });
 }
 
-void RequestBroker::onSettled(Execution& execution)
+void RequestBroker::onGoalReached(Execution& execution)
 {
     if (execution.record.goal == RecordGoal::Claim) {
         if (execution.phase != RequestPhase::Claiming)
             return;
         setPhase(execution, RequestPhase::Ready);
-        m_lanes[execution.service].ready.push_back(execution.number);
+        m_dispatchQueues[execution.service].ready.push_back(execution.number);
         return;
     }
     execution.record.isOutcomeWritten = true;
@@ -330,7 +334,7 @@
         if (execution->phase == RequestPhase::Finished && execution->isObjectPending)
             storeResponse(*execution, step);
         else
-            pursue(*execution, step);
+            startRecordOperation(*execution, step);
     }
 }
 
--- a/src/requests/request_execution.h
+++ b/src/requests/request_execution.h
@@ -35,7 +35,7 @@
 };
 
 // A lookup of the outcome by a peer, answered when the request is finished or at `replyBy`.
-struct RequestAsker {
+struct InboundLookup {
     HostId peer;
     std::uint64_t lookup = 0;
     TimePoint replyBy {};
@@ -49,23 +49,24 @@
     RecordGoal goal = RecordGoal::None;
     std::uint32_t goalNumber = 0; // incremented with each change of the goal
     std::uint64_t nonce = 0; // of the current claim; 0: none yet
-    std::vector<std::uint64_t> abandoned; // nonces of earlier claims, abandoned before the request was sent
+    // Of earlier claims of this execution, abandoned before the request was sent.
+    std::vector<std::uint64_t> abandonedNonces;
     std::uint64_t heldNonce = 0; // nonce of this execution last seen in the row; 0: none
     RowVersion version = 0; // condition of the next write
     bool isUncertain = false; // a write without a reply may have taken effect
     bool isReadNeeded = false; // before the next write
     bool isOutcomeWritten = false; // for the current nonce
     // "Not run" may have been written for the current nonce, after which another copy may claim the row.
-    bool isGivenUp = false;
-    bool isBusy = false;
-    std::uint32_t busyGoal = 0; // goal number and nonce of the operation in flight
-    std::uint64_t busyNonce = 0;
+    bool isReleased = false;
+    bool isInFlight = false; // an operation on the row
+    std::uint32_t inFlightGoalNumber = 0; // `goalNumber` and `nonce` when that operation started
+    std::uint64_t inFlightNonce = 0;
     TimePoint claimingSince {};
-    Milliseconds backoff { 0 };
+    Milliseconds retryDelay { 0 };
 };
 
 // The answer to a request whose key was used before with another service, operation or body.
-inline RequestAnswer keyConflict()
+inline RequestAnswer keyConflictAnswer()
 {
     RequestAnswer answer;
     answer.outcome = RequestOutcome::Refused;
@@ -91,14 +92,14 @@
     RequestPhase phase = RequestPhase::Queued;
     TimePoint deadline {}; // the latest deadline of all waiters so far
     std::vector<RequestWaiter> waiters;
-    std::vector<RequestAsker> askers;
+    std::vector<InboundLookup> inboundLookups;
 
     CallId call = 0;
     EndpointId endpoint; // of the current or last call
     TimePoint calledAt {};
-    int calls = 0;
+    int callCount = 0;
     std::vector<EndpointId> failedEndpoints; // of calls that were lost, not sent, or ended with an error
-    bool isPerhapsExecuted = false; // by an earlier call
+    bool isPossiblyExecuted = false; // by an earlier call
 
     RecordProgress record;
     RequestAnswer answer; // when finished
--- a/src/requests/request_lookups.cpp
+++ b/src/requests/request_lookups.cpp
@@ -8,14 +8,14 @@
 
 constexpr Milliseconds lookupTimeout { 500 };
 // Shorter than lookupTimeout, so that the reply "still in flight" arrives before the peer's lookup expires.
-constexpr Milliseconds lookupHold { 400 };
-constexpr std::size_t maxAskers = 64; // per request
-constexpr Seconds queryPatience { 2 };
-constexpr Milliseconds retryHint { 1'000 };
+constexpr Milliseconds maxLookupHold { 400 };
+constexpr std::size_t maxInboundLookups = 64; // per request
+constexpr Seconds queryTimeout { 2 };
+constexpr Milliseconds callerRetryDelay { 1'000 };
 
 RequestAnswer unknownAnswer(std::string reason)
 {
-    return { RequestOutcome::Unknown, {}, std::move(reason), retryHint, false };
+    return { RequestOutcome::Unknown, {}, std::move(reason), callerRetryDelay, false };
 }
 
 } // namespace
@@ -24,7 +24,7 @@
 {
     if (m_callers.contains(event.caller))
         return; // the event was delivered twice
-    const TimePoint deadline = step.now + queryPatience;
+    const TimePoint deadline = step.now + queryTimeout;
     m_callers.emplace(event.caller, Caller { 0, deadline });
     if (const Execution* execution = find(event.identity)) {
         RequestAnswer answer = unknownAnswer("the request is still in progress; query the outcome later");
@@ -39,9 +39,9 @@
     query.isQuery = true;
     query.phase = RequestPhase::Resolving;
     addWaiter(query, { event.caller, deadline, true, false });
-    query.record.isBusy = true;
+    query.record.isInFlight = true;
     m_log.read(query.number, requestRecordKey(query.identity), step.now);
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::onQueriedRow(Execution& query, const TableRow& row, Step& step)
@@ -65,7 +65,7 @@
     setPhase(execution, RequestPhase::Resolving);
     switch (found.state) {
     case RequestRecordState::NotRun:
-        finishAsCopy(execution, { RequestOutcome::NotRun, {}, found.reason, retryHint, true }, step);
+        finishAsCopy(execution, { RequestOutcome::NotRun, {}, found.reason, callerRetryDelay, true }, step);
         return;
     case RequestRecordState::Unknown:
         finishAsCopy(execution, { RequestOutcome::Unknown, {}, found.reason, {}, true }, step);
@@ -108,24 +108,24 @@
         reply.isFinished = execution->phase == RequestPhase::Finished;
         if (reply.isFinished)
             reply.answer = execution->answer;
-        else if (execution->askers.size() < maxAskers) {
-            execution->askers.push_back({ from, event.lookup, step.now + lookupHold });
-            m_asked.insert(execution->number);
+        else if (execution->inboundLookups.size() < maxInboundLookups) {
+            execution->inboundLookups.push_back({ from, event.lookup, step.now + maxLookupHold });
+            m_withInboundLookups.insert(execution->number);
             return;
         }
     }
     step.emit(SendToPeer { from, std::move(reply) });
 }
 
-void RequestBroker::tellAskers(Execution& execution, Step& step)
+void RequestBroker::answerInboundLookups(Execution& execution, Step& step)
 {
     const bool isKnown = execution.record.nonce && execution.record.heldNonce == execution.record.nonce;
-    for (const RequestAsker& asker : execution.askers)
-        step.emit(SendToPeer { asker.peer,
+    for (const InboundLookup& inbound : execution.inboundLookups)
+        step.emit(SendToPeer { inbound.peer,
             RequestLookupAnswer {
-                asker.lookup, isKnown, isKnown, isKnown ? execution.answer : RequestAnswer {} } });
-    execution.askers.clear();
-    m_asked.erase(execution.number);
+                inbound.lookup, isKnown, isKnown, isKnown ? execution.answer : RequestAnswer {} } });
+    execution.inboundLookups.clear();
+    m_withInboundLookups.erase(execution.number);
 }
 
 void RequestBroker::handle(const RequestLookupAnswer& event, const HostId& from, Step& step)
@@ -148,14 +148,14 @@
                     : "the daemon that claimed an earlier copy does not have its outcome; query it later"),
             step);
     }
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
-void RequestBroker::giveUpLookups(
-    const std::function<bool(const Lookup&)>& isOver, const std::string& reason, Step& step)
+void RequestBroker::abandonLookups(
+    const std::function<bool(const Lookup&)>& isSelected, const std::string& reason, Step& step)
 {
     for (auto lookup = m_lookups.begin(); lookup != m_lookups.end();) {
-        if (!isOver(lookup->second)) {
+        if (!isSelected(lookup->second)) {
             ++lookup;
             continue;
         }
@@ -168,27 +168,28 @@
 
 void RequestBroker::handle(const PeerLost& event, Step& step)
 {
-    giveUpLookups([&](const Lookup& lookup) { return lookup.peer == event.peer; },
+    abandonLookups([&](const Lookup& lookup) { return lookup.peer == event.peer; },
         "the connection to the daemon that claimed an earlier copy was lost; query the outcome later", step);
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::expireLookups(Step& step)
 {
-    giveUpLookups([&](const Lookup& lookup) { return lookup.giveUpAt <= step.now; },
+    abandonLookups([&](const Lookup& lookup) { return lookup.expiresAt <= step.now; },
         "the daemon that claimed an earlier copy did not answer in time; query the outcome later", step);
-    for (auto number = m_asked.begin(); number != m_asked.end();) {
+    for (auto number = m_withInboundLookups.begin(); number != m_withInboundLookups.end();) {
         Execution* execution = find(*number);
         if (execution) {
-            std::erase_if(execution->askers, [&](const RequestAsker& asker) {
-                if (asker.replyBy > step.now)
+            std::erase_if(execution->inboundLookups, [&](const InboundLookup& inbound) {
+                if (inbound.replyBy > step.now)
                     return false;
-                step.emit(SendToPeer { asker.peer, RequestLookupAnswer { asker.lookup, true, false, {} } });
+                step.emit(
+                    SendToPeer { inbound.peer, RequestLookupAnswer { inbound.lookup, true, false, {} } });
                 return true;
             });
         }
-        if (!execution || execution->askers.empty())
-            number = m_asked.erase(number);
+        if (!execution || execution->inboundLookups.empty())
+            number = m_withInboundLookups.erase(number);
         else
             ++number;
     }
--- a/test/request_broker_test.cpp
+++ b/test/request_broker_test.cpp
@@ -18,41 +18,41 @@
 
 class RequestBrokerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RequestBrokerTest);
-    CPPUNIT_TEST(testClaimWithLostReplyIsSentOnce);
-    CPPUNIT_TEST(testClaimWithLostRequestIsWrittenAgain);
-    CPPUNIT_TEST(testClaimWithLateEffectIsSentOnce);
-    CPPUNIT_TEST(testClaimGivenUpBeforeLateEffectEndsNotRunAndMayBeSentAnew);
-    CPPUNIT_TEST(testCopyDuringRecordingOfNotRunClaimsAnew);
+    CPPUNIT_TEST(testRequestIsSentOnceWhenClaimReplyIsLost);
+    CPPUNIT_TEST(testClaimIsWrittenAgainWhenWriteIsLost);
+    CPPUNIT_TEST(testRequestIsSentOnceWhenClaimTakesEffectLate);
+    CPPUNIT_TEST(testAbandonedClaimWithLateEffectIsNotRunAndAllowsNewClaim);
+    CPPUNIT_TEST(testCopyDuringRecordingOfNotRunMakesNewClaim);
     CPPUNIT_TEST(testCopyAfterClaimerDiedIsUnknown);
     CPPUNIT_TEST(testLookupOfEarlierIncarnationsClaimIsUnknown);
-    CPPUNIT_TEST(testCopyWhileInFlightElsewhereGetsItsAnswer);
-    CPPUNIT_TEST(testCopyWithSilentClaimerIsUnknownInTime);
-    CPPUNIT_TEST(testCopyAtSameDaemonJoins);
+    CPPUNIT_TEST(testCopyGetsAnswerOfRequestInFlightAtAnotherDaemon);
+    CPPUNIT_TEST(testCopyIsUnknownWithinTimeoutWhenClaimerDoesNotAnswer);
+    CPPUNIT_TEST(testCopiesAtSameDaemonShareOneExecution);
     CPPUNIT_TEST(testCopyWithOtherBodyIsRefused);
-    CPPUNIT_TEST(testCopyOfDoneWithLargeResponseIsAnsweredFromRecord);
-    CPPUNIT_TEST(testLargeResponseDuringObjectOutageIsRecordedAfterIt);
+    CPPUNIT_TEST(testCopyOfDoneRequestGetsSmallOrLargeResponseFromRecord);
+    CPPUNIT_TEST(testLargeResponseIsRecordedAfterObjectStoreOutage);
     CPPUNIT_TEST(testLargeResponseLostWithItsDaemonIsUnknown);
     CPPUNIT_TEST(testLargeResponseReadWithFaultIsUnknown);
-    CPPUNIT_TEST(testObjectOutageLeavesRoomForNewWork);
+    CPPUNIT_TEST(testNewRequestsAreAcceptedDuringObjectStoreOutage);
     CPPUNIT_TEST(testDroppedNotRunIsUnknownForCopies);
-    CPPUNIT_TEST(testPeerLostOrRestartedDuringLookupIsUnknown);
-    CPPUNIT_TEST(testQueuedCopyAfterNotRunIsNotCertainWhenAnotherCopyRan);
-    CPPUNIT_TEST(testCopiesDuringRecordingOfNotRunWithLostAnswersRunOnce);
-    CPPUNIT_TEST(testTableDownIsNotRunAndIdempotentWorkContinues);
+    CPPUNIT_TEST(testLookupIsUnknownWhenPeerIsLostOrRestarted);
+    CPPUNIT_TEST(testQueuedCopyIsUnknownWhenAnotherCopyRanAfterNotRun);
+    CPPUNIT_TEST(testCopiesRunAtMostOnceWhileNotRunIsRecordedWithFaults);
+    CPPUNIT_TEST(testTableOutageIsNotRunButIdempotentRequestsAreServed);
     CPPUNIT_TEST(testCopyOfExecutedRequestDuringTableOutageIsUnknown);
-    CPPUNIT_TEST(testRefusalBeforeExecutionGoesToAnotherEndpoint);
-    CPPUNIT_TEST(testLostCallIsUnknownAndNeverRepeated);
-    CPPUNIT_TEST(testErrorOfNonIdempotentIsDone);
-    CPPUNIT_TEST(testIdempotentLostCallIsRepeatedElsewhere);
-    CPPUNIT_TEST(testIdempotentRequestIsNeverSentTwiceToOneFailedEndpoint);
-    CPPUNIT_TEST(testLateAnswerAfterDeadlineIsRecorded);
-    CPPUNIT_TEST(testRepeatedAndForeignAnswersReachNoCaller);
-    CPPUNIT_TEST(testGroupWithOneConflictingRowWritesTheRest);
+    CPPUNIT_TEST(testRefusedRequestIsSentToAnotherEndpoint);
+    CPPUNIT_TEST(testLostNonIdempotentCallIsUnknownAndNotResent);
+    CPPUNIT_TEST(testNonIdempotentCallWithErrorIsDone);
+    CPPUNIT_TEST(testLostIdempotentCallIsResentToAnotherEndpoint);
+    CPPUNIT_TEST(testIdempotentRequestIsNotResentToFailedEndpoint);
+    CPPUNIT_TEST(testAnswerAfterDeadlineIsRecorded);
+    CPPUNIT_TEST(testDuplicateAndForeignAnswersReachNoCaller);
+    CPPUNIT_TEST(testGroupWithConflictingRowWritesOtherRows);
     CPPUNIT_TEST(testShutdownFinishesRequestsInFlight);
-    CPPUNIT_TEST(testExpiredOrIncompleteRequestIsTurnedAway);
+    CPPUNIT_TEST(testExpiredOrIncompleteRequestIsRejected);
     CPPUNIT_TEST(testSweepDeletesOnlyExpiredRecords);
     CPPUNIT_TEST(testSweepDeletesObjectsBeforeTheirRows);
-    CPPUNIT_TEST(testRandomFaultsKeepPromises);
+    CPPUNIT_TEST(testRandomFaultsKeepInvariants);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string numbered(std::string_view prefix, std::uint64_t number)
@@ -89,7 +89,7 @@
 
 public:
     // Guards against mistaking the daemon's own claim, whose write got no reply, for the claim of a copy.
-    void testClaimWithLostReplyIsSentOnce()
+    void testRequestIsSentOnceWhenClaimReplyIsLost()
     {
         RequestSite site(1);
         site.tableFaults = { TableFault::LostReply };
@@ -98,7 +98,7 @@
         assertDoneOnce(site, caller, "k");
     }
 
-    void testClaimWithLostRequestIsWrittenAgain()
+    void testClaimIsWrittenAgainWhenWriteIsLost()
     {
         RequestSite site(1);
         site.tableFaults = { TableFault::LostRequest, TableFault::LostReply /* of the read */ };
@@ -109,7 +109,7 @@
 
     // Guards against a second claim or call when the first write creates the row only after the read that
     // found the row absent.
-    void testClaimWithLateEffectIsSentOnce()
+    void testRequestIsSentOnceWhenClaimTakesEffectLate()
     {
         RequestSite site(1);
         site.tableFaults = { TableFault::LateEffect, TableFault::None, TableFault::LateEffect };
@@ -119,7 +119,7 @@
     }
 
     // Guards against sending a request on an abandoned claim, after its caller was answered "not run".
-    void testClaimGivenUpBeforeLateEffectEndsNotRunAndMayBeSentAnew()
+    void testAbandonedClaimWithLateEffectIsNotRunAndAllowsNewClaim()
     {
         RequestSite site(2);
         // The read that would show the effect of the write fails until the caller has been answered.
@@ -136,7 +136,7 @@
 
     // Guards against sending a copy when the write that records "not run" for the previous copy succeeds: the
     // broker could take its reply for the reply to the new claim.
-    void testCopyDuringRecordingOfNotRunClaimsAnew()
+    void testCopyDuringRecordingOfNotRunMakesNewClaim()
     {
         for (const int pause : { 0, 40, 80, 120, 160 }) {
             RequestSite site(1);
@@ -178,7 +178,7 @@
         site.run(Milliseconds(50));
         site.kill(0);
         site.start(0);
-        site.tableDownFor = { 0 };
+        site.daemonsWithoutTable = { 0 };
         site.submit(0, "k", "tare-check", "load", Milliseconds(200));
         const CallerHandle copy = site.submit(1, "k");
         site.run(Seconds(1));
@@ -186,7 +186,7 @@
         assertOutcome(site, copy, RequestOutcome::Unknown);
     }
 
-    void testCopyWhileInFlightElsewhereGetsItsAnswer()
+    void testCopyGetsAnswerOfRequestInFlightAtAnotherDaemon()
     {
         RequestSite site(2);
         site.drawDelay = [] { return Milliseconds(40); };
@@ -200,7 +200,7 @@
         CPPUNIT_ASSERT(site.answer(copy)->isFromRecord);
     }
 
-    void testCopyWithSilentClaimerIsUnknownInTime()
+    void testCopyIsUnknownWithinTimeoutWhenClaimerDoesNotAnswer()
     {
         RequestSite site(2);
         site.isPeerMessageDropped = [] { return true; };
@@ -212,7 +212,7 @@
         assertOutcome(site, copy, RequestOutcome::Unknown);
     }
 
-    void testCopyAtSameDaemonJoins()
+    void testCopiesAtSameDaemonShareOneExecution()
     {
         RequestSite site(1);
         const CallerHandle first = site.submit(0, "k");
@@ -228,20 +228,20 @@
     {
         RequestSite site(2);
         site.submit(0, "k");
-        const CallerHandle atSame = site.submit(0, "k", "tare-check", "another load");
+        const CallerHandle atSameDaemon = site.submit(0, "k", "tare-check", "another load");
         site.run(Milliseconds(500));
-        const CallerHandle elsewhere = site.submit(1, "k", "tare-check", "another load");
+        const CallerHandle atOtherDaemon = site.submit(1, "k", "tare-check", "another load");
         site.run(Milliseconds(500));
-        assertOutcome(site, atSame, RequestOutcome::Refused);
-        assertOutcome(site, elsewhere, RequestOutcome::Refused);
+        assertOutcome(site, atSameDaemon, RequestOutcome::Refused);
+        assertOutcome(site, atOtherDaemon, RequestOutcome::Refused);
         CPPUNIT_ASSERT_EQUAL(1, site.executions("k"));
         // Without the flag, the HTTP status is not 409. An earlier version lost the flag.
-        CPPUNIT_ASSERT(site.answer(atSame)->isConflict);
-        CPPUNIT_ASSERT(site.answer(elsewhere)->isConflict);
+        CPPUNIT_ASSERT(site.answer(atSameDaemon)->isConflict);
+        CPPUNIT_ASSERT(site.answer(atOtherDaemon)->isConflict);
     }
 
     // The responses are not valid UTF-8, which a JSON string cannot hold.
-    void testCopyOfDoneWithLargeResponseIsAnsweredFromRecord()
+    void testCopyOfDoneRequestGetsSmallOrLargeResponseFromRecord()
     {
         for (const std::size_t size : { std::size_t(100), std::size_t(40'000) }) {
             RequestSite site(2);
@@ -258,7 +258,7 @@
 
     // Guards against a record that stays "claimed" after an outage of the object store, especially if a put
     // gets no reply.
-    void testLargeResponseDuringObjectOutageIsRecordedAfterIt()
+    void testLargeResponseIsRecordedAfterObjectStoreOutage()
     {
         for (const ObjectFault fault : { ObjectFault::Down, ObjectFault::Lost, ObjectFault::LostReply }) {
             RequestSite site(2);
@@ -316,7 +316,7 @@
             site.run(Seconds(3));
             assertOutcome(site, copy, expected);
         };
-        for (const ObjectFault fault : { ObjectFault::Down, ObjectFault::Lost, ObjectFault::Cut }) {
+        for (const ObjectFault fault : { ObjectFault::Down, ObjectFault::Lost, ObjectFault::Truncated }) {
             site.objectFault = fault;
             copyOutcome(RequestOutcome::Unknown);
         }
@@ -329,7 +329,7 @@
 
     // Guards against refusing all new requests during an outage of the object store, because responses that
     // cannot be stored use up the memory limit.
-    void testObjectOutageLeavesRoomForNewWork()
+    void testNewRequestsAreAcceptedDuringObjectStoreOutage()
     {
         constexpr int requests = 100;
         RequestSite site(2);
@@ -396,7 +396,7 @@
 
     // Guards against "not run", a second execution or a late answer after a lookup ended because the claiming
     // daemon was lost or restarted.
-    void testPeerLostOrRestartedDuringLookupIsUnknown()
+    void testLookupIsUnknownWhenPeerIsLostOrRestarted()
     {
         for (const bool isRestarted : { false, true }) {
             RequestSite site(2);
@@ -409,7 +409,7 @@
             if (isRestarted) {
                 site.kill(0);
                 site.start(0);
-                site.tableDownFor = { 0 };
+                site.daemonsWithoutTable = { 0 };
                 // The new incarnation receives a copy, which is not run.
                 site.submit(0, "k", "tare-check", "load", Milliseconds(100));
             } else {
@@ -427,7 +427,7 @@
 
     // Guards against two executions, or "not run" after an execution, when two daemons receive copies while
     // the table loses requests and replies of the write that records an earlier "not run".
-    void testCopiesDuringRecordingOfNotRunWithLostAnswersRunOnce()
+    void testCopiesRunAtMostOnceWhileNotRunIsRecordedWithFaults()
     {
         int done = 0;
         for (int trial = 0; trial < 1'000; ++trial) {
@@ -437,7 +437,7 @@
             site.drawTableFault
                 = [&] { return random() % 2 ? TableFault(1 + random() % 4) : TableFault::None; };
             site.submit(0, "k", "tare-check", "load", Milliseconds(20 + random() % 80));
-            std::set<CallerHandle> isHeard;
+            std::set<CallerHandle> answeredCallers;
             for (int step = 0; step < 500; ++step) {
                 if (step == 20 || step == 40 || step == 60)
                     site.submit(
@@ -445,7 +445,7 @@
                 const int executions = site.executions("k");
                 site.run(Milliseconds(10));
                 for (const auto& [caller, submission] : site.submissions) {
-                    if (submission.answers.empty() || !isHeard.insert(caller).second)
+                    if (submission.answers.empty() || !answeredCallers.insert(caller).second)
                         continue;
                     const RequestOutcome outcome = submission.answers.front().outcome;
                     CPPUNIT_ASSERT_MESSAGE(
@@ -454,7 +454,7 @@
                     done += outcome == RequestOutcome::Done ? 1 : 0;
                 }
             }
-            CPPUNIT_ASSERT_EQUAL(std::size_t(4), isHeard.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(4), answeredCallers.size());
             CPPUNIT_ASSERT_MESSAGE(numbered("trial ", trial), site.executions("k") <= 1);
             CPPUNIT_ASSERT_MESSAGE(numbered("trial ", trial), site.violations.empty());
         }
@@ -464,7 +464,7 @@
     // Guards against a wrong "not run" when the write of an earlier "not run" takes effect without a reply: a
     // copy at another daemon claims the row and runs, and this daemon, which takes its claim for held,
     // answers "not run" to a copy that expires in its queue.
-    void testQueuedCopyAfterNotRunIsNotCertainWhenAnotherCopyRan()
+    void testQueuedCopyIsUnknownWhenAnotherCopyRanAfterNotRun()
     {
         RequestSite site(2);
         site.drawCallFault = [] { return CallFault::Refuse; };
@@ -476,11 +476,11 @@
         site.run(Milliseconds(180));
         assertOutcome(site, first, RequestOutcome::NotRun);
         site.drawTableFault = nullptr;
-        site.tableDownFor = { 0 };
+        site.daemonsWithoutTable = { 0 };
         site.drawCallFault = nullptr;
-        const CallerHandle elsewhere = site.submit(1, "k");
+        const CallerHandle atOtherDaemon = site.submit(1, "k");
         site.run(Milliseconds(200));
-        assertDoneOnce(site, elsewhere, "k");
+        assertDoneOnce(site, atOtherDaemon, "k");
         constexpr int claimsUntilQueued = 200;
         for (int number = 0; number < claimsUntilQueued; ++number)
             site.submit(0, numbered("other", number));
@@ -489,7 +489,7 @@
         assertOutcome(site, queued, RequestOutcome::Unknown);
     }
 
-    void testTableDownIsNotRunAndIdempotentWorkContinues()
+    void testTableOutageIsNotRunButIdempotentRequestsAreServed()
     {
         RequestSite site(1);
         site.drawTableFault = [] { return TableFault::Unavailable; };
@@ -519,7 +519,7 @@
         assertOutcome(site, copy, RequestOutcome::Unknown);
     }
 
-    void testRefusalBeforeExecutionGoesToAnotherEndpoint()
+    void testRefusedRequestIsSentToAnotherEndpoint()
     {
         RequestSite site(1);
         site.callFaults = { CallFault::Refuse, CallFault::NotSent };
@@ -530,7 +530,7 @@
         CPPUNIT_ASSERT(site.calls[0].second.endpoint != site.calls[1].second.endpoint);
     }
 
-    void testLostCallIsUnknownAndNeverRepeated()
+    void testLostNonIdempotentCallIsUnknownAndNotResent()
     {
         RequestSite site(1);
         site.callFaults = { CallFault::LostAfter };
@@ -543,7 +543,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), site.calls.size());
     }
 
-    void testErrorOfNonIdempotentIsDone()
+    void testNonIdempotentCallWithErrorIsDone()
     {
         RequestSite site(1);
         site.callFaults = { CallFault::Error };
@@ -555,7 +555,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), site.calls.size());
     }
 
-    void testIdempotentLostCallIsRepeatedElsewhere()
+    void testLostIdempotentCallIsResentToAnotherEndpoint()
     {
         RequestSite site(1);
         site.callFaults = { CallFault::LostAfter, CallFault::Error };
@@ -568,7 +568,7 @@
 
     // Guards against "unknown" while other endpoints answer: a retry could choose an endpoint again that had
     // already failed to answer the request.
-    void testIdempotentRequestIsNeverSentTwiceToOneFailedEndpoint()
+    void testIdempotentRequestIsNotResentToFailedEndpoint()
     {
         RequestSite site(1, 6);
         for (int request = 0; request < 3; ++request) {
@@ -584,7 +584,7 @@
         }
     }
 
-    void testLateAnswerAfterDeadlineIsRecorded()
+    void testAnswerAfterDeadlineIsRecorded()
     {
         RequestSite site(1);
         site.callFaults = { CallFault::LateAnswer };
@@ -599,7 +599,7 @@
     }
 
     // Guards against answering a caller twice, or with the response to another request.
-    void testRepeatedAndForeignAnswersReachNoCaller()
+    void testDuplicateAndForeignAnswersReachNoCaller()
     {
         RequestSite site(1);
         site.callFaults = { CallFault::Repeat, CallFault::Foreign };
@@ -613,7 +613,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.foreignAnswers);
     }
 
-    void testGroupWithOneConflictingRowWritesTheRest()
+    void testGroupWithConflictingRowWritesOtherRows()
     {
         RequestSite site(2);
         site.submit(1, "taken");
@@ -651,13 +651,13 @@
         CPPUNIT_ASSERT(site.daemon(0).broker->isIdle());
     }
 
-    void testExpiredOrIncompleteRequestIsTurnedAway()
+    void testExpiredOrIncompleteRequestIsRejected()
     {
         RequestSite site(1);
         const CallerHandle withoutKey = site.submit(0, "");
         assertOutcome(site, withoutKey, RequestOutcome::Refused);
-        const CallerHandle stale = site.submit(0, "k", "none");
-        assertOutcome(site, stale, RequestOutcome::Refused);
+        const CallerHandle withUnknownOperation = site.submit(0, "k", "none");
+        assertOutcome(site, withUnknownOperation, RequestOutcome::Refused);
         const WallTime issued { Milliseconds(1'790'000'000'000) };
         for (const auto age : { std::chrono::minutes(24 * 60 + 1), std::chrono::minutes(-6) }) {
             RequestReceived event { 900, { ClientAccountId("small"), "old" }, {}, ServiceId("intake"),
@@ -673,7 +673,7 @@
         }
     }
 
-    class Holder : public RoleView {
+    class RoleHolder : public RoleView {
     public:
         std::optional<HeldRole> held(TimePoint) const override { return HeldRole { 1, 1 }; }
         const std::string& ownerKey() const override { return m_key; }
@@ -687,7 +687,7 @@
     // recorded, and against rows that are deleted before their objects.
     void testSweepDeletesObjectsBeforeTheirRows()
     {
-        const Holder role;
+        const RoleHolder role;
         RecordSweeper sweeper(role);
         standin::TableStore store;
         const WallTime wall { std::chrono::hours(1'000'000) };
@@ -734,7 +734,7 @@
 
     void testSweepDeletesOnlyExpiredRecords()
     {
-        const Holder role;
+        const RoleHolder role;
         RecordSweeper sweeper(role);
         standin::TableStore store;
         const WallTime wall { std::chrono::hours(1'000'000) };
@@ -764,7 +764,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(51), sweeper.deleted());
     }
 
-    void testRandomFaultsKeepPromises()
+    void testRandomFaultsKeepInvariants()
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed)
             runRandomFaults(seed);
@@ -774,37 +774,38 @@
     static void runRandomFaults(std::uint64_t seed)
     {
         std::mt19937_64 random(seed);
-        const auto isDrawn = [&](unsigned percent) { return random() % 100 < percent; };
+        const auto withProbability = [&](unsigned percent) { return random() % 100 < percent; };
         RequestSite site(3);
-        site.drawDelay = [&] { return Milliseconds(isDrawn(5) ? random() % 300 : random() % 10); };
-        site.isPeerMessageDropped = [&] { return isDrawn(20); };
-        site.drawTableFault = [&] { return isDrawn(25) ? TableFault(1 + random() % 4) : TableFault::None; };
+        site.drawDelay = [&] { return Milliseconds(withProbability(5) ? random() % 300 : random() % 10); };
+        site.isPeerMessageDropped = [&] { return withProbability(20); };
+        site.drawTableFault
+            = [&] { return withProbability(25) ? TableFault(1 + random() % 4) : TableFault::None; };
         site.drawCallFault = [&] {
             // Not Error: its response body differs from the expected one. It has its own test.
             static constexpr CallFault faults[]
                 = { CallFault::NotSent, CallFault::Refuse, CallFault::LostBefore, CallFault::LostAfter,
                       CallFault::LateAnswer, CallFault::Repeat, CallFault::Foreign };
-            return isDrawn(30) ? faults[random() % std::size(faults)] : CallFault::None;
+            return withProbability(30) ? faults[random() % std::size(faults)] : CallFault::None;
         };
         for (int stepNumber = 0; stepNumber < 500; ++stepNumber) {
             const std::size_t daemon = random() % 3;
             if (!site.daemon(daemon).isAlive) {
                 site.start(daemon);
-            } else if (isDrawn(2)) {
+            } else if (withProbability(2)) {
                 site.kill(daemon);
             } else {
                 const std::string key = numbered("k", random() % 150);
-                site.submit(daemon, key, isDrawn(80) ? "tare-check" : "sugar-test", "load",
-                    Milliseconds(isDrawn(20) ? 5 + random() % 40 : 100 + random() % 2'000));
+                site.submit(daemon, key, withProbability(80) ? "tare-check" : "sugar-test", "load",
+                    Milliseconds(withProbability(20) ? 5 + random() % 40 : 100 + random() % 2'000));
             }
-            if (isDrawn(50))
+            if (withProbability(50))
                 site.run(Milliseconds(1 + random() % 60));
         }
         site.run(Seconds(15));
-        checkPromises(site, numbered("seed ", seed));
+        checkInvariants(site, numbered("seed ", seed));
     }
 
-    static void checkPromises(const RequestSite& site, const std::string& message)
+    static void checkInvariants(const RequestSite& site, const std::string& message)
     {
         CPPUNIT_ASSERT_MESSAGE(
             message + ": " + (site.violations.empty() ? "" : site.violations[0]), site.violations.empty());
--- a/test/support/request_site.h
+++ b/test/support/request_site.h
@@ -64,8 +64,8 @@
 // Unavailable and LostReply make a read fail as unavailable; the others do not affect it.
 enum class TableFault { None, Unavailable, LostRequest, LostReply, LateEffect };
 // Down: every operation fails. Lost: no effect and no reply. LostReply: a put takes effect but is reported as
-// failed; other operations fail. Cut: a read returns only the first half of the object.
-enum class ObjectFault { None, Down, Lost, LostReply, Cut };
+// failed; other operations fail. Truncated: a read returns only the first half of the object.
+enum class ObjectFault { None, Down, Lost, LostReply, Truncated };
 // NotSent: fails before it is sent. Refuse: refused before execution. LostBefore: lost without an execution.
 // LostAfter: executed, but the answer is lost. Error: executed with an error. LateAnswer: answered 200 ms
 // before the timeout of the call. Repeat: answered twice. Foreign: the answer names another request.
@@ -188,7 +188,7 @@
     // Each operation takes its fault from the front of the queue, or from the function if the queue is empty.
     std::deque<TableFault> tableFaults;
     std::function<TableFault()> drawTableFault;
-    std::set<std::size_t> tableDownFor; // indices of daemons
+    std::set<std::size_t> daemonsWithoutTable; // indices of daemons
     std::deque<CallFault> callFaults;
     std::function<CallFault()> drawCallFault;
     std::function<bool()> isPeerMessageDropped;
@@ -240,7 +240,7 @@
     }
 
     // Runs the function after the delay, unless the daemon's current incarnation has ended by then.
-    void later(std::size_t index, Milliseconds delay, std::function<void()> function)
+    void schedule(std::size_t index, Milliseconds delay, std::function<void()> function)
     {
         const std::uint64_t incarnation = m_daemons[index].incarnation;
         m_queue.emplace(now + delay, [this, index, incarnation, function = std::move(function)] {
@@ -251,12 +251,13 @@
 
     template <typename Event> void reply(std::size_t index, Milliseconds delay, Event event)
     {
-        later(index, delay, [this, index, event] { deliverToBroker(index, event); });
+        schedule(index, delay, [this, index, event] { deliverToBroker(index, event); });
     }
 
     Milliseconds delay() { return drawDelay ? drawDelay() : Milliseconds(4); }
 
-    template <typename Fault> static Fault take(std::deque<Fault>& queue, const std::function<Fault()>& draw)
+    template <typename Fault>
+    static Fault nextFault(std::deque<Fault>& queue, const std::function<Fault()>& draw)
     {
         if (queue.empty())
             return draw ? draw() : Fault::None;
@@ -277,21 +278,21 @@
     void execute(std::size_t index, const ExecuteTransaction& effect)
     {
         transactionSizes.push_back(effect.transaction.writes.size());
-        const TableFault fault
-            = tableDownFor.contains(index) ? TableFault::Unavailable : take(tableFaults, drawTableFault);
-        const Milliseconds there = delay();
+        const TableFault fault = daemonsWithoutTable.contains(index) ? TableFault::Unavailable
+                                                                     : nextFault(tableFaults, drawTableFault);
+        const Milliseconds transitDelay = delay();
         const auto lost = TableReplied { effect.operation, { TableStatus::Unknown, {} } };
         if (fault == TableFault::Unavailable) {
-            reply(index, there, TableReplied { effect.operation, { TableStatus::Unavailable, {} } });
+            reply(index, transitDelay, TableReplied { effect.operation, { TableStatus::Unavailable, {} } });
         } else if (fault == TableFault::LostRequest) {
-            reply(index, there + Milliseconds(100), lost);
+            reply(index, transitDelay + Milliseconds(100), lost);
         } else if (fault == TableFault::LateEffect) {
-            reply(index, there, lost);
+            reply(index, transitDelay, lost);
             // Late enough for the daemon to attempt several operations before.
-            m_queue.emplace(now + there + Milliseconds(60),
+            m_queue.emplace(now + transitDelay + Milliseconds(60),
                 [this, transaction = effect.transaction] { store.execute(transaction); });
         } else {
-            m_queue.emplace(now + there, [this, index, effect, fault, lost] {
+            m_queue.emplace(now + transitDelay, [this, index, effect, fault, lost] {
                 const TableReplied done { effect.operation, store.execute(effect.transaction) };
                 reply(index, delay(), fault == TableFault::LostReply ? lost : done);
             });
@@ -300,8 +301,8 @@
 
     void execute(std::size_t index, const ReadTable& effect)
     {
-        const TableFault fault
-            = tableDownFor.contains(index) ? TableFault::Unavailable : take(tableFaults, drawTableFault);
+        const TableFault fault = daemonsWithoutTable.contains(index) ? TableFault::Unavailable
+                                                                     : nextFault(tableFaults, drawTableFault);
         if (fault == TableFault::Unavailable || fault == TableFault::LostReply) {
             reply(index, delay(), TableReplied { effect.operation, { TableStatus::Unavailable, {} } });
             return;
@@ -327,10 +328,10 @@
         if (objectFault == ObjectFault::Lost)
             return;
         const auto found = objects.find(effect.key);
-        const bool isOk
-            = found != objects.end() && (objectFault == ObjectFault::None || objectFault == ObjectFault::Cut);
+        const bool isOk = found != objects.end()
+            && (objectFault == ObjectFault::None || objectFault == ObjectFault::Truncated);
         std::string value = isOk ? found->second : "";
-        if (objectFault == ObjectFault::Cut)
+        if (objectFault == ObjectFault::Truncated)
             value.resize(value.size() / 2);
         reply(index, delay(), ObjectReplied { effect.operation, isOk, std::move(value) });
     }
@@ -348,7 +349,7 @@
         for (std::size_t to = 0; to < m_daemons.size(); ++to) {
             if (host(to) != effect.peer || (isPeerMessageDropped && isPeerMessageDropped()))
                 continue;
-            later(to, delay(), [this, to, from = host(index), message = effect.message] {
+            schedule(to, delay(), [this, to, from = host(index), message = effect.message] {
                 deliver(to, [&](Step& step) {
                     if (const auto* lookup = std::get_if<RequestLookup>(&message))
                         m_daemons[to].broker->handle(*lookup, from, step);
@@ -362,19 +363,19 @@
     void execute(std::size_t index, const CallEndpoint& effect)
     {
         calls.emplace_back(index, effect);
-        checkSomeoneWaits(index, effect);
+        checkHasWaitingCaller(index, effect);
         checkClaim(index, effect);
-        const CallFault fault = take(callFaults, drawCallFault);
-        const Milliseconds there = delay();
+        const CallFault fault = nextFault(callFaults, drawCallFault);
+        const Milliseconds transitDelay = delay();
         if (fault == CallFault::NotSent) {
-            reply(index, there, EndpointFailed { effect.call, EndpointFailure::NotSent, {} });
+            reply(index, transitDelay, EndpointFailed { effect.call, EndpointFailure::NotSent, {} });
             return;
         }
         if (fault == CallFault::LostBefore) {
             reply(index, effect.timeout, EndpointFailed { effect.call, EndpointFailure::Lost, {} });
             return;
         }
-        m_queue.emplace(now + there, [this, index, effect, fault] { serve(index, effect, fault); });
+        m_queue.emplace(now + transitDelay, [this, index, effect, fault] { serve(index, effect, fault); });
     }
 
     void serve(std::size_t index, const CallEndpoint& effect, CallFault fault)
@@ -411,7 +412,7 @@
     }
 
     // A request must only be sent while one of its callers has no answer yet.
-    void checkSomeoneWaits(std::size_t index, const CallEndpoint& effect)
+    void checkHasWaitingCaller(std::size_t index, const CallEndpoint& effect)
     {
         for (const auto& [caller, submission] : submissions) {
             if (submission.identity == effect.identity && submission.daemon == index
