Reword comments and messages in src/net

Comments had figurative or unclear words ("looks at", "unasked", "what is open", "a read still to come tells more"). They now name the connection, request, response or handle that is meant, and what ends it. The comment on ~EventLoop claimed that it closes handles that are still open; it only waits for handles that are being closed.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t readBufferBytes = 64U * 1024U;
 
-// The loop reads one connection at a time.
+// Shared by all connections, because the loop reads from one connection at a time.
 std::array<char, readBufferBytes>& readBuffer()
 {
     static std::array<char, readBufferBytes> buffer;
@@ -131,8 +131,8 @@
     const int code
         = uv_write(&operation->request, m_socket->stream(), &buffer, 1, [](uv_write_t* request, int status) {
               const std::unique_ptr<Write> done(static_cast<Write*>(request->data));
-              // The server may have answered, 413 for example, and closed before it read everything:
-              // a read still to come tells more.
+              // Not an error yet if the server closed the connection before it read the whole request: it may
+              // have sent a response, for example 413. The next read returns the response or the close.
               if (status && status != UV_ECANCELED && status != UV_EPIPE && status != UV_ECONNRESET
                   && done->socket->owner)
                   done->socket->owner->ended(uv_strerror(status));
@@ -146,7 +146,7 @@
 void ClientConnection::received(std::string_view bytes)
 {
     if (!m_callback || !m_parser) {
-        ended("the server sent something unasked");
+        ended("the server sent bytes without a request");
         return;
     }
     m_bytesReceived += bytes.size();
@@ -154,7 +154,7 @@
     case HttpResponseParser::Status::NeedsMore:
         return;
     case HttpResponseParser::Status::Done: {
-        // A server that answers early may not have read the whole request yet.
+        // The server may respond before it has read the whole request.
         const bool isWhollySent = uv_stream_get_write_queue_size(m_socket->stream()) == 0;
         finish(m_parser->takeResponse(), isWhollySent && m_parser->isReusable());
         return;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -12,12 +12,12 @@
 
 namespace anvilmoor::net {
 
-// One TCP connection of the client, carrying one request at a time. Destroying it closes it at once,
-// and no callback follows.
+// One TCP connection of the client, with one request at a time. The destructor closes the connection, and no
+// callback is run afterwards.
 class ClientConnection {
 public:
-    // Answers the send() before it, or ends the connection: it is not usable after an error or a
-    // response that is not reusable. Nothing of the connection is touched after the callback.
+    // Receives the result of the last send() or connectAndSend(). If `isReusable` is false, as after every
+    // error, the connection is closed. The callback may destroy the connection.
     using Callback = std::function<void(HttpResult, bool isReusable)>;
     using ClosedCallback = std::function<void()>;
 
@@ -26,15 +26,17 @@
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
 
-    // Connects and then sends. False, with no callback to come, if the connection cannot be tried.
+    // Connects and then sends. Returns false, and runs no callback, if the connection attempt cannot be
+    // started.
     bool connectAndSend(const SocketAddress&, std::string request, bool isBodyless, Callback);
-    // On an idle connection.
+    // Requires an idle connection.
     void send(std::string request, bool isBodyless, Callback);
-    // Waits for the next send(); onClosed comes if the server closes or sends something unasked.
+    // Waits for the next send(). Runs onClosed if the server closes the connection or sends bytes without a
+    // request.
     void becomeIdle(ClosedCallback onClosed);
-    // Looks at the socket itself, for a close that the loop has not reported yet.
+    // Checks the socket itself, to detect a close or bytes that the loop has not reported yet.
     bool isUsable() const;
-    // False means certainly nothing of the current request was written.
+    // If false, certainly no byte of the current request was written.
     bool hasBegunSending() const { return m_hasBegunSending; }
     // Since the last send().
     std::size_t bytesReceived() const { return m_bytesReceived; }
--- a/src/net/disconnect_watcher.h
+++ b/src/net/disconnect_watcher.h
@@ -6,8 +6,8 @@
 
 namespace anvilmoor::net {
 
-// Reports once when the peer of a connected socket closes its side, without reading from the socket.
-// It polls a duplicate of the descriptor, so that another owner can go on using the socket.
+// Runs the callback once when the peer of a connected socket closes its side, without reading from the
+// socket. Polls a duplicate of the descriptor, so that the owner of the socket can continue to use it.
 class DisconnectWatcher {
 public:
     DisconnectWatcher(uv_loop_s*, int socket, std::function<void()>);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::uint64_t nanosecondsPerMillisecond = 1'000'000;
 
-// Closing connections takes a few iterations; more means that a handle's owner outlives the loop.
+// Closing handles takes a few iterations. If the limit is reached, the owner of a handle outlives the loop.
 constexpr int maxClosingIterations = 1'000;
 
 template <typename HandleType> void closeAndDelete(HandleType* handle, uv_handle_t* uvHandle)
@@ -88,7 +88,7 @@
 void Timer::start(Milliseconds delay, Milliseconds repeat, std::function<void()> callback)
 {
     m_handle->callback = std::move(callback);
-    // The loop's cached time is stale in a long callback; the timer would fire early.
+    // In a long callback, the cached time of the loop is out of date, and the timer would fire early.
     uv_update_time(m_handle->timer.loop);
     const auto count = [](Milliseconds time) {
         return static_cast<std::uint64_t>(std::max<std::int64_t>(time.count(), 0));
@@ -96,7 +96,7 @@
     uv_timer_start(
         &m_handle->timer,
         [](uv_timer_t* timer) {
-            // A copy: the callback may restart the timer or destroy it.
+            // Copied, because the callback may restart or destroy the timer.
             const std::function<void()> function = static_cast<Handle*>(timer->data)->callback;
             function();
         },
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -13,22 +13,22 @@
 
 namespace anvilmoor::net {
 
-// The process's one libuv loop. Everything that lives on the loop is destroyed before it.
-// Construction makes the process ignore SIGPIPE, so that writing to a closed connection is an error code.
+// The libuv loop of the process. All objects that use the loop must be destroyed before it. The constructor
+// makes the process ignore SIGPIPE, so that writing to a closed connection returns an error code.
 class EventLoop {
 public:
     EventLoop();
-    // Closes what is still open on the loop without calling back its owners.
+    // Waits for handles that are being closed. Posted functions are discarded.
     ~EventLoop();
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
-    // Returns after stop(), or when nothing on the loop is active any more.
+    // Returns after stop(), or when no handle on the loop is active.
     void run();
     void stop();
     // Waits for events once and handles them.
     void runOnce();
-    // Monotonic, and never cached.
+    // Monotonic; read from the clock at each call.
     TimePoint now() const;
     // Calls the function from the loop, after the current callback has returned.
     void post(std::function<void()>);
@@ -51,12 +51,12 @@
     Timer(const Timer&) = delete;
     Timer& operator=(const Timer&) = delete;
 
-    // Each start replaces the one before.
+    // Each start replaces the previous one.
     void startOnce(Milliseconds delay, std::function<void()>);
     void startRepeating(Milliseconds interval, std::function<void()>);
     void stop();
     bool isActive() const;
-    // The loop does not stay open for this timer alone.
+    // Afterwards, run() can return although this timer is active.
     void unref();
 
 private:
--- a/src/net/header_lookup.h
+++ b/src/net/header_lookup.h
@@ -7,13 +7,13 @@
 
 namespace anvilmoor::net {
 
-// ASCII only, as header names are.
+// Ignores the case of ASCII letters only, which suffices for header names.
 bool isEqualIgnoringCase(std::string_view, std::string_view);
 
-// The first one's value; empty if absent.
+// The value of the first header with this name; empty if absent.
 std::string_view findHeader(const std::vector<HttpHeader>&, std::string_view name);
 
-// False if a name or value holds characters that would end the header early.
+// Returns false if the name is empty, or if the name or value has characters that would end it early.
 bool isSafeHeader(const HttpHeader&);
 
 } // namespace anvilmoor::net
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -24,7 +24,7 @@
 };
 
 struct HttpHeader {
-    std::string name; // compared without regard to case
+    std::string name; // case-insensitive
     std::string value;
 };
 
@@ -33,7 +33,7 @@
     std::string path = "/"; // with query
     std::vector<HttpHeader> headers;
     std::string body;
-    // A client counts the traffic of the call under this name. Refers to a string literal.
+    // The client counts the traffic of the call under this name. Must refer to a string literal.
     std::string_view trafficKind = "other";
 
     // Empty if absent.
@@ -49,10 +49,10 @@
 };
 
 enum class HttpErrorKind {
-    NotSent, // no byte of the request left this process
-    Lost, // the connection failed or closed after sending began
-    TimedOut, // no whole response in time; the request may have been received
-    Malformed, // a short or broken response
+    NotSent, // no byte of the request was sent
+    Lost, // the connection failed or was closed after sending began
+    TimedOut, // no complete response before the timeout; the server may have received the request
+    Malformed, // the response is truncated or invalid
     TooLarge,
 };
 
@@ -64,35 +64,36 @@
 using HttpResult = tl::expected<HttpResponse, HttpError>;
 using HttpCallback = std::function<void(HttpResult)>;
 
-// Names a call of a client; never 0.
+// Identifies a call of a client; never 0.
 using HttpCallId = std::uint64_t;
 
-// Calls HTTP servers on the loop. Connections are kept alive and reused per address; one that misses a
-// deadline is closed and never reused.
+// Calls HTTP servers on the event loop. Connections are kept alive and reused per address. The connection of
+// a call that times out is closed.
 class HttpClient {
 public:
     virtual ~HttpClient() = default;
 
-    // Calls back exactly once, from the loop and never from inside call(), unless cancelled.
+    // Runs the callback exactly once, from the loop and never from inside call(), unless the call is
+    // cancelled.
     virtual HttpCallId call(const SocketAddress&, HttpRequest, Milliseconds timeout, HttpCallback) = 0;
 
-    // Drops the call without a callback and closes its connection.
+    // Ends the call without running its callback, and closes its connection.
     virtual void cancel(HttpCallId) = 0;
 
     using TrafficByKind = std::map<std::string_view, Traffic>;
-    // By HttpRequest::trafficKind, since the start. Responses count when their call ends.
+    // By HttpRequest::trafficKind, since the client was created. A response is counted when its call ends.
     virtual TrafficByKind traffic() const { return {}; }
 };
 
-// One request of a server, to be answered once. Copies name the same exchange. An answer after the
-// client has gone is dropped.
+// One request received by a server, to be answered once. An answer is discarded if the client has closed the
+// connection or the exchange is already answered.
 class HttpExchange {
 public:
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest& request() const = 0;
     virtual void respond(HttpResponse) = 0;
-    // Called at most once, when the client closes before the response.
+    // The function is called at most once, if the client closes the connection before the response.
     virtual void onClientGone(std::function<void()>) = 0;
 };
 
@@ -102,13 +103,13 @@
 public:
     virtual ~HttpServer() = default;
 
-    // The port that was bound, also when 0 was asked for.
+    // The bound port, also if port 0 was requested.
     virtual std::uint16_t port() const = 0;
     virtual std::size_t exchangesInFlight() const = 0;
     virtual std::size_t openConnections() const = 0;
-    // Takes the connections that wait, then closes the listening socket. Open exchanges go on, and every
-    // response closes its connection. A connection without an exchange closes after 250 ms, so that a
-    // request that its client was just sending is still answered.
+    // Accepts the connections in the backlog, then closes the listening socket. Open exchanges continue, and
+    // every response closes its connection. A connection without an exchange is closed after 250 ms, so that
+    // a request that its client was sending at the same time is still answered.
     virtual void stopAccepting() = 0;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -25,7 +25,8 @@
         || isEqualIgnoringCase(header.name, "transfer-encoding");
 }
 
-// False if the request cannot be written without changing its meaning.
+// Returns false if serialize() would not preserve the request, for example because of a line break in a
+// header.
 bool isWritable(const HttpRequest& request)
 {
     const auto isPlain = [](char c) { return c > ' ' && c != 0x7f; };
@@ -76,14 +77,14 @@
 
     struct Host {
         std::size_t active = 0;
-        std::vector<Idle> idle; // the last one was used last
+        std::vector<Idle> idle; // in order of last use, the most recent at the end
         std::deque<HttpCallId> queue;
     };
 
     struct Call {
         SocketAddress address;
         std::string request; // moved out when handed to a connection
-        Traffic* traffic = nullptr; // an element of m_traffic, which never loses any
+        Traffic* traffic = nullptr; // element of m_traffic, from which no element is ever erased
         bool isBodyless = false;
         HttpCallback callback;
         std::unique_ptr<Timer> deadline;
@@ -123,7 +124,7 @@
     call.address = address;
     call.callback = std::move(callback);
     if (request.body.size() > maxBodyBytes) {
-        failLater(id, errorOf(HttpErrorKind::NotSent, "the request's body is too large"));
+        failLater(id, errorOf(HttpErrorKind::NotSent, "the request's body exceeds the limit of 8 MiB"));
         return id;
     }
     if (!isWritable(request)) {
@@ -165,7 +166,8 @@
     while (!host.idle.empty()) {
         Idle idle = std::move(host.idle.back());
         host.idle.pop_back();
-        // Nothing is sent yet, so passing over a connection that the server has closed repeats nothing.
+        // Nothing has been sent yet, so skipping a connection that the server has closed does not resend
+        // anything.
         if (!idle.connection->isUsable())
             continue;
         call.connection = std::move(idle.connection);
@@ -208,9 +210,9 @@
     const bool isSent = call.connection && call.connection->hasBegunSending();
     complete(id,
         tl::unexpected(errorOf(isSent ? HttpErrorKind::TimedOut : HttpErrorKind::NotSent,
-            isSent                ? "no whole response before the deadline"
-                : call.connection ? "not connected before the deadline"
-                                  : "no connection was free before the deadline")),
+            isSent                ? "no complete response before the timeout of the call"
+                : call.connection ? "not connected before the timeout of the call"
+                                  : "no connection was free before the timeout of the call")),
         false);
 }
 
@@ -219,13 +221,13 @@
     const auto found = m_calls.find(id);
     if (found == m_calls.end() || found->second.connection->hasBegunSending())
         return;
-    complete(id, tl::unexpected(errorOf(HttpErrorKind::NotSent, "not connected before the connect deadline")),
+    complete(id, tl::unexpected(errorOf(HttpErrorKind::NotSent, "not connected before the connect timeout")),
         false);
 }
 
 void SocketClient::responded(HttpCallId id, HttpResult result, bool isReusable)
 {
-    // A connection may fail inside send(), while call() is still running.
+    // send() may report a failed connection while call() is still running, and call() must not run callbacks.
     if (!result && result.error().kind == HttpErrorKind::Lost) {
         failLater(id, result.error());
         return;
@@ -252,7 +254,7 @@
         std::erase(host->second.queue, id);
     }
     forgetIfUnused(key);
-    // Last, because the callback may call, cancel or destroy the client.
+    // Must be last, because the callback may start or cancel calls or destroy the client.
     call.callback(std::move(result));
 }
 
--- a/src/net/http_response_parser.cpp
+++ b/src/net/http_response_parser.cpp
@@ -11,7 +11,7 @@
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
-// What http-parser reports where a response has no Content-Length.
+// Reported by http-parser for a response without Content-Length.
 constexpr auto unknownLength = std::numeric_limits<std::uint64_t>::max();
 
 bool hasNoBody(int status)
@@ -69,7 +69,8 @@
     return m_status;
 }
 
-// Returned by on_headers_complete, 1 and 2 would mean that there is no body; other values stop the parser.
+// Returns -1, which stops the parser from every callback. From on_headers_complete, 1 and 2 would mean that
+// there is no body.
 int HttpResponseParser::fail(Status status, std::string problem)
 {
     m_status = status;
@@ -77,12 +78,12 @@
     return -1;
 }
 
-// Names and values arrive in pieces, in turn.
+// Names and values alternate, and each may be received in several pieces.
 int HttpResponseParser::addToHeader(std::string_view piece, bool isName)
 {
     m_headerBytes += piece.size();
     if (m_headerBytes > maxHeaderBytes)
-        return fail(Status::Malformed, "the response's header is too long");
+        return fail(Status::Malformed, "the header of the response exceeds 64 KiB");
     const bool isNew = m_response.headers.empty() || !m_isLastName;
     if (isName && isNew)
         m_response.headers.emplace_back();
@@ -94,12 +95,12 @@
 
 int HttpResponseParser::onHeadersComplete()
 {
-    // The library treats a trailer as further headers; names after this point start anew.
+    // The library reports trailer fields as further headers. The first one must start a new header.
     m_isLastName = false;
     const int status = m_parser.status_code;
     m_response.status = status;
     if (status == statusSwitchingProtocols)
-        return fail(Status::Malformed, "the server switched protocols unasked");
+        return fail(Status::Malformed, "the server switched protocols without a request to do so");
     if (m_isBodyless || hasNoBody(status))
         return 1; // the library skips the body
     const bool isChunked = (m_parser.flags & F_CHUNKED) != 0;
@@ -110,7 +111,7 @@
     return 0;
 }
 
-// The library puts the size of the chunk into content_length.
+// The library stores the size of the chunk in content_length.
 int HttpResponseParser::onChunkHeader()
 {
     if (m_parser.content_length > maxBodyBytes - m_response.body.size())
@@ -128,14 +129,14 @@
 
 int HttpResponseParser::onMessageComplete()
 {
-    // Informational responses precede the real one.
+    // Informational responses precede the final one and are discarded.
     if (m_response.status < firstFinalStatus) {
         m_response = {};
         m_isLastName = false;
         return 0;
     }
     m_status = Status::Done;
-    // What follows the response does not belong to it.
+    // Further bytes do not belong to the response.
     http_parser_pause(&m_parser, 1);
     return 0;
 }
--- a/src/net/http_response_parser.h
+++ b/src/net/http_response_parser.h
@@ -11,8 +11,8 @@
 
 constexpr std::size_t maxHeaderBytes = 64U * 1024U;
 
-// Reads one HTTP/1.1 response from bytes that arrive in any pieces, with the http-parser library. Adds
-// what a client must insist on: a length that can be checked, and bounds.
+// Parses one HTTP/1.1 response, received in pieces of any size, with the http-parser library. In addition, it
+// requires Content-Length or chunked encoding, and limits the size of the header and of the body.
 class HttpResponseParser {
 public:
     enum class Status { NeedsMore, Done, Malformed, TooLarge };
@@ -22,11 +22,11 @@
     HttpResponseParser(const HttpResponseParser&) = delete;
     HttpResponseParser& operator=(const HttpResponseParser&) = delete;
 
-    // After Done, Malformed or TooLarge further bytes are not looked at.
+    // After Done, Malformed or TooLarge, further bytes are ignored.
     Status feed(std::string_view);
 
     bool hasBytes() const { return m_hasBytes; }
-    // Valid after Done: the server keeps the connection, and sent nothing beyond the response.
+    // Valid after Done. True if the server keeps the connection open and sent no bytes after the response.
     bool isReusable() const { return m_isReusable; }
     const std::string& problem() const { return m_problem; }
     HttpResponse takeResponse() { return std::move(m_response); }
@@ -35,7 +35,7 @@
     static const http_parser_settings& callbacks();
     static HttpResponseParser& of(http_parser*);
 
-    // Each returns 0 to go on; any other value stops the parser.
+    // Return 0 to continue. For other values see fail() and onHeadersComplete().
     int addToHeader(std::string_view, bool isName);
     int onHeadersComplete();
     int onChunkHeader();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,18 +10,18 @@
 namespace anvilmoor::net {
 
 struct HttpServerLimits {
-    // A client that sends no whole request within this time, or leaves a connection idle for it, is
-    // disconnected. Longer than the client's idle timeout, so that the client normally closes first.
+    // A client is disconnected if it sends no complete request within this time, also on an idle connection.
+    // Longer than HttpClientLimits::idleTimeout, so that normally the client closes an idle connection.
     Milliseconds requestReadTimeout { 15'000 };
-    // A client that has not taken a response within this time is disconnected.
+    // A client that has not received the whole response within this time is disconnected.
     Milliseconds responseWriteTimeout { 30'000 };
-    // Further connections wait in the listen backlog until one closes.
+    // Further connections wait in the listen backlog until a connection is closed.
     std::size_t connections = 4'096;
 };
 
-// Listens at once. The handler is called from the loop; an exchange whose last copy is destroyed
-// unanswered is answered with 500. Destroying the server answers open exchanges with 503 and closes their
-// connections.
+// Creates a server that listens at once. The handler is called from the loop. An exchange that the handler
+// releases without an answer is answered with 500. Destroying the server answers open exchanges with 503 and
+// closes all connections.
 tl::expected<std::unique_ptr<HttpServer>, NetError> makeHttpServer(
     EventLoop&, const SocketAddress&, HttpHandler, HttpServerLimits = {});
 
--- a/src/net/server_core.cpp
+++ b/src/net/server_core.cpp
@@ -13,14 +13,14 @@
 
 constexpr int listenBacklog = 1'024;
 
-// How often a stopping server looks for connections that have become idle.
+// Interval of the checks for idle connections while the server is stopping.
 constexpr Milliseconds idleSweepInterval { 50 };
 
-// How long a connection of a stopping server stays open without an exchange. Closing it at once resets the
-// connection of a client that sends its next request at the same moment: its outcome would be unknown.
+// While the server is stopping, a connection stays open for this time without an exchange. If it were closed
+// at once, a client that sends its next request at that moment would get a reset and not learn the outcome.
 constexpr Milliseconds idleGrace { 250 };
 
-// How exactly responseWriteTimeout is kept.
+// Interval of the checks of responseWriteTimeout.
 constexpr Milliseconds stallSweepInterval { 500 };
 
 NetError errorOf(int code, const SocketAddress& address)
@@ -49,11 +49,11 @@
 } // namespace
 
 struct ServerCore::Connection {
-    uv_tcp_t tcp {}; // first: libuv hands back its address
+    uv_tcp_t tcp {}; // must be the first member: callbacks of libuv cast its address to Connection*
     ServerCore* core = nullptr;
     h2o_socket_t* socket = nullptr;
     std::size_t openExchanges = 0;
-    TimePoint quietSince {}; // accepted, or last response sent
+    TimePoint quietSince {}; // when accepted, or when the last exchange was released
 };
 
 struct ServerCore::Handler {
@@ -131,7 +131,7 @@
         serveConnection(connection);
 }
 
-// Connections that the kernel has completed would be reset with the listening socket.
+// Accepts the connections in the listen backlog. Closing the listening socket would reset them.
 void ServerCore::acceptBacklog()
 {
     acceptWaiting();
@@ -257,7 +257,7 @@
         if (descriptor < 0 || connection->openExchanges || connection->quietSince > latest
             || socket->input->size || hasUnreadBytes(descriptor))
             continue;
-        // h2o reads the end of the connection and closes it.
+        // h2o then reads the end of the stream and closes the connection.
         shutdown(descriptor, SHUT_RD);
     }
 }
@@ -268,7 +268,7 @@
     for (const auto& [exchange, connection] : m_exchanges) {
         const auto answeredAt = exchange->answeredAt();
         const int descriptor = descriptorOf(connection->tcp);
-        // h2o's write fails then, and it closes the connection.
+        // The write of h2o then fails, and h2o closes the connection.
         if (answeredAt && *answeredAt <= oldest && descriptor >= 0)
             shutdown(descriptor, SHUT_RDWR);
     }
@@ -296,7 +296,8 @@
 {
     if (!m_isAbandoned || !m_isListenerClosed || !m_connections.empty() || std::exchange(m_isDisposing, true))
         return;
-    // h2o's context holds libuv handles that are closed with it; one more round frees it after them.
+    // Disposing of h2o's context closes its libuv handles, and the core must outlive them. It is therefore
+    // deleted one iteration later, in the close callback of a second handle.
     uv_timer_init(m_uvLoop, &m_firstDisposal);
     uv_timer_init(m_uvLoop, &m_secondDisposal);
     m_firstDisposal.data = this;
--- a/src/net/server_core.h
+++ b/src/net/server_core.h
@@ -14,19 +14,19 @@
 
 namespace anvilmoor::net {
 
-// The listener, the connections and h2o's context of one server. It outlives its HttpServer until libuv
-// has closed every handle, and then deletes itself.
+// The listener, the connections and the h2o context of one server. Outlives its HttpServer until libuv has
+// closed all handles, and then deletes itself.
 class ServerCore {
 public:
     ServerCore(EventLoop&, HttpHandler, HttpServerLimits);
 
-    // On an error the core has to be abandoned.
+    // After an error, the caller must call abandon().
     std::optional<NetError> listen(const SocketAddress&);
     std::uint16_t port() const { return m_port; }
     std::size_t exchangesInFlight() const { return m_exchanges.size(); }
     std::size_t openConnections() const { return m_connections.size(); }
     void stopAccepting();
-    // Answers what is open with 503, closes everything and deletes the core when that is done.
+    // Answers open exchanges with 503, closes the listener and all connections, and then deletes the core.
     void abandon();
 
 private:
@@ -59,7 +59,7 @@
     uv_timer_t m_firstDisposal {};
     uv_timer_t m_secondDisposal {};
     std::uint16_t m_port = 0;
-    std::optional<TimePoint> m_stoppedAt; // since stopAccepting()
+    std::optional<TimePoint> m_stoppedAt; // time of stopAccepting()
     bool m_isAbandoned = false;
     bool m_isListenerClosed = false;
     bool m_isDisposing = false;
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -16,7 +16,7 @@
 HttpRequest requestOf(const h2o_req_t& raw)
 {
     HttpRequest request { textOf(raw.input.method), textOf(raw.input.path), {}, textOf(raw.entity) };
-    // h2o keeps this header apart from the others.
+    // h2o does not list this header among the others.
     request.headers.push_back({ "Host", textOf(raw.input.authority) });
     for (std::size_t i = 0; i < raw.headers.size; ++i) {
         const h2o_header_t& header = raw.headers.entries[i];
@@ -51,7 +51,7 @@
     }
 }
 
-// Those that frame the message are the server's own.
+// Headers that delimit the message. Only the server itself sets them.
 bool isFramingHeader(const HttpHeader& header)
 {
     return isEqualIgnoringCase(header.name, "content-length")
@@ -66,7 +66,7 @@
             continue;
         const h2o_iovec_t name = h2o_strdup(&raw->pool, header.name.data(), header.name.size());
         const h2o_iovec_t value = h2o_strdup(&raw->pool, header.value.data(), header.value.size());
-        // h2o's known names are in lower case; others are sent as given.
+        // h2o recognizes header names in lower case only. Other names are sent in their original case.
         h2o_strtolower(name.base, name.len);
         h2o_add_header_by_str(
             &raw->pool, &raw->res.headers, name.base, name.len, 1, header.name.data(), value.base, value.len);
@@ -115,7 +115,8 @@
 void ExchangeState::clientGone()
 {
     const std::function<void()> callback = std::exchange(m_onClientGone, nullptr);
-    // h2o does not read while a request is open; failing to write makes it release the connection.
+    // h2o does not read from the socket while a request is open, so it does not detect the close. The failed
+    // write of this answer makes it close the connection.
     answer({ 400, {}, "the client closed the connection" }, true);
     if (callback)
         callback();
@@ -134,7 +135,10 @@
 {
 }
 
-ServerExchange::~ServerExchange() { m_state->answer({ 500, {}, "the request was dropped" }, false); }
+ServerExchange::~ServerExchange()
+{
+    m_state->answer({ 500, {}, "the server released the request without an answer" }, false);
+}
 
 void ServerExchange::respond(HttpResponse response) { m_state->answer(response, false); }
 
--- a/src/net/server_exchange.h
+++ b/src/net/server_exchange.h
@@ -10,7 +10,8 @@
 
 namespace anvilmoor::net {
 
-// One request inside the server. Lives until h2o has released the request and the handler its exchange.
+// The state of one request in the server. Destroyed when both h2o has released the request and the handler
+// has released its exchange.
 class ExchangeState : public std::enable_shared_from_this<ExchangeState> {
 public:
     ExchangeState(h2o_req_t*, EventLoop&, int socket);
@@ -18,13 +19,13 @@
     const HttpRequest& request() const { return m_request; }
     // Empty until answered.
     std::optional<TimePoint> answeredAt() const { return m_answeredAt; }
-    // closesConnection: asks the client not to reuse the connection.
+    // closesConnection: closes the connection after the response and tells the client so.
     void answer(const HttpResponse&, bool closesConnection);
     void watchForDisconnect(std::function<void()>);
-    // h2o has released the request, its response sent or failed.
+    // Must be called when h2o releases the request, after its response was sent or failed.
     void release();
 
-    // Set by the server: answers while stopping close the connection.
+    // Set by the server. While it returns true, every answer closes the connection.
     std::function<bool()> isStopping;
 
 private:
@@ -39,7 +40,8 @@
     std::unique_ptr<DisconnectWatcher> m_watcher;
 };
 
-// What a handler gets. Answers 500 when dropped unanswered.
+// The exchange that is passed to the handler. If it is destroyed without an answer, the request is answered
+// with 500.
 class ServerExchange : public HttpExchange {
 public:
     explicit ServerExchange(std::shared_ptr<ExchangeState>);
--- a/src/net/socket_address.h
+++ b/src/net/socket_address.h
@@ -10,10 +10,10 @@
 
 namespace anvilmoor::net {
 
-// False if the text is no numeric IPv4 or IPv6 address.
+// Returns false if the IP address is not a numeric IPv4 or IPv6 address.
 bool toSocketAddress(const SocketAddress&, sockaddr_storage&);
 
-// Reads the form that toString() writes; empty if it is another. Port 0 is allowed.
+// Parses the format of toString(). Empty if the text is invalid. Port 0 is allowed.
 std::optional<SocketAddress> parseSocketAddress(std::string_view);
 
 // "10.0.0.1:80" or "[::1]:80".
--- a/src/net/traffic.h
+++ b/src/net/traffic.h
@@ -4,7 +4,7 @@
 
 namespace anvilmoor::net {
 
-// Messages and their bytes on the connection, with framing and headers but without those of TCP.
+// Counts of messages and of their bytes, including framing and headers but not the headers of TCP.
 struct Traffic {
     std::uint64_t messagesSent = 0;
     std::uint64_t bytesSent = 0;
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -14,9 +14,9 @@
 using testing::RawServer;
 using testing::runUntil;
 
-constexpr Milliseconds longTimeout { 60'000 }; // never reached; the guard of runUntil ends a test before
+constexpr Milliseconds longTimeout { 60'000 }; // never reached: runUntil() fails the test before
 constexpr Milliseconds shortTimeout { 30 };
-// Long enough to connect and send on a busy machine, so that only the missing answer ends a call.
+// Long enough to connect and send on a busy machine, so that only a missing answer makes a call time out.
 constexpr Milliseconds answerTimeout { 500 };
 
 class HttpTest : public CppUnit::TestFixture {
@@ -63,7 +63,7 @@
 
     void testConcurrentCallsEachGetTheirOwnAnswer()
     {
-        // Answers leave in the reverse order of the requests: matching by order would mix them up.
+        // The answers are sent in reverse order of the requests, so that matching them by order would fail.
         serveHeld();
         constexpr std::size_t count = 200;
         std::vector<HttpResult> results(count);
@@ -110,7 +110,7 @@
         m_client = makeHttpClient(*m_loop, { 1, 8 });
         m_client->call(server(), {}, longTimeout, [](const HttpResult&) {});
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call(server(), {}, shortTimeout)));
-        // The queue goes on after calls have left it by their deadline.
+        // The queue must still start calls after a queued call has timed out.
         std::optional<HttpResult> third;
         m_client->call(server(), {}, longTimeout, [&](HttpResult result) { third = std::move(result); });
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
@@ -179,7 +179,7 @@
         CPPUNIT_ASSERT(call(addressOf(keeping)).has_value());
         CPPUNIT_ASSERT_EQUAL(1, keeping.connections());
         keeping.closeConnections();
-        // The loop has not reported the close yet.
+        // At this point, the loop has not reported the close yet.
         CPPUNIT_ASSERT(call(addressOf(keeping)).has_value());
         CPPUNIT_ASSERT_EQUAL(2, keeping.connections());
     }
@@ -246,7 +246,7 @@
     {
         serveHeld();
         const SocketAddress address = server();
-        // The answer to the first request shows that the server has read the half one behind it.
+        // The answer to the first request shows that the server has also read the partial request after it.
         RawClient begun(*m_loop, address.port, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHo");
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
         m_held[0]->respond({ 200, {}, "first" });
@@ -261,7 +261,8 @@
         CPPUNIT_ASSERT(begun.received().ends_with("second"));
     }
 
-    // Guards against reset connections of clients that connect or send their next request during the stop.
+    // Guards against connection resets for clients that connect or send their next request while the server
+    // stops.
     void testGracefulStopAnswersWhatClientsSendAtThatMoment()
     {
         serve([](const std::shared_ptr<HttpExchange>& exchange) {
@@ -293,7 +294,8 @@
 
     void testClientThatTakesNoResponseIsDisconnected()
     {
-        // Larger than the buffers of both sockets: the response stays unsent until the client reads.
+        // The response is larger than the buffers of both sockets, so it cannot be sent until the client
+        // reads.
         HttpServerLimits limits;
         limits.responseWriteTimeout = shortTimeout;
         bool isAnswered = false;
@@ -311,7 +313,7 @@
 
     void testHeadIsAnsweredWithoutBody()
     {
-        // A body after HEAD would be taken for the next response on the connection.
+        // A client would take a body after HEAD for the next response on the connection.
         serve([](const std::shared_ptr<HttpExchange>& exchange) { exchange->respond({ 200, {}, "body" }); });
         for (int i = 0; i < 2; ++i) {
             const HttpResult result = call(server(), { "HEAD", "/", {}, "" });
@@ -387,7 +389,7 @@
         m_server = std::move(*made);
     }
 
-    // Requests wait in m_held until the test answers them.
+    // Starts a server that keeps its requests in m_held until the test answers them.
     void serveHeld()
     {
         serve([this](std::shared_ptr<HttpExchange> exchange) { m_held.push_back(std::move(exchange)); });
@@ -402,7 +404,7 @@
         std::optional<HttpResult> result;
         m_client->call(
             address, std::move(request), timeout, [&](HttpResult answer) { result = std::move(answer); });
-        CPPUNIT_ASSERT_MESSAGE("called back from inside call()", !result);
+        CPPUNIT_ASSERT_MESSAGE("the callback was run inside call()", !result);
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return result.has_value(); }));
         return *result;
     }
