Rename identifiers of src/net to the usual terms

Behaviour is as before.

Client: Host -> ConnectionPool, m_hosts -> m_pools, host -> pool, missedDeadline -> onTimeout, missedConnectDeadline -> onConnectTimeout, responded -> onResult, failLater -> postFailure, dropIdle -> closeIdle, forgetIfUnused -> eraseIfUnused, deadline/connectDeadline -> timeoutTimer/connectTimer, hasRoom -> hasFreeConnection, isTrying -> isConnecting, startOnIdle/New -> startOnIdle/NewConnection, connected/received/ended -> onConnected/onReceived/onEnded, isShort -> isTruncated, isWhollySent -> isFullySent. Server: idleGrace -> minIdleTime, quietSince -> idleSince, idle/stallSweepInterval -> idle/stallCheckInterval, m_idle/m_stallSweep -> m_idle/m_stallCheckTimer, acceptWaiting -> acceptPending, m_hasWaitingConnection -> m_hasPendingConnection, connectionClosed -> onConnectionClosed, exchangeReleased -> onExchangeReleased, clientGone -> handleClientGone. Address: isWhole -> isNumber. Test names state subject, condition and result.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -68,14 +68,14 @@
         [](uv_connect_t* connect, int status) {
             auto* socket = static_cast<Socket*>(connect->data);
             if (socket->owner)
-                socket->owner->connected(status);
+                socket->owner->onConnected(status);
         });
     if (code)
         m_callback = nullptr;
     return code == 0;
 }
 
-void ClientConnection::connected(int status)
+void ClientConnection::onConnected(int status)
 {
     if (status) {
         finish(tl::unexpected(HttpError {
@@ -93,9 +93,9 @@
             if (!socket->owner || !count)
                 return;
             if (count < 0)
-                socket->owner->ended(uv_strerror(static_cast<int>(count)));
+                socket->owner->onEnded(uv_strerror(static_cast<int>(count)));
             else
-                socket->owner->received({ buffer->base, static_cast<std::size_t>(count) });
+                socket->owner->onReceived({ buffer->base, static_cast<std::size_t>(count) });
         });
     if (code) {
         finish(tl::unexpected(HttpError { HttpErrorKind::NotSent, uv_strerror(code) }), false);
@@ -135,7 +135,7 @@
               // have sent a response, for example 413. The next read returns the response or the close.
               if (status && status != UV_ECANCELED && status != UV_EPIPE && status != UV_ECONNRESET
                   && done->socket->owner)
-                  done->socket->owner->ended(uv_strerror(status));
+                  done->socket->owner->onEnded(uv_strerror(status));
           });
     if (!code)
         return;
@@ -143,10 +143,10 @@
     finish(tl::unexpected(HttpError { HttpErrorKind::Lost, uv_strerror(code) }), false);
 }
 
-void ClientConnection::received(std::string_view bytes)
+void ClientConnection::onReceived(std::string_view bytes)
 {
     if (!m_callback || !m_parser) {
-        ended("the server sent bytes without a request");
+        onEnded("the server sent bytes without a request");
         return;
     }
     m_bytesReceived += bytes.size();
@@ -155,8 +155,8 @@
         return;
     case HttpResponseParser::Status::Done: {
         // The server may respond before it has read the whole request.
-        const bool isWhollySent = uv_stream_get_write_queue_size(m_socket->stream()) == 0;
-        finish(m_parser->takeResponse(), isWhollySent && m_parser->isReusable());
+        const bool isFullySent = uv_stream_get_write_queue_size(m_socket->stream()) == 0;
+        finish(m_parser->takeResponse(), isFullySent && m_parser->isReusable());
         return;
     }
     case HttpResponseParser::Status::Malformed:
@@ -170,13 +170,13 @@
     }
 }
 
-void ClientConnection::ended(const std::string& cause)
+void ClientConnection::onEnded(const std::string& cause)
 {
     if (m_callback) {
-        const bool isShort = m_parser && m_parser->hasBytes();
-        finish(tl::unexpected(HttpError { isShort ? HttpErrorKind::Malformed : HttpErrorKind::Lost,
-                   fmt::format("the connection ended {} response: {}", isShort ? "inside the" : "before the",
-                       cause) }),
+        const bool isTruncated = m_parser && m_parser->hasBytes();
+        finish(tl::unexpected(HttpError { isTruncated ? HttpErrorKind::Malformed : HttpErrorKind::Lost,
+                   fmt::format("the connection ended {} response: {}",
+                       isTruncated ? "inside the" : "before the", cause) }),
             false);
         return;
     }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -44,10 +44,10 @@
 private:
     struct Socket;
 
-    void connected(int status);
+    void onConnected(int status);
     void write();
-    void received(std::string_view bytes);
-    void ended(const std::string& cause);
+    void onReceived(std::string_view bytes);
+    void onEnded(const std::string& cause);
     void finish(HttpResult, bool isReusable);
     void close();
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -75,7 +75,7 @@
         std::uint64_t id = 0;
     };
 
-    struct Host {
+    struct ConnectionPool {
         std::size_t active = 0;
         std::vector<Idle> idle; // in order of last use, the most recent at the end
         std::deque<HttpCallId> queue;
@@ -87,24 +87,24 @@
         Traffic* traffic = nullptr; // element of m_traffic, from which no element is ever erased
         bool isBodyless = false;
         HttpCallback callback;
-        std::unique_ptr<Timer> deadline;
-        std::unique_ptr<Timer> connectDeadline;
+        std::unique_ptr<Timer> timeoutTimer;
+        std::unique_ptr<Timer> connectTimer;
         std::unique_ptr<ClientConnection> connection; // null while queued
     };
 
     static AddressKey keyOf(const SocketAddress& address) { return { address.ip, address.port }; }
     void start(HttpCallId, Call&);
-    bool startOnIdle(HttpCallId, Call&, Host&);
-    void startOnNew(HttpCallId, Call&);
+    bool startOnIdleConnection(HttpCallId, Call&, ConnectionPool&);
+    void startOnNewConnection(HttpCallId, Call&);
     void startQueued(const AddressKey&);
-    void failLater(HttpCallId, HttpError);
-    void missedDeadline(HttpCallId);
-    void missedConnectDeadline(HttpCallId);
-    void responded(HttpCallId, HttpResult, bool isReusable);
+    void postFailure(HttpCallId, HttpError);
+    void onTimeout(HttpCallId);
+    void onConnectTimeout(HttpCallId);
+    void onResult(HttpCallId, HttpResult, bool isReusable);
     void complete(HttpCallId, HttpResult, bool isReusable);
     void keepIdle(const AddressKey&, std::unique_ptr<ClientConnection>);
-    void dropIdle(const AddressKey&, std::uint64_t id);
-    void forgetIfUnused(const AddressKey&);
+    void closeIdle(const AddressKey&, std::uint64_t id);
+    void eraseIfUnused(const AddressKey&);
 
     EventLoop& m_loop;
     HttpClientLimits m_limits;
@@ -112,7 +112,7 @@
     HttpCallId m_lastId = 0;
     std::uint64_t m_lastIdleId = 0;
     TrafficByKind m_traffic;
-    std::map<AddressKey, Host> m_hosts;
+    std::map<AddressKey, ConnectionPool> m_pools;
     std::unordered_map<HttpCallId, Call> m_calls;
 };
 
@@ -124,76 +124,76 @@
     call.address = address;
     call.callback = std::move(callback);
     if (request.body.size() > maxBodyBytes) {
-        failLater(id, errorOf(HttpErrorKind::NotSent, "the request's body exceeds the limit of 8 MiB"));
+        postFailure(id, errorOf(HttpErrorKind::NotSent, "the request's body exceeds the limit of 8 MiB"));
         return id;
     }
     if (!isWritable(request)) {
-        failLater(id, errorOf(HttpErrorKind::NotSent, "the request's method, path or headers are invalid"));
+        postFailure(id, errorOf(HttpErrorKind::NotSent, "the request's method, path or headers are invalid"));
         return id;
     }
-    Host& host = m_hosts[keyOf(address)];
-    const bool hasRoom = host.active < m_limits.connectionsPerAddress;
-    if (!hasRoom && host.queue.size() >= m_limits.queuedPerAddress) {
-        failLater(id,
+    ConnectionPool& pool = m_pools[keyOf(address)];
+    const bool hasFreeConnection = pool.active < m_limits.connectionsPerAddress;
+    if (!hasFreeConnection && pool.queue.size() >= m_limits.queuedPerAddress) {
+        postFailure(id,
             errorOf(HttpErrorKind::NotSent,
-                fmt::format("{} calls already wait for {}", host.queue.size(), toString(address))));
+                fmt::format("{} calls already wait for {}", pool.queue.size(), toString(address))));
         return id;
     }
     call.request = serialize(address, request);
     call.traffic = &m_traffic[request.trafficKind];
     call.isBodyless = request.method == "HEAD";
-    call.deadline = std::make_unique<Timer>(m_loop);
-    call.deadline->startOnce(timeout, [this, id] { missedDeadline(id); });
-    if (hasRoom)
+    call.timeoutTimer = std::make_unique<Timer>(m_loop);
+    call.timeoutTimer->startOnce(timeout, [this, id] { onTimeout(id); });
+    if (hasFreeConnection)
         start(id, call);
     else
-        host.queue.push_back(id);
+        pool.queue.push_back(id);
     return id;
 }
 
 void SocketClient::start(HttpCallId id, Call& call)
 {
-    Host& host = m_hosts[keyOf(call.address)];
-    ++host.active;
+    ConnectionPool& pool = m_pools[keyOf(call.address)];
+    ++pool.active;
     ++call.traffic->messagesSent;
     call.traffic->bytesSent += call.request.size();
-    if (!startOnIdle(id, call, host))
-        startOnNew(id, call);
+    if (!startOnIdleConnection(id, call, pool))
+        startOnNewConnection(id, call);
 }
 
-bool SocketClient::startOnIdle(HttpCallId id, Call& call, Host& host)
+bool SocketClient::startOnIdleConnection(HttpCallId id, Call& call, ConnectionPool& pool)
 {
-    while (!host.idle.empty()) {
-        Idle idle = std::move(host.idle.back());
-        host.idle.pop_back();
+    while (!pool.idle.empty()) {
+        Idle idle = std::move(pool.idle.back());
+        pool.idle.pop_back();
         // Nothing has been sent yet, so skipping a connection that the server has closed does not resend
         // anything.
         if (!idle.connection->isUsable())
             continue;
         call.connection = std::move(idle.connection);
         call.connection->send(std::move(call.request), call.isBodyless,
-            [this, id](HttpResult result, bool isReusable) { responded(id, std::move(result), isReusable); });
+            [this, id](HttpResult result, bool isReusable) { onResult(id, std::move(result), isReusable); });
         return true;
     }
     return false;
 }
 
-void SocketClient::startOnNew(HttpCallId id, Call& call)
+void SocketClient::startOnNewConnection(HttpCallId id, Call& call)
 {
     call.connection = std::make_unique<ClientConnection>(m_loop);
-    const bool isTrying
+    const bool isConnecting
         = call.connection->connectAndSend(call.address, std::move(call.request), call.isBodyless,
-            [this, id](HttpResult result, bool isReusable) { responded(id, std::move(result), isReusable); });
-    if (!isTrying) {
-        failLater(
+            [this, id](HttpResult result, bool isReusable) { onResult(id, std::move(result), isReusable); });
+    if (!isConnecting) {
+        postFailure(
             id, errorOf(HttpErrorKind::NotSent, fmt::format("cannot connect to {}", toString(call.address))));
         return;
     }
-    call.connectDeadline = std::make_unique<Timer>(m_loop);
-    call.connectDeadline->startOnce(m_limits.connectTimeout, [this, id] { missedConnectDeadline(id); });
+    call.connectTimer = std::make_unique<Timer>(m_loop);
+    call.connectTimer->startOnce(m_limits.connectTimeout, [this, id] { onConnectTimeout(id); });
 }
 
-void SocketClient::failLater(HttpCallId id, HttpError error)
+void SocketClient::postFailure(HttpCallId id, HttpError error)
 {
     m_loop.post([this, id, error = std::move(error), isAlive = m_isAlive] {
         if (*isAlive)
@@ -201,7 +201,7 @@
     });
 }
 
-void SocketClient::missedDeadline(HttpCallId id)
+void SocketClient::onTimeout(HttpCallId id)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
@@ -216,7 +216,7 @@
         false);
 }
 
-void SocketClient::missedConnectDeadline(HttpCallId id)
+void SocketClient::onConnectTimeout(HttpCallId id)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end() || found->second.connection->hasBegunSending())
@@ -225,11 +225,11 @@
         false);
 }
 
-void SocketClient::responded(HttpCallId id, HttpResult result, bool isReusable)
+void SocketClient::onResult(HttpCallId id, HttpResult result, bool isReusable)
 {
     // send() may report a failed connection while call() is still running, and call() must not run callbacks.
     if (!result && result.error().kind == HttpErrorKind::Lost) {
-        failLater(id, result.error());
+        postFailure(id, result.error());
         return;
     }
     complete(id, std::move(result), isReusable);
@@ -244,26 +244,26 @@
     m_calls.erase(found);
     const AddressKey key = keyOf(call.address);
     if (call.connection) {
-        --m_hosts[key].active;
+        --m_pools[key].active;
         call.traffic->messagesReceived += result ? 1 : 0;
         call.traffic->bytesReceived += call.connection->bytesReceived();
         if (isReusable)
             keepIdle(key, std::move(call.connection));
         startQueued(key);
-    } else if (const auto host = m_hosts.find(key); host != m_hosts.end()) {
-        std::erase(host->second.queue, id);
+    } else if (const auto pool = m_pools.find(key); pool != m_pools.end()) {
+        std::erase(pool->second.queue, id);
     }
-    forgetIfUnused(key);
+    eraseIfUnused(key);
     // Must be last, because the callback may start or cancel calls or destroy the client.
     call.callback(std::move(result));
 }
 
 void SocketClient::startQueued(const AddressKey& key)
 {
-    Host& host = m_hosts[key];
-    while (!host.queue.empty() && host.active < m_limits.connectionsPerAddress) {
-        const HttpCallId next = host.queue.front();
-        host.queue.pop_front();
+    ConnectionPool& pool = m_pools[key];
+    while (!pool.queue.empty() && pool.active < m_limits.connectionsPerAddress) {
+        const HttpCallId next = pool.queue.front();
+        pool.queue.pop_front();
         const auto found = m_calls.find(next);
         if (found != m_calls.end())
             start(next, found->second);
@@ -272,34 +272,34 @@
 
 void SocketClient::keepIdle(const AddressKey& key, std::unique_ptr<ClientConnection> connection)
 {
-    Host& host = m_hosts[key];
-    if (host.idle.size() >= m_limits.idlePerAddress)
+    ConnectionPool& pool = m_pools[key];
+    if (pool.idle.size() >= m_limits.idlePerAddress)
         return;
     const std::uint64_t id = ++m_lastIdleId;
-    connection->becomeIdle([this, key, id] { dropIdle(key, id); });
+    connection->becomeIdle([this, key, id] { closeIdle(key, id); });
     auto timer = std::make_unique<Timer>(m_loop);
-    timer->startOnce(m_limits.idleTimeout, [this, key, id] { dropIdle(key, id); });
+    timer->startOnce(m_limits.idleTimeout, [this, key, id] { closeIdle(key, id); });
     timer->unref();
-    host.idle.push_back({ std::move(connection), std::move(timer), id });
+    pool.idle.push_back({ std::move(connection), std::move(timer), id });
 }
 
-void SocketClient::dropIdle(const AddressKey& key, std::uint64_t id)
+void SocketClient::closeIdle(const AddressKey& key, std::uint64_t id)
 {
-    const auto host = m_hosts.find(key);
-    if (host == m_hosts.end())
+    const auto pool = m_pools.find(key);
+    if (pool == m_pools.end())
         return;
-    std::erase_if(host->second.idle, [id](const Idle& idle) { return idle.id == id; });
-    forgetIfUnused(key);
+    std::erase_if(pool->second.idle, [id](const Idle& idle) { return idle.id == id; });
+    eraseIfUnused(key);
 }
 
-void SocketClient::forgetIfUnused(const AddressKey& key)
+void SocketClient::eraseIfUnused(const AddressKey& key)
 {
-    const auto host = m_hosts.find(key);
-    if (host == m_hosts.end())
+    const auto pool = m_pools.find(key);
+    if (pool == m_pools.end())
         return;
-    const Host& state = host->second;
+    const ConnectionPool& state = pool->second;
     if (!state.active && state.idle.empty() && state.queue.empty())
-        m_hosts.erase(host);
+        m_pools.erase(pool);
 }
 
 void SocketClient::cancel(HttpCallId id)
--- a/src/net/server_core.cpp
+++ b/src/net/server_core.cpp
@@ -14,14 +14,14 @@
 constexpr int listenBacklog = 1'024;
 
 // Interval of the checks for idle connections while the server is stopping.
-constexpr Milliseconds idleSweepInterval { 50 };
+constexpr Milliseconds idleCheckInterval { 50 };
 
 // While the server is stopping, a connection stays open for this time without an exchange. If it were closed
 // at once, a client that sends its next request at that moment would get a reset and not learn the outcome.
-constexpr Milliseconds idleGrace { 250 };
+constexpr Milliseconds minIdleTime { 250 };
 
 // Interval of the checks of responseWriteTimeout.
-constexpr Milliseconds stallSweepInterval { 500 };
+constexpr Milliseconds stallCheckInterval { 500 };
 
 NetError errorOf(int code, const SocketAddress& address)
 {
@@ -53,7 +53,7 @@
     ServerCore* core = nullptr;
     h2o_socket_t* socket = nullptr;
     std::size_t openExchanges = 0;
-    TimePoint quietSince {}; // when accepted, or when the last exchange was released
+    TimePoint idleSince {}; // when accepted, or when the last exchange was released
 };
 
 struct ServerCore::Handler {
@@ -83,9 +83,9 @@
     m_acceptContext.hosts = m_configuration.hosts;
     uv_tcp_init(m_uvLoop, &m_listener);
     m_listener.data = this;
-    m_stallSweep = std::make_unique<Timer>(loop);
-    m_stallSweep->startRepeating(stallSweepInterval, [this] { closeStalledResponses(); });
-    m_stallSweep->unref();
+    m_stallCheckTimer = std::make_unique<Timer>(loop);
+    m_stallCheckTimer->startRepeating(stallCheckInterval, [this] { closeStalledResponses(); });
+    m_stallCheckTimer->unref();
 }
 
 ServerCore::~ServerCore() = default;
@@ -113,16 +113,16 @@
     auto* core = static_cast<ServerCore*>(listener->data);
     if (status != 0)
         return;
-    core->m_hasWaitingConnection = true;
-    core->acceptWaiting();
+    core->m_hasPendingConnection = true;
+    core->acceptPending();
 }
 
-void ServerCore::acceptWaiting()
+void ServerCore::acceptPending()
 {
     // libuv reports the next connection only after this one is accepted.
-    if (!m_hasWaitingConnection || m_stoppedAt || m_connections.size() >= m_limits.connections)
+    if (!m_hasPendingConnection || m_stoppedAt || m_connections.size() >= m_limits.connections)
         return;
-    m_hasWaitingConnection = false;
+    m_hasPendingConnection = false;
     Connection* connection = newConnection();
     auto* stream = reinterpret_cast<uv_stream_t*>(&connection->tcp);
     if (uv_accept(reinterpret_cast<uv_stream_t*>(&m_listener), stream) != 0)
@@ -134,7 +134,7 @@
 // Accepts the connections in the listen backlog. Closing the listening socket would reset them.
 void ServerCore::acceptBacklog()
 {
-    acceptWaiting();
+    acceptPending();
     const int listener = descriptorOf(m_listener);
     while (listener >= 0 && m_connections.size() < m_limits.connections) {
         const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -154,7 +154,7 @@
 {
     auto* connection = new Connection;
     connection->core = this;
-    connection->quietSince = m_loop.now();
+    connection->idleSince = m_loop.now();
     uv_tcp_init(m_uvLoop, &connection->tcp);
     return connection;
 }
@@ -171,7 +171,7 @@
     auto* stream = reinterpret_cast<uv_stream_t*>(&connection->tcp);
     connection->socket = h2o_uv_socket_create(stream, [](uv_handle_t* handle) {
         auto* closed = reinterpret_cast<Connection*>(handle);
-        closed->core->connectionClosed(closed);
+        closed->core->onConnectionClosed(closed);
     });
     m_connections.emplace(connection->socket, connection);
     h2o_accept(&m_acceptContext, connection->socket);
@@ -203,7 +203,7 @@
     };
     auto* release = static_cast<Release*>(h2o_mem_alloc_shared(&raw->pool, sizeof(Release), [](void* memory) {
         const auto* released = static_cast<Release*>(memory);
-        released->core->exchangeReleased(released->state, released->connection);
+        released->core->onExchangeReleased(released->state, released->connection);
     }));
     *release = { this, state.get(), connection };
 
@@ -214,19 +214,19 @@
     m_handler(std::make_shared<ServerExchange>(std::move(state)));
 }
 
-void ServerCore::exchangeReleased(ExchangeState* released, Connection* connection)
+void ServerCore::onExchangeReleased(ExchangeState* released, Connection* connection)
 {
     --connection->openExchanges;
-    connection->quietSince = m_loop.now();
+    connection->idleSince = m_loop.now();
     released->release();
     m_exchanges.erase(released->shared_from_this());
 }
 
-void ServerCore::connectionClosed(Connection* connection)
+void ServerCore::onConnectionClosed(Connection* connection)
 {
     m_connections.erase(connection->socket);
     delete connection;
-    acceptWaiting();
+    acceptPending();
     disposeWhenClosed();
 }
 
@@ -242,19 +242,19 @@
         core->m_isListenerClosed = true;
         core->disposeWhenClosed();
     });
-    m_idleSweep = std::make_unique<Timer>(m_loop);
-    m_idleSweep->startRepeating(idleSweepInterval, [this] { closeIdleConnections(); });
-    m_idleSweep->unref();
+    m_idleCheckTimer = std::make_unique<Timer>(m_loop);
+    m_idleCheckTimer->startRepeating(idleCheckInterval, [this] { closeIdleConnections(); });
+    m_idleCheckTimer->unref();
 }
 
 void ServerCore::closeIdleConnections()
 {
-    const TimePoint latest = m_loop.now() - idleGrace;
+    const TimePoint latest = m_loop.now() - minIdleTime;
     if (m_stoppedAt > latest)
         return;
     for (const auto& [socket, connection] : m_connections) {
         const int descriptor = descriptorOf(connection->tcp);
-        if (descriptor < 0 || connection->openExchanges || connection->quietSince > latest
+        if (descriptor < 0 || connection->openExchanges || connection->idleSince > latest
             || socket->input->size || hasUnreadBytes(descriptor))
             continue;
         // h2o then reads the end of the stream and closes the connection.
@@ -279,8 +279,8 @@
     m_isAbandoned = true;
     m_handler = nullptr;
     stopAccepting();
-    m_idleSweep.reset();
-    m_stallSweep.reset();
+    m_idleCheckTimer.reset();
+    m_stallCheckTimer.reset();
     const auto open = m_exchanges;
     for (const auto& [exchange, connection] : open)
         exchange->answer({ 503, {}, "the server is stopping" }, true);
--- a/src/net/server_core.h
+++ b/src/net/server_core.h
@@ -36,14 +36,14 @@
     ~ServerCore();
     static void onConnection(uv_stream_t* listener, int status);
     static int onRequest(h2o_handler_t*, h2o_req_t*);
-    void acceptWaiting();
+    void acceptPending();
     void acceptBacklog();
     Connection* newConnection();
     void serveConnection(Connection*);
     static void closeUnserved(Connection*);
     void dispatch(h2o_req_t*);
-    void connectionClosed(Connection*);
-    void exchangeReleased(ExchangeState*, Connection*);
+    void onConnectionClosed(Connection*);
+    void onExchangeReleased(ExchangeState*, Connection*);
     void closeIdleConnections();
     void closeStalledResponses();
     void disposeWhenClosed();
@@ -63,10 +63,10 @@
     bool m_isAbandoned = false;
     bool m_isListenerClosed = false;
     bool m_isDisposing = false;
-    bool m_hasWaitingConnection = false;
-    std::unique_ptr<Timer> m_idleSweep;
+    bool m_hasPendingConnection = false;
+    std::unique_ptr<Timer> m_idleCheckTimer;
     std::unordered_map<h2o_socket_t*, Connection*> m_connections;
-    std::unique_ptr<Timer> m_stallSweep;
+    std::unique_ptr<Timer> m_stallCheckTimer;
     std::unordered_map<std::shared_ptr<ExchangeState>, Connection*> m_exchanges;
 };
 
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -108,11 +108,11 @@
     const std::weak_ptr<ExchangeState> self = weak_from_this();
     m_watcher = std::make_unique<DisconnectWatcher>(m_loop.handle(), m_socket, [self] {
         if (const auto state = self.lock())
-            state->clientGone();
+            state->handleClientGone();
     });
 }
 
-void ExchangeState::clientGone()
+void ExchangeState::handleClientGone()
 {
     const std::function<void()> callback = std::exchange(m_onClientGone, nullptr);
     // h2o does not read from the socket while a request is open, so it does not detect the close. The failed
--- a/src/net/server_exchange.h
+++ b/src/net/server_exchange.h
@@ -29,7 +29,7 @@
     std::function<bool()> isStopping;
 
 private:
-    void clientGone();
+    void handleClientGone();
 
     h2o_req_t* m_pending; // null once answered
     EventLoop& m_loop; // used only while the request is pending
--- a/src/net/socket_address.cpp
+++ b/src/net/socket_address.cpp
@@ -24,8 +24,8 @@
     SocketAddress address { std::string(ip), 0 };
     const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
     sockaddr_storage storage {};
-    const bool isWhole = error == std::errc() && end == digits.data() + digits.size();
-    if (!isWhole || !toSocketAddress(address, storage))
+    const bool isNumber = error == std::errc() && end == digits.data() + digits.size();
+    if (!isNumber || !toSocketAddress(address, storage))
         return std::nullopt;
     return address;
 }
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -22,22 +22,22 @@
 class HttpTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HttpTest);
     CPPUNIT_TEST(testConcurrentCallsEachGetTheirOwnAnswer);
-    CPPUNIT_TEST(testRefusedConnectionIsNotSent);
-    CPPUNIT_TEST(testFullQueueIsNotSent);
-    CPPUNIT_TEST(testCallQueuedPastItsDeadlineIsNotSent);
-    CPPUNIT_TEST(testSilentServerIsTimedOutAndItsConnectionIsNotReused);
-    CPPUNIT_TEST(testConnectionClosedBeforeTheResponseIsLostAndNotSentAgain);
-    CPPUNIT_TEST(testBrokenResponsesAreErrors);
+    CPPUNIT_TEST(testCallIsNotSentWhenConnectionIsRefused);
+    CPPUNIT_TEST(testCallIsNotSentWhenQueueIsFull);
+    CPPUNIT_TEST(testCallThatTimesOutInQueueIsNotSent);
+    CPPUNIT_TEST(testCallToSilentServerTimesOutAndConnectionIsNotReused);
+    CPPUNIT_TEST(testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse);
+    CPPUNIT_TEST(testInvalidResponsesAreErrors);
     CPPUNIT_TEST(testChunkedResponseIsRead);
     CPPUNIT_TEST(testConnectionClosedWhileIdleIsNotUsed);
     CPPUNIT_TEST(testOversizedRequestBodyIsRefused);
-    CPPUNIT_TEST(testLargestBodyPassesBothWays);
-    CPPUNIT_TEST(testCancelledCallGivesNoCallbackAndTellsTheServer);
+    CPPUNIT_TEST(testBodyOfMaximumSizeIsSentAndReceived);
+    CPPUNIT_TEST(testCancelledCallRunsNoCallbackAndClosesConnection);
     CPPUNIT_TEST(testGracefulStopFinishesTheExchangeInFlight);
-    CPPUNIT_TEST(testGracefulStopReadsARequestThatHasBegun);
-    CPPUNIT_TEST(testGracefulStopAnswersWhatClientsSendAtThatMoment);
+    CPPUNIT_TEST(testGracefulStopAnswersPartiallyReceivedRequest);
+    CPPUNIT_TEST(testGracefulStopAnswersRequestsSentDuringStop);
     CPPUNIT_TEST(testSilentClientIsDisconnected);
-    CPPUNIT_TEST(testClientThatTakesNoResponseIsDisconnected);
+    CPPUNIT_TEST(testClientThatDoesNotReadResponseIsDisconnected);
     CPPUNIT_TEST(testHeadIsAnsweredWithoutBody);
     CPPUNIT_TEST(testDroppedExchangeIsAnsweredWithAnError);
     CPPUNIT_TEST(testDestroyedServerAnswersOpenExchanges);
@@ -86,7 +86,7 @@
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
     }
 
-    void testRefusedConnectionIsNotSent()
+    void testCallIsNotSentWhenConnectionIsRefused()
     {
         serveHeld();
         const SocketAddress address = server();
@@ -96,7 +96,7 @@
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call({ "not-an-address", 80 })));
     }
 
-    void testFullQueueIsNotSent()
+    void testCallIsNotSentWhenQueueIsFull()
     {
         serveHeld();
         m_client = makeHttpClient(*m_loop, { 1, 0 });
@@ -104,7 +104,7 @@
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call(server())));
     }
 
-    void testCallQueuedPastItsDeadlineIsNotSent()
+    void testCallThatTimesOutInQueueIsNotSent()
     {
         serveHeld();
         m_client = makeHttpClient(*m_loop, { 1, 8 });
@@ -121,7 +121,7 @@
         CPPUNIT_ASSERT(third->has_value());
     }
 
-    void testSilentServerIsTimedOutAndItsConnectionIsNotReused()
+    void testCallToSilentServerTimesOutAndConnectionIsNotReused()
     {
         RawServer silent(*m_loop, {});
         CPPUNIT_ASSERT(HttpErrorKind::TimedOut == errorOf(call(addressOf(silent), {}, answerTimeout)));
@@ -129,14 +129,14 @@
         CPPUNIT_ASSERT_EQUAL(2, silent.connections());
     }
 
-    void testConnectionClosedBeforeTheResponseIsLostAndNotSentAgain()
+    void testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse()
     {
         RawServer closing(*m_loop, { "", true });
         CPPUNIT_ASSERT(HttpErrorKind::Lost == errorOf(call(addressOf(closing))));
         CPPUNIT_ASSERT_EQUAL(1, closing.connections());
     }
 
-    void testBrokenResponsesAreErrors()
+    void testInvalidResponsesAreErrors()
     {
         const std::vector<std::pair<std::string, HttpErrorKind>> cases {
             { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", HttpErrorKind::Malformed },
@@ -195,7 +195,7 @@
         CPPUNIT_ASSERT(m_held.empty());
     }
 
-    void testLargestBodyPassesBothWays()
+    void testBodyOfMaximumSizeIsSentAndReceived()
     {
         serve([](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->respond({ 200, {}, exchange->request().body });
@@ -206,17 +206,17 @@
         CPPUNIT_ASSERT(request.body == result->body);
     }
 
-    void testCancelledCallGivesNoCallbackAndTellsTheServer()
+    void testCancelledCallRunsNoCallbackAndClosesConnection()
     {
         serveHeld();
         bool isCalledBack = false;
-        bool isGone = false;
+        bool isClientGone = false;
         const HttpCallId id
             = m_client->call(server(), {}, longTimeout, [&](const HttpResult&) { isCalledBack = true; });
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
-        m_held[0]->onClientGone([&] { isGone = true; });
+        m_held[0]->onClientGone([&] { isClientGone = true; });
         m_client->cancel(id);
-        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return isGone; }));
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return isClientGone; }));
         m_held[0]->respond({});
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
         CPPUNIT_ASSERT(!isCalledBack);
@@ -242,28 +242,29 @@
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
     }
 
-    void testGracefulStopReadsARequestThatHasBegun()
+    void testGracefulStopAnswersPartiallyReceivedRequest()
     {
         serveHeld();
         const SocketAddress address = server();
         // The answer to the first request shows that the server has also read the partial request after it.
-        RawClient begun(*m_loop, address.port, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHo");
+        RawClient partial(
+            *m_loop, address.port, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHo");
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
         m_held[0]->respond({ 200, {}, "first" });
-        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return begun.received().ends_with("first"); }));
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return partial.received().ends_with("first"); }));
         m_server->stopAccepting();
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call(address)));
-        CPPUNIT_ASSERT(!begun.isClosed());
-        begun.send("st: a\r\n\r\n");
+        CPPUNIT_ASSERT(!partial.isClosed());
+        partial.send("st: a\r\n\r\n");
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 2; }));
         m_held[1]->respond({ 200, {}, "second" });
-        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return begun.isClosed(); }));
-        CPPUNIT_ASSERT(begun.received().ends_with("second"));
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return partial.isClosed(); }));
+        CPPUNIT_ASSERT(partial.received().ends_with("second"));
     }
 
     // Guards against connection resets for clients that connect or send their next request while the server
     // stops.
-    void testGracefulStopAnswersWhatClientsSendAtThatMoment()
+    void testGracefulStopAnswersRequestsSentDuringStop()
     {
         serve([](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->respond({ 200, {}, exchange->request().path });
@@ -292,7 +293,7 @@
             *m_loop, [&] { return silent.isClosed() && slowHeader.isClosed() && slowBody.isClosed(); }));
     }
 
-    void testClientThatTakesNoResponseIsDisconnected()
+    void testClientThatDoesNotReadResponseIsDisconnected()
     {
         // The response is larger than the buffers of both sockets, so it cannot be sent until the client
         // reads.
@@ -305,7 +306,7 @@
                 isAnswered = true;
             },
             limits);
-        RawClient deaf(*m_loop, server().port, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+        RawClient nonReading(*m_loop, server().port, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return isAnswered; }));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_server->exchangesInFlight());
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
