--- a/src/requests/record_log.cpp
+++ b/src/requests/record_log.cpp
@@ -11,9 +11,9 @@
 
 constexpr std::size_t maxGroupRows = 64;
 constexpr Milliseconds maxGroupDelay { 5 };
-// More would let a slow table collect work without end.
+// Bounds the work that accumulates in a slow table.
 constexpr std::size_t maxGroupsInFlight = 4;
-// Longer than the platform client's own time limit: guards against a reply that never comes.
+// Longer than the platform client's own timeout. Expires only if the client delivers no reply at all.
 constexpr Seconds replyTimeout { 4 };
 
 } // namespace
@@ -31,10 +31,10 @@
 
 bool RecordLog::isWriteDue(TimePoint now) const
 {
-    if (m_writes.empty() || m_writeGroups >= maxGroupsInFlight)
+    if (m_writes.empty() || m_writeGroupsInFlight >= maxGroupsInFlight)
         return false;
-    return m_writeGroups == 0 || m_writes.size() >= maxGroupRows
-        || now - m_writes.front().since >= maxGroupDelay;
+    return m_writeGroupsInFlight == 0 || m_writes.size() >= maxGroupRows
+        || now - m_writes.front().queuedAt >= maxGroupDelay;
 }
 
 std::vector<RecordLog::Entry> RecordLog::takeGroup(std::deque<Entry>& queue)
@@ -53,7 +53,7 @@
         transaction.conditions.push_back({ entry.key, entry.condition });
         transaction.writes.push_back({ entry.key, entry.value });
     }
-    ++m_writeGroups;
+    ++m_writeGroupsInFlight;
     step.emit(ExecuteTransaction { { ModuleId::Requests, ++m_sequence }, std::move(transaction) });
     m_inFlight.emplace(m_sequence, std::move(group));
 }
@@ -64,7 +64,7 @@
     TableRead read;
     for (const Entry& entry : group.entries)
         read.keys.push_back(entry.key);
-    ++m_readGroups;
+    ++m_readGroupsInFlight;
     step.emit(ReadTable { { ModuleId::Requests, ++m_sequence }, std::move(read) });
     m_inFlight.emplace(m_sequence, std::move(group));
 }
@@ -73,7 +73,7 @@
 {
     while (isWriteDue(step.now))
         sendWrites(step);
-    while (!m_reads.empty() && m_readGroups < maxGroupsInFlight)
+    while (!m_reads.empty() && m_readGroupsInFlight < maxGroupsInFlight)
         sendReads(step);
 }
 
@@ -86,32 +86,33 @@
     }
     Group group = std::move(found->second);
     m_inFlight.erase(found);
-    --(group.isRead ? m_readGroups : m_writeGroups);
+    --(group.isRead ? m_readGroupsInFlight : m_writeGroupsInFlight);
     return group.isRead ? finishReads(group, event.reply) : finishWrites(group, event.reply);
 }
 
 std::vector<RecordResult> RecordLog::finishWrites(Group& group, const TableReply& reply)
 {
     std::vector<RecordResult> results;
-    std::vector<Entry> rest;
+    std::vector<Entry> remaining;
     for (Entry& entry : group.entries) {
         const TableRow* row = findRow(reply, entry.key);
         if (reply.status == TableStatus::Conflict && !reply.rows.empty()) {
             if (row)
                 results.push_back({ entry.request, RecordResultKind::Conflict, *row });
             else
-                rest.push_back(std::move(entry));
+                remaining.push_back(std::move(entry));
         } else if (reply.status == TableStatus::Ok && row) {
             results.push_back({ entry.request, RecordResultKind::Written, *row });
         } else if (reply.status == TableStatus::Unavailable) {
             results.push_back({ entry.request, RecordResultKind::Unavailable, {} });
         } else {
-            // Also a reply without the rows that it must have: a read will tell.
+            // Also for a reply that lacks the expected rows. The broker then reads the row to determine
+            // whether the write took effect.
             results.push_back({ entry.request, RecordResultKind::Unknown, {} });
         }
     }
-    m_writes.insert(
-        m_writes.begin(), std::make_move_iterator(rest.begin()), std::make_move_iterator(rest.end()));
+    m_writes.insert(m_writes.begin(), std::make_move_iterator(remaining.begin()),
+        std::make_move_iterator(remaining.end()));
     return results;
 }
 
@@ -139,7 +140,7 @@
             continue;
         }
         const bool isRead = group->second.isRead;
-        --(isRead ? m_readGroups : m_writeGroups);
+        --(isRead ? m_readGroupsInFlight : m_writeGroupsInFlight);
         for (const Entry& entry : group->second.entries) {
             results.push_back(
                 { entry.request, isRead ? RecordResultKind::Unavailable : RecordResultKind::Unknown, {} });
--- a/src/requests/request_broker.h
+++ b/src/requests/request_broker.h
@@ -33,12 +33,12 @@
     std::uint64_t retries = 0;
     std::uint64_t staleReplies = 0; // for unknown or ended calls
     std::uint64_t foreignAnswers = 0; // with another request's identity
-    std::uint64_t droppedOutcomes = 0; // unwritten outcomes given up to bound memory
+    std::uint64_t droppedOutcomes = 0; // discarded before they were recorded, to bound memory
 };
 
-// Carries requests from callers to endpoints and answers each caller once, at the latest at the first
-// tick after its deadline. Non-idempotent requests are claimed in the table before they are sent, and
-// sent by no one but the daemon whose nonce the row holds.
+// Forwards requests from callers to endpoints and answers each caller once, at the latest at the first tick
+// after its deadline. A non-idempotent request is claimed in the table before it is sent, and only the daemon
+// whose nonce is in the row sends it.
 class RequestBroker {
 public:
     RequestBroker(const DaemonSettings&, const ConfigurationView&, const EndpointDirectory&,
@@ -49,7 +49,7 @@
     void handle(const CallerGone&, Step&);
     void handle(const EndpointAnswered&, Step&);
     void handle(const EndpointFailed&, Step&);
-    // Ignores replies to other modules and to the RecordSweeper.
+    // Ignore replies to operations of other modules and of the RecordSweeper.
     void handle(const TableReplied&, Step&);
     void handle(const ObjectReplied&, Step&);
     void handle(const RequestLookup&, const HostId& from, Step&);
@@ -57,10 +57,11 @@
     void handle(const PeerLost&, Step&);
     void handle(const Tick&, Step&);
 
-    // From now on new requests are answered "not run"; those under way are finished.
+    // From now on, new requests are answered "not run"; requests in progress are finished.
     void beginShutdown(Step&);
 
-    // True if nothing is in flight and every outcome is recorded, or could not be for a while.
+    // True if all requests are answered and their outcomes are recorded. During shutdown also true if
+    // outcomes could not be recorded within 10 s after the last answer.
     bool isIdle() const;
 
     const RequestCounters& counters() const { return m_counters; }
@@ -76,36 +77,36 @@
 
     struct Call {
         RequestNumber request = 0;
-        TimePoint giveUpAt {};
+        TimePoint expiresAt {};
     };
 
     struct Lookup {
         RequestNumber request = 0;
         HostId peer;
-        TimePoint giveUpAt {};
+        TimePoint expiresAt {};
     };
 
     struct ObjectOperation {
         RequestNumber request = 0;
-        TimePoint giveUpAt {};
+        TimePoint expiresAt {};
     };
 
-    // The requests of one service that left admission.
-    struct Lane {
+    // The requests of one service that have left the admission queue.
+    struct DispatchQueue {
         std::deque<RequestNumber> ready;
         std::size_t claiming = 0;
         std::size_t calling = 0;
     };
 
     // --- callers (request_broker.cpp)
-    std::optional<RequestAnswer> reasonToTurnAway(
+    std::optional<RequestAnswer> rejectionFor(
         const RequestReceived&, const OperationConfiguration*, const Step&) const;
     void join(Execution&, const RequestReceived&, TimePoint deadline, Step&);
     void enqueue(Execution&, Step&);
     void addWaiter(Execution&, RequestWaiter);
     void answerCaller(CallerHandle, RequestAnswer, Step&);
     void expireCaller(CallerHandle, Step&);
-    void giveUp(Execution&, std::string reason, Step&);
+    void abandon(Execution&, std::string reason, Step&);
     void finish(Execution&, RequestAnswer, Step&);
     void finishAsCopy(Execution&, RequestAnswer, Step&);
     Execution& create(RequestIdentity);
@@ -113,23 +114,23 @@
     Execution* find(RequestNumber);
     Execution* find(const RequestIdentity&);
     void setPhase(Execution&, RequestPhase);
-    void boundUnwritten(Step&);
-    void endOfEvent(Step&);
+    void dropExcessOutcomes(Step&);
+    void dispatchAndFlush(Step&);
 
     // --- calls (request_calls.cpp)
-    void dispatch(const ServiceId&, Lane&, Step&);
-    void serveReady(const ServiceId&, Lane&, Step&);
-    std::optional<EndpointId> choose(const Execution&, const Lane&, Step&);
+    void dispatch(const ServiceId&, DispatchQueue&, Step&);
+    void dispatchReady(const ServiceId&, DispatchQueue&, Step&);
+    std::optional<EndpointId> chooseEndpoint(const Execution&, const DispatchQueue&, Step&);
     Milliseconds callTimeout(const Execution&, TimePoint now) const;
     void call(Execution&, EndpointId, Step&);
     Execution* endCall(CallId, CallResult, Step&);
     void retryUnsent(Execution&, const std::string& reason, Step&);
-    void retryExecuted(Execution&, RequestAnswer otherwise, Step&);
-    void giveUpSilentCalls(Step&);
+    void retryPossiblyExecuted(Execution&, RequestAnswer fallback, Step&);
+    void expireCalls(Step&);
 
     // --- records (request_claims.cpp)
     void startClaim(Execution&, Step&);
-    void pursue(Execution&, Step&);
+    void startRecordOperation(Execution&, Step&);
     void recordOutcome(Execution&, Step&);
     void storeResponse(Execution&, Step&);
     OperationId nextObjectOperation(const Execution&, Step&);
@@ -140,15 +141,16 @@
     void onOwnRow(Execution&, const RequestRecord&, Step&);
     void onForeignRow(Execution&, const RequestRecord&, Step&);
     void onUnavailable(Execution&, Step&);
-    void onSettled(Execution&);
+    void onGoalReached(Execution&);
     void retryDueRecords(Step&);
 
     // --- copies (request_lookups.cpp)
     void onQueriedRow(Execution&, const TableRow&, Step&);
     void resolve(Execution&, const RequestRecord&, Step&);
-    void tellAskers(Execution&, Step&);
-    // Tells the callers of such lookups that the outcome is unknown.
-    void giveUpLookups(const std::function<bool(const Lookup&)>& isOver, const std::string& reason, Step&);
+    void answerInboundLookups(Execution&, Step&);
+    // Ends the selected lookups and answers "unknown" to the callers that wait for them.
+    void abandonLookups(
+        const std::function<bool(const Lookup&)>& isSelected, const std::string& reason, Step&);
     void expireLookups(Step&);
 
     const DaemonSettings& m_settings;
@@ -167,16 +169,16 @@
     std::map<RequestIdentity, RequestNumber> m_byIdentity; // non-idempotent
     std::unordered_map<CallerHandle, Caller> m_callers;
     std::set<std::pair<TimePoint, CallerHandle>> m_deadlines;
-    std::map<ServiceId, Lane> m_lanes;
+    std::map<ServiceId, DispatchQueue> m_dispatchQueues;
     std::map<CallId, Call> m_calls;
     std::map<std::uint64_t, Lookup> m_lookups;
     std::map<std::uint64_t, ObjectOperation> m_objectOperations; // by sequence
     std::set<std::pair<TimePoint, RequestNumber>> m_recordRetries;
-    std::set<RequestNumber> m_asked; // requests with askers
+    std::set<RequestNumber> m_withInboundLookups;
     std::deque<RequestNumber> m_finishedOrder;
     std::size_t m_unfinished = 0;
     std::size_t m_heldBytes = 0; // bodies and unwritten responses
-    std::size_t m_unwrittenBytes = 0; // unwritten responses alone
+    std::size_t m_unwrittenBytes = 0; // unwritten responses only
     ConfigurationVersion m_configuredVersion = 0;
     RequestNumber m_lastNumber = 0;
     CallId m_lastCall = 0;
--- a/src/requests/request_lookups.cpp
+++ b/src/requests/request_lookups.cpp
@@ -7,15 +7,15 @@
 namespace {
 
 constexpr Milliseconds lookupTimeout { 500 };
-// Shorter than the asker's own limit, so that "still in flight" arrives in time.
-constexpr Milliseconds lookupHold { 400 };
-constexpr std::size_t maxAskers = 64; // per request
-constexpr Seconds queryPatience { 2 };
-constexpr Milliseconds retryHint { 1'000 };
+// Shorter than lookupTimeout, so that the reply "still in flight" arrives before the peer's lookup expires.
+constexpr Milliseconds maxLookupHold { 400 };
+constexpr std::size_t maxInboundLookups = 64; // per request
+constexpr Seconds queryTimeout { 2 };
+constexpr Milliseconds callerRetryDelay { 1'000 };
 
 RequestAnswer unknownAnswer(std::string reason)
 {
-    return { RequestOutcome::Unknown, {}, std::move(reason), retryHint, false };
+    return { RequestOutcome::Unknown, {}, std::move(reason), callerRetryDelay, false };
 }
 
 } // namespace
@@ -23,11 +23,11 @@
 void RequestBroker::handle(const RequestQueried& event, Step& step)
 {
     if (m_callers.contains(event.caller))
-        return; // a repeated event
-    const TimePoint deadline = step.now + queryPatience;
+        return; // the event was delivered twice
+    const TimePoint deadline = step.now + queryTimeout;
     m_callers.emplace(event.caller, Caller { 0, deadline });
     if (const Execution* execution = find(event.identity)) {
-        RequestAnswer answer = unknownAnswer("the request is still in progress; ask again");
+        RequestAnswer answer = unknownAnswer("the request is still in progress; query the outcome later");
         if (execution->phase == RequestPhase::Finished) {
             answer = execution->answer;
             answer.isFromRecord = true;
@@ -39,9 +39,9 @@
     query.isQuery = true;
     query.phase = RequestPhase::Resolving;
     addWaiter(query, { event.caller, deadline, true, false });
-    query.record.isBusy = true;
+    query.record.isInFlight = true;
     m_log.read(query.number, requestRecordKey(query.identity), step.now);
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::onQueriedRow(Execution& query, const TableRow& row, Step& step)
@@ -51,20 +51,21 @@
         resolve(query, *found, step);
         return;
     }
-    // A create may be under way elsewhere, so an absent record does not prove "not run".
+    // Another daemon may be creating the record, so its absence does not prove "not run".
     finish(query,
         unknownAnswer(row.version == 0 ? "there is no record of the request; send it again with the same key"
                                        : "the record is malformed"),
         step);
 }
 
-// Answers with what the record of another copy says, or its daemon knows.
+// Answers with the outcome in the record of another copy. If the record is only a claim, asks the daemon that
+// made it.
 void RequestBroker::resolve(Execution& execution, const RequestRecord& found, Step& step)
 {
     setPhase(execution, RequestPhase::Resolving);
     switch (found.state) {
     case RequestRecordState::NotRun:
-        finishAsCopy(execution, { RequestOutcome::NotRun, {}, found.reason, retryHint, true }, step);
+        finishAsCopy(execution, { RequestOutcome::NotRun, {}, found.reason, callerRetryDelay, true }, step);
         return;
     case RequestRecordState::Unknown:
         finishAsCopy(execution, { RequestOutcome::Unknown, {}, found.reason, {}, true }, step);
@@ -85,7 +86,9 @@
         [&](const PeerStatus& peer) { return peer.host == found.host && peer.isReachable; });
     if (!isReachable) {
         finishAsCopy(execution,
-            unknownAnswer("an earlier copy was claimed by a daemon that cannot be asked; ask again"), step);
+            unknownAnswer(
+                "the daemon that claimed an earlier copy is not connected; query the outcome later"),
+            step);
         return;
     }
     m_lookups.emplace(++m_lastLookup, Lookup { execution.number, found.host, step.now + lookupTimeout });
@@ -96,8 +99,8 @@
 {
     Execution* execution = find(event.identity);
     RequestLookupAnswer reply { event.lookup, false, false, {} };
-    // The asker has read a claim of this host, perhaps of an earlier incarnation. Only a request whose
-    // present nonce was seen in the row is certain to be the one that the row is about.
+    // The peer has read a claim of this host in the row, possibly by an earlier incarnation. Only a request
+    // whose current nonce was seen in the row is certain to be the one that made this claim.
     const bool isKnown
         = execution && execution->record.nonce && execution->record.heldNonce == execution->record.nonce;
     if (isKnown) {
@@ -105,24 +108,24 @@
         reply.isFinished = execution->phase == RequestPhase::Finished;
         if (reply.isFinished)
             reply.answer = execution->answer;
-        else if (execution->askers.size() < maxAskers) {
-            execution->askers.push_back({ from, event.lookup, step.now + lookupHold });
-            m_asked.insert(execution->number);
+        else if (execution->inboundLookups.size() < maxInboundLookups) {
+            execution->inboundLookups.push_back({ from, event.lookup, step.now + maxLookupHold });
+            m_withInboundLookups.insert(execution->number);
             return;
         }
     }
     step.emit(SendToPeer { from, std::move(reply) });
 }
 
-void RequestBroker::tellAskers(Execution& execution, Step& step)
+void RequestBroker::answerInboundLookups(Execution& execution, Step& step)
 {
     const bool isKnown = execution.record.nonce && execution.record.heldNonce == execution.record.nonce;
-    for (const RequestAsker& asker : execution.askers)
-        step.emit(SendToPeer { asker.peer,
+    for (const InboundLookup& inbound : execution.inboundLookups)
+        step.emit(SendToPeer { inbound.peer,
             RequestLookupAnswer {
-                asker.lookup, isKnown, isKnown, isKnown ? execution.answer : RequestAnswer {} } });
-    execution.askers.clear();
-    m_asked.erase(execution.number);
+                inbound.lookup, isKnown, isKnown, isKnown ? execution.answer : RequestAnswer {} } });
+    execution.inboundLookups.clear();
+    m_withInboundLookups.erase(execution.number);
 }
 
 void RequestBroker::handle(const RequestLookupAnswer& event, const HostId& from, Step& step)
@@ -140,18 +143,19 @@
         finishAsCopy(*execution, std::move(answer), step);
     } else {
         finishAsCopy(*execution,
-            unknownAnswer(event.isKnown ? "an earlier copy is still in progress; ask again"
-                                        : "the outcome of an earlier copy is not known; ask again"),
+            unknownAnswer(event.isKnown
+                    ? "an earlier copy is still in progress; query the outcome later"
+                    : "the daemon that claimed an earlier copy does not have its outcome; query it later"),
             step);
     }
-    endOfEvent(step);
+    dispatchAndFlush(step);
 }
 
-void RequestBroker::giveUpLookups(
-    const std::function<bool(const Lookup&)>& isOver, const std::string& reason, Step& step)
+void RequestBroker::abandonLookups(
+    const std::function<bool(const Lookup&)>& isSelected, const std::string& reason, Step& step)
 {
     for (auto lookup = m_lookups.begin(); lookup != m_lookups.end();) {
-        if (!isOver(lookup->second)) {
+        if (!isSelected(lookup->second)) {
             ++lookup;
             continue;
         }
@@ -164,27 +168,28 @@
 
 void RequestBroker::handle(const PeerLost& event, Step& step)
 {
-    giveUpLookups([&](const Lookup& lookup) { return lookup.peer == event.peer; },
-        "the daemon that claimed an earlier copy cannot be reached; ask again", step);
-    endOfEvent(step);
+    abandonLookups([&](const Lookup& lookup) { return lookup.peer == event.peer; },
+        "the connection to the daemon that claimed an earlier copy was lost; query the outcome later", step);
+    dispatchAndFlush(step);
 }
 
 void RequestBroker::expireLookups(Step& step)
 {
-    giveUpLookups([&](const Lookup& lookup) { return lookup.giveUpAt <= step.now; },
-        "the daemon that claimed an earlier copy did not answer; ask again", step);
-    for (auto number = m_asked.begin(); number != m_asked.end();) {
+    abandonLookups([&](const Lookup& lookup) { return lookup.expiresAt <= step.now; },
+        "the daemon that claimed an earlier copy did not answer in time; query the outcome later", step);
+    for (auto number = m_withInboundLookups.begin(); number != m_withInboundLookups.end();) {
         Execution* execution = find(*number);
         if (execution) {
-            std::erase_if(execution->askers, [&](const RequestAsker& asker) {
-                if (asker.replyBy > step.now)
+            std::erase_if(execution->inboundLookups, [&](const InboundLookup& inbound) {
+                if (inbound.replyBy > step.now)
                     return false;
-                step.emit(SendToPeer { asker.peer, RequestLookupAnswer { asker.lookup, true, false, {} } });
+                step.emit(
+                    SendToPeer { inbound.peer, RequestLookupAnswer { inbound.lookup, true, false, {} } });
                 return true;
             });
         }
-        if (!execution || execution->askers.empty())
-            number = m_asked.erase(number);
+        if (!execution || execution->inboundLookups.empty())
+            number = m_withInboundLookups.erase(number);
         else
             ++number;
     }
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -14,30 +14,30 @@
 using testing::RawServer;
 using testing::runUntil;
 
-constexpr Milliseconds longTimeout { 60'000 }; // never reached; the guard of runUntil ends a test before
+constexpr Milliseconds longTimeout { 60'000 }; // never reached: runUntil() fails the test before
 constexpr Milliseconds shortTimeout { 30 };
-// Long enough to connect and send on a busy machine, so that only the missing answer ends a call.
+// Long enough to connect and send on a busy machine, so that only a missing answer makes a call time out.
 constexpr Milliseconds answerTimeout { 500 };
 
 class HttpTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HttpTest);
     CPPUNIT_TEST(testConcurrentCallsEachGetTheirOwnAnswer);
-    CPPUNIT_TEST(testRefusedConnectionIsNotSent);
-    CPPUNIT_TEST(testFullQueueIsNotSent);
-    CPPUNIT_TEST(testCallQueuedPastItsDeadlineIsNotSent);
-    CPPUNIT_TEST(testSilentServerIsTimedOutAndItsConnectionIsNotReused);
-    CPPUNIT_TEST(testConnectionClosedBeforeTheResponseIsLostAndNotSentAgain);
-    CPPUNIT_TEST(testBrokenResponsesAreErrors);
+    CPPUNIT_TEST(testCallIsNotSentWhenConnectionIsRefused);
+    CPPUNIT_TEST(testCallIsNotSentWhenQueueIsFull);
+    CPPUNIT_TEST(testCallThatTimesOutInQueueIsNotSent);
+    CPPUNIT_TEST(testCallToSilentServerTimesOutAndConnectionIsNotReused);
+    CPPUNIT_TEST(testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse);
+    CPPUNIT_TEST(testInvalidResponsesAreErrors);
     CPPUNIT_TEST(testChunkedResponseIsRead);
     CPPUNIT_TEST(testConnectionClosedWhileIdleIsNotUsed);
     CPPUNIT_TEST(testOversizedRequestBodyIsRefused);
-    CPPUNIT_TEST(testLargestBodyPassesBothWays);
-    CPPUNIT_TEST(testCancelledCallGivesNoCallbackAndTellsTheServer);
+    CPPUNIT_TEST(testBodyOfMaximumSizeIsSentAndReceived);
+    CPPUNIT_TEST(testCancelledCallRunsNoCallbackAndClosesConnection);
     CPPUNIT_TEST(testGracefulStopFinishesTheExchangeInFlight);
-    CPPUNIT_TEST(testGracefulStopReadsARequestThatHasBegun);
-    CPPUNIT_TEST(testGracefulStopAnswersWhatClientsSendAtThatMoment);
+    CPPUNIT_TEST(testGracefulStopAnswersPartiallyReceivedRequest);
+    CPPUNIT_TEST(testGracefulStopAnswersRequestsSentDuringStop);
     CPPUNIT_TEST(testSilentClientIsDisconnected);
-    CPPUNIT_TEST(testClientThatTakesNoResponseIsDisconnected);
+    CPPUNIT_TEST(testClientThatDoesNotReadResponseIsDisconnected);
     CPPUNIT_TEST(testHeadIsAnsweredWithoutBody);
     CPPUNIT_TEST(testDroppedExchangeIsAnsweredWithAnError);
     CPPUNIT_TEST(testDestroyedServerAnswersOpenExchanges);
@@ -63,7 +63,7 @@
 
     void testConcurrentCallsEachGetTheirOwnAnswer()
     {
-        // Answers leave in the reverse order of the requests: matching by order would mix them up.
+        // The answers are sent in reverse order of the requests, so that matching them by order would fail.
         serveHeld();
         constexpr std::size_t count = 200;
         std::vector<HttpResult> results(count);
@@ -86,7 +86,7 @@
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
     }
 
-    void testRefusedConnectionIsNotSent()
+    void testCallIsNotSentWhenConnectionIsRefused()
     {
         serveHeld();
         const SocketAddress address = server();
@@ -96,7 +96,7 @@
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call({ "not-an-address", 80 })));
     }
 
-    void testFullQueueIsNotSent()
+    void testCallIsNotSentWhenQueueIsFull()
     {
         serveHeld();
         m_client = makeHttpClient(*m_loop, { 1, 0 });
@@ -104,13 +104,13 @@
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call(server())));
     }
 
-    void testCallQueuedPastItsDeadlineIsNotSent()
+    void testCallThatTimesOutInQueueIsNotSent()
     {
         serveHeld();
         m_client = makeHttpClient(*m_loop, { 1, 8 });
         m_client->call(server(), {}, longTimeout, [](const HttpResult&) {});
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call(server(), {}, shortTimeout)));
-        // The queue goes on after calls have left it by their deadline.
+        // The queue must still start calls after a queued call has timed out.
         std::optional<HttpResult> third;
         m_client->call(server(), {}, longTimeout, [&](HttpResult result) { third = std::move(result); });
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
@@ -121,7 +121,7 @@
         CPPUNIT_ASSERT(third->has_value());
     }
 
-    void testSilentServerIsTimedOutAndItsConnectionIsNotReused()
+    void testCallToSilentServerTimesOutAndConnectionIsNotReused()
     {
         RawServer silent(*m_loop, {});
         CPPUNIT_ASSERT(HttpErrorKind::TimedOut == errorOf(call(addressOf(silent), {}, answerTimeout)));
@@ -129,14 +129,14 @@
         CPPUNIT_ASSERT_EQUAL(2, silent.connections());
     }
 
-    void testConnectionClosedBeforeTheResponseIsLostAndNotSentAgain()
+    void testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse()
     {
         RawServer closing(*m_loop, { "", true });
         CPPUNIT_ASSERT(HttpErrorKind::Lost == errorOf(call(addressOf(closing))));
         CPPUNIT_ASSERT_EQUAL(1, closing.connections());
     }
 
-    void testBrokenResponsesAreErrors()
+    void testInvalidResponsesAreErrors()
     {
         const std::vector<std::pair<std::string, HttpErrorKind>> cases {
             { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", HttpErrorKind::Malformed },
@@ -179,7 +179,7 @@
         CPPUNIT_ASSERT(call(addressOf(keeping)).has_value());
         CPPUNIT_ASSERT_EQUAL(1, keeping.connections());
         keeping.closeConnections();
-        // The loop has not reported the close yet.
+        // At this point, the loop has not reported the close yet.
         CPPUNIT_ASSERT(call(addressOf(keeping)).has_value());
         CPPUNIT_ASSERT_EQUAL(2, keeping.connections());
     }
@@ -195,7 +195,7 @@
         CPPUNIT_ASSERT(m_held.empty());
     }
 
-    void testLargestBodyPassesBothWays()
+    void testBodyOfMaximumSizeIsSentAndReceived()
     {
         serve([](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->respond({ 200, {}, exchange->request().body });
@@ -206,17 +206,17 @@
         CPPUNIT_ASSERT(request.body == result->body);
     }
 
-    void testCancelledCallGivesNoCallbackAndTellsTheServer()
+    void testCancelledCallRunsNoCallbackAndClosesConnection()
     {
         serveHeld();
         bool isCalledBack = false;
-        bool isGone = false;
+        bool isClientGone = false;
         const HttpCallId id
             = m_client->call(server(), {}, longTimeout, [&](const HttpResult&) { isCalledBack = true; });
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
-        m_held[0]->onClientGone([&] { isGone = true; });
+        m_held[0]->onClientGone([&] { isClientGone = true; });
         m_client->cancel(id);
-        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return isGone; }));
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return isClientGone; }));
         m_held[0]->respond({});
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
         CPPUNIT_ASSERT(!isCalledBack);
@@ -242,27 +242,29 @@
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
     }
 
-    void testGracefulStopReadsARequestThatHasBegun()
+    void testGracefulStopAnswersPartiallyReceivedRequest()
     {
         serveHeld();
         const SocketAddress address = server();
-        // The answer to the first request shows that the server has read the half one behind it.
-        RawClient begun(*m_loop, address.port, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHo");
+        // The answer to the first request shows that the server has also read the partial request after it.
+        RawClient partial(
+            *m_loop, address.port, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHo");
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 1; }));
         m_held[0]->respond({ 200, {}, "first" });
-        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return begun.received().ends_with("first"); }));
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return partial.received().ends_with("first"); }));
         m_server->stopAccepting();
         CPPUNIT_ASSERT(HttpErrorKind::NotSent == errorOf(call(address)));
-        CPPUNIT_ASSERT(!begun.isClosed());
-        begun.send("st: a\r\n\r\n");
+        CPPUNIT_ASSERT(!partial.isClosed());
+        partial.send("st: a\r\n\r\n");
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == 2; }));
         m_held[1]->respond({ 200, {}, "second" });
-        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return begun.isClosed(); }));
-        CPPUNIT_ASSERT(begun.received().ends_with("second"));
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return partial.isClosed(); }));
+        CPPUNIT_ASSERT(partial.received().ends_with("second"));
     }
 
-    // Guards against reset connections of clients that connect or send their next request during the stop.
-    void testGracefulStopAnswersWhatClientsSendAtThatMoment()
+    // Guards against connection resets for clients that connect or send their next request while the server
+    // stops.
+    void testGracefulStopAnswersRequestsSentDuringStop()
     {
         serve([](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->respond({ 200, {}, exchange->request().path });
@@ -291,9 +293,10 @@
             *m_loop, [&] { return silent.isClosed() && slowHeader.isClosed() && slowBody.isClosed(); }));
     }
 
-    void testClientThatTakesNoResponseIsDisconnected()
+    void testClientThatDoesNotReadResponseIsDisconnected()
     {
-        // Larger than the buffers of both sockets: the response stays unsent until the client reads.
+        // The response is larger than the buffers of both sockets, so it cannot be sent until the client
+        // reads.
         HttpServerLimits limits;
         limits.responseWriteTimeout = shortTimeout;
         bool isAnswered = false;
@@ -303,7 +306,7 @@
                 isAnswered = true;
             },
             limits);
-        RawClient deaf(*m_loop, server().port, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+        RawClient nonReading(*m_loop, server().port, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return isAnswered; }));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_server->exchangesInFlight());
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_server->exchangesInFlight() == 0; }));
@@ -311,7 +314,7 @@
 
     void testHeadIsAnsweredWithoutBody()
     {
-        // A body after HEAD would be taken for the next response on the connection.
+        // A client would take a body after HEAD for the next response on the connection.
         serve([](const std::shared_ptr<HttpExchange>& exchange) { exchange->respond({ 200, {}, "body" }); });
         for (int i = 0; i < 2; ++i) {
             const HttpResult result = call(server(), { "HEAD", "/", {}, "" });
@@ -387,7 +390,7 @@
         m_server = std::move(*made);
     }
 
-    // Requests wait in m_held until the test answers them.
+    // Starts a server that keeps its requests in m_held until the test answers them.
     void serveHeld()
     {
         serve([this](std::shared_ptr<HttpExchange> exchange) { m_held.push_back(std::move(exchange)); });
@@ -402,7 +405,7 @@
         std::optional<HttpResult> result;
         m_client->call(
             address, std::move(request), timeout, [&](HttpResult answer) { result = std::move(answer); });
-        CPPUNIT_ASSERT_MESSAGE("called back from inside call()", !result);
+        CPPUNIT_ASSERT_MESSAGE("the callback was run inside call()", !result);
         CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return result.has_value(); }));
         return *result;
     }
--- a/test/support/request_site.h
+++ b/test/support/request_site.h
@@ -59,10 +59,16 @@
     return configuration;
 }
 
+// Unavailable: reported as such, no effect. LostRequest: no effect and a reply "unknown". LostReply: takes
+// effect, but the reply is "unknown". LateEffect: takes effect 60 ms after a reply "unknown".
+// Unavailable and LostReply make a read fail as unavailable; the others do not affect it.
 enum class TableFault { None, Unavailable, LostRequest, LostReply, LateEffect };
-// LostBefore: silence, not executed. LostAfter: executed, then silence.
-// Lost: no effect and no reply. LostReply: stored. Cut: half of the object is read.
-enum class ObjectFault { None, Down, Lost, LostReply, Cut };
+// Down: every operation fails. Lost: no effect and no reply. LostReply: a put takes effect but is reported as
+// failed; other operations fail. Truncated: a read returns only the first half of the object.
+enum class ObjectFault { None, Down, Lost, LostReply, Truncated };
+// NotSent: fails before it is sent. Refuse: refused before execution. LostBefore: lost without an execution.
+// LostAfter: executed, but the answer is lost. Error: executed with an error. LateAnswer: answered 200 ms
+// before the timeout of the call. Repeat: answered twice. Foreign: the answer names another request.
 enum class CallFault { None, NotSent, Refuse, LostBefore, LostAfter, Error, LateAnswer, Repeat, Foreign };
 
 // Several entry daemons over one table and one set of endpoints, in virtual time.
@@ -105,7 +111,7 @@
     void start(std::size_t index)
     {
         Daemon& daemon = m_daemons[index];
-        daemon.broker.reset(); // before what it refers to
+        daemon.broker.reset(); // before the objects that it refers to
         daemon.settings = { host(index), AvailabilityZoneId("thumb"), {}, ++m_lastIncarnation };
         daemon.incarnation = m_lastIncarnation;
         daemon.membership = std::make_unique<Membership>(daemon.settings, m_configuration);
@@ -179,10 +185,10 @@
     Daemon& daemon(std::size_t index) { return m_daemons[index]; }
     static HostId host(std::size_t index) { return HostId("entry-" + std::to_string(index)); }
 
-    // Faults are taken from the front; an empty queue asks the function, if there is one.
+    // Each operation takes its fault from the front of the queue, or from the function if the queue is empty.
     std::deque<TableFault> tableFaults;
     std::function<TableFault()> drawTableFault;
-    std::set<std::size_t> tableDownFor; // daemons
+    std::set<std::size_t> daemonsWithoutTable; // indices of daemons
     std::deque<CallFault> callFaults;
     std::function<CallFault()> drawCallFault;
     std::function<bool()> isPeerMessageDropped;
@@ -193,7 +199,7 @@
     std::map<std::string, std::string> objects;
     std::map<CallerHandle, Submission> submissions;
     std::vector<std::string> violations;
-    std::vector<std::pair<std::size_t, CallEndpoint>> calls; // by daemon
+    std::vector<std::pair<std::size_t, CallEndpoint>> calls; // with the index of the calling daemon
     std::vector<std::size_t> transactionSizes;
     TimePoint now { Seconds(1'000) };
 
@@ -233,8 +239,8 @@
             std::visit([&](auto& value) { execute(index, value); }, effect);
     }
 
-    // Runs the function later unless the daemon's incarnation has ended.
-    void later(std::size_t index, Milliseconds delay, std::function<void()> function)
+    // Runs the function after the delay, unless the daemon's current incarnation has ended by then.
+    void schedule(std::size_t index, Milliseconds delay, std::function<void()> function)
     {
         const std::uint64_t incarnation = m_daemons[index].incarnation;
         m_queue.emplace(now + delay, [this, index, incarnation, function = std::move(function)] {
@@ -245,12 +251,13 @@
 
     template <typename Event> void reply(std::size_t index, Milliseconds delay, Event event)
     {
-        later(index, delay, [this, index, event] { deliverToBroker(index, event); });
+        schedule(index, delay, [this, index, event] { deliverToBroker(index, event); });
     }
 
     Milliseconds delay() { return drawDelay ? drawDelay() : Milliseconds(4); }
 
-    template <typename Fault> static Fault take(std::deque<Fault>& queue, const std::function<Fault()>& draw)
+    template <typename Fault>
+    static Fault nextFault(std::deque<Fault>& queue, const std::function<Fault()>& draw)
     {
         if (queue.empty())
             return draw ? draw() : Fault::None;
@@ -271,21 +278,21 @@
     void execute(std::size_t index, const ExecuteTransaction& effect)
     {
         transactionSizes.push_back(effect.transaction.writes.size());
-        const TableFault fault
-            = tableDownFor.contains(index) ? TableFault::Unavailable : take(tableFaults, drawTableFault);
-        const Milliseconds there = delay();
+        const TableFault fault = daemonsWithoutTable.contains(index) ? TableFault::Unavailable
+                                                                     : nextFault(tableFaults, drawTableFault);
+        const Milliseconds transitDelay = delay();
         const auto lost = TableReplied { effect.operation, { TableStatus::Unknown, {} } };
         if (fault == TableFault::Unavailable) {
-            reply(index, there, TableReplied { effect.operation, { TableStatus::Unavailable, {} } });
+            reply(index, transitDelay, TableReplied { effect.operation, { TableStatus::Unavailable, {} } });
         } else if (fault == TableFault::LostRequest) {
-            reply(index, there + Milliseconds(100), lost);
+            reply(index, transitDelay + Milliseconds(100), lost);
         } else if (fault == TableFault::LateEffect) {
-            reply(index, there, lost);
-            // After several operations of the daemon that got no reply.
-            m_queue.emplace(now + there + Milliseconds(60),
+            reply(index, transitDelay, lost);
+            // Late enough for the daemon to attempt several operations before.
+            m_queue.emplace(now + transitDelay + Milliseconds(60),
                 [this, transaction = effect.transaction] { store.execute(transaction); });
         } else {
-            m_queue.emplace(now + there, [this, index, effect, fault, lost] {
+            m_queue.emplace(now + transitDelay, [this, index, effect, fault, lost] {
                 const TableReplied done { effect.operation, store.execute(effect.transaction) };
                 reply(index, delay(), fault == TableFault::LostReply ? lost : done);
             });
@@ -294,8 +301,8 @@
 
     void execute(std::size_t index, const ReadTable& effect)
     {
-        const TableFault fault
-            = tableDownFor.contains(index) ? TableFault::Unavailable : take(tableFaults, drawTableFault);
+        const TableFault fault = daemonsWithoutTable.contains(index) ? TableFault::Unavailable
+                                                                     : nextFault(tableFaults, drawTableFault);
         if (fault == TableFault::Unavailable || fault == TableFault::LostReply) {
             reply(index, delay(), TableReplied { effect.operation, { TableStatus::Unavailable, {} } });
             return;
@@ -321,10 +328,10 @@
         if (objectFault == ObjectFault::Lost)
             return;
         const auto found = objects.find(effect.key);
-        const bool isOk
-            = found != objects.end() && (objectFault == ObjectFault::None || objectFault == ObjectFault::Cut);
+        const bool isOk = found != objects.end()
+            && (objectFault == ObjectFault::None || objectFault == ObjectFault::Truncated);
         std::string value = isOk ? found->second : "";
-        if (objectFault == ObjectFault::Cut)
+        if (objectFault == ObjectFault::Truncated)
             value.resize(value.size() / 2);
         reply(index, delay(), ObjectReplied { effect.operation, isOk, std::move(value) });
     }
@@ -342,7 +349,7 @@
         for (std::size_t to = 0; to < m_daemons.size(); ++to) {
             if (host(to) != effect.peer || (isPeerMessageDropped && isPeerMessageDropped()))
                 continue;
-            later(to, delay(), [this, to, from = host(index), message = effect.message] {
+            schedule(to, delay(), [this, to, from = host(index), message = effect.message] {
                 deliver(to, [&](Step& step) {
                     if (const auto* lookup = std::get_if<RequestLookup>(&message))
                         m_daemons[to].broker->handle(*lookup, from, step);
@@ -356,19 +363,19 @@
     void execute(std::size_t index, const CallEndpoint& effect)
     {
         calls.emplace_back(index, effect);
-        checkSomeoneWaits(index, effect);
+        checkHasWaitingCaller(index, effect);
         checkClaim(index, effect);
-        const CallFault fault = take(callFaults, drawCallFault);
-        const Milliseconds there = delay();
+        const CallFault fault = nextFault(callFaults, drawCallFault);
+        const Milliseconds transitDelay = delay();
         if (fault == CallFault::NotSent) {
-            reply(index, there, EndpointFailed { effect.call, EndpointFailure::NotSent, {} });
+            reply(index, transitDelay, EndpointFailed { effect.call, EndpointFailure::NotSent, {} });
             return;
         }
         if (fault == CallFault::LostBefore) {
             reply(index, effect.timeout, EndpointFailed { effect.call, EndpointFailure::Lost, {} });
             return;
         }
-        m_queue.emplace(now + there, [this, index, effect, fault] { serve(index, effect, fault); });
+        m_queue.emplace(now + transitDelay, [this, index, effect, fault] { serve(index, effect, fault); });
     }
 
     void serve(std::size_t index, const CallEndpoint& effect, CallFault fault)
@@ -404,18 +411,19 @@
         }
     }
 
-    // A request is sent only for a caller who has not been told an outcome.
-    void checkSomeoneWaits(std::size_t index, const CallEndpoint& effect)
+    // A request must only be sent while one of its callers has no answer yet.
+    void checkHasWaitingCaller(std::size_t index, const CallEndpoint& effect)
     {
         for (const auto& [caller, submission] : submissions) {
             if (submission.identity == effect.identity && submission.daemon == index
                 && submission.incarnation == m_daemons[index].incarnation && submission.answers.empty())
                 return;
         }
-        violations.push_back("a call for " + effect.identity.key + " for which no caller waits");
+        violations.push_back(
+            "the call for " + effect.identity.key + " was sent although all its callers have been answered");
     }
 
-    // A non-idempotent request is sent only by the daemon whose claim the table holds.
+    // A non-idempotent request must only be sent by the daemon whose claim is in the table.
     void checkClaim(std::size_t index, const CallEndpoint& effect)
     {
         if (effect.operation != "tare-check")
@@ -425,7 +433,8 @@
             = row == store.rows().end() ? std::nullopt : parseRequestRecord(row->second.value);
         if (!record || record->state != RequestRecordState::Claimed || record->host != host(index)
             || record->incarnation != m_daemons[index].incarnation)
-            violations.push_back("a call for " + effect.identity.key + " without a claim");
+            violations.push_back("the call for " + effect.identity.key
+                + " was sent without a claim of the daemon in the table");
     }
 
     FixedConfiguration m_configuration;
@@ -438,7 +447,7 @@
     std::uint64_t m_lastIncarnation = 100;
 
 public:
-    std::optional<std::string> largeAnswer; // replaces the endpoints' answers
+    std::optional<std::string> largeAnswer; // replaces the answer of every endpoint
 };
 
 } // namespace anvilmoor::testing
