Reword comments and messages in src/configuration

The comments used pronouns without a noun ("what it read", "then another daemon holds it"), figurative verbs (learns, tells, takes, hears) and "never goes back" for a version that never decreases. They now name the version, the peer and the condition.

Refusals and problems name the cause and what to do; no test or script matches the texts that changed.

--- a/src/configuration/configuration_check.cpp
+++ b/src/configuration/configuration_check.cpp
@@ -21,7 +21,7 @@
     if (configuration.accounts.empty())
         problems.push_back({ {}, "accounts", "needs at least one client account" });
 
-    // Worker names derive from rack names, so unique racks mean unique workers.
+    // Worker ids are derived from rack ids, so unique rack ids imply unique worker ids.
     std::map<RackId, std::string> owners;
     for (const AvailabilityZoneConfiguration& zone : configuration.zones) {
         const std::string field = fmt::format("zones.{}.racks", zone.id.value());
@@ -46,21 +46,21 @@
         guaranteed += std::int64_t { guarantee.accelerators } * guarantee.count;
         if (!names.insert(guarantee.name).second)
             problems.push_back({ {}, field + ".name",
-                fmt::format("\"{}\" names another guarantee of the account already", guarantee.name) });
+                fmt::format("the account already has a guarantee named \"{}\"", guarantee.name) });
         if (!configuration.findZone(guarantee.zone))
             problems.push_back(
                 { {}, field + ".zone", fmt::format("there is no zone \"{}\"", guarantee.zone.value()) });
     }
     if (guaranteed > account.acceleratorQuota)
         problems.push_back({ {}, fmt::format("accounts.{}.accelerator_quota", account.id.value()),
-            fmt::format("is {}, below the {} accelerators of the account's guarantees",
+            fmt::format("is {}, below the {} accelerators that the account's guarantees add up to",
                 account.acceleratorQuota, guaranteed) });
 }
 
 struct ZoneShapes {
     std::vector<int> shapes;
     std::int64_t total = 0;
-    std::string text; // for the message
+    std::string text; // shapes by client account, for the problem's reason
 };
 
 ZoneShapes shapesIn(const Configuration& configuration, const AvailabilityZoneId& zone)
@@ -94,7 +94,7 @@
     if (!packShapes(room, wanted.shapes))
         problems.push_back({ {}, fmt::format("zones.{}.racks", zone.id.value()),
             fmt::format(
-                "the guarantees of the zone ({}) do not fit its racks all at once; add racks or lower "
+                "the guarantees of the zone ({}) do not fit its racks at the same time; add racks or lower "
                 "the guarantees",
                 wanted.text) });
 
--- a/src/configuration/configuration_check.h
+++ b/src/configuration/configuration_check.h
@@ -5,8 +5,9 @@
 
 namespace anvilmoor {
 
-// Checks what holds between the parts of a configuration: references, unique names, quotas, and that all
-// guaranteed shapes fit the racks of their zones at once, within the lesson-hours capacity of the room.
+// Checks the constraints between the parts of a configuration: references, unique names and quotas, and that
+// all guaranteed shapes fit the racks of their zones at the same time and do not exceed the lesson-hours
+// capacity of the room.
 ConfigurationProblems checkConfiguration(const Configuration&);
 
 } // namespace anvilmoor
--- a/src/configuration/configuration_document.cpp
+++ b/src/configuration/configuration_document.cpp
@@ -27,8 +27,9 @@
 constexpr Milliseconds minDeadline { 1 };
 constexpr Milliseconds maxDeadline = std::chrono::hours(1);
 
-// Names appear in table keys, URLs and metrics, so they keep to a small alphabet.
-const std::string nameRule = "a name has 1 to 64 lower-case letters, digits and inner hyphens";
+// Names are used in table keys, URLs and metrics, so only a small alphabet is allowed.
+const std::string nameRule
+    = "a name must consist of 1 to 64 lower-case letters, digits and hyphens, without a hyphen at either end";
 
 bool isValidName(std::string_view name)
 {
@@ -64,7 +65,7 @@
             m_configuration.accounts.push_back(readAccount(name, table));
         m_root.finish();
 
-        // References are only meaningful between parts that were read without problems.
+        // References can be checked only if all parts were read without problems.
         if (m_problems.empty())
             m_problems = checkConfiguration(m_configuration);
         if (!m_problems.empty())
@@ -109,7 +110,7 @@
         room.lessonHours.clear();
         for (const Json& item : reader.array("lesson_hours")) {
             const auto parsed = item.is_string() ? parseLessonHours(item.get_ref<const std::string&>())
-                                                 : tl::unexpected(std::string("must hold strings"));
+                                                 : tl::unexpected(std::string("must contain only strings"));
             if (!parsed) {
                 reader.problem("lesson_hours", parsed.error());
                 continue;
@@ -163,7 +164,7 @@
             zoneReader.problem("racks", "needs at least one rack");
     }
 
-    // zones.<zone>.workers.<worker> holds where one worker differs from the defaults.
+    // Applies the fields of zones.<zone>.workers.<worker>, which override the defaults for one worker.
     void readWorkerDifferences(DocumentReader& zoneReader, AvailabilityZoneConfiguration& zone)
     {
         for (const auto& [name, table] : zoneReader.table("workers").items()) {
--- a/src/configuration/configuration_document.h
+++ b/src/configuration/configuration_document.h
@@ -9,12 +9,12 @@
 
 namespace anvilmoor {
 
-// Turns a merged document into a configuration and checks it as a whole: unknown fields, types, units,
-// ranges, references, and that all guarantees fit the racks and the lesson-hours capacity at once.
-// Reports all problems, not only the first.
+// Converts a merged document to a configuration. Checks for unknown fields, types, units, ranges and
+// references, and that all guarantees fit the racks and the lesson-hours capacity at the same time. Reports
+// all problems, not only the first.
 tl::expected<Configuration, ConfigurationProblems> readConfiguration(const nlohmann::json& document);
 
-// The same for a document's text, as committed to the table.
+// Same as readConfiguration(), for the JSON text of a document as committed to the table.
 tl::expected<Configuration, ConfigurationProblems> readConfigurationText(std::string_view text);
 
 } // namespace anvilmoor
--- a/src/configuration/configuration_manager.cpp
+++ b/src/configuration/configuration_manager.cpp
@@ -14,17 +14,20 @@
 
 constexpr Milliseconds pollInterval { 1'000 };
 constexpr Milliseconds pushInterval { 500 };
-// A version waits for a peer of the zone at most this long: three pushes to a peer that does not take it, as
-// one of an earlier release that cannot read it. A version that was learned by a poll, 1 s after its
-// acceptance, is then in force 2.5 s after it; the bound is 3 s.
+// Maximum time that a version waits until a peer of the zone holds it. This is time for three pushes to a
+// peer that does not accept the version, for example because its earlier release cannot read the document. A
+// version that is found by a poll 1 s after its commit is then in force 2.5 s after the commit; the required
+// bound is 3 s.
 constexpr Milliseconds maxHold { 1'500 };
-// After a start, peers are heard of within the heartbeat timeout if they are there.
+// A peer that is running sends a heartbeat within the heartbeat timeout after this daemon's start. Until
+// then, a peer without a heartbeat does not count as down.
 constexpr Milliseconds settleTime { 2'000 };
 constexpr Milliseconds submissionTimeout { 10'000 };
 constexpr Milliseconds retryInterval { 200 };
 constexpr std::size_t maxSubmissions = 32;
 constexpr std::size_t maxDifferencesShown = 10;
-// Enough for an operator's change that was prepared a day before, at 20,000 changes a day.
+// The refusal of a conflicting change needs the document on which the change is based. At 20,000 changes a
+// day, the history covers a change that an operator prepared a day before.
 constexpr ConfigurationVersion historyLength = 20'000;
 
 const std::string versionKey = "config/version";
@@ -80,7 +83,7 @@
 {
     if (step.now >= m_nextPoll && !m_pollSequence) {
         m_nextPoll = step.now + pollInterval;
-        // Before the first read, the whole document is wanted at once.
+        // Until the first successful read, reads the document directly instead of only the version.
         if (m_hasReadTable)
             read(Purpose::PollVersion, { { versionKey }, {} }, step);
         else
@@ -111,13 +114,13 @@
 {
     if (version <= knownVersion())
         return;
-    // A document that this release cannot read is kept too: a peer of a newer release gets it back after a
-    // restart.
+    // A document that this release cannot read is kept too, so that a peer of a newer release can get it back
+    // after a restart.
     m_known = { version, std::make_shared<const std::string>(document), nullptr };
     auto configuration = readConfigurationText(document);
     if (!configuration) {
-        // A newer release may have committed fields that this one does not know. The old version stays in
-        // force, and peers see so in the heartbeat.
+        // A newer release may have committed fields that are unknown to this release. The old version stays
+        // in force, and the heartbeat reports this to the peers.
         step.record("configuration.unreadable",
             { { "version", std::to_string(version) }, { "reason", configuration.error().front().text() } });
         return;
@@ -134,7 +137,7 @@
 {
     if (row.version > knownVersion()) {
         learn(row.version, row.document, step);
-        // The daemon that committed it has perhaps died before its push left.
+        // The daemon that committed the version may have stopped before it pushed the version to its peers.
         pushToZone(step);
     }
     return putInForceIfHeld(step);
@@ -292,8 +295,7 @@
     if (submission.mayHaveCommitted)
         refuseSubmission(RefusalKind::Unknown,
             { "the table did not answer; the change may be in force. Run 'anvilmoorctl config show' before "
-              "trying "
-              "again" },
+              "trying again" },
             step);
     else
         refuseSubmission(RefusalKind::Unavailable,
@@ -365,11 +367,12 @@
         return putInForceIfHeld(step);
     }
     case TableStatus::Conflict:
-        // Another operator was first, or an earlier try of this change took effect: the row tells.
+        // Another operator's change was committed first, or an earlier attempt at this change took effect.
+        // The nonce in the row distinguishes the two cases.
         readForSubmission(step);
         return false;
     case TableStatus::Unknown:
-        // Trying again is safe: the condition on the row's version lets one of the tries commit.
+        // A retry is safe: the condition on the row version lets only one of the attempts commit.
         submission.mayHaveCommitted = true;
         retrySubmission(step);
         return false;
@@ -385,20 +388,20 @@
     const Submission& submission = m_submissions.front();
     step.record("configuration.committed", { { "version", std::to_string(submission.newVersion) } });
     m_acceptances.push_back({ submission.request.caller, submission.newVersion, step.now + maxHold });
-    // A later version may be known already; peers then get that one.
+    // If a later version is already known, the peers receive the later version.
     step.emit(SendToAllPeers { push() });
     m_submissions.pop_front();
     answerAccepted(step);
     startNextSubmission(step);
 }
 
-// An operator is answered once the change is in force here: then another daemon holds it, which brings it to
-// the others if this one dies while the table is unreachable.
+// Answers each operator whose change is in force on this daemon. By then a reachable neighbour normally holds
+// the change too, and passes it on if this daemon dies while the table is unreachable.
 void ConfigurationManager::answerAccepted(Step& step)
 {
     std::erase_if(m_acceptances, [&](const Acceptance& acceptance) {
-        // A later version that this release cannot read may have replaced the change; it is accepted all the
-        // same.
+        // A change that was replaced by a later version that this release cannot read may never come into
+        // force here. It was committed nevertheless, so its operator is answered at answerBy.
         if (version() < acceptance.version && step.now < acceptance.answerBy)
             return false;
         step.emit(AnswerOperator { acceptance.caller, ConfigurationAnswer { acceptance.version, {} } });
@@ -418,7 +421,7 @@
     const Submission& submission = m_submissions.front();
     const ConfigurationVersion expected = submission.request.expectedVersion;
     std::vector<std::string> reasons { fmt::format(
-        "version {} has been accepted, and the change starts from version {}", m_conflictingRow->version,
+        "version {} has been committed, but the change is based on version {}", m_conflictingRow->version,
         expected) };
     const TableRow* row = findRow(reply, historyKey(expected));
     if (row) {
@@ -426,7 +429,8 @@
             describeDifferences(parsed(row->value), parsed(m_conflictingRow->document), maxDifferencesShown))
             reasons.push_back("changed since: " + difference);
     }
-    reasons.emplace_back("run 'anvilmoorctl config show', carry the change over and apply it again");
+    reasons.emplace_back(
+        "run 'anvilmoorctl config show', make the change in the version shown and apply it again");
     refuseSubmission(RefusalKind::Conflict, std::move(reasons), step);
 }
 
--- a/src/configuration/configuration_manager.h
+++ b/src/configuration/configuration_manager.h
@@ -12,39 +12,41 @@
 
 namespace anvilmoor {
 
-// Commits configurations to the table, learns higher versions from table and peers, and puts them in force.
-// Never goes back.
+// Commits configurations to the table, receives higher versions from the table and from peers, and puts them
+// in force. The version in force never decreases.
 //
-// A version that is known is not in force at once: a daemon that dies forgets it, and would become ready with
-// its neighbour's older one if it restarts without the table. So a version waits until a peer of the zone
-// holds it too. It does not wait if no peer of the zone is reachable, nor longer than maxHold.
+// A known version does not come into force at once. A daemon that dies loses the version, and would become
+// ready with an older version of a neighbour if it restarts while the table is unreachable. A version
+// therefore waits until a peer of the zone holds it too. It does not wait if no peer of the zone is
+// reachable, and waits at most for maxHold.
 //
-// Table rows: "config/version" holds the version number alone, so that polls stay small;
-// "config/current" holds version, nonce and document; "config/history/<version>" keeps old documents for
-// the refusal of a racing operator. All change in one transaction.
+// Table rows: "config/version" holds only the version number, so that polls stay small; "config/current"
+// holds version, nonce and document; "config/history/<version>" keeps old documents, so that the refusal of a
+// conflicting change can list the differences. All rows change in one transaction.
 class ConfigurationManager : public ConfigurationView {
 public:
     ConfigurationManager(const DaemonSettings&, const PeerDirectory&);
 
     const Configuration* current() const override { return m_inForce.configuration.get(); }
-    // In force.
+    // The version in force.
     ConfigurationVersion version() const { return m_inForce.version; }
-    // The highest one of which this daemon holds the document, in force or not.
+    // The highest version whose document this daemon holds, whether in force or not.
     ConfigurationVersion knownVersion() const { return m_known.version; }
 
-    // True once this daemon knows that it is not behind: it has put in force what it read from the table, or
-    // the platform is unreachable, a peer of its zone is ready, and no reachable peer knows a higher version.
+    // True if a configuration is in force and is known to be up to date: either no version read from the
+    // table is pending, or the table is unavailable, a reachable peer of the zone is ready, and no reachable
+    // peer knows a version higher than the one in force.
     bool isReady() const;
 
-    // Each returns true if a new configuration was put in force; the caller tells the other modules.
-    // The peer directory has handled the event before.
+    // Each returns true if a new configuration was put in force; the caller then notifies the other modules.
+    // The peer directory must have handled the event before.
     bool handle(const Started&, Step&);
     bool handle(const Tick&, Step&);
     bool handle(const TableReplied&, Step&);
     bool handle(const ConfigurationPush&, Step&);
     bool handle(const ConfigurationSubmitted&, Step&);
     bool handle(const ConfigurationQueried&, Step&);
-    // A peer that is behind gets the configuration pushed.
+    // Pushes the known version to a peer that holds only a lower one.
     bool handle(const PeerHeartbeat&, Step&);
 
     bool isIdle() const { return m_submissions.empty() && m_acceptances.empty(); }
@@ -55,11 +57,11 @@
     struct Submission {
         ConfigurationSubmitted request;
         std::string nonce;
-        std::string value; // of config/current, when committed
+        std::string value; // written to config/current by the commit
         ConfigurationVersion newVersion = 0;
         TimePoint deadline;
         bool mayHaveCommitted = false;
-        TimePoint retryAt; // set while waiting to try again
+        TimePoint retryAt; // valid while isWaiting is set
         bool isWaiting = false;
     };
 
@@ -69,7 +71,7 @@
         std::shared_ptr<const Configuration> configuration; // null if this release cannot read the document
     };
 
-    // A committed change whose operator is not answered yet.
+    // A committed change whose operator has not been answered yet.
     struct Acceptance {
         CallerHandle caller = 0;
         ConfigurationVersion version = 0;
@@ -99,7 +101,7 @@
     void pushToZone(Step&);
     void pushTo(const HostId&, Step&);
 
-    // Submissions are carried out one at a time, in order of arrival.
+    // Submissions are processed one at a time, in order of arrival.
     void startNextSubmission(Step&);
     void readForSubmission(Step&);
     bool continueSubmission(const TableReply&, Step&);
@@ -115,9 +117,9 @@
     const PeerDirectory& m_peers;
     Revision m_inForce;
     Revision m_known;
-    std::optional<Revision> m_pending; // readable, higher than the one in force
-    TimePoint m_pendingSince {}; // when a version began to wait; a higher one that replaces it keeps this
-    TimePoint m_settledAt {}; // until then, peers that are not heard of may be there
+    std::optional<Revision> m_pending; // readable revision that waits to be put in force
+    TimePoint m_pendingSince {}; // start of the wait; unchanged if a higher version replaces the pending one
+    TimePoint m_settledAt {}; // until then, a peer without a heartbeat may still be up
     std::optional<CurrentRow> m_conflictingRow;
 
     std::uint64_t m_lastSequence = 0;
@@ -127,12 +129,12 @@
     Purpose m_submissionPurpose = Purpose::ReadForSubmission;
     TimePoint m_nextPoll {};
     bool m_hasReadTable = false;
-    bool m_isCaughtUp = false; // nothing that the table held at the first read waits any more
+    bool m_isCaughtUp = false; // set once the table has been read and no version is pending
     bool m_isTableUnavailable = false;
 
-    std::deque<Submission> m_submissions; // the front one is being carried out
+    std::deque<Submission> m_submissions; // the front one is in progress
     std::deque<Acceptance> m_acceptances;
-    std::map<HostId, Push> m_lastPush; // limits repeated pushes to a peer that stays behind
+    std::map<HostId, Push> m_lastPush; // limits how often the same version is pushed to the same peer
 };
 
 } // namespace anvilmoor
--- a/src/configuration/configuration_problem.h
+++ b/src/configuration/configuration_problem.h
@@ -5,13 +5,13 @@
 
 namespace anvilmoor {
 
-// One thing that is wrong with a declaration.
+// A problem found in a declaration or in a configuration document.
 struct ConfigurationProblem {
-    std::string file; // empty where the declaration did not come from a file
+    std::string file; // empty if the file is unknown
     std::string field; // path with dots, for example "zones.steyr-north.room.limit_db"
     std::string reason; // what is wrong and what is allowed
 
-    // "file: field: reason", without the parts that are empty.
+    // "file: field: reason"; empty parts are omitted.
     std::string text() const;
 };
 
--- a/src/configuration/declaration.cpp
+++ b/src/configuration/declaration.cpp
@@ -16,7 +16,8 @@
     return parent.empty() ? key : parent + "." + key;
 }
 
-// TOML dates have no meaning in a declaration; they become strings and fail the later type check.
+// No field of a declaration is a date. Dates are converted to strings, which the later type check rejects in
+// fields of any other type.
 Json toJson(const toml::value& value)
 {
     switch (value.type()) {
@@ -86,7 +87,7 @@
     }
 }
 
-// An overlay of one site must not change another site, an account or a service.
+// An overlay of one availability zone must not change another zone, a client account or a service.
 ConfigurationProblems fieldsOutsideSite(const Json& overlay, const std::string& site, const std::string& file)
 {
     ConfigurationProblems problems;
@@ -181,7 +182,8 @@
             && declaration.document["zones"].is_object() && declaration.document["zones"].contains(site);
         if (!isKnown)
             problems.push_back({ overlay.file, {},
-                fmt::format("the base file has no zone \"{}\"; an overlay is named after its zone", site) });
+                fmt::format(
+                    "the base file has no zone \"{}\"; name the overlay file after its zone", site) });
         if (outside.empty() && isKnown)
             mergeInto(declaration, declaration.document, *parsed, "", overlay.file);
     }
--- a/src/configuration/declaration.h
+++ b/src/configuration/declaration.h
@@ -10,28 +10,28 @@
 
 namespace anvilmoor {
 
-// A TOML text and the name under which problems refer to it.
+// A TOML text and the file name that problems report for it.
 struct DeclarationSource {
     std::string file;
     std::string text;
 };
 
-// Base file and overlays merged into one document.
+// The base file and its overlays, merged into one document.
 struct Declaration {
-    nlohmann::json document; // object; keys sorted, so equal declarations have equal texts
-    std::map<std::string, std::string> origins; // field path -> file that set it last
-    ConfigurationProblems warnings; // an overlay repeats what the base already says
+    nlohmann::json document; // object with sorted keys, so equal declarations have equal texts
+    std::map<std::string, std::string> origins; // field path -> file that set the field last
+    ConfigurationProblems warnings; // fields for which an overlay repeats the value of the base
 
-    // The file that set a field or its nearest parent; empty if unknown.
+    // The file that set the field or its nearest parent; empty if unknown.
     std::string originOf(const std::string& field) const;
 };
 
-// Merges overlays over the base: tables merge, other values replace. An overlay is named after its site
-// ("steyr-north.toml") and may set fields below "zones.<site>" only.
+// Applies overlays to the base: tables are merged, other values are replaced. An overlay file is named after
+// its availability zone ("steyr-north.toml") and may set only fields below "zones.<zone>".
 tl::expected<Declaration, ConfigurationProblems> mergeDeclarations(
     const DeclarationSource& base, std::span<const DeclarationSource> overlays);
 
-// Paths of all fields whose values differ, at most `limit` of them, as "field: old -> new".
+// The fields whose values differ, at most `limit` of them, each as "field: old -> new".
 std::vector<std::string> describeDifferences(
     const nlohmann::json& before, const nlohmann::json& after, std::size_t limit);
 
--- a/src/configuration/document_reader.cpp
+++ b/src/configuration/document_reader.cpp
@@ -79,7 +79,7 @@
     const nlohmann::json* value = find(key, fallback.has_value());
     if (!value)
         return fallback.value_or(minimum);
-    // The comparison is false for NaN, which TOML can express.
+    // TOML can express NaN, for which the comparison is false.
     if (value->is_number() && value->get<double>() >= minimum && value->get<double>() <= maximum)
         return value->get<double>();
     problem(key, fmt::format("must be a number from {} to {}, not {}", minimum, maximum, value->dump()));
--- a/src/configuration/document_reader.h
+++ b/src/configuration/document_reader.h
@@ -10,16 +10,16 @@
 
 namespace anvilmoor {
 
-// Reads the fields of one table of a document, collecting every problem with the field's path. Fields
-// that were never asked for are reported as unknown by finish().
+// Reads the fields of one table of a document and collects all problems with the paths of their fields.
+// finish() reports fields that were not read as unknown.
 class DocumentReader {
 public:
     DocumentReader(const nlohmann::json& table, std::string path, ConfigurationProblems&);
 
     bool has(const std::string& key);
 
-    // Each returns the fallback and reports a problem where the field is of another type, out of range,
-    // or absent without a fallback.
+    // Each returns the fallback if the field is absent, and reports a problem if there is no fallback. A
+    // field of another type or out of range is reported as a problem too.
     std::string text(const std::string& key, const std::optional<std::string>& fallback = {});
     int integer(const std::string& key, int minimum, int maximum, std::optional<int> fallback = {});
     double number(
@@ -29,14 +29,15 @@
     Milliseconds duration(const std::string& key, Milliseconds minimum, Milliseconds maximum,
         std::optional<Milliseconds> fallback = {});
 
-    // An empty table or array where the field is absent or of another type.
+    // Each returns an empty table or array if the field is absent or of another type. Another type is
+    // reported as a problem.
     const nlohmann::json& table(const std::string& key);
     const nlohmann::json& array(const std::string& key);
 
     std::string pathOf(const std::string& key) const;
     void problem(const std::string& key, std::string reason);
 
-    // Reports every field that was not read.
+    // Reports every field that was not read as unknown.
     void finish();
 
 private:
--- a/src/configuration/duration.h
+++ b/src/configuration/duration.h
@@ -7,7 +7,7 @@
 
 namespace anvilmoor {
 
-// A whole number with a unit: "800ms", "2s", "5m", "1h". Empty for anything else.
+// Parses a non-negative whole number with a unit: "800ms", "2s", "5m", "1h". Empty for any other text.
 std::optional<Milliseconds> parseDuration(std::string_view);
 
 } // namespace anvilmoor
--- a/src/configuration/lesson_hours.cpp
+++ b/src/configuration/lesson_hours.cpp
@@ -35,7 +35,7 @@
     return seconds;
 }
 
-// Splits at the first separator; the second part is empty without one.
+// Splits at the first separator. The second part is empty if there is no separator.
 std::pair<std::string_view, std::string_view> split(std::string_view text, char separator)
 {
     const std::size_t position = text.find(separator);
@@ -59,9 +59,9 @@
     if (!firstDay || !lastDay || !begin || !end)
         return tl::unexpected(fmt::format(R"(must look like "mon-fri 08:00-12:00", not "{}")", text));
     if (*lastDay < *firstDay)
-        return tl::unexpected(fmt::format("the last day of \"{}\" comes before the first", text));
+        return tl::unexpected(fmt::format("the last day of \"{}\" is before its first day", text));
     if (*end <= *begin)
-        return tl::unexpected(fmt::format("the end of \"{}\" is not after its begin", text));
+        return tl::unexpected(fmt::format("the end time of \"{}\" is not after its start time", text));
 
     std::vector<LessonHours> result;
     for (int day = *firstDay; day <= *lastDay; ++day)
--- a/src/configuration/lesson_hours.h
+++ b/src/configuration/lesson_hours.h
@@ -10,11 +10,11 @@
 
 namespace anvilmoor {
 
-// Parses "mon-fri 08:00-12:00" or "sat 09:00-11:30" into one interval a day. The error says what is
-// wrong with the text.
+// Parses "mon-fri 08:00-12:00" or "sat 09:00-11:30" into one interval per day. The error is a message that
+// quotes the text.
 tl::expected<std::vector<LessonHours>, std::string> parseLessonHours(std::string_view text);
 
-// Sorts intervals and joins those that touch or overlap.
+// Sorts intervals and merges those that touch or overlap.
 std::vector<LessonHours> normalizeLessonHours(std::vector<LessonHours>);
 
 } // namespace anvilmoor
--- a/test/configuration_document_test.cpp
+++ b/test/configuration_document_test.cpp
@@ -34,7 +34,7 @@
 guarantees = [{ name = "night", zone = "north", accelerators = 64, count = 1 }]
 )";
 
-// All problems of the declaration, a line each.
+// All problems of the declaration, one per line.
 std::string problemsOf(const std::string& base, std::vector<DeclarationSource> overlays = {})
 {
     std::string text;
@@ -127,7 +127,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, merged->warnings.size());
     }
 
-    // Three shapes of 40 are 120 of 128 accelerators, and yet each of the two racks of 64 holds only one.
+    // Guards against a check that only adds up accelerators: three shapes of 40 need 120 of 128 accelerators,
+    // but each of the two racks has 64 and fits only one shape.
     void testGuaranteesThatDoNotFitAtOnceAreRefused()
     {
         const std::string text
--- a/test/configuration_manager_test.cpp
+++ b/test/configuration_manager_test.cpp
@@ -16,7 +16,7 @@
 
 enum class TableFault { None, Unavailable, ReplyLost, WriteAndReplyLost };
 
-// One configuration manager over a shared table. Time passes only by advance().
+// A configuration manager that uses a shared table. Only advance() moves the time.
 class Operator {
 public:
     Operator(standin::TableStore& table, const std::string& host)
@@ -35,14 +35,15 @@
         const Event envelope { m_now, WallTime {}, 0, ++m_random, {} };
         std::vector<Effect> effects;
         Step step(envelope, effects);
-        // In the order of the reducer.
+        // The reducer passes a heartbeat to the peer registry first.
         if constexpr (std::is_same_v<EventType, PeerHeartbeat>)
             peers.handle(event.host, event, step);
         manager.handle(event, step);
         m_pending.insert(m_pending.end(), effects.begin(), effects.end());
     }
 
-    // Executes table effects, at most one transaction if asked for, and feeds the replies back.
+    // Executes all pending table effects with the given fault and applies the replies. Collects all other
+    // effects.
     void run(TableFault fault = TableFault::None)
     {
         while (!m_pending.empty()) {
@@ -59,7 +60,7 @@
         }
     }
 
-    // Executes everything up to the first transaction, which stays pending.
+    // Executes table reads up to the first transaction, which stays pending. Drops all other effects.
     void runUntilTransaction()
     {
         while (!m_pending.empty() && !std::holds_alternative<ExecuteTransaction>(m_pending.front())) {
@@ -159,8 +160,8 @@
         CPPUNIT_ASSERT_EQUAL(59.0, daemon.manager.current()->zones.front().room.limitDb);
     }
 
-    // Guards against a lost update: both operators start from version 1, and the second must not
-    // overwrite the first.
+    // Guards against a lost update: both changes are based on version 1, and the second must not overwrite
+    // the first.
     void testSecondOfTwoRacingOperatorsHearsWhatChanged()
     {
         auto firstOwner = started();
@@ -232,7 +233,8 @@
         CPPUNIT_ASSERT_EQUAL(59.0, daemon.manager.current()->zones.front().room.limitDb);
     }
 
-    // Guards against a storm of whole documents: a peer that stays behind sends a heartbeat each 500 ms.
+    // Guards against excessive traffic: without a limit, every heartbeat of a peer that stays behind (one per
+    // 500 ms) would trigger a push of the whole document.
     void testPeerBehindGetsOnePushAtATime()
     {
         auto daemonOwner = started();
@@ -246,7 +248,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, daemon.count<SendToPeer>());
     }
 
-    // Guards against serving an old version after a restart in a zone that is cut off from the platform.
+    // Guards against serving with an old version after a restart in a zone that cannot reach the platform.
     void testDaemonWithoutTableIsReadyOnlyWithNeighbour()
     {
         Operator daemon(m_table, "a");
@@ -272,7 +274,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("surprise: is not a known field"), daemon.refusal()->reasons.at(0));
     }
 
-    // Guards against going back: a daemon that alone has a version in force forgets it when it dies.
+    // Guards against a return to an older version: if only one daemon holds the version in force and dies,
+    // the version is lost.
     void testVersionWaitsUntilNeighbourHoldsIt()
     {
         auto daemonOwner = started();
@@ -292,7 +295,8 @@
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 1 }, daemon.acceptedVersion().value_or(0));
     }
 
-    // Guards against taking a neighbour that is not heard of yet for one that is down.
+    // Guards against a daemon that has just started and treats a neighbour as down before the neighbour's
+    // first heartbeat.
     void testVersionOfTableWaitsAfterStart()
     {
         auto firstOwner = started();
@@ -302,12 +306,12 @@
         daemon.apply(Started {});
         daemon.run();
         CPPUNIT_ASSERT(!daemon.manager.isReady());
-        // A peer of an earlier release tells only what it has in force.
+        // A peer of an earlier release reports only its version in force.
         sendHeartbeat(daemon, "neighbour", "north", 1);
         CPPUNIT_ASSERT(daemon.manager.isReady());
     }
 
-    // Guards against missing the bound of 3 s beside a neighbour of a release that cannot read the version.
+    // Guards against exceeding the bound of 3 s if the neighbour's release cannot read the version.
     void testNeighbourThatTakesNoVersionHoldsItUpForABoundedTime()
     {
         auto daemonOwner = started();
@@ -322,7 +326,8 @@
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 2 }, daemon.manager.version());
     }
 
-    // Guards against losing a version whose only other holder is of an earlier release.
+    // Guards against losing a version because the only other daemon that received it has an earlier release
+    // and cannot read it.
     void testUnreadableVersionIsKeptForPeers()
     {
         auto daemonOwner = started();
@@ -338,7 +343,8 @@
     }
 
 private:
-    // A daemon whose neighbour is down. On the heap: the manager refers to the settings beside it.
+    // A daemon whose neighbour is down. It is allocated on the heap because the manager holds references to
+    // the settings and the peers next to it.
     std::unique_ptr<Operator> started()
     {
         auto daemon = std::make_unique<Operator>(m_table, "host" + std::to_string(++m_hosts));
--- a/test/configuration_restart_test.cpp
+++ b/test/configuration_restart_test.cpp
@@ -5,8 +5,8 @@
 
 namespace anvilmoor::test {
 
-// A host that dies right after it alone put a new version in force, and restarts in a zone without the
-// table, must not become ready with its neighbour's older version.
+// Guards against a return to an older version: a host dies after only it has put a new version in force, and
+// restarts while the table is unreachable. It must not become ready with its neighbour's older version.
 class ConfigurationRestartTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationRestartTest);
     CPPUNIT_TEST(testHostReplacedAfterAdoptionDoesNotGoBack);
