--- a/src/configuration/configuration_check.cpp
+++ b/src/configuration/configuration_check.cpp
@@ -22,11 +22,11 @@
         problems.push_back({ {}, "accounts", "needs at least one client account" });
 
     // Worker ids are derived from rack ids, so unique rack ids imply unique worker ids.
-    std::map<RackId, std::string> owners;
+    std::map<RackId, std::string> zoneNames;
     for (const AvailabilityZoneConfiguration& zone : configuration.zones) {
         const std::string field = fmt::format("zones.{}.racks", zone.id.value());
         for (const RackConfiguration& rack : zone.racks) {
-            const auto [existing, isNew] = owners.emplace(rack.id, zone.id.value());
+            const auto [existing, isNew] = zoneNames.emplace(rack.id, zone.id.value());
             if (!isNew)
                 problems.push_back({ {}, field,
                     fmt::format(
@@ -57,22 +57,22 @@
                 account.acceleratorQuota, guaranteed) });
 }
 
-struct ZoneShapes {
+struct GuaranteedShapes {
     std::vector<int> shapes;
-    std::int64_t total = 0;
+    std::int64_t totalAccelerators = 0;
     std::string text; // shapes by client account, for the problem's reason
 };
 
-ZoneShapes shapesIn(const Configuration& configuration, const AvailabilityZoneId& zone)
+GuaranteedShapes guaranteedShapesOf(const Configuration& configuration, const AvailabilityZoneId& zone)
 {
-    ZoneShapes result;
+    GuaranteedShapes result;
     for (const ClientAccountConfiguration& account : configuration.accounts) {
         for (const GuaranteeConfiguration& guarantee : account.guarantees) {
             if (guarantee.zone != zone)
                 continue;
             result.shapes.insert(
                 result.shapes.end(), static_cast<std::size_t>(guarantee.count), guarantee.accelerators);
-            result.total += std::int64_t { guarantee.accelerators } * guarantee.count;
+            result.totalAccelerators += std::int64_t { guarantee.accelerators } * guarantee.count;
             result.text += fmt::format("{}{}: {} x {}", result.text.empty() ? "" : ", ", account.id.value(),
                 guarantee.count, guarantee.accelerators);
         }
@@ -83,28 +83,28 @@
 void checkGuaranteesFit(const Configuration& configuration, const AvailabilityZoneConfiguration& zone,
     ConfigurationProblems& problems)
 {
-    const ZoneShapes wanted = shapesIn(configuration, zone.id);
-    std::vector<int> room;
+    const GuaranteedShapes guaranteed = guaranteedShapesOf(configuration, zone.id);
+    std::vector<int> rackCapacities;
     for (const RackConfiguration& rack : zone.racks) {
         int accelerators = 0;
         for (const WorkerConfiguration& worker : rack.workers)
             accelerators += worker.accelerators;
-        room.push_back(accelerators);
+        rackCapacities.push_back(accelerators);
     }
-    if (!packShapes(room, wanted.shapes))
+    if (!packShapes(rackCapacities, guaranteed.shapes))
         problems.push_back({ {}, fmt::format("zones.{}.racks", zone.id.value()),
             fmt::format(
                 "the guarantees of the zone ({}) do not fit its racks at the same time; add racks or lower "
                 "the guarantees",
-                wanted.text) });
+                guaranteed.text) });
 
     const int capacity = lessonHoursCapacity(zone);
-    if (!zone.room.lessonHours.empty() && wanted.total > capacity)
+    if (!zone.room.lessonHours.empty() && guaranteed.totalAccelerators > capacity)
         problems.push_back({ {}, fmt::format("zones.{}.room.limit_db", zone.id.value()),
             fmt::format(
                 "in lesson hours the room allows {} active accelerators at {} dB, and the guarantees of "
                 "the zone ({}) need {}",
-                capacity, zone.room.limitDb, wanted.text, wanted.total) });
+                capacity, zone.room.limitDb, guaranteed.text, guaranteed.totalAccelerators) });
 }
 
 } // namespace
--- a/src/configuration/configuration_document.cpp
+++ b/src/configuration/configuration_document.cpp
@@ -17,10 +17,10 @@
 constexpr int maxWorkersPerRack = 64;
 constexpr int maxCores = 4'096;
 constexpr int maxMemoryGb = 65'536;
-constexpr int maxSlots = 4'096;
-constexpr int maxConnections = 65'536;
+constexpr int maxSlotsPerEndpoint = 4'096;
+constexpr int maxConnectionsPerEndpoint = 65'536;
 constexpr int maxPriority = 9;
-constexpr int maxQuota = 1'000'000;
+constexpr int maxAcceleratorQuota = 1'000'000;
 constexpr int maxGuaranteeCount = 1'000;
 constexpr double maxDb = 200;
 constexpr double maxShare = 1'000'000;
@@ -43,7 +43,7 @@
 void checkName(DocumentReader& reader, const std::string& name)
 {
     if (!isValidName(name))
-        reader.problem(name, nameRule);
+        reader.addProblem(name, nameRule);
 }
 
 class DocumentDecoder {
@@ -84,27 +84,27 @@
         room.finish();
     }
 
-    static WorkerConfiguration readWorker(DocumentReader& reader, const WorkerConfiguration& fallback)
+    static WorkerConfiguration readWorker(DocumentReader& reader, const WorkerConfiguration& defaultValue)
     {
-        WorkerConfiguration worker = fallback;
-        const NoiseProfile& noise = fallback.noise;
-        worker.cores = reader.integer("cores", 0, maxCores, fallback.cores);
-        worker.memoryGb = reader.integer("memory_gb", 0, maxMemoryGb, fallback.memoryGb);
+        WorkerConfiguration worker = defaultValue;
+        const NoiseProfile& noise = defaultValue.noise;
+        worker.cores = reader.integer("cores", 0, maxCores, defaultValue.cores);
+        worker.memoryGb = reader.integer("memory_gb", 0, maxMemoryGb, defaultValue.memoryGb);
         worker.accelerators
-            = reader.integer("accelerators", 0, maxAcceleratorsPerWorker, fallback.accelerators);
+            = reader.integer("accelerators", 0, maxAcceleratorsPerWorker, defaultValue.accelerators);
         worker.noise.idleDb = reader.number("idle_db", 0, maxDb, noise.idleDb);
         worker.noise.acceleratorDb = reader.number("accelerator_db", 0, maxDb, noise.acceleratorDb);
         worker.noise.throttledAcceleratorDb
             = reader.number("throttled_accelerator_db", 0, maxDb, noise.throttledAcceleratorDb);
         if (worker.noise.throttledAcceleratorDb > worker.noise.acceleratorDb)
-            reader.problem("throttled_accelerator_db", "must not be above accelerator_db");
+            reader.addProblem("throttled_accelerator_db", "must not be above accelerator_db");
         return worker;
     }
 
-    static RoomConfiguration readRoom(DocumentReader& reader, const RoomConfiguration& fallback)
+    static RoomConfiguration readRoom(DocumentReader& reader, const RoomConfiguration& defaultValue)
     {
-        RoomConfiguration room = fallback;
-        room.limitDb = reader.number("limit_db", 0, maxDb, fallback.limitDb);
+        RoomConfiguration room = defaultValue;
+        room.limitDb = reader.number("limit_db", 0, maxDb, defaultValue.limitDb);
         if (!reader.has("lesson_hours"))
             return room;
         room.lessonHours.clear();
@@ -112,7 +112,7 @@
             const auto parsed = item.is_string() ? parseLessonHours(item.get_ref<const std::string&>())
                                                  : tl::unexpected(std::string("must contain only strings"));
             if (!parsed) {
-                reader.problem("lesson_hours", parsed.error());
+                reader.addProblem("lesson_hours", parsed.error());
                 continue;
             }
             room.lessonHours.insert(room.lessonHours.end(), parsed->begin(), parsed->end());
@@ -135,7 +135,7 @@
         zone.room = readRoom(room, m_defaultRoom);
         room.finish();
         readRacks(reader, zone);
-        readWorkerDifferences(reader, zone);
+        readWorkerOverrides(reader, zone);
         reader.finish();
         return zone;
     }
@@ -149,7 +149,7 @@
             RackConfiguration rack;
             rack.id = RackId(reader.text("id"));
             if (!isValidName(rack.id.value()))
-                reader.problem("id", nameRule);
+                reader.addProblem("id", nameRule);
             const int count = reader.integer("workers", 1, maxWorkersPerRack);
             for (int number = 1; number <= count; ++number) {
                 WorkerConfiguration worker = m_defaultWorker;
@@ -161,17 +161,17 @@
             zone.racks.push_back(std::move(rack));
         }
         if (zone.racks.empty())
-            zoneReader.problem("racks", "needs at least one rack");
+            zoneReader.addProblem("racks", "needs at least one rack");
     }
 
     // Applies the fields of zones.<zone>.workers.<worker>, which override the defaults for one worker.
-    void readWorkerDifferences(DocumentReader& zoneReader, AvailabilityZoneConfiguration& zone)
+    void readWorkerOverrides(DocumentReader& zoneReader, AvailabilityZoneConfiguration& zone)
     {
         for (const auto& [name, table] : zoneReader.table("workers").items()) {
             DocumentReader reader(table, zoneReader.pathOf("workers") + "." + name, m_problems);
             WorkerConfiguration* worker = findWorker(zone, name);
             if (!worker) {
-                zoneReader.problem("workers." + name, "no rack of the zone has this worker");
+                zoneReader.addProblem("workers." + name, "no rack of the zone has this worker");
                 continue;
             }
             *worker = readWorker(reader, *worker);
@@ -198,13 +198,14 @@
 
         ServiceConfiguration service;
         service.id = ServiceId(name);
-        service.slotsPerEndpoint = reader.integer("slots_per_endpoint", 1, maxSlots);
-        service.connectionsPerEndpoint = reader.integer("connections_per_endpoint", 1, maxConnections);
+        service.slotsPerEndpoint = reader.integer("slots_per_endpoint", 1, maxSlotsPerEndpoint);
+        service.connectionsPerEndpoint
+            = reader.integer("connections_per_endpoint", 1, maxConnectionsPerEndpoint);
         for (const auto& [operationName, operationTable] : reader.table("operations").items()) {
             DocumentReader operationReader(
                 operationTable, reader.pathOf("operations") + "." + operationName, m_problems);
             if (!isValidName(operationName))
-                operationReader.problem("", nameRule);
+                operationReader.addProblem("", nameRule);
             OperationConfiguration operation;
             operation.name = operationName;
             operation.idempotent = operationReader.boolean("idempotent");
@@ -215,7 +216,7 @@
             service.operations.push_back(std::move(operation));
         }
         if (service.operations.empty())
-            reader.problem("operations", "needs at least one operation");
+            reader.addProblem("operations", "needs at least one operation");
         reader.finish();
         return service;
     }
@@ -230,7 +231,7 @@
         ClientAccountConfiguration account;
         account.id = ClientAccountId(name);
         account.share = reader.number("share", minShare, maxShare, 1.0);
-        account.acceleratorQuota = reader.integer("accelerator_quota", 0, maxQuota);
+        account.acceleratorQuota = reader.integer("accelerator_quota", 0, maxAcceleratorQuota);
         std::size_t index = 0;
         for (const Json& item : reader.array("guarantees")) {
             const std::string path = fmt::format("{}[{}]", reader.pathOf("guarantees"), index++);
--- a/src/configuration/configuration_manager.cpp
+++ b/src/configuration/configuration_manager.cpp
@@ -18,12 +18,12 @@
 // peer that does not accept the version, for example because its earlier release cannot read the document. A
 // version that is found by a poll 1 s after its commit is then in force 2.5 s after the commit; the required
 // bound is 3 s.
-constexpr Milliseconds maxHold { 1'500 };
+constexpr Milliseconds maxPendingTime { 1'500 };
 // A peer that is running sends a heartbeat within the heartbeat timeout after this daemon's start. Until
 // then, a peer without a heartbeat does not count as down.
-constexpr Milliseconds settleTime { 2'000 };
+constexpr Milliseconds peerDiscoveryTime { 2'000 };
 constexpr Milliseconds submissionTimeout { 10'000 };
-constexpr Milliseconds retryInterval { 200 };
+constexpr Milliseconds submissionRetryDelay { 200 };
 constexpr std::size_t maxSubmissions = 32;
 constexpr std::size_t maxDifferencesShown = 10;
 // The refusal of a conflicting change needs the document on which the change is based. At 20,000 changes a
@@ -35,7 +35,7 @@
 
 std::string historyKey(ConfigurationVersion version) { return fmt::format("config/history/{}", version); }
 
-nlohmann::json parsed(const std::string& text) { return nlohmann::json::parse(text, nullptr, false); }
+nlohmann::json parseJson(const std::string& text) { return nlohmann::json::parse(text, nullptr, false); }
 
 } // namespace
 
@@ -64,7 +64,7 @@
     return hasReadyNeighbour;
 }
 
-void ConfigurationManager::read(Purpose purpose, TableRead request, Step& step)
+void ConfigurationManager::pollTable(Purpose purpose, TableRead request, Step& step)
 {
     m_pollPurpose = purpose;
     m_pollSequence = ++m_lastSequence;
@@ -73,9 +73,9 @@
 
 bool ConfigurationManager::handle(const Started&, Step& step)
 {
-    m_settledAt = step.now + settleTime;
+    m_peerDiscoveryEnd = step.now + peerDiscoveryTime;
     m_nextPoll = step.now + pollInterval;
-    read(Purpose::ReadCurrent, { { currentKey }, {} }, step);
+    pollTable(Purpose::ReadCurrent, { { currentKey }, {} }, step);
     return false;
 }
 
@@ -85,22 +85,22 @@
         m_nextPoll = step.now + pollInterval;
         // Until the first successful read, reads the document directly instead of only the version.
         if (m_hasReadTable)
-            read(Purpose::PollVersion, { { versionKey }, {} }, step);
+            pollTable(Purpose::PollVersion, { { versionKey }, {} }, step);
         else
-            read(Purpose::ReadCurrent, { { currentKey }, {} }, step);
+            pollTable(Purpose::ReadCurrent, { { currentKey }, {} }, step);
     }
-    if (!m_submissions.empty() && m_submissions.front().isWaiting
+    if (!m_submissions.empty() && m_submissions.front().isWaitingForRetry
         && step.now >= m_submissions.front().retryAt)
         readForSubmission(step);
-    return putInForceIfHeld(step);
+    return adoptPendingIfReplicated(step);
 }
 
-std::optional<ConfigurationManager::CurrentRow> ConfigurationManager::currentRow(const TableReply& reply)
+std::optional<ConfigurationManager::CurrentRow> ConfigurationManager::parseCurrentRow(const TableReply& reply)
 {
     const TableRow* row = findPresentRow(reply, currentKey);
     if (!row)
         return CurrentRow {};
-    const nlohmann::json value = parsed(row->value);
+    const nlohmann::json value = parseJson(row->value);
     const bool isWellFormed = value.is_object() && value.contains("version")
         && value["version"].is_number_unsigned() && value.contains("nonce") && value["nonce"].is_string()
         && value.contains("document");
@@ -110,7 +110,8 @@
         value["nonce"].get<std::string>(), value["document"].dump() };
 }
 
-void ConfigurationManager::learn(ConfigurationVersion version, const std::string& document, Step& step)
+void ConfigurationManager::recordRevision(
+    ConfigurationVersion version, const std::string& document, Step& step)
 {
     if (version <= knownVersion())
         return;
@@ -133,19 +134,19 @@
     step.record("configuration.learned", { { "version", std::to_string(version) } });
 }
 
-bool ConfigurationManager::learnRow(const CurrentRow& row, Step& step)
+bool ConfigurationManager::recordCurrentRow(const CurrentRow& row, Step& step)
 {
     if (row.version > knownVersion()) {
-        learn(row.version, row.document, step);
+        recordRevision(row.version, row.document, step);
         // The daemon that committed the version may have stopped before it pushed the version to its peers.
         pushToZone(step);
     }
-    return putInForceIfHeld(step);
+    return adoptPendingIfReplicated(step);
 }
 
-bool ConfigurationManager::mayPutInForce(TimePoint now) const
+bool ConfigurationManager::canAdoptPending(TimePoint now) const
 {
-    if (now - m_pendingSince >= maxHold)
+    if (now - m_pendingSince >= maxPendingTime)
         return true;
     bool hasNeighbour = false;
     for (const PeerStatus& peer : m_peers.peers()) {
@@ -153,31 +154,31 @@
             continue;
         if (peer.isReachable && peer.knownConfigurationVersion >= m_pending->version)
             return true;
-        hasNeighbour |= peer.isReachable || now < m_settledAt;
+        hasNeighbour |= peer.isReachable || now < m_peerDiscoveryEnd;
     }
     return !hasNeighbour;
 }
 
-bool ConfigurationManager::putInForceIfHeld(Step& step)
+bool ConfigurationManager::adoptPendingIfReplicated(Step& step)
 {
-    const bool isPutInForce = m_pending && mayPutInForce(step.now);
-    if (isPutInForce) {
+    const bool canAdopt = m_pending && canAdoptPending(step.now);
+    if (canAdopt) {
         m_inForce = std::move(*m_pending);
         m_pending.reset();
         step.record("configuration.adopted", { { "version", std::to_string(version()) } });
         step.emit(ConfigurationAdopted { version() });
     }
     m_isCaughtUp |= m_hasReadTable && !m_pending;
-    answerAccepted(step);
-    return isPutInForce;
+    answerAcceptances(step);
+    return canAdopt;
 }
 
-ConfigurationPush ConfigurationManager::push() const { return { m_known.version, *m_known.document }; }
+ConfigurationPush ConfigurationManager::makePush() const { return { m_known.version, *m_known.document }; }
 
 void ConfigurationManager::pushTo(const HostId& host, Step& step)
 {
     m_lastPush[host] = { knownVersion(), step.now };
-    step.emit(SendToPeer { host, push() });
+    step.emit(SendToPeer { host, makePush() });
 }
 
 void ConfigurationManager::pushToZone(Step& step)
@@ -194,8 +195,8 @@
     const std::uint64_t sequence = event.operation.sequence;
     if (sequence == m_submissionSequence && !m_submissions.empty()) {
         m_submissionSequence = 0;
-        return m_submissionPurpose == Purpose::Commit ? finishCommit(event.reply, step)
-                                                      : continueSubmission(event.reply, step);
+        return m_submissionPurpose == Purpose::Commit ? handleCommitReply(event.reply, step)
+                                                      : handleSubmissionRead(event.reply, step);
     }
     if (sequence != m_pollSequence)
         return false;
@@ -207,22 +208,22 @@
     if (m_pollPurpose == Purpose::PollVersion) {
         const TableRow* row = findRow(event.reply, versionKey);
         if (row && row->value != std::to_string(knownVersion()))
-            read(Purpose::ReadCurrent, { { currentKey }, {} }, step);
+            pollTable(Purpose::ReadCurrent, { { currentKey }, {} }, step);
         return false;
     }
-    const std::optional<CurrentRow> row = currentRow(event.reply);
+    const std::optional<CurrentRow> row = parseCurrentRow(event.reply);
     if (!row) {
         step.record("configuration.unreadable", { { "reason", "row config/current is malformed" } });
         return false;
     }
     m_hasReadTable = true;
-    return learnRow(*row, step);
+    return recordCurrentRow(*row, step);
 }
 
 bool ConfigurationManager::handle(const ConfigurationPush& push, Step& step)
 {
-    learn(push.version, push.document, step);
-    return putInForceIfHeld(step);
+    recordRevision(push.version, push.document, step);
+    return adoptPendingIfReplicated(step);
 }
 
 bool ConfigurationManager::handle(const PeerHeartbeat& heartbeat, Step& step)
@@ -230,11 +231,11 @@
     if (heldConfigurationVersion(heartbeat) < knownVersion()) {
         const auto last = m_lastPush.find(heartbeat.host);
         const bool isRecent = last != m_lastPush.end() && last->second.version == knownVersion()
-            && step.now - last->second.at < pushInterval;
+            && step.now - last->second.sentAt < pushInterval;
         if (!isRecent)
             pushTo(heartbeat.host, step);
     }
-    return putInForceIfHeld(step);
+    return adoptPendingIfReplicated(step);
 }
 
 bool ConfigurationManager::handle(const ConfigurationQueried& event, Step& step)
@@ -278,7 +279,7 @@
 
 void ConfigurationManager::readForSubmission(Step& step)
 {
-    m_submissions.front().isWaiting = false;
+    m_submissions.front().isWaitingForRetry = false;
     m_submissionPurpose = Purpose::ReadForSubmission;
     m_submissionSequence = ++m_lastSequence;
     step.emit(ReadTable { { ModuleId::Configuration, m_submissionSequence }, { { currentKey }, {} } });
@@ -288,8 +289,8 @@
 {
     Submission& submission = m_submissions.front();
     if (step.now < submission.deadline) {
-        submission.isWaiting = true;
-        submission.retryAt = step.now + retryInterval;
+        submission.isWaitingForRetry = true;
+        submission.retryAt = step.now + submissionRetryDelay;
         return;
     }
     if (submission.mayHaveCommitted)
@@ -302,22 +303,22 @@
             { "the table is unavailable; the change was not accepted. Try again later" }, step);
 }
 
-bool ConfigurationManager::continueSubmission(const TableReply& reply, Step& step)
+bool ConfigurationManager::handleSubmissionRead(const TableReply& reply, Step& step)
 {
     if (m_submissionPurpose == Purpose::ReadHistory) {
-        explainConflict(reply, step);
+        refuseAsConflict(reply, step);
         return false;
     }
     if (reply.status != TableStatus::Ok) {
         retrySubmission(step);
         return false;
     }
-    const std::optional<CurrentRow> row = currentRow(reply);
+    const std::optional<CurrentRow> row = parseCurrentRow(reply);
     if (!row) {
         refuseSubmission(RefusalKind::Unavailable, { "row config/current is malformed" }, step);
         return false;
     }
-    const bool hasAdopted = learnRow(*row, step);
+    const bool hasAdopted = recordCurrentRow(*row, step);
     const Submission& submission = m_submissions.front();
     if (row->nonce == submission.nonce) {
         finishSubmission(step);
@@ -340,7 +341,7 @@
     Submission& submission = m_submissions.front();
     submission.newVersion = row.version + 1;
     const nlohmann::json value { { "version", submission.newVersion }, { "nonce", submission.nonce },
-        { "document", parsed(submission.request.document) } };
+        { "document", parseJson(submission.request.document) } };
     submission.value = value.dump();
 
     TableTransaction transaction;
@@ -357,14 +358,14 @@
         ExecuteTransaction { { ModuleId::Configuration, m_submissionSequence }, std::move(transaction) });
 }
 
-bool ConfigurationManager::finishCommit(const TableReply& reply, Step& step)
+bool ConfigurationManager::handleCommitReply(const TableReply& reply, Step& step)
 {
     Submission& submission = m_submissions.front();
     switch (reply.status) {
     case TableStatus::Ok: {
-        learn(submission.newVersion, parsed(submission.request.document).dump(), step);
+        recordRevision(submission.newVersion, parseJson(submission.request.document).dump(), step);
         finishSubmission(step);
-        return putInForceIfHeld(step);
+        return adoptPendingIfReplicated(step);
     }
     case TableStatus::Conflict:
         // Another operator's change was committed first, or an earlier attempt at this change took effect.
@@ -387,17 +388,17 @@
 {
     const Submission& submission = m_submissions.front();
     step.record("configuration.committed", { { "version", std::to_string(submission.newVersion) } });
-    m_acceptances.push_back({ submission.request.caller, submission.newVersion, step.now + maxHold });
+    m_acceptances.push_back({ submission.request.caller, submission.newVersion, step.now + maxPendingTime });
     // If a later version is already known, the peers receive the later version.
-    step.emit(SendToAllPeers { push() });
+    step.emit(SendToAllPeers { makePush() });
     m_submissions.pop_front();
-    answerAccepted(step);
+    answerAcceptances(step);
     startNextSubmission(step);
 }
 
 // Answers each operator whose change is in force on this daemon. By then a reachable neighbour normally holds
 // the change too, and passes it on if this daemon dies while the table is unreachable.
-void ConfigurationManager::answerAccepted(Step& step)
+void ConfigurationManager::answerAcceptances(Step& step)
 {
     std::erase_if(m_acceptances, [&](const Acceptance& acceptance) {
         // A change that was replaced by a later version that this release cannot read may never come into
@@ -416,7 +417,7 @@
     startNextSubmission(step);
 }
 
-void ConfigurationManager::explainConflict(const TableReply& reply, Step& step)
+void ConfigurationManager::refuseAsConflict(const TableReply& reply, Step& step)
 {
     const Submission& submission = m_submissions.front();
     const ConfigurationVersion expected = submission.request.expectedVersion;
@@ -425,8 +426,8 @@
         expected) };
     const TableRow* row = findRow(reply, historyKey(expected));
     if (row) {
-        for (const std::string& difference :
-            describeDifferences(parsed(row->value), parsed(m_conflictingRow->document), maxDifferencesShown))
+        for (const std::string& difference : describeDifferences(
+                 parseJson(row->value), parseJson(m_conflictingRow->document), maxDifferencesShown))
             reasons.push_back("changed since: " + difference);
     }
     reasons.emplace_back(
--- a/src/configuration/configuration_manager.h
+++ b/src/configuration/configuration_manager.h
@@ -18,7 +18,7 @@
 // A known version does not come into force at once. A daemon that dies loses the version, and would become
 // ready with an older version of a neighbour if it restarts while the table is unreachable. A version
 // therefore waits until a peer of the zone holds it too. It does not wait if no peer of the zone is
-// reachable, and waits at most for maxHold.
+// reachable, and waits at most for maxPendingTime.
 //
 // Table rows: "config/version" holds only the version number, so that polls stay small; "config/current"
 // holds version, nonce and document; "config/history/<version>" keeps old documents, so that the refusal of a
@@ -61,8 +61,8 @@
         ConfigurationVersion newVersion = 0;
         TimePoint deadline;
         bool mayHaveCommitted = false;
-        TimePoint retryAt; // valid while isWaiting is set
-        bool isWaiting = false;
+        TimePoint retryAt; // valid while isWaitingForRetry is set
+        bool isWaitingForRetry = false;
     };
 
     struct Revision {
@@ -80,7 +80,7 @@
 
     struct Push {
         ConfigurationVersion version = 0;
-        TimePoint at;
+        TimePoint sentAt;
     };
 
     struct CurrentRow {
@@ -90,28 +90,28 @@
         std::string document;
     };
 
-    static std::optional<CurrentRow> currentRow(const TableReply&);
+    static std::optional<CurrentRow> parseCurrentRow(const TableReply&);
 
-    void read(Purpose, TableRead, Step&);
-    void learn(ConfigurationVersion, const std::string& document, Step&);
-    bool learnRow(const CurrentRow&, Step&);
-    bool putInForceIfHeld(Step&);
-    bool mayPutInForce(TimePoint now) const;
-    ConfigurationPush push() const;
+    void pollTable(Purpose, TableRead, Step&);
+    void recordRevision(ConfigurationVersion, const std::string& document, Step&);
+    bool recordCurrentRow(const CurrentRow&, Step&);
+    bool adoptPendingIfReplicated(Step&);
+    bool canAdoptPending(TimePoint now) const;
+    ConfigurationPush makePush() const;
     void pushToZone(Step&);
     void pushTo(const HostId&, Step&);
 
     // Submissions are processed one at a time, in order of arrival.
     void startNextSubmission(Step&);
     void readForSubmission(Step&);
-    bool continueSubmission(const TableReply&, Step&);
+    bool handleSubmissionRead(const TableReply&, Step&);
     void commit(const CurrentRow&, Step&);
-    bool finishCommit(const TableReply&, Step&);
+    bool handleCommitReply(const TableReply&, Step&);
     void retrySubmission(Step&);
     void finishSubmission(Step&);
-    void answerAccepted(Step&);
+    void answerAcceptances(Step&);
     void refuseSubmission(RefusalKind, std::vector<std::string> reasons, Step&);
-    void explainConflict(const TableReply&, Step&);
+    void refuseAsConflict(const TableReply&, Step&);
 
     const DaemonSettings& m_settings;
     const PeerDirectory& m_peers;
@@ -119,7 +119,7 @@
     Revision m_known;
     std::optional<Revision> m_pending; // readable revision that waits to be put in force
     TimePoint m_pendingSince {}; // start of the wait; unchanged if a higher version replaces the pending one
-    TimePoint m_settledAt {}; // until then, a peer without a heartbeat may still be up
+    TimePoint m_peerDiscoveryEnd {}; // until then, a peer without a heartbeat may still be up
     std::optional<CurrentRow> m_conflictingRow;
 
     std::uint64_t m_lastSequence = 0;
--- a/src/configuration/declaration.cpp
+++ b/src/configuration/declaration.cpp
@@ -11,7 +11,7 @@
 
 using Json = nlohmann::json;
 
-std::string joined(const std::string& parent, const std::string& key)
+std::string joinPath(const std::string& parent, const std::string& key)
 {
     return parent.empty() ? key : parent + "." + key;
 }
@@ -67,14 +67,14 @@
     if (!value.is_object())
         return;
     for (const auto& [key, item] : value.items())
-        recordOrigins(declaration, item, joined(path, key), file);
+        recordOrigins(declaration, item, joinPath(path, key), file);
 }
 
 void mergeInto(Declaration& declaration, Json& target, const Json& overlay, const std::string& path,
     const std::string& file)
 {
     for (const auto& [key, value] : overlay.items()) {
-        const std::string field = joined(path, key);
+        const std::string field = joinPath(path, key);
         const auto existing = target.find(key);
         if (existing != target.end() && existing->is_object() && value.is_object()) {
             mergeInto(declaration, *existing, value, field, file);
@@ -88,10 +88,11 @@
 }
 
 // An overlay of one availability zone must not change another zone, a client account or a service.
-ConfigurationProblems fieldsOutsideSite(const Json& overlay, const std::string& site, const std::string& file)
+ConfigurationProblems fieldsOutsideZone(
+    const Json& overlay, const std::string& overlayZone, const std::string& file)
 {
     ConfigurationProblems problems;
-    const std::string reason = fmt::format("an overlay may set fields below \"zones.{}\" only", site);
+    const std::string reason = fmt::format("an overlay may set fields below \"zones.{}\" only", overlayZone);
     for (const auto& [key, value] : overlay.items()) {
         if (key != "zones") {
             problems.push_back({ file, key, reason });
@@ -102,7 +103,7 @@
             continue;
         }
         for (const auto& [zone, fields] : value.items()) {
-            if (zone != site)
+            if (zone != overlayZone)
                 problems.push_back({ file, "zones." + zone, reason });
         }
     }
@@ -135,7 +136,7 @@
         const auto old = before->find(key);
         const auto current = after->find(key);
         collectDifferences(old == before->end() ? nullptr : &*old,
-            current == after->end() ? nullptr : &*current, joined(path, key), limit, result);
+            current == after->end() ? nullptr : &*current, joinPath(path, key), limit, result);
     }
 }
 
@@ -148,10 +149,10 @@
         const auto found = origins.find(path);
         if (found != origins.end())
             return found->second;
-        const std::size_t cut = path.find_last_of(".[");
-        if (cut == std::string::npos)
+        const std::size_t separator = path.find_last_of(".[");
+        if (separator == std::string::npos)
             break;
-        path.resize(cut);
+        path.resize(separator);
     }
     const auto root = origins.find("");
     return root == origins.end() ? std::string() : root->second;
@@ -175,15 +176,16 @@
             problems.push_back(parsed.error());
             continue;
         }
-        const std::string site = std::filesystem::path(overlay.file).stem().string();
-        const ConfigurationProblems outside = fieldsOutsideSite(*parsed, site, overlay.file);
+        const std::string overlayZone = std::filesystem::path(overlay.file).stem().string();
+        const ConfigurationProblems outside = fieldsOutsideZone(*parsed, overlayZone, overlay.file);
         problems.insert(problems.end(), outside.begin(), outside.end());
         const bool isKnown = declaration.document.contains("zones")
-            && declaration.document["zones"].is_object() && declaration.document["zones"].contains(site);
+            && declaration.document["zones"].is_object()
+            && declaration.document["zones"].contains(overlayZone);
         if (!isKnown)
             problems.push_back({ overlay.file, {},
                 fmt::format(
-                    "the base file has no zone \"{}\"; name the overlay file after its zone", site) });
+                    "the base file has no zone \"{}\"; name the overlay file after its zone", overlayZone) });
         if (outside.empty() && isKnown)
             mergeInto(declaration, declaration.document, *parsed, "", overlay.file);
     }
--- a/src/configuration/document_reader.cpp
+++ b/src/configuration/document_reader.cpp
@@ -27,14 +27,14 @@
     return m_path.empty() ? key : m_path + "." + key;
 }
 
-void DocumentReader::problem(const std::string& key, std::string reason)
+void DocumentReader::addProblem(const std::string& key, std::string reason)
 {
     m_problems.push_back({ {}, pathOf(key), std::move(reason) });
 }
 
 const nlohmann::json* DocumentReader::find(const std::string& key)
 {
-    m_read.insert(key);
+    m_readKeys.insert(key);
     const auto found = m_table.find(key);
     return found == m_table.end() ? nullptr : &*found;
 }
@@ -43,73 +43,73 @@
 {
     const nlohmann::json* value = find(key);
     if (!value && !isOptional)
-        problem(key, "is required");
+        addProblem(key, "is required");
     return value;
 }
 
 bool DocumentReader::has(const std::string& key) { return find(key); }
 
-std::string DocumentReader::text(const std::string& key, const std::optional<std::string>& fallback)
+std::string DocumentReader::text(const std::string& key, const std::optional<std::string>& defaultValue)
 {
-    const nlohmann::json* value = find(key, fallback.has_value());
+    const nlohmann::json* value = find(key, defaultValue.has_value());
     if (value && value->is_string())
         return value->get<std::string>();
     if (value)
-        problem(key, "must be a string");
-    return fallback.value_or(std::string());
+        addProblem(key, "must be a string");
+    return defaultValue.value_or(std::string());
 }
 
-int DocumentReader::integer(const std::string& key, int minimum, int maximum, std::optional<int> fallback)
+int DocumentReader::integer(const std::string& key, int minimum, int maximum, std::optional<int> defaultValue)
 {
-    const nlohmann::json* value = find(key, fallback.has_value());
+    const nlohmann::json* value = find(key, defaultValue.has_value());
     if (!value)
-        return fallback.value_or(minimum);
+        return defaultValue.value_or(minimum);
     const bool isInRange = value->is_number_integer() && value->get<std::int64_t>() >= minimum
         && value->get<std::int64_t>() <= maximum;
     if (isInRange)
         return value->get<int>();
-    problem(
+    addProblem(
         key, fmt::format("must be a whole number from {} to {}, not {}", minimum, maximum, value->dump()));
-    return fallback.value_or(minimum);
+    return defaultValue.value_or(minimum);
 }
 
 double DocumentReader::number(
-    const std::string& key, double minimum, double maximum, std::optional<double> fallback)
+    const std::string& key, double minimum, double maximum, std::optional<double> defaultValue)
 {
-    const nlohmann::json* value = find(key, fallback.has_value());
+    const nlohmann::json* value = find(key, defaultValue.has_value());
     if (!value)
-        return fallback.value_or(minimum);
+        return defaultValue.value_or(minimum);
     // TOML can express NaN, for which the comparison is false.
     if (value->is_number() && value->get<double>() >= minimum && value->get<double>() <= maximum)
         return value->get<double>();
-    problem(key, fmt::format("must be a number from {} to {}, not {}", minimum, maximum, value->dump()));
-    return fallback.value_or(minimum);
+    addProblem(key, fmt::format("must be a number from {} to {}, not {}", minimum, maximum, value->dump()));
+    return defaultValue.value_or(minimum);
 }
 
-bool DocumentReader::boolean(const std::string& key, std::optional<bool> fallback)
+bool DocumentReader::boolean(const std::string& key, std::optional<bool> defaultValue)
 {
-    const nlohmann::json* value = find(key, fallback.has_value());
+    const nlohmann::json* value = find(key, defaultValue.has_value());
     if (value && value->is_boolean())
         return value->get<bool>();
     if (value)
-        problem(key, "must be true or false");
-    return fallback.value_or(false);
+        addProblem(key, "must be true or false");
+    return defaultValue.value_or(false);
 }
 
-Milliseconds DocumentReader::duration(
-    const std::string& key, Milliseconds minimum, Milliseconds maximum, std::optional<Milliseconds> fallback)
+Milliseconds DocumentReader::duration(const std::string& key, Milliseconds minimum, Milliseconds maximum,
+    std::optional<Milliseconds> defaultValue)
 {
-    const nlohmann::json* value = find(key, fallback.has_value());
+    const nlohmann::json* value = find(key, defaultValue.has_value());
     if (!value)
-        return fallback.value_or(minimum);
+        return defaultValue.value_or(minimum);
     const std::optional<Milliseconds> parsed
         = value->is_string() ? parseDuration(value->get_ref<const std::string&>()) : std::nullopt;
     if (!parsed) {
-        problem(key, R"(must be a string with a unit, such as "800ms", "2s", "5m" or "1h")");
-        return fallback.value_or(minimum);
+        addProblem(key, R"(must be a string with a unit, such as "800ms", "2s", "5m" or "1h")");
+        return defaultValue.value_or(minimum);
     }
     if (*parsed < minimum || *parsed > maximum)
-        problem(key, fmt::format("must be from {} ms to {} ms", minimum.count(), maximum.count()));
+        addProblem(key, fmt::format("must be from {} ms to {} ms", minimum.count(), maximum.count()));
     return *parsed;
 }
 
@@ -120,7 +120,7 @@
         return emptyTable;
     if (value->is_object())
         return *value;
-    problem(key, "must be a table");
+    addProblem(key, "must be a table");
     return emptyTable;
 }
 
@@ -131,15 +131,15 @@
         return emptyArray;
     if (value->is_array())
         return *value;
-    problem(key, "must be an array");
+    addProblem(key, "must be an array");
     return emptyArray;
 }
 
 void DocumentReader::finish()
 {
     for (const auto& [key, value] : m_table.items()) {
-        if (!m_read.contains(key))
-            problem(key, "is not a known field");
+        if (!m_readKeys.contains(key))
+            addProblem(key, "is not a known field");
     }
 }
 
--- a/src/configuration/document_reader.h
+++ b/src/configuration/document_reader.h
@@ -18,16 +18,16 @@
 
     bool has(const std::string& key);
 
-    // Each returns the fallback if the field is absent, and reports a problem if there is no fallback. A
-    // field of another type or out of range is reported as a problem too.
-    std::string text(const std::string& key, const std::optional<std::string>& fallback = {});
-    int integer(const std::string& key, int minimum, int maximum, std::optional<int> fallback = {});
+    // Each returns the defaultValue if the field is absent, and reports a problem if there is no
+    // defaultValue. A field of another type or out of range is reported as a problem too.
+    std::string text(const std::string& key, const std::optional<std::string>& defaultValue = {});
+    int integer(const std::string& key, int minimum, int maximum, std::optional<int> defaultValue = {});
     double number(
-        const std::string& key, double minimum, double maximum, std::optional<double> fallback = {});
-    bool boolean(const std::string& key, std::optional<bool> fallback = {});
+        const std::string& key, double minimum, double maximum, std::optional<double> defaultValue = {});
+    bool boolean(const std::string& key, std::optional<bool> defaultValue = {});
     // A string with a unit: "800ms", "2s", "5m", "1h".
     Milliseconds duration(const std::string& key, Milliseconds minimum, Milliseconds maximum,
-        std::optional<Milliseconds> fallback = {});
+        std::optional<Milliseconds> defaultValue = {});
 
     // Each returns an empty table or array if the field is absent or of another type. Another type is
     // reported as a problem.
@@ -35,7 +35,7 @@
     const nlohmann::json& array(const std::string& key);
 
     std::string pathOf(const std::string& key) const;
-    void problem(const std::string& key, std::string reason);
+    void addProblem(const std::string& key, std::string reason);
 
     // Reports every field that was not read as unknown.
     void finish();
@@ -48,7 +48,7 @@
     const nlohmann::json& m_table;
     std::string m_path;
     ConfigurationProblems& m_problems;
-    std::set<std::string> m_read;
+    std::set<std::string> m_readKeys;
 };
 
 } // namespace anvilmoor
--- a/test/configuration_document_test.cpp
+++ b/test/configuration_document_test.cpp
@@ -57,7 +57,7 @@
     return text;
 }
 
-std::string replaced(std::string text, const std::string& from, const std::string& to)
+std::string replaceFirst(std::string text, const std::string& from, const std::string& to)
 {
     return text.replace(text.find(from), from.size(), to);
 }
@@ -72,16 +72,16 @@
 class ConfigurationDocumentTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationDocumentTest);
     CPPUNIT_TEST(testValidDeclarationExpandsRacksToWorkers);
-    CPPUNIT_TEST(testMisspelledFieldIsNamedWithFileAndPath);
+    CPPUNIT_TEST(testUnknownFieldIsReportedWithFileAndPath);
     CPPUNIT_TEST(testDurationWithoutUnitIsRefused);
     CPPUNIT_TEST(testOverlayProblemNamesTheOverlay);
-    CPPUNIT_TEST(testOverlayOutsideItsSiteIsRefused);
-    CPPUNIT_TEST(testOverlayRepeatingTheBaseIsWarned);
+    CPPUNIT_TEST(testOverlayOutsideItsZoneIsRefused);
+    CPPUNIT_TEST(testOverlayRepeatingBaseValueGivesWarning);
     CPPUNIT_TEST(testGuaranteesThatDoNotFitAtOnceAreRefused);
     CPPUNIT_TEST(testGuaranteesAboveLessonHoursCapacityAreRefused);
     CPPUNIT_TEST(testQuotaBelowGuaranteesIsRefused);
-    CPPUNIT_TEST(testBrokenTomlIsAProblemNotAnException);
-    CPPUNIT_TEST(testDocumentsOfWrongTypesAreProblemsNotExceptions);
+    CPPUNIT_TEST(testInvalidTomlIsReportedAsProblemWithoutException);
+    CPPUNIT_TEST(testDocumentsOfWrongTypesAreReportedWithoutException);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,15 +96,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 5 }, zone->room.lessonHours.size());
     }
 
-    void testMisspelledFieldIsNamedWithFileAndPath()
+    void testUnknownFieldIsReportedWithFileAndPath()
     {
-        assertContains(problemsOf(replaced(baseText, "accelerator_quota", "acelerator_quota")),
+        assertContains(problemsOf(replaceFirst(baseText, "accelerator_quota", "acelerator_quota")),
             "base.toml: accounts.mill.acelerator_quota: is not a known field");
     }
 
     void testDurationWithoutUnitIsRefused()
     {
-        assertContains(problemsOf(replaced(baseText, "\"2s\"", "2")),
+        assertContains(problemsOf(replaceFirst(baseText, "\"2s\"", "2")),
             "base.toml: services.plan.operations.quote.deadline: must be a string with a unit");
     }
 
@@ -114,13 +114,13 @@
             "site/south.toml: zones.south.room.limit_db: must be a number from 0 to 200");
     }
 
-    void testOverlayOutsideItsSiteIsRefused()
+    void testOverlayOutsideItsZoneIsRefused()
     {
         assertContains(problemsOf(baseText, { { "south.toml", "[zones.north.room]\nlimit_db = 50" } }),
             "south.toml: zones.north: an overlay may set fields below \"zones.south\" only");
     }
 
-    void testOverlayRepeatingTheBaseIsWarned()
+    void testOverlayRepeatingBaseValueGivesWarning()
     {
         const std::vector<DeclarationSource> overlays { { "south.toml", "[zones.south]\nregion = \"r\"" } };
         const auto merged = mergeDeclarations({ "base.toml", baseText }, overlays);
@@ -132,29 +132,29 @@
     void testGuaranteesThatDoNotFitAtOnceAreRefused()
     {
         const std::string text
-            = replaced(baseText, "accelerators = 64, count = 1", "accelerators = 40, count = 3");
+            = replaceFirst(baseText, "accelerators = 64, count = 1", "accelerators = 40, count = 3");
         assertContains(
             problemsOf(text), "base.toml: zones.north.racks: the guarantees of the zone (mill: 3 x 40)");
     }
 
     void testGuaranteesAboveLessonHoursCapacityAreRefused()
     {
-        assertContains(problemsOf(replaced(baseText, "limit_db = 62.0", "limit_db = 50.0")),
+        assertContains(problemsOf(replaceFirst(baseText, "limit_db = 62.0", "limit_db = 50.0")),
             "zones.north.room.limit_db: in lesson hours the room allows");
     }
 
     void testQuotaBelowGuaranteesIsRefused()
     {
-        assertContains(problemsOf(replaced(baseText, "accelerator_quota = 128", "accelerator_quota = 8")),
+        assertContains(problemsOf(replaceFirst(baseText, "accelerator_quota = 128", "accelerator_quota = 8")),
             "accounts.mill.accelerator_quota: is 8, below the 64");
     }
 
-    void testBrokenTomlIsAProblemNotAnException()
+    void testInvalidTomlIsReportedAsProblemWithoutException()
     {
         assertContains(problemsOf("deployment = \"x"), "base.toml: not valid TOML");
     }
 
-    void testDocumentsOfWrongTypesAreProblemsNotExceptions()
+    void testDocumentsOfWrongTypesAreReportedWithoutException()
     {
         const char* documents[] = { "", "[]", "3", R"({"zones":[1]})", R"({"zones":{"a":4}})",
             R"({"services":{"s":{"operations":{"o":[]}}}})", R"({"accounts":{"a":{"guarantees":[7]}}})",
--- a/test/configuration_lookup_test.cpp
+++ b/test/configuration_lookup_test.cpp
@@ -13,12 +13,12 @@
 
 class ConfigurationLookupTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationLookupTest);
-    CPPUNIT_TEST(testOperationOfServiceByNameIsFound);
+    CPPUNIT_TEST(testOperationIsFoundByName);
     CPPUNIT_TEST(testUnknownServiceIsNull);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void testOperationOfServiceByNameIsFound()
+    void testOperationIsFoundByName()
     {
         ServiceConfiguration service;
         service.operations.push_back({ "rush-quote", true, 5, Milliseconds(2'000) });
--- a/test/configuration_manager_test.cpp
+++ b/test/configuration_manager_test.cpp
@@ -17,9 +17,9 @@
 enum class TableFault { None, Unavailable, ReplyLost, WriteAndReplyLost };
 
 // A configuration manager that uses a shared table. Only advance() moves the time.
-class Operator {
+class TestDaemon {
 public:
-    Operator(standin::TableStore& table, const std::string& host)
+    TestDaemon(standin::TableStore& table, const std::string& host)
         : m_table(table)
         , m_settings { HostId(host), AvailabilityZoneId("north"),
             { { HostId("neighbour"), AvailabilityZoneId("north") },
@@ -56,7 +56,7 @@
             else if (const auto* transaction = std::get_if<ExecuteTransaction>(&effect))
                 apply(TableReplied { transaction->operation, execute(transaction->transaction, fault) });
             else
-                seen.push_back(std::move(effect));
+                otherEffects.push_back(std::move(effect));
         }
     }
 
@@ -75,7 +75,7 @@
 
     std::optional<Refusal> refusal() const
     {
-        for (const Effect& effect : seen) {
+        for (const Effect& effect : otherEffects) {
             const auto* answer = std::get_if<AnswerOperator>(&effect);
             if (answer && std::holds_alternative<Refusal>(answer->answer))
                 return std::get<Refusal>(answer->answer);
@@ -85,7 +85,7 @@
 
     std::optional<ConfigurationVersion> acceptedVersion() const
     {
-        for (const Effect& effect : seen) {
+        for (const Effect& effect : otherEffects) {
             const auto* answer = std::get_if<AnswerOperator>(&effect);
             if (answer && std::holds_alternative<ConfigurationAnswer>(answer->answer))
                 return std::get<ConfigurationAnswer>(answer->answer).version;
@@ -95,7 +95,7 @@
 
     template <typename EffectType> std::size_t count() const
     {
-        return static_cast<std::size_t>(std::count_if(seen.begin(), seen.end(),
+        return static_cast<std::size_t>(std::count_if(otherEffects.begin(), otherEffects.end(),
             [](const Effect& effect) { return std::holds_alternative<EffectType>(effect); }));
     }
 
@@ -119,7 +119,7 @@
 public:
     PeerRegistry peers;
     ConfigurationManager manager;
-    std::vector<Effect> seen;
+    std::vector<Effect> otherEffects;
 };
 
 std::string documentWithLimit(double limit)
@@ -134,25 +134,25 @@
 class ConfigurationManagerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationManagerTest);
     CPPUNIT_TEST(testAcceptedChangeIsPushedAndAdopted);
-    CPPUNIT_TEST(testSecondOfTwoRacingOperatorsHearsWhatChanged);
+    CPPUNIT_TEST(testSecondOfTwoConcurrentChangesIsRefusedWithDifferences);
     CPPUNIT_TEST(testLostReplyAfterCommitIsAcceptedOnce);
-    CPPUNIT_TEST(testLostWriteIsTriedAgain);
-    CPPUNIT_TEST(testTableDownIsUnavailableNotUnknown);
+    CPPUNIT_TEST(testLostWriteIsRetried);
+    CPPUNIT_TEST(testUnavailableTableRefusesChangeAsUnavailableNotUnknown);
     CPPUNIT_TEST(testLowerVersionFromStalePeerIsIgnored);
-    CPPUNIT_TEST(testPeerBehindGetsOnePushAtATime);
-    CPPUNIT_TEST(testDaemonWithoutTableIsReadyOnlyWithNeighbour);
+    CPPUNIT_TEST(testPeerWithLowerVersionGetsOnePushPerInterval);
+    CPPUNIT_TEST(testDaemonWithoutTableIsReadyOnlyWithReadyNeighbour);
     CPPUNIT_TEST(testInvalidDocumentIsRefusedWithField);
     CPPUNIT_TEST(testVersionWaitsUntilNeighbourHoldsIt);
-    CPPUNIT_TEST(testVersionOfTableWaitsAfterStart);
-    CPPUNIT_TEST(testNeighbourThatTakesNoVersionHoldsItUpForABoundedTime);
+    CPPUNIT_TEST(testVersionFromTableWaitsForNeighbourAfterStart);
+    CPPUNIT_TEST(testNeighbourThatAcceptsNoVersionDelaysItForBoundedTime);
     CPPUNIT_TEST(testUnreadableVersionIsKeptForPeers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void testAcceptedChangeIsPushedAndAdopted()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
         daemon.run();
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 1 }, daemon.acceptedVersion().value_or(0));
@@ -162,15 +162,15 @@
 
     // Guards against a lost update: both changes are based on version 1, and the second must not overwrite
     // the first.
-    void testSecondOfTwoRacingOperatorsHearsWhatChanged()
+    void testSecondOfTwoConcurrentChangesIsRefusedWithDifferences()
     {
-        auto firstOwner = started();
-        Operator& first = *firstOwner;
-        auto secondOwner = started();
-        Operator& second = *secondOwner;
+        auto firstOwner = startDaemon();
+        TestDaemon& first = *firstOwner;
+        auto secondOwner = startDaemon();
+        TestDaemon& second = *secondOwner;
         first.apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
         first.run();
-        first.seen.clear();
+        first.otherEffects.clear();
 
         first.apply(ConfigurationSubmitted { 2, documentWithLimit(60), 1 });
         second.apply(ConfigurationSubmitted { 3, documentWithLimit(61), 1 });
@@ -187,8 +187,8 @@
 
     void testLostReplyAfterCommitIsAcceptedOnce()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
         daemon.run(TableFault::ReplyLost);
         daemon.advance(Milliseconds(300));
@@ -198,10 +198,10 @@
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 1 }, daemon.manager.version());
     }
 
-    void testLostWriteIsTriedAgain()
+    void testLostWriteIsRetried()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
         daemon.run(TableFault::WriteAndReplyLost);
         daemon.advance(Milliseconds(300));
@@ -210,10 +210,10 @@
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 1 }, daemon.acceptedVersion().value_or(0));
     }
 
-    void testTableDownIsUnavailableNotUnknown()
+    void testUnavailableTableRefusesChangeAsUnavailableNotUnknown()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
         for (int round = 0; round < 60; ++round) {
             daemon.run(TableFault::Unavailable);
@@ -225,8 +225,8 @@
 
     void testLowerVersionFromStalePeerIsIgnored()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationPush { 5, documentWithLimit(59) });
         daemon.apply(ConfigurationPush { 4, documentWithLimit(60) });
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 5 }, daemon.manager.version());
@@ -235,10 +235,10 @@
 
     // Guards against excessive traffic: without a limit, every heartbeat of a peer that stays behind (one per
     // 500 ms) would trigger a push of the whole document.
-    void testPeerBehindGetsOnePushAtATime()
+    void testPeerWithLowerVersionGetsOnePushPerInterval()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationPush { 5, documentWithLimit(59) });
         PeerHeartbeat behind;
         behind.host = HostId("neighbour");
@@ -249,9 +249,9 @@
     }
 
     // Guards against serving with an old version after a restart in a zone that cannot reach the platform.
-    void testDaemonWithoutTableIsReadyOnlyWithNeighbour()
+    void testDaemonWithoutTableIsReadyOnlyWithReadyNeighbour()
     {
-        Operator daemon(m_table, "a");
+        TestDaemon daemon(m_table, "a");
         daemon.apply(Started {});
         daemon.run(TableFault::Unavailable);
         daemon.apply(ConfigurationPush { 5, documentWithLimit(59) });
@@ -266,8 +266,8 @@
 
     void testInvalidDocumentIsRefusedWithField()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationSubmitted { 1, R"({"deployment":"x","surprise":1})", 0 });
         daemon.run();
         CPPUNIT_ASSERT(daemon.refusal() && daemon.refusal()->kind == RefusalKind::Invalid);
@@ -278,8 +278,8 @@
     // the version is lost.
     void testVersionWaitsUntilNeighbourHoldsIt()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         sendHeartbeat(daemon, "neighbour", "north", 0);
         sendHeartbeat(daemon, "far", "south", 0);
         daemon.apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
@@ -295,14 +295,14 @@
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 1 }, daemon.acceptedVersion().value_or(0));
     }
 
-    // Guards against a daemon that has just started and treats a neighbour as down before the neighbour's
+    // Guards against a daemon that has just startDaemon and treats a neighbour as down before the neighbour's
     // first heartbeat.
-    void testVersionOfTableWaitsAfterStart()
+    void testVersionFromTableWaitsForNeighbourAfterStart()
     {
-        auto firstOwner = started();
+        auto firstOwner = startDaemon();
         firstOwner->apply(ConfigurationSubmitted { 1, documentWithLimit(59), 0 });
         firstOwner->run();
-        Operator daemon(m_table, "a");
+        TestDaemon daemon(m_table, "a");
         daemon.apply(Started {});
         daemon.run();
         CPPUNIT_ASSERT(!daemon.manager.isReady());
@@ -312,10 +312,10 @@
     }
 
     // Guards against exceeding the bound of 3 s if the neighbour's release cannot read the version.
-    void testNeighbourThatTakesNoVersionHoldsItUpForABoundedTime()
+    void testNeighbourThatAcceptsNoVersionDelaysItForBoundedTime()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         sendHeartbeat(daemon, "neighbour", "north", 0);
         daemon.apply(ConfigurationPush { 1, documentWithLimit(59) });
         daemon.advance(Milliseconds(1'000));
@@ -330,31 +330,32 @@
     // and cannot read it.
     void testUnreadableVersionIsKeptForPeers()
     {
-        auto daemonOwner = started();
-        Operator& daemon = *daemonOwner;
+        auto daemonOwner = startDaemon();
+        TestDaemon& daemon = *daemonOwner;
         daemon.apply(ConfigurationPush { 1, documentWithLimit(59) });
         daemon.apply(ConfigurationPush { 2, R"({"deployment":"x","surprise":1})" });
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 1 }, daemon.manager.version());
         sendHeartbeat(daemon, "neighbour", "north", 1);
         daemon.run();
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, daemon.count<SendToPeer>());
-        const auto push = std::get<ConfigurationPush>(std::get<SendToPeer>(daemon.seen.back()).message);
+        const auto push
+            = std::get<ConfigurationPush>(std::get<SendToPeer>(daemon.otherEffects.back()).message);
         CPPUNIT_ASSERT_EQUAL(ConfigurationVersion { 2 }, push.version);
     }
 
 private:
     // A daemon whose neighbour is down. It is allocated on the heap because the manager holds references to
     // the settings and the peers next to it.
-    std::unique_ptr<Operator> started()
+    std::unique_ptr<TestDaemon> startDaemon()
     {
-        auto daemon = std::make_unique<Operator>(m_table, "host" + std::to_string(++m_hosts));
+        auto daemon = std::make_unique<TestDaemon>(m_table, "host" + std::to_string(++m_hosts));
         daemon->apply(Started {});
         daemon->run();
         daemon->advance(Milliseconds(2'000));
         return daemon;
     }
 
-    static void sendHeartbeat(Operator& daemon, const std::string& host, const std::string& zone,
+    static void sendHeartbeat(TestDaemon& daemon, const std::string& host, const std::string& zone,
         ConfigurationVersion version, ConfigurationVersion known = 0)
     {
         PeerHeartbeat heartbeat;
--- a/test/configuration_restart_test.cpp
+++ b/test/configuration_restart_test.cpp
@@ -9,25 +9,25 @@
 // restarts while the table is unreachable. It must not become ready with its neighbour's older version.
 class ConfigurationRestartTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationRestartTest);
-    CPPUNIT_TEST(testHostReplacedAfterAdoptionDoesNotGoBack);
-    CPPUNIT_TEST(testHostKilledBeforePushDoesNotGoBack);
+    CPPUNIT_TEST(testHostReplacedAfterAdoptionKeepsVersion);
+    CPPUNIT_TEST(testHostKilledBeforePushKeepsVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void testHostReplacedAfterAdoptionDoesNotGoBack()
+    void testHostReplacedAfterAdoptionKeepsVersion()
     {
-        assertHolds("configuration/configuration adopted|host replaced&"
-                    "configuration/configuration commit reply|table down#56339");
+        assertNoViolations("configuration/configuration adopted|host replaced&"
+                           "configuration/configuration commit reply|table down#56339");
     }
 
-    void testHostKilledBeforePushDoesNotGoBack()
+    void testHostKilledBeforePushKeepsVersion()
     {
-        assertHolds("configuration/configuration push|entry killed&"
-                    "configuration/configuration poll reply|cut from both#71202");
+        assertNoViolations("configuration/configuration push|entry killed&"
+                           "configuration/configuration poll reply|cut from both#71202");
     }
 
 private:
-    static void assertHolds(const std::string& cell)
+    static void assertNoViolations(const std::string& cell)
     {
         std::string text;
         for (const std::string& violation : runCell(parseCell(cell)).violations)
