Reword comments and messages in src/membership

Comments spoke of lists that "say little", of what a daemon "heard" and of a state that "wins". They now name the host list, the rack sync, the row version and the condition, and keep each reason: the lagging host list, lost packets between zones, the lost reply. Refusals say what to check. Two tests that had no comment now name the failure that they guard against.

--- a/src/membership/drain_register.cpp
+++ b/src/membership/drain_register.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t maxPendingChanges = 256;
 constexpr Seconds pollInterval { 1 };
 constexpr Milliseconds retryDelay { 200 };
-// Longer than the platform client's own time limit: guards against a reply that never comes.
+// Longer than the platform client's own time limit. Guards against a reply that never arrives.
 constexpr Seconds operationTimeout { 4 };
 
 std::optional<std::set<EndpointId>> parseDrains(const std::string& text)
@@ -45,12 +45,12 @@
 {
     if (m_changes.size() >= maxPendingChanges) {
         step.emit(AnswerOperator { request.caller,
-            Refusal { RefusalKind::Unavailable, { "too many drain requests wait; try again" } } });
+            Refusal { RefusalKind::Unavailable, { "too many drain requests are pending; try again" } } });
         return;
     }
     m_changes.push_back(
         { request.caller, request.endpoint, request.isLeaving, step.now + operatorPatience, false });
-    // The drains known here may be a second old, so every change starts with a read.
+    // The drains known here may be a second old (pollInterval), so every change starts with a read.
     if (m_operation == Operation::None)
         read(step);
 }
@@ -144,8 +144,8 @@
     const bool isChanged = adopt(row, step);
     if (m_changes.empty())
         return isChanged;
-    // A row that is older than the drains pushed by a peer is a delayed view; a malformed one must not
-    // be overwritten. Neither is a base for a change.
+    // If the row is older than the drains pushed by a peer, the read returned outdated data. A malformed row
+    // must not be overwritten. In both cases the versions differ, and no change is written.
     if (row.version == m_version)
         write(step);
     else
@@ -210,9 +210,9 @@
         if (change.isPerhapsWritten) {
             refusal.kind = RefusalKind::Unknown;
             refusal.reasons.emplace_back(
-                "the table did not answer; the drain may be in force: look at the site status");
+                "the table did not answer; the change may be in force: check the site status");
         } else {
-            refusal.reasons.emplace_back("the table is unavailable; nothing was changed");
+            refusal.reasons.emplace_back("the table is unavailable; no drain was changed");
         }
         step.emit(std::move(answer));
     }
@@ -224,7 +224,7 @@
 {
     if (m_operation != Operation::None && step.now - m_operationSince >= operationTimeout) {
         m_operation = Operation::None;
-        ++m_sequence; // a late reply is ignored
+        ++m_sequence; // a late reply no longer matches and is ignored
         m_changesInWrite = 0;
         if (!m_changes.empty())
             retryLater(step);
--- a/src/membership/drain_register.h
+++ b/src/membership/drain_register.h
@@ -10,18 +10,19 @@
 
 namespace anvilmoor {
 
-// The endpoints that operators have asked to drain. One table row holds all of them and orders all
-// changes; its version is the version of the drains. A change that conflicts with another operator's
-// is merged into the newer row and written again.
+// The endpoints that operators have asked to drain. One table row holds all these endpoints and orders all
+// changes; the version of the row is the version of the drains. A change that conflicts with a change by
+// another operator is merged into the newer row and written again.
 class DrainRegister {
 public:
     // Queues the change; the operator is answered within operatorPatience.
     void change(const DrainRequested&, Step&);
 
-    // True if the drains changed.
+    // Each returns true if the drains changed.
     bool handle(const TableReplied&, Step&);
     bool handle(const DrainPush&, Step&);
-    // A peer that is behind gets the drains again: its push was lost, and it may have no table.
+    // Pushes the drains again to a peer with a lower drain version: the peer missed the push, and may be
+    // unable to reach the table.
     void handle(const PeerHeartbeat&, Step&);
     void handle(const Tick&, Step&);
 
@@ -57,8 +58,8 @@
     std::uint64_t m_version = 0;
     std::set<EndpointId> m_drained;
     std::vector<Change> m_changes; // in order of arrival
-    std::size_t m_changesInWrite = 0; // the first of them are part of the write in flight
-    std::set<EndpointId> m_written; // what the write in flight writes
+    std::size_t m_changesInWrite = 0; // the first changes of m_changes, which are in the write in flight
+    std::set<EndpointId> m_written; // drained endpoints according to the write in flight
     Operation m_operation = Operation::None;
     std::uint64_t m_sequence = 0; // of the operation in flight
     TimePoint m_operationSince {};
--- a/src/membership/endpoint_observer.h
+++ b/src/membership/endpoint_observer.h
@@ -5,15 +5,15 @@
 
 namespace anvilmoor {
 
-// Learns how calls to endpoints end.
+// Is notified of the outcome of calls to endpoints.
 class EndpointObserver {
 public:
     virtual ~EndpointObserver() = default;
 
-    // The endpoint did not answer: not reachable, or silent.
+    // The endpoint was unreachable or did not answer.
     virtual void onEndpointFailure(const EndpointId&, Step&) = 0;
 
-    // The endpoint answered, whatever it answered.
+    // The endpoint answered, whatever the answer.
     virtual void onEndpointSuccess(const EndpointId&, Step&) = 0;
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -8,10 +8,12 @@
 namespace {
 
 constexpr int failuresUntilSuspect = 3;
-// The list lags and is rebuilt on the platform's side: one list without a host says little.
+// The host list lags and is rebuilt by the platform, so a host that is missing from one list need not be
+// lost.
 constexpr int missedListsUntilLost = 2;
 constexpr int missedSyncsUntilSuspect = 2;
-// Only the role holder syncs racks. What a daemon heard before it lost the role must not stay in force.
+// Only the role holder syncs racks. The results of rack syncs expire, so that those from before a daemon lost
+// the role do not stay in force.
 constexpr Seconds rackReportLifetime { 10 };
 constexpr Seconds rackCheckInterval { 1 };
 
@@ -151,7 +153,7 @@
             continue;
         if (++worker.listsMissed < missedListsUntilLost)
             continue;
-        worker.isLeaving = false; // it has left
+        worker.isLeaving = false; // the host has left the list, so the worker counts as lost
         updateWorker(index, step);
     }
 }
@@ -213,7 +215,7 @@
 void Membership::handle(const DrainRequested& event, Step& step)
 {
     const bool isKnown = m_endpointPositions.contains(event.endpoint);
-    // A drain of an endpoint that has left the configuration can still be taken back.
+    // The drain of an endpoint that is no longer in the configuration can still be undone.
     if (!isKnown && (event.isLeaving || !m_drains.isDrained(event.endpoint))) {
         step.emit(AnswerOperator { event.caller,
             Refusal { RefusalKind::NotFound,
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -12,8 +12,8 @@
 
 namespace anvilmoor {
 
-// Which workers and endpoints may get new work. Combines the host list, which lags, the drains and
-// what this daemon observes itself. Leaving, by any source, wins.
+// Determines which workers and endpoints may get new work. Combines the host list, which lags, the drains and
+// the observations of this daemon. The state Leaving, reported by any source, takes precedence.
 class Membership : public EndpointDirectory, public EndpointObserver {
 public:
     Membership(const DaemonSettings&, const ConfigurationView&);
@@ -32,7 +32,7 @@
     void onEndpointSuccess(const EndpointId&, Step&) override;
 
     std::span<const EndpointRecord> endpoints(const ServiceId&) const override;
-    // Drains concern endpoints only: they do not change the state of a worker.
+    // Drains apply to endpoints only and do not change the state of a worker.
     EndpointState workerState(const WorkerId&) const override;
     std::uint64_t generation() const override { return m_generation; }
 
@@ -45,11 +45,11 @@
         RackId rack;
         AvailabilityZoneId zone;
         bool isSeenInList = false;
-        bool isLeaving = false; // by the host list
+        bool isLeaving = false; // according to the host list
         int listsMissed = 0; // consecutive
-        bool isDeadInRack = false; // by the last rack sync
+        bool isDeadInRack = false; // according to the last rack sync
         bool isRackSilent = false;
-        std::uint64_t lastList = 0; // number of the last host list that held it
+        std::uint64_t lastList = 0; // number of the last host list that contained the worker
     };
 
     struct Service {
@@ -61,7 +61,7 @@
     struct Rack {
         std::vector<std::size_t> workers;
         int missedSyncs = 0; // consecutive
-        TimePoint heardAt {}; // last sync, answered or missed
+        TimePoint heardAt {}; // time of the last sync, answered or failed
     };
 
     struct Position {
--- a/src/membership/peer_registry.cpp
+++ b/src/membership/peer_registry.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Four heartbeats: links between zones lose packets.
+// Four heartbeat intervals, because links between zones lose packets.
 constexpr Milliseconds heartbeatTimeout { 2'000 };
 
 } // namespace
--- a/src/membership/peer_registry.h
+++ b/src/membership/peer_registry.h
@@ -8,20 +8,20 @@
 
 namespace anvilmoor {
 
-// What this daemon knows of its peers from their heartbeats.
+// The state of this daemon's peers according to their heartbeats and configuration pushes.
 class PeerRegistry : public PeerDirectory {
 public:
     explicit PeerRegistry(const DaemonSettings&);
 
     std::span<const PeerStatus> peers() const override { return m_peers; }
 
-    // Heartbeats of hosts that the settings do not name are ignored. So is one of an earlier incarnation
-    // that arrives after one of a later.
+    // Ignores heartbeats from hosts that are not peers in the settings, and heartbeats of the previous
+    // incarnation of a peer that arrive after one of its current incarnation.
     void handle(const HostId& from, const PeerHeartbeat&, Step&);
-    // A peer that pushes a version holds it.
+    // Records that the peer holds the version that it pushed.
     void handle(const HostId& from, const ConfigurationPush&);
     void handle(const PeerLost&, Step&);
-    // Marks peers unreachable whose heartbeats stopped.
+    // Marks peers as unreachable whose last heartbeat is older than the heartbeat timeout.
     void handle(const Tick&, Step&);
 
 private:
@@ -35,7 +35,7 @@
     void markUnreachable(PeerStatus&, Step&);
 
     std::vector<PeerStatus> m_peers; // in the order of the settings
-    std::vector<Observation> m_observations; // same indexes
+    std::vector<Observation> m_observations; // same indexes as m_peers
 };
 
 } // namespace anvilmoor
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -30,7 +30,7 @@
         }
         DaemonSettings settings;
         Membership membership;
-        std::deque<Effect> effects; // not carried out yet
+        std::deque<Effect> effects; // not executed yet
     };
 
     testing::FixedConfiguration m_configuration;
@@ -54,7 +54,8 @@
         deliver(daemon, [&](Step& step) { daemon.membership.handle(event, step); });
     }
 
-    // Carries out the next table operation. With a status given, the reply has this one instead.
+    // Executes the next table operation and handles its reply. If `status` is given, it replaces the reply's
+    // status and rows. A write takes effect only if `isApplied` is set.
     void carryOut(Daemon& daemon, std::optional<TableStatus> status = {}, bool isApplied = true)
     {
         while (!daemon.effects.empty()) {
@@ -139,7 +140,7 @@
         CPPUNIT_ASSERT(state(*daemon, 0) == EndpointState::Live);
     }
 
-    // Guards against a platform fault that would take all workers out of use.
+    // Guards against a platform fault: without this rule, empty host lists would make all workers lost.
     void testListWithoutHostsChangesNothing()
     {
         const auto daemon = start();
@@ -161,7 +162,8 @@
         handle(*daemon, DrainPush { 3, { m_other } });
         handle(*daemon, list({ 0, 1, 2 }));
         CPPUNIT_ASSERT(state(*daemon, 0) == EndpointState::Live);
-        CPPUNIT_ASSERT(state(*daemon, 1) == EndpointState::Leaving); // the list says live
+        CPPUNIT_ASSERT(
+            state(*daemon, 1) == EndpointState::Leaving); // drained, although the list reports it as live
     }
 
     void testFailedCallsMakeSuspectUntilSuccess()
@@ -183,6 +185,8 @@
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Live);
     }
 
+    // Guards against reports that stay in force after this daemon has lost the role and syncs racks no
+    // longer.
     void testSilentRackIsForgottenWithTheRole()
     {
         const auto daemon = start();
@@ -219,6 +223,7 @@
         CPPUNIT_ASSERT(state(*first, 0) == EndpointState::Live);
     }
 
+    // Guards against a drain that is written twice, or not at all, after a write whose reply was lost.
     void testLostDrainReplyIsResolvedByReading()
     {
         for (const bool isApplied : { true, false }) {
@@ -257,7 +262,8 @@
         CPPUNIT_ASSERT(refusal(2) == RefusalKind::NotFound);
     }
 
-    // Guards against calls to a drained endpoint from a daemon whose push was lost while the table is down.
+    // Guards against calls to a drained endpoint by a daemon that missed the push and cannot read the drains
+    // because the table is down.
     void testPeerBehindGetsDrainsAgain()
     {
         const auto daemon = start();
@@ -282,7 +288,7 @@
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Leaving);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), daemon->membership.drainVersion());
         handle(*daemon, Tick {});
-        carryOutAll(*daemon); // the poll reads an absent row, as a delayed view would
+        carryOutAll(*daemon); // the poll reads an absent row, like a read that returns outdated data
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Leaving);
     }
 };
