Rename identifiers of src/membership to the usual terms

DrainRegister: change -> queueChange, answerSettled -> answerCompletedChanges, expire -> refuseExpiredChanges, retryLater -> scheduleRetry, handleRead -> handleReadReply, handleWrite -> handleWriteReply, push -> makePush, m_written -> m_drainedByWrite, isPerhapsWritten -> mayHaveCommitted (as in the configuration manager), m_operationSince -> m_operationStart, operatorPatience -> operatorTimeout. Membership: isDeadInRack -> isReportedDead, heardAt -> lastSyncAt, lastList -> lastListNumber, listsMissed -> missedLists (as missedSyncs), expireRackReports -> expireRackSyncs, rackReportLifetime -> rackSyncLifetime. Test: carryOut -> executeNextOperation, carryOutAll -> executeOperations, deliver -> runStep, list -> hostList, start -> startDaemon, isDrained -> isDrainAccepted, refusal -> refusalKind, m_other -> m_otherEndpoint.

"Patience", "heard", "settled" and "expire" did not say what is bounded or done. What expires after 10 s is the result of a rack sync, also a failed one, so it is no longer called a report. Test names state condition and result.

--- a/src/membership/drain_register.cpp
+++ b/src/membership/drain_register.cpp
@@ -41,7 +41,7 @@
 
 OperationId DrainRegister::nextOperation() { return { ModuleId::Membership, ++m_sequence }; }
 
-void DrainRegister::change(const DrainRequested& request, Step& step)
+void DrainRegister::queueChange(const DrainRequested& request, Step& step)
 {
     if (m_changes.size() >= maxPendingChanges) {
         step.emit(AnswerOperator { request.caller,
@@ -49,7 +49,7 @@
         return;
     }
     m_changes.push_back(
-        { request.caller, request.endpoint, request.isLeaving, step.now + operatorPatience, false });
+        { request.caller, request.endpoint, request.isLeaving, step.now + operatorTimeout, false });
     // The drains known here may be a second old (pollInterval), so every change starts with a read.
     if (m_operation == Operation::None)
         read(step);
@@ -58,7 +58,7 @@
 void DrainRegister::read(Step& step)
 {
     m_operation = Operation::Read;
-    m_operationSince = step.now;
+    m_operationStart = step.now;
     m_nextPoll = step.now + pollInterval;
     m_retryAt.reset();
     step.emit(ReadTable { nextOperation(), TableRead { { rowKey }, {} } });
@@ -66,27 +66,27 @@
 
 void DrainRegister::write(Step& step)
 {
-    m_written = m_drained;
+    m_drainedByWrite = m_drained;
     for (const Change& change : m_changes) {
         if (change.isLeaving)
-            m_written.insert(change.endpoint);
+            m_drainedByWrite.insert(change.endpoint);
         else
-            m_written.erase(change.endpoint);
+            m_drainedByWrite.erase(change.endpoint);
     }
     m_changesInWrite = m_changes.size();
-    if (m_written == m_drained) {
-        answerSettled(step);
+    if (m_drainedByWrite == m_drained) {
+        answerCompletedChanges(step);
         return;
     }
     for (Change& change : m_changes)
-        change.isPerhapsWritten = true;
+        change.mayHaveCommitted = true;
     m_operation = Operation::Write;
-    m_operationSince = step.now;
+    m_operationStart = step.now;
     step.emit(ExecuteTransaction { nextOperation(),
-        TableTransaction { { { rowKey, m_version } }, { { rowKey, formatDrains(m_written) } } } });
+        TableTransaction { { { rowKey, m_version } }, { { rowKey, formatDrains(m_drainedByWrite) } } } });
 }
 
-void DrainRegister::answerSettled(Step& step)
+void DrainRegister::answerCompletedChanges(Step& step)
 {
     for (std::size_t index = 0; index < m_changesInWrite; ++index) {
         AnswerOperator answer;
@@ -100,7 +100,7 @@
         read(step);
 }
 
-void DrainRegister::retryLater(Step& step) { m_retryAt = step.now + retryDelay; }
+void DrainRegister::scheduleRetry(Step& step) { m_retryAt = step.now + retryDelay; }
 
 bool DrainRegister::adopt(std::uint64_t version, std::set<EndpointId> drained, Step& step)
 {
@@ -130,14 +130,15 @@
     if (m_operation == Operation::None || event.operation.sequence != m_sequence)
         return false;
     const Operation operation = std::exchange(m_operation, Operation::None);
-    return operation == Operation::Read ? handleRead(event.reply, step) : handleWrite(event.reply, step);
+    return operation == Operation::Read ? handleReadReply(event.reply, step)
+                                        : handleWriteReply(event.reply, step);
 }
 
-bool DrainRegister::handleRead(const TableReply& reply, Step& step)
+bool DrainRegister::handleReadReply(const TableReply& reply, Step& step)
 {
     if (reply.status != TableStatus::Ok) {
         if (!m_changes.empty())
-            retryLater(step);
+            scheduleRetry(step);
         return false;
     }
     const TableRow row = reply.rows.empty() ? TableRow {} : reply.rows.front();
@@ -149,33 +150,33 @@
     if (row.version == m_version)
         write(step);
     else
-        retryLater(step);
+        scheduleRetry(step);
     return isChanged;
 }
 
-bool DrainRegister::handleWrite(const TableReply& reply, Step& step)
+bool DrainRegister::handleWriteReply(const TableReply& reply, Step& step)
 {
     if (reply.status == TableStatus::Ok && !reply.rows.empty()) {
-        const bool isChanged = adopt(reply.rows.front().version, m_written, step);
+        const bool isChanged = adopt(reply.rows.front().version, m_drainedByWrite, step);
         if (isChanged) {
-            step.emit(SendToAllPeers { push() });
+            step.emit(SendToAllPeers { makePush() });
         }
-        answerSettled(step);
+        answerCompletedChanges(step);
         return isChanged;
     }
     m_changesInWrite = 0;
     if (reply.status == TableStatus::Conflict || reply.status == TableStatus::Unavailable) {
         for (Change& change : m_changes)
-            change.isPerhapsWritten = false;
+            change.mayHaveCommitted = false;
     }
     if (reply.status == TableStatus::Unavailable)
-        retryLater(step);
+        scheduleRetry(step);
     else
         read(step);
     return false;
 }
 
-DrainPush DrainRegister::push() const
+DrainPush DrainRegister::makePush() const
 {
     return { m_version, std::vector<EndpointId>(m_drained.begin(), m_drained.end()) };
 }
@@ -183,7 +184,7 @@
 void DrainRegister::handle(const PeerHeartbeat& heartbeat, Step& step)
 {
     if (heartbeat.drainVersion < m_version)
-        step.emit(SendToPeer { heartbeat.host, push() });
+        step.emit(SendToPeer { heartbeat.host, makePush() });
 }
 
 bool DrainRegister::handle(const DrainPush& push, Step& step)
@@ -191,7 +192,7 @@
     return adopt(push.version, { push.endpoints.begin(), push.endpoints.end() }, step);
 }
 
-void DrainRegister::expire(Step& step)
+void DrainRegister::refuseExpiredChanges(Step& step)
 {
     std::size_t kept = 0;
     std::size_t keptInWrite = 0;
@@ -207,7 +208,7 @@
         }
         AnswerOperator answer { change.caller, Refusal { RefusalKind::Unavailable, {} } };
         auto& refusal = std::get<Refusal>(answer.answer);
-        if (change.isPerhapsWritten) {
+        if (change.mayHaveCommitted) {
             refusal.kind = RefusalKind::Unknown;
             refusal.reasons.emplace_back(
                 "the table did not answer; the change may be in force: check the site status");
@@ -222,14 +223,14 @@
 
 void DrainRegister::handle(const Tick&, Step& step)
 {
-    if (m_operation != Operation::None && step.now - m_operationSince >= operationTimeout) {
+    if (m_operation != Operation::None && step.now - m_operationStart >= operationTimeout) {
         m_operation = Operation::None;
         ++m_sequence; // a late reply no longer matches and is ignored
         m_changesInWrite = 0;
         if (!m_changes.empty())
-            retryLater(step);
+            scheduleRetry(step);
     }
-    expire(step);
+    refuseExpiredChanges(step);
     if (m_operation != Operation::None)
         return;
     if ((m_retryAt && step.now >= *m_retryAt) || step.now >= m_nextPoll)
--- a/src/membership/drain_register.h
+++ b/src/membership/drain_register.h
@@ -15,8 +15,8 @@
 // another operator is merged into the newer row and written again.
 class DrainRegister {
 public:
-    // Queues the change; the operator is answered within operatorPatience.
-    void change(const DrainRequested&, Step&);
+    // Queues the change; the operator is answered within operatorTimeout.
+    void queueChange(const DrainRequested&, Step&);
 
     // Each returns true if the drains changed.
     bool handle(const TableReplied&, Step&);
@@ -30,7 +30,7 @@
     bool isDrained(const EndpointId& endpoint) const { return m_drained.contains(endpoint); }
 
     static constexpr const char* rowKey = "drains/current";
-    static constexpr Milliseconds operatorPatience { 5'000 };
+    static constexpr Milliseconds operatorTimeout { 5'000 };
 
 private:
     struct Change {
@@ -38,7 +38,7 @@
         EndpointId endpoint;
         bool isLeaving = true;
         TimePoint deadline {};
-        bool isPerhapsWritten = false;
+        bool mayHaveCommitted = false;
     };
 
     enum class Operation { None, Read, Write };
@@ -47,22 +47,22 @@
     bool adopt(std::uint64_t version, std::set<EndpointId>, Step&);
     void read(Step&);
     void write(Step&);
-    void retryLater(Step&);
-    void answerSettled(Step&);
-    bool handleRead(const TableReply&, Step&);
-    bool handleWrite(const TableReply&, Step&);
-    void expire(Step&);
+    void scheduleRetry(Step&);
+    void answerCompletedChanges(Step&);
+    bool handleReadReply(const TableReply&, Step&);
+    bool handleWriteReply(const TableReply&, Step&);
+    void refuseExpiredChanges(Step&);
     OperationId nextOperation();
-    DrainPush push() const;
+    DrainPush makePush() const;
 
     std::uint64_t m_version = 0;
     std::set<EndpointId> m_drained;
     std::vector<Change> m_changes; // in order of arrival
     std::size_t m_changesInWrite = 0; // the first changes of m_changes, which are in the write in flight
-    std::set<EndpointId> m_written; // drained endpoints according to the write in flight
+    std::set<EndpointId> m_drainedByWrite; // drained endpoints according to the write in flight
     Operation m_operation = Operation::None;
     std::uint64_t m_sequence = 0; // of the operation in flight
-    TimePoint m_operationSince {};
+    TimePoint m_operationStart {};
     std::optional<TimePoint> m_retryAt;
     TimePoint m_nextPoll {};
 };
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -14,7 +14,7 @@
 constexpr int missedSyncsUntilSuspect = 2;
 // Only the role holder syncs racks. The results of rack syncs expire, so that those from before a daemon lost
 // the role do not stay in force.
-constexpr Seconds rackReportLifetime { 10 };
+constexpr Seconds rackSyncLifetime { 10 };
 constexpr Seconds rackCheckInterval { 1 };
 
 std::string_view stateName(EndpointState state)
@@ -55,7 +55,7 @@
             const auto oldRack = oldRacks.find(rackConfiguration.id);
             if (oldRack != oldRacks.end()) {
                 rack.missedSyncs = oldRack->second.missedSyncs;
-                rack.heardAt = oldRack->second.heardAt;
+                rack.lastSyncAt = oldRack->second.lastSyncAt;
             }
             for (const WorkerConfiguration& configured : rackConfiguration.workers) {
                 const auto known = oldIndexes.find(configured.id);
@@ -93,7 +93,7 @@
 {
     if (worker.isLeaving)
         return EndpointState::Leaving;
-    if ((worker.isSeenInList && worker.listsMissed >= missedListsUntilLost) || worker.isDeadInRack)
+    if ((worker.isSeenInList && worker.missedLists >= missedListsUntilLost) || worker.isReportedDead)
         return EndpointState::Lost;
     return worker.isRackSilent ? EndpointState::Suspect : EndpointState::Live;
 }
@@ -140,18 +140,18 @@
         Worker& worker = m_workers[found->second];
         const EndpointState before = stateOf(worker);
         worker.isSeenInList = true;
-        worker.listsMissed = 0;
+        worker.missedLists = 0;
         worker.isLeaving = entry.state == HostState::Leaving;
-        worker.lastList = m_listNumber;
+        worker.lastListNumber = m_listNumber;
         if (stateOf(worker) != before)
             updateWorker(found->second, step);
     }
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         Worker& worker = m_workers[index];
-        if (worker.lastList == m_listNumber || !worker.isSeenInList
-            || worker.listsMissed >= missedListsUntilLost)
+        if (worker.lastListNumber == m_listNumber || !worker.isSeenInList
+            || worker.missedLists >= missedListsUntilLost)
             continue;
-        if (++worker.listsMissed < missedListsUntilLost)
+        if (++worker.missedLists < missedListsUntilLost)
             continue;
         worker.isLeaving = false; // the host has left the list, so the worker counts as lost
         updateWorker(index, step);
@@ -167,13 +167,13 @@
         return;
     Rack& rack = found->second;
     rack.missedSyncs = 0;
-    rack.heardAt = step.now;
+    rack.lastSyncAt = step.now;
     for (const std::size_t worker : rack.workers)
         m_workers[worker].isRackSilent = false;
     for (const WorkerReport& report : event.workers) {
         const auto worker = m_workerIndexes.find(report.worker);
         if (worker != m_workerIndexes.end())
-            m_workers[worker->second].isDeadInRack = !report.isLive;
+            m_workers[worker->second].isReportedDead = !report.isLive;
     }
     for (const std::size_t worker : rack.workers)
         updateWorker(worker, step);
@@ -185,7 +185,7 @@
     if (found == m_racks.end() || event.isStaleToken)
         return;
     Rack& rack = found->second;
-    rack.heardAt = step.now;
+    rack.lastSyncAt = step.now;
     if (rack.missedSyncs < missedSyncsUntilSuspect)
         ++rack.missedSyncs;
     if (rack.missedSyncs < missedSyncsUntilSuspect)
@@ -196,17 +196,17 @@
     }
 }
 
-void Membership::expireRackReports(Step& step)
+void Membership::expireRackSyncs(Step& step)
 {
     for (auto& [id, rack] : m_racks) {
-        if (step.now - rack.heardAt < rackReportLifetime)
+        if (step.now - rack.lastSyncAt < rackSyncLifetime)
             continue;
         rack.missedSyncs = 0;
         for (const std::size_t index : rack.workers) {
             Worker& worker = m_workers[index];
-            if (!worker.isDeadInRack && !worker.isRackSilent)
+            if (!worker.isReportedDead && !worker.isRackSilent)
                 continue;
-            worker.isDeadInRack = worker.isRackSilent = false;
+            worker.isReportedDead = worker.isRackSilent = false;
             updateWorker(index, step);
         }
     }
@@ -222,7 +222,7 @@
                 { "endpoint: no endpoint \"" + event.endpoint.value() + "\" in the configuration" } } });
         return;
     }
-    m_drains.change(event, step);
+    m_drains.queueChange(event, step);
 }
 
 void Membership::handle(const TableReplied& event, Step& step)
@@ -243,7 +243,7 @@
     if (step.now < m_nextRackCheck)
         return;
     m_nextRackCheck = step.now + rackCheckInterval;
-    expireRackReports(step);
+    expireRackSyncs(step);
 }
 
 void Membership::onEndpointFailure(const EndpointId& id, Step& step)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -46,10 +46,10 @@
         AvailabilityZoneId zone;
         bool isSeenInList = false;
         bool isLeaving = false; // according to the host list
-        int listsMissed = 0; // consecutive
-        bool isDeadInRack = false; // according to the last rack sync
+        int missedLists = 0; // consecutive
+        bool isReportedDead = false; // according to the last rack sync
         bool isRackSilent = false;
-        std::uint64_t lastList = 0; // number of the last host list that contained the worker
+        std::uint64_t lastListNumber = 0; // number of the last host list that contained the worker
     };
 
     struct Service {
@@ -61,7 +61,7 @@
     struct Rack {
         std::vector<std::size_t> workers;
         int missedSyncs = 0; // consecutive
-        TimePoint heardAt {}; // time of the last sync, answered or failed
+        TimePoint lastSyncAt {}; // time of the last sync, answered or failed
     };
 
     struct Position {
@@ -73,7 +73,7 @@
     void updateWorker(std::size_t worker, Step&);
     void updateEndpoint(Service&, std::size_t worker, Step&);
     void updateAll(Step&);
-    void expireRackReports(Step&);
+    void expireRackSyncs(Step&);
 
     const ConfigurationView& m_configuration;
     DrainRegister m_drains;
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -11,16 +11,16 @@
 
 class MembershipTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(MembershipTest);
-    CPPUNIT_TEST(testHostMissingInTwoListsIsLost);
-    CPPUNIT_TEST(testListWithoutHostsChangesNothing);
-    CPPUNIT_TEST(testLeavingWinsOverOwnObservation);
-    CPPUNIT_TEST(testFailedCallsMakeSuspectUntilSuccess);
-    CPPUNIT_TEST(testSilentRackIsForgottenWithTheRole);
-    CPPUNIT_TEST(testOperatorsDrainingAtOnceBothSucceed);
-    CPPUNIT_TEST(testLostDrainReplyIsResolvedByReading);
-    CPPUNIT_TEST(testTableDownAnswersOperatorInTime);
+    CPPUNIT_TEST(testHostMissingFromTwoListsIsLost);
+    CPPUNIT_TEST(testEmptyHostListIsIgnored);
+    CPPUNIT_TEST(testLeavingTakesPrecedenceOverOwnObservation);
+    CPPUNIT_TEST(testConsecutiveFailedCallsMakeEndpointSuspectUntilSuccess);
+    CPPUNIT_TEST(testRackSyncResultsExpireWithoutFurtherSyncs);
+    CPPUNIT_TEST(testConcurrentDrainsByTwoOperatorsBothSucceed);
+    CPPUNIT_TEST(testLostDrainReplyIsResolvedByRead);
+    CPPUNIT_TEST(testOperatorIsAnsweredInTimeWhileTableIsDown);
     CPPUNIT_TEST(testOlderDrainsAreIgnored);
-    CPPUNIT_TEST(testPeerBehindGetsDrainsAgain);
+    CPPUNIT_TEST(testPeerWithLowerDrainVersionGetsDrainsAgain);
     CPPUNIT_TEST_SUITE_END();
 
     struct Daemon {
@@ -37,9 +37,9 @@
     standin::TableStore m_store;
     TimePoint m_now { Seconds(10) };
     const EndpointId m_endpoint { "intake@thumb-0" };
-    const EndpointId m_other { "intake@thumb-1" };
+    const EndpointId m_otherEndpoint { "intake@thumb-1" };
 
-    template <typename Function> void deliver(Daemon& daemon, Function function)
+    template <typename Function> void runStep(Daemon& daemon, Function function)
     {
         std::vector<Effect> effects;
         const Event event { m_now, {}, 0, 1, Tick {} };
@@ -51,12 +51,12 @@
 
     template <typename Event> void handle(Daemon& daemon, const Event& event)
     {
-        deliver(daemon, [&](Step& step) { daemon.membership.handle(event, step); });
+        runStep(daemon, [&](Step& step) { daemon.membership.handle(event, step); });
     }
 
     // Executes the next table operation and handles its reply. If `status` is given, it replaces the reply's
     // status and rows. A write takes effect only if `isApplied` is set.
-    void carryOut(Daemon& daemon, std::optional<TableStatus> status = {}, bool isApplied = true)
+    void executeNextOperation(Daemon& daemon, std::optional<TableStatus> status = {}, bool isApplied = true)
     {
         while (!daemon.effects.empty()) {
             const Effect effect = std::move(daemon.effects.front());
@@ -82,10 +82,10 @@
         }
     }
 
-    void carryOutAll(Daemon& daemon)
+    void executeOperations(Daemon& daemon)
     {
         for (int operation = 0; operation < 20; ++operation)
-            carryOut(daemon);
+            executeNextOperation(daemon);
     }
 
     EndpointState state(const Daemon& daemon, std::size_t worker = 0)
@@ -93,7 +93,7 @@
         return daemon.membership.endpoints(ServiceId("intake"))[worker].state;
     }
 
-    HostListReceived list(std::initializer_list<int> workers, HostState first = HostState::Live) const
+    HostListReceived hostList(std::initializer_list<int> workers, HostState first = HostState::Live) const
     {
         HostListReceived event;
         for (const int worker : workers) {
@@ -103,19 +103,19 @@
         return event;
     }
 
-    std::unique_ptr<Daemon> start()
+    std::unique_ptr<Daemon> startDaemon()
     {
         auto daemon = std::make_unique<Daemon>(m_configuration);
-        deliver(*daemon, [&](Step& step) { daemon->membership.onConfigurationAdopted(step); });
+        runStep(*daemon, [&](Step& step) { daemon->membership.onConfigurationAdopted(step); });
         return daemon;
     }
 
-    bool isDrained(CallerHandle caller) const
+    bool isDrainAccepted(CallerHandle caller) const
     {
         return answers.contains(caller) && std::holds_alternative<DrainAnswer>(answers.at(caller).answer);
     }
 
-    RefusalKind refusal(CallerHandle caller) const
+    RefusalKind refusalKind(CallerHandle caller) const
     {
         CPPUNIT_ASSERT(answers.contains(caller));
         return std::get<Refusal>(answers.at(caller).answer).kind;
@@ -127,24 +127,24 @@
 public:
     void setUp() override { m_configuration.configuration = testing::requestConfiguration({ "thumb" }, 3); }
 
-    void testHostMissingInTwoListsIsLost()
+    void testHostMissingFromTwoListsIsLost()
     {
-        const auto daemon = start();
-        handle(*daemon, list({ 0, 1 }));
-        handle(*daemon, list({ 1 }));
+        const auto daemon = startDaemon();
+        handle(*daemon, hostList({ 0, 1 }));
+        handle(*daemon, hostList({ 1 }));
         CPPUNIT_ASSERT(state(*daemon, 0) == EndpointState::Live);
-        handle(*daemon, list({ 1 }));
+        handle(*daemon, hostList({ 1 }));
         CPPUNIT_ASSERT(state(*daemon, 0) == EndpointState::Lost);
         CPPUNIT_ASSERT(state(*daemon, 2) == EndpointState::Live); // never seen
-        handle(*daemon, list({ 0, 1 }));
+        handle(*daemon, hostList({ 0, 1 }));
         CPPUNIT_ASSERT(state(*daemon, 0) == EndpointState::Live);
     }
 
     // Guards against a platform fault: without this rule, empty host lists would make all workers lost.
-    void testListWithoutHostsChangesNothing()
+    void testEmptyHostListIsIgnored()
     {
-        const auto daemon = start();
-        handle(*daemon, list({ 0, 1, 2 }));
+        const auto daemon = startDaemon();
+        handle(*daemon, hostList({ 0, 1, 2 }));
         for (int count = 0; count < 5; ++count) {
             handle(*daemon, HostListReceived {});
             handle(*daemon, HostListFailed {});
@@ -152,44 +152,44 @@
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Live);
     }
 
-    void testLeavingWinsOverOwnObservation()
+    void testLeavingTakesPrecedenceOverOwnObservation()
     {
-        const auto daemon = start();
-        handle(*daemon, list({ 0, 1, 2 }, HostState::Leaving));
-        deliver(*daemon, [&](Step& step) { daemon->membership.onEndpointSuccess(m_endpoint, step); });
+        const auto daemon = startDaemon();
+        handle(*daemon, hostList({ 0, 1, 2 }, HostState::Leaving));
+        runStep(*daemon, [&](Step& step) { daemon->membership.onEndpointSuccess(m_endpoint, step); });
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Leaving);
         CPPUNIT_ASSERT(daemon->membership.workerState(WorkerId("thumb-0")) == EndpointState::Leaving);
-        handle(*daemon, DrainPush { 3, { m_other } });
-        handle(*daemon, list({ 0, 1, 2 }));
+        handle(*daemon, DrainPush { 3, { m_otherEndpoint } });
+        handle(*daemon, hostList({ 0, 1, 2 }));
         CPPUNIT_ASSERT(state(*daemon, 0) == EndpointState::Live);
         CPPUNIT_ASSERT(
             state(*daemon, 1) == EndpointState::Leaving); // drained, although the list reports it as live
     }
 
-    void testFailedCallsMakeSuspectUntilSuccess()
+    void testConsecutiveFailedCallsMakeEndpointSuspectUntilSuccess()
     {
-        const auto daemon = start();
+        const auto daemon = startDaemon();
         const auto fail = [&](Step& step) { daemon->membership.onEndpointFailure(m_endpoint, step); };
         const auto succeed = [&](Step& step) { daemon->membership.onEndpointSuccess(m_endpoint, step); };
-        deliver(*daemon, fail);
-        deliver(*daemon, fail);
-        deliver(*daemon, succeed);
-        deliver(*daemon, fail);
-        deliver(*daemon, fail);
+        runStep(*daemon, fail);
+        runStep(*daemon, fail);
+        runStep(*daemon, succeed);
+        runStep(*daemon, fail);
+        runStep(*daemon, fail);
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Live); // not consecutive
-        deliver(*daemon, fail);
+        runStep(*daemon, fail);
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Suspect);
-        deliver(*daemon, [&](Step& step) { daemon->membership.onConfigurationAdopted(step); });
+        runStep(*daemon, [&](Step& step) { daemon->membership.onConfigurationAdopted(step); });
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Suspect);
-        deliver(*daemon, succeed);
+        runStep(*daemon, succeed);
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Live);
     }
 
     // Guards against reports that stay in force after this daemon has lost the role and syncs racks no
     // longer.
-    void testSilentRackIsForgottenWithTheRole()
+    void testRackSyncResultsExpireWithoutFurtherSyncs()
     {
-        const auto daemon = start();
+        const auto daemon = startDaemon();
         handle(*daemon, RackSyncFailed { RackId("thumb-rack"), false });
         handle(*daemon, RackSyncFailed { RackId("thumb-rack"), false });
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Suspect);
@@ -201,72 +201,72 @@
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Live);
     }
 
-    void testOperatorsDrainingAtOnceBothSucceed()
+    void testConcurrentDrainsByTwoOperatorsBothSucceed()
     {
-        const auto first = start();
-        const auto second = start();
+        const auto first = startDaemon();
+        const auto second = startDaemon();
         handle(*first, DrainRequested { 1, m_endpoint, true });
-        handle(*second, DrainRequested { 2, m_other, true });
-        carryOut(*first); // both have read the same version
-        carryOut(*second);
-        carryOutAll(*first);
-        carryOutAll(*second);
-        CPPUNIT_ASSERT(isDrained(1));
-        CPPUNIT_ASSERT(isDrained(2));
+        handle(*second, DrainRequested { 2, m_otherEndpoint, true });
+        executeNextOperation(*first); // both have read the same version
+        executeNextOperation(*second);
+        executeOperations(*first);
+        executeOperations(*second);
+        CPPUNIT_ASSERT(isDrainAccepted(1));
+        CPPUNIT_ASSERT(isDrainAccepted(2));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), pushes.back().endpoints.size());
         handle(*first, pushes.back());
         CPPUNIT_ASSERT(state(*first, 0) == EndpointState::Leaving);
         CPPUNIT_ASSERT(state(*first, 1) == EndpointState::Leaving);
         handle(*first, DrainRequested { 3, m_endpoint, false });
-        carryOutAll(*first);
-        CPPUNIT_ASSERT(isDrained(3));
+        executeOperations(*first);
+        CPPUNIT_ASSERT(isDrainAccepted(3));
         CPPUNIT_ASSERT(state(*first, 0) == EndpointState::Live);
     }
 
     // Guards against a drain that is written twice, or not at all, after a write whose reply was lost.
-    void testLostDrainReplyIsResolvedByReading()
+    void testLostDrainReplyIsResolvedByRead()
     {
         for (const bool isApplied : { true, false }) {
             answers.clear();
             m_store = {};
-            const auto daemon = start();
+            const auto daemon = startDaemon();
             handle(*daemon, DrainRequested { 1, m_endpoint, true });
-            carryOut(*daemon);
-            carryOut(*daemon, TableStatus::Unknown, isApplied);
-            carryOutAll(*daemon);
-            CPPUNIT_ASSERT(isDrained(1));
+            executeNextOperation(*daemon);
+            executeNextOperation(*daemon, TableStatus::Unknown, isApplied);
+            executeOperations(*daemon);
+            CPPUNIT_ASSERT(isDrainAccepted(1));
             CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_store.writesCommitted());
             CPPUNIT_ASSERT(state(*daemon) == EndpointState::Leaving);
         }
     }
 
-    void testTableDownAnswersOperatorInTime()
+    void testOperatorIsAnsweredInTimeWhileTableIsDown()
     {
         for (const TableStatus status : { TableStatus::Unavailable, TableStatus::Unknown }) {
             answers.clear();
-            const auto daemon = start();
+            const auto daemon = startDaemon();
             handle(*daemon, DrainRequested { 1, m_endpoint, true });
-            carryOut(*daemon); // the read
+            executeNextOperation(*daemon); // the read
             for (int tick = 0; tick < 110; ++tick) {
-                carryOut(*daemon, status, false);
+                executeNextOperation(*daemon, status, false);
                 m_now += tickInterval;
                 handle(*daemon, Tick {});
             }
-            carryOut(*daemon, status, false);
-            CPPUNIT_ASSERT(refusal(1)
+            executeNextOperation(*daemon, status, false);
+            CPPUNIT_ASSERT(refusalKind(1)
                 == (status == TableStatus::Unknown ? RefusalKind::Unknown : RefusalKind::Unavailable));
         }
-        const auto daemon = start();
+        const auto daemon = startDaemon();
         handle(*daemon, DrainRequested { 2, EndpointId("intake@none"), true });
-        carryOut(*daemon);
-        CPPUNIT_ASSERT(refusal(2) == RefusalKind::NotFound);
+        executeNextOperation(*daemon);
+        CPPUNIT_ASSERT(refusalKind(2) == RefusalKind::NotFound);
     }
 
     // Guards against calls to a drained endpoint by a daemon that missed the push and cannot read the drains
     // because the table is down.
-    void testPeerBehindGetsDrainsAgain()
+    void testPeerWithLowerDrainVersionGetsDrainsAgain()
     {
-        const auto daemon = start();
+        const auto daemon = startDaemon();
         handle(*daemon, DrainPush { 5, { m_endpoint } });
         PeerHeartbeat heartbeat;
         heartbeat.host = HostId("peer");
@@ -282,13 +282,13 @@
 
     void testOlderDrainsAreIgnored()
     {
-        const auto daemon = start();
+        const auto daemon = startDaemon();
         handle(*daemon, DrainPush { 5, { m_endpoint } });
         handle(*daemon, DrainPush { 4, {} });
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Leaving);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), daemon->membership.drainVersion());
         handle(*daemon, Tick {});
-        carryOutAll(*daemon); // the poll reads an absent row, like a read that returns outdated data
+        executeOperations(*daemon); // the poll reads an absent row, like a read that returns outdated data
         CPPUNIT_ASSERT(state(*daemon) == EndpointState::Leaving);
     }
 };
