Reword comments and messages in src/entry

Comments used "its word", "the rest" and verbs such as hears, gets, goes first and is told. They now name the caller, the event, the queue and the reason. The reasons stay: why ticks are not queued twice, why a rejected copy with a key has an unknown outcome, why peers' messages may be dropped. Errors about settings say what to change. Help texts of metrics are unchanged.

--- a/src/entry/address_book.h
+++ b/src/entry/address_book.h
@@ -8,8 +8,8 @@
 
 namespace anvilmoor::entry {
 
-// Where racks, workers and endpoints are reached: each zone has one worker service, whose address comes from
-// the settings, and the configuration says what stands in which zone.
+// Maps racks, workers and endpoints to network addresses. Each availability zone has one worker service,
+// whose address is in the settings. The configuration determines the zone of each rack and worker.
 class AddressBook {
 public:
     using ZoneAddresses = std::map<AvailabilityZoneId, net::SocketAddress>;
@@ -18,7 +18,8 @@
 
     void adopt(const Configuration&);
 
-    // Null if the configuration does not name it, or the settings name no address for its zone.
+    // Each returns null if the id is not in the configuration, or if the settings have no address for its
+    // zone.
     const net::SocketAddress* rack(const RackId&) const;
     const net::SocketAddress* worker(const WorkerId&) const;
     const net::SocketAddress* endpoint(const EndpointId&) const;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr Milliseconds hostListInterval { 1'000 };
-// After StopProcess, answers get this long to reach their callers.
+// Maximum time after StopProcess to send answers to their callers.
 constexpr Milliseconds flushTime { 2'000 };
 constexpr Milliseconds flushCheckInterval { 5 };
 const std::string stoppingReason = "this host is stopping; try again, another host will answer";
@@ -56,7 +56,8 @@
 
 Daemon::~Daemon()
 {
-    // The server goes first: it answers what is open, and no callback meets a half-destroyed daemon.
+    // The server is destroyed first: it answers the open exchanges, and no callback can then use a partly
+    // destroyed daemon.
     m_server.reset();
     m_executor.reset();
 }
@@ -103,7 +104,7 @@
     m_peers->connect(m_options.peers);
     m_events.push(Started {});
     m_tickTimer.startRepeating(tickInterval, [this] {
-        // A daemon that falls behind must not collect ticks.
+        // Queues at most one tick, so that ticks do not accumulate in a daemon that falls behind.
         if (!std::exchange(m_isTickWaiting, true))
             m_events.push(Tick {});
     });
@@ -143,7 +144,8 @@
         m_executor->execute(effect);
 }
 
-// A call that came while the reducer was stopping was never given to it, so nothing has run here.
+// Answers the caller of an event that was queued when the daemon stopped. The reducer never received the
+// event, so nothing has run on this host.
 void Daemon::turnAwayUnapplied(const EventPayload& payload)
 {
     const std::optional<CallerHandle> caller = std::visit(
@@ -214,7 +216,7 @@
     }
     if (m_isStopping || m_callers.isFull()) {
         const std::string reason
-            = m_isStopping ? stoppingReason : "too many requests wait at this host; try again later";
+            = m_isStopping ? stoppingReason : "too many requests are waiting at this host; try again later";
         turnAway(event, entry, reason);
         return;
     }
@@ -295,11 +297,11 @@
     const auto* zone = configuration->findZone(m_options.settings.zone);
     if (!zone)
         m_log.log(telemetry::LogLevel::Warning, "configuration.zone_missing",
-            { { "detail", "the configuration does not name this daemon's zone" } });
+            { { "detail", "the configuration does not contain this daemon's zone" } });
     else if (!m_localTime.setTimeZone(zone->timeZone))
         m_log.log(telemetry::LogLevel::Error, "configuration.time_zone_unknown",
             { { "time_zone", zone->timeZone },
-                { "detail", "lesson hours are read with the time zone before" } });
+                { "detail", "lesson hours still use the previous time zone" } });
 }
 
 void Daemon::stop()
@@ -311,13 +313,14 @@
     m_hostListTimer.stop();
     m_stopDeadline = m_loop.now() + flushTime;
     m_server->stopAccepting();
-    // The effects after StopProcess may hold answers, so the rest is answered from the next turn on.
+    // The effects after StopProcess may include answers, so the remaining callers are answered later, from
+    // the event loop.
     m_stopTimer.startRepeating(flushCheckInterval, [this] { finishStop(); });
 }
 
 void Daemon::answerRest()
 {
-    // The reducer left these unanswered; whether they ran is not known here.
+    // The reducer did not answer these callers, and the daemon does not know whether their requests ran.
     while (auto caller = m_callers.takeAny()) {
         RequestAnswer answer;
         answer.reason = "this host stopped before the outcome was known";
@@ -329,7 +332,8 @@
 
 void Daemon::finishStop()
 {
-    // Calls whose events still wait are turned away with a certain answer as the queue is emptied.
+    // While events are queued, consume() answers their callers: those requests are known not to have run
+    // here.
     if (m_events.size() == 0)
         answerRest();
     const bool isServing = m_server->exchangesInFlight() > 0 || m_server->openConnections() > 0;
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -27,7 +27,7 @@
 
 struct DaemonOptions {
     DaemonSettings settings;
-    net::SocketAddress listen; // HTTP; port 0: any free one
+    net::SocketAddress listen; // for HTTP; port 0 selects any free port
     net::SocketAddress peerListen;
     std::vector<peer::PeerAddress> peers; // without this daemon
     net::SocketAddress platform;
@@ -36,10 +36,11 @@
     telemetry::LogLevel logLevel = telemetry::LogLevel::Info;
 };
 
-// An entry daemon on a loop: feeds events to the engine, carries out its effects, serves HTTP.
+// An entry daemon on an event loop. Passes events to the engine, executes the resulting effects and serves
+// HTTP.
 class Daemon {
 public:
-    // Listens at once and starts to work.
+    // Opens the listening sockets and starts the daemon.
     static tl::expected<std::unique_ptr<Daemon>, net::NetError> open(
         net::EventLoop&, peer::KjUvEventPort&, DaemonOptions, std::unique_ptr<DecisionEngine>);
     ~Daemon();
@@ -48,7 +49,7 @@
 
     std::uint16_t port() const { return m_server->port(); }
     std::uint16_t peerPort() const { return m_peers->port(); }
-    // Starts the graceful shutdown. It ends by stopping the loop.
+    // Starts the graceful shutdown, which stops the loop at its end.
     void requestShutdown();
     telemetry::EventLog& log() { return m_log; }
 
@@ -81,7 +82,7 @@
     AddressBook m_addresses;
     EventQueue m_events;
     WaitingCallers m_callers;
-    std::vector<Effect> m_effects; // of the event at hand; kept to reuse its memory
+    std::vector<Effect> m_effects; // of the current event; a member so that its memory is reused
 
     std::unique_ptr<net::HttpClient> m_client;
     std::unique_ptr<clients::TableClient> m_table;
--- a/src/entry/decision_engine.h
+++ b/src/entry/decision_engine.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor::entry {
 
-// Decides what a daemon does: turns each event into effects. Never called from inside itself.
+// The decision logic of a daemon: converts each event to effects. Calls are never nested.
 class DecisionEngine {
 public:
     virtual ~DecisionEngine() = default;
--- a/src/entry/effect_executor.h
+++ b/src/entry/effect_executor.h
@@ -17,27 +17,27 @@
 
 namespace anvilmoor::entry {
 
-// What the executor works with. All outlive it.
+// The objects that the executor uses. All must outlive the executor.
 struct ExecutorParts {
     clients::TableClient& table;
     clients::ObjectClient& objects;
     clients::WorkerClient& workers;
     clients::EndpointClient& endpoints;
     peer::PeerNetwork& peers;
-    EventQueue& events; // gets the replies
+    EventQueue& events; // receives the replies
     WaitingCallers& callers;
     AddressBook& addresses;
     telemetry::EventLog& log;
     telemetry::MetricsRegistry& metrics;
     std::function<TimePoint()> now;
-    // The effects that concern the daemon itself.
+    // Called for effects that apply to the daemon itself.
     std::function<void(bool isReady)> setReadiness;
     std::function<void()> adoptConfiguration;
     std::function<void()> stop;
 };
 
-// Carries out effects through the adapters. Every effect that ends with an event gets exactly one, from the
-// queue, also when its target has no known address.
+// Executes effects through the clients. Each effect that expects a reply results in exactly one event in the
+// queue, also if the address of its target is unknown.
 class EffectExecutor {
 public:
     explicit EffectExecutor(ExecutorParts);
@@ -63,7 +63,7 @@
     void carryOut(const RecordEvent&);
     void carryOut(const StopProcess&);
 
-    // A callback that does nothing once the executor is gone.
+    // Wraps the callback so that it does nothing after the executor is destroyed.
     template <typename Callback> auto guarded(Callback callback)
     {
         return [alive = std::weak_ptr<int>(m_alive), callback = std::move(callback)](auto&& reply) {
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -80,7 +80,7 @@
             fail("--{}: \"{}\" is not a numeric address with port, like 127.0.0.1:8080 or [::1]:8080", flag,
                 value);
         else if (parsed->port == 0 && !mayBeAnyPort)
-            fail("--{}: \"{}\" has port 0; name the port to connect to", flag, value);
+            fail("--{}: \"{}\" has port 0; set the port to connect to", flag, value);
         return parsed.value_or(net::SocketAddress {});
     }
 
@@ -107,11 +107,11 @@
         reader.name("peers", item.substr(at + 1, equals - at - 1), "e1@zone=10.0.0.1:7000"));
     const auto address = reader.address("peers", item.substr(equals + 1), false);
     if (!seen.insert(host).second)
-        reader.fail("--peers: host \"{}\" is named twice; remove one", host.value());
-    // All hosts can be given the same list.
+        reader.fail("--peers: host \"{}\" occurs twice; remove one entry", host.value());
+    // Skips the entry of this host, so that all hosts can use the same list.
     if (host == options.settings.host) {
         if (zone != options.settings.zone)
-            reader.fail("--peers: this host is in zone \"{}\" there, but --zone is \"{}\"", zone.value(),
+            reader.fail("--peers: this host has zone \"{}\" in the list, but --zone is \"{}\"", zone.value(),
                 options.settings.zone.value());
         return;
     }
@@ -131,10 +131,10 @@
             reader.name("workers-address", item.substr(0, equals), "zone=10.0.0.1:7100"));
         const auto address = reader.address("workers-address", item.substr(equals + 1), false);
         if (!options.workers.emplace(zone, address).second)
-            reader.fail("--workers-address: zone \"{}\" is named twice; remove one", zone.value());
+            reader.fail("--workers-address: zone \"{}\" occurs twice; remove one entry", zone.value());
     }
     if (!options.workers.contains(options.settings.zone))
-        reader.fail("--workers-address names no address for this host's zone \"{}\"; add {}=ip:port",
+        reader.fail("--workers-address has no address for this host's zone \"{}\"; add {}=ip:port",
             options.settings.zone.value(), options.settings.zone.value());
 }
 
@@ -157,8 +157,8 @@
     readWorkers(reader, settings.workersAddress, options);
     const auto seed = numberFrom<std::uint64_t>(settings.seed);
     if (!settings.seed.empty() && !seed)
-        reader.fail(
-            "--seed: \"{}\" is not an unsigned 64-bit integer; leave it out to draw one", settings.seed);
+        reader.fail("--seed: \"{}\" is not an unsigned 64-bit integer; omit the flag for a random seed",
+            settings.seed);
     options.seed = seed.value_or(operatingSystemSeed);
     const auto level = telemetry::logLevelFrom(settings.logLevel);
     if (!level)
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -10,7 +10,7 @@
 
 namespace anvilmoor::entry {
 
-// The process settings of an entry daemon as text, each named like its flag.
+// The process settings of an entry daemon as text. Each field has the name of its flag.
 struct EntrySettings {
     std::string host;
     std::string zone;
@@ -23,8 +23,8 @@
     std::string logLevel;
 };
 
-// Checks everything and reports all problems, each with the flag's name and what to do. The incarnation is
-// left for the caller to draw.
+// Checks all settings and reports all problems, each with the flag's name and how to correct it. Does not set
+// the incarnation, which the caller draws at random.
 tl::expected<DaemonOptions, std::vector<std::string>> readSettings(
     const EntrySettings&, std::uint64_t operatingSystemSeed);
 
--- a/src/entry/event_queue.cpp
+++ b/src/entry/event_queue.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Sockets and timers get a turn after this many events.
+// After this many events, control returns to the loop so that sockets and timers are served.
 constexpr std::size_t eventsPerTurn = 256;
 constexpr std::size_t maxWaitingEvents = 16'384;
 
--- a/src/entry/event_queue.h
+++ b/src/entry/event_queue.h
@@ -11,7 +11,7 @@
 
 namespace anvilmoor::entry {
 
-// Events in their order of arrival. They are consumed from the loop, never from inside push().
+// A queue of events in order of arrival. Events are consumed from the loop, never from inside push().
 class EventQueue {
 public:
     using Consumer = std::function<void(EventPayload)>;
@@ -19,8 +19,8 @@
     EventQueue(net::EventLoop&, Consumer);
 
     void push(EventPayload);
-    // False, and the event is dropped and counted, if many events wait. For what may be lost: messages of
-    // peers. Everything else is bounded where it comes from.
+    // If too many events are queued, drops and counts the event and returns false. Used for messages of
+    // peers, which may be lost. All other events are bounded at their source.
     bool pushUnlessFull(EventPayload);
 
     std::size_t size() const { return m_events.size(); }
@@ -35,7 +35,7 @@
     std::deque<EventPayload> m_events;
     bool m_isDrainScheduled = false;
     std::uint64_t m_dropped = 0;
-    std::shared_ptr<int> m_alive = std::make_shared<int>(); // a posted drain may come after destruction
+    std::shared_ptr<int> m_alive = std::make_shared<int>(); // a posted drain() may run after destruction
 };
 
 } // namespace anvilmoor::entry
--- a/src/entry/json_fields.h
+++ b/src/entry/json_fields.h
@@ -11,10 +11,11 @@
 
 namespace anvilmoor::entry {
 
-// Reads the fields of a request's JSON body. Each function throws WireError with the field's name.
+// Reads the fields of a request's JSON body. A field that is missing or invalid throws a WireError that
+// contains the field's name.
 class JsonFields {
 public:
-    // The body must be one object with no other fields than these.
+    // The body must be a JSON object that has no other fields than the allowed ones.
     JsonFields(const std::string& body, std::initializer_list<std::string_view> allowed);
 
     bool has(const char* field) const { return m_object.contains(field); }
--- a/src/entry/local_time.h
+++ b/src/entry/local_time.h
@@ -7,11 +7,12 @@
 
 namespace anvilmoor::entry {
 
-// Local second of the week in a zone's time zone; UTC until one is set. An hour is repeated or left out when
-// daylight saving time ends or begins, as on the room's wall clock.
+// Converts a time to the local second of the week in the time zone of an availability zone, or in UTC until a
+// time zone is set. An hour is repeated or skipped when daylight saving time ends or begins, as on the wall
+// clock of the room.
 class LocalTime {
 public:
-    // False, and nothing changes, if the system does not know the IANA name.
+    // Returns false and changes nothing if the IANA name is unknown to the system.
     bool setTimeZone(const std::string& name);
     SecondOfWeek secondOfWeek(WallTime) const;
 
--- a/src/entry/reducer_engine.h
+++ b/src/entry/reducer_engine.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor::entry {
 
-// The decisions of a real daemon.
+// The decision engine of a production daemon, which uses the reducer.
 class ReducerEngine final : public DecisionEngine {
 public:
     ReducerEngine(const DaemonSettings& settings, ReducerPolicies policies)
--- a/src/entry/waiting_callers.cpp
+++ b/src/entry/waiting_callers.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t maxWaitingCallers = 4'096;
-// Of the 128 MB that a daemon may use.
+// A quarter of the 128 MB that a daemon may use.
 constexpr std::size_t maxWaitingBytes = 32U * 1024U * 1024U;
 
 } // namespace
--- a/src/entry/waiting_callers.h
+++ b/src/entry/waiting_callers.h
@@ -12,28 +12,29 @@
 
 namespace anvilmoor::entry {
 
-// The HTTP exchanges that wait for an answer of the reducer, by their handle.
+// The HTTP exchanges that wait for an answer from the reducer, by caller handle.
 class WaitingCallers {
 public:
     struct Entry {
         std::shared_ptr<net::HttpExchange> exchange;
-        RequestIdentity identity; // of a request to a service or a query for one; otherwise empty
-        bool isRequest = false; // its answer is a RequestAnswer
+        RequestIdentity identity; // of a service request or of a query for one; otherwise empty
+        bool isRequest = false; // the answer is a RequestAnswer
         TimePoint since {};
-        std::size_t bytes = 0; // of its request's body
+        std::size_t bytes = 0; // size of the request's body
     };
     using GoneCallback = std::function<void(CallerHandle)>;
 
-    // The callback hears of callers that close before their answer.
+    // The callback is called for each caller that closes its connection before it is answered.
     explicit WaitingCallers(GoneCallback);
 
-    // True if no further request is taken: too many wait, or their bodies take too much memory.
+    // True if no further caller can be accepted, because too many callers wait or the bodies of their
+    // requests use too much memory.
     bool isFull() const;
     CallerHandle nextHandle() { return ++m_lastHandle; }
     void add(CallerHandle, Entry);
-    // The entry, which no longer waits. Empty if the caller is gone or was answered.
+    // Removes and returns the entry. Empty if the caller has closed its connection or has been answered.
     std::optional<Entry> take(CallerHandle);
-    // Any entry that waits.
+    // Removes and returns any entry. Empty if there is none.
     std::optional<Entry> takeAny();
 
     std::size_t size() const { return m_entries.size(); }
--- a/src/entry/wire_answer.cpp
+++ b/src/entry/wire_answer.cpp
@@ -23,7 +23,7 @@
     return response;
 }
 
-// Whole seconds, at least one, as Retry-After demands.
+// Rounds up to whole seconds, which Retry-After requires, and to at least one.
 std::string retryAfterSeconds(Milliseconds delay)
 {
     return std::to_string(std::max<std::int64_t>(1, (delay.count() + 999) / 1000));
--- a/src/entry/wire_answer.h
+++ b/src/entry/wire_answer.h
@@ -9,18 +9,19 @@
 
 namespace anvilmoor::entry {
 
-// The answer to a request to a service. Every one has the header Anvilmoor-Outcome. The identity gives an
-// unknown outcome the path to ask again; without a key there is none.
+// Encodes the answer to a service request. Each answer has the header Anvilmoor-Outcome. An answer with an
+// unknown outcome contains the URL at which to query the request, which is built from the identity; without a
+// key there is no URL.
 net::HttpResponse encodeAnswer(const RequestAnswer&, const RequestIdentity&);
 
-// The answer to an operator or submitter, as JSON.
+// Encodes the answer to an operator or submitter of a job as JSON.
 net::HttpResponse encodeOperatorAnswer(const AnswerOperator&);
 
 net::HttpResponse encodeError(const WireError&);
 
-// For a request that never reaches the reducer, with a hint to retry in 1 s. "Not run" speaks of the
-// request, not of one copy, so one with a key is told so only if this is its first copy; others are told
-// that the outcome is unknown here.
+// The answer to a request that never reaches the reducer, with a hint to retry after 1 s. The outcome "not
+// run" applies to the request as a whole, not only to this copy. A request with a key therefore has this
+// outcome only if this is its first copy; otherwise an earlier copy may have run and the outcome is unknown.
 RequestAnswer turnedAwayAnswer(const RequestReceived&, std::string reason);
 
 } // namespace anvilmoor::entry
--- a/src/entry/wire_codec.cpp
+++ b/src/entry/wire_codec.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-// Failures travel as exceptions inside this file only; decodeCall() returns them.
+// Errors are thrown as exceptions only within the decoder; decodeCall() converts them to its return value.
 [[noreturn]] void refuse(std::string reason) { throw WireError { 400, std::move(reason), {} }; }
 
 struct Call {
@@ -25,7 +25,7 @@
     CallerHandle caller;
 };
 
-// Printable ASCII, so that names are safe in headers, table keys and logs.
+// Allows only printable ASCII, so that names are safe in headers, table keys and logs.
 void checkName(std::string_view what, std::string_view name)
 {
     if (name.empty())
@@ -36,7 +36,7 @@
         refuse(fmt::format("{} may contain only printable ASCII characters without spaces", what));
 }
 
-// Accounts are a part of table keys, which are separated by "/".
+// A client account is part of table keys, in which "/" separates the parts.
 ClientAccountId accountFrom(std::string_view what, std::string_view name)
 {
     checkName(what, name);
@@ -55,7 +55,7 @@
     return value;
 }
 
-// Milliseconds since the Unix epoch, or a time as in RFC 3339.
+// Accepts milliseconds since the Unix epoch or a time according to RFC 3339.
 WallTime issuedAtFrom(std::string_view text)
 {
     const auto isDigit = [](char character) { return character >= '0' && character <= '9'; };
@@ -190,7 +190,7 @@
     return DrainRequested { call.caller, EndpointId(endpoint), isLeaving };
 }
 
-// One path with its methods. Segments "*" match any text.
+// A path with one method and its decoder. A segment "*" matches any text.
 struct Route {
     std::initializer_list<std::string_view> segments;
     std::string_view method;
--- a/src/entry/wire_path.cpp
+++ b/src/entry/wire_path.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-// Calls back with each part; stops and returns false when the callback does.
+// Calls the callback with each part of the text. Stops and returns false as soon as the callback returns
+// false.
 template <typename Callback> bool split(std::string_view text, char separator, const Callback& callback)
 {
     while (true) {
--- a/src/entry/wire_path.h
+++ b/src/entry/wire_path.h
@@ -8,13 +8,13 @@
 
 namespace anvilmoor::entry {
 
-// A request target, split and decoded.
+// A request target, split into parts and percent-decoded.
 struct WirePath {
     std::vector<std::string> segments;
-    std::map<std::string, std::string> query; // the last value of a name
+    std::map<std::string, std::string> query; // the last value for each name
 };
 
-// Empty if an escape is broken or the path does not start with "/".
+// Empty if an escape sequence is invalid or the path does not start with "/".
 std::optional<WirePath> parsePath(std::string_view target);
 
 } // namespace anvilmoor::entry
--- a/test/daemon_test.cpp
+++ b/test/daemon_test.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-// Answers events by a script, and notes what it was given.
+// Records all events and runs a script for each of them.
 class ScriptedEngine final : public DecisionEngine {
 public:
     using Script = std::function<void(const Event&, std::vector<Effect>&)>;
@@ -41,7 +41,7 @@
 
     void apply(const Event& event, std::vector<Effect>& effects) override
     {
-        CPPUNIT_ASSERT_MESSAGE("the engine is called from inside itself", !m_notes->isRunning);
+        CPPUNIT_ASSERT_MESSAGE("nested call of the engine", !m_notes->isRunning);
         m_notes->isRunning = true;
         m_notes->events.push_back(event);
         if (m_notes->script)
@@ -114,7 +114,8 @@
         CPPUNIT_ASSERT(m_notes->events[0].random != m_notes->events[1].random);
     }
 
-    // Guards against an operation that waits for ever, and against replies from inside the engine's call.
+    // Guards against an operation that never gets a reply, and against a reply that is applied inside a call
+    // of the engine.
     void testEffectsWithoutReachableTargetEndWithOneFailureEach()
     {
         m_notes->configuration.zones.push_back({ AvailabilityZoneId("z1"), "r", "Europe/Vienna", {},
@@ -199,7 +200,8 @@
         CPPUNIT_ASSERT_EQUAL(events, m_notes->events.size());
     }
 
-    // Guards against "unknown" for calls that came while the reducer stopped and were never given to it.
+    // Guards against the outcome "unknown" for calls that were queued when the daemon stopped and never
+    // reached the reducer.
     void testCallsThatWaitBehindTheStopAreToldWhatIsCertain()
     {
         m_notes->script = [](const Event& event, std::vector<Effect>& effects) {
@@ -270,7 +272,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_notes->count<JobSubmitted>());
     }
 
-    // Guards against callbacks that outlive the daemon; the sanitizers see them.
+    // Guards against callbacks that use the daemon after its destruction; the sanitizers detect them.
     void testDaemonDestroyedWithWorkInFlightIsClean()
     {
         m_notes->script = [](const Event& event, std::vector<Effect>& effects) {
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -156,7 +156,7 @@
         (void)decoded<ConfigurationQueried>(request("GET", "/v1/config"));
     }
 
-    // Guards against an unclear outcome: a caller must be able to tell "not run" from "unknown".
+    // Guards against an ambiguous outcome: a caller must be able to distinguish "not run" from "unknown".
     void testAnswersOfEachOutcomeHaveStatusAndHint()
     {
         const RequestIdentity identity { ClientAccountId("acc"), "k/1" };
