Rename identifiers of src/entry to the usual terms

ExecutorParts -> ExecutorDependencies, turnAway -> reject, turnAwayUnapplied -> rejectUnapplied, turnedAwayAnswer -> rejectionAnswer, answerRest -> answerRemainingCallers, flushTime -> flushTimeout, m_isTickWaiting -> m_isTickQueued, RefusalForm and formOf -> RefusalEncoding and encodingOf, lowest and highest -> minimum and maximum (as in DocumentReader), m_zones -> m_zoneAddresses; integerFrom, issuedAtFrom, accountFrom, jobClassFrom, jobOf, numberFrom, addressFrom -> parse...; Reader -> SettingsReader, mayBeAnyPort -> isPortZeroAllowed, seen -> seenHosts, what -> subject. Tests: Notes -> EngineState, bad -> invalid, named -> expectedText, goodSettings -> validSettings.

Names were figurative (turn away, rest) or did not say that text is parsed. Test names state condition and result. carryOut stays, as in src/batch.

--- a/src/entry/address_book.cpp
+++ b/src/entry/address_book.cpp
@@ -6,7 +6,7 @@
 namespace anvilmoor::entry {
 
 AddressBook::AddressBook(ZoneAddresses zones)
-    : m_zones(std::move(zones))
+    : m_zoneAddresses(std::move(zones))
 {
 }
 
@@ -15,8 +15,8 @@
     m_racks.clear();
     m_workers.clear();
     for (const AvailabilityZoneConfiguration& zone : configuration.zones) {
-        const auto address = m_zones.find(zone.id);
-        if (address == m_zones.end())
+        const auto address = m_zoneAddresses.find(zone.id);
+        if (address == m_zoneAddresses.end())
             continue;
         for (const RackConfiguration& rack : zone.racks) {
             m_racks[rack.id] = &address->second;
--- a/src/entry/address_book.h
+++ b/src/entry/address_book.h
@@ -25,7 +25,7 @@
     const net::SocketAddress* endpoint(const EndpointId&) const;
 
 private:
-    ZoneAddresses m_zones;
+    ZoneAddresses m_zoneAddresses;
     std::unordered_map<RackId, const net::SocketAddress*> m_racks;
     std::unordered_map<WorkerId, const net::SocketAddress*> m_workers;
 };
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -16,7 +16,7 @@
 
 constexpr Milliseconds hostListInterval { 1'000 };
 // Maximum time after StopProcess to send answers to their callers.
-constexpr Milliseconds flushTime { 2'000 };
+constexpr Milliseconds flushTimeout { 2'000 };
 constexpr Milliseconds flushCheckInterval { 5 };
 const std::string stoppingReason = "this host is stopping; try again, another host will answer";
 
@@ -99,13 +99,13 @@
         return tl::unexpected(server.error());
     m_server = std::move(*server);
 
-    m_executor.emplace(executorParts());
+    m_executor.emplace(executorDependencies());
     m_log.log(telemetry::LogLevel::Info, "process.started", {});
     m_peers->connect(m_options.peers);
     m_events.push(Started {});
     m_tickTimer.startRepeating(tickInterval, [this] {
         // Queues at most one tick, so that ticks do not accumulate in a daemon that falls behind.
-        if (!std::exchange(m_isTickWaiting, true))
+        if (!std::exchange(m_isTickQueued, true))
             m_events.push(Tick {});
     });
     m_hostListTimer.startRepeating(hostListInterval, [this] { pollHosts(); });
@@ -113,7 +113,7 @@
     return {};
 }
 
-ExecutorParts Daemon::executorParts()
+ExecutorDependencies Daemon::executorDependencies()
 {
     return { *m_table, *m_objects, *m_workers, *m_endpoints, *m_peers, m_events, m_callers, m_addresses,
         m_log, m_metrics, [this] { return m_loop.now(); }, [this](bool isReady) { m_isReady = isReady; },
@@ -125,7 +125,7 @@
 void Daemon::consume(EventPayload payload)
 {
     if (m_isStopping) {
-        turnAwayUnapplied(payload);
+        rejectUnapplied(payload);
         return;
     }
     Event event;
@@ -135,7 +135,7 @@
     event.random = m_random();
     event.payload = std::move(payload);
     if (std::holds_alternative<Tick>(event.payload))
-        m_isTickWaiting = false;
+        m_isTickQueued = false;
     m_effects.clear();
     m_engine->apply(event, m_effects);
     ++m_eventsApplied;
@@ -146,7 +146,7 @@
 
 // Answers the caller of an event that was queued when the daemon stopped. The reducer never received the
 // event, so nothing has run on this host.
-void Daemon::turnAwayUnapplied(const EventPayload& payload)
+void Daemon::rejectUnapplied(const EventPayload& payload)
 {
     const std::optional<CallerHandle> caller = std::visit(
         [](const auto& event) -> std::optional<CallerHandle> {
@@ -158,14 +158,13 @@
     if (!caller)
         return;
     if (const std::optional<WaitingCallers::Entry> entry = m_callers.take(*caller))
-        turnAway(payload, *entry, stoppingReason);
+        reject(payload, *entry, stoppingReason);
 }
 
-void Daemon::turnAway(
-    const EventPayload& event, const WaitingCallers::Entry& entry, const std::string& reason)
+void Daemon::reject(const EventPayload& event, const WaitingCallers::Entry& entry, const std::string& reason)
 {
     const auto* request = std::get_if<RequestReceived>(&event);
-    entry.exchange->respond(request ? encodeAnswer(turnedAwayAnswer(*request, reason), entry.identity)
+    entry.exchange->respond(request ? encodeAnswer(rejectionAnswer(*request, reason), entry.identity)
                                     : encodeError({ 503, reason, {} }));
 }
 
@@ -217,7 +216,7 @@
     if (m_isStopping || m_callers.isFull()) {
         const std::string reason
             = m_isStopping ? stoppingReason : "too many requests are waiting at this host; try again later";
-        turnAway(event, entry, reason);
+        reject(event, entry, reason);
         return;
     }
     m_callers.add(caller, std::move(entry));
@@ -311,14 +310,14 @@
     m_isReady = false;
     m_tickTimer.stop();
     m_hostListTimer.stop();
-    m_stopDeadline = m_loop.now() + flushTime;
+    m_stopDeadline = m_loop.now() + flushTimeout;
     m_server->stopAccepting();
     // The effects after StopProcess may include answers, so the remaining callers are answered later, from
     // the event loop.
     m_stopTimer.startRepeating(flushCheckInterval, [this] { finishStop(); });
 }
 
-void Daemon::answerRest()
+void Daemon::answerRemainingCallers()
 {
     // The reducer did not answer these callers, and the daemon does not know whether their requests ran.
     while (auto caller = m_callers.takeAny()) {
@@ -335,7 +334,7 @@
     // While events are queued, consume() answers their callers: those requests are known not to have run
     // here.
     if (m_events.size() == 0)
-        answerRest();
+        answerRemainingCallers();
     const bool isServing = m_server->exchangesInFlight() > 0 || m_server->openConnections() > 0;
     if (isServing && m_loop.now() < m_stopDeadline)
         return;
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -56,11 +56,11 @@
 private:
     Daemon(net::EventLoop&, DaemonOptions, std::unique_ptr<DecisionEngine>);
     tl::expected<void, net::NetError> start(peer::KjUvEventPort&);
-    ExecutorParts executorParts();
+    ExecutorDependencies executorDependencies();
 
     void consume(EventPayload);
-    void turnAwayUnapplied(const EventPayload&);
-    static void turnAway(const EventPayload&, const WaitingCallers::Entry&, const std::string& reason);
+    void rejectUnapplied(const EventPayload&);
+    static void reject(const EventPayload&, const WaitingCallers::Entry&, const std::string& reason);
     void serve(std::shared_ptr<net::HttpExchange>);
     bool servePage(const net::HttpRequest&, net::HttpExchange&);
     void admit(EventPayload, CallerHandle, std::shared_ptr<net::HttpExchange>);
@@ -69,7 +69,7 @@
     void pollHosts();
     void adoptConfiguration();
     void stop();
-    void answerRest();
+    void answerRemainingCallers();
     void finishStop();
 
     net::EventLoop& m_loop;
@@ -99,7 +99,7 @@
     net::Timer m_stopTimer;
     TimePoint m_stopDeadline {};
     bool m_isPollingHosts = false;
-    bool m_isTickWaiting = false;
+    bool m_isTickQueued = false;
     bool m_isReady = false;
     bool m_isStopping = false;
     std::uint64_t m_eventsApplied = 0;
--- a/src/entry/effect_executor.h
+++ b/src/entry/effect_executor.h
@@ -18,7 +18,7 @@
 namespace anvilmoor::entry {
 
 // The objects that the executor uses. All must outlive the executor.
-struct ExecutorParts {
+struct ExecutorDependencies {
     clients::TableClient& table;
     clients::ObjectClient& objects;
     clients::WorkerClient& workers;
@@ -40,7 +40,7 @@
 // queue, also if the address of its target is unknown.
 class EffectExecutor {
 public:
-    explicit EffectExecutor(ExecutorParts);
+    explicit EffectExecutor(ExecutorDependencies);
 
     void execute(const Effect&);
 
@@ -72,7 +72,7 @@
         };
     }
 
-    ExecutorParts m_parts;
+    ExecutorDependencies m_dependencies;
     std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
 
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-template <typename Number> std::optional<Number> numberFrom(std::string_view text)
+template <typename Number> std::optional<Number> parseNumber(std::string_view text)
 {
     Number value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -22,12 +22,12 @@
 }
 
 // "10.0.0.1:80" or "[::1]:80".
-std::optional<net::SocketAddress> addressFrom(std::string_view text)
+std::optional<net::SocketAddress> parseAddress(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos)
         return std::nullopt;
-    const auto port = numberFrom<std::uint16_t>(text.substr(colon + 1));
+    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
     std::string_view ip = text.substr(0, colon);
     const bool isBracketed = ip.starts_with('[') && ip.ends_with(']');
     if (isBracketed)
@@ -50,9 +50,9 @@
     return items;
 }
 
-class Reader {
+class SettingsReader {
 public:
-    explicit Reader(std::vector<std::string>& problems)
+    explicit SettingsReader(std::vector<std::string>& problems)
         : m_problems(problems)
     {
     }
@@ -71,15 +71,15 @@
         return std::string(value);
     }
 
-    net::SocketAddress address(std::string_view flag, std::string_view value, bool mayBeAnyPort)
+    net::SocketAddress address(std::string_view flag, std::string_view value, bool isPortZeroAllowed)
     {
-        const auto parsed = addressFrom(value);
+        const auto parsed = parseAddress(value);
         if (value.empty())
             fail("--{} is missing; set it to a numeric address, for example --{}=127.0.0.1:8080", flag, flag);
         else if (!parsed)
             fail("--{}: \"{}\" is not a numeric address with port, like 127.0.0.1:8080 or [::1]:8080", flag,
                 value);
-        else if (parsed->port == 0 && !mayBeAnyPort)
+        else if (parsed->port == 0 && !isPortZeroAllowed)
             fail("--{}: \"{}\" has port 0; set the port to connect to", flag, value);
         return parsed.value_or(net::SocketAddress {});
     }
@@ -94,7 +94,8 @@
     std::vector<std::string>& m_problems;
 };
 
-void readPeer(Reader& reader, std::string_view item, DaemonOptions& options, std::set<HostId>& seen)
+void readPeer(
+    SettingsReader& reader, std::string_view item, DaemonOptions& options, std::set<HostId>& seenHosts)
 {
     const std::size_t at = item.find('@');
     const std::size_t equals = item.find('=');
@@ -106,7 +107,7 @@
     const AvailabilityZoneId zone(
         reader.name("peers", item.substr(at + 1, equals - at - 1), "e1@zone=10.0.0.1:7000"));
     const auto address = reader.address("peers", item.substr(equals + 1), false);
-    if (!seen.insert(host).second)
+    if (!seenHosts.insert(host).second)
         reader.fail("--peers: host \"{}\" occurs twice; remove one entry", host.value());
     // Skips the entry of this host, so that all hosts can use the same list.
     if (host == options.settings.host) {
@@ -119,7 +120,7 @@
     options.peers.push_back({ host, address });
 }
 
-void readWorkers(Reader& reader, std::string_view text, DaemonOptions& options)
+void readWorkers(SettingsReader& reader, std::string_view text, DaemonOptions& options)
 {
     for (const std::string_view item : splitList(text)) {
         const std::size_t equals = item.find('=');
@@ -144,18 +145,18 @@
     const EntrySettings& settings, std::uint64_t operatingSystemSeed)
 {
     std::vector<std::string> problems;
-    Reader reader(problems);
+    SettingsReader reader(problems);
     DaemonOptions options;
     options.settings.host = HostId(reader.name("host", settings.host, "entry-1"));
     options.settings.zone = AvailabilityZoneId(reader.name("zone", settings.zone, "steyr-north"));
     options.listen = reader.address("listen", settings.listen, true);
     options.peerListen = reader.address("peer-listen", settings.peerListen, true);
     options.platform = reader.address("platform", settings.platform, false);
-    std::set<HostId> seen;
+    std::set<HostId> seenHosts;
     for (const std::string_view item : splitList(settings.peers))
-        readPeer(reader, item, options, seen);
+        readPeer(reader, item, options, seenHosts);
     readWorkers(reader, settings.workersAddress, options);
-    const auto seed = numberFrom<std::uint64_t>(settings.seed);
+    const auto seed = parseNumber<std::uint64_t>(settings.seed);
     if (!settings.seed.empty() && !seed)
         reader.fail("--seed: \"{}\" is not an unsigned 64-bit integer; omit the flag for a random seed",
             settings.seed);
--- a/src/entry/json_fields.cpp
+++ b/src/entry/json_fields.cpp
@@ -35,16 +35,16 @@
     return value.get<std::string>();
 }
 
-std::int64_t JsonFields::integer(const char* field, std::int64_t lowest, std::int64_t highest) const
+std::int64_t JsonFields::integer(const char* field, std::int64_t minimum, std::int64_t maximum) const
 {
     const auto& value = at(field);
     const bool isTooLarge = value.is_number_unsigned()
-        && value.get<std::uint64_t>() > static_cast<std::uint64_t>(std::max<std::int64_t>(highest, 0));
-    const bool isInRange = value.is_number_integer() && !isTooLarge && value.get<std::int64_t>() >= lowest
-        && value.get<std::int64_t>() <= highest;
+        && value.get<std::uint64_t>() > static_cast<std::uint64_t>(std::max<std::int64_t>(maximum, 0));
+    const bool isInRange = value.is_number_integer() && !isTooLarge && value.get<std::int64_t>() >= minimum
+        && value.get<std::int64_t>() <= maximum;
     if (!isInRange)
         throw WireError { 400,
-            fmt::format("field \"{}\" must be an integer from {} to {}, not {}", field, lowest, highest,
+            fmt::format("field \"{}\" must be an integer from {} to {}, not {}", field, minimum, maximum,
                 value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace)),
             {} };
     return value.get<std::int64_t>();
--- a/src/entry/json_fields.h
+++ b/src/entry/json_fields.h
@@ -20,7 +20,7 @@
 
     bool has(const char* field) const { return m_object.contains(field); }
     std::string text(const char* field) const;
-    std::int64_t integer(const char* field, std::int64_t lowest, std::int64_t highest) const;
+    std::int64_t integer(const char* field, std::int64_t minimum, std::int64_t maximum) const;
     bool boolean(const char* field) const;
     const nlohmann::json& object(const char* field) const;
 
--- a/src/entry/wire_answer.cpp
+++ b/src/entry/wire_answer.cpp
@@ -89,12 +89,12 @@
     return host;
 }
 
-struct RefusalForm {
+struct RefusalEncoding {
     int status;
     std::string_view name;
 };
 
-RefusalForm formOf(RefusalKind kind)
+RefusalEncoding encodingOf(RefusalKind kind)
 {
     switch (kind) {
     case RefusalKind::Invalid:
@@ -114,7 +114,7 @@
 struct OperatorEncoder {
     net::HttpResponse operator()(const Refusal& refusal) const
     {
-        const auto [status, name] = formOf(refusal.kind);
+        const auto [status, name] = encodingOf(refusal.kind);
         auto response = jsonResponse(status, { { "error", name }, { "reasons", refusal.reasons } });
         if (refusal.kind == RefusalKind::Unavailable)
             response.headers.push_back({ "Retry-After", "1" });
@@ -204,7 +204,7 @@
     return response;
 }
 
-RequestAnswer turnedAwayAnswer(const RequestReceived& request, std::string reason)
+RequestAnswer rejectionAnswer(const RequestReceived& request, std::string reason)
 {
     RequestAnswer answer;
     answer.outcome = RequestOutcome::NotRun;
--- a/src/entry/wire_answer.h
+++ b/src/entry/wire_answer.h
@@ -22,6 +22,6 @@
 // The answer to a request that never reaches the reducer, with a hint to retry after 1 s. The outcome "not
 // run" applies to the request as a whole, not only to this copy. A request with a key therefore has this
 // outcome only if this is its first copy; otherwise an earlier copy may have run and the outcome is unknown.
-RequestAnswer turnedAwayAnswer(const RequestReceived&, std::string reason);
+RequestAnswer rejectionAnswer(const RequestReceived&, std::string reason);
 
 } // namespace anvilmoor::entry
--- a/src/entry/wire_codec.cpp
+++ b/src/entry/wire_codec.cpp
@@ -26,42 +26,42 @@
 };
 
 // Allows only printable ASCII, so that names are safe in headers, table keys and logs.
-void checkName(std::string_view what, std::string_view name)
+void checkName(std::string_view subject, std::string_view name)
 {
     if (name.empty())
-        refuse(fmt::format("{} is missing", what));
+        refuse(fmt::format("{} is missing", subject));
     if (name.size() > maxNameBytes)
-        refuse(fmt::format("{} has {} bytes; at most {} are allowed", what, name.size(), maxNameBytes));
+        refuse(fmt::format("{} has {} bytes; at most {} are allowed", subject, name.size(), maxNameBytes));
     if (!std::ranges::all_of(name, [](char character) { return character > 0x20 && character < 0x7f; }))
-        refuse(fmt::format("{} may contain only printable ASCII characters without spaces", what));
+        refuse(fmt::format("{} may contain only printable ASCII characters without spaces", subject));
 }
 
 // A client account is part of table keys, in which "/" separates the parts.
-ClientAccountId accountFrom(std::string_view what, std::string_view name)
+ClientAccountId parseAccount(std::string_view subject, std::string_view name)
 {
-    checkName(what, name);
+    checkName(subject, name);
     if (name.find('/') != std::string_view::npos)
-        refuse(fmt::format("{} must not contain \"/\"", what));
+        refuse(fmt::format("{} must not contain \"/\"", subject));
     return ClientAccountId(std::string(name));
 }
 
-std::int64_t integerFrom(
-    std::string_view what, std::string_view text, std::int64_t lowest, std::int64_t highest)
+std::int64_t parseInteger(
+    std::string_view subject, std::string_view text, std::int64_t minimum, std::int64_t maximum)
 {
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < lowest || value > highest)
-        refuse(fmt::format("{} must be an integer from {} to {}", what, lowest, highest));
+    if (error != std::errc() || end != text.data() + text.size() || value < minimum || value > maximum)
+        refuse(fmt::format("{} must be an integer from {} to {}", subject, minimum, maximum));
     return value;
 }
 
 // Accepts milliseconds since the Unix epoch or a time according to RFC 3339.
-WallTime issuedAtFrom(std::string_view text)
+WallTime parseIssuedAt(std::string_view text)
 {
     const auto isDigit = [](char character) { return character >= '0' && character <= '9'; };
     if (std::ranges::all_of(text, isDigit)) {
         constexpr std::int64_t lastYear9999 = 253'402'300'799'999;
-        return WallTime(Milliseconds(integerFrom("header Anvilmoor-Issued-At", text, 0, lastYear9999)));
+        return WallTime(Milliseconds(parseInteger("header Anvilmoor-Issued-At", text, 0, lastYear9999)));
     }
     absl::Time time;
     std::string error;
@@ -81,7 +81,7 @@
     checkName("the operation in the path", call.path.segments[3]);
     event.service = ServiceId(call.path.segments[2]);
     event.operation = call.path.segments[3];
-    event.identity.account = accountFrom("header Anvilmoor-Account", request.header("Anvilmoor-Account"));
+    event.identity.account = parseAccount("header Anvilmoor-Account", request.header("Anvilmoor-Account"));
     event.identity.key = std::string(request.header("Idempotency-Key"));
     if (!event.identity.key.empty())
         checkName("header Idempotency-Key", event.identity.key);
@@ -90,11 +90,11 @@
         checkName("header Anvilmoor-Caller", event.callerName);
     const std::string_view issuedAt = request.header("Anvilmoor-Issued-At");
     if (!issuedAt.empty())
-        event.issuedAt = issuedAtFrom(issuedAt);
+        event.issuedAt = parseIssuedAt(issuedAt);
     const std::string_view deadline = request.header("Anvilmoor-Deadline-Ms");
     if (!deadline.empty())
         event.deadline
-            = Milliseconds(integerFrom("header Anvilmoor-Deadline-Ms", deadline, 1, maxDeadline.count()));
+            = Milliseconds(parseInteger("header Anvilmoor-Deadline-Ms", deadline, 1, maxDeadline.count()));
     const std::string_view firstCopy = request.header("Anvilmoor-First-Copy");
     if (!firstCopy.empty() && firstCopy != "true" && firstCopy != "false")
         refuse("header Anvilmoor-First-Copy must be \"true\" or \"false\"");
@@ -107,10 +107,10 @@
 {
     checkName("the key in the path", call.path.segments[3]);
     return RequestQueried { call.caller,
-        { accountFrom("the account in the path", call.path.segments[2]), call.path.segments[3] } };
+        { parseAccount("the account in the path", call.path.segments[2]), call.path.segments[3] } };
 }
 
-JobClass jobClassFrom(const std::string& text)
+JobClass parseJobClass(const std::string& text)
 {
     if (text != "guaranteed" && text != "borrowed")
         refuse("field \"class\" must be \"guaranteed\" or \"borrowed\"");
@@ -122,7 +122,7 @@
     const JsonFields fields(call.request.body,
         { "account", "key", "zone", "class", "accelerators", "adjacent", "priority", "run_ms" });
     JobSpecification job;
-    job.account = accountFrom("field \"account\"", fields.text("account"));
+    job.account = parseAccount("field \"account\"", fields.text("account"));
     job.key = fields.text("key");
     checkName("field \"key\"", job.key);
     if (fields.has("zone")) {
@@ -131,7 +131,7 @@
         job.zone = AvailabilityZoneId(zone);
     }
     if (fields.has("class"))
-        job.jobClass = jobClassFrom(fields.text("class"));
+        job.jobClass = parseJobClass(fields.text("class"));
     job.accelerators = static_cast<int>(fields.integer("accelerators", 1, maxGangAccelerators));
     if (fields.has("adjacent"))
         job.adjacent = fields.boolean("adjacent");
@@ -156,10 +156,10 @@
     const auto account = call.path.query.find("account");
     if (account == call.path.query.end())
         return JobsListed { call.caller, {} };
-    return JobsListed { call.caller, accountFrom("query parameter account", account->second) };
+    return JobsListed { call.caller, parseAccount("query parameter account", account->second) };
 }
 
-JobId jobOf(const Call& call)
+JobId parseJobId(const Call& call)
 {
     const std::string& id = call.path.segments[2];
     checkName("the job id in the path", id);
@@ -204,11 +204,11 @@
     { { "v1", "jobs" }, "GET", decodeJobList },
     { { "v1", "jobs", "*" }, "GET",
         [](const Call& call) -> EventPayload {
-            return JobQueried { call.caller, jobOf(call) };
+            return JobQueried { call.caller, parseJobId(call) };
         } },
     { { "v1", "jobs", "*" }, "DELETE",
         [](const Call& call) -> EventPayload {
-            return JobCancelRequested { call.caller, jobOf(call) };
+            return JobCancelRequested { call.caller, parseJobId(call) };
         } },
     { { "v1", "config" }, "GET",
         [](const Call& call) -> EventPayload { return ConfigurationQueried { call.caller }; } },
--- a/test/daemon_test.cpp
+++ b/test/daemon_test.cpp
@@ -21,7 +21,7 @@
 public:
     using Script = std::function<void(const Event&, std::vector<Effect>&)>;
 
-    struct Notes {
+    struct EngineState {
         std::vector<Event> events;
         bool isRunning = false;
         Configuration configuration;
@@ -34,45 +34,45 @@
         }
     };
 
-    explicit ScriptedEngine(std::shared_ptr<Notes> notes)
-        : m_notes(std::move(notes))
+    explicit ScriptedEngine(std::shared_ptr<EngineState> state)
+        : m_engineState(std::move(state))
     {
     }
 
     void apply(const Event& event, std::vector<Effect>& effects) override
     {
-        CPPUNIT_ASSERT_MESSAGE("nested call of the engine", !m_notes->isRunning);
-        m_notes->isRunning = true;
-        m_notes->events.push_back(event);
-        if (m_notes->script)
-            m_notes->script(event, effects);
-        m_notes->isRunning = false;
+        CPPUNIT_ASSERT_MESSAGE("nested call of the engine", !m_engineState->isRunning);
+        m_engineState->isRunning = true;
+        m_engineState->events.push_back(event);
+        if (m_engineState->script)
+            m_engineState->script(event, effects);
+        m_engineState->isRunning = false;
     }
 
-    const Configuration* configuration() const override { return &m_notes->configuration; }
+    const Configuration* configuration() const override { return &m_engineState->configuration; }
 
 private:
-    std::shared_ptr<Notes> m_notes;
+    std::shared_ptr<EngineState> m_engineState;
 };
 
 } // namespace
 
 class DaemonTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DaemonTest);
-    CPPUNIT_TEST(testRequestIsAnsweredByTheEngineOnce);
-    CPPUNIT_TEST(testEffectsWithoutReachableTargetEndWithOneFailureEach);
-    CPPUNIT_TEST(testCallerThatClosesIsReportedAndItsAnswerDropped);
-    CPPUNIT_TEST(testShutdownFlushesAnswersAndLeavesNoCallerWithout);
-    CPPUNIT_TEST(testCallsThatWaitBehindTheStopAreToldWhatIsCertain);
-    CPPUNIT_TEST(testPagesFollowReadiness);
-    CPPUNIT_TEST(testMalformedCallNeverReachesTheEngine);
-    CPPUNIT_TEST(testDaemonDestroyedWithWorkInFlightIsClean);
+    CPPUNIT_TEST(testRequestIsAnsweredOnceByEngine);
+    CPPUNIT_TEST(testEffectWithUnreachableTargetFailsExactlyOnce);
+    CPPUNIT_TEST(testCallerThatClosesIsReportedAndItsAnswerIsDropped);
+    CPPUNIT_TEST(testShutdownSendsAnAnswerToEveryCaller);
+    CPPUNIT_TEST(testCallsQueuedBehindStopAreNotRunExceptLaterCopies);
+    CPPUNIT_TEST(testReadinessAndMetricsPagesShowReadiness);
+    CPPUNIT_TEST(testMalformedCallDoesNotReachEngine);
+    CPPUNIT_TEST(testDaemonDestroyedWithWorkInFlightRunsNoCallbacks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
-        m_notes = std::make_shared<ScriptedEngine::Notes>();
+        m_engineState = std::make_shared<ScriptedEngine::EngineState>();
         m_loop = std::make_unique<net::EventLoop>();
         m_kj = std::make_unique<peer::KjUvEventPort>(m_loop->handle());
         m_client = net::makeHttpClient(*m_loop);
@@ -84,7 +84,7 @@
         options.workers[AvailabilityZoneId("z1")] = { "127.0.0.1", 1 };
         options.seed = 1;
         options.logLevel = telemetry::LogLevel::Error;
-        auto daemon = Daemon::open(*m_loop, *m_kj, options, std::make_unique<ScriptedEngine>(m_notes));
+        auto daemon = Daemon::open(*m_loop, *m_kj, options, std::make_unique<ScriptedEngine>(m_engineState));
         CPPUNIT_ASSERT(daemon.has_value());
         m_daemon = std::move(*daemon);
     }
@@ -98,7 +98,7 @@
         m_responses.clear();
     }
 
-    void testRequestIsAnsweredByTheEngineOnce()
+    void testRequestIsAnsweredOnceByEngine()
     {
         answerRequestsWith([](const RequestReceived& request, std::vector<Effect>& effects) {
             effects.emplace_back(AnswerRequest { request.caller, { RequestOutcome::Done, request.body } });
@@ -110,17 +110,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("one"), m_responses["a"].body);
         CPPUNIT_ASSERT_EQUAL(std::string("two"), m_responses["b"].body);
         CPPUNIT_ASSERT(m_responses["a"].header("Anvilmoor-Outcome") == "done");
-        CPPUNIT_ASSERT(std::holds_alternative<Started>(m_notes->events[0].payload));
-        CPPUNIT_ASSERT(m_notes->events[0].random != m_notes->events[1].random);
+        CPPUNIT_ASSERT(std::holds_alternative<Started>(m_engineState->events[0].payload));
+        CPPUNIT_ASSERT(m_engineState->events[0].random != m_engineState->events[1].random);
     }
 
     // Guards against an operation that never gets a reply, and against a reply that is applied inside a call
     // of the engine.
-    void testEffectsWithoutReachableTargetEndWithOneFailureEach()
+    void testEffectWithUnreachableTargetFailsExactlyOnce()
     {
-        m_notes->configuration.zones.push_back({ AvailabilityZoneId("z1"), "r", "Europe/Vienna", {},
+        m_engineState->configuration.zones.push_back({ AvailabilityZoneId("z1"), "r", "Europe/Vienna", {},
             { { RackId("known"), { { WorkerId("known"), RackId("known") } } } } });
-        m_notes->script = [](const Event& event, std::vector<Effect>& effects) {
+        m_engineState->script = [](const Event& event, std::vector<Effect>& effects) {
             if (!std::holds_alternative<Started>(event.payload))
                 return;
             const OperationId operation { ModuleId::Jobs, 1 };
@@ -141,11 +141,11 @@
             effects.emplace_back(SendToPeer { HostId("nobody"), JobNotice {} });
         };
         run([&] {
-            return m_notes->count<TableReplied>() == 2 && m_notes->count<ObjectReplied>() == 3
-                && m_notes->count<RackSyncFailed>() == 2 && m_notes->count<WorkerReplied>() == 2
-                && m_notes->count<EndpointFailed>() == 3 && m_notes->count<HostListFailed>() > 0;
+            return m_engineState->count<TableReplied>() == 2 && m_engineState->count<ObjectReplied>() == 3
+                && m_engineState->count<RackSyncFailed>() == 2 && m_engineState->count<WorkerReplied>() == 2
+                && m_engineState->count<EndpointFailed>() == 3 && m_engineState->count<HostListFailed>() > 0;
         });
-        for (const Event& event : m_notes->events) {
+        for (const Event& event : m_engineState->events) {
             if (const auto* failed = std::get_if<EndpointFailed>(&event.payload))
                 CPPUNIT_ASSERT(failed->failure == EndpointFailure::NotSent);
             if (const auto* reply = std::get_if<TableReplied>(&event.payload))
@@ -153,10 +153,10 @@
         }
     }
 
-    void testCallerThatClosesIsReportedAndItsAnswerDropped()
+    void testCallerThatClosesIsReportedAndItsAnswerIsDropped()
     {
         std::optional<CallerHandle> open;
-        m_notes->script = [&](const Event& event, std::vector<Effect>& effects) {
+        m_engineState->script = [&](const Event& event, std::vector<Effect>& effects) {
             if (const auto* request = std::get_if<RequestReceived>(&event.payload))
                 open = request->caller;
             if (const auto* gone = std::get_if<CallerGone>(&event.payload))
@@ -165,16 +165,16 @@
         const net::HttpCallId id = call("a", "POST", "/v1/services/s/o", "");
         run([&] { return open.has_value(); });
         m_client->cancel(id);
-        run([&] { return m_notes->count<CallerGone>() == 1; });
+        run([&] { return m_engineState->count<CallerGone>() == 1; });
         call("b", "GET", "/healthz", "");
         run([&] { return m_responses.contains("b"); });
         CPPUNIT_ASSERT(!m_responses.contains("a"));
     }
 
-    void testShutdownFlushesAnswersAndLeavesNoCallerWithout()
+    void testShutdownSendsAnAnswerToEveryCaller()
     {
         std::vector<CallerHandle> waiting;
-        m_notes->script = [&](const Event& event, std::vector<Effect>& effects) {
+        m_engineState->script = [&](const Event& event, std::vector<Effect>& effects) {
             if (const auto* request = std::get_if<RequestReceived>(&event.payload))
                 waiting.push_back(request->caller);
             if (!std::holds_alternative<ShutdownRequested>(event.payload))
@@ -193,18 +193,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1'000'000), m_responses["first"].body.size());
         CPPUNIT_ASSERT(m_responses["second"].header("Anvilmoor-Outcome") == "unknown");
         CPPUNIT_ASSERT_EQUAL(504, m_responses["second"].status);
-        const std::size_t events = m_notes->events.size();
+        const std::size_t events = m_engineState->events.size();
         m_daemon->requestShutdown();
         call("late", "GET", "/healthz", "");
         run([&] { return m_failed.contains("late"); });
-        CPPUNIT_ASSERT_EQUAL(events, m_notes->events.size());
+        CPPUNIT_ASSERT_EQUAL(events, m_engineState->events.size());
     }
 
     // Guards against the outcome "unknown" for calls that were queued when the daemon stopped and never
     // reached the reducer.
-    void testCallsThatWaitBehindTheStopAreToldWhatIsCertain()
+    void testCallsQueuedBehindStopAreNotRunExceptLaterCopies()
     {
-        m_notes->script = [](const Event& event, std::vector<Effect>& effects) {
+        m_engineState->script = [](const Event& event, std::vector<Effect>& effects) {
             const auto* request = std::get_if<RequestReceived>(&event.payload);
             if (!request)
                 return;
@@ -220,25 +220,25 @@
         }
         m_loop->run(); // until the daemon stops it
         run([&] { return m_responses.size() + m_failed.size() == 24; });
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_notes->count<RequestReceived>());
-        std::size_t turnedAway = 0;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_engineState->count<RequestReceived>());
+        std::size_t rejected = 0;
         for (const auto& [name, response] : m_responses) {
             const std::string outcome(response.header("Anvilmoor-Outcome"));
             if (outcome == "done")
                 continue;
-            ++turnedAway;
+            ++rejected;
             const std::string expected = name.starts_with("first") ? "not_run"
                 : name.starts_with("copy")                         ? "unknown"
                                                                    : "";
             CPPUNIT_ASSERT_EQUAL_MESSAGE(name + ": " + response.body, expected, outcome);
             CPPUNIT_ASSERT(name.starts_with("copy") || response.status == 503);
         }
-        CPPUNIT_ASSERT(turnedAway > 0);
+        CPPUNIT_ASSERT(rejected > 0);
     }
 
-    void testPagesFollowReadiness()
+    void testReadinessAndMetricsPagesShowReadiness()
     {
-        m_notes->script = [](const Event& event, std::vector<Effect>& effects) {
+        m_engineState->script = [](const Event& event, std::vector<Effect>& effects) {
             if (std::holds_alternative<SiteQueried>(event.payload)) {
                 effects.emplace_back(SetReadiness { true });
                 effects.emplace_back(RecordEvent { "job.running", { { "job", "j" } } });
@@ -260,7 +260,7 @@
             CPPUNIT_ASSERT_MESSAGE(page, page.find(line) != std::string::npos);
     }
 
-    void testMalformedCallNeverReachesTheEngine()
+    void testMalformedCallDoesNotReachEngine()
     {
         call("a", "POST", "/v1/jobs", "{");
         call("b", "GET", "/nowhere", "");
@@ -269,20 +269,20 @@
         CPPUNIT_ASSERT_EQUAL(400, m_responses["a"].status);
         CPPUNIT_ASSERT_EQUAL(404, m_responses["b"].status);
         CPPUNIT_ASSERT_EQUAL(405, m_responses["c"].status);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_notes->count<JobSubmitted>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_engineState->count<JobSubmitted>());
     }
 
     // Guards against callbacks that use the daemon after its destruction; the sanitizers detect them.
-    void testDaemonDestroyedWithWorkInFlightIsClean()
+    void testDaemonDestroyedWithWorkInFlightRunsNoCallbacks()
     {
-        m_notes->script = [](const Event& event, std::vector<Effect>& effects) {
+        m_engineState->script = [](const Event& event, std::vector<Effect>& effects) {
             if (std::holds_alternative<RequestReceived>(event.payload)) {
                 effects.emplace_back(ReadTable { { ModuleId::Jobs, 1 }, {} });
                 effects.emplace_back(SyncRack { RackId("unknown") });
             }
         };
         call("a", "POST", "/v1/services/s/o", "");
-        run([&] { return m_notes->count<RequestReceived>() == 1; });
+        run([&] { return m_engineState->count<RequestReceived>() == 1; });
         m_daemon.reset();
         run([&] { return m_responses.contains("a") || m_failed.contains("a"); });
     }
@@ -295,10 +295,11 @@
 
     void answerRequestsWith(std::function<void(const RequestReceived&, std::vector<Effect>&)> answer)
     {
-        m_notes->script = [answer = std::move(answer)](const Event& event, std::vector<Effect>& effects) {
-            if (const auto* request = std::get_if<RequestReceived>(&event.payload))
-                answer(*request, effects);
-        };
+        m_engineState->script
+            = [answer = std::move(answer)](const Event& event, std::vector<Effect>& effects) {
+                  if (const auto* request = std::get_if<RequestReceived>(&event.payload))
+                      answer(*request, effects);
+              };
     }
 
     net::HttpCallId call(const std::string& name, const std::string& method, const std::string& path,
@@ -315,7 +316,7 @@
             });
     }
 
-    std::shared_ptr<ScriptedEngine::Notes> m_notes;
+    std::shared_ptr<ScriptedEngine::EngineState> m_engineState;
     std::unique_ptr<net::EventLoop> m_loop;
     std::unique_ptr<peer::KjUvEventPort> m_kj;
     std::unique_ptr<net::HttpClient> m_client;
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -33,17 +33,18 @@
     return payload;
 }
 
-void assertRefused(const net::HttpRequest& from, int status, const std::string& named)
+void assertRefused(const net::HttpRequest& from, int status, const std::string& expectedText)
 {
     const auto event = decodeCall(from, 9);
     CPPUNIT_ASSERT_MESSAGE(from.path + " " + from.body, !event.has_value());
     CPPUNIT_ASSERT_EQUAL_MESSAGE(event.error().reason, status, event.error().status);
-    CPPUNIT_ASSERT_MESSAGE(event.error().reason, event.error().reason.find(named) != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(
+        event.error().reason, event.error().reason.find(expectedText) != std::string::npos);
 }
 
 nlohmann::json bodyOf(const net::HttpResponse& response) { return nlohmann::json::parse(response.body); }
 
-EntrySettings goodSettings()
+EntrySettings validSettings()
 {
     return { "e1", "z1", "127.0.0.1:0", "[::1]:0", "e1@z1=10.0.0.1:7,e2@z2=10.0.0.2:7", "127.0.0.1:80",
         "z1=127.0.0.1:81,z2=127.0.0.1:82", "", "info" };
@@ -54,13 +55,13 @@
 class WireCodecTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(WireCodecTest);
     CPPUNIT_TEST(testServiceRequestWithAllHeadersIsDecoded);
-    CPPUNIT_TEST(testServiceRequestWithBadHeadersIsRefusedByName);
-    CPPUNIT_TEST(testJobSubmissionIsDecodedStrictly);
+    CPPUNIT_TEST(testServiceRequestWithInvalidHeaderIsRefusedNamingIt);
+    CPPUNIT_TEST(testJobSubmissionIsDecodedAndInvalidFieldsAreRefused);
     CPPUNIT_TEST(testPathsMethodsAndEscapesAreCheckedBeforeUse);
     CPPUNIT_TEST(testOperatorCallsAreDecoded);
-    CPPUNIT_TEST(testAnswersOfEachOutcomeHaveStatusAndHint);
+    CPPUNIT_TEST(testAnswerOfEachOutcomeHasItsStatusAndHeaders);
     CPPUNIT_TEST(testOperatorAnswersAreJson);
-    CPPUNIT_TEST(testSettingsWithProblemsNameEachFlag);
+    CPPUNIT_TEST(testValidSettingsAreReadAndEachInvalidOneIsRefused);
     CPPUNIT_TEST(testLocalTimeFollowsDaylightSaving);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,21 +79,22 @@
         CPPUNIT_ASSERT(plain.deadline == Milliseconds(0) && plain.issuedAt == WallTime(Milliseconds(17)));
     }
 
-    void testServiceRequestWithBadHeadersIsRefusedByName()
+    void testServiceRequestWithInvalidHeaderIsRefusedNamingIt()
     {
         assertRefused(request("POST", "/v1/services/s/o"), 400, "Anvilmoor-Account is missing");
         assertRefused(
             request("POST", "/v1/services/s/o", "", { { "Anvilmoor-Account", "a/b" } }), 400, "Account");
-        for (const char* bad : { "-1", "0", "1.5", "x", "99999999999", "99999999999999999999" })
-            assertRefused(serviceRequest({ { "Anvilmoor-Deadline-Ms", bad } }), 400, "Anvilmoor-Deadline-Ms");
-        for (const char* bad : { "yesterday", "-5", "99999999999999999", "infinite-future" })
-            assertRefused(serviceRequest({ { "Anvilmoor-Issued-At", bad } }), 400, "Anvilmoor-Issued-At");
+        for (const char* invalid : { "-1", "0", "1.5", "x", "99999999999", "99999999999999999999" })
+            assertRefused(
+                serviceRequest({ { "Anvilmoor-Deadline-Ms", invalid } }), 400, "Anvilmoor-Deadline-Ms");
+        for (const char* invalid : { "yesterday", "-5", "99999999999999999", "infinite-future" })
+            assertRefused(serviceRequest({ { "Anvilmoor-Issued-At", invalid } }), 400, "Anvilmoor-Issued-At");
         (void)decoded<RequestReceived>(serviceRequest({ { "Idempotency-Key", std::string(256, 'k') } }));
         assertRefused(serviceRequest({ { "Idempotency-Key", std::string(257, 'k') } }), 400, "256");
         assertRefused(serviceRequest({ { "Idempotency-Key", "a\xff" } }), 400, "Idempotency-Key");
     }
 
-    void testJobSubmissionIsDecodedStrictly()
+    void testJobSubmissionIsDecodedAndInvalidFieldsAreRefused()
     {
         const auto event = decoded<JobSubmitted>(request("POST", "/v1/jobs",
             R"({"account":"a","key":"k","zone":"z","class":"guaranteed","accelerators":512,"adjacent":false,)"
@@ -110,10 +112,10 @@
         assertRefused(request("POST", "/v1/jobs", base + R"(,"priority":10})"), 400, "\"priority\"");
         assertRefused(request("POST", "/v1/jobs", base + R"(,"adjacent":1})"), 400, "\"adjacent\"");
         assertRefused(request("POST", "/v1/jobs", base + R"(,"class":"best"})"), 400, "\"class\"");
-        for (const char* bad : { "0", "513", "-1", "1.5", "\"8\"", "18446744073709551615" })
+        for (const char* invalid : { "0", "513", "-1", "1.5", "\"8\"", "18446744073709551615" })
             assertRefused(
                 request("POST", "/v1/jobs",
-                    std::string(R"({"account":"a","key":"k","run_ms":1,"accelerators":)") + bad + "}"),
+                    std::string(R"({"account":"a","key":"k","run_ms":1,"accelerators":)") + invalid + "}"),
                 400, "\"accelerators\"");
     }
 
@@ -157,7 +159,7 @@
     }
 
     // Guards against an ambiguous outcome: a caller must be able to distinguish "not run" from "unknown".
-    void testAnswersOfEachOutcomeHaveStatusAndHint()
+    void testAnswerOfEachOutcomeHasItsStatusAndHeaders()
     {
         const RequestIdentity identity { ClientAccountId("acc"), "k/1" };
         const auto done = encodeAnswer({ RequestOutcome::Done, std::string("\0\xff", 2) }, identity);
@@ -209,23 +211,24 @@
         CPPUNIT_ASSERT(body["hosts"][0]["summary"]["queued_jobs"] == 0);
     }
 
-    void testSettingsWithProblemsNameEachFlag()
+    void testValidSettingsAreReadAndEachInvalidOneIsRefused()
     {
-        const auto options = readSettings(goodSettings(), 42);
+        const auto options = readSettings(validSettings(), 42);
         CPPUNIT_ASSERT(options.has_value());
         CPPUNIT_ASSERT(options->peers.size() == 1 && options->settings.peers[0].zone.value() == "z2");
         CPPUNIT_ASSERT(options->peerListen.ip == "::1" && options->seed == 42);
-        const std::vector<std::pair<std::string EntrySettings::*, std::string>> bad { { &EntrySettings::host,
-                                                                                          "" },
-            { &EntrySettings::zone, "a b" }, { &EntrySettings::listen, "localhost:1" },
-            { &EntrySettings::listen, "127.0.0.1:65536" }, { &EntrySettings::peerListen, "::1:80" },
-            { &EntrySettings::peers, "e2=127.0.0.1:7" }, { &EntrySettings::peers, "e2@z=127.0.0.1:0" },
+        const std::vector<std::pair<std::string EntrySettings::*, std::string>> invalid {
+            { &EntrySettings::host, "" }, { &EntrySettings::zone, "a b" },
+            { &EntrySettings::listen, "localhost:1" }, { &EntrySettings::listen, "127.0.0.1:65536" },
+            { &EntrySettings::peerListen, "::1:80" }, { &EntrySettings::peers, "e2=127.0.0.1:7" },
+            { &EntrySettings::peers, "e2@z=127.0.0.1:0" },
             { &EntrySettings::peers, "e2@z=127.0.0.1:7,e2@z=127.0.0.1:8" },
             { &EntrySettings::peers, "e1@z2=127.0.0.1:7" }, { &EntrySettings::platform, "127.0.0.1" },
             { &EntrySettings::workersAddress, "" }, { &EntrySettings::workersAddress, "z1" },
-            { &EntrySettings::seed, "-1" }, { &EntrySettings::logLevel, "loud" } };
-        for (const auto& [member, value] : bad) {
-            auto settings = goodSettings();
+            { &EntrySettings::seed, "-1" }, { &EntrySettings::logLevel, "loud" }
+        };
+        for (const auto& [member, value] : invalid) {
+            auto settings = validSettings();
             settings.*member = value;
             CPPUNIT_ASSERT_MESSAGE(value, !readSettings(settings, 1).has_value());
         }
