Reword comments and messages in src/peer

The comments named connections, handles and daemons by pronouns and by figures of speech ("gets a turn", "names itself", "what is silent"). They now name the object, the condition and the consequence, and every reason stays. Three close reasons of the message stream, the refusal of a session and one message of a test assertion say which limit or condition was hit; no test or tool matches them. Tests without a comment now say what they guard against.

--- a/src/peer/kj_uv_event_port.cpp
+++ b/src/peer/kj_uv_event_port.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Other callbacks of the loop get a turn after this many KJ events.
+// Maximum number of KJ events per loop iteration, so that they do not starve other callbacks of the loop.
 constexpr unsigned maxKjTurns = 64;
 
 } // namespace
@@ -22,7 +22,7 @@
     m_handles->check.data = m_handles;
     uv_check_start(
         &m_handles->check, [](uv_check_t* check) { static_cast<Handles*>(check->data)->owner->runKj(); });
-    // The check alone does not keep the loop alive; pending KJ work does.
+    // The check handle does not keep the loop alive; the idle handle does while KJ has work.
     uv_unref(reinterpret_cast<uv_handle_t*>(&m_handles->check));
 }
 
--- a/src/peer/kj_uv_event_port.h
+++ b/src/peer/kj_uv_event_port.h
@@ -5,8 +5,8 @@
 
 namespace anvilmoor::peer {
 
-// Runs KJ promises on a libuv loop. One object per thread; the loop outlives it and runs once more after
-// it is destroyed, so that its handles close.
+// Runs KJ promises on a libuv loop. There is at most one object per thread. The loop must outlive it, and
+// must run once more after its destruction to close its handles.
 class KjUvEventPort final : private kj::EventPort {
 public:
     explicit KjUvEventPort(uv_loop_t*);
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -6,7 +6,7 @@
 $Cxx.namespace("anvilmoor::peer::wire");
 
 interface Peer {
-  # Names the calling host once, so that messages need not repeat it.
+  # Identifies the calling host for the whole session, so that `deliver` does not carry it.
   open @0 (host :Text) -> (session :Session);
 }
 
@@ -43,7 +43,7 @@
   drainVersion @6 :UInt64;
   heldToken @7 :UInt64;
   summary @8 :ZoneSummary;
-  knownConfigurationVersion @9 :UInt64; # 0 from releases before this field
+  knownConfigurationVersion @9 :UInt64; # 0 from releases that predate this field
 }
 
 struct ConfigurationPush {
--- a/src/peer/peer_codec.h
+++ b/src/peer/peer_codec.h
@@ -8,13 +8,13 @@
 namespace anvilmoor::peer {
 
 enum class DecodeError {
-    UnknownKind, // sent by a newer version; harmless
+    UnknownKind, // sent by a newer release; can be ignored
     Malformed,
 };
 
 void encode(const PeerMessage&, wire::Message::Builder);
 
-// Throws kj::Exception if the message is broken below the level of its fields.
+// Throws kj::Exception if the Cap'n Proto structure of the message is invalid.
 tl::expected<PeerMessage, DecodeError> decode(wire::Message::Reader);
 
 } // namespace anvilmoor::peer
--- a/src/peer/peer_connector.cpp
+++ b/src/peer/peer_connector.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-// Heartbeats are dropped first: the next one replaces them.
+// Above this many unsent bytes, heartbeats are dropped and other messages are still sent: the next heartbeat
+// replaces a dropped one.
 constexpr std::size_t unsentBytesWithoutHeartbeats = 64U * 1024U;
-// A peer that reads but does not answer is given up beyond this.
+// At this many unanswered calls the connection is closed: the peer reads but does not answer.
 constexpr std::size_t maxCallsInFlight = 4'096;
 
 } // namespace
@@ -19,7 +20,7 @@
 struct PeerConnector::Connecting {
     uv_connect_t request {};
     uv_tcp_t* tcp = nullptr;
-    PeerConnector* owner = nullptr; // null once the attempt is given up
+    PeerConnector* owner = nullptr; // null once the attempt is abandoned
 };
 
 PeerConnector::PeerConnector(
@@ -59,7 +60,7 @@
         ++m_callsInFlight;
         m_calls->add(request.send().ignoreResult().then([this] { --m_callsInFlight; }));
     } catch (const kj::Exception&) {
-        // The connection broke under the call.
+        // The connection failed during the call.
         m_isBroken = true;
         return false;
     }
@@ -130,7 +131,7 @@
 void PeerConnector::finishConnecting(int status)
 {
     uv_tcp_t* tcp = std::exchange(m_connecting->tcp, nullptr);
-    m_connecting = nullptr; // freed by the caller
+    m_connecting = nullptr; // deleted by the connect callback
     if (status != 0) {
         UvMessageStream::closeTcpHandle(tcp);
         scheduleRetry(m_lastHeard);
@@ -155,7 +156,7 @@
 
 void PeerConnector::closeLink()
 {
-    // Promises and capabilities go before the RPC system that they point into.
+    // Promises and capabilities refer to the RPC system, so they are destroyed before it.
     m_calls.reset();
     m_session.reset();
     m_link.reset();
@@ -163,7 +164,7 @@
 
 void PeerConnector::scheduleRetry(TimePoint now)
 {
-    // Jitter spreads the daemons of a zone that lost the same peer.
+    // Jitter spreads out the reconnections of daemons of a zone that lost the same peer.
     const auto half = m_backoff.count() / 2;
     std::uniform_int_distribution<std::int64_t> jitter(0, half);
     m_retryAt = now + Milliseconds(half + jitter(m_random));
--- a/src/peer/peer_connector.h
+++ b/src/peer/peer_connector.h
@@ -19,16 +19,16 @@
 };
 
 struct PeerTimings {
-    // A connection on which nothing was received for this long is closed, whatever TCP reports.
+    // A connection on which no message was received for this long is closed, even if TCP reports no error.
+    // Also bounds a connection attempt.
     Milliseconds silenceLimit { 2'000 };
     Milliseconds firstBackoff { 100 };
     Milliseconds maxBackoff { 2'000 };
-    // How often connections are checked.
     Milliseconds checkInterval { 50 };
 };
 
-// The outgoing connection to one peer, over which this daemon calls it. Connects again, with backoff and
-// jitter, after each loss.
+// The outgoing connection to one peer, over which this daemon sends its messages. Reconnects with backoff
+// and jitter after each loss.
 class PeerConnector final : private kj::TaskSet::ErrorHandler {
 public:
     PeerConnector(uv_loop_t*, HostId self, PeerAddress, PeerTimings, std::uint64_t seed);
@@ -36,18 +36,19 @@
     PeerConnector(const PeerConnector&) = delete;
     PeerConnector& operator=(const PeerConnector&) = delete;
 
-    // Counts the traffic of later connections.
+    // Counts the traffic of connections that are established from now on.
     void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
     const HostId& host() const { return m_peer.host; }
     bool isConnected() const { return m_session.has_value() && !m_link->stream.isClosed(); }
-    // False if the message was dropped.
+    // Returns false if the message was dropped.
     bool send(const PeerMessage&);
-    // Connects when due and closes what is silent or broken. Not to be called from a KJ event. True if
-    // an established connection was lost.
+    // Starts a connection attempt when one is due, and closes a silent or broken connection. Must not be
+    // called from a KJ event, which may belong to the closed connection. Returns true if an established
+    // connection was lost.
     bool check(TimePoint now);
 
 private:
-    struct Connecting; // a connection attempt; owns its handle until the callback
+    struct Connecting; // a connection attempt; owns its TCP handle until the connect callback
 
     void taskFailed(kj::Exception&&) override;
     void startConnecting(TimePoint now);
--- a/src/peer/peer_listener.cpp
+++ b/src/peer/peer_listener.cpp
@@ -11,12 +11,12 @@
 namespace {
 
 constexpr int listenBacklog = 64;
-// Each peer holds one connection, and a second one while it replaces the first.
+// Each peer has one connection, and a second one while a new connection replaces the old one.
 constexpr std::size_t maxConnections = 256;
 
 } // namespace
 
-// The servers hold it weakly: a call that is still in the queue of KJ events may outlive the connection.
+// The RPC servers hold weak pointers to it, because a call in the KJ event queue may outlive the connection.
 struct PeerListener::Accepted {
     PeerListener* listener = nullptr;
     HostId host; // empty until the peer opens its session
@@ -71,7 +71,8 @@
         const bool isNamed = !connection->host.isEmpty();
         if (isNamed || !connection->listener->isAllowed(host)) {
             connection->isBroken = true;
-            return KJ_EXCEPTION(FAILED, "host is not a peer in these settings, or opened a session twice");
+            return KJ_EXCEPTION(
+                FAILED, "host is not a configured peer, or has already opened a session on this connection");
         }
         connection->host = host;
         connection->listener->replaceOlder(*connection);
--- a/src/peer/peer_listener.h
+++ b/src/peer/peer_listener.h
@@ -16,10 +16,10 @@
 
 namespace anvilmoor::peer {
 
-// Accepts the connections over which peers call this daemon.
+// Accepts the connections over which peers send messages to this daemon.
 class PeerListener {
 public:
-    // Gets the messages of known peers, from inside a KJ event.
+    // Receives the messages of allowed peers. Called from inside a KJ event.
     using MessageCallback = std::function<void(const HostId&, PeerMessage)>;
 
     static tl::expected<std::unique_ptr<PeerListener>, net::NetError> open(
@@ -29,12 +29,13 @@
     PeerListener& operator=(const PeerListener&) = delete;
 
     std::uint16_t port() const;
-    // Counts the traffic of later connections.
+    // Counts the traffic of connections that are accepted from now on.
     void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
-    // Hosts that may open a session; others are refused.
+    // Sets the hosts that may open a session; others are refused.
     void allow(std::vector<HostId> hosts) { m_allowed = std::move(hosts); }
-    // Closes what is silent, broken or replaced. Not to be called from a KJ event. Returns the hosts whose
-    // only connection was lost.
+    // Closes connections that are silent, broken or replaced by a newer one. Must not be called from a KJ
+    // event, which may belong to a closed connection. Returns the hosts whose connection was closed without
+    // a newer one.
     std::vector<HostId> check(TimePoint now);
     std::uint64_t messagesIgnored() const { return m_messagesIgnored; }
 
--- a/src/peer/peer_network.h
+++ b/src/peer/peer_network.h
@@ -9,17 +9,17 @@
 
 struct PeerCallbacks {
     std::function<void(const HostId& from, PeerMessage)> onMessage;
-    // Once for each loss; a peer counts as reached again with its next connection or message.
+    // Called once per loss. A peer counts as reachable again from its next connection or message.
     std::function<void(const HostId&)> onPeerLost;
 };
 
-// Best-effort messages between the entry daemons: what is sent to a peer that is not connected is dropped,
-// and what is sent is delivered at most once and in order.
+// Best-effort messages between entry daemons. A message to a peer that is not connected is dropped; all
+// others are delivered at most once and in order.
 class PeerNetwork {
 public:
     virtual ~PeerNetwork() = default;
 
-    // Ignores an unknown host.
+    // A message to an unknown host is dropped.
     virtual void send(const HostId&, const PeerMessage&) = 0;
     virtual void sendToAll(const PeerMessage&) = 0;
 };
--- a/src/peer/rpc_link.h
+++ b/src/peer/rpc_link.h
@@ -6,10 +6,11 @@
 
 namespace anvilmoor::peer {
 
-// One end of an RPC connection. Must not be destroyed from inside a KJ event, which may belong to it.
+// One end of an RPC connection. Must not be destroyed from inside a KJ event, because the event may belong
+// to this connection.
 class RpcLink {
 public:
-    // The calling end.
+    // Client end: makes the calls.
     explicit RpcLink(uv_tcp_t* connected)
         : stream(connected)
         , m_network(stream, capnp::rpc::twoparty::Side::CLIENT)
@@ -17,7 +18,7 @@
     {
     }
 
-    // The serving end.
+    // Server end: answers calls to `served`.
     RpcLink(uv_tcp_t* accepted, capnp::Capability::Client served)
         : stream(accepted)
         , m_network(stream, capnp::rpc::twoparty::Side::SERVER)
--- a/src/peer/rpc_peer_network.h
+++ b/src/peer/rpc_peer_network.h
@@ -14,20 +14,20 @@
 
 struct PeerNetworkOptions {
     HostId host;
-    net::SocketAddress listen; // port 0: any free one
+    net::SocketAddress listen; // port 0 selects any free port
     PeerTimings timings;
-    std::uint64_t seed = 0; // of the reconnection jitter
+    std::uint64_t seed = 0; // for the reconnection jitter
 };
 
-// PeerNetwork over Cap'n Proto RPC. Each daemon calls its peers over connections that it opened itself, and
-// is called over those that it accepted. Destroy it neither from a callback nor from a KJ event.
+// PeerNetwork over Cap'n Proto RPC. Each daemon sends over the connections that it opened, and receives over
+// those that it accepted. Must not be destroyed from a callback or a KJ event.
 class RpcPeerNetwork final : public PeerNetwork {
 public:
-    // Listens at once.
+    // Listens immediately.
     static tl::expected<std::unique_ptr<RpcPeerNetwork>, net::NetError> open(
         net::EventLoop&, KjUvEventPort&, PeerNetworkOptions, PeerCallbacks);
 
-    // Starts to connect to these peers and accepts theirs. Call it once.
+    // Starts to connect to these peers and lets them open sessions. Must be called only once.
     void connect(const std::vector<PeerAddress>&);
     std::uint16_t port() const { return m_listener->port(); }
 
@@ -36,10 +36,8 @@
 
     std::uint64_t messagesDropped() const { return m_messagesDropped; }
     std::uint64_t messagesIgnored() const { return m_listener->messagesIgnored(); }
-    std::uint64_t connectionsLost() const
-    {
-        return m_connectionsLost;
-    } // outgoing, after they were established
+    // Outgoing connections that were lost after they were established.
+    std::uint64_t connectionsLost() const { return m_connectionsLost; }
     std::size_t connectedPeers() const;
     const net::Traffic& traffic() const { return *m_traffic; }
 
--- a/src/peer/uv_message_stream.cpp
+++ b/src/peer/uv_message_stream.cpp
@@ -32,8 +32,8 @@
     return length;
 }
 
-// Reads everything at once: a reader that reads on later could meet a truncated message in its
-// destructor, and throw there.
+// Copies all segments immediately: a reader that still has to read could detect a truncated message only in
+// its destructor, and throw there.
 kj::Own<capnp::MessageReader> unpack(kj::ArrayPtr<const kj::byte> packed)
 {
     capnp::ReaderOptions options;
@@ -85,7 +85,7 @@
     , m_readBuffer(readBufferBytes)
 {
     m_tcp->data = this;
-    // Without it, calls wait for delayed acknowledgements.
+    // With Nagle's algorithm, calls would wait for delayed acknowledgements.
     uv_tcp_nodelay(m_tcp, 1);
     pauseOrResume();
 }
@@ -165,7 +165,7 @@
         return false;
     const std::size_t length = decodeLength(m_received.data());
     if (length == 0 || length > maxMessageBytes) {
-        fail("message length out of range");
+        fail("length of incoming message is 0 or exceeds the limit");
         return false;
     }
     if (m_received.size() < lengthBytes + length)
@@ -221,7 +221,8 @@
     const auto packed = output.getArray();
     const std::size_t length = packed.size() - lengthBytes;
     if (length > maxMessageBytes || unsentBytes() + packed.size() > maxUnsentBytes) {
-        fail(length > maxMessageBytes ? "outgoing message too large" : "too many unsent bytes");
+        fail(length > maxMessageBytes ? "length of outgoing message exceeds the limit"
+                                      : "unsent bytes exceed the limit");
         return disconnected(m_closeReason);
     }
     auto write = std::make_unique<WriteRequest>();
@@ -238,9 +239,9 @@
     }
     ++m_traffic->messagesSent;
     m_traffic->bytesSent += write->bytes.size();
-    (void)write.release(); // freed by the callback
-    // The bytes are copied and bounded here, so the RPC system need not wait. A failed write shows as a
-    // failed read or as silence.
+    (void)write.release(); // deleted by the write callback
+    // The bytes are copied and their number is bounded above, so the RPC system need not wait for the write.
+    // A failed write is detected by a failed read or by the silence of the peer.
     return kj::READY_NOW;
 }
 
@@ -250,7 +251,7 @@
     for (auto& message : messages) {
         if (!m_tcp)
             return disconnected(m_closeReason);
-        // The result is known at once: the promise is either ready or broken by a closed stream.
+        // The promise can be ignored: it is already resolved, and a failure has closed the stream.
         (void)writeMessage(nullptr, message);
     }
     return m_tcp ? kj::Promise<void>(kj::READY_NOW) : kj::Promise<void>(disconnected(m_closeReason));
--- a/src/peer/uv_message_stream.h
+++ b/src/peer/uv_message_stream.h
@@ -14,16 +14,18 @@
 
 namespace anvilmoor::peer {
 
-// Larger messages close the connection. Covers a configuration document of the HTTP body limit, 8 MiB.
+// A larger message closes the connection. Leaves room for a configuration document at the HTTP body limit,
+// which is 8 MiB.
 constexpr std::size_t maxMessageBytes = 10U * 1024U * 1024U;
 // A connection with more unsent bytes is closed.
 constexpr std::size_t maxUnsentBytes = 12U * 1024U * 1024U;
 
-// Cap'n Proto messages over a TCP connection of a libuv loop: each in packed encoding after its length as
-// 4 bytes, little-endian. Packing halves the bytes of heartbeats, which count against the control budget.
+// Sends and receives Cap'n Proto messages over a TCP connection on a libuv loop. A frame is the length in 4
+// bytes, little-endian, followed by the message in packed encoding. Packing halves the size of heartbeats,
+// which count against the control budget.
 class UvMessageStream final : public capnp::MessageStream {
 public:
-    // Takes over a connected handle from newTcpHandle().
+    // Takes ownership of a connected handle created by newTcpHandle().
     explicit UvMessageStream(uv_tcp_t*);
     ~UvMessageStream() noexcept;
     UvMessageStream(const UvMessageStream&) = delete;
@@ -33,12 +35,12 @@
     static void closeTcpHandle(uv_tcp_t*);
 
     bool isClosed() const { return !m_tcp; }
-    // Closes at once; pending reads end, later writes fail.
+    // Closes immediately: a pending read is rejected, and later reads and writes fail.
     void close();
     std::size_t unsentBytes() const;
-    // Whole messages received since the start.
+    // Complete messages received since construction.
     std::size_t messagesReceived() const { return m_messagesReceived; }
-    // Adds what is sent and received from now on, RPC replies included.
+    // Counts the messages sent and received from now on, RPC replies included.
     void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
     const std::string& closeReason() const { return m_closeReason; }
 
@@ -65,7 +67,7 @@
     uv_tcp_t* m_tcp;
     std::string m_closeReason;
     std::vector<char> m_readBuffer;
-    std::vector<char> m_received; // bytes of messages that are not complete
+    std::vector<char> m_received; // bytes of a message that is not complete yet
     std::deque<kj::Own<capnp::MessageReader>> m_messages;
     std::optional<kj::Own<kj::PromiseFulfiller<Message>>> m_reader;
     std::size_t m_messagesReceived = 0;
--- a/test/peer_network_test.cpp
+++ b/test/peer_network_test.cpp
@@ -20,7 +20,7 @@
 
 constexpr PeerTimings testTimings { Milliseconds(400), Milliseconds(10), Milliseconds(50), Milliseconds(5) };
 
-// A failing test ends after this; passing tests do not depend on it.
+// Bounds a hanging test; no passing test waits for it.
 constexpr Milliseconds hangLimit { 20'000 };
 
 PeerMessage throughCodec(const PeerMessage& message)
@@ -49,7 +49,7 @@
     return address;
 }
 
-// Its kernel completes connections, and nobody ever reads or writes.
+// The kernel completes connections to its port, but it never accepts, reads or writes.
 struct SilentPeer {
     SilentPeer()
     {
@@ -96,7 +96,7 @@
         m_loop.reset();
     }
 
-    // Guards against a field that the schema or the codec forgets.
+    // Guards against a field that is missing in the schema or the codec.
     void testMessagesOfEachKindThroughCodecAreUnchanged()
     {
         const PeerHeartbeat heartbeat { HostId("h1"), AvailabilityZoneId("z"), ~0ULL, true, true, 7, 8, 9,
@@ -138,6 +138,7 @@
         }
     }
 
+    // Guards against messages that are lost, reordered or attributed to another peer.
     void testMessagesOfConnectedPeersArriveInOrderBothWays()
     {
         start({ "a", "b", "c" });
@@ -152,7 +153,7 @@
             CPPUNIT_ASSERT_EQUAL(i + 1, pushes("b", "a")[i].version);
     }
 
-    // Guards against trusting TCP, which reports nothing for a peer that hangs.
+    // Guards against a hanging peer that is never reported as lost, because TCP reports no error for it.
     void testSilentPeerIsReportedLostAndConnectedAgain()
     {
         const SilentPeer silent;
@@ -163,7 +164,7 @@
         CPPUNIT_ASSERT(m_lost["a"][0] == HostId("silent"));
     }
 
-    // Guards against a connection to an earlier incarnation that is kept or not replaced.
+    // Guards against a connection to an earlier incarnation of a peer that is kept or not replaced.
     void testPeerDestroyedAndCreatedAgainIsReached()
     {
         start({ "a", "b", "c" });
@@ -183,6 +184,7 @@
         }
     }
 
+    // Guards against malformed input that crashes the daemon or disturbs the connections of other peers.
     void testMalformedBytesCloseOnlyTheirConnection()
     {
         start({ "a", "b" });
@@ -200,6 +202,7 @@
         CPPUNIT_ASSERT(m_lost["a"].empty() && m_lost["b"].empty());
     }
 
+    // Guards against messages that are accepted from a host that is not a configured peer.
     void testUnknownHostIsNotServed()
     {
         start({ "a", "b" });
@@ -210,6 +213,7 @@
             CPPUNIT_ASSERT(from == HostId("b"));
     }
 
+    // Guards against a large configuration that is truncated or exceeds a limit of the stream.
     void testLargeConfigurationArrivesWhole()
     {
         start({ "a", "b" });
@@ -226,7 +230,8 @@
     {
         const TimePoint start = m_loop->now();
         while (!isDone()) {
-            CPPUNIT_ASSERT_MESSAGE("hangs", m_loop->now() - start < hangLimit);
+            CPPUNIT_ASSERT_MESSAGE(
+                "condition not met within the time limit", m_loop->now() - start < hangLimit);
             uv_run(m_loop->handle(), UV_RUN_ONCE);
         }
     }
@@ -273,7 +278,7 @@
         });
     }
 
-    // Every network has heard every other one.
+    // True if every network has received a message from every other one.
     bool areAllHeard()
     {
         for (const auto& [name, network] : m_networks) {
