Rename identifiers of src/peer to the usual terms

Accepted -> Connection Connecting -> ConnectionAttempt UnknownKind -> UnknownMessageKind allow -> setAllowedHosts areAllHeard -> isFullyConnected connecting -> attempt countInto -> setTrafficCounters firstBackoff -> initialRetryDelay hangLimit -> testTimeout heardMessages -> lastReceivedCount isDone -> shouldClose isNamed -> hasSession lastHeard -> lastReceivedAt m_accepted -> m_connections m_allowed -> m_allowedHosts m_backoff -> m_retryDelay m_connecting -> m_attempt m_heardMessages -> m_lastReceivedCount m_lastHeard -> m_lastReceivedAt m_reached -> m_reachable maxBackoff -> maxRetryDelay maxKjTurns -> maxKjEventsPerIteration replaceOlder -> markOlderReplaced silenceLimit -> silenceTimeout testMessagesOfEachKindThroughCodecAreUnchanged -> testMessageOfEachKindIsUnchangedByEncodeAndDecode testPeerDestroyedAndCreatedAgainIsReached -> testRestartedPeerIsReportedLostAndReconnected testSilentPeerIsReportedLostAndConnectedAgain -> testSilentPeerIsReportedLostAndReconnected throughCodec -> encodeAndDecode unsentBytesWithoutHeartbeats -> maxUnsentBytesForHeartbeat victim -> restarted

Participles named objects (Accepted, Connecting, m_reached), three names of the retry delay and the silence time-out did not follow the scheme of the other constants, and "heard" stood both for a time and for a count. Names of tests now give subject, condition and result.

--- a/src/peer/kj_uv_event_port.cpp
+++ b/src/peer/kj_uv_event_port.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Maximum number of KJ events per loop iteration, so that they do not starve other callbacks of the loop.
-constexpr unsigned maxKjTurns = 64;
+// Keeps KJ events from starving the other callbacks of the loop.
+constexpr unsigned maxKjEventsPerIteration = 64;
 
 } // namespace
 
@@ -64,7 +64,7 @@
 void KjUvEventPort::runKj()
 {
     if (m_isRunnable)
-        m_kjLoop.run(maxKjTurns);
+        m_kjLoop.run(maxKjEventsPerIteration);
 }
 
 } // namespace anvilmoor::peer
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -195,7 +195,7 @@
     case wire::Message::REQUEST_LOOKUP_ANSWER:
         return decodeLookupAnswer(in.getRequestLookupAnswer());
     }
-    return tl::unexpected(DecodeError::UnknownKind);
+    return tl::unexpected(DecodeError::UnknownMessageKind);
 }
 
 } // namespace anvilmoor::peer
--- a/src/peer/peer_codec.h
+++ b/src/peer/peer_codec.h
@@ -8,7 +8,7 @@
 namespace anvilmoor::peer {
 
 enum class DecodeError {
-    UnknownKind, // sent by a newer release; can be ignored
+    UnknownMessageKind, // sent by a newer release; can be ignored
     Malformed,
 };
 
--- a/src/peer/peer_connector.cpp
+++ b/src/peer/peer_connector.cpp
@@ -11,13 +11,13 @@
 
 // Above this many unsent bytes, heartbeats are dropped and other messages are still sent: the next heartbeat
 // replaces a dropped one.
-constexpr std::size_t unsentBytesWithoutHeartbeats = 64U * 1024U;
+constexpr std::size_t maxUnsentBytesForHeartbeat = 64U * 1024U;
 // At this many unanswered calls the connection is closed: the peer reads but does not answer.
 constexpr std::size_t maxCallsInFlight = 4'096;
 
 } // namespace
 
-struct PeerConnector::Connecting {
+struct PeerConnector::ConnectionAttempt {
     uv_connect_t request {};
     uv_tcp_t* tcp = nullptr;
     PeerConnector* owner = nullptr; // null once the attempt is abandoned
@@ -30,17 +30,17 @@
     , m_peer(std::move(peer))
     , m_timings(timings)
     , m_random(seed)
-    , m_backoff(timings.firstBackoff)
+    , m_retryDelay(timings.initialRetryDelay)
 {
 }
 
 PeerConnector::~PeerConnector()
 {
     closeLink();
-    if (m_connecting)
-        m_connecting->owner = nullptr;
-    if (m_connecting && m_connecting->tcp)
-        UvMessageStream::closeTcpHandle(std::exchange(m_connecting->tcp, nullptr));
+    if (m_attempt)
+        m_attempt->owner = nullptr;
+    if (m_attempt && m_attempt->tcp)
+        UvMessageStream::closeTcpHandle(std::exchange(m_attempt->tcp, nullptr));
 }
 
 bool PeerConnector::send(const PeerMessage& message)
@@ -48,7 +48,7 @@
     if (!isConnected() || m_isBroken)
         return false;
     const bool isHeartbeat = std::holds_alternative<PeerHeartbeat>(message);
-    if (isHeartbeat && m_link->stream.unsentBytes() > unsentBytesWithoutHeartbeats)
+    if (isHeartbeat && m_link->stream.unsentBytes() > maxUnsentBytesForHeartbeat)
         return false;
     if (m_callsInFlight >= maxCallsInFlight) {
         m_isBroken = true;
@@ -72,13 +72,13 @@
 bool PeerConnector::check(TimePoint now)
 {
     if (!m_link) {
-        if (m_connecting && now - m_lastHeard >= m_timings.silenceLimit) {
-            m_connecting->owner = nullptr;
-            UvMessageStream::closeTcpHandle(std::exchange(m_connecting->tcp, nullptr));
-            m_connecting = nullptr;
+        if (m_attempt && now - m_lastReceivedAt >= m_timings.silenceTimeout) {
+            m_attempt->owner = nullptr;
+            UvMessageStream::closeTcpHandle(std::exchange(m_attempt->tcp, nullptr));
+            m_attempt = nullptr;
             scheduleRetry(now);
         }
-        if (!m_connecting && now >= m_retryAt)
+        if (!m_attempt && now >= m_retryAt)
             startConnecting(now);
         return false;
     }
@@ -92,17 +92,17 @@
 bool PeerConnector::isSilent(TimePoint now)
 {
     const std::size_t received = m_link->stream.messagesReceived();
-    if (received != m_heardMessages) {
-        m_heardMessages = received;
-        m_lastHeard = now;
-        m_backoff = m_timings.firstBackoff;
+    if (received != m_lastReceivedCount) {
+        m_lastReceivedCount = received;
+        m_lastReceivedAt = now;
+        m_retryDelay = m_timings.initialRetryDelay;
     }
-    return now - m_lastHeard >= m_timings.silenceLimit;
+    return now - m_lastReceivedAt >= m_timings.silenceTimeout;
 }
 
 void PeerConnector::startConnecting(TimePoint now)
 {
-    m_lastHeard = now;
+    m_lastReceivedAt = now;
     sockaddr_storage address {};
     const auto& [ip, port] = m_peer.address;
     if (uv_ip4_addr(ip.c_str(), port, reinterpret_cast<sockaddr_in*>(&address)) != 0
@@ -110,38 +110,38 @@
         scheduleRetry(now);
         return;
     }
-    m_connecting = new Connecting;
-    m_connecting->owner = this;
-    m_connecting->tcp = UvMessageStream::newTcpHandle(m_loop);
-    m_connecting->request.data = m_connecting;
-    const int error = uv_tcp_connect(&m_connecting->request, m_connecting->tcp,
+    m_attempt = new ConnectionAttempt;
+    m_attempt->owner = this;
+    m_attempt->tcp = UvMessageStream::newTcpHandle(m_loop);
+    m_attempt->request.data = m_attempt;
+    const int error = uv_tcp_connect(&m_attempt->request, m_attempt->tcp,
         reinterpret_cast<const sockaddr*>(&address), [](uv_connect_t* request, int status) {
-            auto* connecting = static_cast<Connecting*>(request->data);
-            if (connecting->owner)
-                connecting->owner->finishConnecting(status);
-            delete connecting;
+            auto* attempt = static_cast<ConnectionAttempt*>(request->data);
+            if (attempt->owner)
+                attempt->owner->finishConnecting(status);
+            delete attempt;
         });
     if (error != 0) {
-        UvMessageStream::closeTcpHandle(m_connecting->tcp);
-        delete std::exchange(m_connecting, nullptr);
+        UvMessageStream::closeTcpHandle(m_attempt->tcp);
+        delete std::exchange(m_attempt, nullptr);
         scheduleRetry(now);
     }
 }
 
 void PeerConnector::finishConnecting(int status)
 {
-    uv_tcp_t* tcp = std::exchange(m_connecting->tcp, nullptr);
-    m_connecting = nullptr; // deleted by the connect callback
+    uv_tcp_t* tcp = std::exchange(m_attempt->tcp, nullptr);
+    m_attempt = nullptr; // deleted by the connect callback
     if (status != 0) {
         UvMessageStream::closeTcpHandle(tcp);
-        scheduleRetry(m_lastHeard);
+        scheduleRetry(m_lastReceivedAt);
         return;
     }
-    m_heardMessages = 0;
+    m_lastReceivedCount = 0;
     m_isBroken = false;
     m_callsInFlight = 0;
     m_link = std::make_unique<RpcLink>(tcp);
-    m_link->stream.countInto(m_traffic);
+    m_link->stream.setTrafficCounters(m_traffic);
     m_calls.emplace(static_cast<kj::TaskSet::ErrorHandler&>(*this));
     try {
         auto open = m_link->bootstrap().castAs<wire::Peer>().openRequest();
@@ -165,10 +165,10 @@
 void PeerConnector::scheduleRetry(TimePoint now)
 {
     // Jitter spreads out the reconnections of daemons of a zone that lost the same peer.
-    const auto half = m_backoff.count() / 2;
+    const auto half = m_retryDelay.count() / 2;
     std::uniform_int_distribution<std::int64_t> jitter(0, half);
     m_retryAt = now + Milliseconds(half + jitter(m_random));
-    m_backoff = std::min(m_backoff * 2, m_timings.maxBackoff);
+    m_retryDelay = std::min(m_retryDelay * 2, m_timings.maxRetryDelay);
 }
 
 } // namespace anvilmoor::peer
--- a/src/peer/peer_connector.h
+++ b/src/peer/peer_connector.h
@@ -21,9 +21,9 @@
 struct PeerTimings {
     // A connection on which no message was received for this long is closed, even if TCP reports no error.
     // Also bounds a connection attempt.
-    Milliseconds silenceLimit { 2'000 };
-    Milliseconds firstBackoff { 100 };
-    Milliseconds maxBackoff { 2'000 };
+    Milliseconds silenceTimeout { 2'000 };
+    Milliseconds initialRetryDelay { 100 };
+    Milliseconds maxRetryDelay { 2'000 };
     Milliseconds checkInterval { 50 };
 };
 
@@ -37,7 +37,7 @@
     PeerConnector& operator=(const PeerConnector&) = delete;
 
     // Counts the traffic of connections that are established from now on.
-    void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
+    void setTrafficCounters(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
     const HostId& host() const { return m_peer.host; }
     bool isConnected() const { return m_session.has_value() && !m_link->stream.isClosed(); }
     // Returns false if the message was dropped.
@@ -48,7 +48,7 @@
     bool check(TimePoint now);
 
 private:
-    struct Connecting; // a connection attempt; owns its TCP handle until the connect callback
+    struct ConnectionAttempt; // owns its TCP handle until the connect callback
 
     void taskFailed(kj::Exception&&) override;
     void startConnecting(TimePoint now);
@@ -62,12 +62,12 @@
     PeerAddress m_peer;
     PeerTimings m_timings;
     std::mt19937_64 m_random;
-    Milliseconds m_backoff;
+    Milliseconds m_retryDelay;
     TimePoint m_retryAt {};
-    TimePoint m_lastHeard {};
-    std::size_t m_heardMessages = 0;
+    TimePoint m_lastReceivedAt {}; // the start of the attempt before the first message
+    std::size_t m_lastReceivedCount = 0;
     bool m_isBroken = false;
-    Connecting* m_connecting = nullptr;
+    ConnectionAttempt* m_attempt = nullptr;
     std::shared_ptr<net::Traffic> m_traffic = std::make_shared<net::Traffic>();
     std::unique_ptr<RpcLink> m_link;
     std::optional<wire::Session::Client> m_session;
--- a/src/peer/peer_listener.cpp
+++ b/src/peer/peer_listener.cpp
@@ -17,19 +17,19 @@
 } // namespace
 
 // The RPC servers hold weak pointers to it, because a call in the KJ event queue may outlive the connection.
-struct PeerListener::Accepted {
+struct PeerListener::Connection {
     PeerListener* listener = nullptr;
     HostId host; // empty until the peer opens its session
     bool isBroken = false;
     bool isReplaced = false;
-    TimePoint lastHeard {};
-    std::size_t heardMessages = 0;
+    TimePoint lastReceivedAt {};
+    std::size_t lastReceivedCount = 0;
     std::unique_ptr<RpcLink> link;
 };
 
 class PeerListener::SessionServer final : public wire::Session::Server {
 public:
-    explicit SessionServer(std::weak_ptr<Accepted> connection)
+    explicit SessionServer(std::weak_ptr<Connection> connection)
         : m_connection(std::move(connection))
     {
     }
@@ -51,12 +51,12 @@
     }
 
 private:
-    std::weak_ptr<Accepted> m_connection;
+    std::weak_ptr<Connection> m_connection;
 };
 
 class PeerListener::PeerServer final : public wire::Peer::Server {
 public:
-    explicit PeerServer(std::weak_ptr<Accepted> connection)
+    explicit PeerServer(std::weak_ptr<Connection> connection)
         : m_connection(std::move(connection))
     {
     }
@@ -68,20 +68,20 @@
             return kj::READY_NOW;
         const auto name = context.getParams().getHost();
         const HostId host(std::string(name.begin(), name.size()));
-        const bool isNamed = !connection->host.isEmpty();
-        if (isNamed || !connection->listener->isAllowed(host)) {
+        const bool hasSession = !connection->host.isEmpty();
+        if (hasSession || !connection->listener->isAllowed(host)) {
             connection->isBroken = true;
             return KJ_EXCEPTION(
                 FAILED, "host is not a configured peer, or has already opened a session on this connection");
         }
         connection->host = host;
-        connection->listener->replaceOlder(*connection);
+        connection->listener->markOlderReplaced(*connection);
         context.getResults(capnp::MessageSize { 16, 1 }).setSession(kj::heap<SessionServer>(m_connection));
         return kj::READY_NOW;
     }
 
 private:
-    std::weak_ptr<Accepted> m_connection;
+    std::weak_ptr<Connection> m_connection;
 };
 
 PeerListener::PeerListener(uv_loop_t* loop, PeerTimings timings, MessageCallback onMessage)
@@ -140,54 +140,54 @@
 {
     uv_tcp_t* tcp = UvMessageStream::newTcpHandle(m_loop);
     if (uv_accept(reinterpret_cast<uv_stream_t*>(m_tcp), reinterpret_cast<uv_stream_t*>(tcp)) != 0
-        || m_accepted.size() >= maxConnections) {
+        || m_connections.size() >= maxConnections) {
         UvMessageStream::closeTcpHandle(tcp);
         return;
     }
-    auto connection = std::make_shared<Accepted>();
+    auto connection = std::make_shared<Connection>();
     connection->listener = this;
-    connection->lastHeard = m_now;
+    connection->lastReceivedAt = m_now;
     connection->link
-        = std::make_unique<RpcLink>(tcp, kj::heap<PeerServer>(std::weak_ptr<Accepted>(connection)));
-    connection->link->stream.countInto(m_traffic);
-    m_accepted.push_back(std::move(connection));
+        = std::make_unique<RpcLink>(tcp, kj::heap<PeerServer>(std::weak_ptr<Connection>(connection)));
+    connection->link->stream.setTrafficCounters(m_traffic);
+    m_connections.push_back(std::move(connection));
 }
 
 bool PeerListener::isAllowed(const HostId& host) const
 {
-    return std::ranges::find(m_allowed, host) != m_allowed.end();
+    return std::ranges::find(m_allowedHosts, host) != m_allowedHosts.end();
 }
 
-void PeerListener::replaceOlder(const Accepted& newer)
+void PeerListener::markOlderReplaced(const Connection& newer)
 {
-    for (const auto& connection : m_accepted) {
+    for (const auto& connection : m_connections) {
         if (connection.get() != &newer && connection->host == newer.host)
             connection->isReplaced = true;
     }
 }
 
-bool PeerListener::isDone(Accepted& connection, TimePoint now) const
+bool PeerListener::shouldClose(Connection& connection, TimePoint now) const
 {
     const std::size_t received = connection.link->stream.messagesReceived();
-    if (received != connection.heardMessages) {
-        connection.heardMessages = received;
-        connection.lastHeard = now;
+    if (received != connection.lastReceivedCount) {
+        connection.lastReceivedCount = received;
+        connection.lastReceivedAt = now;
     }
     return connection.isBroken || connection.isReplaced || connection.link->stream.isClosed()
-        || now - connection.lastHeard >= m_timings.silenceLimit;
+        || now - connection.lastReceivedAt >= m_timings.silenceTimeout;
 }
 
 std::vector<HostId> PeerListener::check(TimePoint now)
 {
     m_now = now;
     std::vector<HostId> lost;
-    for (auto next = m_accepted.begin(); next != m_accepted.end();) {
+    for (auto next = m_connections.begin(); next != m_connections.end();) {
         const auto connection = *next;
-        if (!isDone(*connection, now)) {
+        if (!shouldClose(*connection, now)) {
             ++next;
             continue;
         }
-        next = m_accepted.erase(next);
+        next = m_connections.erase(next);
         if (!connection->isReplaced && !connection->host.isEmpty())
             lost.push_back(connection->host);
     }
--- a/src/peer/peer_listener.h
+++ b/src/peer/peer_listener.h
@@ -30,9 +30,9 @@
 
     std::uint16_t port() const;
     // Counts the traffic of connections that are accepted from now on.
-    void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
-    // Sets the hosts that may open a session; others are refused.
-    void allow(std::vector<HostId> hosts) { m_allowed = std::move(hosts); }
+    void setTrafficCounters(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
+    // Other hosts are refused when they open a session.
+    void setAllowedHosts(std::vector<HostId> hosts) { m_allowedHosts = std::move(hosts); }
     // Closes connections that are silent, broken or replaced by a newer one. Must not be called from a KJ
     // event, which may belong to a closed connection. Returns the hosts whose connection was closed without
     // a newer one.
@@ -42,21 +42,21 @@
 private:
     class PeerServer;
     class SessionServer;
-    struct Accepted;
+    struct Connection;
 
     PeerListener(uv_loop_t*, PeerTimings, MessageCallback);
     void accept();
     bool isAllowed(const HostId&) const;
-    void replaceOlder(const Accepted&);
-    bool isDone(Accepted&, TimePoint now) const;
+    void markOlderReplaced(const Connection&);
+    bool shouldClose(Connection&, TimePoint now) const;
 
     uv_loop_t* m_loop;
     uv_tcp_t* m_tcp = nullptr;
     PeerTimings m_timings;
     MessageCallback m_onMessage;
     std::shared_ptr<net::Traffic> m_traffic = std::make_shared<net::Traffic>();
-    std::vector<HostId> m_allowed;
-    std::list<std::shared_ptr<Accepted>> m_accepted;
+    std::vector<HostId> m_allowedHosts;
+    std::list<std::shared_ptr<Connection>> m_connections;
     TimePoint m_now {};
     std::uint64_t m_messagesIgnored = 0;
 };
--- a/src/peer/rpc_peer_network.cpp
+++ b/src/peer/rpc_peer_network.cpp
@@ -23,13 +23,13 @@
     auto* self = network.get();
     auto listener = PeerListener::open(self->m_uvLoop, self->m_options.listen, self->m_options.timings,
         [self](const HostId& from, PeerMessage message) {
-            self->m_reached.insert(from);
+            self->m_reachable.insert(from);
             self->m_callbacks.onMessage(from, std::move(message));
         });
     if (!listener)
         return tl::unexpected(listener.error());
     self->m_listener = std::move(*listener);
-    self->m_listener->countInto(self->m_traffic);
+    self->m_listener->setTrafficCounters(self->m_traffic);
     self->m_checkTimer.startRepeating(self->m_options.timings.checkInterval, [self] { self->check(); });
     return network;
 }
@@ -42,9 +42,9 @@
         hosts.push_back(peer.host);
         m_connectors.push_back(
             std::make_unique<PeerConnector>(m_uvLoop, m_options.host, peer, m_options.timings, ++seed));
-        m_connectors.back()->countInto(m_traffic);
+        m_connectors.back()->setTrafficCounters(m_traffic);
     }
-    m_listener->allow(std::move(hosts));
+    m_listener->setAllowedHosts(std::move(hosts));
     check();
 }
 
@@ -83,7 +83,7 @@
             ++m_connectionsLost;
             lost.push_back(connector->host());
         } else if (connector->isConnected()) {
-            m_reached.insert(connector->host());
+            m_reachable.insert(connector->host());
         }
     }
     for (const HostId& host : lost)
@@ -92,7 +92,7 @@
 
 void RpcPeerNetwork::reportLost(const HostId& host)
 {
-    if (m_reached.erase(host) > 0)
+    if (m_reachable.erase(host) > 0)
         m_callbacks.onPeerLost(host);
 }
 
--- a/src/peer/rpc_peer_network.h
+++ b/src/peer/rpc_peer_network.h
@@ -53,7 +53,7 @@
     std::shared_ptr<net::Traffic> m_traffic = std::make_shared<net::Traffic>();
     std::unique_ptr<PeerListener> m_listener;
     std::vector<std::unique_ptr<PeerConnector>> m_connectors;
-    std::set<HostId> m_reached;
+    std::set<HostId> m_reachable;
     std::uint64_t m_messagesDropped = 0;
     std::uint64_t m_connectionsLost = 0;
     net::Timer m_checkTimer;
--- a/src/peer/uv_message_stream.h
+++ b/src/peer/uv_message_stream.h
@@ -35,13 +35,13 @@
     static void closeTcpHandle(uv_tcp_t*);
 
     bool isClosed() const { return !m_tcp; }
-    // Closes immediately: a pending read is rejected, and later reads and writes fail.
+    // Closes immediately: a pending read is rejected, and later writes fail.
     void close();
     std::size_t unsentBytes() const;
     // Complete messages received since construction.
     std::size_t messagesReceived() const { return m_messagesReceived; }
     // Counts the messages sent and received from now on, RPC replies included.
-    void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
+    void setTrafficCounters(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
     const std::string& closeReason() const { return m_closeReason; }
 
     kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fdSpace,
--- a/test/peer_network_test.cpp
+++ b/test/peer_network_test.cpp
@@ -21,9 +21,9 @@
 constexpr PeerTimings testTimings { Milliseconds(400), Milliseconds(10), Milliseconds(50), Milliseconds(5) };
 
 // Bounds a hanging test; no passing test waits for it.
-constexpr Milliseconds hangLimit { 20'000 };
+constexpr Milliseconds testTimeout { 20'000 };
 
-PeerMessage throughCodec(const PeerMessage& message)
+PeerMessage encodeAndDecode(const PeerMessage& message)
 {
     capnp::MallocMessageBuilder builder;
     auto root = builder.initRoot<wire::Message>();
@@ -70,10 +70,10 @@
 
 class PeerNetworkTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PeerNetworkTest);
-    CPPUNIT_TEST(testMessagesOfEachKindThroughCodecAreUnchanged);
+    CPPUNIT_TEST(testMessageOfEachKindIsUnchangedByEncodeAndDecode);
     CPPUNIT_TEST(testMessagesOfConnectedPeersArriveInOrderBothWays);
-    CPPUNIT_TEST(testSilentPeerIsReportedLostAndConnectedAgain);
-    CPPUNIT_TEST(testPeerDestroyedAndCreatedAgainIsReached);
+    CPPUNIT_TEST(testSilentPeerIsReportedLostAndReconnected);
+    CPPUNIT_TEST(testRestartedPeerIsReportedLostAndReconnected);
     CPPUNIT_TEST(testMalformedBytesCloseOnlyTheirConnection);
     CPPUNIT_TEST(testUnknownHostIsNotServed);
     CPPUNIT_TEST(testLargeConfigurationArrivesWhole);
@@ -97,11 +97,11 @@
     }
 
     // Guards against a field that is missing in the schema or the codec.
-    void testMessagesOfEachKindThroughCodecAreUnchanged()
+    void testMessageOfEachKindIsUnchangedByEncodeAndDecode()
     {
         const PeerHeartbeat heartbeat { HostId("h1"), AvailabilityZoneId("z"), ~0ULL, true, true, 7, 8, 9,
             { 1, -2, 3, 4 }, 10 };
-        const auto beat = std::get<PeerHeartbeat>(throughCodec(heartbeat));
+        const auto beat = std::get<PeerHeartbeat>(encodeAndDecode(heartbeat));
         CPPUNIT_ASSERT(beat.host == heartbeat.host && beat.zone == heartbeat.zone);
         CPPUNIT_ASSERT(beat.incarnation == ~0ULL && beat.isReady && beat.isStopping);
         CPPUNIT_ASSERT(beat.configurationVersion == 7 && beat.drainVersion == 8 && beat.heldToken == 9);
@@ -110,26 +110,26 @@
         CPPUNIT_ASSERT(beat.summary.queuedJobs == 3 && beat.summary.runningTasks == 4);
 
         const std::string bytes("a\0\xff{}", 5);
-        const auto push = std::get<ConfigurationPush>(throughCodec(ConfigurationPush { 5, bytes }));
+        const auto push = std::get<ConfigurationPush>(encodeAndDecode(ConfigurationPush { 5, bytes }));
         CPPUNIT_ASSERT(push.version == 5 && push.document == bytes);
 
         const DrainPush drain { 6, { EndpointId("s@w1"), EndpointId("s@w2") } };
-        const auto drained = std::get<DrainPush>(throughCodec(drain));
+        const auto drained = std::get<DrainPush>(encodeAndDecode(drain));
         CPPUNIT_ASSERT(drained.version == 6 && drained.endpoints == drain.endpoints);
 
         const auto notice
-            = std::get<JobNotice>(throughCodec(JobNotice { AvailabilityZoneId("z"), JobId("z.01") }));
+            = std::get<JobNotice>(encodeAndDecode(JobNotice { AvailabilityZoneId("z"), JobId("z.01") }));
         CPPUNIT_ASSERT(notice.zone.value() == "z" && notice.job.value() == "z.01");
 
         const RequestIdentity identity { ClientAccountId("acc"), bytes };
-        const auto lookup = std::get<RequestLookup>(throughCodec(RequestLookup { 11, identity }));
+        const auto lookup = std::get<RequestLookup>(encodeAndDecode(RequestLookup { 11, identity }));
         CPPUNIT_ASSERT(lookup.lookup == 11 && lookup.identity == identity);
 
         for (const auto outcome : { RequestOutcome::Done, RequestOutcome::NotRun, RequestOutcome::Unknown,
                  RequestOutcome::Refused }) {
             const RequestLookupAnswer sent { 12, true, true,
                 { outcome, bytes, "why", Milliseconds(13), true, true } };
-            const auto answer = std::get<RequestLookupAnswer>(throughCodec(sent));
+            const auto answer = std::get<RequestLookupAnswer>(encodeAndDecode(sent));
             CPPUNIT_ASSERT(answer.lookup == 12 && answer.isKnown && answer.isFinished);
             CPPUNIT_ASSERT(answer.answer.outcome == outcome && answer.answer.body == bytes);
             CPPUNIT_ASSERT(
@@ -154,7 +154,7 @@
     }
 
     // Guards against a hanging peer that is never reported as lost, because TCP reports no error for it.
-    void testSilentPeerIsReportedLostAndConnectedAgain()
+    void testSilentPeerIsReportedLostAndReconnected()
     {
         const SilentPeer silent;
         open("a", 0);
@@ -165,22 +165,22 @@
     }
 
     // Guards against a connection to an earlier incarnation of a peer that is kept or not replaced.
-    void testPeerDestroyedAndCreatedAgainIsReached()
+    void testRestartedPeerIsReportedLostAndReconnected()
     {
         start({ "a", "b", "c" });
         for (int round = 0; round < 3; ++round) {
-            const std::string victim = round % 2 == 0 ? "b" : "a";
+            const std::string restarted = round % 2 == 0 ? "b" : "a";
             const std::string other = round % 2 == 0 ? "a" : "b";
             m_lost.clear();
             m_received.clear();
-            const std::uint16_t port = m_networks[victim]->port();
-            m_networks.erase(victim);
+            const std::uint16_t port = m_networks[restarted]->port();
+            m_networks.erase(restarted);
             runUntil([&] { return !m_lost[other].empty() && !m_lost["c"].empty(); });
-            CPPUNIT_ASSERT(m_lost[other][0] == HostId(victim));
+            CPPUNIT_ASSERT(m_lost[other][0] == HostId(restarted));
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_lost[other].size());
-            open(victim, port);
-            connectToOthers(victim);
-            runUntil([&] { return areAllHeard(); });
+            open(restarted, port);
+            connectToOthers(restarted);
+            runUntil([&] { return isFullyConnected(); });
         }
     }
 
@@ -198,7 +198,7 @@
             close(client);
         }
         m_received.clear();
-        runUntil([&] { return areAllHeard(); });
+        runUntil([&] { return isFullyConnected(); });
         CPPUNIT_ASSERT(m_lost["a"].empty() && m_lost["b"].empty());
     }
 
@@ -231,7 +231,7 @@
         const TimePoint start = m_loop->now();
         while (!isDone()) {
             CPPUNIT_ASSERT_MESSAGE(
-                "condition not met within the time limit", m_loop->now() - start < hangLimit);
+                "condition not met within the time limit", m_loop->now() - start < testTimeout);
             uv_run(m_loop->handle(), UV_RUN_ONCE);
         }
     }
@@ -266,7 +266,7 @@
         for (const auto& name : names)
             connectToOthers(name);
         sendHeartbeats();
-        runUntil([&] { return areAllHeard(); });
+        runUntil([&] { return isFullyConnected(); });
     }
 
     void sendHeartbeats()
@@ -279,7 +279,7 @@
     }
 
     // True if every network has received a message from every other one.
-    bool areAllHeard()
+    bool isFullyConnected()
     {
         for (const auto& [name, network] : m_networks) {
             for (const auto& other : m_networks | std::views::keys) {
