Reword comments and messages in src/clients

Comments left out the thing that acts ("calls back", "it lags", "names its request") and described messages as travelling and telling. They now name the client, the message and the status. Messages say which status, identity or length was wrong; no test or tool matches them. Tests of failures that are not plain from their name say what they guard against.

--- a/src/clients/codec_error.h
+++ b/src/clients/codec_error.h
@@ -5,12 +5,12 @@
 
 namespace anvilmoor::clients {
 
-// A message that does not have its documented form.
+// A message does not have its documented format.
 struct CodecError {
     std::string detail; // names the field
 };
 
-// A message as JSON text. Encoding fails if a name is not valid UTF-8.
+// A message as JSON text. Encoding fails if a string that has no hexadecimal form is not valid UTF-8.
 using Encoded = tl::expected<std::string, CodecError>;
 
 template <typename Message> using Decoded = tl::expected<Message, CodecError>;
--- a/src/clients/endpoint_client.cpp
+++ b/src/clients/endpoint_client.cpp
@@ -19,7 +19,7 @@
 
     void call(const net::SocketAddress& address, const CallEndpoint& call, EndpointCallback callback) override
     {
-        // Kept without the body, which is not needed any more.
+        // Copied without the body, which is not needed to decode the response.
         CallEndpoint known { call.call, call.endpoint, call.identity, call.operation, {}, call.timeout };
         net::HttpRequest request = endpointRequest(call);
         request.trafficKind = "endpoint";
@@ -44,7 +44,7 @@
 
 private:
     net::HttpClient& m_client;
-    // Shared with the callbacks, which may come after this client is destroyed.
+    // Shared with the callbacks, which may run after this client is destroyed.
     std::shared_ptr<OpenCalls> m_open;
 };
 
--- a/src/clients/endpoint_client.h
+++ b/src/clients/endpoint_client.h
@@ -11,14 +11,15 @@
 
 using EndpointCallback = std::function<void(EndpointOutcome)>;
 
-// Endpoints of services, at the address given with each call.
+// Calls endpoints of services, each at the address given with the call.
 class EndpointClient {
 public:
     virtual ~EndpointClient() = default;
 
-    // Calls back exactly once, from the loop, at the latest after the effect's timeout, unless cancelled.
+    // Unless the call is cancelled, runs the callback exactly once, from the event loop and no later than the
+    // timeout of the CallEndpoint.
     virtual void call(const net::SocketAddress&, const CallEndpoint&, EndpointCallback) = 0;
-    // Drops the call without a callback. Unknown and finished calls are ignored.
+    // Ends the call without its callback. Unknown and finished calls are ignored.
     virtual void cancel(CallId) = 0;
 };
 
--- a/src/clients/endpoint_codec.cpp
+++ b/src/clients/endpoint_codec.cpp
@@ -64,9 +64,10 @@
     const bool isAnonymous = identity == RequestIdentity {};
     const bool isForeign = identity != call.identity;
     if (isForeign && !isAnonymous)
-        return failed(EndpointFailure::Lost, "the response belongs to another request");
+        return failed(EndpointFailure::Lost, "the response carries the identity of another request");
     if (result->status == 503)
-        return failed(EndpointFailure::RefusedBeforeExecution, "the endpoint refused the request");
+        return failed(
+            EndpointFailure::RefusedBeforeExecution, "the endpoint refused the request with status 503");
     if (result->status >= 500)
         return failed(
             EndpointFailure::Error, fmt::format("the endpoint failed with status {}", result->status));
@@ -74,9 +75,10 @@
         return failed(
             EndpointFailure::Lost, fmt::format("the endpoint answered with status {}", result->status));
     if (isForeign)
-        return failed(EndpointFailure::Lost, "the response does not name its request");
+        return failed(EndpointFailure::Lost, "the response does not carry the identity of its request");
     if (result->header("Content-Length") != std::to_string(result->body.size()))
-        return failed(EndpointFailure::Lost, "the response does not state its length");
+        return failed(
+            EndpointFailure::Lost, "Content-Length of the response is missing or does not match its body");
     return EndpointAnswered { call.call, identity, result->body };
 }
 
--- a/src/clients/endpoint_codec.h
+++ b/src/clients/endpoint_codec.h
@@ -11,17 +11,18 @@
 
 using EndpointOutcome = std::variant<EndpointAnswered, EndpointFailed>;
 
-// A call travels as headers Anvilmoor-Account, Idempotency-Key and Anvilmoor-Operation with the body as
-// it is. The endpoint sends the first two back with its response.
+// A call is sent as the headers Anvilmoor-Account, Idempotency-Key and Anvilmoor-Operation and the unchanged
+// body. The endpoint returns the first two headers with its response.
 
 net::HttpRequest endpointRequest(const CallEndpoint&);
-// Without call id and timeout, which do not travel.
+// Leaves call id and timeout at their defaults: they are not transmitted.
 Decoded<CallEndpoint> decodeEndpointRequest(const net::HttpRequest&, const EndpointId&);
 
-// 200 with the caller's identity, or another status with a reason as body.
+// The body is the result for status 200, and the reason for any other status.
 net::HttpResponse endpointResponse(const RequestIdentity&, int status, std::string body);
-// 503 is RefusedBeforeExecution and another 5xx Error, unless the response names another request. A
-// response without length or with another identity is Lost.
+// A response with the identity of another request is Lost. Otherwise 503 is RefusedBeforeExecution and any
+// other 5xx is Error. A 200 response without identity or without its correct length is Lost, and so is any
+// other status.
 EndpointOutcome decodeEndpointResponse(const net::HttpResult&, const CallEndpoint&);
 
 } // namespace anvilmoor::clients
--- a/src/clients/host_list_client.cpp
+++ b/src/clients/host_list_client.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// The list that the platform sent last, and the entity tag by which it names it.
+// The last list that the platform sent, and its entity tag.
 struct LastList {
-    std::string tag; // empty if the platform sends none
+    std::string tag; // empty if the platform sent none
     std::vector<HostListEntry> hosts;
 };
 
@@ -22,8 +22,8 @@
     if (result->status == 304 && !last.tag.empty())
         return last.hosts;
     if (result->status != 200)
-        return tl::unexpected(
-            HostListError { fmt::format("the host list answered with status {}", result->status) });
+        return tl::unexpected(HostListError {
+            fmt::format("the request for the host list failed with status {}", result->status) });
     auto hosts = decodeHostList(result->body);
     if (!hosts)
         return tl::unexpected(HostListError { hosts.error().detail });
@@ -44,7 +44,7 @@
     void fetch(HostListCallback callback) override
     {
         net::HttpRequest request { "GET", "/v1/hosts", {}, {}, "host_list" };
-        // The list of 19,000 workers has 890 KB, and most polls find it unchanged.
+        // Most polls find the list unchanged, and the list of 19,000 workers has 890 KB.
         if (!m_last->tag.empty())
             request.headers.push_back({ "If-None-Match", m_last->tag });
         m_client.call(m_address, std::move(request), m_timeout,
@@ -56,7 +56,7 @@
     net::HttpClient& m_client;
     net::SocketAddress m_address;
     Milliseconds m_timeout;
-    // Shared with the callbacks, which may come after this client is destroyed.
+    // Shared with the callbacks, which may run after this client is destroyed.
     std::shared_ptr<LastList> m_last = std::make_shared<LastList>();
 };
 
--- a/src/clients/host_list_client.h
+++ b/src/clients/host_list_client.h
@@ -18,7 +18,8 @@
 using HostListResult = tl::expected<std::vector<HostListEntry>, HostListError>;
 using HostListCallback = std::function<void(HostListResult)>;
 
-// The platform's list of workers; it lags. Calls back exactly once each, from the loop.
+// Fetches the platform's list of workers, which lags behind their actual state. Each call runs its callback
+// exactly once, from the event loop.
 class HostListClient {
 public:
     virtual ~HostListClient() = default;
--- a/src/clients/host_list_codec.h
+++ b/src/clients/host_list_codec.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor::clients {
 
-// States are "live" and "leaving".
+// The state of a host is encoded as "live" or "leaving".
 Encoded encodeHostList(const std::vector<HostListEntry>&);
 Decoded<std::vector<HostListEntry>> decodeHostList(std::string_view);
 
--- a/src/clients/json_reader.cpp
+++ b/src/clients/json_reader.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// About 31 years; larger durations are mistakes and could overflow sums.
+// About 31 years. Larger durations are rejected as mistakes: sums of them could overflow.
 constexpr std::uint64_t largestMilliseconds = 1'000'000'000'000;
 
 constexpr std::string_view hexDigits = "0123456789abcdef";
@@ -93,7 +93,7 @@
 {
     const nlohmann::json* found = require(field);
     if (!found || !found->is_number_unsigned() || found->get<std::uint64_t>() > largest) {
-        fail(field, fmt::format("is not a whole number from 0 to {}", largest));
+        fail(field, fmt::format("is not an integer from 0 to {}", largest));
         return 0;
     }
     return found->get<std::uint64_t>();
@@ -128,7 +128,7 @@
     }
     for (const nlohmann::json& item : *found) {
         if (!item.is_string()) {
-            fail(field, "holds something that is not a string");
+            fail(field, "has an element that is not a string");
             return values;
         }
         values.push_back(item.get_ref<const std::string&>());
@@ -147,7 +147,7 @@
     const nlohmann::json* found = require(field);
     if (found && found->is_number() && found->get<double>() >= 0)
         return found->get<double>();
-    fail(field, "is not a number from 0");
+    fail(field, "is not a number of at least 0");
     return 0;
 }
 
@@ -181,7 +181,7 @@
     }
     for (const nlohmann::json& item : *found) {
         if (!item.is_object()) {
-            fail(field, "holds something that is not an object");
+            fail(field, "has an element that is not an object");
             return readers;
         }
         readers.push_back(JsonReader(m_document, &item));
--- a/src/clients/json_reader.h
+++ b/src/clients/json_reader.h
@@ -16,8 +16,8 @@
 
 namespace anvilmoor::clients {
 
-// Reads the fields of a JSON object. A missing field or one of a wrong type gives a neutral value and
-// records a problem, which every reader of the same document shares; the first one is kept.
+// Reads the fields of a JSON object. A missing field or a field of the wrong type yields a default value and
+// records a problem. All readers of a document share one problem, the first that was recorded.
 class JsonReader {
 public:
     explicit JsonReader(std::string_view document);
@@ -31,12 +31,12 @@
     bool flag(std::string_view field);
     std::vector<std::string> texts(std::string_view field);
     bool isText(std::string_view field) const;
-    // 0 or more, also with a fraction.
+    // A number of at least 0, possibly with a fraction.
     double amount(std::string_view field);
     JsonReader object(std::string_view field);
-    // An array of objects.
+    // One reader for each element of an array of objects.
     std::vector<JsonReader> items(std::string_view field);
-    // As written by putBytes(); empty if null.
+    // Reads a value written by putBytes(). Returns nullopt if the field is null.
     std::optional<std::string> bytes(std::string_view field);
 
     template <typename Value>
@@ -51,10 +51,10 @@
         return names.front().second;
     }
 
-    // Records a problem for the first field that is none of these.
+    // Records a problem if the object has any other field.
     void allowOnly(std::initializer_list<std::string_view> fields);
     void fail(std::string_view field, std::string_view problem);
-    // The value if the document had no problem so far.
+    // Returns the message, or the problem if one was recorded.
     template <typename Message> Decoded<Message> result(Message message) const
     {
         if (!m_document->problem.empty())
@@ -73,10 +73,10 @@
     const nlohmann::json* require(std::string_view field);
 
     std::shared_ptr<Document> m_document;
-    const nlohmann::json* m_object; // inside the document
+    const nlohmann::json* m_object; // points into m_document, or to an empty object
 };
 
-// Strings that are not UTF-8 go into "<field>_hex" instead. An empty optional is null.
+// Writes a string that is not valid UTF-8 in hexadecimal as "<field>_hex", and nullopt as null.
 void putBytes(nlohmann::json& object, const std::string& field, const std::optional<std::string>& value);
 
 Encoded toText(const nlohmann::json&);
--- a/src/clients/object_client.cpp
+++ b/src/clients/object_client.cpp
@@ -48,7 +48,7 @@
         m_client.call(m_address, { "GET", pathOf(key), {}, {}, "object_store" }, m_timeout,
             [callback = std::move(callback)](const net::HttpResult& result) {
                 ObjectResult object = resultOf(result);
-                // A get changes nothing, so its outcome is never in doubt.
+                // A get changes nothing, so a failed one is never Unknown.
                 if (!object && object.error().kind == ObjectErrorKind::Unknown)
                     object.error().kind = ObjectErrorKind::Unavailable;
                 callback(std::move(object));
--- a/src/clients/object_client.h
+++ b/src/clients/object_client.h
@@ -11,8 +11,8 @@
 
 enum class ObjectErrorKind {
     NotFound,
-    Unavailable, // nothing was stored
-    Unknown, // a put or a removal that may have taken effect
+    Unavailable, // nothing was stored or removed
+    Unknown, // the put or removal may have taken effect
 };
 
 struct ObjectError {
@@ -24,8 +24,8 @@
 using ObjectResult = tl::expected<std::string, ObjectError>;
 using ObjectCallback = std::function<void(ObjectResult)>;
 
-// The platform's object store: whole objects of at most net::maxBodyBytes. Calls back exactly once each,
-// from the loop.
+// Client of the platform's object store, which stores and returns whole objects of at most net::maxBodyBytes.
+// Each call runs its callback exactly once, from the event loop.
 class ObjectClient {
 public:
     virtual ~ObjectClient() = default;
--- a/src/clients/table_client.cpp
+++ b/src/clients/table_client.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// A status in the 400s refuses the message before anything is done.
+// A request that is answered with a 4xx status or 503 had no effect.
 bool isRefusal(int status) { return status == 503 || (status >= 400 && status < 500); }
 
 TableReply transactionReply(const net::HttpResult& result, const TableTransaction& transaction)
@@ -55,7 +55,7 @@
     }
 
 private:
-    // A message that cannot be encoded gets a path that the client refuses to send.
+    // A message that cannot be encoded gets an empty path, so that the HTTP client reports it as not sent.
     static net::HttpRequest post(const char* path, Encoded body)
     {
         return { "POST", body ? path : "", {}, std::move(body).value_or(""), "table" };
--- a/src/clients/table_client.h
+++ b/src/clients/table_client.h
@@ -10,14 +10,15 @@
 
 using TableCallback = std::function<void(TableReply)>;
 
-// The platform's table. Calls back exactly once each, from the loop.
+// Client of the platform's table. Each call runs its callback exactly once, from the event loop.
 class TableClient {
 public:
     virtual ~TableClient() = default;
 
-    // Unavailable only if certainly nothing was written.
+    // Reports Unavailable only if nothing was written, and Unknown if the transaction may have been
+    // committed.
     virtual void execute(TableTransaction, TableCallback) = 0;
-    // Ok or Unavailable.
+    // Reports Ok or Unavailable.
     virtual void read(TableRead, TableCallback) = 0;
 };
 
--- a/src/clients/table_codec.cpp
+++ b/src/clients/table_codec.cpp
@@ -76,7 +76,7 @@
     if (reply.status == TableStatus::Conflict) {
         reply.rows = readRows(reader, "conflicts");
         if (reply.rows.empty())
-            reader.fail("conflicts", "is empty in a refusal");
+            reader.fail("conflicts", "is empty although the transaction was not committed");
         return reader.result(std::move(reply));
     }
     for (JsonReader& item : reader.items("written"))
--- a/src/clients/table_codec.h
+++ b/src/clients/table_codec.h
@@ -7,15 +7,15 @@
 
 namespace anvilmoor::clients {
 
-// Both directions of the table's messages (design page, section 6). A commit's answer also holds
-// `written:[{key,version}]`.
+// Encodes and decodes the requests and replies of the table (design page, section 6). The reply to a
+// committed transaction also contains `written:[{key,version}]`.
 
 Encoded encodeTransaction(const TableTransaction&);
 Decoded<TableTransaction> decodeTransaction(std::string_view);
 
 // The reply is Ok or Conflict. The revision is the highest version in the table.
 Encoded encodeTransactionReply(const TableReply&, RowVersion revision);
-// Fails if a commit's answer does not name every key that was written.
+// Fails if the reply to a committed transaction does not contain every written key.
 Decoded<TableReply> decodeTransactionReply(std::string_view, const TableTransaction&);
 
 Encoded encodeRead(const TableRead&);
--- a/src/clients/worker_client.cpp
+++ b/src/clients/worker_client.cpp
@@ -55,7 +55,7 @@
     }
 
 private:
-    // A message that cannot be encoded gets a path that the client refuses to send.
+    // A message that cannot be encoded gets an empty path, so that the HTTP client reports it as not sent.
     static net::HttpRequest post(const std::string& path, Encoded body, std::string_view trafficKind)
     {
         return { "POST", body ? path : std::string(), {}, std::move(body).value_or(""), trafficKind };
--- a/src/clients/worker_client.h
+++ b/src/clients/worker_client.h
@@ -14,13 +14,13 @@
 using RackSyncCallback = std::function<void(RackSyncOutcome)>;
 using WorkerCommandCallback = std::function<void(WorkerCommandResult)>;
 
-// Racks and workers of a zone, at the address given with each call. Calls back exactly once each, from
-// the loop.
+// Client of the racks and workers of a zone, at the address given with each call. Each call runs its callback
+// exactly once, from the event loop.
 class WorkerClient {
 public:
     virtual ~WorkerClient() = default;
 
-    // Fails when no answer comes within the effect's wait and a margin.
+    // Fails if there is no answer within the wait of the SyncRack plus syncMargin.
     virtual void sync(const net::SocketAddress&, const SyncRack&, RackSyncCallback) = 0;
     // Unreachable means that the command may have taken effect.
     virtual void command(
@@ -28,7 +28,7 @@
         = 0;
 };
 
-// Added to a long poll's wait for the way there and back.
+// Added to the wait of a long poll, for the network round trip.
 constexpr Milliseconds syncMargin { 2'000 };
 constexpr Milliseconds commandTimeout { 2'000 };
 
--- a/src/clients/worker_codec.cpp
+++ b/src/clients/worker_codec.cpp
@@ -40,7 +40,7 @@
     { "unknown_task", WorkerCommandResult::UnknownTask },
 } };
 
-// The first name stands for a value without one.
+// Returns the first name for a value that has none.
 template <typename Value, std::size_t size>
 std::string_view nameOf(const std::array<Name<Value>, size>& names, Value value)
 {
--- a/src/clients/worker_codec.h
+++ b/src/clients/worker_codec.h
@@ -9,19 +9,19 @@
 
 namespace anvilmoor::clients {
 
-// The rack and the worker are named by the path, not by the message.
+// The path of the request identifies the rack or the worker; the messages do not.
 
 Encoded encodeSync(const SyncRack&);
 Decoded<SyncRack> decodeSync(std::string_view, const RackId&);
 
-// Without rack and token. `complete` tells whether all workers and tasks are listed.
+// Omits rack and token. `complete` is true if all workers and tasks are listed.
 Encoded encodeRackReport(const RackSynced&);
 Decoded<RackSynced> decodeRackReport(std::string_view, const RackId&, FencingToken);
 
 Encoded encodeCommand(const WorkerCommand&);
 Decoded<WorkerCommand> decodeCommand(std::string_view);
 
-// Unreachable has no form on the wire and is encoded as failed.
+// Unreachable has no encoding of its own: it is encoded as "failed".
 Encoded encodeCommandResult(WorkerCommandResult);
 Decoded<WorkerCommandResult> decodeCommandResult(std::string_view);
 
--- a/test/platform_client_test.cpp
+++ b/test/platform_client_test.cpp
@@ -19,7 +19,7 @@
 using testing::runUntil;
 
 constexpr Milliseconds shortTimeout { 50 };
-constexpr Milliseconds longTimeout { 60'000 }; // never reached; the guard of runUntil ends a test before
+constexpr Milliseconds longTimeout { 60'000 }; // never reached: runUntil() fails a hanging test earlier
 
 class PlatformClientTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformClientTest);
@@ -66,6 +66,7 @@
         m_loop.reset();
     }
 
+    // Guards against a write that is reported as not done because its answer was lost.
     void testWriteWithLostAnswerIsUnknownAndTookEffect()
     {
         control(*m_platformServer,
@@ -91,6 +92,7 @@
         CPPUNIT_ASSERT(execute(*nowhere, { {}, { { "a", "x" } } }).status == TableStatus::Unavailable);
     }
 
+    // Guards against a write that is reported as not done when it times out and takes effect later.
     void testSlowWriteTakesEffectAfterItsTimeout()
     {
         control(*m_platformServer, R"({"table":{"mode":"slow","delay_ms":150,"only":"writes"}})");
@@ -150,7 +152,8 @@
         control(*m_platformServer,
             R"({"host_list_lag_ms":60000,"set_hosts":[{"id":"w1","state":"leaving"},{"id":"w2","state":"gone"}]})");
         CPPUNIT_ASSERT(fetch()->size() == 2 && fetch()->front().state == HostState::Live);
-        // An unchanged list is not sent again; a client must neither lose it nor miss the next change.
+        // The platform does not send an unchanged list again: the client must keep it, and must not miss the
+        // next change.
         CPPUNIT_ASSERT(fetch()->size() == 2 && fetch()->front().state == HostState::Live);
         control(*m_platformServer, R"({"host_list_lag_ms":0})");
         CPPUNIT_ASSERT(fetch()->size() == 1 && fetch()->front().state == HostState::Leaving);
@@ -158,6 +161,7 @@
         CPPUNIT_ASSERT(!fetch().has_value());
     }
 
+    // Guards against a control message that is applied in part before its error is found.
     void testInvalidControlChangesNothing()
     {
         CPPUNIT_ASSERT_EQUAL(400, post(*m_platformServer, "/control", R"({"table":"down","typo":1})").status);
@@ -188,10 +192,11 @@
         CPPUNIT_ASSERT(!change.isComplete && change.workers.size() == 1);
         CPPUNIT_ASSERT(change.workers[0].worker == WorkerId("w2") && change.workers[0].tasks.size() == 1);
         CPPUNIT_ASSERT(change.sequence > complete.sequence);
-        // A sequence from before the rack's start cannot be continued.
+        // Sequence number 5 is from before the start of the rack, so the report is complete.
         CPPUNIT_ASSERT(sync(1, 5).isComplete);
     }
 
+    // Guards against a former holder that still receives reports or commands workers after its replacement.
     void testNewerTokenEndsTheOlderHoldersSyncAndCommands()
     {
         const RackSynced first = sync(1, 0);
@@ -203,7 +208,7 @@
         wait([&] { return old.has_value(); });
         CPPUNIT_ASSERT(std::get<RackSyncFailed>(*old).isStaleToken);
         CPPUNIT_ASSERT(command("w1", 1) == WorkerCommandResult::StaleToken);
-        sync(0, 0); // a caretaker
+        sync(0, 0); // token 0, which a caretaker uses, is never stale
     }
 
     void testUsageReportLagsBehindTheWorkers()
@@ -263,6 +268,7 @@
         CPPUNIT_ASSERT(std::get<EndpointFailed>(*second).failure == EndpointFailure::RefusedBeforeExecution);
     }
 
+    // Guards against a call that is refused for lack of a slot and executed nevertheless.
     void testFullEndpointRefusesBeforeExecution()
     {
         control(*m_workerServer, R"({"hold":true})");
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -48,7 +48,7 @@
         CPPUNIT_ASSERT(received->writes[0].value == bytes);
         const auto rows = decodeReadReply(*encodeReadReply({ TableStatus::Ok, { { "a", 1, bytes } } }, 1));
         CPPUNIT_ASSERT(rows->rows[0].value == bytes);
-        // A key has no such form: it must not become another key.
+        // A key has no hexadecimal form: encoding must fail, because a changed key would be another key.
         CPPUNIT_ASSERT(!encodeTransaction({ {}, { { bytes, "x" } } }).has_value());
     }
 
@@ -97,7 +97,7 @@
 
     void testTruncatedMessagesAreErrors()
     {
-        // No prefix of a message may be taken for a message.
+        // No proper prefix of a message may decode as a message.
         const std::string transaction = *encodeTransaction({ { { "a", 1 } }, { { "a", "x" } } });
         const std::string report = *encodeRackReport(
             { RackId("r"), 1, 2, true, { { WorkerId("w"), true, { TaskReport { JobId("j") } } } } });
@@ -165,7 +165,7 @@
             = decodeEndpointResponse(lengthened(endpointResponse(call.identity, 200, "done")), call);
         CPPUNIT_ASSERT(std::get<EndpointAnswered>(good).body == "done");
         CPPUNIT_ASSERT(failureOf(lengthened(endpointResponse(other, 200, "done"))) == EndpointFailure::Lost);
-        // A refusal of another request does not mean that this one did not run.
+        // If another request was refused, this one may still have been executed.
         CPPUNIT_ASSERT(failureOf(endpointResponse(other, 503, "")) == EndpointFailure::Lost);
         CPPUNIT_ASSERT(failureOf(lengthened({ 200, {}, "done" })) == EndpointFailure::Lost);
         CPPUNIT_ASSERT(failureOf(endpointResponse(call.identity, 200, "no length")) == EndpointFailure::Lost);
