Rename identifiers of src/clients to the usual terms

JsonReader had three methods for numbers whose names (number, smallNumber, amount) did not say which values they accept; two of them now do, also in their uses in standins/workers. Variables of the tests were named by mood or place (hasty, nowhere, good), and names of tests now give subject, condition and result.

--- a/src/clients/host_list_client.cpp
+++ b/src/clients/host_list_client.cpp
@@ -10,25 +10,25 @@
 namespace {
 
 // The last list that the platform sent, and its entity tag.
-struct LastList {
-    std::string tag; // empty if the platform sent none
+struct CachedHostList {
+    std::string entityTag; // empty if the platform sent none
     std::vector<HostListEntry> hosts;
 };
 
-HostListResult resultOf(const net::HttpResult& result, LastList& last)
+HostListResult resultOf(const net::HttpResult& result, CachedHostList& cached)
 {
     if (!result)
         return tl::unexpected(HostListError { result.error().detail });
-    if (result->status == 304 && !last.tag.empty())
-        return last.hosts;
+    if (result->status == 304 && !cached.entityTag.empty())
+        return cached.hosts;
     if (result->status != 200)
         return tl::unexpected(HostListError {
             fmt::format("the request for the host list failed with status {}", result->status) });
     auto hosts = decodeHostList(result->body);
     if (!hosts)
         return tl::unexpected(HostListError { hosts.error().detail });
-    last.tag = std::string(result->header("ETag"));
-    last.hosts = last.tag.empty() ? std::vector<HostListEntry> {} : *hosts;
+    cached.entityTag = std::string(result->header("ETag"));
+    cached.hosts = cached.entityTag.empty() ? std::vector<HostListEntry> {} : *hosts;
     return std::move(*hosts);
 }
 
@@ -45,11 +45,11 @@
     {
         net::HttpRequest request { "GET", "/v1/hosts", {}, {}, "host_list" };
         // Most polls find the list unchanged, and the list of 19,000 workers has 890 KB.
-        if (!m_last->tag.empty())
-            request.headers.push_back({ "If-None-Match", m_last->tag });
+        if (!m_cached->entityTag.empty())
+            request.headers.push_back({ "If-None-Match", m_cached->entityTag });
         m_client.call(m_address, std::move(request), m_timeout,
-            [last = m_last, callback = std::move(callback)](
-                const net::HttpResult& result) { callback(resultOf(result, *last)); });
+            [cached = m_cached, callback = std::move(callback)](
+                const net::HttpResult& result) { callback(resultOf(result, *cached)); });
     }
 
 private:
@@ -57,7 +57,7 @@
     net::SocketAddress m_address;
     Milliseconds m_timeout;
     // Shared with the callbacks, which may run after this client is destroyed.
-    std::shared_ptr<LastList> m_last = std::make_shared<LastList>();
+    std::shared_ptr<CachedHostList> m_cached = std::make_shared<CachedHostList>();
 };
 
 } // namespace
--- a/src/clients/json_reader.cpp
+++ b/src/clients/json_reader.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // About 31 years. Larger durations are rejected as mistakes: sums of them could overflow.
-constexpr std::uint64_t largestMilliseconds = 1'000'000'000'000;
+constexpr std::uint64_t maxMilliseconds = 1'000'000'000'000;
 
 constexpr std::string_view hexDigits = "0123456789abcdef";
 
@@ -89,24 +89,24 @@
     return {};
 }
 
-std::uint64_t JsonReader::number(std::string_view field, std::uint64_t largest)
+std::uint64_t JsonReader::number(std::string_view field, std::uint64_t maxValue)
 {
     const nlohmann::json* found = require(field);
-    if (!found || !found->is_number_unsigned() || found->get<std::uint64_t>() > largest) {
-        fail(field, fmt::format("is not an integer from 0 to {}", largest));
+    if (!found || !found->is_number_unsigned() || found->get<std::uint64_t>() > maxValue) {
+        fail(field, fmt::format("is not an integer from 0 to {}", maxValue));
         return 0;
     }
     return found->get<std::uint64_t>();
 }
 
-int JsonReader::smallNumber(std::string_view field)
+int JsonReader::nonNegativeInt(std::string_view field)
 {
     return static_cast<int>(number(field, static_cast<std::uint64_t>(std::numeric_limits<int>::max())));
 }
 
 Milliseconds JsonReader::milliseconds(std::string_view field)
 {
-    return Milliseconds(static_cast<std::int64_t>(number(field, largestMilliseconds)));
+    return Milliseconds(static_cast<std::int64_t>(number(field, maxMilliseconds)));
 }
 
 bool JsonReader::flag(std::string_view field)
@@ -142,7 +142,7 @@
     return found && found->is_string();
 }
 
-double JsonReader::amount(std::string_view field)
+double JsonReader::nonNegativeDouble(std::string_view field)
 {
     const nlohmann::json* found = require(field);
     if (found && found->is_number() && found->get<double>() >= 0)
--- a/src/clients/json_reader.h
+++ b/src/clients/json_reader.h
@@ -25,14 +25,13 @@
     bool has(std::string_view field) const;
     std::string text(std::string_view field);
     std::uint64_t number(
-        std::string_view field, std::uint64_t largest = std::numeric_limits<std::uint64_t>::max());
-    int smallNumber(std::string_view field);
+        std::string_view field, std::uint64_t maxValue = std::numeric_limits<std::uint64_t>::max());
+    int nonNegativeInt(std::string_view field);
     Milliseconds milliseconds(std::string_view field);
     bool flag(std::string_view field);
     std::vector<std::string> texts(std::string_view field);
     bool isText(std::string_view field) const;
-    // A number of at least 0, possibly with a fraction.
-    double amount(std::string_view field);
+    double nonNegativeDouble(std::string_view field);
     JsonReader object(std::string_view field);
     // One reader for each element of an array of objects.
     std::vector<JsonReader> items(std::string_view field);
--- a/src/clients/worker_codec.cpp
+++ b/src/clients/worker_codec.cpp
@@ -69,7 +69,7 @@
     task.job = JobId(reader.text("job"));
     task.attempt = readAttempt(reader);
     task.phase = reader.oneOf<TaskPhase>("phase", phaseNames);
-    task.accelerators = reader.smallNumber("accelerators");
+    task.accelerators = reader.nonNegativeInt("accelerators");
     task.throttled = reader.flag("throttled");
     task.progress = reader.milliseconds("progress_ms");
     task.checkpointed = reader.milliseconds("checkpoint_ms");
@@ -142,7 +142,7 @@
     command.token = reader.number("token");
     command.job = JobId(reader.text("job"));
     command.attempt = readAttempt(reader);
-    command.accelerators = reader.smallNumber("accelerators");
+    command.accelerators = reader.nonNegativeInt("accelerators");
     command.ttl = reader.milliseconds("ttl_ms");
     command.runTime = reader.milliseconds("run_ms");
     command.throttled = reader.flag("throttle");
--- a/standins/workers/layout.cpp
+++ b/standins/workers/layout.cpp
@@ -15,7 +15,7 @@
         layout.services.push_back(reader.text("service"));
     else
         layout.services = reader.texts("services");
-    layout.slots = reader.smallNumber("slots");
+    layout.slots = reader.nonNegativeInt("slots");
     std::set<std::string> racks;
     std::set<std::string> workers;
     for (clients::JsonReader& item : reader.items("racks")) {
@@ -25,7 +25,7 @@
             item.fail("id", "repeats a rack");
         for (clients::JsonReader& worker : item.items("workers")) {
             worker.allowOnly({ "id", "accelerators" });
-            rack.workers.push_back({ worker.text("id"), worker.smallNumber("accelerators") });
+            rack.workers.push_back({ worker.text("id"), worker.nonNegativeInt("accelerators") });
             if (!workers.insert(rack.workers.back().id).second)
                 worker.fail("id", "repeats a worker");
         }
--- a/standins/workers/worker_control.cpp
+++ b/standins/workers/worker_control.cpp
@@ -172,7 +172,7 @@
             changes.push_back(
                 [&worker, loses = item.flag("loses_checkpoints")] { worker.losesCheckpoints = loses; });
         if (item.has("speed"))
-            changes.push_back([&worker, speed = item.amount("speed")] { worker.speed = speed; });
+            changes.push_back([&worker, speed = item.nonNegativeDouble("speed")] { worker.speed = speed; });
         if (!item.has("state"))
             continue;
         const std::string state = item.text("state");
--- a/test/platform_client_test.cpp
+++ b/test/platform_client_test.cpp
@@ -26,17 +26,17 @@
     CPPUNIT_TEST(testWriteWithLostAnswerIsUnknownAndTookEffect);
     CPPUNIT_TEST(testTableThatIsDownIsUnavailable);
     CPPUNIT_TEST(testSlowWriteTakesEffectAfterItsTimeout);
-    CPPUNIT_TEST(testConflictBringsTheCurrentRows);
-    CPPUNIT_TEST(testObjectsAreStoredAndFound);
+    CPPUNIT_TEST(testConflictReturnsTheCurrentRows);
+    CPPUNIT_TEST(testStoredObjectIsReturnedAndMissingObjectIsNotFound);
     CPPUNIT_TEST(testHostListLagsBehindTheHosts);
     CPPUNIT_TEST(testInvalidControlChangesNothing);
-    CPPUNIT_TEST(testSyncWaitsForAChangeAndReportsOnlyIt);
-    CPPUNIT_TEST(testNewerTokenEndsTheOlderHoldersSyncAndCommands);
+    CPPUNIT_TEST(testSyncWaitsForAChangeAndReportsOnlyThatChange);
+    CPPUNIT_TEST(testSyncAndCommandWithOlderTokenAreRejectedAsStale);
     CPPUNIT_TEST(testUsageReportLagsBehindTheWorkers);
     CPPUNIT_TEST(testDeadAndSilentWorkersAreUnreachable);
     CPPUNIT_TEST(testHeldCallIsExecutedAndAnsweredOnRelease);
-    CPPUNIT_TEST(testCallToDyingWorkerIsLostAndLaterOnesAreRefused);
-    CPPUNIT_TEST(testFullEndpointRefusesBeforeExecution);
+    CPPUNIT_TEST(testCallIsLostWhenItsWorkerDiesAndLaterCallIsRefused);
+    CPPUNIT_TEST(testCallToEndpointWithoutFreeSlotIsRefusedBeforeExecution);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -71,9 +71,10 @@
     {
         control(*m_platformServer,
             R"({"table":{"mode":"lose_answers","count":1,"key_prefix":"job/","only":"writes"}})");
-        const auto hasty = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
+        const auto shortTimeoutTable = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
         CPPUNIT_ASSERT(execute(*m_table, { {}, { { "other", "x" } } }).status == TableStatus::Ok);
-        CPPUNIT_ASSERT(execute(*hasty, { {}, { { "job/1", "x" } } }).status == TableStatus::Unknown);
+        CPPUNIT_ASSERT(
+            execute(*shortTimeoutTable, { {}, { { "job/1", "x" } } }).status == TableStatus::Unknown);
         CPPUNIT_ASSERT(execute(*m_table, { {}, { { "job/2", "x" } } }).status == TableStatus::Ok);
         const TableReply rows = read({ {}, { "job/" } });
         CPPUNIT_ASSERT(rows.rows.size() == 2 && rows.rows[0].key == "job/1");
@@ -88,16 +89,18 @@
         CPPUNIT_ASSERT(read({ { "a" }, {} }).status == TableStatus::Unavailable);
         control(*m_platformServer, R"({"table":"up"})");
         CPPUNIT_ASSERT(read({ { "a" }, {} }).rows.empty());
-        const auto nowhere = makeTableClient(*m_http, { "127.0.0.1", 0 }, longTimeout);
-        CPPUNIT_ASSERT(execute(*nowhere, { {}, { { "a", "x" } } }).status == TableStatus::Unavailable);
+        const auto unreachableTable = makeTableClient(*m_http, { "127.0.0.1", 0 }, longTimeout);
+        CPPUNIT_ASSERT(
+            execute(*unreachableTable, { {}, { { "a", "x" } } }).status == TableStatus::Unavailable);
     }
 
     // Guards against a write that is reported as not done when it times out and takes effect later.
     void testSlowWriteTakesEffectAfterItsTimeout()
     {
         control(*m_platformServer, R"({"table":{"mode":"slow","delay_ms":150,"only":"writes"}})");
-        const auto hasty = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
-        CPPUNIT_ASSERT(execute(*hasty, { {}, { { "a", "late" } } }).status == TableStatus::Unknown);
+        const auto shortTimeoutTable = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
+        CPPUNIT_ASSERT(
+            execute(*shortTimeoutTable, { {}, { { "a", "late" } } }).status == TableStatus::Unknown);
         TableReply reply;
         for (int tries = 0; tries < 100'000 && reply.rows.empty(); ++tries)
             reply = read({ { "a" }, {} });
@@ -105,7 +108,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("late"), reply.rows[0].value);
     }
 
-    void testConflictBringsTheCurrentRows()
+    void testConflictReturnsTheCurrentRows()
     {
         const TableReply created = execute(*m_table, { { { "a", 0 } }, { { "a", "first" } } });
         CPPUNIT_ASSERT(created.status == TableStatus::Ok && created.rows[0].version > 0);
@@ -115,27 +118,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("first"), conflict.rows[0].value);
     }
 
-    void testObjectsAreStoredAndFound()
+    void testStoredObjectIsReturnedAndMissingObjectIsNotFound()
     {
         const auto objects = makeObjectClient(*m_http, addressOf(*m_platformServer));
         const std::string value("\0\xff\r\n", 4);
         std::optional<ObjectResult> result;
-        const auto keep = [&](ObjectResult answer) { result = std::move(answer); };
-        objects->put("response/a b/ä", value, keep);
+        const auto storeResult = [&](ObjectResult answer) { result = std::move(answer); };
+        objects->put("response/a b/ä", value, storeResult);
         wait([&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->has_value());
         result.reset();
-        objects->get("response/a b/ä", keep);
+        objects->get("response/a b/ä", storeResult);
         wait([&] { return result.has_value(); });
         CPPUNIT_ASSERT(**result == value);
-        for (const bool isThere : { true, false }) {
+        for (const bool isStored : { true, false }) {
             result.reset();
-            objects->remove("response/a b/ä", keep);
+            objects->remove("response/a b/ä", storeResult);
             wait([&] { return result.has_value(); });
-            CPPUNIT_ASSERT_EQUAL(isThere, result->has_value());
+            CPPUNIT_ASSERT_EQUAL(isStored, result->has_value());
         }
         result.reset();
-        objects->get("response/none", keep);
+        objects->get("response/none", storeResult);
         wait([&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->error().kind == ObjectErrorKind::NotFound);
     }
@@ -176,7 +179,7 @@
         CPPUNIT_ASSERT(state(*m_workerServer)["endpoints"][0]["hold"] == false);
     }
 
-    void testSyncWaitsForAChangeAndReportsOnlyIt()
+    void testSyncWaitsForAChangeAndReportsOnlyThatChange()
     {
         const RackSynced complete = sync(1, 0);
         CPPUNIT_ASSERT(complete.isComplete && complete.workers.size() == 2);
@@ -197,7 +200,7 @@
     }
 
     // Guards against a former holder that still receives reports or commands workers after its replacement.
-    void testNewerTokenEndsTheOlderHoldersSyncAndCommands()
+    void testSyncAndCommandWithOlderTokenAreRejectedAsStale()
     {
         const RackSynced first = sync(1, 0);
         std::optional<RackSyncOutcome> old;
@@ -254,7 +257,7 @@
         CPPUNIT_ASSERT(state(*m_workerServer)["executions"]["by_identity"][0]["key"] == "key");
     }
 
-    void testCallToDyingWorkerIsLostAndLaterOnesAreRefused()
+    void testCallIsLostWhenItsWorkerDiesAndLaterCallIsRefused()
     {
         control(*m_workerServer, R"({"service_ms":60000})");
         std::optional<EndpointOutcome> first;
@@ -269,7 +272,7 @@
     }
 
     // Guards against a call that is refused for lack of a slot and executed nevertheless.
-    void testFullEndpointRefusesBeforeExecution()
+    void testCallToEndpointWithoutFreeSlotIsRefusedBeforeExecution()
     {
         control(*m_workerServer, R"({"hold":true})");
         std::optional<EndpointOutcome> held;
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -12,17 +12,17 @@
 
 class PlatformCodecTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformCodecTest);
-    CPPUNIT_TEST(testTransactionComesBackUnchanged);
-    CPPUNIT_TEST(testBytesThatAreNotTextComeBackUnchanged);
-    CPPUNIT_TEST(testCommitThatLeavesOutAKeyIsAnError);
-    CPPUNIT_TEST(testWorkerMessagesComeBackUnchanged);
+    CPPUNIT_TEST(testTransactionIsUnchangedByEncodeAndDecode);
+    CPPUNIT_TEST(testValueThatIsNotUtf8IsUnchangedByEncodeAndDecode);
+    CPPUNIT_TEST(testCommitReplyWithoutAWrittenKeyIsAnError);
+    CPPUNIT_TEST(testWorkerMessagesAreUnchangedByEncodeAndDecode);
     CPPUNIT_TEST(testTruncatedMessagesAreErrors);
     CPPUNIT_TEST(testFieldsOfWrongTypeAreErrors);
     CPPUNIT_TEST(testForeignEndpointResponseIsLost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void testTransactionComesBackUnchanged()
+    void testTransactionIsUnchangedByEncodeAndDecode()
     {
         const TableTransaction sent { { { "a", 0 }, { "b", 18'446'744'073'709'551'615U } },
             { { "a", "value \"quoted\"" }, { "b", std::nullopt }, { "c", "" } } };
@@ -39,7 +39,7 @@
         CPPUNIT_ASSERT(reply->rows[0].version == 3 && reply->rows[0].value == "x");
     }
 
-    void testBytesThatAreNotTextComeBackUnchanged()
+    void testValueThatIsNotUtf8IsUnchangedByEncodeAndDecode()
     {
         std::string bytes;
         for (int i = 0; i < 256; ++i)
@@ -52,7 +52,7 @@
         CPPUNIT_ASSERT(!encodeTransaction({ {}, { { bytes, "x" } } }).has_value());
     }
 
-    void testCommitThatLeavesOutAKeyIsAnError()
+    void testCommitReplyWithoutAWrittenKeyIsAnError()
     {
         const std::string reply
             = R"({"committed":true,"revision":4,"conflicts":[],"written":[{"key":"a","version":4}]})";
@@ -60,7 +60,7 @@
         CPPUNIT_ASSERT(!decodeTransactionReply(reply, { {}, { { "a", "x" }, { "b", "x" } } }).has_value());
     }
 
-    void testWorkerMessagesComeBackUnchanged()
+    void testWorkerMessagesAreUnchangedByEncodeAndDecode()
     {
         const SyncRack sync { RackId("r"), 7, 12, Milliseconds(900), { { JobId("z.1"), 3 } } };
         const auto receivedSync = decodeSync(*encodeSync(sync), sync.rack);
@@ -113,7 +113,7 @@
 
     void testFieldsOfWrongTypeAreErrors()
     {
-        const std::vector<std::string> wrong { "", "null", "[]", "7", "\"x\"", "{}",
+        const std::vector<std::string> invalidMessages { "", "null", "[]", "7", "\"x\"", "{}",
             "{\"conditions\":{},\"writes\":{}}", R"({"conditions":[7],"writes":[]})",
             R"({"conditions":[{"key":"a","version":-1}],"writes":[]})",
             R"({"conditions":[{"key":"a","version":1.5}],"writes":[]})",
@@ -131,7 +131,7 @@
             R"({"token":1,"command":"explode","job":"j","attempt":1,"accelerators":1,"ttl_ms":1,"run_ms":1,"throttle":false})",
             R"({"result":"splendid"})", R"({"services":[],"slots":8,"racks":[{"id":"r"}]})",
             R"({"services":[],"slots":-8,"racks":[]})", "\xff\xfe", std::string(100'000, '[') };
-        for (const std::string& text : wrong) {
+        for (const std::string& text : invalidMessages) {
             CPPUNIT_ASSERT_MESSAGE(text, !decodeTransaction(text).has_value());
             CPPUNIT_ASSERT_MESSAGE(text, !decodeTransactionReply(text, {}).has_value());
             CPPUNIT_ASSERT_MESSAGE(text, !decodeRead(text).has_value());
@@ -151,7 +151,7 @@
         call.call = 5;
         call.identity = { ClientAccountId("mill"), "key-1" };
         const RequestIdentity other { ClientAccountId("mill"), "key-2" };
-        const auto lengthened = [](net::HttpResponse response) {
+        const auto withContentLength = [](net::HttpResponse response) {
             response.headers.push_back({ "content-length", std::to_string(response.body.size()) });
             return response;
         };
@@ -161,13 +161,14 @@
             CPPUNIT_ASSERT(failed && failed->call == 5);
             return failed->failure;
         };
-        const EndpointOutcome good
-            = decodeEndpointResponse(lengthened(endpointResponse(call.identity, 200, "done")), call);
-        CPPUNIT_ASSERT(std::get<EndpointAnswered>(good).body == "done");
-        CPPUNIT_ASSERT(failureOf(lengthened(endpointResponse(other, 200, "done"))) == EndpointFailure::Lost);
+        const EndpointOutcome answered
+            = decodeEndpointResponse(withContentLength(endpointResponse(call.identity, 200, "done")), call);
+        CPPUNIT_ASSERT(std::get<EndpointAnswered>(answered).body == "done");
+        CPPUNIT_ASSERT(
+            failureOf(withContentLength(endpointResponse(other, 200, "done"))) == EndpointFailure::Lost);
         // If another request was refused, this one may still have been executed.
         CPPUNIT_ASSERT(failureOf(endpointResponse(other, 503, "")) == EndpointFailure::Lost);
-        CPPUNIT_ASSERT(failureOf(lengthened({ 200, {}, "done" })) == EndpointFailure::Lost);
+        CPPUNIT_ASSERT(failureOf(withContentLength({ 200, {}, "done" })) == EndpointFailure::Lost);
         CPPUNIT_ASSERT(failureOf(endpointResponse(call.identity, 200, "no length")) == EndpointFailure::Lost);
         CPPUNIT_ASSERT(
             failureOf(endpointResponse(call.identity, 503, "")) == EndpointFailure::RefusedBeforeExecution);
