Reword comments and messages in standins

The stand-ins were described as playing, knowing and losing; comments now name the simulated fault and what a client sees of it.

--- a/standins/common/answers.h
+++ b/standins/common/answers.h
@@ -17,7 +17,7 @@
     exchange.respond({ status, { { "Content-Type", "text/plain" } }, detail });
 }
 
-// Never answers. The exchange is kept until the client gives up.
+// Never answers. Keeps the exchange open until the client closes the connection.
 inline void leaveUnanswered(const std::shared_ptr<net::HttpExchange>& exchange)
 {
     exchange->onClientGone([exchange] {});
--- a/standins/common/declared_layout.h
+++ b/standins/common/declared_layout.h
@@ -8,10 +8,10 @@
 
 namespace anvilmoor::standin {
 
-// The layout of a zone as declared by a base file and its overlays.
+// Returns the layout of a zone that a base file and its overlays declare.
 clients::Decoded<ZoneLayout> declaredLayout(std::span<const std::string> files, const AvailabilityZoneId&);
 
-// All workers of all zones, as "WORKER:ZONE,...".
+// Returns all workers of all zones as "WORKER:ZONE,...".
 clients::Decoded<std::string> declaredHosts(std::span<const std::string> files);
 
 } // namespace anvilmoor::standin
--- a/standins/common/log_line.h
+++ b/standins/common/log_line.h
@@ -8,7 +8,7 @@
 
 namespace anvilmoor::standin {
 
-// One JSON line on stderr with the event's name and the time in ms since the Unix epoch.
+// Writes one JSON line to stderr, with the name of the event and the time in ms since the Unix epoch.
 inline void logLine(std::string_view event, nlohmann::json fields = nlohmann::json::object())
 {
     using std::chrono::duration_cast;
--- a/standins/common/standin_process.h
+++ b/standins/common/standin_process.h
@@ -19,7 +19,7 @@
 constexpr Milliseconds stopGrace { 1'000 };
 constexpr Milliseconds stopCheckInterval { 20 };
 
-// Serves until SIGTERM or SIGINT. Returns the process's exit code.
+// Serves until SIGTERM or SIGINT. Returns the exit code of the process.
 inline int serveUntilStopped(
     net::EventLoop& loop, std::string_view program, const std::string& listen, net::HttpHandler handler)
 {
--- a/standins/model/endpoint_model.h
+++ b/standins/model/endpoint_model.h
@@ -11,16 +11,17 @@
 
 struct EndpointReply {
     bool isExecuted = false; // false: refused before execution (503)
-    bool isError = false; // executed, and failed
+    bool isError = false; // executed, but failed
     std::string body;
 };
 
-// One endpoint of a service: counts how often it executed each request identity.
+// One endpoint of a service. Counts how often it executed each request identity.
 class EndpointModel {
 public:
     EndpointModel(EndpointId, int slots);
 
-    // Takes a slot, or refuses if all are taken. Call finish() when the simulated work is done.
+    // Takes a slot, or returns false if all are taken. finish() frees the slot when the simulated work is
+    // done.
     bool begin();
     EndpointReply execute(const RequestIdentity&, const std::string& operation, const std::string& body);
     void finish();
@@ -32,7 +33,7 @@
     // --- faults
     bool failsEverything = false;
 
-    // What every endpoint answers to a request; tests compare against it.
+    // The answer of every endpoint to a request. Tests compare answers with it.
     static std::string answerTo(
         const RequestIdentity&, const std::string& operation, const std::string& body);
 
--- a/standins/model/worker_model.cpp
+++ b/standins/model/worker_model.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A holder that was replaced has this long to learn how a task ended.
+// Leaves time to see in a report how a task ended when the holder is replaced.
 constexpr Milliseconds endedTaskRetention { 60'000 };
 
 // A throttled task progresses at half its rate.
@@ -157,7 +157,7 @@
         return WorkerCommandResult::UnknownTask;
     task.phase = TaskPhase::Checkpointing;
     task.phaseSince = now;
-    // A checkpoint takes half of the grace it is given.
+    // A checkpoint takes half of its grace period.
     task.checkpointEnd = now + command.ttl / 2;
     return WorkerCommandResult::Ok;
 }
@@ -213,7 +213,7 @@
         report.tasks.push_back(reportOf(task));
     for (const auto& [key, task] : m_ended) {
         TaskReport ended = reportOf(task);
-        // A checkpointed task has left its accelerators; it reports zero of them.
+        // An ended task has released its accelerators, so it reports zero.
         ended.accelerators = 0;
         report.tasks.push_back(ended);
     }
--- a/standins/model/worker_model.h
+++ b/standins/model/worker_model.h
@@ -21,40 +21,41 @@
     TaskPhase phase = TaskPhase::Reserved;
     int accelerators = 0;
     bool isThrottled = false;
-    Milliseconds runTime { 0 }; // left to run when started
+    Milliseconds runTime { 0 }; // remaining run time at the start
     Milliseconds progress { 0 };
     Milliseconds checkpointed { 0 };
-    TimePoint leaseEnd {}; // the task is dropped when this passes
-    TimePoint checkpointEnd {}; // in phase Checkpointing: saved and stopped at this time
+    TimePoint leaseEnd {}; // the task is dropped at this time
+    TimePoint checkpointEnd {}; // in phase Checkpointing: the task is saved and stopped at this time
     TimePoint phaseSince {};
 };
 
-// One worker of the platform: holds accelerators for reservations and tasks under leases, remembers the
-// highest fencing token, and is the authority on what runs on it. Time comes in with each call.
+// One worker of the platform. Holds accelerators for leased reservations and tasks, records the highest
+// fencing token, and is the authority on which tasks run on it. The caller passes the time with each call.
 class WorkerModel {
 public:
     WorkerModel(WorkerId, int accelerators);
 
     WorkerCommandResult command(const WorkerCommand&, TimePoint now);
 
-    // True if anything changed since the last call. Ends lapsed leases, finished tasks and checkpoints.
+    // Ends tasks whose lease expired, or whose work or checkpoint is finished. Returns true if a task ended.
     bool advance(TimePoint now);
 
-    // Raises the token seen; false if it is below the highest. Token 0 (a caretaker) is always accepted.
+    // Records a token. Returns false if it is below the highest one, unless stale tokens are accepted. Token
+    // 0, which a caretaker uses, is always accepted.
     bool acceptToken(FencingToken);
-    // Renews tasks that run or are confirmed.
+    // Renews the leases of the given tasks, except those in phase Reserved.
     void renew(const std::vector<LeaseRenewal>&, TimePoint now);
 
     WorkerReport report() const;
 
-    // Loses every task and the token: the worker restarted.
+    // Simulates a restart of the worker: all tasks and the token are lost.
     void restart();
 
     // --- faults
-    bool failsEverything = false; // every Run fails at once
-    bool isDead = false; // answers nothing
+    bool failsEverything = false; // every Run command fails immediately
+    bool isDead = false; // does not answer
     bool losesCheckpoints = false; // the object store is down: a checkpoint saves nothing
-    bool acceptsStaleTokens = false; // a baseline without fencing
+    bool acceptsStaleTokens = false; // no fencing, as a baseline
     double speed = 1.0; // progress per elapsed time
 
     const WorkerId& id() const { return m_id; }
@@ -76,7 +77,8 @@
     FencingToken m_highestToken = 0;
     TimePoint m_advancedTo {};
     std::map<std::pair<JobId, AttemptNumber>, ModelTask> m_tasks;
-    // Ended tasks stay in reports for a while, so that a holder that missed one report sees the next.
+    // Ended tasks stay in reports for endedTaskRetention, so that a holder that missed a report sees them in
+    // the next one.
     std::map<std::pair<JobId, AttemptNumber>, ModelTask> m_ended;
 };
 
--- a/standins/platform/host_directory.h
+++ b/standins/platform/host_directory.h
@@ -13,17 +13,17 @@
 
 namespace anvilmoor::standin {
 
-// The platform's hosts. The list that clients get shows each change only after the lag.
+// The hosts of the platform. The list for clients contains each change only after the lag.
 class HostDirectory {
 public:
     using State = std::optional<HostState>; // empty: gone
 
     HostDirectory(const std::vector<HostListEntry>& hosts, Milliseconds lag);
 
-    // False for a host that was never listed.
+    // False if the host was not given to the constructor.
     bool knows(const std::string& host) const { return m_actual.contains(host); }
     void set(const std::string& host, State, TimePoint now);
-    // Applies to earlier changes too.
+    // Also applies to earlier changes that are not listed yet.
     void setLag(Milliseconds lag) { m_lag = lag; }
     Milliseconds lag() const { return m_lag; }
 
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -10,17 +10,17 @@
 #include <string>
 #include <vector>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on, IP:PORT; port 0 takes a free one");
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on, IP:PORT; port 0 selects a free port");
 ABSL_FLAG(std::string, hosts, "", "workers as WORKER:ZONE,...");
 ABSL_FLAG(std::string, hosts_file, "", "file of WORKER:ZONE items, separated by commas or white space");
 ABSL_FLAG(
     std::vector<std::string>, configuration, {}, "base file and overlays; lists their workers as hosts");
-ABSL_FLAG(int, host_list_lag_ms, 0, "how long a change of a host stays out of the host list, ms");
+ABSL_FLAG(int, host_list_lag_ms, 0, "delay until a change of a host appears in the host list, ms");
 
 int main(int argc, char** argv)
 {
     using namespace anvilmoor;
-    absl::SetProgramUsageMessage("Plays the platform: table, object store and host list over HTTP.");
+    absl::SetProgramUsageMessage("Stand-in for the platform: table, object store and host list over HTTP.");
     absl::ParseCommandLine(argc, argv);
 
     std::string text = absl::GetFlag(FLAGS_hosts);
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -79,7 +79,7 @@
         return;
     case FaultMode::Down:
         ++m_counters.refused;
-        answerError(*exchange, 503, "switched down");
+        answerError(*exchange, 503, "refused: the fault mode of the service is down");
         return;
     case FaultMode::Slow:
         ++m_counters.slowed;
@@ -147,7 +147,7 @@
     const bool isPut = exchange->request().method == "PUT";
     const bool isWrite = isDelete || isPut;
     if (!isWrite && exchange->request().method != "GET") {
-        answerError(*exchange, 405, "only PUT, GET and DELETE");
+        answerError(*exchange, 405, "method not allowed: objects accept only PUT, GET and DELETE");
         return;
     }
     const std::array<std::string, 1> keys { key };
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -16,11 +16,11 @@
 
 namespace anvilmoor::standin {
 
-// Plays the platform over HTTP: table, object store, host list, and `/control`.
+// Stand-in for the platform over HTTP: table, object store, host list, and `/control`.
 //
 // POST /control takes any of {table, objects, hosts: a fault (see FaultSwitch::read),
-// set_hosts: [{id, state: "live", "leaving" or "gone"}], host_list_lag_ms}; it changes all or, with
-// status 400, nothing. GET /control shows faults, hosts and counters.
+// set_hosts: [{id, state: "live", "leaving" or "gone"}], host_list_lag_ms}. It applies all of them or, with
+// status 400, none. GET /control returns faults, hosts and counters.
 class PlatformService {
 public:
     PlatformService(net::EventLoop&, HostDirectory);
@@ -29,7 +29,7 @@
 
 private:
     using Exchange = std::shared_ptr<net::HttpExchange>;
-    // Carries out the request and returns the answer.
+    // Executes the request and returns the response.
     using Action = std::function<net::HttpResponse()>;
 
     struct Counters {
--- a/standins/workers/endpoint_host.h
+++ b/standins/workers/endpoint_host.h
@@ -12,8 +12,8 @@
 
 namespace anvilmoor::standin {
 
-// One endpoint over HTTP: executes calls on its slots and answers after the service time, or when it is
-// released. A client that has gone does not free the slot earlier.
+// One endpoint over HTTP. Executes each call on a slot and answers after the service time, or at the end of
+// holding. A client that disconnects does not free its slot earlier.
 class EndpointHost {
 public:
     EndpointHost(net::EventLoop&, const EndpointId&, int slots);
@@ -21,17 +21,17 @@
     EndpointModel& model() { return m_model; }
     const EndpointModel& model() const { return m_model; }
     void call(const CallEndpoint&, const std::shared_ptr<net::HttpExchange>&);
-    // While holding, calls are executed and not answered. The end of it answers what is held.
+    // While holding, calls are executed and not answered. When holding ends, all held calls are answered.
     void setHolding(bool);
     bool isHolding() const { return m_isHolding; }
-    // The worker died: what runs is never answered, and the slots are free again.
+    // Simulates the death of the worker: open calls are never answered, and their slots are free again.
     void die();
     std::size_t callsOpen() const { return m_open.size(); }
     std::uint64_t callsBegun() const { return m_lastId; }
     std::uint64_t refusals() const { return m_refusals; }
 
     Milliseconds serviceTime { 0 };
-    bool losesAnswers = false; // the way back is cut; calls are executed
+    bool losesAnswers = false; // calls are executed, and their answers are lost
 
 private:
     struct OpenCall {
--- a/standins/workers/layout.cpp
+++ b/standins/workers/layout.cpp
@@ -22,12 +22,12 @@
         item.allowOnly({ "id", "workers" });
         RackLayout rack { item.text("id"), {} };
         if (!racks.insert(rack.id).second)
-            item.fail("id", "repeats a rack");
+            item.fail("id", "is the id of an earlier rack");
         for (clients::JsonReader& worker : item.items("workers")) {
             worker.allowOnly({ "id", "accelerators" });
             rack.workers.push_back({ worker.text("id"), worker.nonNegativeInt("accelerators") });
             if (!workers.insert(rack.workers.back().id).second)
-                worker.fail("id", "repeats a worker");
+                worker.fail("id", "is the id of an earlier worker");
         }
         layout.racks.push_back(std::move(rack));
     }
--- a/standins/workers/layout.h
+++ b/standins/workers/layout.h
@@ -19,13 +19,13 @@
 };
 
 struct ZoneLayout {
-    std::vector<std::string> services; // each has an endpoint on every worker
-    int slots = 8; // of each endpoint
+    std::vector<std::string> services; // each service has an endpoint on every worker
+    int slots = 8; // slots of each endpoint
     std::vector<RackLayout> racks;
 };
 
 // Reads {"services":["..."],"slots":8,"racks":[{"id":"...","workers":[{"id":"...","accelerators":8}]}]}.
-// "service":"..." may stand for "services" with one item. Rack and worker ids are unique.
+// "service":"..." is short for "services" with one item. Rack ids and worker ids must be unique.
 clients::Decoded<ZoneLayout> parseLayout(std::string_view);
 
 } // namespace anvilmoor::standin
--- a/standins/workers/main.cpp
+++ b/standins/workers/main.cpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on, IP:PORT; port 0 takes a free one");
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on, IP:PORT; port 0 selects a free port");
 ABSL_FLAG(std::string, zone, "", "availability zone, for the log");
 ABSL_FLAG(std::string, layout, "", "JSON file of racks, workers and services; see layout.h");
 ABSL_FLAG(std::vector<std::string>, configuration, {},
@@ -38,7 +38,8 @@
 int main(int argc, char** argv)
 {
     using namespace anvilmoor;
-    absl::SetProgramUsageMessage("Plays the workers and endpoints of one availability zone over HTTP.");
+    absl::SetProgramUsageMessage(
+        "Stand-in for the workers and endpoints of one availability zone over HTTP.");
     absl::ParseCommandLine(argc, argv);
 
     const auto layout = readLayout();
--- a/standins/workers/rack.cpp
+++ b/standins/workers/rack.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-// Of one worker. With more, the oldest become visible before their lag has passed.
+// Limit for one worker. Above it, the oldest reports become visible before their lag has passed.
 constexpr std::size_t maxPendingReports = 1'000;
 
-// A rack knows that a worker does not answer, but not what runs on it.
+// A rack detects that a worker does not answer, but cannot see which tasks run on it.
 WorkerReport reportOf(const WorkerModel& model)
 {
     WorkerReport report = model.report();
@@ -107,7 +107,7 @@
     for (const Worker& worker : m_workers) {
         if (!report.isComplete && worker.changedAt <= since)
             continue;
-        // Without lag the report also shows the progress made since the last change.
+        // Without lag, the report also contains the progress since the last change.
         report.workers.push_back(m_reportLag.count() ? worker.visible : reportOf(worker.model));
     }
     return report;
--- a/standins/workers/rack.h
+++ b/standins/workers/rack.h
@@ -16,15 +16,15 @@
 
 enum class WorkerCondition {
     Alive,
-    Dead, // has lost its tasks and its token
-    Unreachable, // answers nothing; its tasks go on until their leases end
+    Dead, // lost its tasks and its token
+    Unreachable, // does not answer; its tasks continue until their leases end
 };
 
-// One rack: its workers, and the numbered changes that a sync asks for. Reports may lag behind the
-// workers' true state.
+// The workers of one rack, and the sequence numbers of their changes, by which a sync requests later changes.
+// Reports may lag behind the actual state of the workers.
 class Rack {
 public:
-    // Sequences start above firstSequence, so that those of an earlier process are recognized.
+    // Changes are numbered from above firstSequence, so that numbers of an earlier process are recognized.
     Rack(const RackLayout&, std::uint64_t firstSequence);
 
     const RackId& id() const { return m_id; }
@@ -35,16 +35,16 @@
     WorkerCommandResult command(std::size_t index, const WorkerCommand&, TimePoint now);
     WorkerCondition condition(std::size_t index) const { return m_workers[index].condition; }
     void setCondition(std::size_t index, WorkerCondition, TimePoint now);
-    // Loses the worker's tasks and token. It is alive then.
+    // The worker loses its tasks and token, and is alive afterwards.
     void restart(std::size_t index, TimePoint now);
-    // Advances all workers and makes reports visible whose lag has passed.
+    // Advances all workers, and makes reports visible when their lag has passed.
     void advance(TimePoint now);
     void setReportLag(Milliseconds lag) { m_reportLag = lag; }
 
-    // False, and nothing done, if a higher token was seen.
+    // Returns false and does nothing if a higher token was seen.
     bool beginSync(const SyncRack&, TimePoint now);
     FencingToken highestToken() const { return m_highestToken; }
-    // True if the sync's answer would report something.
+    // True if the answer to a sync would contain a report of a worker.
     bool hasNewsSince(std::uint64_t since) const;
     RackSynced report(std::uint64_t since) const;
 
@@ -62,7 +62,7 @@
         WorkerCondition condition = WorkerCondition::Alive;
         WorkerReport visible;
         std::uint64_t changedAt = 0;
-        std::deque<std::pair<TimePoint, WorkerReport>> pending; // true reports, visible after the lag
+        std::deque<std::pair<TimePoint, WorkerReport>> pending; // actual reports, visible after the lag
     };
 
     bool isCompleteFor(std::uint64_t since) const;
--- a/standins/workers/worker_control.cpp
+++ b/standins/workers/worker_control.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// More would not fit into one answer; the totals are always there.
+// More executions would not fit into one answer. The totals are always included.
 constexpr std::size_t maxExecutionsShown = 20'000;
 
 constexpr const char* conditionName(WorkerCondition condition)
--- a/standins/workers/worker_service.cpp
+++ b/standins/workers/worker_service.cpp
@@ -15,12 +15,13 @@
 
 namespace {
 
-// How exactly leases and run times end.
+// The resolution at which leases and run times end.
 constexpr Milliseconds advanceInterval { 10 };
 
 constexpr std::size_t maxWaitingSyncs = 4'096;
 
-// A sequence of a later process is above all of an earlier one that made fewer than 1,000 changes a ms.
+// The sequence numbers of a process are above those of every earlier process that made fewer than 1,000
+// changes per ms.
 std::uint64_t firstSequence()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -113,7 +114,7 @@
         return;
     }
     if (m_waiting.size() >= maxWaitingSyncs) {
-        answerError(*exchange, 503, "too many syncs wait");
+        answerError(*exchange, 503, "too many waiting syncs");
         return;
     }
     m_waiting.push_back({ found->second, *sync, exchange, m_loop.now() + sync->wait });
--- a/standins/workers/worker_service.h
+++ b/standins/workers/worker_service.h
@@ -22,7 +22,7 @@
 
 namespace anvilmoor::standin {
 
-// Plays all workers and endpoints of one zone over HTTP, and `/control`.
+// Stand-in for all workers and endpoints of one zone over HTTP, with `/control`.
 //
 // POST /control takes any of
 //   {"workers":[{"id","state":"dead"|"unreachable"|"alive"|"restart","fails_everything",
@@ -30,13 +30,13 @@
 //    "endpoints":[{"worker","fails_everything","service_ms","hold"}], // all services of the worker
 //    "racks":[{"id","silent"}],
 //    "service_ms","hold","checkpoints_lost","usage_report_lag_ms"} // for the whole zone
-// and changes all or, with status 400, nothing. "hold":false releases what is held.
+// and applies all of them or, with status 400, none. "hold":false answers all held calls.
 //
-// A dead worker has lost its tasks, and its calls are refused with 503. An unreachable one keeps its
-// tasks and answers nothing. The rack reports both as not live. A silent rack answers nothing for itself
-// and its workers.
+// A dead worker has lost its tasks, and calls to it are refused with 503. An unreachable worker keeps its
+// tasks and does not answer. The rack reports both as not live. A silent rack does not answer, and neither do
+// its workers.
 //
-// GET /control shows workers, jobs, executions and violations.
+// GET /control returns workers, jobs, executions and violations.
 class WorkerService {
 public:
     WorkerService(net::EventLoop&, const ZoneLayout&);
@@ -63,7 +63,8 @@
     void handleSync(const Exchange&, const std::string& rack);
     void handleCommand(const Exchange&, const std::string& worker);
     void handleCall(const Exchange&, const std::string& endpoint);
-    // Refuses or ignores the call if the worker cannot take it.
+    // Returns true, and refuses the exchange or leaves it unanswered, if the worker is dead or unreachable or
+    // its rack is silent.
     bool isCutOff(const Place&, const Exchange&);
     void answerSync(const WaitingSync&);
     void answerWaitingSyncs();
