Rename identifiers of standins to the usual terms

Place -> WorkerPosition changedAt -> changeSequence die -> abandonCalls hasNewsSince -> hasUpdateSince held -> acceleratorsHeld isCutOff -> rejectIfUnavailable isDrop -> endsTask isKind -> affectsKind isNamed -> affectsKey known -> knownTag knows -> contains m_places -> m_workerPositions noteChange -> recordChange release -> answerHeldCalls runLater -> executeLater showPending -> publishDueReports stopGrace -> stopTimeout

Some names were figurative (die, knows, hasNewsSince), isCutOff() read as a predicate but answers the exchange, and changedAt held a sequence number, not a time.

--- a/standins/common/standin_process.h
+++ b/standins/common/standin_process.h
@@ -16,7 +16,7 @@
 namespace anvilmoor::standin {
 
 // Exchanges that are still open this long after SIGTERM are answered with 503.
-constexpr Milliseconds stopGrace { 1'000 };
+constexpr Milliseconds stopTimeout { 1'000 };
 constexpr Milliseconds stopCheckInterval { 20 };
 
 // Serves until SIGTERM or SIGINT. Returns the exit code of the process.
@@ -37,7 +37,7 @@
     TimePoint stopBy {};
     const auto stop = [&] {
         (*server)->stopAccepting();
-        stopBy = loop.now() + stopGrace;
+        stopBy = loop.now() + stopTimeout;
         stopCheck.startRepeating(stopCheckInterval, [&] {
             const bool isServing = (*server)->exchangesInFlight() || (*server)->openConnections();
             if (!isServing || loop.now() >= stopBy)
--- a/standins/model/worker_model.cpp
+++ b/standins/model/worker_model.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-int WorkerModel::held() const
+int WorkerModel::acceleratorsHeld() const
 {
     int sum = 0;
     for (const auto& [key, task] : m_tasks)
@@ -73,9 +73,10 @@
 
     const std::pair<JobId, AttemptNumber> key { command.job, command.attempt };
     const auto found = m_tasks.find(key);
-    const bool isDrop = command.kind == WorkerCommandKind::Release || command.kind == WorkerCommandKind::Stop;
+    const bool endsTask
+        = command.kind == WorkerCommandKind::Release || command.kind == WorkerCommandKind::Stop;
     if (found == m_tasks.end())
-        return isDrop ? WorkerCommandResult::Ok : WorkerCommandResult::UnknownTask;
+        return endsTask ? WorkerCommandResult::Ok : WorkerCommandResult::UnknownTask;
 
     switch (command.kind) {
     case WorkerCommandKind::Confirm:
@@ -106,7 +107,7 @@
             found->second.leaseEnd = now + command.ttl;
         return WorkerCommandResult::Ok;
     }
-    if (command.accelerators <= 0 || held() + command.accelerators > m_accelerators)
+    if (command.accelerators <= 0 || acceleratorsHeld() + command.accelerators > m_accelerators)
         return WorkerCommandResult::NoCapacity;
     ModelTask task;
     task.job = command.job;
--- a/standins/model/worker_model.h
+++ b/standins/model/worker_model.h
@@ -65,7 +65,7 @@
     FencingToken highestToken() const { return m_highestToken; }
 
 private:
-    int held() const;
+    int acceleratorsHeld() const;
     WorkerCommandResult reserve(const WorkerCommand&, TimePoint now);
     WorkerCommandResult confirm(ModelTask&, TimePoint now);
     WorkerCommandResult run(ModelTask&, const WorkerCommand&, TimePoint now);
--- a/standins/platform/fault_switch.cpp
+++ b/standins/platform/fault_switch.cpp
@@ -50,10 +50,10 @@
 
 FaultMode FaultSwitch::next(std::span<const std::string> keys, bool isWrite)
 {
-    const bool isKind = isWrite ? m_setting.affectsWrites : m_setting.affectsReads;
+    const bool affectsKind = isWrite ? m_setting.affectsWrites : m_setting.affectsReads;
     const auto matches = [this](const std::string& key) { return key.starts_with(m_setting.keyPrefix); };
-    const bool isNamed = m_setting.keyPrefix.empty() || std::ranges::any_of(keys, matches);
-    if (!isKind || !isNamed || m_setting.count == std::uint64_t { 0 })
+    const bool affectsKey = m_setting.keyPrefix.empty() || std::ranges::any_of(keys, matches);
+    if (!affectsKind || !affectsKey || m_setting.count == std::uint64_t { 0 })
         return FaultMode::Up;
     if (m_setting.count)
         --*m_setting.count;
--- a/standins/platform/host_directory.h
+++ b/standins/platform/host_directory.h
@@ -21,7 +21,7 @@
     HostDirectory(const std::vector<HostListEntry>& hosts, Milliseconds lag);
 
     // False if the host was not given to the constructor.
-    bool knows(const std::string& host) const { return m_actual.contains(host); }
+    bool contains(const std::string& host) const { return m_actual.contains(host); }
     void set(const std::string& host, State, TimePoint now);
     // Also applies to earlier changes that are not listed yet.
     void setLag(Milliseconds lag) { m_lag = lag; }
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -83,7 +83,7 @@
         return;
     case FaultMode::Slow:
         ++m_counters.slowed;
-        runLater(exchange, fault.delay(), std::move(action));
+        executeLater(exchange, fault.delay(), std::move(action));
         return;
     case FaultMode::LoseAnswers:
         ++m_counters.answersLost;
@@ -97,7 +97,7 @@
     }
 }
 
-void PlatformService::runLater(const Exchange& exchange, Milliseconds delay, Action action)
+void PlatformService::executeLater(const Exchange& exchange, Milliseconds delay, Action action)
 {
     const std::uint64_t id = ++m_lastDelayed;
     auto& timer = m_delayed[id];
@@ -171,12 +171,12 @@
 
 void PlatformService::handleHosts(const Exchange& exchange)
 {
-    std::string known(exchange->request().header("If-None-Match"));
-    applyFault(exchange, m_hostFault, {}, false, [this, known = std::move(known)] {
+    std::string knownTag(exchange->request().header("If-None-Match"));
+    applyFault(exchange, m_hostFault, {}, false, [this, knownTag = std::move(knownTag)] {
         ++m_counters.hostLists;
         net::HttpResponse response = jsonResponse(clients::encodeHostList(m_hosts.list(m_loop.now())));
         std::string tag = fmt::format("\"{:016x}\"", XXH3_64bits(response.body.data(), response.body.size()));
-        if (tag == known) {
+        if (tag == knownTag) {
             response.status = 304;
             response.body.clear();
         }
@@ -200,7 +200,7 @@
     if (reader.has("set_hosts")) {
         for (clients::JsonReader& item : reader.items("set_hosts")) {
             changes.push_back({ item.text("id"), readHostState(item) });
-            if (!m_hosts.knows(changes.back().id))
+            if (!m_hosts.contains(changes.back().id))
                 item.fail("id", "names an unknown host");
         }
     }
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -45,7 +45,7 @@
     };
 
     void applyFault(const Exchange&, FaultSwitch&, std::span<const std::string> keys, bool isWrite, Action);
-    void runLater(const Exchange&, Milliseconds delay, Action);
+    void executeLater(const Exchange&, Milliseconds delay, Action);
     void handleTransaction(const Exchange&);
     void handleRead(const Exchange&);
     void handleObject(const Exchange&, const std::string& key);
--- a/standins/workers/endpoint_host.cpp
+++ b/standins/workers/endpoint_host.cpp
@@ -53,10 +53,10 @@
 {
     m_isHolding = isHolding;
     if (!isHolding)
-        release();
+        answerHeldCalls();
 }
 
-void EndpointHost::release()
+void EndpointHost::answerHeldCalls()
 {
     std::vector<std::uint64_t> held;
     for (const auto& [id, open] : m_open) {
@@ -67,7 +67,7 @@
         answer(id);
 }
 
-void EndpointHost::die()
+void EndpointHost::abandonCalls()
 {
     for (auto& [id, open] : std::exchange(m_open, {})) {
         m_model.finish();
--- a/standins/workers/endpoint_host.h
+++ b/standins/workers/endpoint_host.h
@@ -25,7 +25,7 @@
     void setHolding(bool);
     bool isHolding() const { return m_isHolding; }
     // Simulates the death of the worker: open calls are never answered, and their slots are free again.
-    void die();
+    void abandonCalls();
     std::size_t callsOpen() const { return m_open.size(); }
     std::uint64_t callsBegun() const { return m_lastId; }
     std::uint64_t refusals() const { return m_refusals; }
@@ -41,7 +41,7 @@
     };
 
     void answer(std::uint64_t id);
-    void release();
+    void answerHeldCalls();
 
     net::EventLoop& m_loop;
     EndpointModel m_model;
--- a/standins/workers/rack.cpp
+++ b/standins/workers/rack.cpp
@@ -29,11 +29,11 @@
         m_workers.emplace_back(WorkerModel(WorkerId(worker.id), worker.accelerators));
 }
 
-void Rack::noteChange(std::size_t index, TimePoint now)
+void Rack::recordChange(std::size_t index, TimePoint now)
 {
     Worker& worker = m_workers[index];
     worker.pending.emplace_back(now, reportOf(worker.model));
-    showPending(worker, now);
+    publishDueReports(worker, now);
 }
 
 void Rack::setCondition(std::size_t index, WorkerCondition condition, TimePoint now)
@@ -43,7 +43,7 @@
         worker.model.restart();
     worker.model.isDead = condition != WorkerCondition::Alive;
     worker.condition = condition;
-    noteChange(index, now);
+    recordChange(index, now);
 }
 
 void Rack::restart(std::size_t index, TimePoint now)
@@ -52,7 +52,7 @@
     setCondition(index, WorkerCondition::Alive, now);
 }
 
-void Rack::showPending(Worker& worker, TimePoint now)
+void Rack::publishDueReports(Worker& worker, TimePoint now)
 {
     const auto isDue = [&] {
         return worker.pending.front().first + m_reportLag <= now || worker.pending.size() > maxPendingReports;
@@ -60,7 +60,7 @@
     while (!worker.pending.empty() && isDue()) {
         worker.visible = std::move(worker.pending.front().second);
         worker.pending.pop_front();
-        worker.changedAt = ++m_sequence;
+        worker.changeSequence = ++m_sequence;
     }
 }
 
@@ -69,7 +69,7 @@
     const WorkerCommandResult result = m_workers[index].model.command(command, now);
     if (result != WorkerCommandResult::StaleToken)
         m_highestToken = std::max(m_highestToken, command.token);
-    noteChange(index, now);
+    recordChange(index, now);
     return result;
 }
 
@@ -77,8 +77,8 @@
 {
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         if (m_workers[i].model.advance(now))
-            noteChange(i, now);
-        showPending(m_workers[i], now);
+            recordChange(i, now);
+        publishDueReports(m_workers[i], now);
     }
 }
 
@@ -99,13 +99,13 @@
     return since == 0 || since < m_firstSequence || since > m_sequence;
 }
 
-bool Rack::hasNewsSince(std::uint64_t since) const { return isCompleteFor(since) || m_sequence > since; }
+bool Rack::hasUpdateSince(std::uint64_t since) const { return isCompleteFor(since) || m_sequence > since; }
 
 RackSynced Rack::report(std::uint64_t since) const
 {
     RackSynced report { m_id, 0, m_sequence, isCompleteFor(since), {} };
     for (const Worker& worker : m_workers) {
-        if (!report.isComplete && worker.changedAt <= since)
+        if (!report.isComplete && worker.changeSequence <= since)
             continue;
         // Without lag, the report also contains the progress since the last change.
         report.workers.push_back(m_reportLag.count() ? worker.visible : reportOf(worker.model));
--- a/standins/workers/rack.h
+++ b/standins/workers/rack.h
@@ -45,7 +45,7 @@
     bool beginSync(const SyncRack&, TimePoint now);
     FencingToken highestToken() const { return m_highestToken; }
     // True if the answer to a sync would contain a report of a worker.
-    bool hasNewsSince(std::uint64_t since) const;
+    bool hasUpdateSince(std::uint64_t since) const;
     RackSynced report(std::uint64_t since) const;
 
     bool isSilent = false;
@@ -61,13 +61,13 @@
         WorkerModel model;
         WorkerCondition condition = WorkerCondition::Alive;
         WorkerReport visible;
-        std::uint64_t changedAt = 0;
+        std::uint64_t changeSequence = 0;
         std::deque<std::pair<TimePoint, WorkerReport>> pending; // actual reports, visible after the lag
     };
 
     bool isCompleteFor(std::uint64_t since) const;
-    void noteChange(std::size_t index, TimePoint now);
-    void showPending(Worker&, TimePoint now);
+    void recordChange(std::size_t index, TimePoint now);
+    void publishDueReports(Worker&, TimePoint now);
 
     RackId m_id;
     std::uint64_t m_firstSequence;
--- a/standins/workers/worker_control.cpp
+++ b/standins/workers/worker_control.cpp
@@ -141,7 +141,7 @@
     if (reader.has("checkpoints_lost")) {
         const bool isLost = reader.flag("checkpoints_lost");
         changes.push_back([this, isLost] {
-            for (const auto& [id, place] : m_places)
+            for (const auto& [id, place] : m_workerPositions)
                 m_racks[place.rack].worker(place.worker).losesCheckpoints = isLost;
         });
     }
@@ -159,8 +159,8 @@
     for (clients::JsonReader& item : reader.items("workers")) {
         item.allowOnly({ "id", "state", "fails_everything", "loses_checkpoints", "speed" });
         const std::string id = item.text("id");
-        const auto found = m_places.find(id);
-        if (found == m_places.end()) {
+        const auto found = m_workerPositions.find(id);
+        if (found == m_workerPositions.end()) {
             item.fail("id", "names an unknown worker");
             return;
         }
@@ -187,7 +187,7 @@
     for (clients::JsonReader& item : reader.items("endpoints")) {
         item.allowOnly({ "worker", "fails_everything", "service_ms", "hold" });
         const std::string worker = item.text("worker");
-        if (!m_places.contains(worker))
+        if (!m_workerPositions.contains(worker))
             item.fail("worker", "is unknown");
         for (EndpointHost* host : endpointsOn(worker)) {
             if (item.has("fails_everything"))
@@ -218,7 +218,7 @@
 
 void WorkerService::setWorkerState(const std::string& worker, const std::string& state)
 {
-    const Place place = m_places.at(worker);
+    const WorkerPosition place = m_workerPositions.at(worker);
     Rack& rack = m_racks[place.rack];
     const TimePoint now = m_loop.now();
     rack.advance(now);
@@ -232,7 +232,7 @@
         rack.setCondition(place.worker, WorkerCondition::Alive, now);
     if (state == "dead" || state == "restart") {
         for (EndpointHost* host : endpointsOn(worker))
-            host->die();
+            host->abandonCalls();
     }
     updateEndpoints(worker);
 }
@@ -240,7 +240,7 @@
 void WorkerService::setRackSilent(std::size_t rack, bool isSilent)
 {
     m_racks[rack].isSilent = isSilent;
-    for (const auto& [worker, place] : m_places) {
+    for (const auto& [worker, place] : m_workerPositions) {
         if (place.rack == rack)
             updateEndpoints(worker);
     }
@@ -248,7 +248,7 @@
 
 void WorkerService::updateEndpoints(const std::string& worker)
 {
-    const Place place = m_places.at(worker);
+    const WorkerPosition place = m_workerPositions.at(worker);
     const Rack& rack = m_racks[place.rack];
     for (EndpointHost* host : endpointsOn(worker))
         host->losesAnswers = rack.isSilent || rack.condition(place.worker) == WorkerCondition::Unreachable;
--- a/standins/workers/worker_service.cpp
+++ b/standins/workers/worker_service.cpp
@@ -49,7 +49,7 @@
         m_racks.emplace_back(rack, sequence);
         for (std::size_t i = 0; i < rack.workers.size(); ++i) {
             const std::string& worker = rack.workers[i].id;
-            m_places[worker] = { index, i };
+            m_workerPositions[worker] = { index, i };
             for (const std::string& service : layout.services) {
                 const EndpointId id = EndpointId(fmt::format("{}@{}", service, worker));
                 m_endpoints[id.value()] = std::make_unique<EndpointHost>(loop, id, layout.slots);
@@ -140,7 +140,7 @@
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
         const Rack& rack = m_racks[waiting->rack];
         const bool isStale = waiting->sync.token && waiting->sync.token < rack.highestToken();
-        const bool isDue = isStale || rack.hasNewsSince(waiting->sync.since) || now >= waiting->answerBy;
+        const bool isDue = isStale || rack.hasUpdateSince(waiting->sync.since) || now >= waiting->answerBy;
         if (!isDue || rack.isSilent) {
             ++waiting;
             continue;
@@ -151,7 +151,7 @@
     }
 }
 
-bool WorkerService::isCutOff(const Place& place, const Exchange& exchange)
+bool WorkerService::rejectIfUnavailable(const WorkerPosition& place, const Exchange& exchange)
 {
     const Rack& rack = m_racks[place.rack];
     const WorkerCondition condition = rack.condition(place.worker);
@@ -166,8 +166,8 @@
 
 void WorkerService::handleCommand(const Exchange& exchange, const std::string& worker)
 {
-    const auto found = m_places.find(worker);
-    if (found == m_places.end()) {
+    const auto found = m_workerPositions.find(worker);
+    if (found == m_workerPositions.end()) {
         answerError(*exchange, 404, "no such worker");
         return;
     }
@@ -176,7 +176,7 @@
         answerError(*exchange, 400, command.error().detail);
         return;
     }
-    if (isCutOff(found->second, exchange))
+    if (rejectIfUnavailable(found->second, exchange))
         return;
     ++m_commands;
     Rack& rack = m_racks[found->second.rack];
@@ -198,8 +198,8 @@
         answerError(*exchange, 400, call.error().detail);
         return;
     }
-    const auto place = m_places.find(endpoint.substr(endpoint.rfind('@') + 1));
-    if (place != m_places.end() && isCutOff(place->second, exchange))
+    const auto place = m_workerPositions.find(endpoint.substr(endpoint.rfind('@') + 1));
+    if (place != m_workerPositions.end() && rejectIfUnavailable(place->second, exchange))
         return;
     found->second->call(*call, exchange);
 }
--- a/standins/workers/worker_service.h
+++ b/standins/workers/worker_service.h
@@ -47,7 +47,7 @@
     using Exchange = std::shared_ptr<net::HttpExchange>;
     using Change = std::function<void()>;
 
-    struct Place {
+    struct WorkerPosition {
         std::size_t rack = 0;
         std::size_t worker = 0;
     };
@@ -65,7 +65,7 @@
     void handleCall(const Exchange&, const std::string& endpoint);
     // Returns true, and refuses the exchange or leaves it unanswered, if the worker is dead or unreachable or
     // its rack is silent.
-    bool isCutOff(const Place&, const Exchange&);
+    bool rejectIfUnavailable(const WorkerPosition&, const Exchange&);
     void answerSync(const WaitingSync&);
     void answerWaitingSyncs();
 
@@ -87,7 +87,7 @@
     net::EventLoop& m_loop;
     std::vector<Rack> m_racks;
     std::map<std::string, std::size_t> m_rackIndex;
-    std::map<std::string, Place> m_places; // by worker
+    std::map<std::string, WorkerPosition> m_workerPositions; // by worker
     std::map<std::string, std::unique_ptr<EndpointHost>> m_endpoints; // by "<service>@<worker>"
     std::list<WaitingSync> m_waiting;
     std::set<std::string> m_violations;
