--- a/src/clients/host_list_client.cpp
+++ b/src/clients/host_list_client.cpp
@@ -9,26 +9,26 @@
 
 namespace {
 
-// The list that the platform sent last, and the entity tag by which it names it.
-struct LastList {
-    std::string tag; // empty if the platform sends none
+// The last list that the platform sent, and its entity tag.
+struct CachedHostList {
+    std::string entityTag; // empty if the platform sent none
     std::vector<HostListEntry> hosts;
 };
 
-HostListResult resultOf(const net::HttpResult& result, LastList& last)
+HostListResult resultOf(const net::HttpResult& result, CachedHostList& cached)
 {
     if (!result)
         return tl::unexpected(HostListError { result.error().detail });
-    if (result->status == 304 && !last.tag.empty())
-        return last.hosts;
+    if (result->status == 304 && !cached.entityTag.empty())
+        return cached.hosts;
     if (result->status != 200)
-        return tl::unexpected(
-            HostListError { fmt::format("the host list answered with status {}", result->status) });
+        return tl::unexpected(HostListError {
+            fmt::format("the request for the host list failed with status {}", result->status) });
     auto hosts = decodeHostList(result->body);
     if (!hosts)
         return tl::unexpected(HostListError { hosts.error().detail });
-    last.tag = std::string(result->header("ETag"));
-    last.hosts = last.tag.empty() ? std::vector<HostListEntry> {} : *hosts;
+    cached.entityTag = std::string(result->header("ETag"));
+    cached.hosts = cached.entityTag.empty() ? std::vector<HostListEntry> {} : *hosts;
     return std::move(*hosts);
 }
 
@@ -44,20 +44,20 @@
     void fetch(HostListCallback callback) override
     {
         net::HttpRequest request { "GET", "/v1/hosts", {}, {}, "host_list" };
-        // The list of 19,000 workers has 890 KB, and most polls find it unchanged.
-        if (!m_last->tag.empty())
-            request.headers.push_back({ "If-None-Match", m_last->tag });
+        // Most polls find the list unchanged, and the list of 19,000 workers has 890 KB.
+        if (!m_cached->entityTag.empty())
+            request.headers.push_back({ "If-None-Match", m_cached->entityTag });
         m_client.call(m_address, std::move(request), m_timeout,
-            [last = m_last, callback = std::move(callback)](
-                const net::HttpResult& result) { callback(resultOf(result, *last)); });
+            [cached = m_cached, callback = std::move(callback)](
+                const net::HttpResult& result) { callback(resultOf(result, *cached)); });
     }
 
 private:
     net::HttpClient& m_client;
     net::SocketAddress m_address;
     Milliseconds m_timeout;
-    // Shared with the callbacks, which may come after this client is destroyed.
-    std::shared_ptr<LastList> m_last = std::make_shared<LastList>();
+    // Shared with the callbacks, which may run after this client is destroyed.
+    std::shared_ptr<CachedHostList> m_cached = std::make_shared<CachedHostList>();
 };
 
 } // namespace
--- a/src/clients/json_reader.cpp
+++ b/src/clients/json_reader.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// About 31 years; larger durations are mistakes and could overflow sums.
-constexpr std::uint64_t largestMilliseconds = 1'000'000'000'000;
+// About 31 years. Larger durations are rejected as mistakes: sums of them could overflow.
+constexpr std::uint64_t maxMilliseconds = 1'000'000'000'000;
 
 constexpr std::string_view hexDigits = "0123456789abcdef";
 
@@ -89,24 +89,24 @@
     return {};
 }
 
-std::uint64_t JsonReader::number(std::string_view field, std::uint64_t largest)
+std::uint64_t JsonReader::number(std::string_view field, std::uint64_t maxValue)
 {
     const nlohmann::json* found = require(field);
-    if (!found || !found->is_number_unsigned() || found->get<std::uint64_t>() > largest) {
-        fail(field, fmt::format("is not a whole number from 0 to {}", largest));
+    if (!found || !found->is_number_unsigned() || found->get<std::uint64_t>() > maxValue) {
+        fail(field, fmt::format("is not an integer from 0 to {}", maxValue));
         return 0;
     }
     return found->get<std::uint64_t>();
 }
 
-int JsonReader::smallNumber(std::string_view field)
+int JsonReader::nonNegativeInt(std::string_view field)
 {
     return static_cast<int>(number(field, static_cast<std::uint64_t>(std::numeric_limits<int>::max())));
 }
 
 Milliseconds JsonReader::milliseconds(std::string_view field)
 {
-    return Milliseconds(static_cast<std::int64_t>(number(field, largestMilliseconds)));
+    return Milliseconds(static_cast<std::int64_t>(number(field, maxMilliseconds)));
 }
 
 bool JsonReader::flag(std::string_view field)
@@ -128,7 +128,7 @@
     }
     for (const nlohmann::json& item : *found) {
         if (!item.is_string()) {
-            fail(field, "holds something that is not a string");
+            fail(field, "has an element that is not a string");
             return values;
         }
         values.push_back(item.get_ref<const std::string&>());
@@ -142,12 +142,12 @@
     return found && found->is_string();
 }
 
-double JsonReader::amount(std::string_view field)
+double JsonReader::nonNegativeDouble(std::string_view field)
 {
     const nlohmann::json* found = require(field);
     if (found && found->is_number() && found->get<double>() >= 0)
         return found->get<double>();
-    fail(field, "is not a number from 0");
+    fail(field, "is not a number of at least 0");
     return 0;
 }
 
@@ -181,7 +181,7 @@
     }
     for (const nlohmann::json& item : *found) {
         if (!item.is_object()) {
-            fail(field, "holds something that is not an object");
+            fail(field, "has an element that is not an object");
             return readers;
         }
         readers.push_back(JsonReader(m_document, &item));
--- a/src/peer/peer_connector.h
+++ b/src/peer/peer_connector.h
@@ -19,16 +19,16 @@
 };
 
 struct PeerTimings {
-    // A connection on which nothing was received for this long is closed, whatever TCP reports.
-    Milliseconds silenceLimit { 2'000 };
-    Milliseconds firstBackoff { 100 };
-    Milliseconds maxBackoff { 2'000 };
-    // How often connections are checked.
+    // A connection on which no message was received for this long is closed, even if TCP reports no error.
+    // Also bounds a connection attempt.
+    Milliseconds silenceTimeout { 2'000 };
+    Milliseconds initialRetryDelay { 100 };
+    Milliseconds maxRetryDelay { 2'000 };
     Milliseconds checkInterval { 50 };
 };
 
-// The outgoing connection to one peer, over which this daemon calls it. Connects again, with backoff and
-// jitter, after each loss.
+// The outgoing connection to one peer, over which this daemon sends its messages. Reconnects with backoff
+// and jitter after each loss.
 class PeerConnector final : private kj::TaskSet::ErrorHandler {
 public:
     PeerConnector(uv_loop_t*, HostId self, PeerAddress, PeerTimings, std::uint64_t seed);
@@ -36,18 +36,19 @@
     PeerConnector(const PeerConnector&) = delete;
     PeerConnector& operator=(const PeerConnector&) = delete;
 
-    // Counts the traffic of later connections.
-    void countInto(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
+    // Counts the traffic of connections that are established from now on.
+    void setTrafficCounters(std::shared_ptr<net::Traffic> traffic) { m_traffic = std::move(traffic); }
     const HostId& host() const { return m_peer.host; }
     bool isConnected() const { return m_session.has_value() && !m_link->stream.isClosed(); }
-    // False if the message was dropped.
+    // Returns false if the message was dropped.
     bool send(const PeerMessage&);
-    // Connects when due and closes what is silent or broken. Not to be called from a KJ event. True if
-    // an established connection was lost.
+    // Starts a connection attempt when one is due, and closes a silent or broken connection. Must not be
+    // called from a KJ event, which may belong to the closed connection. Returns true if an established
+    // connection was lost.
     bool check(TimePoint now);
 
 private:
-    struct Connecting; // a connection attempt; owns its handle until the callback
+    struct ConnectionAttempt; // owns its TCP handle until the connect callback
 
     void taskFailed(kj::Exception&&) override;
     void startConnecting(TimePoint now);
@@ -61,12 +62,12 @@
     PeerAddress m_peer;
     PeerTimings m_timings;
     std::mt19937_64 m_random;
-    Milliseconds m_backoff;
+    Milliseconds m_retryDelay;
     TimePoint m_retryAt {};
-    TimePoint m_lastHeard {};
-    std::size_t m_heardMessages = 0;
+    TimePoint m_lastReceivedAt {}; // the start of the attempt before the first message
+    std::size_t m_lastReceivedCount = 0;
     bool m_isBroken = false;
-    Connecting* m_connecting = nullptr;
+    ConnectionAttempt* m_attempt = nullptr;
     std::shared_ptr<net::Traffic> m_traffic = std::make_shared<net::Traffic>();
     std::unique_ptr<RpcLink> m_link;
     std::optional<wire::Session::Client> m_session;
--- a/standins/model/worker_model.cpp
+++ b/standins/model/worker_model.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A holder that was replaced has this long to learn how a task ended.
+// Leaves time to see in a report how a task ended when the holder is replaced.
 constexpr Milliseconds endedTaskRetention { 60'000 };
 
 // A throttled task progresses at half its rate.
@@ -26,7 +26,7 @@
 {
 }
 
-int WorkerModel::held() const
+int WorkerModel::acceleratorsHeld() const
 {
     int sum = 0;
     for (const auto& [key, task] : m_tasks)
@@ -73,9 +73,10 @@
 
     const std::pair<JobId, AttemptNumber> key { command.job, command.attempt };
     const auto found = m_tasks.find(key);
-    const bool isDrop = command.kind == WorkerCommandKind::Release || command.kind == WorkerCommandKind::Stop;
+    const bool endsTask
+        = command.kind == WorkerCommandKind::Release || command.kind == WorkerCommandKind::Stop;
     if (found == m_tasks.end())
-        return isDrop ? WorkerCommandResult::Ok : WorkerCommandResult::UnknownTask;
+        return endsTask ? WorkerCommandResult::Ok : WorkerCommandResult::UnknownTask;
 
     switch (command.kind) {
     case WorkerCommandKind::Confirm:
@@ -106,7 +107,7 @@
             found->second.leaseEnd = now + command.ttl;
         return WorkerCommandResult::Ok;
     }
-    if (command.accelerators <= 0 || held() + command.accelerators > m_accelerators)
+    if (command.accelerators <= 0 || acceleratorsHeld() + command.accelerators > m_accelerators)
         return WorkerCommandResult::NoCapacity;
     ModelTask task;
     task.job = command.job;
@@ -157,7 +158,7 @@
         return WorkerCommandResult::UnknownTask;
     task.phase = TaskPhase::Checkpointing;
     task.phaseSince = now;
-    // A checkpoint takes half of the grace it is given.
+    // A checkpoint takes half of its grace period.
     task.checkpointEnd = now + command.ttl / 2;
     return WorkerCommandResult::Ok;
 }
@@ -213,7 +214,7 @@
         report.tasks.push_back(reportOf(task));
     for (const auto& [key, task] : m_ended) {
         TaskReport ended = reportOf(task);
-        // A checkpointed task has left its accelerators; it reports zero of them.
+        // An ended task has released its accelerators, so it reports zero.
         ended.accelerators = 0;
         report.tasks.push_back(ended);
     }
--- a/test/platform_client_test.cpp
+++ b/test/platform_client_test.cpp
@@ -19,24 +19,24 @@
 using testing::runUntil;
 
 constexpr Milliseconds shortTimeout { 50 };
-constexpr Milliseconds longTimeout { 60'000 }; // never reached; the guard of runUntil ends a test before
+constexpr Milliseconds longTimeout { 60'000 }; // never reached: runUntil() fails a hanging test earlier
 
 class PlatformClientTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlatformClientTest);
     CPPUNIT_TEST(testWriteWithLostAnswerIsUnknownAndTookEffect);
     CPPUNIT_TEST(testTableThatIsDownIsUnavailable);
     CPPUNIT_TEST(testSlowWriteTakesEffectAfterItsTimeout);
-    CPPUNIT_TEST(testConflictBringsTheCurrentRows);
-    CPPUNIT_TEST(testObjectsAreStoredAndFound);
+    CPPUNIT_TEST(testConflictReturnsTheCurrentRows);
+    CPPUNIT_TEST(testStoredObjectIsReturnedAndMissingObjectIsNotFound);
     CPPUNIT_TEST(testHostListLagsBehindTheHosts);
     CPPUNIT_TEST(testInvalidControlChangesNothing);
-    CPPUNIT_TEST(testSyncWaitsForAChangeAndReportsOnlyIt);
-    CPPUNIT_TEST(testNewerTokenEndsTheOlderHoldersSyncAndCommands);
+    CPPUNIT_TEST(testSyncWaitsForAChangeAndReportsOnlyThatChange);
+    CPPUNIT_TEST(testSyncAndCommandWithOlderTokenAreRejectedAsStale);
     CPPUNIT_TEST(testUsageReportLagsBehindTheWorkers);
     CPPUNIT_TEST(testDeadAndSilentWorkersAreUnreachable);
     CPPUNIT_TEST(testHeldCallIsExecutedAndAnsweredOnRelease);
-    CPPUNIT_TEST(testCallToDyingWorkerIsLostAndLaterOnesAreRefused);
-    CPPUNIT_TEST(testFullEndpointRefusesBeforeExecution);
+    CPPUNIT_TEST(testCallIsLostWhenItsWorkerDiesAndLaterCallIsRefused);
+    CPPUNIT_TEST(testCallToEndpointWithoutFreeSlotIsRefusedBeforeExecution);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,13 +66,15 @@
         m_loop.reset();
     }
 
+    // Guards against a write that is reported as not done because its answer was lost.
     void testWriteWithLostAnswerIsUnknownAndTookEffect()
     {
         control(*m_platformServer,
             R"({"table":{"mode":"lose_answers","count":1,"key_prefix":"job/","only":"writes"}})");
-        const auto hasty = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
+        const auto shortTimeoutTable = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
         CPPUNIT_ASSERT(execute(*m_table, { {}, { { "other", "x" } } }).status == TableStatus::Ok);
-        CPPUNIT_ASSERT(execute(*hasty, { {}, { { "job/1", "x" } } }).status == TableStatus::Unknown);
+        CPPUNIT_ASSERT(
+            execute(*shortTimeoutTable, { {}, { { "job/1", "x" } } }).status == TableStatus::Unknown);
         CPPUNIT_ASSERT(execute(*m_table, { {}, { { "job/2", "x" } } }).status == TableStatus::Ok);
         const TableReply rows = read({ {}, { "job/" } });
         CPPUNIT_ASSERT(rows.rows.size() == 2 && rows.rows[0].key == "job/1");
@@ -87,15 +89,18 @@
         CPPUNIT_ASSERT(read({ { "a" }, {} }).status == TableStatus::Unavailable);
         control(*m_platformServer, R"({"table":"up"})");
         CPPUNIT_ASSERT(read({ { "a" }, {} }).rows.empty());
-        const auto nowhere = makeTableClient(*m_http, { "127.0.0.1", 0 }, longTimeout);
-        CPPUNIT_ASSERT(execute(*nowhere, { {}, { { "a", "x" } } }).status == TableStatus::Unavailable);
+        const auto unreachableTable = makeTableClient(*m_http, { "127.0.0.1", 0 }, longTimeout);
+        CPPUNIT_ASSERT(
+            execute(*unreachableTable, { {}, { { "a", "x" } } }).status == TableStatus::Unavailable);
     }
 
+    // Guards against a write that is reported as not done when it times out and takes effect later.
     void testSlowWriteTakesEffectAfterItsTimeout()
     {
         control(*m_platformServer, R"({"table":{"mode":"slow","delay_ms":150,"only":"writes"}})");
-        const auto hasty = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
-        CPPUNIT_ASSERT(execute(*hasty, { {}, { { "a", "late" } } }).status == TableStatus::Unknown);
+        const auto shortTimeoutTable = makeTableClient(*m_http, addressOf(*m_platformServer), shortTimeout);
+        CPPUNIT_ASSERT(
+            execute(*shortTimeoutTable, { {}, { { "a", "late" } } }).status == TableStatus::Unknown);
         TableReply reply;
         for (int tries = 0; tries < 100'000 && reply.rows.empty(); ++tries)
             reply = read({ { "a" }, {} });
@@ -103,7 +108,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("late"), reply.rows[0].value);
     }
 
-    void testConflictBringsTheCurrentRows()
+    void testConflictReturnsTheCurrentRows()
     {
         const TableReply created = execute(*m_table, { { { "a", 0 } }, { { "a", "first" } } });
         CPPUNIT_ASSERT(created.status == TableStatus::Ok && created.rows[0].version > 0);
@@ -113,27 +118,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("first"), conflict.rows[0].value);
     }
 
-    void testObjectsAreStoredAndFound()
+    void testStoredObjectIsReturnedAndMissingObjectIsNotFound()
     {
         const auto objects = makeObjectClient(*m_http, addressOf(*m_platformServer));
         const std::string value("\0\xff\r\n", 4);
         std::optional<ObjectResult> result;
-        const auto keep = [&](ObjectResult answer) { result = std::move(answer); };
-        objects->put("response/a b/ä", value, keep);
+        const auto storeResult = [&](ObjectResult answer) { result = std::move(answer); };
+        objects->put("response/a b/ä", value, storeResult);
         wait([&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->has_value());
         result.reset();
-        objects->get("response/a b/ä", keep);
+        objects->get("response/a b/ä", storeResult);
         wait([&] { return result.has_value(); });
         CPPUNIT_ASSERT(**result == value);
-        for (const bool isThere : { true, false }) {
+        for (const bool isStored : { true, false }) {
             result.reset();
-            objects->remove("response/a b/ä", keep);
+            objects->remove("response/a b/ä", storeResult);
             wait([&] { return result.has_value(); });
-            CPPUNIT_ASSERT_EQUAL(isThere, result->has_value());
+            CPPUNIT_ASSERT_EQUAL(isStored, result->has_value());
         }
         result.reset();
-        objects->get("response/none", keep);
+        objects->get("response/none", storeResult);
         wait([&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->error().kind == ObjectErrorKind::NotFound);
     }
@@ -150,7 +155,8 @@
         control(*m_platformServer,
             R"({"host_list_lag_ms":60000,"set_hosts":[{"id":"w1","state":"leaving"},{"id":"w2","state":"gone"}]})");
         CPPUNIT_ASSERT(fetch()->size() == 2 && fetch()->front().state == HostState::Live);
-        // An unchanged list is not sent again; a client must neither lose it nor miss the next change.
+        // The platform does not send an unchanged list again: the client must keep it, and must not miss the
+        // next change.
         CPPUNIT_ASSERT(fetch()->size() == 2 && fetch()->front().state == HostState::Live);
         control(*m_platformServer, R"({"host_list_lag_ms":0})");
         CPPUNIT_ASSERT(fetch()->size() == 1 && fetch()->front().state == HostState::Leaving);
@@ -158,6 +164,7 @@
         CPPUNIT_ASSERT(!fetch().has_value());
     }
 
+    // Guards against a control message that is applied in part before its error is found.
     void testInvalidControlChangesNothing()
     {
         CPPUNIT_ASSERT_EQUAL(400, post(*m_platformServer, "/control", R"({"table":"down","typo":1})").status);
@@ -172,7 +179,7 @@
         CPPUNIT_ASSERT(state(*m_workerServer)["endpoints"][0]["hold"] == false);
     }
 
-    void testSyncWaitsForAChangeAndReportsOnlyIt()
+    void testSyncWaitsForAChangeAndReportsOnlyThatChange()
     {
         const RackSynced complete = sync(1, 0);
         CPPUNIT_ASSERT(complete.isComplete && complete.workers.size() == 2);
@@ -188,11 +195,12 @@
         CPPUNIT_ASSERT(!change.isComplete && change.workers.size() == 1);
         CPPUNIT_ASSERT(change.workers[0].worker == WorkerId("w2") && change.workers[0].tasks.size() == 1);
         CPPUNIT_ASSERT(change.sequence > complete.sequence);
-        // A sequence from before the rack's start cannot be continued.
+        // Sequence number 5 is from before the start of the rack, so the report is complete.
         CPPUNIT_ASSERT(sync(1, 5).isComplete);
     }
 
-    void testNewerTokenEndsTheOlderHoldersSyncAndCommands()
+    // Guards against a former holder that still receives reports or commands workers after its replacement.
+    void testSyncAndCommandWithOlderTokenAreRejectedAsStale()
     {
         const RackSynced first = sync(1, 0);
         std::optional<RackSyncOutcome> old;
@@ -203,7 +211,7 @@
         wait([&] { return old.has_value(); });
         CPPUNIT_ASSERT(std::get<RackSyncFailed>(*old).isStaleToken);
         CPPUNIT_ASSERT(command("w1", 1) == WorkerCommandResult::StaleToken);
-        sync(0, 0); // a caretaker
+        sync(0, 0); // token 0, which a caretaker uses, is never stale
     }
 
     void testUsageReportLagsBehindTheWorkers()
@@ -249,7 +257,7 @@
         CPPUNIT_ASSERT(state(*m_workerServer)["executions"]["by_identity"][0]["key"] == "key");
     }
 
-    void testCallToDyingWorkerIsLostAndLaterOnesAreRefused()
+    void testCallIsLostWhenItsWorkerDiesAndLaterCallIsRefused()
     {
         control(*m_workerServer, R"({"service_ms":60000})");
         std::optional<EndpointOutcome> first;
@@ -263,7 +271,8 @@
         CPPUNIT_ASSERT(std::get<EndpointFailed>(*second).failure == EndpointFailure::RefusedBeforeExecution);
     }
 
-    void testFullEndpointRefusesBeforeExecution()
+    // Guards against a call that is refused for lack of a slot and executed nevertheless.
+    void testCallToEndpointWithoutFreeSlotIsRefusedBeforeExecution()
     {
         control(*m_workerServer, R"({"hold":true})");
         std::optional<EndpointOutcome> held;
