Keep the texts of wait reasons as they were

Wait reasons are stored in the rows of queued jobs and returned to submitters. Texts in stored data stay, so the five that had been reworded in src/placement are back.

--- a/src/placement/first_fit_placement.cpp
+++ b/src/placement/first_fit_placement.cpp
@@ -19,7 +19,7 @@
         const JobSpecification& specification = job.specification;
         const ClientAccountConfiguration* account = configuration.findAccount(specification.account);
         if (!account || inventory.find(specification.id)) {
-            draft.wait(job, "the account is not in the configuration, or the job already holds accelerators");
+            draft.wait(job, "the account is not in the configuration, or the job holds accelerators");
             continue;
         }
         const bool isClaim = specification.jobClass == JobClass::Guaranteed;
@@ -27,9 +27,7 @@
             ? ledger.claim(account->id, specification.accelerators).has_value()
             : accounts.heldBy(account->id) + specification.accelerators <= account->acceleratorQuota;
         if (!isAllowed) {
-            draft.wait(job,
-                isClaim ? "no unclaimed guarantee is large enough"
-                        : "the job exceeds what is left of the quota");
+            draft.wait(job, isClaim ? "no unclaimed guarantee is large enough" : "the quota is used up");
             continue;
         }
         if (draft.resume(job)) {
@@ -44,7 +42,7 @@
                 .mayEvict = [&](const Holding&) { return isClaim; } });
         // Borrowed jobs do not wait for the accelerators of jobs that are leaving.
         if (!choice || (!isClaim && !draft.room().isFree(choice->members))) {
-            draft.wait(job, "too few suitable accelerators are free");
+            draft.wait(job, "the accelerators are not free");
             continue;
         }
         draft.start(job, std::move(*choice));
--- a/src/placement/guarantee_aware_placement.cpp
+++ b/src/placement/guarantee_aware_placement.cpp
@@ -44,7 +44,7 @@
         std::vector<const QueuedJob*> borrowedWithMembers;
         for (const QueuedJob& job : queue) {
             if (m_inventory.find(job.specification.id) || job.specification.accelerators <= 0)
-                m_draft.wait(job, "the job already holds accelerators, or requests none");
+                m_draft.wait(job, "already holds accelerators, or asks for none");
             else if (job.specification.jobClass == JobClass::Guaranteed)
                 resumeOrQueueClaim(job);
             else if (!job.claimedMembers.empty())
--- a/src/placement/plan_draft.cpp
+++ b/src/placement/plan_draft.cpp
@@ -26,7 +26,7 @@
         return true;
     }
     m_room.allocate(members);
-    wait(job, "waiting for evicted jobs to leave");
+    wait(job, "waits for evicted work to leave");
     return true;
 }
 
