Reword comments and messages in the simulations and the fault matrix of test/support

The comments spoke of promises broken, faults that strike or meet a step, work that is held up, gangs out of sight and news that a daemon hears. They now name the simulated part, the check and the reason in the usual terms. Violation messages name the cause: "was cut off" is now "was lost in a planned stop", "was cancelled by nobody" is "was cancelled without a request". No test or script matches the changed texts; names of faults, steps and cells and the text of the page are unchanged.

--- a/test/fault_matrix_test.cpp
+++ b/test/fault_matrix_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Sanitizers slow a run down by a factor of about ten.
+// Sanitizers slow a run down by a factor of about ten, so fewer cells run with them.
 #if defined(__SANITIZE_ADDRESS__)
 constexpr std::size_t cellStride = 17;
 constexpr std::size_t pairs = 30;
@@ -48,7 +48,8 @@
 
 } // namespace
 
-// Guards against every promise that one fault at one step of a path, or two faults, would break.
+// Guards against violations of the invariants that one fault, or a pair of faults, at any step of a path
+// causes.
 class FaultMatrixTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(FaultMatrixTest);
     CPPUNIT_TEST(testEveryPathHoldsItsBoundsWithoutFault);
@@ -62,7 +63,7 @@
     CPPUNIT_TEST(testPairsOfFaultsAreSurvived);
     CPPUNIT_TEST(testPairsThatFailedOnceAreSurvived);
     CPPUNIT_TEST(testCellOfEnvironmentHolds);
-    CPPUNIT_TEST(testPageIsWrittenWhereEnvironmentAsks); // after those that fill it
+    CPPUNIT_TEST(testPageIsWrittenWhereEnvironmentAsks); // after the tests that fill the page
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,7 +94,7 @@
     void testPairsOfFaultsAreSurvived()
     {
         constexpr std::uint64_t pairSeed = 20'261'204;
-        // A search for faults runs more pairs, of other seeds.
+        // A wider search sets more pairs and another seed.
         const char* seed = std::getenv("ANVILMOOR_MATRIX_PAIR_SEED");
         const char* count = std::getenv("ANVILMOOR_MATRIX_PAIRS");
         std::mt19937_64 random(seed ? std::stoull(seed) : pairSeed);
@@ -111,8 +112,8 @@
         run(cells, "pairs", false);
     }
 
-    // Found by wider searches of pairs, and fixed since: a drain push that was lost was never sent again; a
-    // change was accepted before a second daemon held it.
+    // Guards against two defects that wider searches of pairs found: a lost drain push was never resent, and
+    // a change was accepted before a second daemon held it.
     void testPairsThatFailedOnceAreSurvived()
     {
         const std::vector<MatrixCell> cells {
@@ -137,7 +138,7 @@
         CPPUNIT_ASSERT_MESSAGE(describe(cell, result, true), result.violations.empty());
     }
 
-    // Does nothing unless ANVILMOOR_MATRIX_OUT names a file. Writes failing cells too, as open.
+    // Does nothing unless ANVILMOOR_MATRIX_OUT names a file. Failing cells are written as open.
     void testPageIsWrittenWhereEnvironmentAsks()
     {
         const char* path = std::getenv("ANVILMOOR_MATRIX_OUT");
@@ -145,7 +146,7 @@
             return;
         std::ofstream file(path);
         file << matrixPage(record(), readLevelTwoCells("test/level2_cells.txt"));
-        CPPUNIT_ASSERT_MESSAGE("the page cannot be written", file.good());
+        CPPUNIT_ASSERT_MESSAGE("cannot write the page to the file in ANVILMOOR_MATRIX_OUT", file.good());
     }
 
 private:
@@ -170,7 +171,7 @@
             if (!result.hasStruck) {
                 ++unstruck;
                 if (mustStrike)
-                    result.violations.push_back("the fault never met its step");
+                    result.violations.push_back("the step of the fault never occurred");
             }
             if (mustStrike) {
                 const MatrixStrike& strike = cell.strikes.front();
@@ -185,8 +186,8 @@
             ++failed;
             failures += describe(cell, result, failed == 1);
         }
-        std::cout << fmt::format(
-            "\n{}: {} cells run, {} failed, {} with a fault that met no step\n", name, ran, failed, unstruck);
+        std::cout << fmt::format("\n{}: {} cells run, {} failed, {} with a fault whose step never occurred\n",
+            name, ran, failed, unstruck);
         CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
     }
 };
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -39,7 +39,7 @@
 
 WorkerClock FakeWorker::clock() const
 {
-    // 2% slow, as the platform allows.
+    // Runs 2% slow, the drift that the platform allows.
     return 1'000 + (m_now() - m_bornAt).count() * 98 / 100;
 }
 
@@ -364,7 +364,7 @@
     for (const auto& worker : m_workers)
         running += worker->runs().contains(task) ? 1 : 0;
     if (running > 1)
-        violation(nameOf(order.run) + " starts beside another run of its task");
+        violation(nameOf(order.run) + " starts while another run of its task is running");
     if (m_noted.contains(task))
         violation(nameOf(order.run) + " starts after its task was done");
     else if (const auto done = m_done.find(task); done != m_done.end())
@@ -388,7 +388,7 @@
     m_done[run.task] = run.run;
     if (!step.isGang)
         return;
-    // The others of the gang end with this one.
+    // One member that is done ends the whole gang as done.
     m_done[{ run.task.job, run.task.occurrence, run.task.step, -1 }] = run.run;
     for (int index = 0; index < step.taskCount; ++index)
         m_done[{ run.task.job, run.task.occurrence, run.task.step, index }] = run.run;
@@ -400,7 +400,8 @@
         return;
     m_noted.insert(ended.run.task);
     if (m_doneBeforeStart.contains(ended.run))
-        violation(nameOf(ended.run) + " was done before a later start of its task");
+        violation(
+            nameOf(ended.run) + " was acknowledged as done although its task was started again after it");
 }
 
 int BatchCluster::startsOf(const JobId& job) const
@@ -612,7 +613,7 @@
         deliver(daemon, lifetime, orderTimeout, unanswered);
 }
 
-// Answers at once if the worker has ends to list, and otherwise when the wait is over.
+// Long poll: answers at once if the worker has ended runs to report, otherwise at `answerBy`.
 void BatchCluster::hold(std::size_t daemon, const HoldWorker& look, TimePoint answerBy)
 {
     const int lifetime = m_daemons[daemon].lifetime;
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -13,16 +13,18 @@
 #include <string>
 #include <vector>
 
-// Daemons, a store and workers in virtual time, with faults on request. Checks after each step what must
-// always hold: a task never has two runs at once and none after it is done, a gang works only whole, and a
-// job that was refused never runs.
+// Runs daemons, a store and workers in virtual time and injects faults on request. Checks at every start of a
+// run and at every acknowledged end: a task never has two runs at once and none after it is done, a step
+// never starts before the steps that it depends on, and a job that was refused never runs. The fake workers
+// let a gang work only while all of its members run.
 
 namespace anvilmoor::testing {
 
 using batch::AnswerKind;
 using batch::JobState;
 
-// A worker of the platform: runs tasks under leases on its own clock, and remembers ends until acknowledged.
+// A worker of the platform: runs tasks under a lease on its own clock, and keeps ended runs until a daemon
+// acknowledges them.
 class FakeWorker {
 public:
     FakeWorker(batch::WorkerRecord, std::function<TimePoint()> clock);
@@ -30,12 +32,13 @@
     batch::StartAnswered start(const batch::StartRun&);
     batch::StopAnswered stop(const batch::StopRun&);
     batch::HoldAnswered hold(const batch::HoldWorker&);
-    // Lets time pass: gangs begin, tasks end, leases lapse.
+    // Advances to the current time: runs make progress, and those end that are done, have failed, lack
+    // members of their gang or have no valid lease.
     void advance();
-    // Restarts under the same name; everything on it is gone.
+    // Restarts under the same id as a new lifetime; runs, ended runs and the lease are lost.
     void rebirth();
 
-    // Ends everything and answers no more.
+    // Drops all runs without reporting their ends, and becomes unreachable.
     void leave();
 
     struct Run {
@@ -50,19 +53,21 @@
 
     batch::WorkerRecord record;
     bool isReachable = true; // by the daemons
-    bool isFailing = false; // every run ends as failed after a moment
-    double speed = 1; // work done in a unit of time; 0: whatever runs here stands still
-    // How long a task of the job works; how many tasks its gang has (1: no gang).
+    bool isFailing = false; // every run ends as Failed at the next advance()
+    double speed = 1; // progress per unit of time; 0: runs make no progress
+    // How long a task has to work, and whether all members of a run's gang are running (true without a gang).
     std::function<Milliseconds(const batch::TaskId&)> durationOf;
     std::function<bool(const batch::RunId&)> isGangPresent;
     std::function<void(const batch::RunId&, batch::RunEnd)> onEnd;
     std::function<void(const batch::StartRun&)> onStart;
-    // An end that is acknowledged is taken note of, unless the worker's lease lapsed in between.
+    // Called for each ended run that a daemon acknowledges. `hasLapsed`: the worker's lease expired between
+    // the end and the acknowledgement.
     std::function<void(const batch::EndedRun&, bool hasLapsed)> onAcknowledged;
     std::function<batch::Resources(const batch::TaskId&)> resourcesOf;
 
 private:
-    // Accepted, unless the order is for another lifetime or from an earlier leader.
+    // Accepted, unless the order is for another lifetime of the worker or from an earlier leader (lower
+    // token).
     batch::OrderOutcome outcomeFor(const batch::WorkerLifetime&, std::uint64_t token) const;
     void end(const batch::TaskId&, batch::RunEnd);
     batch::WorkerClock clock() const;
@@ -73,13 +78,13 @@
     std::uint64_t m_highestToken = 0;
     batch::WorkerClock m_leaseUntil = 0;
     std::uint64_t m_lastEnd = 0;
-    std::uint64_t m_lapsedEnd = 0; // the lease has lapsed since this end
+    std::uint64_t m_lapsedEnd = 0; // the lease expired after this end and all earlier ones
     std::map<batch::TaskId, Run> m_runs;
-    std::map<batch::TaskId, int> m_over; // highest run that was stopped or has ended here
+    std::map<batch::TaskId, int> m_over; // highest run number that was stopped or ended here
     std::deque<batch::EndedRun> m_ended;
 };
 
-// The platform's store: rows with versions, transactions on expected versions.
+// The platform's store: versioned rows, and transactions that apply only if the expected versions match.
 class FakeStore {
 public:
     batch::CommitReply commit(const batch::Transaction&);
@@ -108,28 +113,29 @@
 
     TimePoint now() const { return m_now; }
     void run(Milliseconds);
-    // Runs until the condition holds; false after the limit.
+    // Runs until the condition holds; returns false if it does not hold within the limit.
     bool runUntil(const std::function<bool()>&, Milliseconds limit);
 
-    // One rack after the other, with workers of 8 accelerators, 128 cores and 256 GB.
+    // Each worker has 8 accelerators, 128 cores and 256 GB. Indexes count rack by rack.
     void addWorkers(int racks, int perRack);
     FakeWorker& worker(std::size_t index) { return *m_workers[index]; }
     std::size_t workerCount() const { return m_workers.size(); }
-    // Takes the worker's entry out of the registry.
+    // Removes the worker's entry from the registry.
     void unlist(const WorkerId& id) { m_unlisted.insert(id); }
 
     void setConfiguration(batch::Configuration);
     static batch::Configuration defaultConfiguration();
-    // A queue of the default configuration: "urgent", "gang" or "small", with priority 0, 1 and 2.
+    // `queue` names a queue of the default configuration: "urgent", "gang" or "small", with priority 0, 1
+    // or 2.
     JobId submit(std::size_t daemon, const std::string& queue, std::vector<batch::StepSpecification>,
         const std::string& key = "key-a");
     void submitAgain(std::size_t daemon, const std::string& queue, const JobId&);
     void cancel(std::size_t daemon, const std::string& queue, const JobId&);
     void query(std::size_t daemon, const std::string& queue, const JobId&);
     void count(std::size_t daemon, const std::string& queue);
-    std::optional<Answer> answerTo(const JobId& job) const; // the last one
+    std::optional<Answer> answerTo(const JobId& job) const; // the latest answer
     std::optional<Answer> lastAnswer() const { return m_lastAnswer; }
-    // As the store has it.
+    // The state in the store; Pending without a row.
     JobState stateOf(const JobId&) const;
     void setDuration(const JobId& job, Milliseconds duration) { m_durations[job] = duration; }
 
@@ -143,13 +149,13 @@
     // Faults.
     std::set<std::size_t> cutFromStore; // daemons
     std::set<std::size_t> cutFromWorkers; // daemons
-    std::set<std::size_t> cannotRead; // daemons whose large reads never end
+    std::set<std::size_t> cannotRead; // daemons whose large reads (ReadRows) fail
     bool isStoreDown = false;
-    Milliseconds slowCommit { 0 }; // that a transaction takes longer
-    double lostCommitShare = 0; // done, and not answered
-    double lateOrderShare = 0; // no answer, and carried out 2 to 12 s later
+    Milliseconds slowCommit { 0 }; // added to the time of each commit
+    double lostCommitShare = 0; // share of commits that are applied, but whose reply is lost
+    double lateOrderShare = 0; // share of orders without an answer that are executed 2 to 12 s later
 
-    // What was seen to break; empty if nothing did.
+    // One sentence for each violated invariant.
     const std::vector<std::string>& violations() const { return m_violations; }
     int startsOf(const JobId& job) const;
     std::optional<TimePoint> firstStart(const JobId& job) const;
@@ -181,7 +187,7 @@
     bool isLifetime(std::size_t daemon, int lifetime) const;
     void tick(std::size_t daemon, int lifetime);
     void followRepeatedly(std::size_t daemon, int lifetime);
-    // The store's own clock; it started at another time than the daemons'.
+    // The store's own clock; its epoch differs from that of the daemons' clock.
     batch::StoreClock storeClock() const { return m_now.time_since_epoch().count() + 7'000'000; }
     bool reachesStore(std::size_t daemon) const;
     FakeWorker* find(const batch::WorkerLifetime&);
@@ -221,15 +227,16 @@
     batch::CallerHandle m_lastCaller = 0;
     int m_lastJob = 0;
     std::map<batch::TaskId, int> m_done;
-    std::set<batch::TaskId> m_noted; // done, and acknowledged
-    std::set<batch::RunId> m_doneBeforeStart; // a violation once such an end is acknowledged
+    std::set<batch::TaskId> m_noted; // done, and acknowledged before the worker's lease expired
+    // Ended as done before a later start of their task; a violation if such an end is acknowledged.
+    std::set<batch::RunId> m_doneBeforeStart;
     std::map<JobId, int> m_starts;
     std::map<JobId, TimePoint> m_firstStarts;
-    std::set<JobId> m_refused; // every answer so far said "not accepted"
+    std::set<JobId> m_refused; // answered NotAccepted before any start, and not Accepted since
     std::vector<std::string> m_violations;
 };
 
-// A step of `tasks` tasks with that many accelerators each.
+// A step of `tasks` tasks with `accelerators` accelerators each.
 batch::StepSpecification makeStep(int tasks, int accelerators, Milliseconds duration = Milliseconds(1'000));
 batch::StepSpecification makeGang(
     int tasks, int accelerators, bool needsOneRack = false, Milliseconds duration = Milliseconds(1'000));
--- a/test/support/fault_matrix.cpp
+++ b/test/support/fault_matrix.cpp
@@ -1,4 +1,4 @@
-// The two tables, and the names of cells.
+// The tables of steps and faults, and the names of cells.
 
 #include "support/fault_matrix.h"
 
@@ -278,8 +278,8 @@
     case MatrixFault::ReplyLost:
         return step.leg != Leg::Reply ? "no reply" : "";
     case MatrixFault::MessageRepeated:
-        // Endpoints promise nothing about copies, so at most once rests on a connection that delivers
-        // each call once and on a client that never sends one again by itself.
+        // Endpoints do not promise to detect copies of a call. At-most-once execution therefore depends on a
+        // connection that delivers each call once and on a client that never resends by itself.
         if (step.path == MatrixPath::Booking && step.message == "call" && step.leg == Leg::Outgoing)
             return "a connection carries each call once";
         return isLocal(step) ? "no message" : "";
--- a/test/support/fault_matrix.h
+++ b/test/support/fault_matrix.h
@@ -11,10 +11,10 @@
 
 namespace anvilmoor::test {
 
-// What the cluster is used for while a fault strikes.
+// The operation that the cluster performs while a fault is injected.
 enum class MatrixPath { Job, Booking, Quote, Claim, Configuration, Drain, Role };
 
-// A message or decision of a path; a fault strikes when it passes for the first time.
+// A message or decision of a path. A fault is injected when it passes the channel for the first time.
 struct MatrixStep {
     MatrixPath path = MatrixPath::Job;
     std::string message; // as named by messageName()
@@ -47,7 +47,7 @@
     RunTimeTooLong,
     JobNeverRuns,
     Stopped, // a planned stop
-    None, // the path alone, with its full bounds
+    None, // the path alone must keep all of its bounds
 };
 
 struct MatrixStrike {
@@ -55,16 +55,16 @@
     MatrixFault fault = MatrixFault::EntryKilled;
 };
 
-// One run: faults at steps of one path.
+// One run of the matrix: faults at steps of one path.
 struct MatrixCell {
     std::vector<MatrixStrike> strikes;
     std::uint64_t seed = 1;
 };
 
 struct MatrixResult {
-    bool hasStruck = false; // every fault met its step
+    bool hasStruck = false; // every fault was injected
     std::vector<std::string> violations;
-    std::vector<std::string> events; // the last ones
+    std::vector<std::string> events; // the most recent ones
 };
 
 std::span<const MatrixStep> matrixSteps();
@@ -74,18 +74,20 @@
 std::string_view nameOf(MatrixFault);
 std::string nameOf(const MatrixStep&); // "job/reserve reply"
 
-// Empty if the fault can strike at the step.
+// Empty if the fault can be injected at the step.
 std::string whyNotApplicable(const MatrixStep&, MatrixFault);
 
 // Empty for an effect that is no step of any path.
 std::string messageName(const Effect&);
 
-// Seeds the cell by its names, so that adding a step or fault leaves the other cells as they are.
+// Derives the cell's seed from its names, so that a new step or fault does not change the seeds of other
+// cells.
 MatrixCell cellOf(std::vector<MatrixStrike>);
 
-// "job/reserve reply|worker dead#123", strikes joined by "&". The value of ANVILMOOR_MATRIX_CELL.
+// "job/reserve reply|worker dead#123", several faults are joined by "&". The format of
+// ANVILMOOR_MATRIX_CELL.
 std::string formatCell(const MatrixCell&);
-// Throws std::invalid_argument on anything else.
+// Throws std::invalid_argument if the text has no seed or names no step and fault of the matrix.
 MatrixCell parseCell(const std::string&);
 
 MatrixResult runCell(const MatrixCell&);
--- a/test/support/fault_matrix_page.h
+++ b/test/support/fault_matrix_page.h
@@ -8,17 +8,18 @@
 
 namespace anvilmoor::test {
 
-// What ran in this process, by step and fault names; for the page.
+// Results of the cells that ran in this process, by the names of step and fault.
 struct MatrixRecord {
     std::map<std::pair<std::string, std::string>, bool> cells; // true: proved
     std::size_t pairsRun = 0;
     std::size_t pairsFailed = 0;
 };
 
-// Lines "step|fault" of cells that real processes prove. Empty without the file.
+// Reads lines "step|fault": the cells that are proved with real processes. Returns an empty set if the file
+// cannot be read.
 std::set<std::pair<std::string, std::string>> readLevelTwoCells(const std::string& path);
 
-// The page in Markdown.
+// Returns the page in Markdown.
 std::string matrixPage(const MatrixRecord&, const std::set<std::pair<std::string, std::string>>& levelTwo);
 
 } // namespace anvilmoor::test
--- a/test/support/fault_matrix_run.cpp
+++ b/test/support/fault_matrix_run.cpp
@@ -1,4 +1,4 @@
-// Runs one cell: the work of a path, the faults at their steps, and the checks at the end.
+// Runs one cell: starts the work of its path, injects the faults at their steps, and checks the final state.
 
 #include "jobs/job_codec.h"
 #include "support/fault_matrix.h"
@@ -14,10 +14,10 @@
 namespace {
 
 constexpr Milliseconds settleTime { 5'000 };
-constexpr Milliseconds shortRun { 60'000 }; // after the start of the work
-constexpr Milliseconds longRun { 160'000 }; // 120 s after the last fault is healed
-constexpr Milliseconds copyTime { 35'000 }; // when callers without a clear answer ask again
-// Of a fault: a lease of an unreachable member lapses after 38.5 s, a role after 4 s.
+constexpr Milliseconds shortRun { 60'000 }; // from the start of the work to the first final check
+constexpr Milliseconds longRun { 160'000 }; // limit: 120 s after the last fault is healed
+constexpr Milliseconds copyTime { 35'000 }; // when callers without a clear answer resend
+// Time to recover from a fault: the lease of an unreachable member expires after 38.5 s, a role after 4 s.
 constexpr Milliseconds recoveryTime { 45'000 };
 
 const std::string zone = "north";
@@ -163,7 +163,8 @@
     return fate;
 }
 
-// Work that a fault holds up is excused until the fault is healed and recovered from.
+// Heals the fault after the duration. The bound on claims counts only from the end of the recovery, because
+// the fault delays them.
 void MatrixRun::healAfter(Milliseconds duration, std::function<void()> heal)
 {
     const TimePoint healed = m_cluster.now() + duration;
@@ -239,7 +240,7 @@
     } else if (fault == MatrixFault::Stopped) {
         constexpr Milliseconds stopBound { 20'000 };
         m_cluster.schedule(Milliseconds(0), [this, struck] { m_cluster.shutDown(struck); });
-        // The path of roles starts daemons again by itself.
+        // Polled, because the role path restarts daemons by itself.
         constexpr Milliseconds interval { 500 };
         for (Milliseconds time = interval; time < stopBound; time += interval)
             m_cluster.schedule(time, [this, struck] { m_hasStopped |= m_cluster.hasStopped(struck); });
@@ -254,13 +255,15 @@
         for (const HostId& id : m_cluster.hosts())
             m_cluster.start(id);
     } else {
-        // In paths without jobs the holder is the daemon that has the work in hand.
+        // In paths without jobs, the daemon that handles the operation is paused instead of the role's
+        // holder.
         const bool hasRole
             = m_path == MatrixPath::Job || m_path == MatrixPath::Claim || m_path == MatrixPath::Role;
         const HostId paused = hasRole ? m_cluster.holderOf(zone).value_or(struck) : struck;
         m_cluster.pause(paused);
         constexpr Milliseconds pauseTime { 10'000 };
-        // What arrived before the pause is handled at the wake-up, before the daemon hears the news.
+        // On resume, the daemon handles the events that arrived before the pause before it receives a change
+        // that was made meanwhile.
         m_cluster.changesExcusedUntil = std::max(m_cluster.changesExcusedUntil, m_cluster.now() + pauseTime);
         healAfter(pauseTime, [this, paused] { m_cluster.resume(paused); });
     }
@@ -344,7 +347,8 @@
         m_cluster.zonesCutFromPeers.insert(zone);
     if (fault != MatrixFault::CutFromZones)
         m_cluster.zonesCutFromPlatform.insert(zone);
-    // Cut from both, a zone cannot hear of a change.
+    // A zone that is cut from peers and platform cannot receive a change; with a second fault, the remaining
+    // connection may fail as well.
     if (fault == MatrixFault::CutFromBoth || m_pending.size() > 1)
         m_cluster.changesExcusedUntil = std::max(m_cluster.changesExcusedUntil, m_cluster.now() + cutTime);
     healAfter(cutTime, [this] {
@@ -474,7 +478,7 @@
 void MatrixRun::workOnClaim()
 {
     m_isArmed = false;
-    // Both fill the zone.
+    // Together these fill the zone, so that the claim has to evict.
     submit("press", "borrowed-1", JobClass::Borrowed, 32, Milliseconds(40'000));
     submit("press", "borrowed-2", JobClass::Borrowed, 32, Milliseconds(40'000));
     m_cluster.runFor(Milliseconds(3'000));
@@ -503,7 +507,7 @@
     }
 }
 
-// The next copy of a patient caller.
+// Sends the next copy of a patient caller once the previous one is answered or lost.
 void MatrixRun::askWhenAnswered(std::size_t index)
 {
     const CallerRecord record = m_cluster.caller(m_requests[index]);
@@ -556,7 +560,7 @@
         Milliseconds(9'000), [this] { submit("mill", "late", JobClass::Borrowed, 8, Milliseconds(4'000)); });
 }
 
-// As callers do: a copy of what was lost, refused or unclear.
+// Resends as callers do: submissions that were lost or refused, and copies of the requests.
 void MatrixRun::askAgain()
 {
     for (Submission& submission : m_submissions) {
@@ -572,7 +576,7 @@
     }
 }
 
-// --- the end
+// --- final checks
 
 std::vector<std::string> MatrixRun::endErrors()
 {
@@ -614,29 +618,31 @@
         if (status.state == JobState::Failed && (status.reason.empty() || !has(MatrixFault::WorkerFailsAll)))
             errors.push_back(fmt::format("end: job {} failed: {}", job.value(), status.reason));
         if (status.state == JobState::Cancelled && !m_cancelled.contains(job))
-            errors.push_back(fmt::format("end: job {} was cancelled by nobody", job.value()));
+            errors.push_back(fmt::format("end: job {} was cancelled without a request", job.value()));
         const auto cancellation = m_cluster.table().rows().find(jobCancelRowKey(job));
         if (!isTerminal(status.state) && cancellation != m_cluster.table().rows().end())
-            errors.push_back(fmt::format("end: the cancellation of job {} is not done", job.value()));
+            errors.push_back(fmt::format("end: the cancellation of job {} was not carried out", job.value()));
     }
 }
 
-// A planned stop cuts nobody off. In the path of roles, a daemon is also killed.
+// A planned stop loses no request and no submission. The role path is exempt, because it also kills a daemon.
 void MatrixRun::checkStop(std::vector<std::string>& errors)
 {
     if (m_pending.size() != 1 || !has(MatrixFault::Stopped) || m_path == MatrixPath::Role)
         return;
     for (const CallerHandle handle : m_requests) {
         if (m_cluster.caller(handle).isLost)
-            errors.push_back("end: request " + m_cluster.caller(handle).identity.key + " was cut off");
+            errors.push_back(
+                "end: request " + m_cluster.caller(handle).identity.key + " was lost in a planned stop");
     }
     for (const Submission& submission : m_submissions) {
         if (m_cluster.operatorCall(submission.handle).isLost)
-            errors.push_back("end: the submission of " + submission.specification.key + " was cut off");
+            errors.push_back(
+                "end: the submission of " + submission.specification.key + " was lost in a planned stop");
     }
 }
 
-// No worker keeps what no job needs.
+// No worker holds a task of a job that has ended, is unknown, or has moved to another attempt.
 void MatrixRun::checkTasks(std::vector<std::string>& errors)
 {
     for (const auto& [worker, task] : m_cluster.heldTasks()) {
@@ -648,11 +654,12 @@
     }
 }
 
-// A holder that is well and hears of a lost member stops the rest at once, without waiting for leases.
+// A healthy holder that receives the report of a lost member stops the other members at once, without waiting
+// for their leases to expire.
 void MatrixRun::checkPartialRuns(std::vector<std::string>& errors)
 {
-    // Reports asked for within 2 s of the start are not trusted; a sync takes up to 1 s, and the gang is
-    // looked at once a second.
+    // Reports requested within 2 s of the start are not trusted, a sync takes up to 1 s, and gangs are
+    // checked once a second.
     constexpr Milliseconds stopBound { 4'500 };
     const bool isHeard
         = m_pending.size() == 1 && (has(MatrixFault::WorkerRestarted) || has(MatrixFault::WorkerFailsAll));
@@ -661,8 +668,9 @@
             fmt::format("end: a gang ran without a member for {} ms", m_cluster.longestPartialRun().count()));
 }
 
-// Idempotent requests need neither table, object store nor host list. Once all is well, every request is
-// done, unless its outcome was lost for good.
+// Idempotent requests depend on neither table, object store nor host list, so faults of these must not affect
+// them. Once all faults are healed, every request must be done; a booking may be answered Unknown, because
+// its outcome can be lost for good.
 void MatrixRun::checkRequests(std::vector<std::string>& errors)
 {
     const bool isUntouched = m_pending.size() == 1
@@ -690,7 +698,7 @@
 {
     for (const std::string name : { "north", "south" }) {
         if (!m_cluster.holderOf(name))
-            errors.push_back("end: nobody holds the role of zone " + name);
+            errors.push_back("end: no daemon holds the role of zone " + name);
     }
     const std::string committed = m_cluster.table().rows().at("config/version").value;
     for (const HostId& id : m_cluster.hosts()) {
--- a/test/support/placement_simulation.h
+++ b/test/support/placement_simulation.h
@@ -10,8 +10,8 @@
 
 namespace anvilmoor {
 
-// A zone in virtual time: evicted work leaves one step after it was asked to and is queued again, claims
-// wait for it, jobs end when their real run time is over.
+// Simulates a zone in virtual time. Evicted jobs leave one step after the eviction and are queued again,
+// claims wait until they have left, and jobs end after their real run time.
 class PlacementSimulation {
 public:
     PlacementSimulation(const PlacementPolicy& policy, Configuration configuration)
@@ -27,14 +27,14 @@
     TimePoint now() const { return m_now; }
     bool isRunning(const JobId& job) const { return m_inventory.find(job) != nullptr; }
 
-    // The declared run time may differ from the real one.
+    // `realRunTime` may differ from the declared run time.
     void submit(JobSpecification job, Milliseconds realRunTime)
     {
         m_runTimes[job.id] = realRunTime;
         m_queue.push_back({ .specification = std::move(job), .queuedAt = m_now });
     }
 
-    // Ends what is due, then plans and carries out the plan. Returns the plan.
+    // Ends the jobs that are due, makes a plan, applies it and returns it.
     PlacementPlan step(Milliseconds duration)
     {
         m_now += duration;
--- a/test/support/plan_check.cpp
+++ b/test/support/plan_check.cpp
@@ -55,12 +55,12 @@
         for (const JobId& eviction : start.evictions) {
             const Holding* holding = m_inventory.find(eviction);
             if (!holding || holding->jobClass != JobClass::Borrowed)
-                fault(start.job, "evicts work that is not borrowed");
+                fault(start.job, "evicts a job that is not borrowed");
             m_evicted.insert(eviction);
         }
         const JobSpecification& job = queued->second->specification;
         if (acceleratorsOf(start.members) != job.accelerators)
-            fault(start.job, "does not get what it asks for");
+            fault(start.job, "gets another number of accelerators than it asks for");
         std::set<std::size_t> racks;
         for (const GangMember& member : start.members) {
             const WorkerCapacity* worker = m_inventory.find(member.worker);
@@ -79,7 +79,7 @@
             fault(start.job, "is not adjacent");
     }
 
-    // Without evicted and leaving work, unless the start is immediate.
+    // Accelerators held on the worker. Evicted and leaving jobs count only if the start is immediate.
     int heldOn(const WorkerId& worker, bool isNow) const
     {
         int held = 0;
@@ -92,7 +92,8 @@
         return held;
     }
 
-    // Claims that have room already but are not in the plan hold it, too.
+    // Whether the unclaimed guarantees fit into the zone. Queued claims that already have members, but are
+    // not in the plan, keep the room of these members.
     bool fits(const std::map<ClientAccountId, std::vector<int>>& claims)
     {
         std::vector<int> room;
@@ -171,7 +172,7 @@
     std::set<JobId> m_started;
     std::set<JobId> m_evicted;
     std::map<WorkerId, int> m_taken;
-    std::map<std::size_t, int> m_guaranteed; // rack -> taken by guaranteed starts
+    std::map<std::size_t, int> m_guaranteed; // by rack: accelerators of guaranteed starts
     std::vector<std::string> m_faults;
 };
 
--- a/test/support/plan_check.h
+++ b/test/support/plan_check.h
@@ -7,10 +7,10 @@
 
 namespace anvilmoor {
 
-// What is wrong with a plan; empty if nothing is. Checks with its own sums that no worker is overbooked or
-// unusable, that shapes are adjacent, that only borrowed jobs are evicted, that unclaimed guarantees fit
-// afterwards if they did before, and, if asked, that every claim inside its guarantee starts or waits for
-// work that is leaving.
+// Returns one sentence for each rule that the plan violates. Computes free capacity independently of the
+// policy and checks that no worker is overbooked or unusable, that shapes are adjacent, that only borrowed
+// jobs are evicted, and that unclaimed guarantees fit afterwards if they did before. With `checkClaimsStart`,
+// also checks that every claim inside its guarantee starts or waits for jobs that are leaving.
 std::vector<std::string> planFaults(const ZoneInventory&, const Configuration&,
     std::span<const QueuedJob> queue, const PlacementPlan&, bool checkClaimsStart);
 
--- a/test/support/zone_fakes.h
+++ b/test/support/zone_fakes.h
@@ -31,7 +31,7 @@
     EndpointState workerState(const WorkerId&) const override { return EndpointState::Live; }
 };
 
-// First fit over the workers in order. A guaranteed job evicts borrowed ones in id order.
+// Places jobs first-fit over the workers in id order. A guaranteed job evicts borrowed jobs in id order.
 class FirstFitPlacement : public PlacementPolicy {
 public:
     std::optional<DefragmentationMove> proposeMove(
--- a/test/support/zone_simulation.cpp
+++ b/test/support/zone_simulation.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t workersPerRack = 8;
 constexpr int acceleratorsPerWorker = 8;
 constexpr Milliseconds replyTimeout { 1'000 };
-// A gang out of sight: renewed while seen within 10 s, then one lease of 30 s and a sync.
+// A member is renewed for 10 s after a lost member was last seen, then holds a lease of 30 s, and one sync
+// of 1 s may be in flight.
 constexpr Milliseconds partialRunBound { 41'000 };
 
 template <typename... Handlers> struct Overloaded : Handlers... {
@@ -288,7 +289,7 @@
         });
         return;
     }
-    // A lost request may also be a late one: the write takes effect after the daemon was told "unknown".
+    // A lost request may also be a late one: the write takes effect after the daemon received Unknown.
     const Milliseconds late = fault == Fault::LoseReply ? oneWay() : replyTimeout + Milliseconds(700);
     at(now + late, [this, write] { static_cast<void>(table.execute(write.transaction)); });
     at(now + replyTimeout, [this, daemon, generation, write] {
@@ -431,7 +432,7 @@
             m_violation = "accelerators booked twice on " + m_workers[i]->id().value();
     }
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
-        // What ended as finished counts as present.
+        // Members that have finished count as running.
         for (const TaskReport& task : m_workers[i]->report().tasks) {
             if (task.phase == TaskPhase::Finished && running.contains({ task.job, task.attempt }))
                 running[{ task.job, task.attempt }] += m_memberSize[{ task.job, task.attempt }][i];
@@ -449,7 +450,7 @@
         const auto before = m_partialSince.find(key);
         partialSince[key] = before == m_partialSince.end() ? now : before->second;
         if (now - partialSince[key] > partialRunBound)
-            m_violation = "a part of " + key.first.value() + " runs for too long";
+            m_violation = "only a part of " + key.first.value() + " runs, for longer than the bound";
     }
     m_partialSince = std::move(partialSince);
 }
--- a/test/support/zone_simulation.h
+++ b/test/support/zone_simulation.h
@@ -21,7 +21,7 @@
 
 enum class Fault { None, LoseRequest, LoseReply, Repeat };
 
-// One daemon: role and scheduler behind one event queue.
+// One daemon: zone role and job scheduler, which receive the same events.
 struct SimulatedDaemon {
     DaemonSettings settings;
     FakePeers peers;
@@ -29,18 +29,19 @@
     std::unique_ptr<JobScheduler> scheduler;
     bool isPaused = false;
     std::deque<EventPayload> waiting; // arrived while paused
-    std::uint64_t generation = 0; // grows at each start; replies to an earlier one are dropped
+    std::uint64_t generation = 0; // incremented at each start and kill; replies to an earlier one are dropped
 };
 
-// One zone in virtual time: daemons, the table, and two racks of workers, with faults at every message.
+// Simulates one zone in virtual time: daemons, the table, and two racks of workers. Injects faults into table
+// writes, worker commands and rack syncs.
 class ZoneSimulation {
 public:
     explicit ZoneSimulation(std::size_t daemonCount, std::uint64_t seed = 1);
 
     void run(Milliseconds);
-    // Runs until the condition holds; false if it does not within the limit.
+    // Runs until the condition holds; returns false if it does not hold within the limit.
     bool runUntil(const std::function<bool()>&, Milliseconds limit);
-    // Runs ticks; for each, first delivers what is due.
+    // Delivers the messages that are due by the next tick, then runs this tick on workers and daemons.
     void tick();
 
     void deliver(std::size_t daemon, EventPayload);
@@ -51,9 +52,9 @@
 
     CallerHandle submit(std::size_t daemon, const JobSpecification&);
     CallerHandle cancel(std::size_t daemon, const JobId&);
-    // Null while not answered.
+    // Null until the request is answered.
     const AnswerOperator* answer(CallerHandle) const;
-    // The only job of the answer; fails the test if it is another answer.
+    // The job in the answer; fails the test unless the answer consists of exactly one job.
     JobStatus job(CallerHandle) const;
     std::optional<JobStatus> row(const JobId&) const;
     bool isInState(const JobId&, JobState) const;
@@ -64,7 +65,8 @@
     int runningAccelerators(const JobId&) const;
     std::size_t countRecords(const std::string& name) const;
 
-    // Broken promises of P2, empty if none.
+    // The latest violation of promise P2; empty if none. No accelerator is booked twice, no two attempts of a
+    // job run at once, and no gang runs with a part of its accelerators for longer than a bound.
     std::string violation() const { return m_violation; }
 
     FakeConfiguration configuration;
@@ -75,9 +77,9 @@
     std::vector<std::unique_ptr<SimulatedDaemon>> daemons;
     TimePoint now { Milliseconds(1'000'000) };
     std::vector<RecordEvent> records;
-    std::vector<std::pair<std::size_t, WorkerCommand>> commands; // sent, by daemon
+    std::vector<std::pair<std::size_t, WorkerCommand>> commands; // each with the daemon that sent it
 
-    std::size_t rowsRead = 0; // of job rows, by all daemons
+    std::size_t rowsRead = 0; // job rows returned by reads, for all daemons
 
     // --- faults
     bool isTableDown = false;
@@ -85,7 +87,7 @@
     std::function<Fault(std::size_t daemon, const TableTransaction&)> writeFault;
     std::function<Fault(std::size_t daemon, const WorkerId&, const WorkerCommand&)> commandFault;
     std::function<Fault(std::size_t daemon, const SyncRack&)> syncFault;
-    std::function<Milliseconds()> delay; // one way
+    std::function<Milliseconds()> delay; // one way; 3 ms if not set
     std::mt19937_64 random;
 
 private:
