--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -127,7 +127,7 @@
         cluster.worker(0).isReachable = false;
         cluster.run(Milliseconds(12'000));
         const JobId job = cluster.submit(1, "urgent", { makeStep(1, 8) });
-        cluster.slowCommit = Milliseconds(60);
+        cluster.commitDelay = Milliseconds(60);
         cluster.run(Milliseconds(300));
         cluster.worker(0).isReachable = true;
         requireCompleted(cluster, job, Milliseconds(5'000));
@@ -264,11 +264,11 @@
             for (int i = 0; i < 200; ++i)
                 jobs.push_back(cluster.submit(1, "small", { makeStep(1, 1) }));
             cluster.run(Milliseconds(900));
-            cluster.slowCommit = Milliseconds(300);
+            cluster.commitDelay = Milliseconds(300);
             cluster.run(Milliseconds(300 + offset));
             if (const auto leader = cluster.leader())
                 cluster.kill(*leader);
-            cluster.slowCommit = Milliseconds(0);
+            cluster.commitDelay = Milliseconds(0);
             for (const JobId& job : jobs)
                 requireCompleted(cluster, job);
         }
@@ -327,7 +327,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(2, 1, Milliseconds(3'000)) });
         runUntilStarted(cluster, job);
         cluster.run(Milliseconds(300));
-        workerOf(cluster, job).rebirth();
+        workerOf(cluster, job).restart();
         requireCompleted(cluster, job, Milliseconds(8'000));
     }
 
@@ -359,7 +359,7 @@
             BatchCluster cluster(3, seed);
             cluster.addWorkers(2, 4);
             cluster.run(Milliseconds(500));
-            cluster.lostCommitShare = 0.35;
+            cluster.lostCommitReplyShare = 0.35;
             std::vector<JobId> jobs;
             for (int i = 0; i < 8; ++i) {
                 jobs.push_back(cluster.submit(static_cast<std::size_t>(i % 3), "small", { makeStep(2, 1) }));
@@ -675,10 +675,10 @@
             worker.isReachable = !worker.isReachable;
             return;
         case 7:
-            worker.rebirth();
+            worker.restart();
             return;
         case 8:
-            cluster.lostCommitShare = cluster.lostCommitShare > 0 ? 0 : 0.3;
+            cluster.lostCommitReplyShare = cluster.lostCommitReplyShare > 0 ? 0 : 0.3;
             return;
         case 9:
             cluster.lateOrderShare = cluster.lateOrderShare > 0 ? 0 : 0.2;
@@ -696,7 +696,7 @@
         cluster.cutFromStore.clear();
         cluster.cutFromWorkers.clear();
         cluster.isStoreDown = false;
-        cluster.lostCommitShare = 0;
+        cluster.lostCommitReplyShare = 0;
         cluster.lateOrderShare = 0;
         for (std::size_t i = 0; i < cluster.workerCount(); ++i)
             cluster.worker(i).isReachable = true;
--- a/test/fault_matrix_test.cpp
+++ b/test/fault_matrix_test.cpp
@@ -71,7 +71,7 @@
     {
         std::vector<MatrixCell> cells;
         for (const MatrixStep& step : matrixSteps()) {
-            if (cells.empty() || cells.back().strikes.front().step.path != step.path)
+            if (cells.empty() || cells.back().injections.front().step.path != step.path)
                 cells.push_back(cellOf({ { step, MatrixFault::None } }));
         }
         std::string failures;
@@ -158,24 +158,24 @@
 
     static void runPath(MatrixPath path) { run(cellsOf(path), nameOf(path), true); }
 
-    static void run(const std::vector<MatrixCell>& cells, std::string_view name, bool mustStrike)
+    static void run(const std::vector<MatrixCell>& cells, std::string_view name, bool mustInject)
     {
         std::string failures;
         std::size_t failed = 0;
         std::size_t ran = 0;
-        std::size_t unstruck = 0;
-        for (std::size_t index = 0; index < cells.size(); index += mustStrike ? cellStride : 1) {
+        std::size_t notInjected = 0;
+        for (std::size_t index = 0; index < cells.size(); index += mustInject ? cellStride : 1) {
             const MatrixCell& cell = cells[index];
             MatrixResult result = runCell(cell);
             ++ran;
-            if (!result.hasStruck) {
-                ++unstruck;
-                if (mustStrike)
+            if (!result.isInjected) {
+                ++notInjected;
+                if (mustInject)
                     result.violations.push_back("the step of the fault never occurred");
             }
-            if (mustStrike) {
-                const MatrixStrike& strike = cell.strikes.front();
-                record().cells[{ nameOf(strike.step), std::string(nameOf(strike.fault)) }]
+            if (mustInject) {
+                const MatrixInjection& injection = cell.injections.front();
+                record().cells[{ nameOf(injection.step), std::string(nameOf(injection.fault)) }]
                     = result.violations.empty();
             } else {
                 ++record().pairsRun;
@@ -187,7 +187,7 @@
             failures += describe(cell, result, failed == 1);
         }
         std::cout << fmt::format("\n{}: {} cells run, {} failed, {} with a fault whose step never occurred\n",
-            name, ran, failed, unstruck);
+            name, ran, failed, notInjected);
         CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
     }
 };
--- a/test/job_scheduler_test.cpp
+++ b/test/job_scheduler_test.cpp
@@ -238,7 +238,7 @@
             CPPUNIT_ASSERT_EQUAL(1 - first, zone.holder().value());
             CPPUNIT_ASSERT_EQUAL(60, zone.runningAccelerators(job));
             const AttemptNumber attempt = zone.row(job)->attempt;
-            zone.wake(first);
+            zone.resume(first);
             zone.run(10 * second);
             CPPUNIT_ASSERT_EQUAL(60, zone.runningAccelerators(job));
             CPPUNIT_ASSERT_EQUAL(attempt, zone.row(job)->attempt);
@@ -538,7 +538,7 @@
         CPPUNIT_ASSERT(zone.isInState(job, JobState::Finished));
         zone.pause(0);
         zone.now += Milliseconds(std::chrono::hours(7 * 24));
-        zone.wake(0);
+        zone.resume(0);
         zone.run(20 * second);
         CPPUNIT_ASSERT(!zone.row(job));
         CPPUNIT_ASSERT(!zone.table.rows().contains("jobkey/mill/k"));
@@ -703,7 +703,7 @@
             else if (chance(2))
                 zone.pause(daemon);
             else if (chance(20))
-                zone.wake(daemon);
+                zone.resume(daemon);
             const std::size_t worker = random() % 16;
             if (chance(1))
                 zone.restartWorker(worker);
@@ -727,8 +727,8 @@
             zone.setDead(i, false);
             zone.worker(i).failsEverything = false;
         }
-        zone.wake(0);
-        zone.wake(1);
+        zone.resume(0);
+        zone.resume(1);
         const auto areAllEnded = [&] {
             for (const CallerHandle caller : submitted) {
                 const AnswerOperator* answer = zone.answer(caller);
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -109,7 +109,7 @@
         checkPlan(inventory, configuration, queue, plan);
         CPPUNIT_ASSERT(plan.starts.at(0).evictions == std::vector<JobId> { JobId("b") });
         const PlacementPlan naive = FirstFitPlacement().plan(inventory, configuration, queue, TimePoint());
-        CPPUNIT_ASSERT(!planFaults(inventory, configuration, queue, naive, true).empty());
+        CPPUNIT_ASSERT(!planViolations(inventory, configuration, queue, naive, true).empty());
     }
 
     // Guards against a claim that remains assigned to a worker that died while the claim waited for
@@ -312,7 +312,7 @@
     static void checkPlan(const ZoneInventory& inventory, const Configuration& configuration,
         std::span<const QueuedJob> queue, const PlacementPlan& plan)
     {
-        for (const std::string& fault : planFaults(inventory, configuration, queue, plan, true))
+        for (const std::string& fault : planViolations(inventory, configuration, queue, plan, true))
             CPPUNIT_FAIL(fault);
     }
 
@@ -393,13 +393,14 @@
             const PlacementPlan naivePlan
                 = naive.plan(zone.inventory(), zone.configuration(), zone.queue(), zone.now());
             result.naiveFaults
-                += planFaults(zone.inventory(), zone.configuration(), zone.queue(), naivePlan, true).empty()
+                += planViolations(zone.inventory(), zone.configuration(), zone.queue(), naivePlan, true)
+                       .empty()
                 ? 0
                 : 1;
             const PlacementPlan checked
                 = m_policy.plan(zone.inventory(), zone.configuration(), zone.queue(), zone.now());
             for (const std::string& fault :
-                planFaults(zone.inventory(), zone.configuration(), zone.queue(), checked, true))
+                planViolations(zone.inventory(), zone.configuration(), zone.queue(), checked, true))
                 CPPUNIT_FAIL(fmt::format("seed {} step {}: {}", seed, step, fault));
             for (const PlacementStart& start : zone.step(duration).starts)
                 result.claimsStarted += zone.isRunning(start.job)
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -18,7 +18,7 @@
 constexpr Milliseconds orderTimeout { 600 };
 constexpr Milliseconds commitTimeout { 700 };
 constexpr Milliseconds followInterval { 50 };
-constexpr Milliseconds worldInterval { 10 };
+constexpr Milliseconds advanceInterval { 10 };
 constexpr Milliseconds checkpointInterval { 500 };
 
 std::string nameOf(const RunId& run)
@@ -32,7 +32,7 @@
 FakeWorker::FakeWorker(WorkerRecord recordOfWorker, std::function<TimePoint()> clock)
     : record(std::move(recordOfWorker))
     , m_now(std::move(clock))
-    , m_bornAt(m_now())
+    , m_startedAt(m_now())
     , m_advancedAt(m_now())
 {
 }
@@ -40,7 +40,7 @@
 WorkerClock FakeWorker::clock() const
 {
     // Runs 2% slow, the drift that the platform allows.
-    return 1'000 + (m_now() - m_bornAt).count() * 98 / 100;
+    return 1'000 + (m_now() - m_startedAt).count() * 98 / 100;
 }
 
 StartAnswered FakeWorker::start(const StartRun& order)
@@ -55,8 +55,9 @@
     const auto present = m_runs.find(order.run.task);
     if (present != m_runs.end() && present->second.id == order.run)
         return answer;
-    const auto over = m_over.find(order.run.task);
-    if (present != m_runs.end() || (over != m_over.end() && over->second >= order.run.run)) {
+    const auto highestEnded = m_highestEndedRuns.find(order.run.task);
+    if (present != m_runs.end()
+        || (highestEnded != m_highestEndedRuns.end() && highestEnded->second >= order.run.run)) {
         answer.outcome = OrderOutcome::Outdated;
         return answer;
     }
@@ -76,9 +77,9 @@
     return answer;
 }
 
-OrderOutcome FakeWorker::outcomeFor(const WorkerLifetime& meant, std::uint64_t token) const
+OrderOutcome FakeWorker::outcomeFor(const WorkerLifetime& target, std::uint64_t token) const
 {
-    if (meant.startedAtMs != record.lifetime.startedAtMs)
+    if (target.startedAtMs != record.lifetime.startedAtMs)
         return OrderOutcome::OtherLifetime;
     return token < m_highestToken ? OrderOutcome::Outdated : OrderOutcome::Accepted;
 }
@@ -90,8 +91,8 @@
     if (answer.outcome != OrderOutcome::Accepted)
         return answer;
     m_highestToken = order.token;
-    int& over = m_over[order.run.task];
-    over = std::max(over, order.run.run);
+    int& highestEnded = m_highestEndedRuns[order.run.task];
+    highestEnded = std::max(highestEnded, order.run.run);
     const auto found = m_runs.find(order.run.task);
     if (found != m_runs.end() && found->second.id == order.run)
         end(order.run.task, RunEnd::Stopped);
@@ -108,7 +109,7 @@
     if (order.leaseUntil)
         m_leaseUntil = std::max(m_leaseUntil, *order.leaseUntil);
     while (!m_ended.empty() && m_ended.front().sequence <= order.acknowledgedEnd) {
-        onAcknowledged(m_ended.front(), m_ended.front().sequence <= m_lapsedEnd);
+        onAcknowledged(m_ended.front(), m_ended.front().sequence <= m_lastEndBeforeExpiry);
         m_ended.pop_front();
     }
     answer.status.clock = clock();
@@ -124,8 +125,8 @@
 {
     const Run run = m_runs.at(task);
     m_runs.erase(task);
-    int& over = m_over[task];
-    over = std::max(over, run.id.run);
+    int& highestEnded = m_highestEndedRuns[task];
+    highestEnded = std::max(highestEnded, run.id.run);
     m_ended.push_back({ ++m_lastEnd, run.id, how, run.checkpoint });
     onEnd(run.id, how);
 }
@@ -135,14 +136,14 @@
     const Milliseconds passed = m_now() - m_advancedAt;
     m_advancedAt = m_now();
     if (clock() >= m_leaseUntil)
-        m_lapsedEnd = m_lastEnd;
+        m_lastEndBeforeExpiry = m_lastEnd;
     std::vector<std::pair<TaskId, RunEnd>> ends;
     for (auto& [task, run] : m_runs) {
         if (clock() >= m_leaseUntil) {
             ends.emplace_back(task, RunEnd::LeaseExpired);
             continue;
         }
-        if (!isGangPresent(run.id)) {
+        if (!isGangComplete(run.id)) {
             const bool hasWorked = run.worked > Milliseconds(0);
             if (hasWorked)
                 ends.emplace_back(task, RunEnd::GangBroken);
@@ -161,16 +162,16 @@
         end(task, how);
 }
 
-void FakeWorker::rebirth()
+void FakeWorker::restart()
 {
     m_runs.clear();
-    m_over.clear();
+    m_highestEndedRuns.clear();
     m_ended.clear();
     m_lastEnd = 0;
-    m_lapsedEnd = 0;
+    m_lastEndBeforeExpiry = 0;
     m_highestToken = 0;
     m_leaseUntil = 0;
-    m_bornAt = m_now();
+    m_startedAt = m_now();
     ++record.lifetime.startedAtMs;
 }
 
@@ -260,20 +261,20 @@
 void BatchCluster::run(Milliseconds duration)
 {
     const TimePoint end = m_now + duration;
-    TimePoint nextWorld = m_now;
+    TimePoint nextAdvance = m_now;
     while (m_now < end) {
-        const bool hasAction = !m_schedule.empty() && m_schedule.top().at <= nextWorld;
-        m_now = std::min(end, hasAction ? std::max(m_now, m_schedule.top().at) : nextWorld);
+        const bool hasAction = !m_schedule.empty() && m_schedule.top().at <= nextAdvance;
+        m_now = std::min(end, hasAction ? std::max(m_now, m_schedule.top().at) : nextAdvance);
         if (hasAction && m_schedule.top().at <= m_now) {
             const auto action = m_schedule.top().action;
             m_schedule.pop();
             action();
             continue;
         }
-        if (m_now >= nextWorld) {
+        if (m_now >= nextAdvance) {
             for (const auto& worker : m_workers)
                 worker->advance();
-            nextWorld = m_now + worldInterval;
+            nextAdvance = m_now + advanceInterval;
         }
     }
 }
@@ -284,7 +285,7 @@
     while (m_now < end) {
         if (condition())
             return true;
-        run(worldInterval);
+        run(advanceInterval);
     }
     return condition();
 }
@@ -311,7 +312,7 @@
             worker->resourcesOf = [this](const TaskId& task) {
                 return m_jobs.at(task.job).steps[static_cast<std::size_t>(task.step)].perTask;
             };
-            worker->isGangPresent = [this](const RunId& run) {
+            worker->isGangComplete = [this](const RunId& run) {
                 const StepSpecification& step
                     = m_jobs.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
                 if (!step.isGang)
@@ -327,10 +328,11 @@
                 const auto done = m_done.find({ run.task.job, run.task.occurrence, run.task.step, -1 });
                 return present == step.taskCount || done != m_done.end();
             };
-            worker->onStart = [this](const StartRun& order) { noteStart(order); };
-            worker->onAcknowledged
-                = [this](const EndedRun& ended, bool hasLapsed) { noteAcknowledged(ended, hasLapsed); };
-            worker->onEnd = [this](const RunId& run, RunEnd how) { noteEnd(run, how); };
+            worker->onStart = [this](const StartRun& order) { recordStart(order); };
+            worker->onAcknowledged = [this](const EndedRun& ended, bool hasLeaseExpired) {
+                recordAcknowledgement(ended, hasLeaseExpired);
+            };
+            worker->onEnd = [this](const RunId& run, RunEnd how) { recordEnd(run, how); };
             m_workers.push_back(std::move(worker));
         }
     }
@@ -350,12 +352,12 @@
     return nullptr;
 }
 
-void BatchCluster::violation(const std::string& what)
+void BatchCluster::addViolation(const std::string& what)
 {
     m_violations.push_back(fmt::format("at {} ms: {}", m_now.time_since_epoch().count(), what));
 }
 
-void BatchCluster::noteStart(const StartRun& order)
+void BatchCluster::recordStart(const StartRun& order)
 {
     const TaskId& task = order.run.task;
     ++m_starts[task.job];
@@ -364,23 +366,23 @@
     for (const auto& worker : m_workers)
         running += worker->runs().contains(task) ? 1 : 0;
     if (running > 1)
-        violation(nameOf(order.run) + " starts while another run of its task is running");
-    if (m_noted.contains(task))
-        violation(nameOf(order.run) + " starts after its task was done");
+        addViolation(nameOf(order.run) + " starts while another run of its task is running");
+    if (m_acknowledgedDone.contains(task))
+        addViolation(nameOf(order.run) + " starts after its task was done");
     else if (const auto done = m_done.find(task); done != m_done.end())
         m_doneBeforeStart.insert({ task, done->second });
     if (m_refused.contains(task.job))
-        violation(nameOf(order.run) + " starts though its job was refused");
+        addViolation(nameOf(order.run) + " starts though its job was refused");
     const JobSpecification& job = m_jobs.at(task.job);
     for (const int earlier : job.steps[static_cast<std::size_t>(task.step)].dependsOn) {
         for (int index = 0; index < job.steps[static_cast<std::size_t>(earlier)].taskCount; ++index) {
             if (!m_done.contains({ task.job, task.occurrence, earlier, index }))
-                violation(nameOf(order.run) + " starts before the steps that it depends on");
+                addViolation(nameOf(order.run) + " starts before the steps that it depends on");
         }
     }
 }
 
-void BatchCluster::noteEnd(const RunId& run, RunEnd how)
+void BatchCluster::recordEnd(const RunId& run, RunEnd how)
 {
     if (how != RunEnd::Done)
         return;
@@ -394,13 +396,13 @@
         m_done[{ run.task.job, run.task.occurrence, run.task.step, index }] = run.run;
 }
 
-void BatchCluster::noteAcknowledged(const EndedRun& ended, bool hasLapsed)
+void BatchCluster::recordAcknowledgement(const EndedRun& ended, bool hasLeaseExpired)
 {
-    if (ended.end != RunEnd::Done || hasLapsed)
+    if (ended.end != RunEnd::Done || hasLeaseExpired)
         return;
-    m_noted.insert(ended.run.task);
+    m_acknowledgedDone.insert(ended.run.task);
     if (m_doneBeforeStart.contains(ended.run))
-        violation(
+        addViolation(
             nameOf(ended.run) + " was acknowledged as done although its task was started again after it");
 }
 
@@ -472,14 +474,14 @@
     return std::nullopt;
 }
 
-bool BatchCluster::reachesStore(std::size_t daemon) const
+bool BatchCluster::canReachStore(std::size_t daemon) const
 {
     return !isStoreDown && !cutFromStore.contains(daemon);
 }
 
 void BatchCluster::follow(std::size_t index)
 {
-    if (!reachesStore(index))
+    if (!canReachStore(index))
         return;
     Daemon& daemon = m_daemons[index];
     const int lifetime = daemon.lifetime;
@@ -531,11 +533,11 @@
             kill(daemon);
             return;
         }
-        carryOut(daemon, effect);
+        execute(daemon, effect);
     }
 }
 
-void BatchCluster::carryOut(std::size_t daemon, Effect& effect)
+void BatchCluster::execute(std::size_t daemon, Effect& effect)
 {
     const int lifetime = m_daemons[daemon].lifetime;
     if (const auto* start = std::get_if<StartRun>(&effect)) {
@@ -548,12 +550,13 @@
             daemon, stop->worker,
             [order = *stop](FakeWorker* worker) -> EventPayload { return worker->stop(order); },
             StopAnswered { stop->worker, stop->token, stop->run }, true);
-    } else if (const auto* look = std::get_if<HoldWorker>(&effect)) {
-        at(m_now + orderDelay, [this, daemon, look = *look] { hold(daemon, look, m_now + look.wait); });
+    } else if (const auto* holdOrder = std::get_if<HoldWorker>(&effect)) {
+        at(m_now + orderDelay,
+            [this, daemon, holdOrder = *holdOrder] { hold(daemon, holdOrder, m_now + holdOrder.wait); });
     } else if (const auto* write = std::get_if<Commit>(&effect)) {
         commit(daemon, *write);
     } else if (const auto* readRows = std::get_if<ReadRows>(&effect)) {
-        const bool isOk = reachesStore(daemon) && !cannotRead.contains(daemon);
+        const bool isOk = canReachStore(daemon) && !cannotRead.contains(daemon);
         ReadAnswered answer { readRows->operation, { isOk, {} } };
         if (isOk)
             answer.reply.rows = m_store.read(readRows->from, readRows->until);
@@ -575,14 +578,14 @@
 void BatchCluster::commit(std::size_t daemon, const Commit& write)
 {
     const int lifetime = m_daemons[daemon].lifetime;
-    if (!reachesStore(daemon)) {
+    if (!canReachStore(daemon)) {
         deliver(daemon, lifetime, commitTimeout, CommitAnswered { write.operation });
         return;
     }
-    at(m_now + storeDelay / 2 + slowCommit, [this, daemon, lifetime, write] {
+    at(m_now + storeDelay / 2 + commitDelay, [this, daemon, lifetime, write] {
         CommitReply reply = m_store.commit(write.transaction);
         reply.answeredAt = storeClock();
-        const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lostCommitShare;
+        const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lostCommitReplyShare;
         if (isLost)
             deliver(daemon, lifetime, commitTimeout, CommitAnswered { write.operation });
         else
@@ -591,21 +594,20 @@
 }
 
 void BatchCluster::order(std::size_t daemon, const WorkerLifetime& target,
-    const std::function<EventPayload(FakeWorker*)>& carryOutAt, const EventPayload& unanswered,
-    bool mayBeLate)
+    const std::function<EventPayload(FakeWorker*)>& executeAt, const EventPayload& unanswered, bool mayBeLate)
 {
     const int lifetime = m_daemons[daemon].lifetime;
     const bool isLate = mayBeLate && std::uniform_real_distribution<>(0, 1)(m_random) < lateOrderShare;
     const Milliseconds delay
         = isLate ? Milliseconds(std::uniform_int_distribution<>(2'000, 12'000)(m_random)) : orderDelay;
     const bool isCut = cutFromWorkers.contains(daemon);
-    at(m_now + delay, [this, daemon, lifetime, target, carryOutAt, isLate, isCut, unanswered] {
+    at(m_now + delay, [this, daemon, lifetime, target, executeAt, isLate, isCut, unanswered] {
         FakeWorker* worker = findAnyLifetime(target.id);
         if (!worker || !worker->isReachable || isCut) {
             deliver(daemon, lifetime, orderTimeout, unanswered);
             return;
         }
-        const EventPayload answer = carryOutAt(worker);
+        const EventPayload answer = executeAt(worker);
         if (!isLate)
             deliver(daemon, lifetime, orderDelay, answer);
     });
@@ -614,17 +616,18 @@
 }
 
 // Long poll: answers at once if the worker has ended runs to report, otherwise at `answerBy`.
-void BatchCluster::hold(std::size_t daemon, const HoldWorker& look, TimePoint answerBy)
+void BatchCluster::hold(std::size_t daemon, const HoldWorker& holdOrder, TimePoint answerBy)
 {
     const int lifetime = m_daemons[daemon].lifetime;
-    FakeWorker* worker = findAnyLifetime(look.worker.id);
+    FakeWorker* worker = findAnyLifetime(holdOrder.worker.id);
     if (!worker || !worker->isReachable || cutFromWorkers.contains(daemon)) {
-        deliver(daemon, lifetime, orderTimeout, HoldAnswered { look.worker, look.token });
+        deliver(daemon, lifetime, orderTimeout, HoldAnswered { holdOrder.worker, holdOrder.token });
         return;
     }
-    const HoldAnswered answer = worker->hold(look);
+    const HoldAnswered answer = worker->hold(holdOrder);
     if (answer.outcome == OrderOutcome::Accepted && answer.status.ended.empty() && m_now < answerBy) {
-        at(m_now + worldInterval, [this, daemon, look, answerBy] { hold(daemon, look, answerBy); });
+        at(m_now + advanceInterval,
+            [this, daemon, holdOrder, answerBy] { hold(daemon, holdOrder, answerBy); });
         return;
     }
     deliver(daemon, lifetime, orderDelay, answer);
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -36,7 +36,7 @@
     // members of their gang or have no valid lease.
     void advance();
     // Restarts under the same id as a new lifetime; runs, ended runs and the lease are lost.
-    void rebirth();
+    void restart();
 
     // Drops all runs without reporting their ends, and becomes unreachable.
     void leave();
@@ -49,7 +49,7 @@
         std::string checkpoint;
     };
     const std::map<batch::TaskId, Run>& runs() const { return m_runs; }
-    bool hasNews() const { return !m_ended.empty(); }
+    bool hasEndedRuns() const { return !m_ended.empty(); }
 
     batch::WorkerRecord record;
     bool isReachable = true; // by the daemons
@@ -57,12 +57,12 @@
     double speed = 1; // progress per unit of time; 0: runs make no progress
     // How long a task has to work, and whether all members of a run's gang are running (true without a gang).
     std::function<Milliseconds(const batch::TaskId&)> durationOf;
-    std::function<bool(const batch::RunId&)> isGangPresent;
+    std::function<bool(const batch::RunId&)> isGangComplete;
     std::function<void(const batch::RunId&, batch::RunEnd)> onEnd;
     std::function<void(const batch::StartRun&)> onStart;
-    // Called for each ended run that a daemon acknowledges. `hasLapsed`: the worker's lease expired between
-    // the end and the acknowledgement.
-    std::function<void(const batch::EndedRun&, bool hasLapsed)> onAcknowledged;
+    // Called for each ended run that a daemon acknowledges. `hasLeaseExpired`: the worker's lease expired
+    // between the end and the acknowledgement.
+    std::function<void(const batch::EndedRun&, bool hasLeaseExpired)> onAcknowledged;
     std::function<batch::Resources(const batch::TaskId&)> resourcesOf;
 
 private:
@@ -73,14 +73,14 @@
     batch::WorkerClock clock() const;
 
     std::function<TimePoint()> m_now;
-    TimePoint m_bornAt;
+    TimePoint m_startedAt;
     TimePoint m_advancedAt;
     std::uint64_t m_highestToken = 0;
     batch::WorkerClock m_leaseUntil = 0;
     std::uint64_t m_lastEnd = 0;
-    std::uint64_t m_lapsedEnd = 0; // the lease expired after this end and all earlier ones
+    std::uint64_t m_lastEndBeforeExpiry = 0; // the lease expired after this end and all earlier ones
     std::map<batch::TaskId, Run> m_runs;
-    std::map<batch::TaskId, int> m_over; // highest run number that was stopped or ended here
+    std::map<batch::TaskId, int> m_highestEndedRuns; // highest run number that was stopped or ended here
     std::deque<batch::EndedRun> m_ended;
 };
 
@@ -151,8 +151,8 @@
     std::set<std::size_t> cutFromWorkers; // daemons
     std::set<std::size_t> cannotRead; // daemons whose large reads (ReadRows) fail
     bool isStoreDown = false;
-    Milliseconds slowCommit { 0 }; // added to the time of each commit
-    double lostCommitShare = 0; // share of commits that are applied, but whose reply is lost
+    Milliseconds commitDelay { 0 }; // added to the time of each commit
+    double lostCommitReplyShare = 0; // share of commits that are applied, but whose reply is lost
     double lateOrderShare = 0; // share of orders without an answer that are executed 2 to 12 s later
 
     // One sentence for each violated invariant.
@@ -176,7 +176,7 @@
     void at(TimePoint, std::function<void()>);
     void deliver(std::size_t daemon, int lifetime, Milliseconds delay, batch::EventPayload);
     void dispatch(std::size_t daemon, batch::EventPayload);
-    void carryOut(std::size_t daemon, batch::Effect&);
+    void execute(std::size_t daemon, batch::Effect&);
     void commit(std::size_t daemon, const batch::Commit&);
     void order(std::size_t daemon, const batch::WorkerLifetime&,
         const std::function<batch::EventPayload(FakeWorker*)>&, const batch::EventPayload& unanswered,
@@ -189,15 +189,15 @@
     void followRepeatedly(std::size_t daemon, int lifetime);
     // The store's own clock; its epoch differs from that of the daemons' clock.
     batch::StoreClock storeClock() const { return m_now.time_since_epoch().count() + 7'000'000; }
-    bool reachesStore(std::size_t daemon) const;
+    bool canReachStore(std::size_t daemon) const;
     FakeWorker* find(const batch::WorkerLifetime&);
     FakeWorker* findAnyLifetime(const WorkerId&);
     void request(std::size_t daemon, batch::CallerAction, const std::string& queue, const JobId&,
         batch::JobSpecification, const std::string& key);
-    void noteStart(const batch::StartRun&);
-    void noteEnd(const batch::RunId&, batch::RunEnd);
-    void noteAcknowledged(const batch::EndedRun&, bool hasLapsed);
-    void violation(const std::string&);
+    void recordStart(const batch::StartRun&);
+    void recordEnd(const batch::RunId&, batch::RunEnd);
+    void recordAcknowledgement(const batch::EndedRun&, bool hasLeaseExpired);
+    void addViolation(const std::string&);
 
     struct Scheduled {
         TimePoint at;
@@ -227,7 +227,7 @@
     batch::CallerHandle m_lastCaller = 0;
     int m_lastJob = 0;
     std::map<batch::TaskId, int> m_done;
-    std::set<batch::TaskId> m_noted; // done, and acknowledged before the worker's lease expired
+    std::set<batch::TaskId> m_acknowledgedDone; // done, and acknowledged before the worker's lease expired
     // Ended as done before a later start of their task; a violation if such an end is acknowledged.
     std::set<batch::RunId> m_doneBeforeStart;
     std::map<JobId, int> m_starts;
--- a/test/support/fault_matrix.cpp
+++ b/test/support/fault_matrix.cpp
@@ -215,15 +215,16 @@
     return hash % shortSeed;
 }
 
-std::string strikesName(const MatrixCell& cell)
+std::string injectionsName(const MatrixCell& cell)
 {
     std::string text;
-    for (const MatrixStrike& strike : cell.strikes)
-        text += fmt::format("{}{}|{}", text.empty() ? "" : "&", nameOf(strike.step), nameOf(strike.fault));
+    for (const MatrixInjection& injection : cell.injections)
+        text += fmt::format(
+            "{}{}|{}", text.empty() ? "" : "&", nameOf(injection.step), nameOf(injection.fault));
     return text;
 }
 
-MatrixStrike parseStrike(const std::string& text)
+MatrixInjection parseInjection(const std::string& text)
 {
     const std::size_t bar = text.find('|');
     if (bar != std::string::npos) {
@@ -325,14 +326,17 @@
     return {};
 }
 
-MatrixCell cellOf(std::vector<MatrixStrike> strikes)
+MatrixCell cellOf(std::vector<MatrixInjection> injections)
 {
-    MatrixCell cell { std::move(strikes), 0 };
-    cell.seed = seedOf(strikesName(cell));
+    MatrixCell cell { std::move(injections), 0 };
+    cell.seed = seedOf(injectionsName(cell));
     return cell;
 }
 
-std::string formatCell(const MatrixCell& cell) { return fmt::format("{}#{}", strikesName(cell), cell.seed); }
+std::string formatCell(const MatrixCell& cell)
+{
+    return fmt::format("{}#{}", injectionsName(cell), cell.seed);
+}
 
 MatrixCell parseCell(const std::string& text)
 {
@@ -344,7 +348,7 @@
     std::size_t begin = 0;
     while (begin < hash) {
         const std::size_t end = std::min(text.find('&', begin), hash);
-        cell.strikes.push_back(parseStrike(text.substr(begin, end - begin)));
+        cell.injections.push_back(parseInjection(text.substr(begin, end - begin)));
         begin = end + 1;
     }
     return cell;
--- a/test/support/fault_matrix.h
+++ b/test/support/fault_matrix.h
@@ -50,19 +50,19 @@
     None, // the path alone must keep all of its bounds
 };
 
-struct MatrixStrike {
+struct MatrixInjection {
     MatrixStep step;
     MatrixFault fault = MatrixFault::EntryKilled;
 };
 
 // One run of the matrix: faults at steps of one path.
 struct MatrixCell {
-    std::vector<MatrixStrike> strikes;
+    std::vector<MatrixInjection> injections;
     std::uint64_t seed = 1;
 };
 
 struct MatrixResult {
-    bool hasStruck = false; // every fault was injected
+    bool isInjected = false; // every fault was injected
     std::vector<std::string> violations;
     std::vector<std::string> events; // the most recent ones
 };
@@ -82,7 +82,7 @@
 
 // Derives the cell's seed from its names, so that a new step or fault does not change the seeds of other
 // cells.
-MatrixCell cellOf(std::vector<MatrixStrike>);
+MatrixCell cellOf(std::vector<MatrixInjection>);
 
 // "job/reserve reply|worker dead#123", several faults are joined by "&". The format of
 // ANVILMOOR_MATRIX_CELL.
--- a/test/support/fault_matrix_run.cpp
+++ b/test/support/fault_matrix_run.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 constexpr Milliseconds settleTime { 5'000 };
-constexpr Milliseconds shortRun { 60'000 }; // from the start of the work to the first final check
-constexpr Milliseconds longRun { 160'000 }; // limit: 120 s after the last fault is healed
-constexpr Milliseconds copyTime { 35'000 }; // when callers without a clear answer resend
+constexpr Milliseconds firstCheckTime { 60'000 }; // from the start of the work to the first final check
+constexpr Milliseconds maxRunTime { 160'000 }; // limit: 120 s after the last fault is healed
+constexpr Milliseconds resendTime { 35'000 }; // when callers without a clear answer resend
 // Time to recover from a fault: the lease of an unreachable member expires after 38.5 s, a role after 4 s.
 constexpr Milliseconds recoveryTime { 45'000 };
 
@@ -30,8 +30,8 @@
 
 private:
     struct Pending {
-        MatrixStrike strike;
-        bool hasStruck = false;
+        MatrixInjection injection;
+        bool isInjected = false;
     };
 
     struct Submission {
@@ -39,41 +39,41 @@
         CallerHandle handle = 0;
     };
 
-    Fate pass(const Passage&);
-    Fate strike(MatrixFault, const Passage&);
-    void strikeDaemon(MatrixFault, const Passage&);
-    void strikeWorker(MatrixFault, const Passage&);
-    void strikeService(MatrixFault);
-    void strikeZone(MatrixFault);
-    void silence(const Passage&);
-    void race();
+    Fate handlePassage(const Passage&);
+    Fate inject(MatrixFault, const Passage&);
+    void injectDaemonFault(MatrixFault, const Passage&);
+    void injectWorkerFault(MatrixFault, const Passage&);
+    void injectServiceFault(MatrixFault);
+    void injectZoneFault(MatrixFault);
+    void silenceConnection(const Passage&);
+    void sendCompetingRequest();
     void cancelAll();
     void healAfter(Milliseconds, std::function<void()>);
 
-    void work();
+    void startWork();
     void workOnJobs();
     void workOnClaim();
     void workOnRequests(const std::string& operation);
     void workOnConfiguration();
     void workOnDrain();
     void workOnRole();
-    void askAgain();
+    void resend();
 
     void submit(
         const std::string& account, const std::string& key, JobClass, int accelerators, Milliseconds runTime);
     void request(std::size_t host, const std::string& key, const std::string& operation, bool isAlone);
-    void askWhenAnswered(std::size_t index);
+    void resendWhenAnswered(std::size_t index);
     void apply(const std::string& limit, ConfigurationVersion expected);
     const HostId& host(std::size_t index) const
     {
         return m_cluster.hosts()[index % m_cluster.hosts().size()];
     }
     HostId liveHost(std::size_t preferred) const;
-    WorkerId victim(const Passage&) const;
+    WorkerId targetWorker(const Passage&) const;
     EndpointId drainedEndpoint() const;
-    bool has(MatrixFault) const;
+    bool hasFault(MatrixFault) const;
 
-    std::vector<std::string> endErrors();
+    std::vector<std::string> finalErrors();
     void checkJobs(std::vector<std::string>& errors);
     void checkTasks(std::vector<std::string>& errors);
     void checkDaemons(std::vector<std::string>& errors);
@@ -85,7 +85,7 @@
     MatrixPath m_path;
     std::mt19937_64 m_random;
     TestCluster m_cluster;
-    bool m_isArmed = false;
+    bool m_isInjectionEnabled = false;
     std::vector<Submission> m_submissions;
     std::vector<CallerHandle> m_requests;
     std::vector<CallerHandle> m_lateCopies; // sent when every fault is healed
@@ -103,13 +103,13 @@
 }
 
 MatrixRun::MatrixRun(const MatrixCell& cell)
-    : m_path(cell.strikes.empty() ? MatrixPath::Job : cell.strikes.front().step.path)
+    : m_path(cell.injections.empty() ? MatrixPath::Job : cell.injections.front().step.path)
     , m_random(cell.seed)
     , m_cluster(optionsOf(cell))
 {
-    for (const MatrixStrike& strike : cell.strikes)
-        m_pending.push_back({ strike, false });
-    m_cluster.onPassage = [this](const Passage& passage) { return pass(passage); };
+    for (const MatrixInjection& injection : cell.injections)
+        m_pending.push_back({ injection, false });
+    m_cluster.onPassage = [this](const Passage& passage) { return handlePassage(passage); };
 }
 
 MatrixResult MatrixRun::run()
@@ -117,20 +117,20 @@
     m_cluster.runUntil(
         [this] { return m_cluster.holderOf("north") && m_cluster.holderOf("south"); }, Milliseconds(30'000));
     m_cluster.runFor(settleTime);
-    m_isArmed = true;
-    work();
-    m_cluster.schedule(copyTime, [this] { askAgain(); });
-    m_cluster.runFor(shortRun);
-    std::vector<std::string> errors = endErrors();
+    m_isInjectionEnabled = true;
+    startWork();
+    m_cluster.schedule(resendTime, [this] { resend(); });
+    m_cluster.runFor(firstCheckTime);
+    std::vector<std::string> errors = finalErrors();
     // Most cells have recovered by now.
     constexpr Milliseconds interval { 10'000 };
-    for (Milliseconds time = shortRun; !errors.empty() && time < longRun; time += interval) {
+    for (Milliseconds time = firstCheckTime; !errors.empty() && time < maxRunTime; time += interval) {
         m_cluster.runFor(interval);
-        errors = endErrors();
+        errors = finalErrors();
     }
     MatrixResult result;
-    result.hasStruck = std::all_of(
-        m_pending.begin(), m_pending.end(), [](const Pending& pending) { return pending.hasStruck; });
+    result.isInjected = std::all_of(
+        m_pending.begin(), m_pending.end(), [](const Pending& pending) { return pending.isInjected; });
     result.violations = m_cluster.violations();
     result.violations.insert(result.violations.end(), errors.begin(), errors.end());
     constexpr std::size_t eventsShown = 60;
@@ -138,26 +138,26 @@
     return result;
 }
 
-bool MatrixRun::has(MatrixFault fault) const
+bool MatrixRun::hasFault(MatrixFault fault) const
 {
     return std::any_of(m_pending.begin(), m_pending.end(),
-        [fault](const Pending& pending) { return pending.strike.fault == fault; });
+        [fault](const Pending& pending) { return pending.injection.fault == fault; });
 }
 
 // --- faults
 
-Fate MatrixRun::pass(const Passage& passage)
+Fate MatrixRun::handlePassage(const Passage& passage)
 {
-    if (!m_isArmed)
+    if (!m_isInjectionEnabled)
         return Fate::Deliver;
     const std::string name = messageName(*passage.effect);
     Fate fate = Fate::Deliver;
     for (Pending& pending : m_pending) {
-        const MatrixStep& step = pending.strike.step;
-        if (pending.hasStruck || step.leg != passage.leg || step.message != name)
+        const MatrixStep& step = pending.injection.step;
+        if (pending.isInjected || step.leg != passage.leg || step.message != name)
             continue;
-        pending.hasStruck = true;
-        const Fate own = strike(pending.strike.fault, passage);
+        pending.isInjected = true;
+        const Fate own = inject(pending.injection.fault, passage);
         fate = own == Fate::Deliver ? fate : own;
     }
     return fate;
@@ -172,7 +172,7 @@
     m_cluster.schedule(duration, std::move(heal));
 }
 
-Fate MatrixRun::strike(MatrixFault fault, const Passage& passage)
+Fate MatrixRun::inject(MatrixFault fault, const Passage& passage)
 {
     if (fault == MatrixFault::None)
         return Fate::Deliver;
@@ -183,7 +183,7 @@
     case MatrixFault::AllReplaced:
     case MatrixFault::HolderPaused:
     case MatrixFault::Stopped:
-        strikeDaemon(fault, passage);
+        injectDaemonFault(fault, passage);
         return Fate::Deliver;
     case MatrixFault::WorkerDead:
     case MatrixFault::WorkerRestarted:
@@ -191,30 +191,30 @@
     case MatrixFault::HostListFrozen:
     case MatrixFault::RunTimeTooShort:
     case MatrixFault::RunTimeTooLong:
-        strikeWorker(fault, passage);
+        injectWorkerFault(fault, passage);
         return Fate::Deliver;
     case MatrixFault::TableDown:
     case MatrixFault::TableSlow:
     case MatrixFault::ObjectsDown:
-        strikeService(fault);
+        injectServiceFault(fault);
         return Fate::Deliver;
     case MatrixFault::CutFromZones:
     case MatrixFault::CutFromPlatform:
     case MatrixFault::CutFromBoth:
-        strikeZone(fault);
+        injectZoneFault(fault);
         return Fate::Deliver;
     case MatrixFault::ReplyLost:
     case MatrixFault::RequestLost:
         return Fate::Drop;
     case MatrixFault::ConnectionSilent:
-        silence(passage);
+        silenceConnection(passage);
         return Fate::Deliver;
     case MatrixFault::MessageRepeated:
         return Fate::Repeat;
     case MatrixFault::MessageDelayed:
         return Fate::Delay;
     case MatrixFault::OperatorsRace:
-        race();
+        sendCompetingRequest();
         return Fate::Deliver;
     case MatrixFault::CancellationWave:
         cancelAll();
@@ -228,29 +228,29 @@
     return Fate::Deliver;
 }
 
-void MatrixRun::strikeDaemon(MatrixFault fault, const Passage& passage)
+void MatrixRun::injectDaemonFault(MatrixFault fault, const Passage& passage)
 {
-    const HostId struck = passage.host;
+    const HostId affected = passage.host;
     if (fault == MatrixFault::EntryKilled) {
-        m_cluster.kill(struck);
-        healAfter(Milliseconds(5'000), [this, struck] {
-            if (!m_cluster.isAlive(struck))
-                m_cluster.start(struck);
+        m_cluster.kill(affected);
+        healAfter(Milliseconds(5'000), [this, affected] {
+            if (!m_cluster.isAlive(affected))
+                m_cluster.start(affected);
         });
     } else if (fault == MatrixFault::Stopped) {
         constexpr Milliseconds stopBound { 20'000 };
-        m_cluster.schedule(Milliseconds(0), [this, struck] { m_cluster.shutDown(struck); });
+        m_cluster.schedule(Milliseconds(0), [this, affected] { m_cluster.shutDown(affected); });
         // Polled, because the role path restarts daemons by itself.
         constexpr Milliseconds interval { 500 };
         for (Milliseconds time = interval; time < stopBound; time += interval)
-            m_cluster.schedule(time, [this, struck] { m_hasStopped |= m_cluster.hasStopped(struck); });
-        healAfter(stopBound, [this, struck] {
+            m_cluster.schedule(time, [this, affected] { m_hasStopped |= m_cluster.hasStopped(affected); });
+        healAfter(stopBound, [this, affected] {
             if (m_pending.size() == 1 && !m_hasStopped)
-                m_stopErrors.push_back(fmt::format("end: host {} did not stop in time", struck.value()));
-            m_cluster.start(struck);
+                m_stopErrors.push_back(fmt::format("end: host {} did not stop in time", affected.value()));
+            m_cluster.start(affected);
         });
     } else if (fault == MatrixFault::HostReplaced) {
-        m_cluster.start(struck);
+        m_cluster.start(affected);
     } else if (fault == MatrixFault::AllReplaced) {
         for (const HostId& id : m_cluster.hosts())
             m_cluster.start(id);
@@ -259,7 +259,7 @@
         // holder.
         const bool hasRole
             = m_path == MatrixPath::Job || m_path == MatrixPath::Claim || m_path == MatrixPath::Role;
-        const HostId paused = hasRole ? m_cluster.holderOf(zone).value_or(struck) : struck;
+        const HostId paused = hasRole ? m_cluster.holderOf(zone).value_or(affected) : affected;
         m_cluster.pause(paused);
         constexpr Milliseconds pauseTime { 10'000 };
         // On resume, the daemon handles the events that arrived before the pause before it receives a change
@@ -269,7 +269,7 @@
     }
 }
 
-WorkerId MatrixRun::victim(const Passage& passage) const
+WorkerId MatrixRun::targetWorker(const Passage& passage) const
 {
     if (const auto* command = std::get_if<SendWorkerCommand>(passage.effect))
         return command->worker;
@@ -284,9 +284,9 @@
     return m_cluster.workersOf(zone).front();
 }
 
-void MatrixRun::strikeWorker(MatrixFault fault, const Passage& passage)
+void MatrixRun::injectWorkerFault(MatrixFault fault, const Passage& passage)
 {
-    const WorkerId id = victim(passage);
+    const WorkerId id = targetWorker(passage);
     constexpr Milliseconds hostListLag { 5'000 };
     constexpr Milliseconds deadTime { 30'000 };
     constexpr Milliseconds frozenTime { 15'000 };
@@ -322,7 +322,7 @@
     }
 }
 
-void MatrixRun::strikeService(MatrixFault fault)
+void MatrixRun::injectServiceFault(MatrixFault fault)
 {
     constexpr Milliseconds tableTime { 10'000 };
     constexpr Milliseconds objectTime { 20'000 };
@@ -340,7 +340,7 @@
     healAfter(objectTime, [set] { set(false); });
 }
 
-void MatrixRun::strikeZone(MatrixFault fault)
+void MatrixRun::injectZoneFault(MatrixFault fault)
 {
     constexpr Milliseconds cutTime { 15'000 };
     if (fault != MatrixFault::CutFromPlatform)
@@ -357,7 +357,7 @@
     });
 }
 
-void MatrixRun::silence(const Passage& passage)
+void MatrixRun::silenceConnection(const Passage& passage)
 {
     constexpr Milliseconds silentTime { 20'000 };
     if (const auto* peer = std::get_if<SendToPeer>(passage.effect)) {
@@ -366,12 +366,12 @@
         healAfter(silentTime, [this, link] { m_cluster.silentPeers.erase(link); });
         return;
     }
-    const WorkerId id = victim(passage);
+    const WorkerId id = targetWorker(passage);
     m_cluster.silentWorkers.insert(id);
     healAfter(silentTime, [this, id] { m_cluster.silentWorkers.erase(id); });
 }
 
-void MatrixRun::race()
+void MatrixRun::sendCompetingRequest()
 {
     ++m_races;
     if (m_path == MatrixPath::Job || m_path == MatrixPath::Claim) {
@@ -441,7 +441,7 @@
     return EndpointId("plan@" + m_cluster.workersOf(zone).front().value());
 }
 
-void MatrixRun::work()
+void MatrixRun::startWork()
 {
     switch (m_path) {
     case MatrixPath::Job:
@@ -477,12 +477,12 @@
 
 void MatrixRun::workOnClaim()
 {
-    m_isArmed = false;
+    m_isInjectionEnabled = false;
     // Together these fill the zone, so that the claim has to evict.
     submit("press", "borrowed-1", JobClass::Borrowed, 32, Milliseconds(40'000));
     submit("press", "borrowed-2", JobClass::Borrowed, 32, Milliseconds(40'000));
     m_cluster.runFor(Milliseconds(3'000));
-    m_isArmed = true;
+    m_isInjectionEnabled = true;
     submit("mill", "claim", JobClass::Guaranteed, 16, Milliseconds(10'000));
 }
 
@@ -497,7 +497,7 @@
         const bool isPatient = index % 2;
         m_cluster.schedule(interval * index, [=, this] { request(preferred, key, operation, isPatient); });
         if (isPatient) {
-            m_cluster.schedule(interval * index, [=, this] { askWhenAnswered(m_requests.size() - 1); });
+            m_cluster.schedule(interval * index, [=, this] { resendWhenAnswered(m_requests.size() - 1); });
             continue;
         }
         for (const Milliseconds after : copies)
@@ -508,7 +508,7 @@
 }
 
 // Sends the next copy of a patient caller once the previous one is answered or lost.
-void MatrixRun::askWhenAnswered(std::size_t index)
+void MatrixRun::resendWhenAnswered(std::size_t index)
 {
     const CallerRecord record = m_cluster.caller(m_requests[index]);
     if (!record.answers.empty() || record.isLost) {
@@ -516,7 +516,7 @@
         return;
     }
     constexpr Milliseconds interval { 20 };
-    m_cluster.schedule(interval, [=, this] { askWhenAnswered(index); });
+    m_cluster.schedule(interval, [=, this] { resendWhenAnswered(index); });
 }
 
 void MatrixRun::workOnConfiguration()
@@ -561,7 +561,7 @@
 }
 
 // Resends as callers do: submissions that were lost or refused, and copies of the requests.
-void MatrixRun::askAgain()
+void MatrixRun::resend()
 {
     for (Submission& submission : m_submissions) {
         if (!m_cluster.jobOf(submission.handle))
@@ -578,7 +578,7 @@
 
 // --- final checks
 
-std::vector<std::string> MatrixRun::endErrors()
+std::vector<std::string> MatrixRun::finalErrors()
 {
     std::vector<std::string> errors = m_stopErrors;
     for (const CallerHandle handle : m_cluster.unansweredCallers())
@@ -594,7 +594,7 @@
 
 void MatrixRun::checkJobs(std::vector<std::string>& errors)
 {
-    const bool isSlow = has(MatrixFault::RunTimeTooShort);
+    const bool isSlow = hasFault(MatrixFault::RunTimeTooShort);
     for (const Submission& submission : m_submissions) {
         const std::optional<JobStatus> accepted = m_cluster.jobOf(submission.handle);
         if (accepted && !m_cluster.jobRow(accepted->specification.id))
@@ -615,7 +615,8 @@
         const bool isWaiting = status.state == JobState::Queued || status.state == JobState::Placed;
         if (isWaiting && !(isSlow && m_cluster.hasRun(job)))
             errors.push_back(fmt::format("end: job {} does not run: {}", job.value(), row.value));
-        if (status.state == JobState::Failed && (status.reason.empty() || !has(MatrixFault::WorkerFailsAll)))
+        if (status.state == JobState::Failed
+            && (status.reason.empty() || !hasFault(MatrixFault::WorkerFailsAll)))
             errors.push_back(fmt::format("end: job {} failed: {}", job.value(), status.reason));
         if (status.state == JobState::Cancelled && !m_cancelled.contains(job))
             errors.push_back(fmt::format("end: job {} was cancelled without a request", job.value()));
@@ -628,7 +629,7 @@
 // A planned stop loses no request and no submission. The role path is exempt, because it also kills a daemon.
 void MatrixRun::checkStop(std::vector<std::string>& errors)
 {
-    if (m_pending.size() != 1 || !has(MatrixFault::Stopped) || m_path == MatrixPath::Role)
+    if (m_pending.size() != 1 || !hasFault(MatrixFault::Stopped) || m_path == MatrixPath::Role)
         return;
     for (const CallerHandle handle : m_requests) {
         if (m_cluster.caller(handle).isLost)
@@ -661,9 +662,9 @@
     // Reports requested within 2 s of the start are not trusted, a sync takes up to 1 s, and gangs are
     // checked once a second.
     constexpr Milliseconds stopBound { 4'500 };
-    const bool isHeard
-        = m_pending.size() == 1 && (has(MatrixFault::WorkerRestarted) || has(MatrixFault::WorkerFailsAll));
-    if (isHeard && m_cluster.longestPartialRun() > stopBound)
+    const bool isLossReported = m_pending.size() == 1
+        && (hasFault(MatrixFault::WorkerRestarted) || hasFault(MatrixFault::WorkerFailsAll));
+    if (isLossReported && m_cluster.longestPartialRun() > stopBound)
         errors.push_back(
             fmt::format("end: a gang ran without a member for {} ms", m_cluster.longestPartialRun().count()));
 }
@@ -673,9 +674,10 @@
 // its outcome can be lost for good.
 void MatrixRun::checkRequests(std::vector<std::string>& errors)
 {
-    const bool isUntouched = m_pending.size() == 1
-        && (has(MatrixFault::None) || has(MatrixFault::TableDown) || has(MatrixFault::TableSlow)
-            || has(MatrixFault::ObjectsDown) || has(MatrixFault::CutFromPlatform));
+    const bool isUnaffected = m_pending.size() == 1
+        && (hasFault(MatrixFault::None) || hasFault(MatrixFault::TableDown)
+            || hasFault(MatrixFault::TableSlow) || hasFault(MatrixFault::ObjectsDown)
+            || hasFault(MatrixFault::CutFromPlatform));
     const auto check = [&](CallerHandle handle, bool isUnknownAllowed) {
         const CallerRecord& record = m_cluster.caller(handle);
         for (const RequestAnswer& answer : record.answers) {
@@ -687,11 +689,11 @@
         }
     };
     for (const CallerHandle handle : m_requests) {
-        if (isUntouched && (m_cluster.caller(handle).operation == "quote" || has(MatrixFault::None)))
+        if (isUnaffected && (m_cluster.caller(handle).operation == "quote" || hasFault(MatrixFault::None)))
             check(handle, false);
     }
     for (const CallerHandle handle : m_lateCopies)
-        check(handle, m_cluster.caller(handle).operation == "book" && !has(MatrixFault::None));
+        check(handle, m_cluster.caller(handle).operation == "book" && !hasFault(MatrixFault::None));
 }
 
 void MatrixRun::checkDaemons(std::vector<std::string>& errors)
--- a/test/support/placement_simulation.h
+++ b/test/support/placement_simulation.h
@@ -41,7 +41,7 @@
         endJobs();
         PlacementPlan plan = m_policy.plan(m_inventory, m_configuration, m_queue, m_now);
         for (const PlacementStart& start : plan.starts)
-            carryOut(start);
+            execute(start);
         return plan;
     }
 
@@ -61,7 +61,7 @@
         }
     }
 
-    void carryOut(const PlacementStart& start)
+    void execute(const PlacementStart& start)
     {
         const auto queued = std::find_if(m_queue.begin(), m_queue.end(),
             [&](const QueuedJob& job) { return job.specification.id == start.job; });
--- a/test/support/plan_check.cpp
+++ b/test/support/plan_check.cpp
@@ -35,56 +35,56 @@
                 claims[job->specification.account].push_back(job->specification.accelerators);
         }
         if (didFit && !fits(claims))
-            m_faults.emplace_back("an unclaimed guarantee became unsatisfiable");
+            m_violations.emplace_back("an unclaimed guarantee became unsatisfiable");
         if (checkClaimsStart && didFit)
             checkClaims(claims);
-        return m_faults;
+        return m_violations;
     }
 
 private:
-    void fault(const JobId& job, std::string_view what)
+    void addViolation(const JobId& job, std::string_view what)
     {
-        m_faults.push_back(fmt::format("{}: {}", job.value(), what));
+        m_violations.push_back(fmt::format("{}: {}", job.value(), what));
     }
 
     void checkStart(const PlacementStart& start)
     {
         const auto queued = m_queue.find(start.job);
         if (queued == m_queue.end() || !m_started.insert(start.job).second)
-            return fault(start.job, "is not queued, or starts twice");
+            return addViolation(start.job, "is not queued, or starts twice");
         for (const JobId& eviction : start.evictions) {
             const Holding* holding = m_inventory.find(eviction);
             if (!holding || holding->jobClass != JobClass::Borrowed)
-                fault(start.job, "evicts a job that is not borrowed");
+                addViolation(start.job, "evicts a job that is not borrowed");
             m_evicted.insert(eviction);
         }
         const JobSpecification& job = queued->second->specification;
         if (acceleratorsOf(start.members) != job.accelerators)
-            fault(start.job, "gets another number of accelerators than it asks for");
+            addViolation(start.job, "gets another number of accelerators than it asks for");
         std::set<std::size_t> racks;
         for (const GangMember& member : start.members) {
             const WorkerCapacity* worker = m_inventory.find(member.worker);
             if (!worker || !worker->isUsable || member.accelerators <= 0)
-                return fault(start.job, "uses a worker that is not usable");
+                return addViolation(start.job, "uses a worker that is not usable");
             racks.insert(worker->rack);
             m_taken[member.worker] += member.accelerators;
-            const bool isNow = start.evictions.empty();
-            if (heldOn(member.worker, isNow) + m_taken[member.worker] > worker->accelerators)
-                fault(start.job, "overbooks " + member.worker.value());
+            const bool isImmediate = start.evictions.empty();
+            if (heldOn(member.worker, isImmediate) + m_taken[member.worker] > worker->accelerators)
+                addViolation(start.job, "overbooks " + member.worker.value());
             m_guaranteed[worker->rack] += job.jobClass == JobClass::Guaranteed ? member.accelerators : 0;
         }
         const bool isConsecutive = *racks.rbegin() - *racks.begin() + 1 == racks.size();
         if (job.adjacent
             && (!isConsecutive || (job.accelerators <= m_inventory.rackSize() && racks.size() > 1)))
-            fault(start.job, "is not adjacent");
+            addViolation(start.job, "is not adjacent");
     }
 
     // Accelerators held on the worker. Evicted and leaving jobs count only if the start is immediate.
-    int heldOn(const WorkerId& worker, bool isNow) const
+    int heldOn(const WorkerId& worker, bool isImmediate) const
     {
         int held = 0;
         for (const auto& [job, holding] : m_inventory.holdings()) {
-            if (!isNow && (holding.isLeaving || m_evicted.contains(job)))
+            if (!isImmediate && (holding.isLeaving || m_evicted.contains(job)))
                 continue;
             for (const GangMember& member : holding.members)
                 held += member.worker == worker ? member.accelerators : 0;
@@ -161,7 +161,7 @@
                 || !job->claimedMembers.empty())
                 continue;
             if (claim(unclaimed[specification.account], specification.accelerators))
-                fault(id, "is a claim inside its guarantee and does not start");
+                addViolation(id, "is a claim inside its guarantee and does not start");
         }
     }
 
@@ -173,12 +173,12 @@
     std::set<JobId> m_evicted;
     std::map<WorkerId, int> m_taken;
     std::map<std::size_t, int> m_guaranteed; // by rack: accelerators of guaranteed starts
-    std::vector<std::string> m_faults;
+    std::vector<std::string> m_violations;
 };
 
 } // namespace
 
-std::vector<std::string> planFaults(const ZoneInventory& inventory, const Configuration& configuration,
+std::vector<std::string> planViolations(const ZoneInventory& inventory, const Configuration& configuration,
     std::span<const QueuedJob> queue, const PlacementPlan& plan, bool checkClaimsStart)
 {
     return PlanCheck(inventory, configuration, queue, plan).run(checkClaimsStart);
--- a/test/support/plan_check.h
+++ b/test/support/plan_check.h
@@ -11,7 +11,7 @@
 // policy and checks that no worker is overbooked or unusable, that shapes are adjacent, that only borrowed
 // jobs are evicted, and that unclaimed guarantees fit afterwards if they did before. With `checkClaimsStart`,
 // also checks that every claim inside its guarantee starts or waits for jobs that are leaving.
-std::vector<std::string> planFaults(const ZoneInventory&, const Configuration&,
+std::vector<std::string> planViolations(const ZoneInventory&, const Configuration&,
     std::span<const QueuedJob> queue, const PlacementPlan&, bool checkClaimsStart);
 
 } // namespace anvilmoor
--- a/test/support/zone_fakes.h
+++ b/test/support/zone_fakes.h
@@ -56,11 +56,11 @@
             if (!job.claimedMembers.empty())
                 continue;
             PlacementStart start { job.specification.id, {}, {} };
-            std::map<WorkerId, int> left = free;
+            std::map<WorkerId, int> remaining = free;
             if (job.specification.jobClass == JobClass::Guaranteed)
-                addEvictions(inventory, job.specification.accelerators, left, start.evictions);
+                addEvictions(inventory, job.specification.accelerators, remaining, start.evictions);
             int needed = job.specification.accelerators;
-            for (auto& [worker, count] : left) {
+            for (auto& [worker, count] : remaining) {
                 const int taken = std::clamp(count, 0, needed);
                 if (taken)
                     start.members.push_back({ worker, taken });
@@ -71,7 +71,7 @@
                 plan.waits.push_back({ job.specification.id, "no room" });
                 continue;
             }
-            free = left;
+            free = remaining;
             plan.starts.push_back(std::move(start));
         }
         return plan;
@@ -97,11 +97,11 @@
     }
 
 private:
-    static void addEvictions(const ZoneInventory& inventory, int needed, std::map<WorkerId, int>& left,
+    static void addEvictions(const ZoneInventory& inventory, int needed, std::map<WorkerId, int>& remaining,
         std::vector<JobId>& evictions)
     {
         int sum = 0;
-        for (const auto& [worker, count] : left)
+        for (const auto& [worker, count] : remaining)
             sum += std::max(count, 0);
         for (const auto& [job, holding] : inventory.holdings()) {
             if (sum >= needed)
@@ -112,7 +112,7 @@
             for (const GangMember& member : holding.members) {
                 if (!inventory.find(member.worker)->isUsable)
                     continue;
-                left[member.worker] += member.accelerators;
+                remaining[member.worker] += member.accelerators;
                 sum += member.accelerators;
             }
         }
--- a/test/support/zone_simulation.cpp
+++ b/test/support/zone_simulation.cpp
@@ -116,7 +116,7 @@
     start(index);
 }
 
-void ZoneSimulation::wake(std::size_t index)
+void ZoneSimulation::resume(std::size_t index)
 {
     SimulatedDaemon& daemon = *daemons[index];
     daemon.isPaused = false;
@@ -198,7 +198,7 @@
         updatePeers(i);
     for (std::size_t i = 0; i < daemons.size(); ++i)
         deliver(i, Tick {});
-    checkPromises();
+    checkInvariants();
 }
 
 void ZoneSimulation::updatePeers(std::size_t index)
@@ -245,8 +245,8 @@
         });
     };
     if (fault == Fault::Repeat)
-        send(oneWay() + oneWay(), payload);
-    send(oneWay(), std::move(payload));
+        send(oneWayDelay() + oneWayDelay(), payload);
+    send(oneWayDelay(), std::move(payload));
 }
 
 void ZoneSimulation::execute(std::size_t daemon, Effect effect)
@@ -283,14 +283,14 @@
     }
     const Fault fault = writeFault ? writeFault(daemon, write.transaction) : Fault::None;
     if (fault == Fault::None || fault == Fault::Repeat) {
-        at(now + oneWay(), [this, daemon, generation, fault, write] {
+        at(now + oneWayDelay(), [this, daemon, generation, fault, write] {
             reply(daemon, generation, TableReplied { write.operation, table.execute(write.transaction) },
                 fault);
         });
         return;
     }
     // A lost request may also be a late one: the write takes effect after the daemon received Unknown.
-    const Milliseconds late = fault == Fault::LoseReply ? oneWay() : replyTimeout + Milliseconds(700);
+    const Milliseconds late = fault == Fault::LoseReply ? oneWayDelay() : replyTimeout + Milliseconds(700);
     at(now + late, [this, write] { static_cast<void>(table.execute(write.transaction)); });
     at(now + replyTimeout, [this, daemon, generation, write] {
         reply(daemon, generation, TableReplied { write.operation, { TableStatus::Unknown, {} } });
@@ -304,7 +304,7 @@
         reply(daemon, generation, TableReplied { read.operation, { TableStatus::Unavailable, {} } });
         return;
     }
-    at(now + oneWay(), [this, daemon, generation, read] {
+    at(now + oneWayDelay(), [this, daemon, generation, read] {
         const TableReply result = table.read(read.read);
         rowsRead += static_cast<std::size_t>(std::count_if(result.rows.begin(), result.rows.end(),
             [](const TableRow& row) { return row.version && row.key.starts_with("job"); }));
@@ -328,14 +328,14 @@
         at(now + replyTimeout, timeOut);
         return;
     }
-    at(now + oneWay(), [this, daemon, generation, fault, sent, index, apply, timeOut] {
+    at(now + oneWayDelay(), [this, daemon, generation, fault, sent, index, apply, timeOut] {
         if (m_workers[index]->isDead) {
             at(now + replyTimeout, timeOut);
             return;
         }
         const WorkerCommandResult result = apply();
         if (fault == Fault::Repeat)
-            at(now + oneWay(), [this, index, apply] {
+            at(now + oneWayDelay(), [this, index, apply] {
                 if (!m_workers[index]->isDead)
                     apply();
             });
@@ -356,7 +356,7 @@
         });
         return;
     }
-    at(now + oneWay(), [this, daemon, generation, sync, fault] {
+    at(now + oneWayDelay(), [this, daemon, generation, sync, fault] {
         receiveSync({ daemon, generation, sync, now + sync.wait, fault });
     });
 }
@@ -384,14 +384,14 @@
 
 void ZoneSimulation::answerSyncs()
 {
-    std::vector<WaitingSync> still;
+    std::vector<WaitingSync> stillWaiting;
     for (WaitingSync& waiting : m_waitingSyncs) {
         for (Rack& rack : m_racks) {
             if (rack.id != waiting.sync.rack)
                 continue;
             const std::uint64_t since = waiting.sync.since;
             if (since && rack.sequence <= since && now < waiting.until) {
-                still.push_back(waiting);
+                stillWaiting.push_back(waiting);
                 continue;
             }
             RackSynced synced { rack.id, waiting.sync.token, rack.sequence, since == 0, {} };
@@ -405,7 +405,7 @@
                 reply(waiting.daemon, waiting.generation, std::move(synced), waiting.fault);
         }
     }
-    m_waitingSyncs = std::move(still);
+    m_waitingSyncs = std::move(stillWaiting);
 }
 
 void ZoneSimulation::markChanged(std::size_t worker)
@@ -414,7 +414,7 @@
     rack.changedAt[worker] = ++rack.sequence;
 }
 
-void ZoneSimulation::checkPromises()
+void ZoneSimulation::checkInvariants()
 {
     std::map<JobId, std::set<AttemptNumber>> runningAttempts;
     std::map<TaskKey, int> running;
--- a/test/support/zone_simulation.h
+++ b/test/support/zone_simulation.h
@@ -46,7 +46,7 @@
 
     void deliver(std::size_t daemon, EventPayload);
     void pause(std::size_t daemon) { daemons[daemon]->isPaused = true; }
-    void wake(std::size_t daemon);
+    void resume(std::size_t daemon);
     void restart(std::size_t daemon);
     void kill(std::size_t daemon);
 
@@ -119,8 +119,8 @@
     void answerSyncs();
     void markChanged(std::size_t worker);
     void updatePeers(std::size_t daemon);
-    void checkPromises();
-    Milliseconds oneWay() { return delay ? delay() : Milliseconds(3); }
+    void checkInvariants();
+    Milliseconds oneWayDelay() { return delay ? delay() : Milliseconds(3); }
 
     std::multimap<std::pair<TimePoint, std::uint64_t>, std::function<void()>> m_due;
     std::uint64_t m_order = 0;
--- a/test/zone_role_test.cpp
+++ b/test/zone_role_test.cpp
@@ -43,7 +43,7 @@
         CPPUNIT_ASSERT(zone.runUntil([&] { return zone.holder().has_value(); }, Milliseconds(7'000)));
         CPPUNIT_ASSERT_EQUAL(1 - first, zone.holder().value());
         CPPUNIT_ASSERT_EQUAL(token + 1, tokenOf(zone, 1 - first));
-        zone.wake(first);
+        zone.resume(first);
         CPPUNIT_ASSERT(!zone.daemons[first]->role->held(zone.now));
         zone.run(Milliseconds(10'000));
         CPPUNIT_ASSERT(!zone.daemons[first]->role->held(zone.now));
