--- a/test/support/placement_simulation.h
+++ b/test/support/placement_simulation.h
@@ -10,8 +10,8 @@
 
 namespace anvilmoor {
 
-// A zone in virtual time: evicted work leaves one step after it was asked to and is queued again, claims
-// wait for it, jobs end when their real run time is over.
+// Simulates a zone in virtual time. Evicted jobs leave one step after the eviction and are queued again,
+// claims wait until they have left, and jobs end after their real run time.
 class PlacementSimulation {
 public:
     PlacementSimulation(const PlacementPolicy& policy, Configuration configuration)
@@ -27,21 +27,21 @@
     TimePoint now() const { return m_now; }
     bool isRunning(const JobId& job) const { return m_inventory.find(job) != nullptr; }
 
-    // The declared run time may differ from the real one.
+    // `realRunTime` may differ from the declared run time.
     void submit(JobSpecification job, Milliseconds realRunTime)
     {
         m_runTimes[job.id] = realRunTime;
         m_queue.push_back({ .specification = std::move(job), .queuedAt = m_now });
     }
 
-    // Ends what is due, then plans and carries out the plan. Returns the plan.
+    // Ends the jobs that are due, makes a plan, applies it and returns it.
     PlacementPlan step(Milliseconds duration)
     {
         m_now += duration;
         endJobs();
         PlacementPlan plan = m_policy.plan(m_inventory, m_configuration, m_queue, m_now);
         for (const PlacementStart& start : plan.starts)
-            carryOut(start);
+            execute(start);
         return plan;
     }
 
@@ -61,7 +61,7 @@
         }
     }
 
-    void carryOut(const PlacementStart& start)
+    void execute(const PlacementStart& start)
     {
         const auto queued = std::find_if(m_queue.begin(), m_queue.end(),
             [&](const QueuedJob& job) { return job.specification.id == start.job; });
