Reword comments and messages of the cluster and process test support and of scripts

Comments referred to things by pronoun ("what comes back", "the rest of it", "its end"), and verbs were figurative (callers heard, daemons were told, loads went on). They now name the subject, the condition and the reason. Time-out messages of the process tests read "timed out after 60 s waiting for ..." and the conditions are worded to fit. The parts of the violation texts that naive_baselines_test matches are unchanged.

--- a/test/cluster_smoke_test.cpp
+++ b/test/cluster_smoke_test.cpp
@@ -5,7 +5,8 @@
 
 namespace anvilmoor::test {
 
-// The whole path without faults: guards against modules that work alone and not together.
+// Runs requests, jobs, configuration changes and shutdown end to end without faults. Guards against modules
+// that pass their own tests but do not work together.
 class ClusterSmokeTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ClusterSmokeTest);
     CPPUNIT_TEST(testRequestIsServedAndItsCopyAnsweredFromRecord);
@@ -88,7 +89,7 @@
         TestCluster& cluster = *owner;
         const bool hasHolders = cluster.runUntil(
             [&] { return cluster.holderOf("north") && cluster.holderOf("south"); }, Milliseconds(30'000));
-        CPPUNIT_ASSERT_MESSAGE("no zone role was acquired", hasHolders);
+        CPPUNIT_ASSERT_MESSAGE("the role of at least one zone was not acquired within 30 s", hasHolders);
         cluster.runFor(Milliseconds(5'000));
         return owner;
     }
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -13,10 +13,11 @@
 
 using Fault = FaultRelay::Fault;
 
-constexpr int longRun = 600'000; // ms; longer than any case
+constexpr int longRun = 600'000; // ms; longer than any test runs
 constexpr int deadline = 20'000; // ms
 
-// Calls that go on in lanes, one call at a time in each, until they are ended.
+// Generates load in lanes: each lane has one call in flight and starts the next when it is answered, until
+// end() is called.
 class Load {
 public:
     struct Record {
@@ -27,7 +28,7 @@
         std::string detail;
     };
 
-    // Every second call is a booking if there are bookings. A lane uses one daemon.
+    // With bookings, every second call is a booking. Each lane sends all its calls to one daemon.
     Load(Deployment& deployment, int lanes, bool hasBookings)
         : m_deployment(deployment)
         , m_hasBookings(hasBookings)
@@ -45,12 +46,12 @@
     }
     const std::vector<Record>& records() const { return m_records; }
 
-    // Starts no more calls and waits for the open ones.
+    // Stops starting calls and waits until all started calls are answered.
     void end()
     {
         m_isEnding = true;
         m_deployment.waitUntil(
-            "every call of the load is answered", [this] { return answered() == m_records.size(); });
+            "all calls of the load to be answered", [this] { return answered() == m_records.size(); });
         m_timer.stop();
     }
 
@@ -90,7 +91,7 @@
     net::Timer m_timer;
 };
 
-// The gang is all there, in its first attempt.
+// Fails unless the workers run the whole gang and it is still in its first attempt.
 void checkUntouched(Deployment& deployment, const std::string& job, int accelerators)
 {
     const auto attempts = deployment.jobOnWorkers(job);
@@ -134,14 +135,15 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a copy that is told not_run, or runs again, while nobody knows the outcome.
+    // Guards against answering not_run to a copy, or executing it, when the daemon of the first copy died
+    // during the execution, so that the outcome is unknown.
     void testBookingWhoseDaemonIsKilledIsUnknownAndRunsOnce()
     {
         Deployment d;
         for (const std::string zone : { "north", "south" })
             d.control(zone, { { "hold", true } });
         const auto first = d.begin("north-1", serviceRequest("booking", "furnace-1", deadline));
-        d.waitUntil("an endpoint executes the booking", [&] { return d.executions("furnace-1") == 1; });
+        d.waitUntil("an endpoint to execute the booking", [&] { return d.executions("furnace-1") == 1; });
         d.process("north-1").kill();
         CPPUNIT_ASSERT_EQUAL(std::string("cut"), outcomeOf(d.finish(first)));
 
@@ -153,13 +155,14 @@
         for (const std::string zone : { "north", "south" })
             d.control(zone, { { "hold", false } });
         d.startDaemon("north-1");
-        d.waitUntil("north-1 is ready again", [&] { return d.isReady("north-1"); });
+        d.waitUntil("north-1 to be ready again", [&] { return d.isReady("north-1"); });
         for (const std::string& daemon : Deployment::daemons())
             CPPUNIT_ASSERT_EQUAL(std::string("unknown"), copy(daemon));
         CPPUNIT_ASSERT_EQUAL(1, d.executions("furnace-1"));
     }
 
-    // Guards against a paused holder that goes on as if it still held the role.
+    // Guards against a role holder that is paused (SIGSTOP) until its lease has expired, and acts as holder
+    // when it resumes.
     void testHolderStoppedPastItsLeaseStartsNothing()
     {
         Deployment d;
@@ -185,7 +188,8 @@
         d.checkNoViolations();
     }
 
-    // Guards against a gang that starts in part, or is lost, when its holder dies after the commit point.
+    // Guards against a gang that starts only in part, or never, when the role holder dies after it has
+    // committed the placement and before the workers receive the next command.
     void testGangWhoseHolderIsKilledBeforeConfirmEndsWhole() { killHolderBefore("confirm"); }
     void testGangWhoseHolderIsKilledBeforeRunEndsWhole() { killHolderBefore("run"); }
 
@@ -198,7 +202,7 @@
         const std::string job = d.submitted(other, "gang", 24, longRun);
         d.waitForEvent(holder, "job.committed");
         const char* phase = command == "run" ? "confirmed" : "reserved";
-        d.waitUntil("the members are " + std::string(phase), [&] {
+        d.waitUntil("all members to be " + std::string(phase), [&] {
             int count = 0;
             for (const json& worker : d.state("north", "workers"))
                 count += worker.at(phase).get<int>();
@@ -210,7 +214,8 @@
         d.checkNoViolations();
     }
 
-    // Guards against waiting for TCP to notice a dead connection, and against one that is never replaced.
+    // Guards against relying on TCP to detect a dead connection between peers, and against never replacing
+    // such a connection.
     void testSilentPeersBecomeUnreachableAndReconnect()
     {
         Deployment d({ .relays = { "north-1>south-1", "south-1>north-1" } });
@@ -234,10 +239,12 @@
             { "--entry=" + daemonAddress(d, "north-1"), "config", "apply", d.writeDeclaration(1'001) });
         d.waitForExit(*tool);
         for (const std::string& daemon : Deployment::daemons())
-            d.waitUntil(daemon + " has the new version", [&] { return versionAt(d, daemon) == version + 1; });
+            d.waitUntil(
+                daemon + " to have the new version", [&] { return versionAt(d, daemon) == version + 1; });
     }
 
-    // Guards against callers that wait without end for an endpoint behind a silent connection.
+    // Guards against callers that wait forever when the connection to an endpoint is open but delivers
+    // nothing.
     void testSilentEndpointGivesUnknownOrAnotherEndpoint()
     {
         Deployment d({ .workersPerRack = 2, .relays = { "north-1>north", "north-1>south" } });
@@ -245,7 +252,7 @@
             return outcomeOf(d.call("north-1", serviceRequest("quote", key, 8'000)));
         };
         CPPUNIT_ASSERT_EQUAL(std::string("done"), quote("open-connections"));
-        // One of the two racks of the zone: the bytes of calls to its endpoints go nowhere.
+        // Discards the bytes of calls to the endpoints of one of the zone's two racks.
         d.relay("north-1>north").silenceOn("/v1/endpoints/planning@north-r1");
         for (int i = 0; i < 20; ++i)
             CPPUNIT_ASSERT_EQUAL(std::string("done"), quote(fmt::format("quote-{}", i)));
@@ -259,14 +266,15 @@
         d.relay("north-1>south").set(Fault::None);
         CPPUNIT_ASSERT_EQUAL(std::string("done"),
             outcomeOf(d.call("north-1", serviceRequest("booking", "furnace-3", deadline))));
-        // A copy hears what the first caller heard, and is not run.
+        // A copy gets the same answer as the first one and is not executed.
         CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
             outcomeOf(d.call("south-1", serviceRequest("booking", "furnace-2", 3'000))));
         CPPUNIT_ASSERT_EQUAL(1, d.executions("furnace-2"));
         CPPUNIT_ASSERT_EQUAL(1, d.executions("furnace-3"));
     }
 
-    // Guards against refusing work that needs no table, and against accepting work that does.
+    // Guards against refusing work that does not need the table while the table is down, and against
+    // accepting work that does.
     void testTableDownStopsOnlyWhatNeedsIt()
     {
         Deployment d;
@@ -291,7 +299,7 @@
         d.checkNoViolations();
     }
 
-    // Guards against a slow table that makes a caller's request fail, or run twice.
+    // Guards against requests that fail or run twice because the table answers slowly.
     void testSlowTableDelaysButLosesNothing()
     {
         Deployment d;
@@ -311,7 +319,8 @@
         checkUntouched(d, job, 16);
     }
 
-    // Guards against taking one's own write for another's, and against writing again what was written.
+    // The table executes a write but its answer is lost. Guards against a daemon that takes the row for
+    // another daemon's, and against repeating a write that was executed.
     void testLostTableAnswersRunNothingTwice()
     {
         Deployment d;
@@ -324,8 +333,9 @@
         loseNext("request/");
         CPPUNIT_ASSERT_EQUAL(std::string("done"),
             outcomeOf(d.call("north-1", serviceRequest("booking", "furnace-7", deadline))));
-        // While the outcome is not recorded, a copy may hear unknown if the first daemon is slow to tell.
-        d.waitUntil("a copy hears the outcome", [&] {
+        // Until the outcome is recorded, a copy may be answered unknown if the first daemon is slow to report
+        // it.
+        d.waitUntil("a copy to be answered with the outcome", [&] {
             const std::string outcome
                 = outcomeOf(d.call("south-1", serviceRequest("booking", "furnace-7", deadline)));
             CPPUNIT_ASSERT_MESSAGE(outcome, outcome == "done" || outcome == "unknown");
@@ -339,11 +349,11 @@
         const std::string job = d.submitted("north-2", "job-3", 16, longRun);
         if (first->status < 300)
             CPPUNIT_ASSERT_EQUAL(job, json::parse(first->body).at("id").get<std::string>());
-        // The commit of the gang's placement is the next write of the job's row.
+        // The next write to a row of a job is the commit of the placement of a gang.
         loseNext("job/");
         d.submitted("south-1", "job-4", 16, longRun);
         d.waitForJob("south-2", job, "running");
-        d.waitUntil("every job runs", [&] {
+        d.waitUntil("all jobs to run", [&] {
             const json jobs = d.get("south-1", "/v1/jobs?account=mill").at("jobs");
             return jobs.size() == 2
                 && std::ranges::all_of(jobs, [](const json& item) { return item.at("state") == "running"; });
@@ -351,10 +361,10 @@
         d.checkNoViolations();
     }
 
-    // Guards against a gang that is lost because its zone cannot reach the platform.
+    // Guards against losing a running gang while its zone cannot reach the platform.
     void testZoneCutFromPlatformKeepsItsGang() { cutZone(true); }
 
-    // Guards against a caretaker that does not know the newest gangs and lets their leases lapse.
+    // Guards against a caretaker that has no record of the newest gangs and lets their leases expire.
     void testCaretakerKeepsGangStartedJustBeforeTheCut() { cutZone(false); }
 
     void cutZone(bool isStandbyStartedAfterGang)
@@ -371,8 +381,8 @@
             FaultRelay& relay = d.relay(other + ">platform");
             relay.watch("\"job/north/\"");
             d.startDaemon(other);
-            d.waitUntil("the standby reads the rows of its zone", [&] { return relay.matches() > 0; });
-            d.waitUntil("the standby is ready", [&] { return d.isReady(other); });
+            d.waitUntil("the standby to read the rows of its zone", [&] { return relay.matches() > 0; });
+            d.waitUntil("the standby to be ready", [&] { return d.isReady(other); });
             d.waitForJob(other, job, "running");
         }
         const auto setPlatform = [&](Fault fault) {
@@ -382,7 +392,7 @@
         const auto waitForRenewals = [&](const std::string& daemon) {
             FaultRelay& relay = d.relay(daemon + ">north");
             relay.watch("\"renew\":[{");
-            d.waitUntil(daemon + " renews the leases", [&] {
+            d.waitUntil(daemon + " to renew the leases", [&] {
                 checkUntouched(d, job, 24);
                 return relay.matches() >= 2;
             });
@@ -407,7 +417,8 @@
         d.checkNoViolations();
     }
 
-    // Guards against a change that overwrites one its operator has not seen.
+    // Guards against a configuration change that overwrites a concurrent change that its operator has not
+    // seen.
     void testRacingOperatorsGetOneAcceptance()
     {
         Deployment d;
@@ -420,7 +431,8 @@
                 d.writeDeclaration(2'001 + 2 * round) });
             const int firstCode = d.waitForExit(*one);
             const int secondCode = d.waitForExit(*two);
-            // 7: accepted, and not yet seen everywhere by the tool; that is waited for below.
+            // Exit code 7: accepted, but the tool has not seen it in force everywhere; the loop below waits
+            // for that.
             const auto isAccepted = [](int code) { return code == 0 || code == 7; };
             CPPUNIT_ASSERT_EQUAL(1, int(isAccepted(firstCode)) + int(isAccepted(secondCode)));
             ChildProcess& refused = isAccepted(firstCode) ? *two : *one;
@@ -429,11 +441,12 @@
                 refused.text(), refused.text().find("accelerator_quota") != std::string::npos);
             for (const std::string& daemon : Deployment::daemons())
                 d.waitUntil(
-                    daemon + " has the new version", [&] { return versionAt(d, daemon) == version + 1; });
+                    daemon + " to have the new version", [&] { return versionAt(d, daemon) == version + 1; });
         }
     }
 
-    // Guards against requests that are cut off, lost or run twice when a daemon is stopped in a planned way.
+    // Guards against requests that are interrupted, lost or executed twice when daemons are restarted
+    // gracefully, one after the other, under load.
     void testDaemonsStoppedInTurnCutNoRequest()
     {
         Deployment d;
@@ -442,17 +455,17 @@
         Load load(d, 8, true);
         for (const std::string& daemon : Deployment::daemons()) {
             const std::size_t answered = load.answered();
-            d.waitUntil("the load goes on", [&] { return load.answered() >= answered + 30; });
+            d.waitUntil("the load to make progress", [&] { return load.answered() >= answered + 30; });
             ChildProcess& process = d.process(daemon);
             process.signal(SIGTERM);
             CPPUNIT_ASSERT_EQUAL(0, d.waitForExit(process));
             CPPUNIT_ASSERT_EQUAL(std::string("0"),
                 d.waitForEvent(daemon, "process.stopped").at("exchanges_cut").get<std::string>());
             d.startDaemon(daemon);
-            d.waitUntil(daemon + " is ready again", [&] { return d.isReady(daemon); });
+            d.waitUntil(daemon + " to be ready again", [&] { return d.isReady(daemon); });
         }
         const std::size_t answered = load.answered();
-        d.waitUntil("the load goes on", [&] { return load.answered() >= answered + 30; });
+        d.waitUntil("the load to make progress", [&] { return load.answered() >= answered + 30; });
         load.end();
         checkLoad(d, load);
         for (const std::string zone : { "north", "south" }) {
@@ -485,7 +498,8 @@
         CPPUNIT_ASSERT(done >= 150);
     }
 
-    // Guards against new calls to an endpoint 3 s after its leave was answered or listed.
+    // Guards against new calls to an endpoint more than 3 s after its drain was answered, or after the host
+    // list showed its host as leaving.
     void testLeavingEndpointsGetNoNewCalls()
     {
         Deployment d({ .workersPerRack = 2 });
@@ -503,7 +517,7 @@
         const std::string drained = "north-r1-w1";
         const std::string listed = "north-r1-w2";
         for (const std::string& worker : { drained, listed })
-            d.waitUntil(worker + " gets calls", [&] { return begunAt(worker) > 10; });
+            d.waitUntil(worker + " to get calls", [&] { return begunAt(worker) > 10; });
 
         net::HttpRequest drain;
         drain.method = "POST";
@@ -516,7 +530,7 @@
         const std::uint64_t drainedCalls = begunAt(drained);
         const std::uint64_t listedCalls = begunAt(listed);
         const std::size_t answered = load.answered();
-        d.waitUntil("the load goes on", [&] { return load.answered() >= answered + 200; });
+        d.waitUntil("the load to make progress", [&] { return load.answered() >= answered + 200; });
         load.end();
         CPPUNIT_ASSERT_EQUAL(drainedCalls, begunAt(drained));
         CPPUNIT_ASSERT_EQUAL(listedCalls, begunAt(listed));
@@ -524,8 +538,8 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(record.detail, std::string("done"), record.outcome);
     }
 
-    // Guards against a job that is lost, or a gang that is disturbed, when every entry host is replaced at
-    // once.
+    // Guards against losing a queued job, or disturbing a running gang, when all entry daemons are killed and
+    // restarted at once.
     void testJobsOutliveAllDaemons()
     {
         Deployment d({ .workersPerRack = 2 });
@@ -538,14 +552,14 @@
         for (const std::string& daemon : Deployment::daemons())
             d.startDaemon(daemon);
         for (const std::string& daemon : Deployment::daemons())
-            d.waitUntil(daemon + " is ready again", [&] { return d.isReady(daemon); });
+            d.waitUntil(daemon + " to be ready again", [&] { return d.isReady(daemon); });
         d.waitForJob("north-1", running, "finished");
         CPPUNIT_ASSERT_EQUAL(1, d.job("north-1", running).at("attempt").get<int>());
         d.waitForJob("north-1", queued, "finished");
         d.checkNoViolations();
     }
 
-    // Guards against a gang that goes on with a part of its members.
+    // Guards against a gang that continues with the remaining members after the worker of one member dies.
     void testDeadWorkerRequeuesItsGangWhole()
     {
         Deployment d;
@@ -554,7 +568,7 @@
         const std::string victim = d.membersOf("north-1", job).at(1).at("worker").get<std::string>();
         d.control("north", { { "workers", json::array({ { { "id", victim }, { "state", "dead" } } }) } });
         d.waitForEvent(d.holderOf("north", "north-1"), "job.requeued");
-        d.waitUntil("the second attempt runs whole", [&] {
+        d.waitUntil("all members of the second attempt to run", [&] {
             const auto attempts = d.jobOnWorkers(job);
             return attempts.size() == 1 && attempts[0].at("attempt") == 2
                 && attempts[0].at("running_accelerators") == 24;
@@ -565,11 +579,12 @@
         d.checkNoViolations();
     }
 
-    // Guards against a worker that fails everything at once and so attracts all work.
+    // Guards against a worker that fails all work immediately, is therefore always free and attracts all new
+    // work.
     void testFailingWorkerIsAvoided()
     {
         Deployment d;
-        // The next gang of this shape would be placed on this worker again.
+        // Finds the worker on which the next gang of this shape would be placed again.
         const std::string probe = d.submitted("north-1", "probe", 24, 2'000);
         d.waitForJob("north-1", probe, "running");
         const std::string failing = d.membersOf("north-1", probe).at(0).at("worker").get<std::string>();
@@ -590,7 +605,8 @@
                 std::string("done"), outcomeOf(d.call("north-1", serviceRequest("quote", key, deadline))));
             endpointsTried += d.executions(key) > 1 ? 1 : 0;
         }
-        CPPUNIT_ASSERT_MESSAGE("the failing endpoint is tried again and again", endpointsTried < 20);
+        CPPUNIT_ASSERT_MESSAGE(
+            "at least half of the requests were tried at the failing endpoint", endpointsTried < 20);
         d.checkNoViolations();
     }
 };
--- a/test/support/fault_relay.cpp
+++ b/test/support/fault_relay.cpp
@@ -40,7 +40,7 @@
     int to = -1;
     bool isSilent = false;
     bool hasEnded = false;
-    std::string tail; // of what has passed, so that a text in two chunks is found
+    std::string tail; // last bytes received, to find a text that spans two reads
     std::deque<Chunk> waiting;
 };
 
--- a/test/support/fault_relay.h
+++ b/test/support/fault_relay.h
@@ -6,8 +6,8 @@
 
 namespace anvilmoor::testing {
 
-// Passes TCP connections on to a port on loopback, and disturbs them on demand. Runs in a thread of its own,
-// so that it goes on while the test waits.
+// Forwards TCP connections to a port on loopback and injects faults on demand. Runs in its own thread, so
+// that it forwards while the test waits.
 class FaultRelay {
 public:
     explicit FaultRelay(std::uint16_t targetPort);
@@ -19,20 +19,21 @@
 
     enum class Fault {
         None,
-        DropToTarget, // bytes towards the target vanish
+        DropToTarget, // discards bytes sent towards the target
         DropFromTarget,
         DropBoth,
-        Cut, // connections are reset
+        Cut, // resets connections
     };
 
-    // Applies to open and new connections. A connection that ever dropped a direction stays silent for good,
-    // also after the relay has healed; only new ones work then.
+    // Applies to open and new connections. A connection that has discarded bytes in a direction forwards
+    // nothing in this direction any more, even after Fault::None; only new connections work then.
     void set(Fault);
-    // A connection goes silent towards the target from the bytes on that contain the text. Empty: none.
+    // Once bytes towards the target contain this text, the connection discards them and all later bytes in
+    // this direction. Empty: no such text.
     void silenceOn(std::string text);
-    // Passes bytes towards the target only after this time.
+    // Delays bytes towards the target by this time.
     void setDelay(int milliseconds);
-    // How often the text has passed towards the target since watch() was called.
+    // Starts counting how often the text is forwarded towards the target; matches() returns the count.
     void watch(std::string text);
     std::uint64_t matches() const;
 
--- a/test/support/loop_support.h
+++ b/test/support/loop_support.h
@@ -6,7 +6,7 @@
 
 namespace anvilmoor::testing {
 
-// Handles events until the condition holds. False if it does not within 10 s.
+// Runs the event loop until the condition holds. Returns false if it does not hold within 10 s.
 bool runUntil(net::EventLoop&, const std::function<bool()>& condition);
 
 } // namespace anvilmoor::testing
--- a/test/support/main.cpp
+++ b/test/support/main.cpp
@@ -6,7 +6,7 @@
 #include <cppunit/extensions/TestFactoryRegistry.h>
 #include <iostream>
 
-// Runs every registered fixture of a test program, or those whose path is given on the command line.
+// Runs all registered tests of a test program, or only the test or fixture named on the command line.
 int main(int argc, char** argv)
 {
     CppUnit::TestResult result;
--- a/test/support/process_driver.cpp
+++ b/test/support/process_driver.cpp
@@ -148,7 +148,7 @@
 
 Deployment::Deployment(Options options)
     : m_options(std::move(options))
-    // A connection for each call: one that is kept can be closed by a stopping server while a call begins.
+    // Every call opens a new connection: a stopping server can close an idle one just as a call starts on it.
     , m_client(net::makeHttpClient(m_loop, { .idlePerAddress = 0 }))
 {
     std::string pattern = std::filesystem::temp_directory_path() / "anvilmoor-process-XXXXXX";
@@ -164,16 +164,16 @@
         startDaemon(name);
     for (const std::string& name : daemons())
         waitForEvent(name, "process.started");
-    waitUntil("the first configuration is accepted", [this] {
+    waitUntil("the first configuration to be accepted", [this] {
         auto tool
             = startTool({ "--entry=" + loopback(portFor("north-1")), "config", "apply", m_declaration });
         const int code = waitForExit(*tool);
         return code == 0 || code == 7 || code == 4;
     });
     for (const std::string& name : daemons())
-        waitUntil(name + " is ready", [&] { return isReady(name); });
+        waitUntil(name + " to be ready", [&] { return isReady(name); });
     for (const std::string& name : daemons()) {
-        waitUntil(name + " knows both holders",
+        waitUntil(name + " to report the role holders of both zones",
             [&] { return !holderOf("north", name).empty() && !holderOf("south", name).empty(); });
     }
 }
@@ -183,7 +183,7 @@
     m_processes.clear();
     m_relays.clear();
     if (std::uncaught_exceptions() > 0)
-        std::cerr << "\nthe logs of the failed test are in " << m_directory << "\n";
+        std::cerr << "\nlogs of the failed test: " << m_directory << "\n";
     else
         std::filesystem::remove_all(m_directory);
 }
@@ -224,7 +224,7 @@
 std::uint16_t Deployment::waitForPort(const std::string& name)
 {
     std::uint16_t port = 0;
-    waitUntil(name + " listens", [&] {
+    waitUntil(name + " to listen", [&] {
         for (const json& event : process(name).events()) {
             if (event.value("event", "") == "listening")
                 port = event.at("port").get<std::uint16_t>();
@@ -274,7 +274,7 @@
     const TimePoint end = m_loop.now() + waitBound;
     while (!condition()) {
         if (m_loop.now() >= end)
-            CPPUNIT_FAIL("not within 60 s: " + what);
+            CPPUNIT_FAIL("timed out after 60 s waiting for " + what);
         runFor(pollInterval);
     }
 }
@@ -290,7 +290,7 @@
 
 int Deployment::waitForExit(ChildProcess& child)
 {
-    waitUntil("a process ends", [&] { return child.exitCode().has_value(); });
+    waitUntil("a process to exit", [&] { return child.exitCode().has_value(); });
     return *child.exitCode();
 }
 
@@ -308,7 +308,7 @@
 json Deployment::waitForEvent(const std::string& daemon, const std::string& event, std::size_t from)
 {
     std::vector<json> found;
-    waitUntil(daemon + " records " + event, [&] {
+    waitUntil(daemon + " to log " + event, [&] {
         found = eventsOf(daemon, event, from);
         return !found.empty();
     });
@@ -428,7 +428,7 @@
 
 void Deployment::waitForJob(const std::string& daemon, const std::string& id, const std::string& state)
 {
-    waitUntil("job is " + state, [&] {
+    waitUntil("a job to be " + state, [&] {
         const json status = job(daemon, id);
         return status.is_object() && status.at("state") == state;
     });
@@ -447,7 +447,7 @@
 int Deployment::waitUntilWhole(const std::string& id, int accelerators)
 {
     int attempt = 0;
-    waitUntil("the workers run the gang as a whole", [&] {
+    waitUntil("the workers to run all members of the gang in one attempt", [&] {
         const std::vector<json> attempts = jobOnWorkers(id);
         if (attempts.size() != 1 || attempts[0].at("running_accelerators") != accelerators)
             return false;
--- a/test/support/process_driver.h
+++ b/test/support/process_driver.h
@@ -18,20 +18,20 @@
 
 namespace anvilmoor::testing {
 
-// One program, started with its standard error in a file. Killed by its id in the destructor.
+// A child process whose standard error is written to a log file. The destructor kills it by its process id.
 class ChildProcess {
 public:
-    // The first argument is the program's path. Throws std::runtime_error if it cannot be started.
+    // arguments[0] is the path of the program. Throws std::runtime_error if it cannot be started.
     ChildProcess(const std::vector<std::string>& arguments, std::string logPath);
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
 
     void signal(int number) const;
-    void kill(); // SIGKILL, and waits for the end
-    // The exit code, or 128 + signal number; empty while it runs.
+    void kill(); // sends SIGKILL and waits until the process has exited
+    // The exit code, or 128 + signal number if a signal ended the process; empty while it runs.
     std::optional<int> exitCode();
-    // The whole JSON lines written so far, in order.
+    // The complete JSON lines in the log file so far, in order.
     std::vector<nlohmann::json> events() const;
     std::string text() const;
 
@@ -43,18 +43,19 @@
 
 using Condition = std::function<bool()>;
 
-// A platform, and two availability zones "north" and "south" with two daemons ("north-1", ...) and two racks
-// ("north-r1", ...) each, as real processes on loopback. All waits are for a condition, and fail the test
-// when it does not hold within 60 s.
+// Real processes on loopback: a platform stand-in, and the availability zones "north" and "south", each with
+// two daemons ("north-1", ...) and two racks ("north-r1", ...). Every wait polls a condition and fails the
+// test if the condition does not hold within 60 s.
 class Deployment {
 public:
     struct Options {
         int workersPerRack = 4;
-        // Connections with a relay: "DAEMON>platform", "DAEMON>ZONE" (its workers), "DAEMON>DAEMON".
+        // Connections that pass through a FaultRelay: "DAEMON>platform", "DAEMON>ZONE" (the workers of the
+        // zone), "DAEMON>DAEMON".
         std::set<std::string> relays {};
     };
 
-    // Returns when all daemons are ready and both zones have a holder.
+    // Returns when all daemons are ready and each of them reports a role holder for both zones.
     Deployment();
     explicit Deployment(Options);
     ~Deployment();
@@ -62,16 +63,16 @@
     static const std::vector<std::string>& daemons();
     ChildProcess& process(const std::string& name) { return *m_processes.at(name); }
     FaultRelay& relay(const std::string& name) { return *m_relays.at(name); }
-    void startDaemon(const std::string& name); // also again, after its end
+    void startDaemon(const std::string& name); // the first start, or a restart after it has ended
     std::unique_ptr<ChildProcess> startTool(const std::vector<std::string>& arguments);
-    // Writes the declaration with another quota, and returns the file's path.
+    // Writes a configuration declaration with this accelerator quota and returns the path of the file.
     std::string writeDeclaration(int quota);
 
     void waitUntil(const std::string& what, const Condition&);
-    // Goes on for this time, with calls and timers. Only for showing that nothing happens any more.
+    // Runs the event loop for this time. To be used only to show that something no longer happens.
     void runFor(Milliseconds);
     int waitForExit(ChildProcess&);
-    // Events of this name in the daemon's log, after the first `from` lines.
+    // Events of this name in the daemon's log, without the first `from` events.
     std::vector<nlohmann::json> eventsOf(
         const std::string& daemon, const std::string& event, std::size_t from = 0);
     nlohmann::json waitForEvent(const std::string& daemon, const std::string& event, std::size_t from = 0);
@@ -81,13 +82,13 @@
     Pending begin(const std::string& process, net::HttpRequest);
     net::HttpResult finish(const Pending&);
     net::HttpResult call(const std::string& process, net::HttpRequest);
-    // The body of an answer with a status below 300; null for any other.
+    // The JSON body of an answer with a status below 300; null otherwise.
     nlohmann::json get(const std::string& process, const std::string& path);
-    // Fails the test if the stand-in refuses it.
+    // Changes the behaviour of a stand-in. Fails the test if the stand-in refuses the change.
     void control(const std::string& standin, const nlohmann::json& change);
 
     std::uint16_t portFor(const std::string& process);
-    // A part of what the stand-in shows of itself.
+    // One field of the state that the stand-in reports at /control.
     nlohmann::json state(const std::string& standin, const std::string& part);
     nlohmann::json executionsIn(const std::string& zone);
 
@@ -101,12 +102,12 @@
     nlohmann::json job(const std::string& daemon, const std::string& id);
     nlohmann::json membersOf(const std::string& daemon, const std::string& id);
     void waitForJob(const std::string& daemon, const std::string& id, const std::string& state);
-    // What the workers of the job's zone have of it: one item for each attempt.
+    // The job as the workers of its zone report it: one item for each attempt.
     std::vector<nlohmann::json> jobOnWorkers(const std::string& id);
-    // Waits until the workers run exactly one attempt, as a whole; returns the attempt.
+    // Waits until the workers hold exactly one attempt and run it on all accelerators; returns the attempt.
     int waitUntilWhole(const std::string& id, int accelerators);
     int executions(const std::string& key); // at all endpoints
-    // No accelerator booked twice, no job in two attempts.
+    // Fails if the worker stand-ins report an accelerator booked twice or two attempts of a job at once.
     void checkNoViolations();
 
     net::EventLoop& loop() { return m_loop; }
@@ -130,7 +131,7 @@
     int m_started = 0;
 };
 
-// A caller that states that it sent no copy before may hear not_run without the record.
+// A request marked as the first copy may be answered not_run without a read of the record.
 enum class Copy { First, Later };
 net::HttpRequest serviceRequest(
     const std::string& operation, const std::string& key, int deadlineMs, Copy = Copy::Later);
--- a/test/support/raw_peer.cpp
+++ b/test/support/raw_peer.cpp
@@ -23,7 +23,7 @@
 
 void writeAll(uv_stream_t* stream, const std::string& bytes)
 {
-    // Small answers on loopback fit the socket buffer.
+    // The bytes are few enough to fit in the socket buffer, so that one attempt writes them all.
     const uv_buf_t buffer = uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned>(bytes.size()));
     uv_try_write(stream, &buffer, 1);
 }
--- a/test/support/raw_peer.h
+++ b/test/support/raw_peer.h
@@ -8,11 +8,11 @@
 
 namespace anvilmoor::testing {
 
-// A TCP server that answers the first bytes of each connection with fixed bytes, to play broken servers.
+// A TCP server that sends fixed bytes after every read, to imitate a faulty server.
 class RawServer {
 public:
     struct Behaviour {
-        std::string answer; // empty: silent
+        std::string answer; // empty: never answers
         bool closesAfterAnswer = false;
     };
 
@@ -31,7 +31,7 @@
     std::shared_ptr<State> m_state;
 };
 
-// A TCP client that sends fixed bytes and collects what comes back.
+// A TCP client that sends fixed bytes once connected and collects the bytes it receives.
 class RawClient {
 public:
     RawClient(net::EventLoop&, std::uint16_t port, std::string bytes, bool isReading = true);
@@ -39,7 +39,7 @@
     RawClient(const RawClient&) = delete;
     RawClient& operator=(const RawClient&) = delete;
 
-    // On a connection that is known to be established.
+    // The connection must be established.
     void send(const std::string& bytes);
     const std::string& received() const;
     bool isClosed() const; // by the server
--- a/test/support/reserved_port.h
+++ b/test/support/reserved_port.h
@@ -32,9 +32,9 @@
         throw std::runtime_error("cannot bind a port on loopback");
 }
 
-// A free port, kept free for a program that is started later: Linux lets another socket bind and listen
-// where a socket with SO_REUSEADDR is bound and does not listen, and gives the port to nobody who asks for
-// any. Connections to it are refused meanwhile.
+// Reserves a free port for a program that starts later. The port is bound with SO_REUSEADDR and does not
+// listen: Linux then allows another socket to bind to it explicitly and to listen, but never assigns it to a
+// socket that asks for any free port. Connections to the port are refused until the program listens.
 class ReservedPort {
 public:
     ReservedPort()
--- a/test/support/test_cluster.cpp
+++ b/test/support/test_cluster.cpp
@@ -178,7 +178,8 @@
     Host& host = *m_hosts.at(id);
     if (!host.reducer || host.settings.incarnation != incarnation)
         return;
-    // A paused process gets one tick when it wakes, not all that it missed.
+    // Ticks during a pause are dropped, not queued: a resumed process does not receive all missed ticks at
+    // once.
     if (!host.isPaused)
         deliver(id, incarnation, Tick {});
     schedule(tickInterval, [this, id, incarnation] { tick(id, incarnation); });
@@ -211,7 +212,7 @@
     checkConfiguration(host);
     const std::uint64_t incarnation = host.settings.incarnation;
     for (Effect& effect : effects) {
-        // A fault that is switched by an earlier effect may have ended the daemon.
+        // A fault injected at an earlier effect may have killed the daemon.
         if (!host.reducer || host.settings.incarnation != incarnation)
             return;
         execute(host, std::move(effect));
--- a/test/support/test_cluster.h
+++ b/test/support/test_cluster.h
@@ -18,20 +18,20 @@
 
 namespace anvilmoor::test {
 
-// Where a message of the cluster is on its way.
+// The direction of a message in a request-reply exchange.
 enum class Leg { Outgoing, Reply };
 
-// A message that passes the in-memory channel: what a daemon sends, or the reply to it.
+// A message in the in-memory channel: an effect that a daemon sends, or the reply to that effect.
 struct Passage {
     Leg leg = Leg::Outgoing;
     HostId host; // the daemon that sent the effect
     const Effect* effect = nullptr;
 };
 
-// What the channel does with a message.
+// The channel's action on a message.
 enum class Fate { Deliver, Drop, Repeat, Delay };
 
-// State of a stand-in that daemons reach over the channel.
+// State of the table or the object store.
 enum class ServiceMode { Up, Down, Slow, LosesReplies };
 
 struct TestClusterOptions {
@@ -42,18 +42,18 @@
     SecondOfWeek localTimeAtStart = 20 * 60 * 60; // Monday 20:00: no lessons
 };
 
-// Promised bounds, see the design page, sections 1.1 and 5.6.
+// Guaranteed upper bounds; see sections 1.1 and 5.6 of docs/design.md.
 constexpr Milliseconds claimBound { 1'600 };
-constexpr Milliseconds changeBound { 3'000 }; // for a configuration or a drain to be in force everywhere
+constexpr Milliseconds changeBound { 3'000 }; // until a configuration or a drain is in force at all daemons
 
-// What a caller heard.
+// A caller's request and the answers to it.
 struct CallerRecord {
     HostId host;
     RequestIdentity identity;
     std::string operation;
     std::string body;
-    std::vector<RequestAnswer> answers; // more than one is a fault
-    bool isLost = false; // its daemon died first
+    std::vector<RequestAnswer> answers; // more than one is a violation
+    bool isLost = false; // its daemon died before it answered
 };
 
 struct OperatorRecord {
@@ -62,8 +62,9 @@
     bool isLost = false;
 };
 
-// Several reducers, one table, and workers and endpoints of all zones, joined by an in-memory channel in
-// virtual time. Faults are switched on the members below or decided for each message by `onPassage`.
+// Several reducers, one table, and the workers and endpoints of all zones, connected by an in-memory channel
+// that runs in virtual time. Tests inject faults through the public members below, or for each message
+// through `onPassage`.
 class TestCluster {
 public:
     explicit TestCluster(TestClusterOptions);
@@ -73,7 +74,7 @@
     void runFor(Milliseconds);
     // Runs the action after the delay.
     void schedule(Milliseconds delay, std::function<void()>);
-    // Runs until the predicate holds or the time is over; returns whether it holds.
+    // Runs until the predicate holds or the time limit is reached; returns whether the predicate holds.
     bool runUntil(const std::function<bool()>&, Milliseconds limit);
 
     // --- daemons
@@ -81,7 +82,7 @@
     std::vector<HostId> hostsOf(const std::string& zone) const;
     bool isAlive(const HostId&) const;
     Reducer& reducer(const HostId&);
-    // The daemon of the zone that may act as holder of the role now; empty if none.
+    // The daemon that holds the zone's role at this time; empty if none does.
     std::optional<HostId> holderOf(const std::string& zone);
     void kill(const HostId&);
     void start(const HostId&);
@@ -91,8 +92,9 @@
     bool hasStopped(const HostId&) const;
 
     // --- callers
-    // `isAlone`: the caller sends no other copy until this one is answered. Only then may it call the copy
-    // its first one: a daemon that cannot read records knows nothing of copies under way elsewhere.
+    // `isAlone`: the caller sends no other copy until this one is answered. Only such a copy may be marked as
+    // the first copy, because a daemon that cannot read records cannot detect copies in flight at other
+    // daemons.
     CallerHandle request(const HostId&, const std::string& account, const std::string& key,
         const std::string& operation, const std::string& body = "input",
         Milliseconds deadline = Milliseconds(5'000), bool isAlone = true);
@@ -103,11 +105,11 @@
     CallerHandle submitConfiguration(const HostId&, std::string document, ConfigurationVersion expected);
     CallerHandle drain(const HostId&, const EndpointId&);
     const OperatorRecord& operatorCall(CallerHandle) const;
-    // Callers of any kind that neither heard an answer nor lost their daemon.
+    // Callers and operators without an answer whose daemon has not died since the call.
     std::vector<CallerHandle> unansweredCallers() const;
     // The job of an answered submission; empty if refused or unanswered.
     std::optional<JobStatus> jobOf(CallerHandle) const;
-    // State in the table; empty without a row.
+    // The job's row in the table; empty if there is none.
     std::optional<std::string> jobRow(const JobId&) const;
 
     // --- faults
@@ -115,18 +117,19 @@
     ServiceMode objectMode = ServiceMode::Up;
     bool isHostListFrozen = false;
     std::set<std::string> zonesCutFromPlatform;
-    std::set<std::string> zonesCutFromPeers; // a zone's daemons reach only daemons, workers, endpoints of it
-    std::set<std::pair<HostId, HostId>> silentPeers; // messages from first to second vanish
-    std::set<WorkerId> silentWorkers; // calls go out and nothing comes back
+    std::set<std::string> zonesCutFromPeers; // such a zone's daemons reach only daemons, workers
+                                             // and endpoints of their own zone
+    std::set<std::pair<HostId, HostId>> silentPeers; // messages from first to second are dropped
+    std::set<WorkerId> silentWorkers; // execute calls and commands but never reply
     std::function<Fate(const Passage&)> onPassage;
     Milliseconds delayOfDelayed { 3'000 };
     Milliseconds repeatAfter { 20 };
-    // Stand for naive variants of a daemon or a service: change what is sent or answered, or answer in
-    // place of the service.
+    // Simulate a naive daemon or service: they change an effect before it is executed, change a reply, or
+    // supply the reply in place of the service.
     std::function<void(Effect&)> rewriteEffect;
     std::function<void(const Effect&, EventPayload&)> rewriteReply;
     std::function<std::optional<EventPayload>(const Effect&)> substituteReply;
-    // A fault lasts until then: the bounds on claims and changes count from here.
+    // A fault may last until this time: the bounds on claims and changes count from it at the earliest.
     TimePoint claimsExcusedUntil {};
     TimePoint changesExcusedUntil {};
 
@@ -134,20 +137,20 @@
     void restartWorker(const WorkerId&);
     std::vector<WorkerId> workersOf(const std::string& zone) const;
     standin::EndpointModel& endpoint(const EndpointId&);
-    void setHostState(const WorkerId&, std::optional<HostState>); // empty: gone
+    void setHostState(const WorkerId&, std::optional<HostState>); // empty: not in the host list
     standin::TableStore& table() { return m_table; }
 
     Milliseconds serviceTime { 50 };
 
-    // --- checks. Each violation is a sentence; checked after every event.
+    // --- checks of the invariants, during the run. Each violation is a sentence.
     const std::vector<std::string>& violations() const { return m_violations; }
-    // How long each gang has run with members missing, worst case.
+    // The longest time that any gang has run with members missing.
     Milliseconds longestPartialRun() const { return m_longestPartialRun; }
-    // True if any attempt of the job was seen running.
+    // True if a worker has accepted a run command for any attempt of the job.
     bool hasRun(const JobId&) const;
-    // Tasks that workers hold.
+    // Tasks on all live workers.
     std::vector<std::pair<WorkerId, TaskReport>> heldTasks() const;
-    // Time of the last call that began at an endpoint.
+    // Time at which the last call reached the endpoint.
     TimePoint lastCallOf(const EndpointId&) const;
     std::vector<std::string> recentEvents(std::size_t count) const;
     std::size_t countEvents(const std::string& name) const;
@@ -162,7 +165,8 @@
     void execute(Host&, Effect);
     void passOut(Host&, const Effect&, std::function<void()> arrive);
     void reply(const HostId&, std::uint64_t incarnation, const Effect&, EventPayload);
-    // The adapter's own end of an effect whose message or reply never comes.
+    // Delivers the failure event that the adapter raises if no reply arrives within its time-out. Does
+    // nothing if the time-out is not below the limit.
     void timeOut(const HostId&, std::uint64_t incarnation, const Effect&, Milliseconds limit);
     bool announce(Host&, const Effect&);
 
@@ -223,22 +227,23 @@
     std::map<RequestIdentity, int> m_executions; // of non-idempotent requests
 
     std::map<RequestIdentity, std::string> m_doneAnswers;
-    std::map<RequestIdentity, std::string> m_reportedFailures; // what endpoints said of failed executions
+    std::map<RequestIdentity, std::string> m_reportedFailures; // error texts of endpoints
 
-    std::map<JobId, int> m_jobSizes; // accelerators, of accepted jobs
-    std::map<JobId, TimePoint> m_waitingClaims; // accepted and not yet seen running; when accepted
+    std::map<JobId, int> m_jobSizes; // accelerators of each accepted job
+    std::map<JobId, TimePoint> m_waitingClaims; // accepted but not yet running -> time of acceptance
     std::map<ConfigurationVersion, TimePoint> m_acceptedConfigurations;
     std::map<CallerHandle, EndpointId> m_drainCalls;
-    std::map<EndpointId, TimePoint> m_drained; // when the drain was answered
+    std::map<EndpointId, TimePoint> m_drained; // time of the answer to the drain
     std::map<std::pair<JobId, AttemptNumber>, TimePoint> m_partialSince;
     std::set<std::pair<JobId, AttemptNumber>> m_started;
-    // Members that workers have confirmed, with how often the worker had restarted by then.
+    // A member that a worker has confirmed, and the number of restarts of the worker by then.
     struct Confirmation {
         int accelerators = 0;
         int restarts = 0;
     };
     std::map<std::pair<JobId, AttemptNumber>, std::map<WorkerId, Confirmation>> m_confirmed;
-    std::map<std::pair<JobId, AttemptNumber>, std::map<WorkerId, TimePoint>> m_dropped; // by stop or release
+    std::map<std::pair<JobId, AttemptNumber>, std::map<WorkerId, TimePoint>>
+        m_dropped; // time of stop or release
     std::map<WorkerId, int> m_restarts;
     TimePoint m_nextCheck {};
     Milliseconds m_longestPartialRun { 0 };
--- a/test/support/test_cluster_channel.cpp
+++ b/test/support/test_cluster_channel.cpp
@@ -1,4 +1,4 @@
-// The in-memory channel: executes effects, with latency and faults.
+// The in-memory channel: executes effects with simulated latency and faults.
 
 #include "support/test_cluster_parts.h"
 
@@ -41,7 +41,7 @@
     const HostId id = host.settings.host;
     const std::uint64_t incarnation = host.settings.incarnation;
     const Fate fate = onPassage ? onPassage({ Leg::Outgoing, id, &effect }) : Fate::Deliver;
-    // The hook may kill the daemon at this step: the message then never left.
+    // The hook may kill the daemon at this step; the message is then not sent.
     if (!host.reducer || host.settings.incarnation != incarnation)
         return;
     if (substituteReply) {
@@ -106,7 +106,7 @@
         payload = ObjectReplied { removal->operation, false, {} };
     } else if (const auto* call = std::get_if<CallEndpoint>(&effect)) {
         timeout = call->timeout;
-        payload = EndpointFailed { call->call, EndpointFailure::Lost, "no answer in time" };
+        payload = EndpointFailed { call->call, EndpointFailure::Lost, "no answer within the time-out" };
     } else if (const auto* command = std::get_if<SendWorkerCommand>(&effect)) {
         timeout = commandTimeout;
         payload = WorkerReplied { command->operation, command->worker, WorkerCommandResult::Unreachable };
@@ -119,7 +119,7 @@
     schedule(timeout, [this, id, incarnation, event = *payload] { deliver(id, incarnation, event); });
 }
 
-// Lets the hook see an effect that is no message; false if the daemon ended at this step.
+// Passes an effect that is not a message to the hook; returns false if the hook killed the daemon.
 bool TestCluster::announce(Host& host, const Effect& effect)
 {
     const std::uint64_t incarnation = host.settings.incarnation;
@@ -164,7 +164,7 @@
     } else if (const auto* broadcast = std::get_if<SendToAllPeers>(&effect)) {
         const std::uint64_t incarnation = host.settings.incarnation;
         for (const PeerSetting& peer : host.settings.peers) {
-            // A fault at one of these messages may end the daemon.
+            // A fault injected at an earlier message may have killed the daemon.
             if (host.reducer && host.settings.incarnation == incarnation)
                 executePeer(host, peer.host, broadcast->message);
         }
@@ -196,7 +196,7 @@
     const ServiceMode mode = tableMode;
     passOut(host, effect, [=, this] {
         if (!isReachable) {
-            // Packets vanish: the daemon cannot tell whether the write arrived.
+            // Packets are lost, so the daemon cannot tell whether the write was executed.
             const TableStatus status = isWrite ? TableStatus::Unknown : TableStatus::Unavailable;
             schedule(tableTimeout, [=, this] {
                 reply(id, incarnation, effect, TableReplied { operation, { status, {} } });
--- a/test/support/test_cluster_checks.cpp
+++ b/test/support/test_cluster_checks.cpp
@@ -1,4 +1,4 @@
-// The invariants, checked after every event.
+// Checks of the invariants, on events and at intervals.
 
 #include "jobs/job_codec.h"
 #include "support/test_cluster_parts.h"
@@ -10,15 +10,15 @@
 
 namespace {
 
-// A member is renewed for 10 s after another was last seen, holds a lease of 30 s, and one sync of 1 s
-// may be under way.
+// The sum of: 10 s for which the leases of a gang are renewed after a member was last seen, the lease of 30
+// s, and a sync of 1 s that may be in flight.
 constexpr Milliseconds partialRunBound { 41'000 };
 
-// A stop of the whole gang may overtake a run command that is still on the way to another member; the stop
-// for that member follows within the spread of the latencies.
+// When a gang is stopped, the stop may reach one member before an earlier run command reaches another member;
+// the stop for that other member arrives within the spread of the latencies.
 constexpr Milliseconds commandSkew { 5 };
 
-// Gangs and noise are read from all workers, which is too much for every event.
+// The checks of gangs and noise read all workers, which is too expensive after every event.
 constexpr Milliseconds workerCheckInterval { 10 };
 
 constexpr std::size_t maxViolations = 20;
@@ -37,7 +37,7 @@
         return;
     m_nextCheck = m_now + workerCheckInterval;
     for (auto& [id, rack] : m_racks) {
-        // A sync that waits for changes must see those that this check brings about.
+        // advance() may change tasks; a new sequence number makes waiting syncs return these changes.
         for (const WorkerId& worker : rack->workers)
             rack->sequence += m_workers.at(worker)->advance(m_now) ? 1 : 0;
     }
@@ -51,7 +51,7 @@
 {
     struct Seen {
         int running = 0;
-        bool isEnding = false; // a member finished or is being checkpointed
+        bool isEnding = false; // a member has finished or is checkpointing
     };
     std::map<std::pair<JobId, AttemptNumber>, Seen> gangs;
     for (const auto& [id, worker] : m_workers) {
@@ -92,8 +92,8 @@
     });
 }
 
-// Accelerators of members that were confirmed and that the worker then lost by a fault of its own. No
-// order of messages can keep the others from starting then.
+// Accelerators of confirmed members that a worker has lost since then through a fault of its own. No order of
+// messages can prevent the other members from starting in this case.
 int TestCluster::lostByWorkers(const std::pair<JobId, AttemptNumber>& key) const
 {
     const auto confirmed = m_confirmed.find(key);
@@ -128,13 +128,13 @@
     }
 }
 
-// The first member of an attempt starts: all the others must be confirmed.
+// Called when the first member of an attempt starts: all other members must be confirmed by then.
 void TestCluster::checkStart(const std::pair<JobId, AttemptNumber>& key)
 {
     const std::optional<std::string> row = jobRow(key.first);
     const std::optional<JobRecord> record = row ? decodeJob(*row) : std::nullopt;
     if (!record) {
-        violation(fmt::format("job {} started without a row", key.first.value()));
+        violation(fmt::format("job {} started without a valid row in the table", key.first.value()));
         return;
     }
     int present = lostByWorkers(key);
@@ -229,12 +229,12 @@
         const auto& [job, acceptedAt] = item;
         if (m_now <= std::max(acceptedAt, claimsExcusedUntil) + claimBound)
             return false;
-        // A cancelled claim does not run; a short one may have run between two checks.
+        // A cancelled claim does not run; a short job may have started and finished between two checks.
         const std::optional<std::string> row = jobRow(job);
         const bool isOver = row && row->find("\"state\":\"queued\"") == std::string::npos
             && row->find("\"state\":\"placed\"") == std::string::npos;
         if (!isOver)
-            violation(fmt::format("job {} claims a guarantee and has not run {} ms after its acceptance",
+            violation(fmt::format("job {} claims a guarantee but has not run {} ms after its acceptance",
                 job.value(), (m_now - acceptedAt).count()));
         return true;
     });
@@ -249,7 +249,8 @@
         for (const auto& [id, host] : m_hosts) {
             const Configuration* configuration = host->reducer ? host->reducer->configuration() : nullptr;
             if (host->isReady && configuration && configuration->version < version)
-                violation(fmt::format("host {} is at configuration {} and {} was accepted {} ms ago",
+                violation(fmt::format(
+                    "host {} is still at configuration {}; configuration {} was accepted {} ms ago",
                     id.value(), configuration->version, version, (m_now - acceptedAt).count()));
         }
         return true;
@@ -268,7 +269,7 @@
 {
     if (++m_executions[identity] > 1)
         violation(fmt::format("request {} was executed {} times", identity.key, m_executions[identity]));
-    // An execution after the last copy heard "not run" would make that answer false.
+    // An execution after the last copy was answered "not run" would make that answer false.
     bool isAwaited = false;
     bool wasToldNotRun = false;
     for (const auto& [handle, record] : m_callers) {
@@ -279,7 +280,8 @@
             wasToldNotRun |= answer.outcome == RequestOutcome::NotRun;
     }
     if (!isAwaited && wasToldNotRun)
-        violation(fmt::format("request {} was executed after \"not run\" was told", identity.key));
+        violation(
+            fmt::format("request {} was executed after its caller was answered \"not run\"", identity.key));
 }
 
 void TestCluster::onAnswer(CallerHandle handle, const RequestAnswer& answer)
@@ -289,15 +291,17 @@
     if (record.answers.size() > 1)
         violation(fmt::format("caller {} was answered twice", handle));
     if (answer.outcome == RequestOutcome::NotRun && m_executions[record.identity] > 0)
-        violation(fmt::format("request {} was told \"not run\" after it was executed", record.identity.key));
-    // Only the copies of a request that may run once must agree on a failure.
+        violation(
+            fmt::format("request {} was answered \"not run\" after it was executed", record.identity.key));
+    // Each copy of an idempotent request may run and fail by itself, so only answers to copies of a
+    // non-idempotent request must be equal.
     const bool isOnce = !findOperation(m_configuration.services.front(), record.operation)->idempotent;
     if (answer.outcome == RequestOutcome::Done && isOnce
         && m_doneAnswers.emplace(record.identity, answer.body).first->second != answer.body)
         violation(fmt::format("copies of request {} got different answers", record.identity.key));
     const std::string expected
         = standin::EndpointModel::answerTo(record.identity, record.operation, record.body);
-    // An endpoint that executed a request and failed has answered it with its failure.
+    // If the execution failed, the error text of the endpoint is a correct answer.
     const auto failure = m_reportedFailures.find(record.identity);
     const bool isReportedFailure = failure != m_reportedFailures.end() && answer.body == failure->second;
     if (answer.outcome == RequestOutcome::Done && answer.body != expected && !isReportedFailure)
--- a/test/support/test_document.h
+++ b/test/support/test_document.h
@@ -4,9 +4,10 @@
 
 namespace anvilmoor::test {
 
-// Two zones, "north" and "south", of two racks with four workers of eight accelerators each; service
-// "plan" with operations "quote" (idempotent) and "book"; accounts "mill" (guarantees of 16 in each zone)
-// and "press" (8 in north).
+// A configuration document with the availability zones "north" and "south", each with two racks of four
+// workers with eight accelerators; the service "plan" with the operations "quote" (idempotent) and "book"
+// (not idempotent); and the client accounts "mill" (guarantees of 16 accelerators in each zone) and "press"
+// (8 in north).
 std::string testDocument();
 
 } // namespace anvilmoor::test
