Rename identifiers of the cluster and process test support to the usual terms

Names were figurative (silencer, watched, untouched, EndsWhole, CutNoRequest), vague (mark, prepare, inspect, submitted next to submit) or used another scheme than the rest (claimBound, waitBound).

process_driver, process_test: waitBound -> waitTimeout, submitted -> submitAccepted, mark -> eventCount (and the locals named after it), jobOnWorkers -> attemptsOnWorkers, waitUntilWhole -> waitUntilGangRuns, otherDaemon -> otherDaemonInZone, askedDaemon -> queriedDaemon, checkUntouched -> checkFirstAttemptRuns, endpointsTried -> retriedRequests; ten test names state condition and result. fault_relay: set -> setFault, silenceOn -> setDropTrigger, watch -> countMatches, inspect -> matchTexts, isSilent -> isDropping, tickMs -> pollTimeoutMs, prepare -> configureSocket, end -> closeSockets. test_cluster: claimBound -> maxClaimTime, changeBound -> maxChangeTime, partialRunBound -> maxPartialRunTime, commandSkew -> maxCommandSkew, delayOfDelayed -> messageDelay, passOut -> sendThroughChannel, announce -> notifyHook, m_lastOrder -> m_lastSequence, m_waitingClaims -> m_pendingClaims, m_dropped -> m_stoppedMembers, m_confirmed -> m_confirmedMembers, m_drained -> m_drainTimes, Seen -> GangState, isAwaited -> hasOpenCopy, wasToldNotRun -> wasAnsweredNotRun.

--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -92,9 +92,9 @@
 };
 
 // Fails unless the workers run the whole gang and it is still in its first attempt.
-void checkUntouched(Deployment& deployment, const std::string& job, int accelerators)
+void checkFirstAttemptRuns(Deployment& deployment, const std::string& job, int accelerators)
 {
-    const auto attempts = deployment.jobOnWorkers(job);
+    const auto attempts = deployment.attemptsOnWorkers(job);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), attempts.size());
     CPPUNIT_ASSERT_EQUAL(1, attempts[0].at("attempt").get<int>());
     CPPUNIT_ASSERT_EQUAL(accelerators, attempts[0].at("running_accelerators").get<int>());
@@ -116,21 +116,21 @@
 class ProcessTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ProcessTest);
     CPPUNIT_TEST(testBookingWhoseDaemonIsKilledIsUnknownAndRunsOnce);
-    CPPUNIT_TEST(testHolderStoppedPastItsLeaseStartsNothing);
-    CPPUNIT_TEST(testGangWhoseHolderIsKilledBeforeConfirmEndsWhole);
-    CPPUNIT_TEST(testGangWhoseHolderIsKilledBeforeRunEndsWhole);
+    CPPUNIT_TEST(testHolderPausedBeyondItsLeaseStartsNothing);
+    CPPUNIT_TEST(testGangRunsInFullAfterHolderDiesBeforeConfirm);
+    CPPUNIT_TEST(testGangRunsInFullAfterHolderDiesBeforeRun);
     CPPUNIT_TEST(testSilentPeersBecomeUnreachableAndReconnect);
     CPPUNIT_TEST(testSilentEndpointGivesUnknownOrAnotherEndpoint);
-    CPPUNIT_TEST(testTableDownStopsOnlyWhatNeedsIt);
-    CPPUNIT_TEST(testSlowTableDelaysButLosesNothing);
-    CPPUNIT_TEST(testLostTableAnswersRunNothingTwice);
+    CPPUNIT_TEST(testTableDownRejectsOnlyRequestsThatNeedIt);
+    CPPUNIT_TEST(testSlowTableDelaysRequestsWithoutFailures);
+    CPPUNIT_TEST(testLostTableAnswersCauseNoSecondExecution);
     CPPUNIT_TEST(testZoneCutFromPlatformKeepsItsGang);
-    CPPUNIT_TEST(testCaretakerKeepsGangStartedJustBeforeTheCut);
+    CPPUNIT_TEST(testCaretakerKeepsGangStartedJustBeforePartition);
     CPPUNIT_TEST(testRacingOperatorsGetOneAcceptance);
-    CPPUNIT_TEST(testDaemonsStoppedInTurnCutNoRequest);
+    CPPUNIT_TEST(testRollingRestartInterruptsNoRequest);
     CPPUNIT_TEST(testLeavingEndpointsGetNoNewCalls);
-    CPPUNIT_TEST(testJobsOutliveAllDaemons);
-    CPPUNIT_TEST(testDeadWorkerRequeuesItsGangWhole);
+    CPPUNIT_TEST(testJobsSurviveRestartOfAllDaemons);
+    CPPUNIT_TEST(testGangIsRequeuedInFullAfterWorkerDies);
     CPPUNIT_TEST(testFailingWorkerIsAvoided);
     CPPUNIT_TEST_SUITE_END();
 
@@ -163,43 +163,43 @@
 
     // Guards against a role holder that is paused (SIGSTOP) until its lease has expired, and acts as holder
     // when it resumes.
-    void testHolderStoppedPastItsLeaseStartsNothing()
+    void testHolderPausedBeyondItsLeaseStartsNothing()
     {
         Deployment d;
         const std::string holder = d.holderOf("north", "south-1");
-        const std::string other = Deployment::otherDaemon(holder);
-        const std::string before = d.submitted(other, "before", 16, longRun);
+        const std::string other = Deployment::otherDaemonInZone(holder);
+        const std::string before = d.submitAccepted(other, "before", 16, longRun);
         d.waitForJob(other, before, "running");
-        const std::size_t otherMark = d.mark(other);
+        const std::size_t otherEventCount = d.eventCount(other);
         d.process(holder).signal(SIGSTOP);
-        d.waitForEvent(other, "role.acquired", otherMark);
-        const std::string during = d.submitted(other, "during", 16, longRun);
+        d.waitForEvent(other, "role.acquired", otherEventCount);
+        const std::string during = d.submitAccepted(other, "during", 16, longRun);
         d.waitForJob(other, during, "running");
 
-        const std::size_t holderMark = d.mark(holder);
+        const std::size_t holderEventCount = d.eventCount(holder);
         d.process(holder).signal(SIGCONT);
-        d.waitForEvent(holder, "role.lost", holderMark);
-        const std::string after = d.submitted(holder, "after", 16, longRun);
+        d.waitForEvent(holder, "role.lost", holderEventCount);
+        const std::string after = d.submitAccepted(holder, "after", 16, longRun);
         d.waitForJob(other, after, "running");
         for (const char* event : { "job.reserved", "job.committed", "job.running", "role.acquired" })
-            CPPUNIT_ASSERT_EQUAL(std::size_t(0), d.eventsOf(holder, event, holderMark).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), d.eventsOf(holder, event, holderEventCount).size());
         for (const std::string& job : { before, during, after })
-            checkUntouched(d, job, 16);
+            checkFirstAttemptRuns(d, job, 16);
         d.checkNoViolations();
     }
 
     // Guards against a gang that starts only in part, or never, when the role holder dies after it has
     // committed the placement and before the workers receive the next command.
-    void testGangWhoseHolderIsKilledBeforeConfirmEndsWhole() { killHolderBefore("confirm"); }
-    void testGangWhoseHolderIsKilledBeforeRunEndsWhole() { killHolderBefore("run"); }
+    void testGangRunsInFullAfterHolderDiesBeforeConfirm() { killHolderBefore("confirm"); }
+    void testGangRunsInFullAfterHolderDiesBeforeRun() { killHolderBefore("run"); }
 
     void killHolderBefore(const std::string& command)
     {
         Deployment d({ .relays = { "north-1>north", "north-2>north" } });
         const std::string holder = d.holderOf("north", "south-1");
-        const std::string other = Deployment::otherDaemon(holder);
-        d.relay(holder + ">north").silenceOn("\"command\":\"" + command + "\"");
-        const std::string job = d.submitted(other, "gang", 24, longRun);
+        const std::string other = Deployment::otherDaemonInZone(holder);
+        d.relay(holder + ">north").setDropTrigger("\"command\":\"" + command + "\"");
+        const std::string job = d.submitAccepted(other, "gang", 24, longRun);
         d.waitForEvent(holder, "job.committed");
         const char* phase = command == "run" ? "confirmed" : "reserved";
         d.waitUntil("all members to be " + std::string(phase), [&] {
@@ -210,7 +210,7 @@
         });
         d.process(holder).kill();
         d.waitForJob(other, job, "running");
-        d.waitUntilWhole(job, 24);
+        d.waitUntilGangRuns(job, 24);
         d.checkNoViolations();
     }
 
@@ -219,20 +219,20 @@
     void testSilentPeersBecomeUnreachableAndReconnect()
     {
         Deployment d({ .relays = { "north-1>south-1", "south-1>north-1" } });
-        const std::size_t northMark = d.mark("north-1");
-        const std::size_t southMark = d.mark("south-1");
+        const std::size_t northEventCount = d.eventCount("north-1");
+        const std::size_t southEventCount = d.eventCount("south-1");
         const auto setBoth = [&](Fault fault) {
-            d.relay("north-1>south-1").set(fault);
-            d.relay("south-1>north-1").set(fault);
+            d.relay("north-1>south-1").setFault(fault);
+            d.relay("south-1>north-1").setFault(fault);
         };
         setBoth(Fault::DropBoth);
-        d.waitForEvent("north-1", "peer.unreachable", northMark);
-        d.waitForEvent("south-1", "peer.unreachable", southMark);
-        const std::size_t silentMark = d.mark("north-1");
+        d.waitForEvent("north-1", "peer.unreachable", northEventCount);
+        d.waitForEvent("south-1", "peer.unreachable", southEventCount);
+        const std::size_t silentEventCount = d.eventCount("north-1");
         setBoth(Fault::None);
         CPPUNIT_ASSERT_EQUAL(std::string("south-1"),
-            d.waitForEvent("north-1", "peer.reachable", silentMark).at("peer").get<std::string>());
-        d.waitForEvent("south-1", "peer.reachable", southMark);
+            d.waitForEvent("north-1", "peer.reachable", silentEventCount).at("peer").get<std::string>());
+        d.waitForEvent("south-1", "peer.reachable", southEventCount);
 
         const std::uint64_t version = versionAt(d, "north-1");
         auto tool = d.startTool(
@@ -253,17 +253,17 @@
         };
         CPPUNIT_ASSERT_EQUAL(std::string("done"), quote("open-connections"));
         // Discards the bytes of calls to the endpoints of one of the zone's two racks.
-        d.relay("north-1>north").silenceOn("/v1/endpoints/planning@north-r1");
+        d.relay("north-1>north").setDropTrigger("/v1/endpoints/planning@north-r1");
         for (int i = 0; i < 20; ++i)
             CPPUNIT_ASSERT_EQUAL(std::string("done"), quote(fmt::format("quote-{}", i)));
 
-        d.relay("north-1>north").silenceOn("");
-        d.relay("north-1>north").set(Fault::DropFromTarget);
-        d.relay("north-1>south").set(Fault::DropFromTarget);
+        d.relay("north-1>north").setDropTrigger("");
+        d.relay("north-1>north").setFault(Fault::DropFromTarget);
+        d.relay("north-1>south").setFault(Fault::DropFromTarget);
         CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
             outcomeOf(d.call("north-1", serviceRequest("booking", "furnace-2", 3'000))));
-        d.relay("north-1>north").set(Fault::None);
-        d.relay("north-1>south").set(Fault::None);
+        d.relay("north-1>north").setFault(Fault::None);
+        d.relay("north-1>south").setFault(Fault::None);
         CPPUNIT_ASSERT_EQUAL(std::string("done"),
             outcomeOf(d.call("north-1", serviceRequest("booking", "furnace-3", deadline))));
         // A copy gets the same answer as the first one and is not executed.
@@ -275,10 +275,10 @@
 
     // Guards against refusing work that does not need the table while the table is down, and against
     // accepting work that does.
-    void testTableDownStopsOnlyWhatNeedsIt()
+    void testTableDownRejectsOnlyRequestsThatNeedIt()
     {
         Deployment d;
-        const std::string running = d.submitted("north-1", "running", 16, longRun);
+        const std::string running = d.submitAccepted("north-1", "running", 16, longRun);
         d.waitForJob("north-1", running, "running");
         d.control("platform", { { "table", "down" } });
         CPPUNIT_ASSERT_EQUAL(
@@ -291,16 +291,16 @@
         CPPUNIT_ASSERT_EQUAL(0, d.executions("furnace-4"));
 
         d.control("platform", { { "table", "up" } });
-        const std::string job = d.submitted("north-2", "job-1", 8, longRun);
+        const std::string job = d.submitAccepted("north-2", "job-1", 8, longRun);
         d.waitForJob("north-1", job, "running");
         CPPUNIT_ASSERT_EQUAL(std::string("done"),
             outcomeOf(d.call("north-2", serviceRequest("booking", "furnace-5", deadline))));
-        checkUntouched(d, running, 16);
+        checkFirstAttemptRuns(d, running, 16);
         d.checkNoViolations();
     }
 
     // Guards against requests that fail or run twice because the table answers slowly.
-    void testSlowTableDelaysButLosesNothing()
+    void testSlowTableDelaysRequestsWithoutFailures()
     {
         Deployment d;
         d.control("platform", { { "table", { { "mode", "slow" }, { "delay_ms", 700 } } } });
@@ -313,15 +313,15 @@
             outcomeOf(d.call("south-2", serviceRequest("booking", "furnace-6", deadline))));
         for (const auto& quote : quotes)
             CPPUNIT_ASSERT_EQUAL(std::string("done"), outcomeOf(d.finish(quote)));
-        const std::string job = d.submitted("south-1", "job-2", 16, longRun);
+        const std::string job = d.submitAccepted("south-1", "job-2", 16, longRun);
         d.waitForJob("south-1", job, "running");
         CPPUNIT_ASSERT_EQUAL(1, d.executions("furnace-6"));
-        checkUntouched(d, job, 16);
+        checkFirstAttemptRuns(d, job, 16);
     }
 
     // The table executes a write but its answer is lost. Guards against a daemon that takes the row for
     // another daemon's, and against repeating a write that was executed.
-    void testLostTableAnswersRunNothingTwice()
+    void testLostTableAnswersCauseNoSecondExecution()
     {
         Deployment d;
         const auto loseNext = [&](const char* prefix) {
@@ -346,12 +346,12 @@
         loseNext("job/");
         const net::HttpResult first = d.submit("north-1", "job-3", 16, longRun);
         CPPUNIT_ASSERT(first);
-        const std::string job = d.submitted("north-2", "job-3", 16, longRun);
+        const std::string job = d.submitAccepted("north-2", "job-3", 16, longRun);
         if (first->status < 300)
             CPPUNIT_ASSERT_EQUAL(job, json::parse(first->body).at("id").get<std::string>());
         // The next write to a row of a job is the commit of the placement of a gang.
         loseNext("job/");
-        d.submitted("south-1", "job-4", 16, longRun);
+        d.submitAccepted("south-1", "job-4", 16, longRun);
         d.waitForJob("south-2", job, "running");
         d.waitUntil("all jobs to run", [&] {
             const json jobs = d.get("south-1", "/v1/jobs?account=mill").at("jobs");
@@ -365,35 +365,35 @@
     void testZoneCutFromPlatformKeepsItsGang() { cutZone(true); }
 
     // Guards against a caretaker that has no record of the newest gangs and lets their leases expire.
-    void testCaretakerKeepsGangStartedJustBeforeTheCut() { cutZone(false); }
+    void testCaretakerKeepsGangStartedJustBeforePartition() { cutZone(false); }
 
     void cutZone(bool isStandbyStartedAfterGang)
     {
         Deployment d(
             { .relays = { "north-1>platform", "north-2>platform", "north-1>north", "north-2>north" } });
         const std::string holder = d.holderOf("north", "south-1");
-        const std::string other = Deployment::otherDaemon(holder);
-        const std::string job = d.submitted(holder, "gang", 24, longRun);
+        const std::string other = Deployment::otherDaemonInZone(holder);
+        const std::string job = d.submitAccepted(holder, "gang", 24, longRun);
         d.waitForJob(holder, job, "running");
         if (isStandbyStartedAfterGang) {
             d.process(other).signal(SIGTERM);
             CPPUNIT_ASSERT_EQUAL(0, d.waitForExit(d.process(other)));
             FaultRelay& relay = d.relay(other + ">platform");
-            relay.watch("\"job/north/\"");
+            relay.countMatches("\"job/north/\"");
             d.startDaemon(other);
             d.waitUntil("the standby to read the rows of its zone", [&] { return relay.matches() > 0; });
             d.waitUntil("the standby to be ready", [&] { return d.isReady(other); });
             d.waitForJob(other, job, "running");
         }
         const auto setPlatform = [&](Fault fault) {
-            d.relay("north-1>platform").set(fault);
-            d.relay("north-2>platform").set(fault);
+            d.relay("north-1>platform").setFault(fault);
+            d.relay("north-2>platform").setFault(fault);
         };
         const auto waitForRenewals = [&](const std::string& daemon) {
             FaultRelay& relay = d.relay(daemon + ">north");
-            relay.watch("\"renew\":[{");
+            relay.countMatches("\"renew\":[{");
             d.waitUntil(daemon + " to renew the leases", [&] {
-                checkUntouched(d, job, 24);
+                checkFirstAttemptRuns(d, job, 24);
                 return relay.matches() >= 2;
             });
         };
@@ -407,12 +407,12 @@
         d.waitForEvent(other, "lease.caretaker");
         waitForRenewals(other);
 
-        const std::size_t mark = d.mark(other);
+        const std::size_t eventCount = d.eventCount(other);
         setPlatform(Fault::None);
-        d.waitForEvent(other, "role.acquired", mark);
-        const std::string next = d.submitted(other, "next", 8, longRun);
+        d.waitForEvent(other, "role.acquired", eventCount);
+        const std::string next = d.submitAccepted(other, "next", 8, longRun);
         d.waitForJob(other, next, "running");
-        checkUntouched(d, job, 24);
+        checkFirstAttemptRuns(d, job, 24);
         CPPUNIT_ASSERT_EQUAL(0, d.executions("furnace-8"));
         d.checkNoViolations();
     }
@@ -447,7 +447,7 @@
 
     // Guards against requests that are interrupted, lost or executed twice when daemons are restarted
     // gracefully, one after the other, under load.
-    void testDaemonsStoppedInTurnCutNoRequest()
+    void testRollingRestartInterruptsNoRequest()
     {
         Deployment d;
         for (const std::string zone : { "north", "south" })
@@ -540,12 +540,12 @@
 
     // Guards against losing a queued job, or disturbing a running gang, when all entry daemons are killed and
     // restarted at once.
-    void testJobsOutliveAllDaemons()
+    void testJobsSurviveRestartOfAllDaemons()
     {
         Deployment d({ .workersPerRack = 2 });
-        const std::string running = d.submitted("north-1", "running", 32, 14'000);
+        const std::string running = d.submitAccepted("north-1", "running", 32, 14'000);
         d.waitForJob("north-2", running, "running");
-        const std::string queued = d.submitted("north-2", "queued", 16, 1'000);
+        const std::string queued = d.submitAccepted("north-2", "queued", 16, 1'000);
         CPPUNIT_ASSERT_EQUAL(std::string("queued"), d.job("south-1", queued).at("state").get<std::string>());
         for (const std::string& daemon : Deployment::daemons())
             d.process(daemon).kill();
@@ -560,16 +560,16 @@
     }
 
     // Guards against a gang that continues with the remaining members after the worker of one member dies.
-    void testDeadWorkerRequeuesItsGangWhole()
+    void testGangIsRequeuedInFullAfterWorkerDies()
     {
         Deployment d;
-        const std::string job = d.submitted("north-1", "gang", 24, longRun);
+        const std::string job = d.submitAccepted("north-1", "gang", 24, longRun);
         d.waitForJob("north-1", job, "running");
         const std::string victim = d.membersOf("north-1", job).at(1).at("worker").get<std::string>();
         d.control("north", { { "workers", json::array({ { { "id", victim }, { "state", "dead" } } }) } });
         d.waitForEvent(d.holderOf("north", "north-1"), "job.requeued");
         d.waitUntil("all members of the second attempt to run", [&] {
-            const auto attempts = d.jobOnWorkers(job);
+            const auto attempts = d.attemptsOnWorkers(job);
             return attempts.size() == 1 && attempts[0].at("attempt") == 2
                 && attempts[0].at("running_accelerators") == 24;
         });
@@ -585,28 +585,28 @@
     {
         Deployment d;
         // Finds the worker on which the next gang of this shape would be placed again.
-        const std::string probe = d.submitted("north-1", "probe", 24, 2'000);
+        const std::string probe = d.submitAccepted("north-1", "probe", 24, 2'000);
         d.waitForJob("north-1", probe, "running");
         const std::string failing = d.membersOf("north-1", probe).at(0).at("worker").get<std::string>();
         d.waitForJob("north-1", probe, "finished");
         d.control("north",
             { { "workers", json::array({ { { "id", failing }, { "fails_everything", true } } }) },
                 { "endpoints", json::array({ { { "worker", failing }, { "fails_everything", true } } }) } });
-        const std::string job = d.submitted("north-1", "gang", 24, longRun);
+        const std::string job = d.submitAccepted("north-1", "gang", 24, longRun);
         d.waitForJob("north-1", job, "running");
-        d.waitUntilWhole(job, 24);
+        d.waitUntilGangRuns(job, 24);
         for (const json& member : d.membersOf("north-1", job))
             CPPUNIT_ASSERT(member.at("worker") != failing);
 
-        int endpointsTried = 0;
+        int retriedRequests = 0;
         for (int i = 0; i < 40; ++i) {
             const std::string key = fmt::format("quote-{}", i);
             CPPUNIT_ASSERT_EQUAL(
                 std::string("done"), outcomeOf(d.call("north-1", serviceRequest("quote", key, deadline))));
-            endpointsTried += d.executions(key) > 1 ? 1 : 0;
+            retriedRequests += d.executions(key) > 1 ? 1 : 0;
         }
         CPPUNIT_ASSERT_MESSAGE(
-            "at least half of the requests were tried at the failing endpoint", endpointsTried < 20);
+            "at least half of the requests were tried at the failing endpoint", retriedRequests < 20);
         d.checkNoViolations();
     }
 };
--- a/test/support/fault_relay.cpp
+++ b/test/support/fault_relay.cpp
@@ -27,7 +27,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t readBytes = 65'536;
-constexpr int tickMs = 5;
+constexpr int pollTimeoutMs = 5;
 
 struct Chunk {
     Clock::time_point due;
@@ -38,7 +38,7 @@
 struct Flow {
     int from = -1;
     int to = -1;
-    bool isSilent = false;
+    bool isDropping = false;
     bool hasEnded = false;
     std::string tail; // last bytes received, to find a text that spans two reads
     std::deque<Chunk> waiting;
@@ -68,7 +68,7 @@
     return descriptor;
 }
 
-void prepare(int descriptor)
+void configureSocket(int descriptor)
 {
     const int yes = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
@@ -95,7 +95,7 @@
         m_thread.join();
         close(m_listener);
         for (Connection& connection : m_connections)
-            end(connection);
+            closeSockets(connection);
     }
 
     std::uint16_t port = 0;
@@ -103,8 +103,8 @@
     std::atomic<int> delayMs = 0;
     std::atomic<std::uint64_t> matches = 0;
     std::mutex textMutex;
-    std::string silencer;
-    std::string watched;
+    std::string dropTrigger;
+    std::string countedText;
 
 private:
     void run()
@@ -117,12 +117,13 @@
                 descriptors.push_back(
                     { connection.fromTarget.hasEnded ? -1 : connection.fromTarget.from, POLLIN, 0 });
             }
-            poll(descriptors.data(), descriptors.size(), tickMs);
+            poll(descriptors.data(), descriptors.size(), pollTimeoutMs);
             std::size_t index = 1;
             const Fault current = fault;
             for (Connection& connection : m_connections) {
-                connection.toTarget.isSilent |= current == Fault::DropToTarget || current == Fault::DropBoth;
-                connection.fromTarget.isSilent
+                connection.toTarget.isDropping
+                    |= current == Fault::DropToTarget || current == Fault::DropBoth;
+                connection.fromTarget.isDropping
                     |= current == Fault::DropFromTarget || current == Fault::DropBoth;
                 for (Flow* flow : { &connection.toTarget, &connection.fromTarget }) {
                     if (descriptors[index++].revents != 0)
@@ -135,7 +136,7 @@
             for (auto item = m_connections.begin(); item != m_connections.end();) {
                 const bool isOver = item->isBroken || (item->toTarget.hasEnded && item->fromTarget.hasEnded);
                 if (isOver)
-                    end(*item);
+                    closeSockets(*item);
                 item = isOver ? m_connections.erase(item) : std::next(item);
             }
             if (descriptors[0].revents != 0)
@@ -153,8 +154,8 @@
             reset(client);
             return;
         }
-        prepare(client);
-        prepare(target);
+        configureSocket(client);
+        configureSocket(target);
         Connection connection;
         connection.toTarget.from = connection.fromTarget.to = client;
         connection.toTarget.to = connection.fromTarget.from = target;
@@ -171,32 +172,32 @@
         }
         if (count == 0) {
             flow.hasEnded = true;
-            if (flow.waiting.empty() && !flow.isSilent)
+            if (flow.waiting.empty() && !flow.isDropping)
                 shutdown(flow.to, SHUT_WR);
             return;
         }
         bytes.resize(static_cast<std::size_t>(count));
         if (&flow == &connection.toTarget)
-            inspect(flow, bytes);
-        if (flow.isSilent)
+            matchTexts(flow, bytes);
+        if (flow.isDropping)
             return;
         const auto delay = std::chrono::milliseconds(&flow == &connection.toTarget ? delayMs.load() : 0);
         flow.waiting.push_back({ Clock::now() + delay, std::move(bytes) });
     }
 
-    void inspect(Flow& flow, const std::string& bytes)
+    void matchTexts(Flow& flow, const std::string& bytes)
     {
         const std::lock_guard lock(textMutex);
         const std::string text = flow.tail + bytes;
-        flow.isSilent |= !silencer.empty() && text.find(silencer) != std::string::npos;
+        flow.isDropping |= !dropTrigger.empty() && text.find(dropTrigger) != std::string::npos;
         const std::size_t begin
-            = flow.tail.size() >= watched.size() ? flow.tail.size() - watched.size() + 1 : 0;
-        for (std::size_t at = begin; !watched.empty() && !flow.isSilent;) {
-            at = text.find(watched, at);
+            = flow.tail.size() >= countedText.size() ? flow.tail.size() - countedText.size() + 1 : 0;
+        for (std::size_t at = begin; !countedText.empty() && !flow.isDropping;) {
+            at = text.find(countedText, at);
             if (at == std::string::npos)
                 break;
             ++matches;
-            at += watched.size();
+            at += countedText.size();
         }
         constexpr std::size_t tailBytes = 64;
         flow.tail = text.size() > tailBytes ? text.substr(text.size() - tailBytes) : text;
@@ -204,7 +205,7 @@
 
     static void forward(Connection& connection, Flow& flow)
     {
-        while (!flow.waiting.empty() && flow.waiting.front().due <= Clock::now() && !flow.isSilent) {
+        while (!flow.waiting.empty() && flow.waiting.front().due <= Clock::now() && !flow.isDropping) {
             std::string& bytes = flow.waiting.front().bytes;
             const ssize_t count = send(flow.to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (count < 0) {
@@ -220,7 +221,7 @@
         }
     }
 
-    static void end(Connection& connection)
+    static void closeSockets(Connection& connection)
     {
         for (const int descriptor : { connection.toTarget.from, connection.toTarget.to }) {
             if (connection.isBroken)
@@ -246,20 +247,20 @@
 
 std::uint16_t FaultRelay::port() const { return m_worker->port; }
 
-void FaultRelay::set(Fault fault) { m_worker->fault = fault; }
+void FaultRelay::setFault(Fault fault) { m_worker->fault = fault; }
 
-void FaultRelay::silenceOn(std::string text)
+void FaultRelay::setDropTrigger(std::string text)
 {
     const std::lock_guard lock(m_worker->textMutex);
-    m_worker->silencer = std::move(text);
+    m_worker->dropTrigger = std::move(text);
 }
 
 void FaultRelay::setDelay(int milliseconds) { m_worker->delayMs = milliseconds; }
 
-void FaultRelay::watch(std::string text)
+void FaultRelay::countMatches(std::string text)
 {
     const std::lock_guard lock(m_worker->textMutex);
-    m_worker->watched = std::move(text);
+    m_worker->countedText = std::move(text);
     m_worker->matches = 0;
 }
 
--- a/test/support/fault_relay.h
+++ b/test/support/fault_relay.h
@@ -27,14 +27,14 @@
 
     // Applies to open and new connections. A connection that has discarded bytes in a direction forwards
     // nothing in this direction any more, even after Fault::None; only new connections work then.
-    void set(Fault);
+    void setFault(Fault);
     // Once bytes towards the target contain this text, the connection discards them and all later bytes in
     // this direction. Empty: no such text.
-    void silenceOn(std::string text);
+    void setDropTrigger(std::string text);
     // Delays bytes towards the target by this time.
     void setDelay(int milliseconds);
     // Starts counting how often the text is forwarded towards the target; matches() returns the count.
-    void watch(std::string text);
+    void countMatches(std::string text);
     std::uint64_t matches() const;
 
 private:
--- a/test/support/process_driver.cpp
+++ b/test/support/process_driver.cpp
@@ -26,7 +26,7 @@
 
 using nlohmann::json;
 
-constexpr Milliseconds waitBound { 60'000 };
+constexpr Milliseconds waitTimeout { 60'000 };
 constexpr Milliseconds pollInterval { 20 };
 constexpr Milliseconds callTimeout { 30'000 };
 
@@ -271,7 +271,7 @@
 
 void Deployment::waitUntil(const std::string& what, const Condition& condition)
 {
-    const TimePoint end = m_loop.now() + waitBound;
+    const TimePoint end = m_loop.now() + waitTimeout;
     while (!condition()) {
         if (m_loop.now() >= end)
             CPPUNIT_FAIL("timed out after 60 s waiting for " + what);
@@ -375,9 +375,9 @@
     return result && result->status == 200;
 }
 
-std::string Deployment::holderOf(const std::string& zone, const std::string& askedDaemon)
+std::string Deployment::holderOf(const std::string& zone, const std::string& queriedDaemon)
 {
-    const json site = get(askedDaemon, "/v1/site");
+    const json site = get(queriedDaemon, "/v1/site");
     std::string holder;
     std::uint64_t token = 0;
     for (const json& host : site.is_object() ? site.at("hosts") : json::array()) {
@@ -389,7 +389,7 @@
     return holder;
 }
 
-std::string Deployment::otherDaemon(const std::string& daemon)
+std::string Deployment::otherDaemonInZone(const std::string& daemon)
 {
     return zoneOf(daemon) + (daemon.ends_with("1") ? "-2" : "-1");
 }
@@ -407,7 +407,7 @@
     return call(daemon, std::move(request));
 }
 
-std::string Deployment::submitted(
+std::string Deployment::submitAccepted(
     const std::string& daemon, const std::string& key, int accelerators, int runMs)
 {
     const net::HttpResult result = submit(daemon, key, accelerators, runMs);
@@ -434,7 +434,7 @@
     });
 }
 
-std::vector<json> Deployment::jobOnWorkers(const std::string& id)
+std::vector<json> Deployment::attemptsOnWorkers(const std::string& id)
 {
     std::vector<json> attempts;
     for (const json& item : state(id.substr(0, id.find('.')), "jobs")) {
@@ -444,11 +444,11 @@
     return attempts;
 }
 
-int Deployment::waitUntilWhole(const std::string& id, int accelerators)
+int Deployment::waitUntilGangRuns(const std::string& id, int accelerators)
 {
     int attempt = 0;
     waitUntil("the workers to run all members of the gang in one attempt", [&] {
-        const std::vector<json> attempts = jobOnWorkers(id);
+        const std::vector<json> attempts = attemptsOnWorkers(id);
         if (attempts.size() != 1 || attempts[0].at("running_accelerators") != accelerators)
             return false;
         attempt = attempts[0].at("attempt").get<int>();
--- a/test/support/process_driver.h
+++ b/test/support/process_driver.h
@@ -76,7 +76,7 @@
     std::vector<nlohmann::json> eventsOf(
         const std::string& daemon, const std::string& event, std::size_t from = 0);
     nlohmann::json waitForEvent(const std::string& daemon, const std::string& event, std::size_t from = 0);
-    std::size_t mark(const std::string& daemon) { return process(daemon).events().size(); }
+    std::size_t eventCount(const std::string& daemon) { return process(daemon).events().size(); }
 
     using Pending = std::shared_ptr<std::optional<net::HttpResult>>;
     Pending begin(const std::string& process, net::HttpRequest);
@@ -93,19 +93,20 @@
     nlohmann::json executionsIn(const std::string& zone);
 
     bool isReady(const std::string& daemon);
-    std::string holderOf(const std::string& zone, const std::string& askedDaemon);
-    static std::string otherDaemon(const std::string& daemon);
+    std::string holderOf(const std::string& zone, const std::string& queriedDaemon);
+    static std::string otherDaemonInZone(const std::string& daemon);
 
     net::HttpResult submit(const std::string& daemon, const std::string& key, int accelerators, int runMs,
         const std::string& zone = "north");
-    std::string submitted(const std::string& daemon, const std::string& key, int accelerators, int runMs);
+    std::string submitAccepted(
+        const std::string& daemon, const std::string& key, int accelerators, int runMs);
     nlohmann::json job(const std::string& daemon, const std::string& id);
     nlohmann::json membersOf(const std::string& daemon, const std::string& id);
     void waitForJob(const std::string& daemon, const std::string& id, const std::string& state);
     // The job as the workers of its zone report it: one item for each attempt.
-    std::vector<nlohmann::json> jobOnWorkers(const std::string& id);
+    std::vector<nlohmann::json> attemptsOnWorkers(const std::string& id);
     // Waits until the workers hold exactly one attempt and run it on all accelerators; returns the attempt.
-    int waitUntilWhole(const std::string& id, int accelerators);
+    int waitUntilGangRuns(const std::string& id, int accelerators);
     int executions(const std::string& key); // at all endpoints
     // Fails if the worker stand-ins report an accelerator booked twice or two attempts of a job at once.
     void checkNoViolations();
--- a/test/support/test_cluster.cpp
+++ b/test/support/test_cluster.cpp
@@ -73,7 +73,7 @@
 
 void TestCluster::schedule(Milliseconds delay, std::function<void()> action)
 {
-    m_queue.emplace(std::pair { m_now + delay, ++m_lastOrder }, std::move(action));
+    m_queue.emplace(std::pair { m_now + delay, ++m_lastSequence }, std::move(action));
 }
 
 void TestCluster::runFor(Milliseconds duration)
--- a/test/support/test_cluster.h
+++ b/test/support/test_cluster.h
@@ -43,8 +43,8 @@
 };
 
 // Guaranteed upper bounds; see sections 1.1 and 5.6 of docs/design.md.
-constexpr Milliseconds claimBound { 1'600 };
-constexpr Milliseconds changeBound { 3'000 }; // until a configuration or a drain is in force at all daemons
+constexpr Milliseconds maxClaimTime { 1'600 };
+constexpr Milliseconds maxChangeTime { 3'000 }; // until a configuration or a drain is in force at all daemons
 
 // A caller's request and the answers to it.
 struct CallerRecord {
@@ -122,7 +122,7 @@
     std::set<std::pair<HostId, HostId>> silentPeers; // messages from first to second are dropped
     std::set<WorkerId> silentWorkers; // execute calls and commands but never reply
     std::function<Fate(const Passage&)> onPassage;
-    Milliseconds delayOfDelayed { 3'000 };
+    Milliseconds messageDelay { 3'000 };
     Milliseconds repeatAfter { 20 };
     // Simulate a naive daemon or service: they change an effect before it is executed, change a reply, or
     // supply the reply in place of the service.
@@ -163,12 +163,12 @@
     void deliver(const HostId&, std::uint64_t incarnation, EventPayload);
     void apply(Host&, EventPayload);
     void execute(Host&, Effect);
-    void passOut(Host&, const Effect&, std::function<void()> arrive);
+    void sendThroughChannel(Host&, const Effect&, std::function<void()> arrive);
     void reply(const HostId&, std::uint64_t incarnation, const Effect&, EventPayload);
     // Delivers the failure event that the adapter raises if no reply arrives within its time-out. Does
     // nothing if the time-out is not below the limit.
     void timeOut(const HostId&, std::uint64_t incarnation, const Effect&, Milliseconds limit);
-    bool announce(Host&, const Effect&);
+    bool notifyHook(Host&, const Effect&);
 
     void executeTable(Host&, const Effect&, const OperationId&, std::function<TableReply()>, bool isWrite);
     void executeObject(Host&, const Effect&, const OperationId&);
@@ -203,7 +203,7 @@
     TestClusterOptions m_options;
     std::mt19937_64 m_random;
     TimePoint m_now {};
-    std::uint64_t m_lastOrder = 0;
+    std::uint64_t m_lastSequence = 0;
     std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> m_queue;
 
     Configuration m_configuration;
@@ -230,10 +230,10 @@
     std::map<RequestIdentity, std::string> m_reportedFailures; // error texts of endpoints
 
     std::map<JobId, int> m_jobSizes; // accelerators of each accepted job
-    std::map<JobId, TimePoint> m_waitingClaims; // accepted but not yet running -> time of acceptance
+    std::map<JobId, TimePoint> m_pendingClaims; // accepted but not yet running -> time of acceptance
     std::map<ConfigurationVersion, TimePoint> m_acceptedConfigurations;
     std::map<CallerHandle, EndpointId> m_drainCalls;
-    std::map<EndpointId, TimePoint> m_drained; // time of the answer to the drain
+    std::map<EndpointId, TimePoint> m_drainTimes; // time of the answer to the drain
     std::map<std::pair<JobId, AttemptNumber>, TimePoint> m_partialSince;
     std::set<std::pair<JobId, AttemptNumber>> m_started;
     // A member that a worker has confirmed, and the number of restarts of the worker by then.
@@ -241,9 +241,9 @@
         int accelerators = 0;
         int restarts = 0;
     };
-    std::map<std::pair<JobId, AttemptNumber>, std::map<WorkerId, Confirmation>> m_confirmed;
+    std::map<std::pair<JobId, AttemptNumber>, std::map<WorkerId, Confirmation>> m_confirmedMembers;
     std::map<std::pair<JobId, AttemptNumber>, std::map<WorkerId, TimePoint>>
-        m_dropped; // time of stop or release
+        m_stoppedMembers; // time of stop or release
     std::map<WorkerId, int> m_restarts;
     TimePoint m_nextCheck {};
     Milliseconds m_longestPartialRun { 0 };
--- a/test/support/test_cluster_channel.cpp
+++ b/test/support/test_cluster_channel.cpp
@@ -36,7 +36,7 @@
     return (host.settings.zone.value() == zone ? localLatency : zoneLatency) + jitter;
 }
 
-void TestCluster::passOut(Host& host, const Effect& effect, std::function<void()> arrive)
+void TestCluster::sendThroughChannel(Host& host, const Effect& effect, std::function<void()> arrive)
 {
     const HostId id = host.settings.host;
     const std::uint64_t incarnation = host.settings.incarnation;
@@ -55,8 +55,8 @@
         return;
     }
     if (fate == Fate::Delay) {
-        schedule(delayOfDelayed, std::move(arrive));
-        timeOut(id, incarnation, effect, delayOfDelayed);
+        schedule(messageDelay, std::move(arrive));
+        timeOut(id, incarnation, effect, messageDelay);
         return;
     }
     if (fate == Fate::Repeat)
@@ -75,8 +75,8 @@
         return;
     }
     if (fate == Fate::Delay) {
-        schedule(delayOfDelayed, [this, id, incarnation, payload] { deliver(id, incarnation, payload); });
-        timeOut(id, incarnation, effect, delayOfDelayed);
+        schedule(messageDelay, [this, id, incarnation, payload] { deliver(id, incarnation, payload); });
+        timeOut(id, incarnation, effect, messageDelay);
         return;
     }
     if (fate == Fate::Repeat)
@@ -120,7 +120,7 @@
 }
 
 // Passes an effect that is not a message to the hook; returns false if the hook killed the daemon.
-bool TestCluster::announce(Host& host, const Effect& effect)
+bool TestCluster::notifyHook(Host& host, const Effect& effect)
 {
     const std::uint64_t incarnation = host.settings.incarnation;
     if (onPassage)
@@ -133,13 +133,13 @@
     if (rewriteEffect)
         rewriteEffect(effect);
     if (const auto* answer = std::get_if<AnswerRequest>(&effect)) {
-        if (announce(host, effect))
+        if (notifyHook(host, effect))
             onAnswer(answer->caller, answer->answer);
     } else if (const auto* answer = std::get_if<AnswerOperator>(&effect)) {
-        if (announce(host, effect))
+        if (notifyHook(host, effect))
             onOperatorAnswer(*answer);
     } else if (std::holds_alternative<ConfigurationAdopted>(effect)) {
-        announce(host, effect);
+        notifyHook(host, effect);
     } else if (const auto* transaction = std::get_if<ExecuteTransaction>(&effect)) {
         executeTable(
             host, effect, transaction->operation,
@@ -194,7 +194,7 @@
     const std::uint64_t incarnation = host.settings.incarnation;
     const bool isReachable = reachesPlatform(host);
     const ServiceMode mode = tableMode;
-    passOut(host, effect, [=, this] {
+    sendThroughChannel(host, effect, [=, this] {
         if (!isReachable) {
             // Packets are lost, so the daemon cannot tell whether the write was executed.
             const TableStatus status = isWrite ? TableStatus::Unknown : TableStatus::Unavailable;
@@ -230,7 +230,7 @@
     const HostId id = host.settings.host;
     const std::uint64_t incarnation = host.settings.incarnation;
     const bool isUp = objectMode != ServiceMode::Down && reachesPlatform(host);
-    passOut(host, effect, [=, this] {
+    sendThroughChannel(host, effect, [=, this] {
         ObjectReplied event { operation, isUp, {} };
         if (const auto* put = std::get_if<PutObject>(&effect); put && isUp)
             m_objects[put->key] = put->value;
@@ -253,7 +253,7 @@
     const std::string zone = m_workerZones.at(workerId);
     const Milliseconds delay = latency(host, zone);
     const bool isReachable = reachesZone(host, zone);
-    passOut(host, effect, [=, this] {
+    sendThroughChannel(host, effect, [=, this] {
         const auto fail
             = [=, this](EndpointFailure failure, Milliseconds after, std::string detail = "test") {
                   schedule(after, [=, this] {
@@ -307,7 +307,7 @@
     const Rack& rack = *m_racks.at(sync.rack);
     const Milliseconds delay = latency(host, rack.zone);
     const bool isReachable = reachesZone(host, rack.zone);
-    passOut(host, effect, [=, this] {
+    sendThroughChannel(host, effect, [=, this] {
         if (!isReachable) {
             schedule(sync.wait + syncGrace, [=, this] {
                 reply(id, incarnation, effect, RackSyncFailed { sync.rack, false });
@@ -369,7 +369,7 @@
     const std::string zone = m_workerZones.at(command.worker);
     const Milliseconds delay = latency(host, zone);
     const bool isReachable = reachesZone(host, zone);
-    passOut(host, effect, [=, this] {
+    sendThroughChannel(host, effect, [=, this] {
         const auto answer = [=, this](WorkerCommandResult result, Milliseconds after) {
             schedule(after, [=, this] {
                 reply(id, incarnation, effect, WorkerReplied { command.operation, command.worker, result });
@@ -398,7 +398,7 @@
         return;
     const Milliseconds delay = latency(host, receiver.settings.zone.value());
     const Effect effect = SendToPeer { to, message };
-    passOut(host, effect, [=, this] {
+    sendThroughChannel(host, effect, [=, this] {
         schedule(delay, [=, this] {
             deliver(to, m_hosts.at(to)->settings.incarnation, PeerMessageReceived { from, message });
         });
--- a/test/support/test_cluster_checks.cpp
+++ b/test/support/test_cluster_checks.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-// The sum of: 10 s for which the leases of a gang are renewed after a member was last seen, the lease of 30
-// s, and a sync of 1 s that may be in flight.
-constexpr Milliseconds partialRunBound { 41'000 };
+// The sum of: 10 s for which the leases of a gang are renewed after a member was last seen, the lease of
+// 30 s, and a sync of 1 s that may be in flight.
+constexpr Milliseconds maxPartialRunTime { 41'000 };
 
 // When a gang is stopped, the stop may reach one member before an earlier run command reaches another member;
 // the stop for that other member arrives within the spread of the latencies.
-constexpr Milliseconds commandSkew { 5 };
+constexpr Milliseconds maxCommandSkew { 5 };
 
 // The checks of gangs and noise read all workers, which is too expensive after every event.
 constexpr Milliseconds workerCheckInterval { 10 };
@@ -49,42 +49,42 @@
 
 void TestCluster::checkGangs()
 {
-    struct Seen {
+    struct GangState {
         int running = 0;
         bool isEnding = false; // a member has finished or is checkpointing
     };
-    std::map<std::pair<JobId, AttemptNumber>, Seen> gangs;
+    std::map<std::pair<JobId, AttemptNumber>, GangState> gangs;
     for (const auto& [id, worker] : m_workers) {
         for (const TaskReport& task : worker->report().tasks) {
-            Seen& seen = gangs[{ task.job, task.attempt }];
+            GangState& gang = gangs[{ task.job, task.attempt }];
             // A dead worker executes nothing.
             if (worker->isDead)
                 continue;
-            seen.running += task.phase == TaskPhase::Running ? task.accelerators : 0;
-            seen.isEnding |= task.phase == TaskPhase::Finished || task.phase == TaskPhase::Checkpointing;
+            gang.running += task.phase == TaskPhase::Running ? task.accelerators : 0;
+            gang.isEnding |= task.phase == TaskPhase::Finished || task.phase == TaskPhase::Checkpointing;
         }
     }
     std::map<JobId, AttemptNumber> runningAttempts;
-    for (const auto& [key, seen] : gangs) {
+    for (const auto& [key, gang] : gangs) {
         const auto size = m_jobSizes.find(key.first);
-        if (!seen.running || size == m_jobSizes.end())
+        if (!gang.running || size == m_jobSizes.end())
             continue;
-        const auto [other, isFirst] = runningAttempts.emplace(key.first, key.second);
-        if (!isFirst)
+        const auto [other, isOnlyRunning] = runningAttempts.emplace(key.first, key.second);
+        if (!isOnlyRunning)
             violation(fmt::format(
                 "job {} runs as attempts {} and {}", key.first.value(), other->second, key.second));
-        const bool isWhole = seen.running == size->second;
+        const bool isWhole = gang.running == size->second;
         if (isWhole)
-            m_waitingClaims.erase(key.first);
-        if (isWhole || seen.isEnding) {
+            m_pendingClaims.erase(key.first);
+        if (isWhole || gang.isEnding) {
             m_partialSince.erase(key);
             continue;
         }
         const TimePoint since = m_partialSince.emplace(key, m_now).first->second;
         m_longestPartialRun = std::max(m_longestPartialRun, m_now - since);
-        if (m_now - since > partialRunBound)
+        if (m_now - since > maxPartialRunTime)
             violation(fmt::format("job {} attempt {} runs with {} of {} accelerators", key.first.value(),
-                key.second, seen.running, size->second));
+                key.second, gang.running, size->second));
     }
     std::erase_if(m_partialSince, [&](const auto& item) {
         const auto found = gangs.find(item.first);
@@ -96,8 +96,8 @@
 // messages can prevent the other members from starting in this case.
 int TestCluster::lostByWorkers(const std::pair<JobId, AttemptNumber>& key) const
 {
-    const auto confirmed = m_confirmed.find(key);
-    if (confirmed == m_confirmed.end())
+    const auto confirmed = m_confirmedMembers.find(key);
+    if (confirmed == m_confirmedMembers.end())
         return 0;
     int sum = 0;
     for (const auto& [id, confirmation] : confirmed->second) {
@@ -119,10 +119,10 @@
     if (effect.command.kind == WorkerCommandKind::Confirm) {
         const auto task = m_workers.at(effect.worker)->tasks().find(key);
         if (task != m_workers.at(effect.worker)->tasks().end())
-            m_confirmed[key][effect.worker] = { task->second.accelerators, m_restarts[effect.worker] };
+            m_confirmedMembers[key][effect.worker] = { task->second.accelerators, m_restarts[effect.worker] };
     } else if (effect.command.kind == WorkerCommandKind::Stop
         || effect.command.kind == WorkerCommandKind::Release) {
-        m_dropped[key].emplace(effect.worker, m_now);
+        m_stoppedMembers[key].emplace(effect.worker, m_now);
     } else if (effect.command.kind == WorkerCommandKind::Run && m_started.insert(key).second) {
         checkStart(key);
     }
@@ -143,9 +143,9 @@
         if (task != worker->tasks().end() && !worker->isDead && task->second.phase != TaskPhase::Reserved)
             present += task->second.accelerators;
     }
-    for (const auto& [id, droppedAt] : m_dropped[key]) {
-        if (m_now - droppedAt <= commandSkew)
-            present += m_confirmed[key][id].accelerators;
+    for (const auto& [id, stoppedAt] : m_stoppedMembers[key]) {
+        if (m_now - stoppedAt <= maxCommandSkew)
+            present += m_confirmedMembers[key][id].accelerators;
     }
     const int size = record->status.specification.accelerators;
     if (present < size)
@@ -213,21 +213,21 @@
         const JobSpecification& specification = job.specification;
         const bool isNew = m_jobSizes.emplace(specification.id, specification.accelerators).second;
         if (isNew && specification.jobClass == JobClass::Guaranteed && job.state == JobState::Queued)
-            m_waitingClaims.emplace(specification.id, m_now);
+            m_pendingClaims.emplace(specification.id, m_now);
     }
     const auto* configuration = std::get_if<ConfigurationAnswer>(&effect.answer);
     if (configuration && configuration->document.empty())
         m_acceptedConfigurations.emplace(configuration->version, m_now);
     const auto drain = m_drainCalls.find(effect.caller);
     if (drain != m_drainCalls.end() && std::holds_alternative<DrainAnswer>(effect.answer))
-        m_drained.emplace(drain->second, m_now);
+        m_drainTimes.emplace(drain->second, m_now);
 }
 
 void TestCluster::checkClaims()
 {
-    std::erase_if(m_waitingClaims, [this](const auto& item) {
+    std::erase_if(m_pendingClaims, [this](const auto& item) {
         const auto& [job, acceptedAt] = item;
-        if (m_now <= std::max(acceptedAt, claimsExcusedUntil) + claimBound)
+        if (m_now <= std::max(acceptedAt, claimsExcusedUntil) + maxClaimTime)
             return false;
         // A cancelled claim does not run; a short job may have started and finished between two checks.
         const std::optional<std::string> row = jobRow(job);
@@ -244,7 +244,7 @@
 {
     std::erase_if(m_acceptedConfigurations, [this](const auto& item) {
         const auto& [version, acceptedAt] = item;
-        if (m_now <= std::max(acceptedAt, changesExcusedUntil) + changeBound)
+        if (m_now <= std::max(acceptedAt, changesExcusedUntil) + maxChangeTime)
             return false;
         for (const auto& [id, host] : m_hosts) {
             const Configuration* configuration = host->reducer ? host->reducer->configuration() : nullptr;
@@ -259,8 +259,9 @@
 
 void TestCluster::checkCall(const EndpointId& endpoint)
 {
-    const auto drained = m_drained.find(endpoint);
-    if (drained != m_drained.end() && m_now > std::max(drained->second, changesExcusedUntil) + changeBound)
+    const auto drained = m_drainTimes.find(endpoint);
+    if (drained != m_drainTimes.end()
+        && m_now > std::max(drained->second, changesExcusedUntil) + maxChangeTime)
         violation(fmt::format("endpoint {} was called {} ms after its drain was answered", endpoint.value(),
             (m_now - drained->second).count()));
 }
@@ -270,16 +271,16 @@
     if (++m_executions[identity] > 1)
         violation(fmt::format("request {} was executed {} times", identity.key, m_executions[identity]));
     // An execution after the last copy was answered "not run" would make that answer false.
-    bool isAwaited = false;
-    bool wasToldNotRun = false;
+    bool hasOpenCopy = false;
+    bool wasAnsweredNotRun = false;
     for (const auto& [handle, record] : m_callers) {
         if (record.identity != identity)
             continue;
-        isAwaited |= record.answers.empty();
+        hasOpenCopy |= record.answers.empty();
         for (const RequestAnswer& answer : record.answers)
-            wasToldNotRun |= answer.outcome == RequestOutcome::NotRun;
+            wasAnsweredNotRun |= answer.outcome == RequestOutcome::NotRun;
     }
-    if (!isAwaited && wasToldNotRun)
+    if (!hasOpenCopy && wasAnsweredNotRun)
         violation(
             fmt::format("request {} was executed after its caller was answered \"not run\"", identity.key));
 }
