Rename the channel hook of the test cluster to the usual terms

Passage and Fate did not say that they are a message of the in-memory channel and the action on it; Repeat read like a resend by the daemon, but the channel delivers a second copy. Passage -> ChannelMessage, Fate -> ChannelAction, Fate::Repeat -> ChannelAction::Duplicate, onPassage -> onChannelMessage, repeatAfter -> duplicateDelay, longestPartialRun -> maxPartialRun, and the locals passage -> channelMessage, fate -> action in job_placement_test, naive_baselines_test and fault_matrix_run, which use them.

--- a/test/job_placement_test.cpp
+++ b/test/job_placement_test.cpp
@@ -82,11 +82,11 @@
             for (int i = 0; i < 4; ++i)
                 submit(cluster, "mill", fmt::format("b{}", i), 16);
             cluster.runFor(10 * second + Milliseconds(400) * trial);
-            cluster.onPassage = [&](const Passage& passage) {
-                const auto* sent = std::get_if<SendWorkerCommand>(passage.effect);
-                const bool isLost = sent && passage.leg == Leg::Outgoing
+            cluster.onChannelMessage = [&](const ChannelMessage& channelMessage) {
+                const auto* sent = std::get_if<SendWorkerCommand>(channelMessage.effect);
+                const bool isLost = sent && channelMessage.leg == Leg::Outgoing
                     && (isEveryCommandLost || sent->command.kind == WorkerCommandKind::Throttle);
-                return isLost ? Fate::Drop : Fate::Deliver;
+                return isLost ? ChannelAction::Drop : ChannelAction::Deliver;
             };
             cluster.runFor(140 * second);
             assertNoViolations(cluster);
@@ -101,11 +101,11 @@
         for (int i = 0; i < 7; ++i)
             submit(cluster, "mill", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
-        cluster.onPassage = [](const Passage& passage) {
-            const auto* sent = std::get_if<SendWorkerCommand>(passage.effect);
-            const bool isLost
-                = sent && passage.leg == Leg::Outgoing && sent->command.kind == WorkerCommandKind::Throttle;
-            return isLost ? Fate::Drop : Fate::Deliver;
+        cluster.onChannelMessage = [](const ChannelMessage& channelMessage) {
+            const auto* sent = std::get_if<SendWorkerCommand>(channelMessage.effect);
+            const bool isLost = sent && channelMessage.leg == Leg::Outgoing
+                && sent->command.kind == WorkerCommandKind::Throttle;
+            return isLost ? ChannelAction::Drop : ChannelAction::Deliver;
         };
         const CallerHandle claim = submit(cluster, "press", "c", 8, JobClass::Guaranteed);
         assertRunsWithin(cluster, claim, reclaimBound);
@@ -164,17 +164,17 @@
             submit(cluster, "press", fmt::format("b{}", i), 8);
         cluster.runFor(3 * second);
         std::set<JobId> asked;
-        cluster.onPassage = [&](const Passage& passage) {
-            const auto* command = std::get_if<SendWorkerCommand>(passage.effect);
-            if (passage.leg != Leg::Outgoing || !command)
-                return Fate::Deliver;
+        cluster.onChannelMessage = [&](const ChannelMessage& channelMessage) {
+            const auto* command = std::get_if<SendWorkerCommand>(channelMessage.effect);
+            if (channelMessage.leg != Leg::Outgoing || !command)
+                return ChannelAction::Deliver;
             const bool isLeave = command->command.kind == WorkerCommandKind::Checkpoint
                 || command->command.kind == WorkerCommandKind::Stop;
             if (!isLeave)
-                return Fate::Deliver;
+                return ChannelAction::Deliver;
             asked.insert(command->command.job);
             // The second evicted job stops later than the first.
-            return asked.size() > 1 && command->command.job != *m_firstVictim ? Fate::Delay
+            return asked.size() > 1 && command->command.job != *m_firstVictim ? ChannelAction::Delay
                                                                               : recordFirstVictim(command);
         };
         // The delayed stop is a fault, so the cluster's own check counts its bound from the end of the fault;
@@ -276,9 +276,10 @@
             TestCluster cluster({ .seed = seed });
             fillNorthZone(cluster);
             cluster.runFor(Milliseconds(260 * static_cast<std::int64_t>(seed)));
-            cluster.onPassage = [](const Passage& passage) {
-                const auto* sent = std::get_if<SendToPeer>(passage.effect);
-                return sent && std::holds_alternative<JobNotice>(sent->message) ? Fate::Drop : Fate::Deliver;
+            cluster.onChannelMessage = [](const ChannelMessage& channelMessage) {
+                const auto* sent = std::get_if<SendToPeer>(channelMessage.effect);
+                return sent && std::holds_alternative<JobNotice>(sent->message) ? ChannelAction::Drop
+                                                                                : ChannelAction::Deliver;
             };
             const CallerHandle claim = submit(cluster, "mill", "c", 16, JobClass::Guaranteed, 2);
             assertRunsWithin(cluster, claim, reclaimBound);
@@ -296,11 +297,11 @@
         cluster.runFor(8 * second);
         const JobId job = cluster.jobOf(waiting)->specification.id;
         std::size_t writes = 0;
-        cluster.onPassage = [&](const Passage& passage) {
-            const auto* sent = std::get_if<ExecuteTransaction>(passage.effect);
+        cluster.onChannelMessage = [&](const ChannelMessage& channelMessage) {
+            const auto* sent = std::get_if<ExecuteTransaction>(channelMessage.effect);
             for (const TableWrite& write : sent ? sent->transaction.writes : std::vector<TableWrite>())
-                writes += passage.leg == Leg::Outgoing && write.key == jobRowKey(job) ? 1 : 0;
-            return Fate::Deliver;
+                writes += channelMessage.leg == Leg::Outgoing && write.key == jobRowKey(job) ? 1 : 0;
+            return ChannelAction::Deliver;
         };
         for (const HostId& host : cluster.hosts()) {
             const CallerHandle query = cluster.queryJob(host, job);
@@ -321,10 +322,10 @@
         cluster.runFor(3 * second);
     }
 
-    Fate recordFirstVictim(const SendWorkerCommand* command)
+    ChannelAction recordFirstVictim(const SendWorkerCommand* command)
     {
         m_firstVictim = m_firstVictim.value_or(command->command.job);
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     }
 
     static TestClusterOptions lessonOptions()
--- a/test/naive_baselines_test.cpp
+++ b/test/naive_baselines_test.cpp
@@ -133,15 +133,15 @@
         TestCluster cluster(TestClusterOptions {});
         settle(cluster);
         std::set<WorkerId> first;
-        cluster.repeatAfter = Milliseconds(90'000);
-        cluster.onPassage = [&](const Passage& passage) {
-            const auto* command = std::get_if<SendWorkerCommand>(passage.effect);
-            if (passage.leg == Leg::Reply || !command || command->command.attempt != 1
+        cluster.duplicateDelay = Milliseconds(90'000);
+        cluster.onChannelMessage = [&](const ChannelMessage& channelMessage) {
+            const auto* command = std::get_if<SendWorkerCommand>(channelMessage.effect);
+            if (channelMessage.leg == Leg::Reply || !command || command->command.attempt != 1
                 || command->command.kind == WorkerCommandKind::Release
                 || command->command.kind == WorkerCommandKind::Stop)
-                return Fate::Deliver;
+                return ChannelAction::Deliver;
             first.insert(command->worker);
-            return Fate::Repeat;
+            return ChannelAction::Duplicate;
         };
         for (const WorkerId& worker : cluster.workersOf("north"))
             cluster.worker(worker).acceptsStaleTokens = variant == Variant::Naive;
@@ -300,8 +300,9 @@
         TestCluster cluster(TestClusterOptions {});
         settle(cluster);
         if (variant == Variant::Naive) {
-            cluster.onPassage = [](const Passage& passage) {
-                return messageName(*passage.effect) == "drain push" ? Fate::Drop : Fate::Deliver;
+            cluster.onChannelMessage = [](const ChannelMessage& channelMessage) {
+                return messageName(*channelMessage.effect) == "drain push" ? ChannelAction::Drop
+                                                                           : ChannelAction::Deliver;
             };
             cluster.rewriteReply = [](const Effect&, EventPayload& payload) {
                 auto* replied = std::get_if<TableReplied>(&payload);
--- a/test/support/fault_matrix_run.cpp
+++ b/test/support/fault_matrix_run.cpp
@@ -39,13 +39,13 @@
         CallerHandle handle = 0;
     };
 
-    Fate pass(const Passage&);
-    Fate strike(MatrixFault, const Passage&);
-    void strikeDaemon(MatrixFault, const Passage&);
-    void strikeWorker(MatrixFault, const Passage&);
+    ChannelAction pass(const ChannelMessage&);
+    ChannelAction strike(MatrixFault, const ChannelMessage&);
+    void strikeDaemon(MatrixFault, const ChannelMessage&);
+    void strikeWorker(MatrixFault, const ChannelMessage&);
     void strikeService(MatrixFault);
     void strikeZone(MatrixFault);
-    void silence(const Passage&);
+    void silence(const ChannelMessage&);
     void race();
     void cancelAll();
     void healAfter(Milliseconds, std::function<void()>);
@@ -69,7 +69,7 @@
         return m_cluster.hosts()[index % m_cluster.hosts().size()];
     }
     HostId liveHost(std::size_t preferred) const;
-    WorkerId victim(const Passage&) const;
+    WorkerId victim(const ChannelMessage&) const;
     EndpointId drainedEndpoint() const;
     bool has(MatrixFault) const;
 
@@ -109,7 +109,8 @@
 {
     for (const MatrixStrike& strike : cell.strikes)
         m_pending.push_back({ strike, false });
-    m_cluster.onPassage = [this](const Passage& passage) { return pass(passage); };
+    m_cluster.onChannelMessage
+        = [this](const ChannelMessage& channelMessage) { return pass(channelMessage); };
 }
 
 MatrixResult MatrixRun::run()
@@ -146,21 +147,21 @@
 
 // --- faults
 
-Fate MatrixRun::pass(const Passage& passage)
+ChannelAction MatrixRun::pass(const ChannelMessage& channelMessage)
 {
     if (!m_isArmed)
-        return Fate::Deliver;
-    const std::string name = messageName(*passage.effect);
-    Fate fate = Fate::Deliver;
+        return ChannelAction::Deliver;
+    const std::string name = messageName(*channelMessage.effect);
+    ChannelAction action = ChannelAction::Deliver;
     for (Pending& pending : m_pending) {
         const MatrixStep& step = pending.strike.step;
-        if (pending.hasStruck || step.leg != passage.leg || step.message != name)
+        if (pending.hasStruck || step.leg != channelMessage.leg || step.message != name)
             continue;
         pending.hasStruck = true;
-        const Fate own = strike(pending.strike.fault, passage);
-        fate = own == Fate::Deliver ? fate : own;
+        const ChannelAction own = strike(pending.strike.fault, channelMessage);
+        action = own == ChannelAction::Deliver ? action : own;
     }
-    return fate;
+    return action;
 }
 
 // Work that a fault holds up is excused until the fault is healed and recovered from.
@@ -171,10 +172,10 @@
     m_cluster.schedule(duration, std::move(heal));
 }
 
-Fate MatrixRun::strike(MatrixFault fault, const Passage& passage)
+ChannelAction MatrixRun::strike(MatrixFault fault, const ChannelMessage& channelMessage)
 {
     if (fault == MatrixFault::None)
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     healAfter(Milliseconds(0), [] {});
     switch (fault) {
     case MatrixFault::EntryKilled:
@@ -182,54 +183,54 @@
     case MatrixFault::AllReplaced:
     case MatrixFault::HolderPaused:
     case MatrixFault::Stopped:
-        strikeDaemon(fault, passage);
-        return Fate::Deliver;
+        strikeDaemon(fault, channelMessage);
+        return ChannelAction::Deliver;
     case MatrixFault::WorkerDead:
     case MatrixFault::WorkerRestarted:
     case MatrixFault::WorkerFailsAll:
     case MatrixFault::HostListFrozen:
     case MatrixFault::RunTimeTooShort:
     case MatrixFault::RunTimeTooLong:
-        strikeWorker(fault, passage);
-        return Fate::Deliver;
+        strikeWorker(fault, channelMessage);
+        return ChannelAction::Deliver;
     case MatrixFault::TableDown:
     case MatrixFault::TableSlow:
     case MatrixFault::ObjectsDown:
         strikeService(fault);
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     case MatrixFault::CutFromZones:
     case MatrixFault::CutFromPlatform:
     case MatrixFault::CutFromBoth:
         strikeZone(fault);
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     case MatrixFault::ReplyLost:
     case MatrixFault::RequestLost:
-        return Fate::Drop;
+        return ChannelAction::Drop;
     case MatrixFault::ConnectionSilent:
-        silence(passage);
-        return Fate::Deliver;
+        silence(channelMessage);
+        return ChannelAction::Deliver;
     case MatrixFault::MessageRepeated:
-        return Fate::Repeat;
+        return ChannelAction::Duplicate;
     case MatrixFault::MessageDelayed:
-        return Fate::Delay;
+        return ChannelAction::Delay;
     case MatrixFault::OperatorsRace:
         race();
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     case MatrixFault::CancellationWave:
         cancelAll();
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     case MatrixFault::JobNeverRuns:
         submit("press", "too-large", JobClass::Borrowed, 128, Milliseconds(1'000));
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     case MatrixFault::None:
-        return Fate::Deliver;
+        return ChannelAction::Deliver;
     }
-    return Fate::Deliver;
+    return ChannelAction::Deliver;
 }
 
-void MatrixRun::strikeDaemon(MatrixFault fault, const Passage& passage)
+void MatrixRun::strikeDaemon(MatrixFault fault, const ChannelMessage& channelMessage)
 {
-    const HostId struck = passage.host;
+    const HostId struck = channelMessage.host;
     if (fault == MatrixFault::EntryKilled) {
         m_cluster.kill(struck);
         healAfter(Milliseconds(5'000), [this, struck] {
@@ -266,11 +267,11 @@
     }
 }
 
-WorkerId MatrixRun::victim(const Passage& passage) const
+WorkerId MatrixRun::victim(const ChannelMessage& channelMessage) const
 {
-    if (const auto* command = std::get_if<SendWorkerCommand>(passage.effect))
+    if (const auto* command = std::get_if<SendWorkerCommand>(channelMessage.effect))
         return command->worker;
-    if (const auto* call = std::get_if<CallEndpoint>(passage.effect)) {
+    if (const auto* call = std::get_if<CallEndpoint>(channelMessage.effect)) {
         const std::string& name = call->endpoint.value();
         return WorkerId(name.substr(name.find('@') + 1));
     }
@@ -281,9 +282,9 @@
     return m_cluster.workersOf(zone).front();
 }
 
-void MatrixRun::strikeWorker(MatrixFault fault, const Passage& passage)
+void MatrixRun::strikeWorker(MatrixFault fault, const ChannelMessage& channelMessage)
 {
-    const WorkerId id = victim(passage);
+    const WorkerId id = victim(channelMessage);
     constexpr Milliseconds hostListLag { 5'000 };
     constexpr Milliseconds deadTime { 30'000 };
     constexpr Milliseconds frozenTime { 15'000 };
@@ -353,16 +354,16 @@
     });
 }
 
-void MatrixRun::silence(const Passage& passage)
+void MatrixRun::silence(const ChannelMessage& channelMessage)
 {
     constexpr Milliseconds silentTime { 20'000 };
-    if (const auto* peer = std::get_if<SendToPeer>(passage.effect)) {
-        const std::pair link { passage.host, peer->peer };
+    if (const auto* peer = std::get_if<SendToPeer>(channelMessage.effect)) {
+        const std::pair link { channelMessage.host, peer->peer };
         m_cluster.silentPeers.insert(link);
         healAfter(silentTime, [this, link] { m_cluster.silentPeers.erase(link); });
         return;
     }
-    const WorkerId id = victim(passage);
+    const WorkerId id = victim(channelMessage);
     m_cluster.silentWorkers.insert(id);
     healAfter(silentTime, [this, id] { m_cluster.silentWorkers.erase(id); });
 }
@@ -656,9 +657,9 @@
     constexpr Milliseconds stopBound { 4'500 };
     const bool isHeard
         = m_pending.size() == 1 && (has(MatrixFault::WorkerRestarted) || has(MatrixFault::WorkerFailsAll));
-    if (isHeard && m_cluster.longestPartialRun() > stopBound)
+    if (isHeard && m_cluster.maxPartialRun() > stopBound)
         errors.push_back(
-            fmt::format("end: a gang ran without a member for {} ms", m_cluster.longestPartialRun().count()));
+            fmt::format("end: a gang ran without a member for {} ms", m_cluster.maxPartialRun().count()));
 }
 
 // Idempotent requests need neither table, object store nor host list. Once all is well, every request is
--- a/test/support/test_cluster.h
+++ b/test/support/test_cluster.h
@@ -22,14 +22,14 @@
 enum class Leg { Outgoing, Reply };
 
 // A message in the in-memory channel: an effect that a daemon sends, or the reply to that effect.
-struct Passage {
+struct ChannelMessage {
     Leg leg = Leg::Outgoing;
     HostId host; // the daemon that sent the effect
     const Effect* effect = nullptr;
 };
 
 // The channel's action on a message.
-enum class Fate { Deliver, Drop, Repeat, Delay };
+enum class ChannelAction { Deliver, Drop, Duplicate, Delay };
 
 // State of the table or the object store.
 enum class ServiceMode { Up, Down, Slow, LosesReplies };
@@ -64,7 +64,7 @@
 
 // Several reducers, one table, and the workers and endpoints of all zones, connected by an in-memory channel
 // that runs in virtual time. Tests inject faults through the public members below, or for each message
-// through `onPassage`.
+// through `onChannelMessage`.
 class TestCluster {
 public:
     explicit TestCluster(TestClusterOptions);
@@ -121,9 +121,9 @@
                                              // and endpoints of their own zone
     std::set<std::pair<HostId, HostId>> silentPeers; // messages from first to second are dropped
     std::set<WorkerId> silentWorkers; // execute calls and commands but never reply
-    std::function<Fate(const Passage&)> onPassage;
+    std::function<ChannelAction(const ChannelMessage&)> onChannelMessage;
     Milliseconds messageDelay { 3'000 };
-    Milliseconds repeatAfter { 20 };
+    Milliseconds duplicateDelay { 20 };
     // Simulate a naive daemon or service: they change an effect before it is executed, change a reply, or
     // supply the reply in place of the service.
     std::function<void(Effect&)> rewriteEffect;
@@ -145,7 +145,7 @@
     // --- checks of the invariants, during the run. Each violation is a sentence.
     const std::vector<std::string>& violations() const { return m_violations; }
     // The longest time that any gang has run with members missing.
-    Milliseconds longestPartialRun() const { return m_longestPartialRun; }
+    Milliseconds maxPartialRun() const { return m_maxPartialRun; }
     // True if a worker has accepted a run command for any attempt of the job.
     bool hasRun(const JobId&) const;
     // Tasks on all live workers.
@@ -246,7 +246,7 @@
         m_stoppedMembers; // time of stop or release
     std::map<WorkerId, int> m_restarts;
     TimePoint m_nextCheck {};
-    Milliseconds m_longestPartialRun { 0 };
+    Milliseconds m_maxPartialRun { 0 };
     std::vector<std::string> m_violations;
     std::deque<std::string> m_events;
     std::map<std::string, std::size_t> m_eventCounts;
--- a/test/support/test_cluster_channel.cpp
+++ b/test/support/test_cluster_channel.cpp
@@ -40,7 +40,8 @@
 {
     const HostId id = host.settings.host;
     const std::uint64_t incarnation = host.settings.incarnation;
-    const Fate fate = onPassage ? onPassage({ Leg::Outgoing, id, &effect }) : Fate::Deliver;
+    const ChannelAction action
+        = onChannelMessage ? onChannelMessage({ Leg::Outgoing, id, &effect }) : ChannelAction::Deliver;
     // The hook may kill the daemon at this step; the message is then not sent.
     if (!host.reducer || host.settings.incarnation != incarnation)
         return;
@@ -50,37 +51,38 @@
             return;
         }
     }
-    if (fate == Fate::Drop) {
+    if (action == ChannelAction::Drop) {
         timeOut(id, incarnation, effect, Milliseconds::max());
         return;
     }
-    if (fate == Fate::Delay) {
+    if (action == ChannelAction::Delay) {
         schedule(messageDelay, std::move(arrive));
         timeOut(id, incarnation, effect, messageDelay);
         return;
     }
-    if (fate == Fate::Repeat)
-        schedule(repeatAfter, arrive);
+    if (action == ChannelAction::Duplicate)
+        schedule(duplicateDelay, arrive);
     schedule(Milliseconds(0), std::move(arrive));
 }
 
 void TestCluster::reply(
     const HostId& id, std::uint64_t incarnation, const Effect& effect, EventPayload payload)
 {
-    const Fate fate = onPassage ? onPassage({ Leg::Reply, id, &effect }) : Fate::Deliver;
+    const ChannelAction action
+        = onChannelMessage ? onChannelMessage({ Leg::Reply, id, &effect }) : ChannelAction::Deliver;
     if (rewriteReply)
         rewriteReply(effect, payload);
-    if (fate == Fate::Drop) {
+    if (action == ChannelAction::Drop) {
         timeOut(id, incarnation, effect, Milliseconds::max());
         return;
     }
-    if (fate == Fate::Delay) {
+    if (action == ChannelAction::Delay) {
         schedule(messageDelay, [this, id, incarnation, payload] { deliver(id, incarnation, payload); });
         timeOut(id, incarnation, effect, messageDelay);
         return;
     }
-    if (fate == Fate::Repeat)
-        schedule(repeatAfter, [this, id, incarnation, payload] { deliver(id, incarnation, payload); });
+    if (action == ChannelAction::Duplicate)
+        schedule(duplicateDelay, [this, id, incarnation, payload] { deliver(id, incarnation, payload); });
     deliver(id, incarnation, std::move(payload));
 }
 
@@ -123,8 +125,8 @@
 bool TestCluster::notifyHook(Host& host, const Effect& effect)
 {
     const std::uint64_t incarnation = host.settings.incarnation;
-    if (onPassage)
-        onPassage({ Leg::Outgoing, host.settings.host, &effect });
+    if (onChannelMessage)
+        onChannelMessage({ Leg::Outgoing, host.settings.host, &effect });
     return host.reducer && host.settings.incarnation == incarnation;
 }
 
--- a/test/support/test_cluster_checks.cpp
+++ b/test/support/test_cluster_checks.cpp
@@ -81,7 +81,7 @@
             continue;
         }
         const TimePoint since = m_partialSince.emplace(key, m_now).first->second;
-        m_longestPartialRun = std::max(m_longestPartialRun, m_now - since);
+        m_maxPartialRun = std::max(m_maxPartialRun, m_now - since);
         if (m_now - since > maxPartialRunTime)
             violation(fmt::format("job {} attempt {} runs with {} of {} accelerators", key.first.value(),
                 key.second, gang.running, size->second));
