Reword leftover comments in batch, jobs and their tests

Leases "lapsed" where the code says expired, requests were "given up", and some comments used a pronoun or "elsewhere" without the thing that they mean. The reader now gets the thing by its name.

--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -16,8 +16,8 @@
 constexpr Milliseconds defaultCallerTimeout { 3'000 };
 // Time reserved for the answer to reach the caller before its timeout.
 constexpr Milliseconds answerMargin { 150 };
-// A request is given up after this time without an answer from the store, because another daemon may still
-// reach it.
+// A request is abandoned after this time without an answer from the store, because another daemon may still
+// reach the store.
 constexpr Milliseconds maxWaitWithoutStore { 1'000 };
 constexpr Milliseconds readRetryDelay { 40 };
 constexpr int maxDoublings = 4;
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -43,7 +43,7 @@
     // Sets the free resources of the `count` fastest idle workers of each rack to zero, until restore() is
     // called.
     Hidden hideIdleWorkers(std::size_t count);
-    // Does the same for the given workers and adds them to the list for restore().
+    // Sets the free resources of the given workers to zero and adds them to the list for restore().
     void hide(const std::set<WorkerLifetime>&, Hidden&);
     void restore(const Hidden&);
     // Returns null if the worker does not accept new runs.
--- a/src/batch/placement/eviction.h
+++ b/src/batch/placement/eviction.h
@@ -10,7 +10,7 @@
 
 // Runs that can only be stopped together: a single run or all runs of a gang.
 struct EvictionCandidate {
-    std::vector<RunId> runs; // empty if they end on their own as soon as a stop would end them
+    std::vector<RunId> runs; // empty if all of them end within the stop timeout without another stop order
     std::vector<std::pair<WorkerLifetime, Resources>> room; // resources that each run would free
     double cost = 0; // work lost by the stop, in core-seconds
 };
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -100,8 +100,8 @@
 {
     for (PlacementUnit& unit : waiting.job->unitsOf(waiting.position)) {
         const WaitingUnit each { std::move(unit), waiting.job, waiting.failedOn, waiting.isGuaranteed };
-        // The step's other tasks need the same resources and would not fit either. Urgent steps go on,
-        // because each of their units may evict other work.
+        // The step's other tasks need the same resources and would not fit either. For urgent steps all
+        // units are tried, because each of them may evict other work.
         if (!placeUnit(each, views, outcome, now, wallTime) && waiting.job->job().terms.priority)
             return;
     }
@@ -298,8 +298,8 @@
     m_heldWorkers.insert(workers->begin(), workers->end());
 }
 
-// Returns whether the run ends within the stop timeout without a further stop. Its resources may be promised
-// to the unit at hand: those reserved for other units are already deducted from the view.
+// Returns whether the run ends within the stop timeout without another stop order. Its resources may be
+// promised to the unit at hand: those reserved for other units are already deducted from the view.
 bool PlacementRound::endsWithinStopTimeout(const Worker& worker, const LiveRun& run, TimePoint now) const
 {
     if (run.phase == RunPhase::Stopping || m_victims.contains(run.id))
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -39,7 +39,7 @@
 // reservation expires. Reservations persist from one round to the next.
 class PlacementRound {
 public:
-    // A run that is told to stop ends within the stop timeout.
+    // A run ends within `stopTimeout` after it was ordered to stop.
     PlacementRound(const PlacementPolicy&, const QueueOrder&, Milliseconds stopTimeout);
 
     PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Time after SIGTERM during which requests are still served. The load balancer needs two failed probes, one
-// second apart, before it sends connections elsewhere.
+// second apart, before it sends connections to other daemons.
 constexpr Milliseconds shutdownDrainTime { 2'600 };
 // The daemon stops at the latest this long before SIGKILL, so that the last answers leave the host.
 constexpr Milliseconds shutdownMargin { 700 };
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -84,7 +84,7 @@
     m_answeredAt = now;
 }
 
-// After an outage of the store the lease has lapsed for all daemons. The claim delays then count from the
+// After an outage of the store the lease has expired for all daemons. The claim delays then count from the
 // time at which the store answered again.
 bool LeaderLease::isFree(TimePoint now) const
 {
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -30,8 +30,8 @@
     std::uint64_t epoch = 0; // increases with each leader; workers refuse orders of a lower epoch
     std::uint64_t sequence = 0; // counts the leader's commits; identifies a commit whose answer was lost
     std::map<std::string, std::uint64_t> waitingJobs; // number of accepted jobs that have not begun, by queue
-    // When the commit was sent, or slightly earlier; 0: unknown. It tells a daemon that has just started how
-    // old the lease is.
+    // When the commit was sent, or slightly earlier; 0: unknown. A daemon that has just started derives the
+    // age of the lease from it.
     StoreClock sentAt = 0;
 
     bool operator==(const LeaseRecord&) const = default;
@@ -74,7 +74,7 @@
     void observe(const std::optional<Row>&, TimePoint now, StoreClock answeredAt);
     // Records that the store has answered a request of this daemon, about the lease row or any other.
     void noteAnswer(TimePoint now);
-    // True if the lease has lapsed or been released, and this daemon has been in contact with the store for
+    // True if the lease has expired or been released, and this daemon has been in contact with the store for
     // at least its claim delay since then.
     bool isFree(TimePoint now) const;
 
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Milliseconds startRetryDelay { 100 };
-// After the assignment is stored, start orders are repeated for this long. Then the run is stopped instead.
+// After the assignment is stored, start orders are resent for this long. Then the run is stopped instead.
 constexpr Milliseconds startTimeout { 1'800 };
 constexpr Milliseconds stopRetryDelay { 300 };
 
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -8,8 +8,8 @@
 
 // Progress is reported in whole percent: over 20 percent, the error of the rate is at most 5%.
 constexpr int minPercentForRate = 20;
-// The pace is judged over windows of a tenth of the estimated duration, which is usually off by a factor of
-// two at most, but no shorter than this.
+// The pace is judged over windows of a tenth of the estimated duration, but of at least this length. The
+// estimate is usually off by a factor of two at most.
 constexpr Milliseconds shortestWindow { 1'000 };
 constexpr int windowsPerEstimate = 10;
 // A run lags below this fraction of its highest rate. Workers differ in speed by less than a factor of two,
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -19,14 +19,15 @@
 // How long a worker delays its answer to a hold request while no run ends. Shorter waits renew leases more
 // often, so that runs survive a longer network partition.
 constexpr Milliseconds holdWait { 500 };
-// The same while a stop is in progress: the freed capacity becomes known at once, and a run that vanished
-// without a reported end is detected soon after.
+// Replaces holdWait while a stop is in progress, so that the freed capacity becomes known at once, and a run
+// that vanished without a reported end is detected soon after.
 constexpr Milliseconds stopWait { 120 };
 // Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
 // would answer at once with the same ends.
 constexpr Milliseconds storeWait { 200 };
 constexpr Milliseconds holdRetryDelay { 100 };
-// After this many consecutive unanswered hold requests, the worker's lease is not extended: it may be gone.
+// After this many consecutive unanswered hold requests, the worker's lease is not extended: the worker may
+// be gone.
 constexpr int unansweredUntilLost = 3;
 constexpr Milliseconds lostHoldInterval { 400 };
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Short enough that a guaranteed job whose notice was lost still starts within its bound of 1.6 s. The poll
-// reads only the marks of new jobs and cancellations.
+// reads only the markers of new jobs and cancellations.
 constexpr Milliseconds holderPollInterval { 500 };
 // A standby reads the rows so that it knows the members of each gang if it becomes the caretaker. The holder
 // announces new gangs by a notice; this poll finds those whose notice was lost.
--- a/src/jobs/job_scheduler.h
+++ b/src/jobs/job_scheduler.h
@@ -36,14 +36,14 @@
     void handle(const RackSyncFailed&, Step&);
     void handle(const WorkerReplied&, Step&);
     void handle(const JobNotice&, Step&);
-    // Does nothing: placement does not depend on single peers, and PeerDirectory tells which summaries are
-    // valid.
+    // Does nothing: placement does not depend on single peers, and PeerDirectory determines which summaries
+    // are valid.
     void handle(const PeerLost&, Step&);
     void handle(const Tick&, Step&);
     void onConfigurationAdopted(Step&);
 
-    // Starts no new placements and refuses new calls from now on; isIdle() tells when the role can be
-    // released.
+    // Starts no new placements and refuses new calls from now on; the role can be released once isIdle()
+    // is true.
     void beginShutdown(Step&);
     // True after beginShutdown() once no call, gang transition or row write is pending, at the latest after
     // 10 s.
--- a/src/jobs/worker_quarantine.h
+++ b/src/jobs/worker_quarantine.h
@@ -10,8 +10,8 @@
 namespace anvilmoor {
 
 // Excludes workers from placement after tasks failed on them. The first failures exclude a worker for 3 s, so
-// that the next attempt runs elsewhere; the third consecutive one quarantines it for a minute, later ones for
-// up to 64 minutes.
+// that the next attempt runs on another worker; the third consecutive one quarantines it for a minute, later
+// ones for up to 64 minutes.
 class WorkerQuarantine {
 public:
     // True if this failure put the worker into quarantine.
--- a/src/jobs/zone_noise.cpp
+++ b/src/jobs/zone_noise.cpp
@@ -78,7 +78,7 @@
     const AvailabilityZoneConfiguration* configured = zone();
     if (!configured)
         return;
-    // Includes the pending claims, so that a throttle that was set for one of them is not lifted.
+    // Includes the pending claims, so that a throttle that was set for one of them is not removed.
     const std::vector<NoiseAction> actions
         = m_noise.planForStart(*m_inventory, configured->room, claimedMembers({}), step.localTime);
     for (const NoiseAction& action : actions) {
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -238,7 +238,7 @@
         CPPUNIT_ASSERT(!other.isFree(m_now));
     }
 
-    // Guards against a lease that already seems lapsed when the store, back from an outage, applies the
+    // Guards against a lease that already seems expired when the store, back from an outage, applies the
     // leader's commit.
     void testRepeatedCommitStatesWhenItWasSentLast()
     {
@@ -292,8 +292,8 @@
         CPPUNIT_ASSERT(!second.lease.isFree(m_now + storeContactTimeout + Milliseconds(1'000)));
     }
 
-    // Guards against a small host that becomes leader after an outage: every lease has lapsed by then, so
-    // claim delays that count from the lapse have passed on all hosts. Seen on the day scale-1 of the grown
+    // Guards against a small host that becomes leader after an outage: every lease has expired by then, so
+    // claim delays that count from the expiry have passed on all hosts. Seen on the day scale-1 of the grown
     // lbgia, seed 12.
     void testDelaysCountFromTheReturnOfTheStore()
     {
