Rename leftover identifiers of batch, jobs and platform to the usual terms

Some names called an update or a marker of a new submission "news", and bounds were named longest, shortest or patience instead of minX, maxX and timeout as elsewhere.

run_supervisor: news -> update, hasNews -> hasUnacknowledgedEnds, slowestClock -> minClockRate, WorkerLeaseSettings::longest -> maxLease run_watch: longestReadGap -> maxReadGap, withdrawnWithin -> maxWithdrawalDelay run_progress: shortestWindow -> minWindow leader_lease: lapsedAt -> endedAt (the lease has expired or was released) commit_pipeline: repeatAt -> resendAt job_intake: shouldGiveUp -> shouldAbandon row_writer: longest -> maxDelay job_store: takeNews -> takeMarkers, settleNews -> deleteMarkers, m_settledNews -> m_deletableMarkers zone_controller: patience -> timeout platform settings: longestLease -> maxWorkerLease; the file's field "maxHoldMs" stays

--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -288,7 +288,7 @@
     finish(id);
 }
 
-bool JobIntake::shouldGiveUp(const Request& request, TimePoint now) const
+bool JobIntake::shouldAbandon(const Request& request, TimePoint now) const
 {
     const bool isSlow = now >= request.receivedAt + maxWaitWithoutStore;
     return now >= request.answerBy || (isSlow && !m_configuration.isFresh(now, maxWaitWithoutStore));
@@ -299,7 +299,7 @@
     m_writer.tick(step);
     std::vector<RequestId> abandoned;
     for (auto& [id, request] : m_requests) {
-        if (shouldGiveUp(request, step.now))
+        if (shouldAbandon(request, step.now))
             abandoned.push_back(id);
         else if (request.readAgainAt && step.now >= *request.readAgainAt)
             read(id, request, step);
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -82,7 +82,7 @@
     void stored(RequestId, Step&);
     void progressRead(RequestId, Request&, const std::vector<Row>&, Step&);
     void jobRead(RequestId, Request&, bool exists, Step&);
-    bool shouldGiveUp(const Request&, TimePoint now) const;
+    bool shouldAbandon(const Request&, TimePoint now) const;
     static void answer(const Request&, AnswerKind, Step&, JobState = JobState::Pending);
     void finish(RequestId);
 
--- a/src/batch/intake/row_writer.cpp
+++ b/src/batch/intake/row_writer.cpp
@@ -85,10 +85,10 @@
 // Half of the delay is random, so that daemons refused at the same time do not retry at the same time.
 void RowWriter::delay(Part& part, Step& step)
 {
-    const Milliseconds longest = initialRetryDelay * (1 << std::min(part.refusals, maxDoublings));
+    const Milliseconds maxDelay = initialRetryDelay * (1 << std::min(part.refusals, maxDoublings));
     ++part.refusals;
-    const auto half = static_cast<std::uint64_t>(longest.count() / 2);
-    part.sendAt = step.now + longest / 2 + Milliseconds(static_cast<std::int64_t>(step.random % (half + 1)));
+    const auto half = static_cast<std::uint64_t>(maxDelay.count() / 2);
+    part.sendAt = step.now + maxDelay / 2 + Milliseconds(static_cast<std::int64_t>(step.random % (half + 1)));
 }
 
 void RowWriter::tick(Step& step)
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -72,9 +72,9 @@
 
 std::optional<Effect> CommitPipeline::resend(TimePoint now)
 {
-    if (!m_inFlight || !m_inFlight->repeatAt || now < *m_inFlight->repeatAt)
+    if (!m_inFlight || !m_inFlight->resendAt || now < *m_inFlight->resendAt)
         return std::nullopt;
-    m_inFlight->repeatAt.reset();
+    m_inFlight->resendAt.reset();
     m_inFlight->record = m_lease.withCurrentSendTime(std::move(m_inFlight->record), now);
     m_inFlight->transaction.writes.back().value = encodeLease(m_inFlight->record);
     m_inFlight->operation = ++m_lastOperation | commitOperationBit;
@@ -106,7 +106,7 @@
         }
         break;
     }
-    m_inFlight->repeatAt = now + initialResendDelay * (1 << std::min(m_inFlight->failures, maxDoublings));
+    m_inFlight->resendAt = now + initialResendDelay * (1 << std::min(m_inFlight->failures, maxDoublings));
     ++m_inFlight->failures;
     return {};
 }
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -61,7 +61,7 @@
         OperationId operation = 0;
         TimePoint firstSentAt {};
         TimePoint lastSentAt {};
-        std::optional<TimePoint> repeatAt; // when to send again; empty while an answer is awaited
+        std::optional<TimePoint> resendAt; // when to send again; empty while an answer is awaited
         bool mayHaveBeenApplied = false;
         int failures = 0;
     };
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -92,8 +92,8 @@
     if (!m_hasObserved || m_isLeader || !hasContact)
         return false;
     const bool isReleased = m_record.holder.empty() || isHeldByPredecessor();
-    const TimePoint lapsedAt = isReleased ? m_changedAt : m_changedAt + leaseDuration + leaseMargin;
-    return now >= std::max(lapsedAt, m_contactSince) + m_claimDelay;
+    const TimePoint endedAt = isReleased ? m_changedAt : m_changedAt + leaseDuration + leaseMargin;
+    return now >= std::max(endedAt, m_contactSince) + m_claimDelay;
 }
 
 LeaseRecord LeaderLease::next(std::map<std::string, std::uint64_t> waitingJobs, TimePoint now) const
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -10,7 +10,7 @@
 constexpr int minPercentForRate = 20;
 // The pace is judged over windows of a tenth of the estimated duration, but of at least this length. The
 // estimate is usually off by a factor of two at most.
-constexpr Milliseconds shortestWindow { 1'000 };
+constexpr Milliseconds minWindow { 1'000 };
 constexpr int windowsPerEstimate = 10;
 // A run lags below this fraction of its highest rate. Workers differ in speed by less than a factor of two,
 // and the rate of a single task varies by less than that over time.
@@ -19,7 +19,7 @@
 } // namespace
 
 RunProgress::RunProgress(Milliseconds estimatedDuration, bool isGangMember)
-    : m_window(std::max(shortestWindow, estimatedDuration / windowsPerEstimate))
+    : m_window(std::max(minWindow, estimatedDuration / windowsPerEstimate))
     , m_mayWait(isGangMember)
 {
 }
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // A worker's clock runs up to 2% slow. The remaining margin and the slack cover the transit time of an order.
-constexpr double slowestClock = 0.97;
+constexpr double minClockRate = 0.97;
 constexpr Milliseconds leaseSlack { 300 };
 
 // Lease of a draining worker. It is short because such a worker may leave at any time, and the loss of its
@@ -33,7 +33,7 @@
 
 Milliseconds inRealTime(Milliseconds onWorkerClock)
 {
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(onWorkerClock.count()) / slowestClock))
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(onWorkerClock.count()) / minClockRate))
         + leaseSlack;
 }
 
@@ -86,14 +86,14 @@
 {
     m_epoch = epoch;
     for (auto& [lifetime, worker] : m_workers.all())
-        extendLease(worker, m_settings.longest, now);
+        extendLease(worker, m_settings.maxLease, now);
 }
 
 void RunSupervisor::adopt(
     const JobProgress& job, const RunId& run, const WorkerLifetime& lifetime, TimePoint now)
 {
     Worker& worker = m_workers.require(lifetime);
-    extendLease(worker, m_settings.longest, now);
+    extendLease(worker, m_settings.maxLease, now);
     LiveRun live { run, job.specificationOf(run.task.step).countedPerTask(), job.job().terms.priority };
     live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
     live.assignedAt = now;
@@ -157,20 +157,20 @@
     }
 }
 
-void RunSupervisor::workersUpdated(const WorkersUpdated& news, Step& step)
+void RunSupervisor::workersUpdated(const WorkersUpdated& update, Step& step)
 {
-    std::vector<WorkerId> gone = news.removed;
-    if (news.isComplete) {
+    std::vector<WorkerId> gone = update.removed;
+    if (update.isComplete) {
         for (const WorkerId& id : m_workers.listedIds()) {
             const auto isNamed = [&id](const WorkerRecord& record) { return record.lifetime.id == id; };
-            if (std::none_of(news.changed.begin(), news.changed.end(), isNamed))
+            if (std::none_of(update.changed.begin(), update.changed.end(), isNamed))
                 gone.push_back(id);
         }
     }
     for (const WorkerId& id : gone)
         workerGone(id, step);
     m_followedAt = step.now;
-    for (const WorkerRecord& record : news.changed) {
+    for (const WorkerRecord& record : update.changed) {
         for (const WorkerLifetime& over : m_workers.update(record, step.now)) {
             if (Worker* worker = m_workers.find(over))
                 endLifetime(*worker, "worker has restarted", step);
@@ -202,7 +202,7 @@
 
 Milliseconds RunSupervisor::leaseFor(const Worker& worker) const
 {
-    return worker.record.isDraining ? std::min(drainingLease, m_settings.longest) : m_settings.longest;
+    return worker.record.isDraining ? std::min(drainingLease, m_settings.maxLease) : m_settings.maxLease;
 }
 
 void RunSupervisor::extendLease(Worker& worker, Milliseconds lease, TimePoint now)
@@ -245,8 +245,8 @@
     const bool isStoring = worker.processedEnd > worker.storedEnd;
     if (isStoring && step.now < worker.holdSentAt + storeWait)
         return;
-    const bool hasNews = worker.storedEnd > worker.acknowledgedEnd;
-    if (worker.runs.empty() && worker.isConfirmed && !hasNews)
+    const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
+    if (worker.runs.empty() && worker.isConfirmed && !hasUnacknowledgedEnds)
         return;
     if (!worker.isListed && worker.runs.empty())
         return;
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -17,7 +17,7 @@
 
 // The platform's limits on leases and stops.
 struct WorkerLeaseSettings {
-    Milliseconds longest { 6'000 }; // how long a worker may keep its runs without a renewal of the lease
+    Milliseconds maxLease { 6'000 }; // how long a worker may keep its runs without a renewal of the lease
     Milliseconds stopTimeout { 200 }; // longest time that a worker takes to stop a run
 };
 
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -13,8 +13,8 @@
 // If the registry entry of a draining worker disappears this soon after its last change, the worker has
 // withdrawn it: an entry only expires after three missed heartbeats of 1.5 s. This inference is valid only
 // while the registry is read without longer gaps.
-constexpr Milliseconds withdrawnWithin { 2'500 };
-constexpr Milliseconds longestReadGap { 1'500 };
+constexpr Milliseconds maxWithdrawalDelay { 2'500 };
+constexpr Milliseconds maxReadGap { 1'500 };
 
 } // namespace
 
@@ -80,11 +80,11 @@
 
 void RunSupervisor::workerGone(const WorkerId& id, Step& step)
 {
-    const bool isReadWithoutGap = m_followedAt && step.now < *m_followedAt + longestReadGap;
+    const bool isReadWithoutGap = m_followedAt && step.now < *m_followedAt + maxReadGap;
     for (const WorkerLifetime& lifetime : m_workers.unlist(id)) {
         Worker* worker = m_workers.find(lifetime);
-        const bool isWithdrawn
-            = worker->record.isDraining && isReadWithoutGap && step.now < worker->listedAt + withdrawnWithin;
+        const bool isWithdrawn = worker->record.isDraining && isReadWithoutGap
+            && step.now < worker->listedAt + maxWithdrawalDelay;
         if (isWithdrawn)
             endLifetime(*worker, "worker withdrew its registry entry", step);
     }
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -109,7 +109,7 @@
     const std::size_t lost = std::erase_if(
         m_removals, [&](const auto& removal) { return step.now - removal.second >= operationTimeout; });
     m_areExpiriesRead = m_areExpiriesRead && !lost;
-    settleNews(role, step);
+    deleteMarkers(role, step);
 }
 
 void JobStore::forgetOperations()
@@ -119,7 +119,7 @@
     m_reads.clear();
     m_removals.clear();
     m_uselessCancellations.clear();
-    m_settledNews.clear();
+    m_deletableMarkers.clear();
     m_expiries.clear();
     m_expiryOperation = 0;
     m_areExpiriesRead = false;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -104,7 +104,7 @@
     // Defined in job_store_reads.cpp:
     void pollReplied(const TableReply&, Step&);
     void takeAllRows(const TableReply&);
-    void takeNews(const TableReply&, Step&);
+    void takeMarkers(const TableReply&, Step&);
     void takeExpiries(const TableReply&);
     void readReplied(const JobId&, const TableReply&);
     // Updates the entry of the row's job. Returns the job, or nothing if the row is malformed.
@@ -112,7 +112,7 @@
     void takeCancellation(const TableRow&);
 
     // Defined in job_store_cleanup.cpp:
-    void settleNews(const HeldRole&, Step&);
+    void deleteMarkers(const HeldRole&, Step&);
     void forgetEnded(TimePoint now);
 
     AvailabilityZoneId m_zone;
@@ -134,7 +134,7 @@
     std::optional<TimePoint> m_lastPoll;
     std::optional<TimePoint> m_lastAnswer;
     std::set<JobId> m_changed;
-    std::set<JobId> m_settledNews; // jobs that are known or have ended: their markers can be deleted
+    std::set<JobId> m_deletableMarkers; // of jobs that are known or have ended
     std::uint64_t m_expiryOperation = 0; // read of all expiry rows in a new term; 0: none in flight
     bool m_areExpiriesRead = false;
     TimePoint m_expirySentAt {};
--- a/src/jobs/job_store_cleanup.cpp
+++ b/src/jobs/job_store_cleanup.cpp
@@ -14,16 +14,16 @@
 
 } // namespace
 
-void JobStore::settleNews(const HeldRole& role, Step& step)
+void JobStore::deleteMarkers(const HeldRole& role, Step& step)
 {
-    if (m_settledNews.empty() || !m_removals.empty() || m_isFenced)
+    if (m_deletableMarkers.empty() || !m_removals.empty() || m_isFenced)
         return;
     TableTransaction transaction;
     transaction.conditions = { { m_ownerKey, role.ownerVersion } };
-    for (auto it = m_settledNews.begin();
-         it != m_settledNews.end() && transaction.writes.size() < maxRowsPerBatch;) {
+    for (auto it = m_deletableMarkers.begin();
+         it != m_deletableMarkers.end() && transaction.writes.size() < maxRowsPerBatch;) {
         transaction.writes.push_back({ jobNewRowKey(*it), std::nullopt });
-        it = m_settledNews.erase(it);
+        it = m_deletableMarkers.erase(it);
     }
     const OperationId id = m_counter.next();
     m_removals.emplace(id.sequence, step.now);
--- a/src/jobs/job_store_reads.cpp
+++ b/src/jobs/job_store_reads.cpp
@@ -62,7 +62,7 @@
         takeAllRows(reply);
         m_lastPoll = m_pollSentAt;
     }
-    takeNews(reply, step);
+    takeMarkers(reply, step);
     for (const TableRow& row : reply.rows) {
         if (row.key.starts_with(m_cancelPrefix))
             takeCancellation(row);
@@ -71,7 +71,7 @@
 
 void JobStore::takeAllRows(const TableReply& reply)
 {
-    m_settledNews.clear();
+    m_deletableMarkers.clear();
     std::unordered_set<std::string> keysFound;
     for (const TableRow& row : reply.rows) {
         if (row.key.starts_with(m_jobPrefix)) {
@@ -89,7 +89,7 @@
 }
 
 // Reads the rows of marked jobs that are not known yet. Schedules the markers of known jobs for deletion.
-void JobStore::takeNews(const TableReply& reply, Step& step)
+void JobStore::takeMarkers(const TableReply& reply, Step& step)
 {
     for (const TableRow& row : reply.rows) {
         if (!row.key.starts_with(m_newPrefix))
@@ -98,7 +98,7 @@
         if (zoneOf(job) != m_zone)
             continue;
         if (m_jobs.contains(job))
-            m_settledNews.insert(job);
+            m_deletableMarkers.insert(job);
         else
             read(job, step);
     }
@@ -124,7 +124,7 @@
     if (const TableRow* row = findRow(reply, jobRowKey(job)))
         take(*row, TimePoint {});
     else if (!m_jobs.contains(job))
-        m_settledNews.insert(job); // the job has ended
+        m_deletableMarkers.insert(job); // the job has ended
     if (const TableRow* row = findRow(reply, jobCancelRowKey(job)))
         takeCancellation(*row);
 }
--- a/src/jobs/zone_controller.h
+++ b/src/jobs/zone_controller.h
@@ -116,7 +116,7 @@
     bool fitsNoiseLimit(
         const JobId&, std::vector<GangMember>, const std::vector<JobId>& leaving, const Step&) const;
     void reduceNoiseForClaims(const HeldRole&, Step&);
-    bool isThrottleOverdue(const JobId&, Milliseconds patience, TimePoint now) const;
+    bool isThrottleOverdue(const JobId&, Milliseconds timeout, TimePoint now) const;
     void enforceNoiseLimit(const HeldRole&, Step&);
     void applyNoiseAction(const NoiseAction&, const HeldRole&, Step&);
     void recordConfirmedThrottle(const JobId&);
--- a/src/jobs/zone_noise.cpp
+++ b/src/jobs/zone_noise.cpp
@@ -66,11 +66,11 @@
     }
 }
 
-bool ZoneController::isThrottleOverdue(const JobId& job, Milliseconds patience, TimePoint now) const
+bool ZoneController::isThrottleOverdue(const JobId& job, Milliseconds timeout, TimePoint now) const
 {
     const auto found = m_gangs.find(job);
     return found != m_gangs.end() && found->second.isThrottlePending()
-        && now - found->second.throttleRequestedAt() >= patience;
+        && now - found->second.throttleRequestedAt() >= timeout;
 }
 
 void ZoneController::enforceNoiseLimit(const HeldRole& role, Step& step)
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -125,7 +125,7 @@
         CPPUNIT_ASSERT_EQUAL(0.5, settings->cpuShare);
         CPPUNIT_ASSERT_EQUAL(200.0, settings->linkMbps);
         CPPUNIT_ASSERT(settings->shutdownGrace == Milliseconds(6'000));
-        CPPUNIT_ASSERT(settings->longestLease == Milliseconds(6'000));
+        CPPUNIT_ASSERT(settings->maxWorkerLease == Milliseconds(6'000));
     }
 
     void testBadSettingsNameFieldAndReason()
