--- a/src/jobs/zone_noise.cpp
+++ b/src/jobs/zone_noise.cpp
@@ -66,11 +66,11 @@
     }
 }
 
-bool ZoneController::isThrottleOverdue(const JobId& job, Milliseconds patience, TimePoint now) const
+bool ZoneController::isThrottleOverdue(const JobId& job, Milliseconds timeout, TimePoint now) const
 {
     const auto found = m_gangs.find(job);
     return found != m_gangs.end() && found->second.isThrottlePending()
-        && now - found->second.throttleRequestedAt() >= patience;
+        && now - found->second.throttleRequestedAt() >= timeout;
 }
 
 void ZoneController::enforceNoiseLimit(const HeldRole& role, Step& step)
@@ -78,7 +78,7 @@
     const AvailabilityZoneConfiguration* configured = zone();
     if (!configured)
         return;
-    // Includes the pending claims, so that a throttle that was set for one of them is not lifted.
+    // Includes the pending claims, so that a throttle that was set for one of them is not removed.
     const std::vector<NoiseAction> actions
         = m_noise.planForStart(*m_inventory, configured->room, claimedMembers({}), step.localTime);
     for (const NoiseAction& action : actions) {
