Bound the searches of a placement round

Cause: a round of the leader repeated work for each waiting unit. Each search for evictions collected all runs anew and mapped them to workers once for each rack; each hold for a gang and each check of locality copied the capacity of all workers; a gang of n tasks was searched for although one of fewer tasks of the same shape had found no room; all tasks of a step were listed although its first one did not fit; and fits were sorted in full. On a full fleet a round took longer than the pause between rounds, so that the leader did little else.

Change: eviction candidates are indexed by worker, once for a round, and updated after an eviction. Holds and checks of locality change the free room in place. The smallest number of tasks of a shape that found no room is kept. Only as many fits are sorted as there are tasks. The decisions are meant to stay the same; tests of evictions now build the index, and check what they did before.

--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -81,7 +82,7 @@
     void noteEnd(Entry&, TimePoint now);
     bool isExpired(const Entry&, TimePoint now) const;
 
-    std::map<JobId, Entry> m_entries;
+    std::unordered_map<JobId, Entry> m_entries;
     std::set<JobId> m_open;
     std::set<JobId> m_cancelRequests;
     std::map<std::uint64_t, JobId> m_changed; // keyed by the number of the latest change
--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -1,6 +1,7 @@
 #include "batch/jobs/job_progress.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -92,6 +93,16 @@
 }
 
 std::vector<PlacementUnit> JobProgress::unitsOf(const StepPosition& position) const
+{
+    return unitsOf(position, std::numeric_limits<std::size_t>::max());
+}
+
+PlacementUnit JobProgress::firstUnitOf(const StepPosition& position) const
+{
+    return std::move(unitsOf(position, 1).front());
+}
+
+std::vector<PlacementUnit> JobProgress::unitsOf(const StepPosition& position, std::size_t limit) const
 {
     const StepProgress& progress
         = m_occurrences.at(position.occurrence)[static_cast<std::size_t>(position.step)];
@@ -101,6 +112,8 @@
         const TaskProgress& task = progress.tasks[index];
         if (task.isDone || task.assignment)
             continue;
+        if (!isGang && units.size() == limit)
+            break;
         if (!isGang || units.empty())
             units.push_back({ m_job.specification.id, position.occurrence, position.step, {}, 1 });
         units.back().tasks.push_back(static_cast<int>(index));
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/job.h"
 #include "anvilmoor/batch/worker.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <span>
@@ -77,6 +78,8 @@
     std::vector<StepPosition> readySteps() const;
     // The units to be placed for a ready step: the whole gang, or each waiting task separately.
     std::vector<PlacementUnit> unitsOf(const StepPosition&) const;
+    // The first of unitsOf(). There must be one.
+    PlacementUnit firstUnitOf(const StepPosition&) const;
     // The units of all ready steps.
     std::vector<PlacementUnit> readyUnits() const;
     const StepSpecification& specificationOf(int step) const
@@ -110,6 +113,7 @@
     std::vector<StepProgress> emptyOccurrence() const;
     StepProgress* stepOf(const TaskId&);
     bool isReady(const std::vector<StepProgress>&, const StepSpecification&) const;
+    std::vector<PlacementUnit> unitsOf(const StepPosition&, std::size_t limit) const;
     bool hasReadyUnit(const StepProgress&, const StepSpecification&) const;
     void clearAssignment(TaskProgress&);
     void endDone(StepProgress&, const RunId&, RunConsequence&);
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -1,23 +1,57 @@
 #include "batch/placement/capacity_view.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
 namespace anvilmoor::batch {
 
+namespace {
+
+// A band is 10% wide, because a speed that is estimated from few observations can be off by that much.
+int speedBandOf(double speed)
+{
+    constexpr double bandWidth = 0.1;
+    return static_cast<int>(std::lround(std::log(speed) / bandWidth));
+}
+
+} // namespace
+
 void CapacityView::add(WorkerCapacity worker)
 {
     const std::size_t index = m_workers.size();
+    worker.speedBand = speedBandOf(worker.speed);
     m_racks[worker.rack].push_back(index);
     m_index.emplace(worker.lifetime, index);
     m_workers.push_back(std::move(worker));
 }
 
+std::vector<Resources> CapacityView::rooms() const
+{
+    std::vector<Resources> rooms;
+    rooms.reserve(m_workers.size());
+    for (const WorkerCapacity& worker : m_workers)
+        rooms.push_back(worker.room);
+    return rooms;
+}
+
+void CapacityView::setRooms(std::span<const Resources> rooms)
+{
+    for (std::size_t i = 0; i < m_workers.size(); ++i)
+        m_workers[i].room = rooms[i];
+}
+
 WorkerCapacity* CapacityView::find(const WorkerLifetime& lifetime)
+{
+    const auto index = indexOf(lifetime);
+    return index ? &m_workers[*index] : nullptr;
+}
+
+std::optional<std::size_t> CapacityView::indexOf(const WorkerLifetime& lifetime) const
 {
     const auto found = m_index.find(lifetime);
-    return found == m_index.end() ? nullptr : &m_workers[found->second];
+    return found == m_index.end() ? std::nullopt : std::optional(found->second);
 }
 
 double CapacityView::acceleratorUtilization() const
@@ -50,9 +84,8 @@
 void CapacityView::hide(const std::set<WorkerLifetime>& lifetimes, Hidden& hidden)
 {
     for (const WorkerLifetime& lifetime : lifetimes) {
-        const auto found = m_index.find(lifetime);
-        if (found != m_index.end())
-            hidden.emplace_back(found->second, std::exchange(m_workers[found->second].room, Resources {}));
+        if (const auto index = indexOf(lifetime))
+            hidden.emplace_back(*index, std::exchange(m_workers[*index].room, Resources {}));
     }
 }
 
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -4,7 +4,9 @@
 #include "batch/workers/worker_pool.h"
 
 #include <map>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +23,7 @@
     Resources whole;
     bool isOnTrial = false; // takes at most one task, which shows whether the worker has recovered
     double speed = 1; // relative to other workers; 1 is typical
+    int speedBand = 0; // set by CapacityView: higher is faster, and workers of one band count as equally fast
 
     bool isIdle() const { return room == whole; }
     bool hasLabel(std::string_view label) const { return rack.value() == label || kind == label; }
@@ -46,8 +49,13 @@
     // Sets the free resources of the given workers to zero and adds them to the list for restore().
     void hide(const std::set<WorkerLifetime>&, Hidden&);
     void restore(const Hidden&);
+    // The free resources of all workers, in the order of workers(). setRooms() takes them back after a search
+    // under other assumptions.
+    std::vector<Resources> rooms() const;
+    void setRooms(std::span<const Resources>);
     // Returns null if the worker does not accept new runs.
     WorkerCapacity* find(const WorkerLifetime&);
+    std::optional<std::size_t> indexOf(const WorkerLifetime&) const;
 
 private:
     std::vector<WorkerCapacity> m_workers;
--- a/src/batch/placement/eviction.cpp
+++ b/src/batch/placement/eviction.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
-#include <set>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -17,57 +15,83 @@
 // the following tasks.
 class GroupSearch {
 public:
+    // `workers`: indices into the view's workers, in ascending order.
     GroupSearch(const PlacementRequest& request, const CapacityView& view,
-        const std::vector<EvictionCandidate>& candidates, const std::vector<std::size_t>& workers)
+        const EvictionCandidates& candidates, std::span<const std::size_t> workers)
         : m_request(request)
+        , m_view(view)
         , m_candidates(candidates)
+        , m_workers(workers)
     {
-        for (const std::size_t index : workers) {
-            const WorkerCapacity& worker = view.workers()[index];
-            m_places.emplace(worker.lifetime, Place { &worker, worker.room, {}, 0 });
-        }
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            for (const auto& [lifetime, resources] : candidates[i].room) {
-                const auto place = m_places.find(lifetime);
-                if (place != m_places.end())
-                    place->second.candidates.insert(i);
-            }
-        }
     }
 
     // Returns nullopt if no plan costs less than `limit`. Stops searching as soon as the limit is reached.
     std::optional<EvictionPlan> run(double limit)
     {
+        if (!couldFit())
+            return std::nullopt;
+        addPlaces();
         for (int task = 0; task < m_request.tasks; ++task) {
             Place* best = nullptr;
-            VictimSet cheapest;
-            cheapest.cost = infiniteCost;
-            for (auto& [lifetime, place] : m_places) {
-                VictimSet selection = cheapestVictims(lifetime, place);
-                if (selection.cost >= cheapest.cost)
-                    continue;
-                cheapest = std::move(selection);
-                best = &place;
+            for (Place& place : m_places) {
+                if (!place.cheapest)
+                    place.cheapest = cheapestVictims(place);
+                if (place.cheapest->cost < (best ? best->cheapest->cost : infiniteCost))
+                    best = &place;
             }
-            if (!best || m_plan.cost + cheapest.cost >= limit)
+            if (!best || m_plan.cost + best->cheapest->cost >= limit)
                 return std::nullopt;
-            take(*best, cheapest);
+            take(*best);
         }
         return std::move(m_plan);
     }
 
 private:
+    struct VictimSet {
+        double cost = infiniteCost;
+        std::vector<std::size_t> victims;
+    };
     struct Place {
         const WorkerCapacity* worker = nullptr;
         Resources room;
-        std::set<std::size_t> candidates;
+        std::vector<EvictionCandidates::Freed> candidates; // those that this plan does not stop yet
         int taken = 0; // number of the unit's tasks that this plan places here
-    };
-    struct VictimSet {
-        double cost = infiniteCost;
-        std::vector<std::size_t> victims;
+        std::optional<VictimSet> cheapest; // for one more task; empty if it has to be determined again
     };
 
+    // Whether the unit would fit if all candidates were stopped.
+    bool couldFit() const
+    {
+        int tasks = 0;
+        for (const std::size_t index : m_workers) {
+            const WorkerCapacity& worker = m_view.workers()[index];
+            Resources room = worker.room;
+            room += m_candidates.freeableOn(index);
+            tasks += tasksThatFit(m_request, worker, room);
+            if (tasks >= m_request.tasks)
+                return true;
+        }
+        return false;
+    }
+
+    void addPlaces()
+    {
+        m_places.reserve(m_workers.size());
+        for (const std::size_t index : m_workers) {
+            const WorkerCapacity& worker = m_view.workers()[index];
+            const auto candidates = m_candidates.onWorker(index);
+            m_places.push_back({ &worker, worker.room, { candidates.begin(), candidates.end() } });
+        }
+    }
+
+    Place* placeOn(std::size_t worker)
+    {
+        const auto found = std::lower_bound(m_workers.begin(), m_workers.end(), worker);
+        if (found == m_workers.end() || *found != worker)
+            return nullptr;
+        return &m_places[static_cast<std::size_t>(found - m_workers.begin())];
+    }
+
     bool fitsOneMore(const Place& place, const Resources& room) const
     {
         // The limit of tasks per worker also counts the tasks that this plan has placed here.
@@ -77,35 +101,31 @@
         return tasksThatFit(m_request, *place.worker, free) > place.taken;
     }
 
-    Resources freedOn(const WorkerLifetime& lifetime, std::size_t candidate) const
+    double costOf(const EvictionCandidates::Freed& freed) const
     {
-        Resources freed;
-        for (const auto& [where, resources] : m_candidates[candidate].room) {
-            if (where == lifetime)
-                freed += resources;
-        }
-        return freed;
+        return m_candidates.all()[freed.candidate].cost;
     }
 
     // Selects victims on one worker until one more task fits, in ascending order of cost per accelerator that
     // they free there. Then drops the victims whose resources turn out not to be needed.
-    VictimSet cheapestVictims(const WorkerLifetime& lifetime, const Place& place) const
+    VictimSet cheapestVictims(const Place& place) const
     {
         VictimSet selection;
         selection.cost = 0;
         Resources room = place.room;
         if (fitsOneMore(place, room))
             return selection;
-        std::vector<std::size_t> order(place.candidates.begin(), place.candidates.end());
-        const auto price = [&](std::size_t candidate) {
-            const auto freed = static_cast<double>(freedOn(lifetime, candidate).accelerators);
-            return m_candidates[candidate].cost / std::max(freed, 0.5);
+        std::vector<EvictionCandidates::Freed> order = place.candidates;
+        const auto price = [this](const EvictionCandidates::Freed& freed) {
+            const auto accelerators = static_cast<double>(freed.resources.accelerators);
+            return std::pair(costOf(freed) / std::max(accelerators, 0.5), freed.candidate);
         };
         std::sort(order.begin(), order.end(),
-            [&](std::size_t a, std::size_t b) { return std::pair(price(a), a) < std::pair(price(b), b); });
-        for (const std::size_t candidate : order) {
-            room += freedOn(lifetime, candidate);
-            selection.victims.push_back(candidate);
+            [&price](const auto& a, const auto& b) { return price(a) < price(b); });
+        std::vector<EvictionCandidates::Freed> victims;
+        for (const EvictionCandidates::Freed& freed : order) {
+            room += freed.resources;
+            victims.push_back(freed);
             if (fitsOneMore(place, room))
                 break;
         }
@@ -113,32 +133,38 @@
             selection.cost = infiniteCost;
             return selection;
         }
-        for (std::size_t i = 0; i + 1 < selection.victims.size();) {
+        for (std::size_t i = 0; i + 1 < victims.size();) {
             Resources less = room;
-            less -= freedOn(lifetime, selection.victims[i]);
+            less -= victims[i].resources;
             if (!fitsOneMore(place, less)) {
                 ++i;
                 continue;
             }
             room = less;
-            selection.victims.erase(selection.victims.begin() + static_cast<std::ptrdiff_t>(i));
+            victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+        for (const EvictionCandidates::Freed& freed : victims) {
+            selection.victims.push_back(freed.candidate);
+            selection.cost += costOf(freed);
         }
-        for (const std::size_t candidate : selection.victims)
-            selection.cost += m_candidates[candidate].cost;
         return selection;
     }
 
-    void take(Place& place, const VictimSet& selection)
+    void take(Place& place)
     {
+        const VictimSet selection = *std::exchange(place.cheapest, std::nullopt);
         for (const std::size_t candidate : selection.victims) {
-            const EvictionCandidate& victim = m_candidates[candidate];
-            m_plan.victims.insert(m_plan.victims.end(), victim.runs.begin(), victim.runs.end());
-            for (const auto& [lifetime, resources] : victim.room) {
-                const auto freed = m_places.find(lifetime);
-                if (freed == m_places.end())
+            const std::vector<RunId>& runs = m_candidates.all()[candidate].runs;
+            m_plan.victims.insert(m_plan.victims.end(), runs.begin(), runs.end());
+            m_plan.candidates.push_back(candidate);
+            for (const EvictionCandidates::Freed& freed : m_candidates.byCandidate(candidate)) {
+                Place* where = placeOn(freed.worker);
+                if (!where)
                     continue;
-                freed->second.room += resources;
-                freed->second.candidates.erase(candidate);
+                where->room += freed.resources;
+                where->cheapest.reset();
+                std::erase_if(where->candidates,
+                    [candidate](const auto& other) { return other.candidate == candidate; });
             }
         }
         place.room -= m_request.perTask;
@@ -148,8 +174,10 @@
     }
 
     const PlacementRequest& m_request;
-    const std::vector<EvictionCandidate>& m_candidates;
-    std::map<WorkerLifetime, Place> m_places;
+    const CapacityView& m_view;
+    const EvictionCandidates& m_candidates;
+    std::span<const std::size_t> m_workers;
+    std::vector<Place> m_places; // in the order of m_workers
     EvictionPlan m_plan;
 };
 
@@ -174,14 +202,49 @@
 
 } // namespace
 
-std::optional<EvictionPlan> planEviction(const PlacementRequest& request, const CapacityView& view,
-    const std::vector<EvictionCandidate>& candidates)
+EvictionCandidates::EvictionCandidates(const CapacityView& view, std::vector<EvictionCandidate> candidates)
+    : m_candidates(std::move(candidates))
+    , m_byCandidate(m_candidates.size())
+    , m_byWorker(view.workers().size())
+    , m_freeable(view.workers().size())
+{
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+        std::vector<Freed>& parts = m_byCandidate[i];
+        for (const auto& [lifetime, resources] : m_candidates[i].room) {
+            const auto worker = view.indexOf(lifetime);
+            if (!worker)
+                continue;
+            m_freeable[*worker] += resources;
+            const auto known = std::find_if(
+                parts.begin(), parts.end(), [&worker](const Freed& part) { return part.worker == *worker; });
+            if (known == parts.end())
+                parts.push_back({ i, *worker, resources });
+            else
+                known->resources += resources;
+        }
+        for (const Freed& part : parts)
+            m_byWorker[part.worker].push_back(part);
+    }
+}
+
+void EvictionCandidates::noteStopping(std::span<const std::size_t> candidates)
+{
+    for (const std::size_t candidate : candidates) {
+        m_candidates[candidate].runs.clear();
+        m_candidates[candidate].cost = 0;
+    }
+}
+
+std::optional<EvictionPlan> planEviction(
+    const PlacementRequest& request, const CapacityView& view, const EvictionCandidates& candidates)
 {
     std::optional<EvictionPlan> best;
     for (const std::vector<std::size_t>& group : groupsFor(request, view)) {
         auto plan = GroupSearch(request, view, candidates, group).run(best ? best->cost : infiniteCost);
         if (plan)
             best = std::move(plan);
+        if (best && best->cost <= 0)
+            break;
     }
     return best;
 }
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -1,7 +1,6 @@
 #include "batch/placement/packing_placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <numeric>
 #include <tuple>
@@ -21,14 +20,6 @@
     return static_cast<int>(std::clamp<std::int64_t>(room / need, 0, limit));
 }
 
-// Workers in the same band count as equally fast. A band is 10% wide, because a speed that is estimated from
-// few observations can be off by that much.
-int speedBand(const WorkerCapacity& worker)
-{
-    constexpr double bandWidth = 0.1;
-    return static_cast<int>(std::lround(std::log(worker.speed) / bandWidth));
-}
-
 bool isLocal(const PlacementRequest& request, const RackId& rack)
 {
     return request.step.dataRack.empty() || rack.value() == request.step.dataRack;
@@ -53,6 +44,26 @@
     return timesThatFit(request.perTask.accelerators, room.accelerators, limit);
 }
 
+int mostTasksWithinLocality(const PlacementRequest& request, const CapacityView& view)
+{
+    const PlacementRequest wide { request.step, request.perTask, maxTasksCountedPerWorker };
+    const bool needsOneRack = request.step.isGang && request.step.needsOneRack;
+    int total = 0;
+    int most = 0;
+    for (const auto& [rack, workers] : view.racks()) {
+        if (!isLocal(request, rack))
+            continue;
+        int inRack = 0;
+        for (const std::size_t index : workers) {
+            const WorkerCapacity& worker = view.workers()[index];
+            inRack += tasksThatFit(wide, worker, worker.whole);
+        }
+        total += inRack;
+        most = std::max(most, inRack);
+    }
+    return needsOneRack ? most : total;
+}
+
 bool couldEverFit(const PlacementRequest& request, const CapacityView& view)
 {
     int total = 0;
@@ -71,30 +82,36 @@
             continue;
         const int tasks = tasksThatFit(request, worker, worker.room);
         if (tasks > 0)
-            fits.push_back({ index, tasks, speedBand(worker) });
+            fits.push_back({ index, tasks, worker.speedBand });
     }
     return fits;
 }
 
+int PackingPlacement::totalTasks(std::span<const Fit> fits)
+{
+    return std::accumulate(
+        fits.begin(), fits.end(), 0, [](int sum, const Fit& fit) { return sum + fit.tasks; });
+}
+
 std::optional<std::vector<PackingPlacement::Fit>> PackingPlacement::choose(
     const PlacementRequest& request, const CapacityView& view, std::vector<Fit> fits)
 {
-    const int available = std::accumulate(
-        fits.begin(), fits.end(), 0, [](int sum, const Fit& fit) { return sum + fit.tasks; });
-    if (available < request.tasks)
+    if (totalTasks(fits) < request.tasks)
         return std::nullopt;
     // Workers in the data's rack come first. Urgent work takes the fastest partly used workers, then the
     // fastest idle ones. Other work takes the workers with the fewest free resources, slower ones first, so
     // that fast workers stay free for urgent work.
-    std::sort(fits.begin(), fits.end(), [&](const Fit& a, const Fit& b) {
-        const auto rank = [&](const Fit& fit) {
-            const WorkerCapacity& worker = view.workers()[fit.worker];
-            return std::tuple(!isLocal(request, worker.rack), request.prefersFastWorkers && worker.isIdle(),
-                request.prefersFastWorkers ? -fit.speedBand : 0, worker.room.accelerators,
-                worker.room.memoryMb, worker.room.cpuMillicores, fit.speedBand, fit.worker);
-        };
-        return rank(a) < rank(b);
-    });
+    const auto rank = [&](const Fit& fit) {
+        const WorkerCapacity& worker = view.workers()[fit.worker];
+        return std::tuple(!isLocal(request, worker.rack), request.prefersFastWorkers && worker.isIdle(),
+            request.prefersFastWorkers ? -fit.speedBand : 0, worker.room.accelerators, worker.room.memoryMb,
+            worker.room.cpuMillicores, fit.speedBand, fit.worker);
+    };
+    // Each chosen worker takes at least one task.
+    const auto chosenEnd
+        = fits.begin() + std::min(static_cast<std::ptrdiff_t>(fits.size()), std::ptrdiff_t { request.tasks });
+    std::partial_sort(fits.begin(), chosenEnd, fits.end(),
+        [&rank](const Fit& a, const Fit& b) { return rank(a) < rank(b); });
     int missing = request.tasks;
     std::vector<Fit> chosen;
     for (Fit& fit : fits) {
@@ -141,6 +158,18 @@
     return slowest;
 }
 
+std::vector<std::size_t> PackingPlacement::permittedWorkers(
+    const PlacementRequest& request, const CapacityView& view)
+{
+    if (!request.step.dataRack.empty() && !request.mayRelaxLocality) {
+        const auto rack = view.racks().find(RackId(request.step.dataRack));
+        return rack == view.racks().end() ? std::vector<std::size_t>() : rack->second;
+    }
+    std::vector<std::size_t> all(view.workers().size());
+    std::iota(all.begin(), all.end(), 0U);
+    return all;
+}
+
 std::optional<std::vector<WorkerLifetime>> PackingPlacement::place(
     const PlacementRequest& request, CapacityView& view) const
 {
@@ -152,6 +181,8 @@
         std::pair<int, int> bestRank;
         for (const auto& [rack, workers] : view.racks()) {
             std::vector<Fit> fits = fitsOn(request, view, workers);
+            if (totalTasks(fits) < request.tasks)
+                continue;
             const int places = taskSlotsOn(request, view, fits);
             if (best && !request.prefersFastWorkers && places >= bestRank.second)
                 continue;
@@ -170,9 +201,7 @@
         if (!request.mayRelaxLocality)
             return std::nullopt;
     }
-    std::vector<std::size_t> all(view.workers().size());
-    std::iota(all.begin(), all.end(), 0U);
-    const auto chosen = choose(request, view, fitsOn(request, view, all));
+    const auto chosen = choose(request, view, fitsOn(request, view, permittedWorkers(request, view)));
     if (!chosen)
         return std::nullopt;
     return take(request, view, *chosen);
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -22,6 +22,9 @@
 
     static std::vector<Fit> fitsOn(
         const PlacementRequest&, const CapacityView&, std::span<const std::size_t> workers);
+    // Workers on which the request's locality constraint allows tasks, by index into the view's workers.
+    static std::vector<std::size_t> permittedWorkers(const PlacementRequest&, const CapacityView&);
+    static int totalTasks(std::span<const Fit>);
     static std::optional<std::vector<Fit>> choose(
         const PlacementRequest&, const CapacityView&, std::vector<Fit> fits);
     // Counts the tasks of this size for which the workers have room, not limited to the number of the unit's
--- a/src/batch/placement/placement_policy.h
+++ b/src/batch/placement/placement_policy.h
@@ -40,6 +40,10 @@
 // Returns how many of the unit's tasks the worker could take if `room` were its free resources.
 int tasksThatFit(const PlacementRequest&, const WorkerCapacity&, const Resources& room);
 
+// Returns how many tasks like the request's would fit within its locality constraint if all workers were
+// idle: in the rack with its data, and for a gang that asks for one rack in the largest rack.
+int mostTasksWithinLocality(const PlacementRequest&, const CapacityView&);
+
 // Returns whether the unit would fit on these workers if all of them were idle.
 bool couldEverFit(const PlacementRequest&, const CapacityView&);
 
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -51,6 +51,30 @@
     return most;
 }
 
+// Identifies the runs of a gang. Refers to the job's id.
+struct GangKey {
+    std::string_view job;
+    int occurrence = 0;
+    int step = 0;
+
+    auto operator<=>(const GangKey&) const = default;
+};
+
+struct GangRuns {
+    EvictionCandidate all;
+    bool hasEndingRuns = false;
+    bool isStoppable = true;
+
+    void add(EvictionCandidate run, bool isRunStoppable)
+    {
+        hasEndingRuns |= run.runs.empty();
+        isStoppable &= isRunStoppable;
+        all.cost += run.cost;
+        all.runs.insert(all.runs.end(), run.runs.begin(), run.runs.end());
+        all.room.insert(all.room.end(), run.room.begin(), run.room.end());
+    }
+};
+
 } // namespace
 
 PlacementRound::PlacementRound(
@@ -76,9 +100,11 @@
 {
     m_workers = &workers;
     m_jobs = &jobs;
-    m_unplaceableShapes.clear();
-    m_mustRelaxLocality.clear();
+    m_unplaceable.clear();
+    m_mostTasksWithinLocality.clear();
     m_victims.clear();
+    m_candidates.clear();
+    m_lessUrgentUse.clear();
     m_stepTasksByWorker.clear();
     m_heldWorkers.clear();
     m_holdCount = 0;
@@ -98,11 +124,17 @@
 void PlacementRound::placeStep(
     const WaitingStep& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
 {
-    for (PlacementUnit& unit : waiting.job->unitsOf(waiting.position)) {
+    // If the first unit does not fit, the others do not fit either, since they need the same resources. For
+    // urgent steps all units are tried, because each of them may evict other work.
+    const auto tryUnit = [&](PlacementUnit unit) {
         const WaitingUnit each { std::move(unit), waiting.job, waiting.failedOn, waiting.isGuaranteed };
-        // The step's other tasks need the same resources and would not fit either. For urgent steps all
-        // units are tried, because each of them may evict other work.
-        if (!placeUnit(each, views, outcome, now, wallTime) && waiting.job->job().terms.priority)
+        return placeUnit(each, views, outcome, now, wallTime) || !waiting.job->job().terms.priority;
+    };
+    if (!tryUnit(waiting.job->firstUnitOf(waiting.position)))
+        return;
+    std::vector<PlacementUnit> units = waiting.job->unitsOf(waiting.position);
+    for (std::size_t i = 1; i < units.size(); ++i) {
+        if (!tryUnit(std::move(units[i])))
             return;
     }
 }
@@ -160,7 +192,7 @@
 
 PlacementRound::Shape PlacementRound::shapeOf(const WaitingUnit& waiting, const PlacementRequest& request)
 {
-    return { waiting.job->job().terms.service, request.tasks, request.perTask, request.step.needsOneRack,
+    return { waiting.job->job().terms.service.value(), request.perTask, request.step.needsOneRack,
         request.mayRelaxLocality, request.step.requiredLabel, request.step.dataRack };
 }
 
@@ -200,15 +232,22 @@
 bool PlacementRound::mustRelaxLocality(
     const PlacementRequest& request, const Shape& shape, const CapacityView& view)
 {
-    const auto known = m_mustRelaxLocality.find(shape);
-    if (known != m_mustRelaxLocality.end())
-        return known->second;
-    CapacityView idle = view;
-    for (WorkerCapacity& worker : idle.workers())
-        worker.room = worker.whole;
-    const bool isNeeded = !m_placement.place(request, idle);
-    m_mustRelaxLocality.emplace(shape, isNeeded);
-    return isNeeded;
+    const auto [most, isNew] = m_mostTasksWithinLocality.try_emplace(shape);
+    if (isNew)
+        most->second = mostTasksWithinLocality(request, view);
+    return request.tasks > most->second;
+}
+
+bool PlacementRound::isKnownUnplaceable(const Shape& shape, int tasks) const
+{
+    const auto known = m_unplaceable.find(shape);
+    return known != m_unplaceable.end() && tasks >= known->second;
+}
+
+void PlacementRound::noteUnplaceable(const Shape& shape, int tasks)
+{
+    int& smallest = m_unplaceable.try_emplace(shape, tasks).first->second;
+    smallest = std::min(smallest, tasks);
 }
 
 bool PlacementRound::placeUnit(
@@ -221,8 +260,7 @@
     const Shape shape = shapeOf(waiting, request);
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
-    const bool isDecidedByShape = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
-    if (!isReserved && isDecidedByShape && m_unplaceableShapes.contains(shape))
+    if (!isReserved && isKnownUnplaceable(shape, request.tasks))
         return false;
     if (isReserved)
         reserve(view, reservation->second, false);
@@ -249,8 +287,10 @@
     if (request.tasks > 1 && job.terms.priority == 1)
         holdFor(waiting, request, view);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
+    // Excluded workers and a limit per worker apply to this job only.
+    const bool isDecidedByShape = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
     if (!hasMadeRoom && isDecidedByShape)
-        m_unplaceableShapes.insert(shape);
+        noteUnplaceable(shape, request.tasks);
     return false;
 }
 
@@ -281,23 +321,38 @@
 {
     if (m_holdCount >= maxHolds)
         return;
-    CapacityView drained = view;
-    for (WorkerCapacity& worker : drained.workers()) {
-        const auto known = m_workers->all().find(worker.lifetime);
-        for (const auto& [task, run] : known->second.runs) {
-            if (run.priority > waiting.job->job().terms.priority)
-                worker.room += run.resources;
-        }
-        if (m_heldWorkers.contains(worker.lifetime))
-            worker.room = {};
-    }
-    const auto workers = m_placement.place(request, drained);
+    const AcceptedJob& job = waiting.job->job();
+    const std::vector<Resources>& lessUrgent = lessUrgentUse(view, job.terms.service, job.terms.priority);
+    const std::vector<Resources> rooms = view.rooms();
+    for (std::size_t i = 0; i < lessUrgent.size(); ++i)
+        view.workers()[i].room += lessUrgent[i];
+    CapacityView::Hidden held;
+    view.hide(m_heldWorkers, held);
+    const auto workers = m_placement.place(request, view);
+    view.setRooms(rooms);
     if (!workers)
         return;
     ++m_holdCount;
     m_heldWorkers.insert(workers->begin(), workers->end());
 }
 
+const std::vector<Resources>& PlacementRound::lessUrgentUse(
+    const CapacityView& view, const ServiceId& service, int priority)
+{
+    const auto [position, isNew] = m_lessUrgentUse.try_emplace({ service, priority });
+    if (!isNew)
+        return position->second;
+    for (const WorkerCapacity& worker : view.workers()) {
+        Resources used;
+        for (const auto& [task, run] : m_workers->all().at(worker.lifetime).runs) {
+            if (run.priority > priority)
+                used += run.resources;
+        }
+        position->second.push_back(used);
+    }
+    return position->second;
+}
+
 // Returns whether the run ends within the stop timeout without another stop order. Its resources may be
 // promised to the unit at hand: those reserved for other units are already deducted from the view.
 bool PlacementRound::endsWithinStopTimeout(const Worker& worker, const LiveRun& run, TimePoint now) const
@@ -322,43 +377,51 @@
         * (1 + repeatedEvictionPenalty * earlierStops);
 }
 
-std::vector<EvictionCandidate> PlacementRound::candidatesFor(const WaitingUnit& waiting, TimePoint now) const
+EvictionCandidates& PlacementRound::candidatesFor(
+    const CapacityView& view, const ServiceId& service, int priority, TimePoint now)
 {
-    struct Found {
-        EvictionCandidate candidate;
-        std::size_t ending = 0; // of its runs
-        bool isExcluded = false;
-    };
-    std::map<UnitKey, Found> found;
+    const ServicePriority key(service, priority);
+    const auto known = m_candidates.find(key);
+    if (known != m_candidates.end())
+        return known->second;
+    return m_candidates.emplace(key, EvictionCandidates(view, findCandidates(service, priority, now)))
+        .first->second;
+}
+
+std::vector<EvictionCandidate> PlacementRound::findCandidates(
+    const ServiceId& service, int priority, TimePoint now) const
+{
+    std::vector<EvictionCandidate> result;
+    std::map<GangKey, GangRuns> gangs;
     for (const auto& [lifetime, worker] : m_workers->all()) {
-        if (worker.record.service != waiting.job->job().terms.service)
+        if (worker.record.service != service)
             continue;
         for (const auto& [task, run] : worker.runs) {
             const JobBook::Entry* entry = m_jobs->find(task.job);
             if (!entry)
                 continue;
             const StepSpecification& step = entry->progress.specificationOf(task.step);
-            Found& unit = found[{ task.job, task.occurrence, task.step, step.isGang ? 0 : task.index }];
-            const bool isLessUrgent = run.priority > waiting.job->job().terms.priority;
             const bool isEndingSoon = endsWithinStopTimeout(worker, run, now);
-            unit.ending += isEndingSoon;
-            unit.isExcluded |= run.phase == RunPhase::AwaitingCommit;
-            unit.isExcluded |= !isLessUrgent && !isEndingSoon;
-            unit.candidate.runs.push_back(run.id);
-            unit.candidate.room.emplace_back(lifetime, run.resources);
-            unit.candidate.cost += evictionCost(run, step, now);
+            const bool isStoppable
+                = run.phase != RunPhase::AwaitingCommit && (run.priority > priority || isEndingSoon);
+            EvictionCandidate candidate;
+            candidate.room.emplace_back(lifetime, run.resources);
+            if (!isEndingSoon) {
+                candidate.runs.push_back(run.id);
+                candidate.cost = evictionCost(run, step, now);
+            }
+            if (step.isGang)
+                gangs[{ task.job.value(), task.occurrence, task.step }].add(
+                    std::move(candidate), isStoppable);
+            else if (isStoppable)
+                result.push_back(std::move(candidate));
         }
     }
-    std::vector<EvictionCandidate> result;
-    for (auto& [key, unit] : found) {
-        const bool isPartlyEnding = unit.ending && unit.ending < unit.candidate.runs.size();
-        if (unit.isExcluded || isPartlyEnding)
-            continue;
-        if (unit.ending) {
-            unit.candidate.runs.clear();
-            unit.candidate.cost = 0;
-        }
-        result.push_back(std::move(unit.candidate));
+    for (auto& [key, gang] : gangs) {
+        // A gang of which only some runs are ending is neither free to wait for nor to be stopped again.
+        const bool isPartlyEnding = gang.hasEndingRuns && !gang.all.runs.empty();
+        if (gang.isStoppable && !isPartlyEnding)
+            result.push_back(std::move(gang.all));
     }
     return result;
 }
@@ -366,9 +429,12 @@
 bool PlacementRound::evictFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view,
     PlacementOutcome& outcome, TimePoint now)
 {
-    auto plan = planEviction(request, view, candidatesFor(waiting, now));
+    const QueueTerms& terms = waiting.job->job().terms;
+    EvictionCandidates& candidates = candidatesFor(view, terms.service, terms.priority, now);
+    auto plan = planEviction(request, view, candidates);
     if (!plan)
         return false;
+    candidates.noteStopping(plan->candidates);
     std::set<JobId> stopped;
     for (const RunId& victim : plan->victims)
         stopped.insert(victim.task.job);
@@ -377,7 +443,7 @@
     m_victims.insert(plan->victims.begin(), plan->victims.end());
     if (!plan->victims.empty())
         outcome.evictions.push_back({ std::move(plan->victims), waiting.unit.job, plan->cost });
-    Reservation reservation { std::move(plan->workers), request.perTask, waiting.job->job().terms.service,
+    Reservation reservation { std::move(plan->workers), request.perTask, terms.service,
         now + reservationTimeout };
     reserve(view, reservation, true);
     m_reservations.emplace(keyOf(waiting.unit), std::move(reservation));
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -11,8 +11,9 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
+#include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -72,20 +73,19 @@
         const std::set<WorkerLifetime>* failedOn = nullptr;
         bool isGuaranteed = false;
     };
-    // What a unit requires. Once a unit has found no room, others of the same shape are skipped without
-    // another search.
+    // What a task requires, apart from the number of tasks that are placed together. Refers to texts of the
+    // job.
     struct Shape {
-        ServiceId service;
-        int tasks = 0;
+        std::string_view service;
         Resources perTask;
         bool needsOneRack = false;
         bool mayRelaxLocality = false;
-        std::string label;
-        std::string dataRack;
+        std::string_view label;
+        std::string_view dataRack;
 
         auto key() const
         {
-            return std::tie(service, tasks, perTask.cpuMillicores, perTask.memoryMb, perTask.accelerators,
+            return std::tie(service, perTask.cpuMillicores, perTask.memoryMb, perTask.accelerators,
                 needsOneRack, mayRelaxLocality, label, dataRack);
         }
         bool operator<(const Shape& other) const { return key() < other.key(); }
@@ -103,13 +103,17 @@
     bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     bool mustRelaxLocality(const PlacementRequest&, const Shape&, const CapacityView&);
+    bool isKnownUnplaceable(const Shape&, int tasks) const;
+    void noteUnplaceable(const Shape&, int tasks);
     // Returns false if no eviction makes enough room.
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeWithHeadroom(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
-    std::vector<EvictionCandidate> candidatesFor(const WaitingUnit&, TimePoint now) const;
+    const std::vector<Resources>& lessUrgentUse(const CapacityView&, const ServiceId&, int priority);
+    EvictionCandidates& candidatesFor(const CapacityView&, const ServiceId&, int priority, TimePoint now);
+    std::vector<EvictionCandidate> findCandidates(const ServiceId&, int priority, TimePoint now) const;
     bool endsWithinStopTimeout(const Worker&, const LiveRun&, TimePoint now) const;
     double evictionCost(const LiveRun&, const StepSpecification&, TimePoint now) const;
 
@@ -122,9 +126,16 @@
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
-    std::set<Shape> m_unplaceableShapes;
-    std::map<Shape, bool> m_mustRelaxLocality;
+    // The smallest number of tasks of a shape that found no room. More tasks of it would not fit either, so
+    // no search is made for them.
+    std::map<Shape, int> m_unplaceable;
+    std::map<Shape, int> m_mostTasksWithinLocality;
     std::set<RunId> m_victims;
+    using ServicePriority = std::pair<ServiceId, int>;
+    // Runs that work of a priority may evict.
+    std::map<ServicePriority, EvictionCandidates> m_candidates;
+    // What runs of lower urgency use, by the view's index of the worker.
+    std::map<ServicePriority, std::vector<Resources>> m_lessUrgentUse;
     std::set<WorkerLifetime> m_heldWorkers; // kept for waiting gangs, closed to less urgent work
     int m_holdCount = 0;
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -256,8 +256,9 @@
         const CapacityView view = viewOf({ capacityOf(0, 0, 0), capacityOf(0, 1, 0) });
         const StepSpecification step = testing::makeStep(1, 8);
         const auto plan = planEviction(requestOf(step), view,
-            { candidateOf("dear", capacityOf(0, 0).lifetime, 8, 100),
-                candidateOf("cheap", capacityOf(0, 1).lifetime, 8, 10) });
+            EvictionCandidates(view,
+                { candidateOf("dear", capacityOf(0, 0).lifetime, 8, 100),
+                    candidateOf("cheap", capacityOf(0, 1).lifetime, 8, 10) }));
         CPPUNIT_ASSERT(plan);
         CPPUNIT_ASSERT_EQUAL(std::string("cheap"), plan->victims.front().task.job.value());
         CPPUNIT_ASSERT(plan->workers.front() == capacityOf(0, 1).lifetime);
@@ -269,7 +270,8 @@
         const StepSpecification step = testing::makeStep(1, 7);
         const WorkerLifetime worker = capacityOf(0, 0).lifetime;
         const auto plan = planEviction(requestOf(step), view,
-            { candidateOf("small", worker, 1, 1), candidateOf("large", worker, 7, 70) });
+            EvictionCandidates(
+                view, { candidateOf("small", worker, 1, 1), candidateOf("large", worker, 7, 70) }));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan->victims.size());
         CPPUNIT_ASSERT_EQUAL(std::string("large"), plan->victims.front().task.job.value());
     }
@@ -281,7 +283,7 @@
         gang.runs.push_back({ { JobId("gang"), 0, 0, 1 }, 1 });
         gang.room.emplace_back(capacityOf(0, 1).lifetime, Resources { 1'000, 1'000, 8 });
         const StepSpecification step = testing::makeStep(1, 8);
-        const auto plan = planEviction(requestOf(step), view, { gang });
+        const auto plan = planEviction(requestOf(step), view, EvictionCandidates(view, { gang }));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, plan->victims.size());
     }
 
