Look up workers of the registry by their id

Cause: each registry entry was compared with all workers, to find other lifetimes of the same worker, and a complete list of the registry compared each listed worker with all entries.

--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -177,11 +178,11 @@
 {
     std::vector<WorkerId> gone = update.removed;
     if (update.isComplete) {
+        std::unordered_set<WorkerId> present(update.unreadable.begin(), update.unreadable.end());
+        for (const WorkerRecord& record : update.changed)
+            present.insert(record.lifetime.id);
         for (const WorkerId& id : m_workers.listedIds()) {
-            const auto isNamed = [&id](const WorkerRecord& record) { return record.lifetime.id == id; };
-            const bool isUnreadable = std::find(update.unreadable.begin(), update.unreadable.end(), id)
-                != update.unreadable.end();
-            if (!isUnreadable && std::none_of(update.changed.begin(), update.changed.end(), isNamed))
+            if (!present.contains(id))
                 gone.push_back(id);
         }
     }
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -1,9 +1,17 @@
 #include "batch/workers/worker_pool.h"
 
+#include <limits>
 #include <utility>
 
 namespace anvilmoor::batch {
 
+namespace {
+
+// Lower than every start of a lifetime.
+constexpr std::int64_t noLifetime = std::numeric_limits<std::int64_t>::min();
+
+} // namespace
+
 Resources Worker::room() const
 {
     Resources room = record.capacity;
@@ -20,9 +28,10 @@
 std::vector<WorkerLifetime> WorkerPool::otherLifetimes(const WorkerLifetime& of) const
 {
     std::vector<WorkerLifetime> others;
-    for (const auto& [lifetime, worker] : m_workers) {
-        if (lifetime.id == of.id && lifetime != of)
-            others.push_back(lifetime);
+    for (auto each = m_workers.lower_bound({ of.id, noLifetime });
+         each != m_workers.end() && each->first.id == of.id; ++each) {
+        if (each->first != of)
+            others.push_back(each->first);
     }
     return others;
 }
@@ -44,8 +53,9 @@
 std::vector<WorkerLifetime> WorkerPool::unlist(const WorkerId& id)
 {
     std::vector<WorkerLifetime> unlisted;
-    for (auto& [lifetime, worker] : m_workers) {
-        if (lifetime.id != id || !worker.isListed)
+    for (const WorkerLifetime& lifetime : otherLifetimes({ id, noLifetime })) {
+        Worker& worker = m_workers.at(lifetime);
+        if (!worker.isListed)
             continue;
         worker.isListed = false;
         unlisted.push_back(lifetime);
