Stop a gang when one of its members does not start

Change: the other members are stopped when the start of one is given up. Test: testMembersAreStoppedWhenOneWorkerDoesNotAnswer fails without the change (2 members wait in vain).

--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -209,8 +209,9 @@
         endDone(*step, run, consequence);
     else if (end == RunEnd::Failed)
         endFailed(*step, run, consequence);
+    // A gang makes progress only as a whole, so its remaining members are stopped.
     if (end != RunEnd::Done && !consequence.newState)
-        stopGangMembers(*step, run, consequence);
+        consequence.toStop = gangMembers(run);
     return consequence;
 }
 
@@ -245,18 +246,18 @@
     consequence = conclude(JobState::Failed);
 }
 
-// A gang makes progress only as a whole, so its remaining members are stopped.
-void JobProgress::stopGangMembers(
-    const StepProgress& step, const RunId& run, RunConsequence& consequence) const
+std::vector<RunId> JobProgress::gangMembers(const RunId& run) const
 {
-    if (!specificationOf(run.task.step).isGang)
-        return;
+    std::vector<RunId> members;
+    if (!find(run.task) || !specificationOf(run.task.step).isGang)
+        return members;
+    const StepProgress& step = m_occurrences.at(run.task.occurrence)[static_cast<std::size_t>(run.task.step)];
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const auto& assignment = step.tasks[index].assignment;
-        if (!assignment || assignment->run != run.run)
-            continue;
-        consequence.toStop.push_back(runOf(run.task, static_cast<int>(index), run.run));
+        if (assignment && assignment->run == run.run)
+            members.push_back(runOf(run.task, static_cast<int>(index), run.run));
     }
+    return members;
 }
 
 void JobProgress::finishIfAllDone(RunConsequence& consequence)
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -99,6 +99,8 @@
     void noteCheckpoint(const RunId&, const std::string& checkpoint);
     RunConsequence cancel();
     std::vector<RunId> assignedRuns() const;
+    // The assigned runs of the same start of a gang, including this one; empty if the task is not in a gang.
+    std::vector<RunId> gangMembers(const RunId&) const;
 
     std::string encodeProgress() const;
     // Returns an error message if the bytes are not progress of this job; the job is then unchanged.
@@ -111,14 +113,13 @@
     };
 
     std::vector<StepProgress> emptyOccurrence() const;
+    std::vector<PlacementUnit> unitsOf(const StepPosition&, std::size_t limit) const;
     StepProgress* stepOf(const TaskId&);
     bool isReady(const std::vector<StepProgress>&, const StepSpecification&) const;
-    std::vector<PlacementUnit> unitsOf(const StepPosition&, std::size_t limit) const;
     bool hasReadyUnit(const StepProgress&, const StepSpecification&) const;
     void clearAssignment(TaskProgress&);
     void endDone(StepProgress&, const RunId&, RunConsequence&);
     void endFailed(StepProgress&, const RunId&, RunConsequence&);
-    void stopGangMembers(const StepProgress&, const RunId&, RunConsequence&) const;
     void finishIfAllDone(RunConsequence&);
     RunConsequence conclude(JobState);
     TaskProgress& representativeOf(StepProgress&, const TaskId&);
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -69,8 +69,7 @@
         }
         step.warn("run.start_timeout",
             { { "job", run.id.task.job.value() }, { "worker", worker.record.lifetime.id.value() } });
-        run.phase = RunPhase::Stopping;
-        sendStop(worker, run, step);
+        giveUpStart(worker, run, step);
         return;
     }
     if (run.phase != RunPhase::Stopping || run.stopAcceptedAt)
@@ -79,6 +78,16 @@
         sendStop(worker, run, step);
 }
 
+// Stops a run that may start late or may have started. The other members of its gang are not kept waiting for
+// the confirmation of this stop, which may come only with the expiry of the lease.
+void RunSupervisor::giveUpStart(Worker& worker, LiveRun& run, Step& step)
+{
+    run.phase = RunPhase::Stopping;
+    sendStop(worker, run, step);
+    if (const JobBook::Entry* entry = m_jobs.find(run.id.task.job))
+        stopAll(entry->progress.gangMembers(run.id), step);
+}
+
 // Returns null if the run has ended in the meantime.
 LiveRun* RunSupervisor::takeAnswer(Worker& worker, const RunId& id, WorkerClock clock, TimePoint now)
 {
@@ -131,8 +140,7 @@
     if (run.phase == RunPhase::Stopping)
         return;
     if (run.mayStartLate) {
-        run.phase = RunPhase::Stopping;
-        sendStop(worker, run, step);
+        giveUpStart(worker, run, step);
         return;
     }
     finish(worker, RunId(run.id), RunEnd::Stopped, {}, step);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -61,6 +61,7 @@
     void tickRun(Worker&, LiveRun&, Step&);
     void sendStart(Worker&, LiveRun&, Step&);
     void sendStop(Worker&, LiveRun&, Step&);
+    void giveUpStart(Worker&, LiveRun&, Step&);
     void hold(Worker&, Step&);
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
