Read responses that have arrived before a call times out

Cause: the event loop runs expired timers before it reads its sockets. After a long callback, a lack of CPU time or a suspension, calls timed out whose responses had arrived in time. A late leader so took sound workers for silent, and repeated start orders and commits that had been answered. Change: when the timer of a call expires, the loop reads its sockets once more before the call fails. Test: testAnswerThatArrivedWhileTheLoopWasBusyIsRead fails without the change.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -25,17 +25,25 @@
 EventLoop::EventLoop()
     : m_loop(std::make_unique<uv_loop_t>())
     , m_idle(new uv_idle_t)
+    , m_keepAwake(new uv_idle_t)
+    , m_afterReading(new uv_check_t)
 {
     std::signal(SIGPIPE, SIG_IGN);
     uv_loop_init(m_loop.get());
     uv_idle_init(m_loop.get(), m_idle);
     m_idle->data = this;
+    uv_idle_init(m_loop.get(), m_keepAwake);
+    uv_check_init(m_loop.get(), m_afterReading);
+    m_afterReading->data = this;
 }
 
 EventLoop::~EventLoop()
 {
     m_posted.clear();
+    m_postedAfterReading.clear();
     closeAndDelete(m_idle, reinterpret_cast<uv_handle_t*>(m_idle));
+    closeAndDelete(m_keepAwake, reinterpret_cast<uv_handle_t*>(m_keepAwake));
+    closeAndDelete(m_afterReading, reinterpret_cast<uv_handle_t*>(m_afterReading));
     for (int i = 0; i < maxClosingIterations && uv_loop_close(m_loop.get()) == UV_EBUSY; ++i)
         uv_run(m_loop.get(), UV_RUN_NOWAIT);
 }
@@ -67,6 +75,26 @@
         function();
 }
 
+void EventLoop::postAfterReading(std::function<void()> function)
+{
+    m_postedAfterReading.push_back(std::move(function));
+    if (m_postedAfterReading.size() > 1)
+        return;
+    uv_idle_start(m_keepAwake, [](uv_idle_t*) {});
+    // A check callback runs directly after the sockets were polled.
+    uv_check_start(m_afterReading,
+        [](uv_check_t* check) { static_cast<EventLoop*>(check->data)->runPostedAfterReading(); });
+}
+
+void EventLoop::runPostedAfterReading()
+{
+    uv_idle_stop(m_keepAwake);
+    uv_check_stop(m_afterReading);
+    const std::vector<std::function<void()>> posted = std::exchange(m_postedAfterReading, {});
+    for (const std::function<void()>& function : posted)
+        function();
+}
+
 struct Timer::Handle {
     uv_timer_t timer {};
     std::function<void()> callback;
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -9,6 +9,7 @@
 extern "C" {
 struct uv_loop_s;
 struct uv_idle_s;
+struct uv_check_s;
 }
 
 namespace anvilmoor::net {
@@ -32,15 +33,22 @@
     TimePoint now() const;
     // Calls the function from the loop, after the current callback has returned.
     void post(std::function<void()>);
+    // Calls the function from the loop once it has read what has arrived on its sockets by now.
+    void postAfterReading(std::function<void()>);
 
     uv_loop_s* handle() const { return m_loop.get(); }
 
 private:
     void runPosted();
+    void runPostedAfterReading();
 
     std::unique_ptr<uv_loop_s> m_loop;
     uv_idle_s* m_idle = nullptr;
     std::vector<std::function<void()>> m_posted;
+    uv_idle_s* m_keepAwake
+        = nullptr; // active while m_postedAfterReading has functions: the loop does not wait
+    uv_check_s* m_afterReading = nullptr;
+    std::vector<std::function<void()>> m_postedAfterReading;
 };
 
 // Destroying or stopping a timer, also from inside its own callback, is safe and prevents further calls.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -98,6 +98,7 @@
     void startOnNewConnection(HttpCallId, Call&);
     void startQueued(const AddressKey&);
     void postFailure(HttpCallId, HttpError);
+    void failAfterReading(HttpCallId, void (SocketClient::*fail)(HttpCallId));
     void onTimeout(HttpCallId);
     void onConnectTimeout(HttpCallId);
     void onResult(HttpCallId, HttpResult, bool isReusable);
@@ -143,7 +144,7 @@
     call.traffic = &m_traffic[request.trafficKind];
     call.isBodyless = request.method == "HEAD";
     call.timeoutTimer = std::make_unique<Timer>(m_loop);
-    call.timeoutTimer->startOnce(timeout, [this, id] { onTimeout(id); });
+    call.timeoutTimer->startOnce(timeout, [this, id] { failAfterReading(id, &SocketClient::onTimeout); });
     if (hasFreeConnection)
         start(id, call);
     else
@@ -190,7 +191,8 @@
         return;
     }
     call.connectTimer = std::make_unique<Timer>(m_loop);
-    call.connectTimer->startOnce(m_limits.connectTimeout, [this, id] { onConnectTimeout(id); });
+    call.connectTimer->startOnce(
+        m_limits.connectTimeout, [this, id] { failAfterReading(id, &SocketClient::onConnectTimeout); });
 }
 
 void SocketClient::postFailure(HttpCallId id, HttpError error)
@@ -201,6 +203,16 @@
     });
 }
 
+// If the process was busy or suspended, its timers expire before it reads the responses that have arrived in
+// the meantime. Such a response counts, so it is read before the call is given up.
+void SocketClient::failAfterReading(HttpCallId id, void (SocketClient::*fail)(HttpCallId))
+{
+    m_loop.postAfterReading([this, id, fail, isAlive = m_isAlive] {
+        if (*isAlive)
+            (this->*fail)(id);
+    });
+}
+
 void SocketClient::onTimeout(HttpCallId id)
 {
     const auto found = m_calls.find(id);
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <optional>
+#include <thread>
 
 namespace anvilmoor::net {
 
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(testCallIsNotSentWhenQueueIsFull);
     CPPUNIT_TEST(testCallThatTimesOutInQueueIsNotSent);
     CPPUNIT_TEST(testCallToSilentServerTimesOutAndConnectionIsNotReused);
+    CPPUNIT_TEST(testAnswerThatArrivedWhileTheLoopWasBusyIsRead);
     CPPUNIT_TEST(testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse);
     CPPUNIT_TEST(testInvalidResponsesAreErrors);
     CPPUNIT_TEST(testChunkedResponseIsRead);
@@ -129,6 +131,20 @@
         CPPUNIT_ASSERT_EQUAL(2, silent.connections());
     }
 
+    // A daemon that was busy or suspended must not take a host that has answered for silent.
+    void testAnswerThatArrivedWhileTheLoopWasBusyIsRead()
+    {
+        serve([](const std::shared_ptr<HttpExchange>& exchange) {
+            exchange->respond({ 200, {}, "in time" });
+            // The response is sent by now or in this iteration of the loop. The next one begins after the
+            // call's timeout.
+            std::this_thread::sleep_for(2 * answerTimeout);
+        });
+        const HttpResult result = call(server(), {}, answerTimeout);
+        CPPUNIT_ASSERT(result);
+        CPPUNIT_ASSERT_EQUAL(std::string("in time"), result->body);
+    }
+
     void testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse()
     {
         RawServer closing(*m_loop, { "", true });
