Read the rest of a feed at once if an answer was full

Workers write about 2,000 registry updates a second, and the follower paused for 0.4 s after each answer. If an answer is limited to 500 rows, as a read is, the follower falls behind further and further. It also took everything before its request as known. Change: after an answer of 500 rows or more, the next request follows without a pause, and the table counts as known only up to the last answer that was not full.

--- a/src/batch/daemon/ports.h
+++ b/src/batch/daemon/ports.h
@@ -34,6 +34,7 @@
     std::vector<Row> rows; // in the order of their changes
     RowVersion version = 0; // start of the next feed request
     StoreClock answeredAt = 0;
+    bool mayHaveMore = false; // as long as an answer can be: later changes may be missing
 };
 
 // Access to the platform's row store. Each call invokes its callback exactly once, from the event loop and
--- a/src/batch/daemon/table_follower.cpp
+++ b/src/batch/daemon/table_follower.cpp
@@ -72,6 +72,7 @@
     }
     m_hasSnapshot = true;
     m_version = m_snapshot.version;
+    m_knownAt = sentAt;
     const auto isAlive = m_isAlive;
     m_callback({ true, std::move(m_snapshot.rows), sentAt, part.answeredAt });
     if (*isAlive)
@@ -95,9 +96,12 @@
                 return;
             }
             m_version = reply.version;
-            m_callback({ false, std::move(reply.rows), sentAt, reply.answeredAt });
+            if (!reply.mayHaveMore)
+                m_knownAt = sentAt;
+            m_callback({ false, std::move(reply.rows), m_knownAt, reply.answeredAt });
+            // Without the pause, a follower that has fallen behind catches up.
             if (*isAlive)
-                sendRequestAfter(m_timing.pause);
+                sendRequestAfter(reply.mayHaveMore ? Milliseconds(0) : m_timing.pause);
         });
 }
 
--- a/src/batch/daemon/table_follower.h
+++ b/src/batch/daemon/table_follower.h
@@ -22,7 +22,7 @@
     struct Update {
         bool isComplete = false; // `rows` are all rows of the followed parts rather than changes
         std::vector<Row> rows;
-        TimePoint knownAt {}; // when the request was sent
+        TimePoint knownAt {}; // every write before this time is contained in this update or an earlier one
         StoreClock answeredAt = 0; // when the store answered
     };
     using Callback = std::function<void(Update)>;
@@ -55,6 +55,7 @@
     Callback m_callback;
     net::Timer m_timer;
     RowVersion m_version = 0;
+    TimePoint m_knownAt {};
     bool m_hasSnapshot = false;
     bool m_isStoreReachable = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
