Place tasks only after the input that has arrived is handled

Cause: a placement round ran inside the handling of any event, at most every 10 ms. A leader whose round takes longer than that ran another one after nearly every answer, and answers of workers and of the store, which keep its leases alive, waited for many rounds. Change: the scheduler asks for a placement turn, which the daemon runs once it has handled the input that had arrived by then. The next round starts at the earliest after twice the duration of the previous one.

--- a/include/anvilmoor/batch/effect.h
+++ b/include/anvilmoor/batch/effect.h
@@ -86,6 +86,10 @@
     std::string detail;
 };
 
+// Asks for a PlacementTurn once the input that has arrived meanwhile is handled: answers of workers and of
+// the store keep leases alive, so they go before placement.
+struct RequestPlacementTurn { };
+
 // The last effect of a daemon that shuts down.
 struct StopDaemon { };
 
@@ -97,7 +101,7 @@
     RecordLevel level = RecordLevel::Info;
 };
 
-using Effect = std::variant<StartRun, StopRun, HoldWorker, Commit, ReadRows, FollowLeaderTables, AnswerCaller,
-    StopDaemon, RecordEvent>;
+using Effect = std::variant<StartRun, StopRun, HoldWorker, Commit, ReadRows, FollowLeaderTables,
+    RequestPlacementTurn, AnswerCaller, StopDaemon, RecordEvent>;
 
 } // namespace anvilmoor::batch
--- a/include/anvilmoor/batch/event.h
+++ b/include/anvilmoor/batch/event.h
@@ -21,6 +21,11 @@
 struct Tick { };
 constexpr Milliseconds tickInterval { 20 };
 
+// Answers RequestPlacementTurn: the input that had arrived at that time has been handled.
+struct PlacementTurn {
+    Milliseconds lastDuration { 0 }; // how long the daemon took for the previous turn
+};
+
 // The process has received SIGTERM.
 struct ShutdownRequested { };
 
@@ -110,8 +115,9 @@
     WorkerStatus status; // valid only if the order was accepted
 };
 
-using EventPayload = std::variant<Tick, ShutdownRequested, CallerRequest, CallerGone, ConfigurationUpdated,
-    WorkersUpdated, RowsUpdated, CommitAnswered, ReadAnswered, StartAnswered, StopAnswered, HoldAnswered>;
+using EventPayload
+    = std::variant<Tick, PlacementTurn, ShutdownRequested, CallerRequest, CallerGone, ConfigurationUpdated,
+        WorkersUpdated, RowsUpdated, CommitAnswered, ReadAnswered, StartAnswered, StopAnswered, HoldAnswered>;
 
 struct Event {
     TimePoint now; // also advances while the host is suspended
--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -230,6 +230,17 @@
 {
     if (m_onStopped)
         m_loop.post(m_onStopped);
+void BatchDaemon::carryOut(RequestPlacementTurn&)
+{
+    m_loop.post([this, isAlive = m_isAlive] {
+        if (!*isAlive)
+            return;
+        const TimePoint begin = now();
+        dispatch(PlacementTurn { m_lastTurnDuration });
+        m_lastTurnDuration = now() - begin;
+    });
+}
+
 }
 
 void BatchDaemon::carryOut(RecordEvent& event)
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -53,6 +53,7 @@
     void carryOut(FollowLeaderTables&);
     void carryOut(AnswerCaller&);
     void carryOut(StopDaemon&);
+    void carryOut(RequestPlacementTurn&);
     void carryOut(RecordEvent&);
     void followConfiguration();
     void followLease();
@@ -69,6 +70,7 @@
     std::mt19937_64 m_random;
     net::Timer m_tickTimer;
     std::unique_ptr<TableFollower> m_configurationFollower;
+    Milliseconds m_lastTurnDuration { 0 };
     std::unique_ptr<TableFollower> m_leaseFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
     std::unique_ptr<TableFollower> m_workerFollower;
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -16,6 +16,9 @@
 
 // Minimum time between two placement rounds. Events that arrive in between are handled by one round.
 constexpr Milliseconds minPlacementInterval { 10 };
+// A round starts at the earliest after this multiple of the duration of the previous one, so that placement
+// leaves at least half of the time to everything else.
+constexpr int placementIntervalFactor = 2;
 // Maximum time between two placement rounds. Placement may also become possible through the passage of time
 // alone: an occurrence falls due, or a suspect worker is due for a trial.
 constexpr Milliseconds maxPlacementInterval { 250 };
@@ -340,12 +343,22 @@
     if (m_phase == Phase::Following || m_isSteppingDown)
         return;
     m_isPlacementDue = m_runs.takeCapacityChanged() || m_isPlacementDue;
-    const bool mayPlace = mayAct(step.now);
-    if (mayPlace && m_isPlacementDue && step.now >= m_placedAt + minPlacementInterval)
-        place(step);
+    const bool isDue = m_isPlacementDue && step.now >= m_placedAt + m_placementInterval;
+    if (isDue && !m_isTurnRequested && mayAct(step.now)) {
+        m_isTurnRequested = true;
+        step.emit(RequestPlacementTurn {});
+    }
     commit(step);
 }
 
+void Scheduler::placementTurn(const PlacementTurn& turn, Step& step)
+{
+    m_isTurnRequested = false;
+    m_placementInterval = std::max(minPlacementInterval, turn.lastDuration * placementIntervalFactor);
+    if (m_isPlacementDue && !m_isSteppingDown && mayAct(step.now))
+        place(step);
+}
+
 void Scheduler::place(Step& step)
 {
     m_isPlacementDue = false;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -27,6 +27,8 @@
         LeaderLease&, const Configuration&, const PlacementPolicy&, const QueueOrder&, WorkerLeaseSettings);
 
     void tick(Step&);
+    // Places waiting tasks, if that is still due and allowed.
+    void placementTurn(const PlacementTurn&, Step&);
     // Releases the lease once no commit is in flight, and never claims it again.
     void stepDown() { m_isSteppingDown = true; }
     bool hasSteppedDown() const { return m_isSteppingDown && !m_lease.isLeader() && !m_pipeline.isBusy(); }
@@ -38,7 +40,8 @@
     void startAnswered(const StartAnswered&, Step&);
     void stopAnswered(const StopAnswered&, Step&);
     void holdAnswered(const HoldAnswered&, Step&);
-    // Called after each event. Places waiting tasks and commits pending changes if that is due and allowed.
+    // Called after each event. Requests a placement turn and commits pending changes if that is due and
+    // allowed.
     void finishEvent(Step&);
 
     bool isServing() const { return m_phase == Phase::Leading; }
@@ -96,6 +99,8 @@
     TimePoint m_speedsStoredAt {};
     bool m_isPlacementDue = false;
     TimePoint m_placedAt {};
+    bool m_isTurnRequested = false;
+    Milliseconds m_placementInterval { 0 }; // between the starts of two placement turns
     std::optional<Batch> m_batch; // changes in the commit that is in flight
     std::uint64_t m_lastBatch = 0;
     struct Removal {
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -70,6 +70,8 @@
     step.emit(StopDaemon {});
 }
 
+void BatchReducer::on(const PlacementTurn& turn, Step& step) { m_scheduler.placementTurn(turn, step); }
+
 void BatchReducer::on(const ShutdownRequested&, Step& step)
 {
     if (m_shutdownAt)
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -42,6 +42,7 @@
     std::uint64_t waitingJobs(const std::string& queue) const override;
 
     void on(const Tick&, Step&);
+    void on(const PlacementTurn&, Step&);
     void on(const ShutdownRequested&, Step&);
     void on(const CallerRequest&, Step&);
     void on(const CallerGone&, Step&);
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -659,6 +659,8 @@
         m_daemons[daemon].areWorkersListed = false;
         m_daemons[daemon].registryAt = m_now;
         ++m_daemons[daemon].registryReads;
+    } else if (std::holds_alternative<RequestPlacementTurn>(effect)) {
+        deliver(daemon, lifetime, Milliseconds(0), PlacementTurn {});
     } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
         const JobId job = m_callers[answer->caller];
         m_lastAnswer = Answer { answer->kind, answer->state, answer->count, m_now };
