Log and serve how late the event loop of a daemon is

A leader that lacks CPU time could not be told from workers that do not answer. The delay of the 20 ms tick is served as anvilmoor_loop_lateness_seconds; daemon.late is logged when it exceeds 0.25 s, and daemon.on_time once it has not for two seconds. Test: batch_lateness_monitor_test.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -57,7 +57,7 @@
     , m_random(std::random_device {}())
     , m_tickTimer(loop)
 {
-    m_tickTimer.startRepeating(tickInterval, [this] { dispatch(Tick {}); });
+    m_tickTimer.startRepeating(tickInterval, [this] { onTick(); });
     followConfiguration();
     followLease();
 }
@@ -138,6 +138,22 @@
 
 void BatchDaemon::onStopped(std::function<void()> callback) { m_onStopped = std::move(callback); }
 
+void BatchDaemon::onTick()
+{
+    const auto change = m_lateness.timerFired(now());
+    m_metrics.latency("anvilmoor_loop_lateness_seconds", "Delay of a timer that fires every 20 ms")
+        .record(m_lateness.lateness());
+    if (change) {
+        const telemetry::LogLevel level
+            = change->isLate ? telemetry::LogLevel::Warning : telemetry::LogLevel::Info;
+        m_log.log(level, change->isLate ? "daemon.late" : "daemon.on_time",
+            { { change->isLate ? "lateness_ms" : "largest_lateness_ms",
+                  std::to_string(change->lateness.count()) },
+                { "leads", m_reducer.isLeader() ? "yes" : "no" } });
+    }
+    dispatch(Tick {});
+}
+
 void BatchDaemon::dispatch(EventPayload payload)
 {
     const Event event { now(), wallTime(), m_random(), std::move(payload) };
@@ -214,6 +230,17 @@
         [this](const TableFollower::Update& update) { onWorkerUpdate(update); });
 }
 
+void BatchDaemon::carryOut(RequestPlacementTurn&)
+{
+    m_loop.post([this, isAlive = m_isAlive] {
+        if (!*isAlive)
+            return;
+        const TimePoint begin = now();
+        dispatch(PlacementTurn { m_lastTurnDuration });
+        m_lastTurnDuration = now() - begin;
+    });
+}
+
 void BatchDaemon::carryOut(AnswerCaller& answer)
 {
     const auto found = m_callers.find(answer.caller);
@@ -230,17 +257,6 @@
 {
     if (m_onStopped)
         m_loop.post(m_onStopped);
-void BatchDaemon::carryOut(RequestPlacementTurn&)
-{
-    m_loop.post([this, isAlive = m_isAlive] {
-        if (!*isAlive)
-            return;
-        const TimePoint begin = now();
-        dispatch(PlacementTurn { m_lastTurnDuration });
-        m_lastTurnDuration = now() - begin;
-    });
-}
-
 }
 
 void BatchDaemon::carryOut(RecordEvent& event)
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "batch/daemon/lateness_monitor.h"
 #include "batch/daemon/ports.h"
 #include "batch/daemon/table_follower.h"
 #include "batch/reducer/batch_reducer.h"
@@ -43,6 +44,7 @@
     static TimePoint now();
 
 private:
+    void onTick();
     void dispatch(EventPayload);
     void carryOut(Effect&);
     void carryOut(StartRun&);
@@ -51,9 +53,9 @@
     void carryOut(Commit&);
     void carryOut(ReadRows&);
     void carryOut(FollowLeaderTables&);
+    void carryOut(RequestPlacementTurn&);
     void carryOut(AnswerCaller&);
     void carryOut(StopDaemon&);
-    void carryOut(RequestPlacementTurn&);
     void carryOut(RecordEvent&);
     void followConfiguration();
     void followLease();
@@ -68,9 +70,10 @@
     net::EventLoop& m_loop;
     BatchReducer m_reducer;
     std::mt19937_64 m_random;
+    Milliseconds m_lastTurnDuration { 0 };
     net::Timer m_tickTimer;
+    LatenessMonitor m_lateness { tickInterval };
     std::unique_ptr<TableFollower> m_configurationFollower;
-    Milliseconds m_lastTurnDuration { 0 };
     std::unique_ptr<TableFollower> m_leaseFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
     std::unique_ptr<TableFollower> m_workerFollower;
