--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -1,6 +1,7 @@
 #include "batch/jobs/job_progress.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -92,6 +93,16 @@
 }
 
 std::vector<PlacementUnit> JobProgress::unitsOf(const StepPosition& position) const
+{
+    return unitsOf(position, std::numeric_limits<std::size_t>::max());
+}
+
+PlacementUnit JobProgress::firstUnitOf(const StepPosition& position) const
+{
+    return std::move(unitsOf(position, 1).front());
+}
+
+std::vector<PlacementUnit> JobProgress::unitsOf(const StepPosition& position, std::size_t limit) const
 {
     const StepProgress& progress
         = m_occurrences.at(position.occurrence)[static_cast<std::size_t>(position.step)];
@@ -101,6 +112,8 @@
         const TaskProgress& task = progress.tasks[index];
         if (task.isDone || task.assignment)
             continue;
+        if (!isGang && units.size() == limit)
+            break;
         if (!isGang || units.empty())
             units.push_back({ m_job.specification.id, position.occurrence, position.step, {}, 1 });
         units.back().tasks.push_back(static_cast<int>(index));
@@ -196,8 +209,9 @@
         endDone(*step, run, consequence);
     else if (end == RunEnd::Failed)
         endFailed(*step, run, consequence);
+    // A gang makes progress only as a whole, so its remaining members are stopped.
     if (end != RunEnd::Done && !consequence.newState)
-        stopGangMembers(*step, run, consequence);
+        consequence.toStop = gangMembers(run);
     return consequence;
 }
 
@@ -232,18 +246,18 @@
     consequence = conclude(JobState::Failed);
 }
 
-// A gang makes progress only as a whole, so its remaining members are stopped.
-void JobProgress::stopGangMembers(
-    const StepProgress& step, const RunId& run, RunConsequence& consequence) const
+std::vector<RunId> JobProgress::gangMembers(const RunId& run) const
 {
-    if (!specificationOf(run.task.step).isGang)
-        return;
+    std::vector<RunId> members;
+    if (!find(run.task) || !specificationOf(run.task.step).isGang)
+        return members;
+    const StepProgress& step = m_occurrences.at(run.task.occurrence)[static_cast<std::size_t>(run.task.step)];
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const auto& assignment = step.tasks[index].assignment;
-        if (!assignment || assignment->run != run.run)
-            continue;
-        consequence.toStop.push_back(runOf(run.task, static_cast<int>(index), run.run));
+        if (assignment && assignment->run == run.run)
+            members.push_back(runOf(run.task, static_cast<int>(index), run.run));
     }
+    return members;
 }
 
 void JobProgress::finishIfAllDone(RunConsequence& consequence)
