--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -58,28 +58,37 @@
     const JobId& job = entry.progress.job().specification.id;
     if (!entry.endedAt) {
         entry.endedAt = now;
-        m_ended.insert(job);
+        m_ended.emplace(now, job);
     }
     if (!entry.progress.hasAssignments())
         m_open.erase(job);
 }
 
-bool JobBook::isExpired(const Entry& entry, TimePoint now) const
+bool JobBook::mayBeRemoved(const Entry& entry) const
 {
-    return entry.endedAt && now >= *entry.endedAt + jobRetention && entry.isStored()
-        && !entry.progress.hasAssignments();
+    return entry.isStored() && !entry.progress.hasAssignments();
 }
 
 std::optional<JobId> JobBook::findExpired(TimePoint now) const
 {
-    for (const JobId& job : m_ended) {
-        const Entry& entry = m_entries.at(job);
-        if (!entry.isRowRemoved && isExpired(entry, now))
+    for (const auto& [endedAt, job] : m_ended) {
+        if (now < endedAt + jobRetention)
+            return std::nullopt;
+        if (mayBeRemoved(m_entries.at(job)))
             return job;
     }
     return std::nullopt;
 }
 
+void JobBook::noteRowsRemoved(const JobId& job)
+{
+    const Entry* entry = find(job);
+    if (!entry || !entry->endedAt)
+        return;
+    m_ended.erase({ *entry->endedAt, job });
+    m_expired.insert(job);
+}
+
 JobBook::Changes JobBook::collectChanges(std::size_t limit) const
 {
     Changes changes;
@@ -90,11 +99,9 @@
         changes.jobs.push_back({ job, change, progress.state() });
         changes.writes.push_back({ progressKey(job), progress.encodeProgress() });
     }
-    for (const JobId& job : m_ended) {
+    for (const JobId& job : m_expired) {
         if (changes.writes.size() + changes.removals.size() >= limit)
             return changes;
-        if (!m_entries.at(job).isRowRemoved)
-            continue;
         changes.expired.push_back(job);
         changes.removals.push_back(progressKey(job));
     }
@@ -113,7 +120,7 @@
     }
     for (const JobId& job : changes.expired) {
         m_entries.erase(job);
-        m_ended.erase(job);
+        m_expired.erase(job);
         m_open.erase(job);
         m_cancelRequests.erase(job);
     }
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -32,7 +33,6 @@
         std::optional<TimePoint> endedAt;
         std::set<WorkerLifetime> failedOn; // workers on which one of its runs has failed
         bool isUnreadable = false; // its stored progress cannot be decoded
-        bool isRowRemoved = false; // of the job and its cancel request; the progress row is removed later
 
         bool isStored() const { return storedChange >= change; }
     };
@@ -55,6 +55,8 @@
     // Returns a job whose retention has expired and whose job and cancel rows are still stored. These rows
     // must be removed before the progress row, because a job without progress would run again.
     std::optional<JobId> findExpired(TimePoint now) const;
+    // Must be called when the job and cancel rows of an expired job have been removed.
+    void noteRowsRemoved(const JobId&);
     // Changes that are not stored yet: the progress of changed jobs, oldest change first, and the removal of
     // the progress of jobs whose job and cancel rows have been removed.
     struct Changes {
@@ -80,13 +82,14 @@
 
 private:
     void noteEnd(Entry&, TimePoint now);
-    bool isExpired(const Entry&, TimePoint now) const;
+    bool mayBeRemoved(const Entry&) const;
 
     std::unordered_map<JobId, Entry> m_entries;
     std::set<JobId> m_open;
     std::set<JobId> m_cancelRequests;
     std::map<std::uint64_t, JobId> m_changed; // keyed by the number of the latest change
-    std::set<JobId> m_ended;
+    std::set<std::pair<TimePoint, JobId>> m_ended; // by the time of the end; their job rows are still stored
+    std::set<JobId> m_expired; // their job and cancel rows are removed, and their progress rows are not yet
     std::uint64_t m_lastChange = 0;
 };
 
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -293,10 +293,10 @@
 
 void Scheduler::removalAnswered(const CommitAnswered& answer)
 {
-    JobBook::Entry* entry = m_jobs.find(m_removal->job);
+    const JobId job = m_removal->job;
     m_removal.reset();
-    if (entry && answer.reply.outcome == CommitOutcome::Applied)
-        entry->isRowRemoved = true;
+    if (answer.reply.outcome == CommitOutcome::Applied)
+        m_jobs.noteRowsRemoved(job);
 }
 
 void Scheduler::commitAnswered(const CommitAnswered& answer, Step& step)
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -1,27 +1,14 @@
 #include "batch/placement/capacity_view.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <utility>
 
 namespace anvilmoor::batch {
 
-namespace {
-
-// A band is 10% wide, because a speed that is estimated from few observations can be off by that much.
-int speedBandOf(double speed)
-{
-    constexpr double bandWidth = 0.1;
-    return static_cast<int>(std::lround(std::log(speed) / bandWidth));
-}
-
-} // namespace
-
 void CapacityView::add(WorkerCapacity worker)
 {
     const std::size_t index = m_workers.size();
-    worker.speedBand = speedBandOf(worker.speed);
     m_racks[worker.rack].push_back(index);
     m_index.emplace(worker.lifetime, index);
     m_workers.push_back(std::move(worker));
@@ -109,7 +96,7 @@
         if (isOnTrial && (!worker.health.isDueForTrial(now) || !worker.runs.empty()))
             continue;
         services[worker.record.service].add({ lifetime, worker.record.rack, worker.record.kind, worker.room(),
-            worker.record.capacity, isOnTrial, worker.speed.value() });
+            worker.record.capacity, isOnTrial, worker.speed.value(), worker.speed.band(), &worker });
     }
     return services;
 }
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -23,7 +23,8 @@
     Resources whole;
     bool isOnTrial = false; // takes at most one task, which shows whether the worker has recovered
     double speed = 1; // relative to other workers; 1 is typical
-    int speedBand = 0; // set by CapacityView: higher is faster, and workers of one band count as equally fast
+    int speedBand = 0; // see WorkerSpeed::band()
+    const Worker* worker = nullptr; // null if the view was not built from a pool
 
     bool isIdle() const { return room == whole; }
     bool hasLabel(std::string_view label) const { return rack.value() == label || kind == label; }
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -342,14 +342,8 @@
     const auto [position, isNew] = m_lessUrgentUse.try_emplace({ service, priority });
     if (!isNew)
         return position->second;
-    for (const WorkerCapacity& worker : view.workers()) {
-        Resources used;
-        for (const auto& [task, run] : m_workers->all().at(worker.lifetime).runs) {
-            if (run.priority > priority)
-                used += run.resources;
-        }
-        position->second.push_back(used);
-    }
+    for (const WorkerCapacity& capacity : view.workers())
+        position->second.push_back(capacity.worker ? capacity.worker->usedBelow(priority) : Resources {});
     return position->second;
 }
 
--- a/src/batch/workers/worker_speed.cpp
+++ b/src/batch/workers/worker_speed.cpp
@@ -11,6 +11,9 @@
 // Upper limit of the total weight. Beyond it, older observations decay, so that the estimate follows a worker
 // whose speed changes.
 constexpr double maxWeight = 20;
+// Of the logarithm of the speed: 10% of the speed, because an estimate from few observations can be off by
+// that much.
+constexpr double bandWidth = 0.1;
 // Maximum number of steps that are remembered for further tasks; the oldest step is evicted first.
 constexpr std::size_t maxSteps = 2'000;
 
@@ -20,21 +23,27 @@
     : m_sum(std::log(value) * (weight + priorWeight))
     , m_weight(weight)
 {
+    update();
 }
 
 void WorkerSpeed::add(double logSpeed, double weight)
 {
     m_sum += logSpeed * weight;
     m_weight += weight;
-    if (m_weight <= maxWeight)
-        return;
-    m_sum *= maxWeight / m_weight;
-    m_weight = maxWeight;
+    if (m_weight > maxWeight) {
+        m_sum *= maxWeight / m_weight;
+        m_weight = maxWeight;
+    }
+    update();
 }
 
-double WorkerSpeed::logValue() const { return m_sum / (m_weight + priorWeight); }
+void WorkerSpeed::update()
+{
+    m_value = std::exp(logValue());
+    m_band = static_cast<int>(std::lround(logValue() / bandWidth));
+}
 
-double WorkerSpeed::value() const { return std::exp(logValue()); }
+double WorkerSpeed::logValue() const { return m_sum / (m_weight + priorWeight); }
 
 StepRates::Rates& StepRates::require(const StepId& step)
 {
--- a/src/batch/workers/worker_speed.h
+++ b/src/batch/workers/worker_speed.h
@@ -20,14 +20,21 @@
 
     void add(double logSpeed, double weight);
 
-    double value() const;
+    double value() const { return m_value; }
     double logValue() const;
+    // Workers of the same band count as equally fast; a higher one is faster.
+    int band() const { return m_band; }
     // Total weight of the observations so far. A fully reliable observation has weight 1.
     double weight() const { return m_weight; }
 
 private:
+    void update();
+
     double m_sum = 0; // weighted sum of the observed logarithms
     double m_weight = 0;
+    // Follow from the sum and the weight. Kept because placement compares the speeds of all workers.
+    double m_value = 1;
+    int m_band = 0;
 };
 
 // Estimate of a worker's relative speed from one run.
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -291,6 +291,7 @@
     {
         WorkerCapacity worker = capacityOf(rack, index);
         worker.speed = speed;
+        worker.speedBand = WorkerSpeed(speed, 1).band();
         return worker;
     }
 
