Give each lifetime of a worker a fencing token of its own

If a worker restarts under the same id, late orders for its earlier lifetime passed the fence of the next one, as all orders of a leader had its epoch as token. Change: a token consists of the epoch and the start of the lifetime. Once a lifetime has seen its token, it rejects orders for earlier ones. What remains is an order that arrives before the first hold request: no token can bound it.

--- a/bench/batch_control_benchmark.cpp
+++ b/bench/batch_control_benchmark.cpp
@@ -3,6 +3,7 @@
 
 #include "batch/placement/packing_placement.h"
 #include "batch/placement/placement_round.h"
+#include "batch/workers/fencing_token.h"
 #include "batch/workers/run_supervisor.h"
 #include "support/batch_cluster.h"
 
@@ -58,8 +59,8 @@
     void answerHold()
     {
         Worker& worker = nextWorker();
-        HoldAnswered answer { worker.record.lifetime, epoch, OrderOutcome::Accepted,
-            { 1'000, worker.record.lifetime.startedAtMs } };
+        HoldAnswered answer { worker.record.lifetime, fencingTokenOf(epoch, worker.record.lifetime),
+            OrderOutcome::Accepted, { 1'000, worker.record.lifetime.startedAtMs } };
         for (const auto& [task, run] : worker.runs)
             answer.status.active.push_back({ run.id, {}, 50 });
         worker.isHoldInFlight = true;
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -26,14 +26,14 @@
     extendLease(worker, lease, step.now);
     step.emit(StartRun { worker.record.lifetime, worker.record.address, run.id,
         entry->progress.job().specification.payload, entry->progress.checkpointOf(run.id.task),
-        worker.clock.at(step.now) + lease.count(), m_epoch });
+        worker.clock.at(step.now) + lease.count(), tokenOf(worker) });
 }
 
 void RunSupervisor::sendStop(Worker& worker, LiveRun& run, Step& step)
 {
     run.isOrderInFlight = true;
     run.orderedAt = step.now;
-    step.emit(StopRun { worker.record.lifetime, worker.record.address, run.id, m_epoch });
+    step.emit(StopRun { worker.record.lifetime, worker.record.address, run.id, tokenOf(worker) });
 }
 
 void RunSupervisor::stop(const RunId& id, Step& step)
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -1,5 +1,7 @@
 #include "batch/workers/run_supervisor.h"
 
+#include "batch/workers/fencing_token.h"
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -206,7 +208,12 @@
 // Returns null for answers to orders of an earlier leadership, which are ignored.
 Worker* RunSupervisor::addressee(const WorkerLifetime& lifetime, std::uint64_t token)
 {
-    return token == m_epoch ? m_workers.find(lifetime) : nullptr;
+    return token == fencingTokenOf(m_epoch, lifetime) ? m_workers.find(lifetime) : nullptr;
+}
+
+std::uint64_t RunSupervisor::tokenOf(const Worker& worker) const
+{
+    return fencingTokenOf(m_epoch, worker.record.lifetime);
 }
 
 Milliseconds RunSupervisor::leaseFor(const Worker& worker) const
@@ -265,7 +272,7 @@
     // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
     // ends that the worker has just reported are acknowledged, because it was then still the same lifetime.
     const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds;
-    HoldWorker look { worker.record.lifetime, worker.record.address, m_epoch,
+    HoldWorker look { worker.record.lifetime, worker.record.address, tokenOf(worker),
         mayAcknowledge ? worker.storedEnd : 0 };
     const bool isWaiting = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
         return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
@@ -360,7 +367,7 @@
             step.warn("run.unexpected",
                 { { "job", active.run.task.job.value() }, { "run", std::to_string(active.run.run) },
                     { "worker", worker.record.lifetime.id.value() } });
-            step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, m_epoch });
+            step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, tokenOf(worker) });
             continue;
         }
         noteStarted(*run, step.now);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -90,6 +90,7 @@
     void declareRunsLost(Worker&, std::string_view reason, Step&);
     void forgetIfGone(const WorkerLifetime&);
     LiveRun* findRun(Worker&, const RunId&);
+    std::uint64_t tokenOf(const Worker&) const;
     Worker* addressee(const WorkerLifetime&, std::uint64_t token);
 
     WorkerPool& m_workers;
