Ask busy workers of large fleets less often

Change: the wait of a hold request grows with the fleet, so that there are about 500 a second, but a lease is renewed at least six times in its duration. Up to 250 workers nothing changes. Test: testBusyWorkersOfLargeFleetAreAskedLessOften fails without the change.

--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -21,10 +21,14 @@
 constexpr Milliseconds drainingLease { 2'500 };
 
 // How long a worker delays its answer to a hold request while no run ends. Shorter waits renew leases more
-// often, so that runs survive a longer network partition.
-constexpr Milliseconds holdWait { 500 };
-// Replaces holdWait while a stop is in progress, so that the freed capacity becomes known at once, and a run
-// that vanished without a reported end is detected soon after.
+// often, so that runs survive a longer network partition. In a large fleet, the wait is longer, so that the
+// leader does not spend most of its CPU time on these requests.
+constexpr Milliseconds minHoldWait { 500 };
+constexpr std::int64_t maxHoldsPerSecond = 500;
+// A lease is renewed at least this often before it would expire.
+constexpr int minRenewalsPerLease = 6;
+// Replaces holdWait() while a stop is in progress, so that the freed capacity becomes known at once, and a
+// run that vanished without a reported end is detected soon after.
 constexpr Milliseconds stopWait { 120 };
 // Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
 // would answer at once with the same ends.
@@ -256,6 +260,15 @@
         hold(worker, step);
 }
 
+Milliseconds RunSupervisor::holdWait() const
+{
+    constexpr std::int64_t msPerSecond = 1'000;
+    const auto workers = static_cast<std::int64_t>(m_workers.all().size());
+    const Milliseconds spread(workers * msPerSecond / maxHoldsPerSecond);
+    const Milliseconds longest = m_settings.maxLease / minRenewalsPerLease;
+    return std::max(minHoldWait, std::min(spread, longest));
+}
+
 void RunSupervisor::hold(Worker& worker, Step& step)
 {
     const bool isStoring = worker.processedEnd > worker.storedEnd;
@@ -281,7 +294,7 @@
         const Milliseconds lease = leaseFor(worker);
         look.leaseUntil = worker.clock.at(step.now) + lease.count();
         extendLease(worker, lease, step.now);
-        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait;
+        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait();
     }
     worker.isHoldInFlight = true;
     worker.holdSentAt = step.now;
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -63,6 +63,7 @@
     void sendStop(Worker&, LiveRun&, Step&);
     void giveUpStart(Worker&, LiveRun&, Step&);
     void hold(Worker&, Step&);
+    Milliseconds holdWait() const;
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
--- a/test/batch_worker_hold_test.cpp
+++ b/test/batch_worker_hold_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <string>
 
 namespace anvilmoor::batch {
 
@@ -12,6 +13,7 @@
     CPPUNIT_TEST_SUITE(BatchWorkerHoldTest);
     CPPUNIT_TEST(testWorkerThatMissedAHoldIsAskedAgainAfterItsOnlyRunWasWithdrawn);
     CPPUNIT_TEST(testWorkerThatIsListedAgainHasOneHoldInFlight);
+    CPPUNIT_TEST(testBusyWorkersOfLargeFleetAreAskedLessOften);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t epoch = 7;
@@ -41,7 +43,8 @@
     void answerHold(OrderOutcome outcome)
     {
         const WorkerClock clock = m_now.time_since_epoch().count();
-        const HoldAnswered answer { m_worker, fencingTokenOf(epoch, m_worker), outcome, { clock, m_worker.startedAtMs } };
+        const HoldAnswered answer { m_worker, fencingTokenOf(epoch, m_worker), outcome,
+            { clock, m_worker.startedAtMs } };
         perform([&](Step& step) { m_runs.holdAnswered(answer, step); });
     }
 
@@ -60,6 +63,16 @@
         answerHold(OrderOutcome::Accepted);
     }
 
+    // How long the worker, which has a run, may delay the answer to the next request.
+    Milliseconds nextWait()
+    {
+        m_now += Milliseconds(20);
+        CPPUNIT_ASSERT(isHoldSentOnTick());
+        const Milliseconds wait = std::get<HoldWorker>(m_effects.front()).wait;
+        answerHold(OrderOutcome::Accepted);
+        return wait;
+    }
+
     // Assigns the only task of a new job to the worker. The assignment is not stored.
     RunId attachRun()
     {
@@ -105,6 +118,21 @@
         answerHold(OrderOutcome::Accepted);
         CPPUNIT_ASSERT(m_workers.find(m_worker)->isConfirmed);
     }
+
+    // Guards against a leader that spends most of its time on hold requests.
+    void testBusyWorkersOfLargeFleetAreAskedLessOften()
+    {
+        confirmWorker();
+        attachRun();
+        const Milliseconds inSmallFleet = nextWait();
+        // Without an address, the other workers get no requests.
+        for (int i = 0; i < 1'000; ++i)
+            m_workers.require({ WorkerId("other-" + std::to_string(i)), 1 });
+        const Milliseconds inLargeFleet = nextWait();
+        CPPUNIT_ASSERT(inLargeFleet > inSmallFleet);
+        // Several requests may be lost before the lease expires.
+        CPPUNIT_ASSERT(5 * inLargeFleet < WorkerLeaseSettings().maxLease);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerHoldTest);
