--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -1,5 +1,7 @@
 #include "batch/workers/run_supervisor.h"
 
+#include "batch/workers/fencing_token.h"
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -19,10 +21,14 @@
 constexpr Milliseconds drainingLease { 2'500 };
 
 // How long a worker delays its answer to a hold request while no run ends. Shorter waits renew leases more
-// often, so that runs survive a longer network partition.
-constexpr Milliseconds holdWait { 500 };
-// Replaces holdWait while a stop is in progress, so that the freed capacity becomes known at once, and a run
-// that vanished without a reported end is detected soon after.
+// often, so that runs survive a longer network partition. In a large fleet, the wait is longer, so that the
+// leader does not spend most of its CPU time on these requests.
+constexpr Milliseconds minHoldWait { 500 };
+constexpr std::int64_t maxHoldsPerSecond = 500;
+// A lease is renewed at least this often before it would expire.
+constexpr int minRenewalsPerLease = 6;
+// Replaces holdWait() while a stop is in progress, so that the freed capacity becomes known at once, and a
+// run that vanished without a reported end is detected soon after.
 constexpr Milliseconds stopWait { 120 };
 // Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
 // would answer at once with the same ends.
@@ -206,7 +212,12 @@
 // Returns null for answers to orders of an earlier leadership, which are ignored.
 Worker* RunSupervisor::addressee(const WorkerLifetime& lifetime, std::uint64_t token)
 {
-    return token == m_epoch ? m_workers.find(lifetime) : nullptr;
+    return token == fencingTokenOf(m_epoch, lifetime) ? m_workers.find(lifetime) : nullptr;
+}
+
+std::uint64_t RunSupervisor::tokenOf(const Worker& worker) const
+{
+    return fencingTokenOf(m_epoch, worker.record.lifetime);
 }
 
 Milliseconds RunSupervisor::leaseFor(const Worker& worker) const
@@ -249,6 +260,15 @@
         hold(worker, step);
 }
 
+Milliseconds RunSupervisor::holdWait() const
+{
+    constexpr std::int64_t msPerSecond = 1'000;
+    const auto workers = static_cast<std::int64_t>(m_workers.all().size());
+    const Milliseconds spread(workers * msPerSecond / maxHoldsPerSecond);
+    const Milliseconds longest = m_settings.maxLease / minRenewalsPerLease;
+    return std::max(minHoldWait, std::min(spread, longest));
+}
+
 void RunSupervisor::hold(Worker& worker, Step& step)
 {
     const bool isStoring = worker.processedEnd > worker.storedEnd;
@@ -265,7 +285,7 @@
     // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
     // ends that the worker has just reported are acknowledged, because it was then still the same lifetime.
     const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds;
-    HoldWorker look { worker.record.lifetime, worker.record.address, m_epoch,
+    HoldWorker look { worker.record.lifetime, worker.record.address, tokenOf(worker),
         mayAcknowledge ? worker.storedEnd : 0 };
     const bool isWaiting = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
         return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
@@ -274,7 +294,7 @@
         const Milliseconds lease = leaseFor(worker);
         look.leaseUntil = worker.clock.at(step.now) + lease.count();
         extendLease(worker, lease, step.now);
-        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait;
+        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait();
     }
     worker.isHoldInFlight = true;
     worker.holdSentAt = step.now;
@@ -360,7 +380,7 @@
             step.warn("run.unexpected",
                 { { "job", active.run.task.job.value() }, { "run", std::to_string(active.run.run) },
                     { "worker", worker.record.lifetime.id.value() } });
-            step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, m_epoch });
+            step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, tokenOf(worker) });
             continue;
         }
         noteStarted(*run, step.now);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -63,6 +63,7 @@
     void sendStop(Worker&, LiveRun&, Step&);
     void giveUpStart(Worker&, LiveRun&, Step&);
     void hold(Worker&, Step&);
+    Milliseconds holdWait() const;
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
@@ -90,6 +91,7 @@
     void declareRunsLost(Worker&, std::string_view reason, Step&);
     void forgetIfGone(const WorkerLifetime&);
     LiveRun* findRun(Worker&, const RunId&);
+    std::uint64_t tokenOf(const Worker&) const;
     Worker* addressee(const WorkerLifetime&, std::uint64_t token);
 
     WorkerPool& m_workers;
--- a/test/batch_worker_hold_test.cpp
+++ b/test/batch_worker_hold_test.cpp
@@ -1,8 +1,10 @@
+#include "batch/workers/fencing_token.h"
 #include "batch/workers/run_supervisor.h"
 #include "support/batch_cluster.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <string>
 
 namespace anvilmoor::batch {
 
@@ -11,6 +13,7 @@
     CPPUNIT_TEST_SUITE(BatchWorkerHoldTest);
     CPPUNIT_TEST(testWorkerThatMissedAHoldIsAskedAgainAfterItsOnlyRunWasWithdrawn);
     CPPUNIT_TEST(testWorkerThatIsListedAgainHasOneHoldInFlight);
+    CPPUNIT_TEST(testBusyWorkersOfLargeFleetAreAskedLessOften);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t epoch = 7;
@@ -40,7 +43,8 @@
     void answerHold(OrderOutcome outcome)
     {
         const WorkerClock clock = m_now.time_since_epoch().count();
-        const HoldAnswered answer { m_worker, epoch, outcome, { clock, m_worker.startedAtMs } };
+        const HoldAnswered answer { m_worker, fencingTokenOf(epoch, m_worker), outcome,
+            { clock, m_worker.startedAtMs } };
         perform([&](Step& step) { m_runs.holdAnswered(answer, step); });
     }
 
@@ -59,6 +63,16 @@
         answerHold(OrderOutcome::Accepted);
     }
 
+    // How long the worker, which has a run, may delay the answer to the next request.
+    Milliseconds nextWait()
+    {
+        m_now += Milliseconds(20);
+        CPPUNIT_ASSERT(isHoldSentOnTick());
+        const Milliseconds wait = std::get<HoldWorker>(m_effects.front()).wait;
+        answerHold(OrderOutcome::Accepted);
+        return wait;
+    }
+
     // Assigns the only task of a new job to the worker. The assignment is not stored.
     RunId attachRun()
     {
@@ -104,6 +118,21 @@
         answerHold(OrderOutcome::Accepted);
         CPPUNIT_ASSERT(m_workers.find(m_worker)->isConfirmed);
     }
+
+    // Guards against a leader that spends most of its time on hold requests.
+    void testBusyWorkersOfLargeFleetAreAskedLessOften()
+    {
+        confirmWorker();
+        attachRun();
+        const Milliseconds inSmallFleet = nextWait();
+        // Without an address, the other workers get no requests.
+        for (int i = 0; i < 1'000; ++i)
+            m_workers.require({ WorkerId("other-" + std::to_string(i)), 1 });
+        const Milliseconds inLargeFleet = nextWait();
+        CPPUNIT_ASSERT(inLargeFleet > inSmallFleet);
+        // Several requests may be lost before the lease expires.
+        CPPUNIT_ASSERT(5 * inLargeFleet < WorkerLeaseSettings().maxLease);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerHoldTest);
