Look only at workers that are due on a tick

Cause: every 20 ms the leader visited all workers and their runs, and after each commit all workers again. Change: an agenda holds the time at which each worker has to be looked at next; whatever changes a worker puts it on the agenda at once. All workers are still looked at every 5 s. Workers whose ends wait for a commit are kept apart.

--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -1,7 +1,6 @@
 #include "batch/placement/capacity_view.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -54,16 +53,24 @@
 
 CapacityView::Hidden CapacityView::hideIdleWorkers(std::size_t count)
 {
+    std::vector<std::size_t> idle;
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].isIdle())
+            idle.push_back(index);
+    }
+    std::stable_sort(idle.begin(), idle.end(), [this](std::size_t a, std::size_t b) {
+        const WorkerCapacity& first = m_workers[a];
+        const WorkerCapacity& second = m_workers[b];
+        return first.rack != second.rack ? first.rack < second.rack : first.speed > second.speed;
+    });
     Hidden hidden;
-    for (const auto& [rack, workers] : m_racks) {
-        std::vector<std::size_t> idle;
-        std::copy_if(workers.begin(), workers.end(), std::back_inserter(idle),
-            [this](std::size_t index) { return m_workers[index].isIdle(); });
-        std::stable_sort(idle.begin(), idle.end(),
-            [this](std::size_t a, std::size_t b) { return m_workers[a].speed > m_workers[b].speed; });
-        idle.resize(std::min(idle.size(), count));
-        for (const std::size_t index : idle)
-            hidden.emplace_back(index, std::exchange(m_workers[index].room, Resources {}));
+    std::size_t inRack = 0; // idle workers of the same rack so far
+    for (std::size_t i = 0; i < idle.size(); ++i) {
+        WorkerCapacity& worker = m_workers[idle[i]];
+        const bool isFirstOfRack = !i || m_workers[idle[i - 1]].rack != worker.rack;
+        inRack = isFirstOfRack ? 1 : inRack + 1;
+        if (inRack <= count)
+            hidden.emplace_back(idle[i], std::exchange(worker.room, Resources {}));
     }
     return hidden;
 }
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -29,6 +29,9 @@
 
 int tasksThatFit(const PlacementRequest& request, const WorkerCapacity& worker, const Resources& room)
 {
+    // Most workers of a busy fleet have too little room even for one task.
+    if (!request.perTask.fitsIn(room))
+        return 0;
     if (!request.step.requiredLabel.empty() && !worker.hasLabel(request.step.requiredLabel))
         return 0;
     if (request.excludedWorkers && request.excludedWorkers->contains(worker.lifetime))
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -50,6 +50,7 @@
     }
     run->phase = RunPhase::Stopping;
     sendStop(*worker, *run, step);
+    lookAt(*worker);
 }
 
 void RunSupervisor::stopAll(std::span<const RunId> runs, Step& step)
@@ -58,6 +59,18 @@
         stop(run, step);
 }
 
+// The conditions of tickRun().
+TimePoint RunSupervisor::nextOrderAt(const LiveRun& run)
+{
+    if (run.isOrderInFlight)
+        return TimePoint::max();
+    if (run.phase == RunPhase::Starting)
+        return run.orderedAt + startRetryDelay;
+    if (run.phase == RunPhase::Stopping && !run.stopAcceptedAt)
+        return run.orderedAt + stopRetryDelay;
+    return TimePoint::max();
+}
+
 void RunSupervisor::tickRun(Worker& worker, LiveRun& run, Step& step)
 {
     if (run.isOrderInFlight)
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -41,6 +41,8 @@
 // A worker without runs is asked for its clock at this interval: the estimate may lag by 4% of the time since
 // the last answer, and the lease of the next run is that much shorter.
 constexpr Milliseconds idleHoldInterval { 30'000 };
+// All workers are looked at this often, whatever the agenda says.
+constexpr Milliseconds fullLookInterval { 5'000 };
 
 // An order without an answer is carried out at most this much later.
 constexpr Milliseconds maxOrderDelay { 12'000 };
@@ -77,6 +79,14 @@
     return "unknown";
 }
 
+// Whether the worker only has to be asked for its clock. A worker that has not answered its last hold request
+// gets no runs, so it is asked until it answers.
+bool isIdle(const Worker& worker)
+{
+    const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
+    return worker.runs.empty() && worker.isConfirmed && !worker.unansweredHolds && !hasUnacknowledgedEnds;
+}
+
 RunProgress progressOf(const JobProgress& job, int step)
 {
     const StepSpecification& specification = job.specificationOf(step);
@@ -108,8 +118,13 @@
     m_epoch = epoch;
     m_earlierLeadersActUntil = earlierLeadersActUntil;
     m_registryKnownAt.reset();
-    for (auto& [lifetime, worker] : m_workers.all())
+    m_agenda.clear();
+    m_haveEndsToStore.clear();
+    m_allLookedAt = {};
+    for (auto& [lifetime, worker] : m_workers.all()) {
+        worker.dueAt = TimePoint::max();
         extendLease(worker, m_settings.maxLease, earlierLeadersActUntil);
+    }
 }
 
 void RunSupervisor::adopt(
@@ -123,6 +138,7 @@
     live.acceptedAt = now;
     live.progress = progressOf(job, run.task.step);
     m_workers.attach(worker, std::move(live));
+    lookAt(worker);
 }
 
 void RunSupervisor::attach(const JobProgress& job, const PlacementUnit& unit,
@@ -140,6 +156,7 @@
         if (!worker.health.isTrusted())
             worker.health.trialStarted();
         m_workers.attach(worker, std::move(live));
+        lookAt(worker);
     }
 }
 
@@ -158,16 +175,21 @@
         live->phase = RunPhase::Starting;
         live->assignedAt = step.now;
         live->orderedAt = {};
+        lookAt(*worker);
     }
 }
 
 void RunSupervisor::changesStored()
 {
-    for (auto& [lifetime, worker] : m_workers.all())
-        advanceStoredEnd(worker);
+    std::erase_if(m_haveEndsToStore, [this](const WorkerLifetime& lifetime) {
+        Worker* worker = m_workers.find(lifetime);
+        if (worker)
+            advanceStoredEnd(*worker);
+        return !worker || worker->pendingEnds.empty();
+    });
 }
 
-void RunSupervisor::advanceStoredEnd(Worker& worker) const
+void RunSupervisor::advanceStoredEnd(Worker& worker)
 {
     while (!worker.pendingEnds.empty()) {
         const PendingEnd& end = worker.pendingEnds.front();
@@ -176,6 +198,7 @@
             return;
         worker.storedEnd = end.sequence;
         worker.nextHoldAt = std::min(worker.nextHoldAt, worker.holdSentAt);
+        lookAt(worker);
         worker.pendingEnds.pop_front();
     }
 }
@@ -197,8 +220,10 @@
     // A complete read tells neither when its entries have changed nor when those of the next update have.
     const auto changedAfter = update.isComplete ? std::nullopt : m_registryKnownAt;
     // Which lifetime is alive is known only from its answer to a hold request.
-    for (const WorkerRecord& record : update.changed)
-        m_workers.update(record, step.now, changedAfter);
+    for (const WorkerRecord& record : update.changed) {
+        if (m_workers.update(record, step.now, changedAfter))
+            lookAt(*m_workers.find(record.lifetime));
+    }
     m_registryKnownAt = update.isComplete ? std::nullopt : std::optional(update.knownAt);
     m_hasCapacityChanged = true;
 }
@@ -212,7 +237,10 @@
 // Returns null for answers to orders of an earlier leadership, which are ignored.
 Worker* RunSupervisor::addressee(const WorkerLifetime& lifetime, std::uint64_t token)
 {
-    return token == fencingTokenOf(m_epoch, lifetime) ? m_workers.find(lifetime) : nullptr;
+    Worker* worker = token == fencingTokenOf(m_epoch, lifetime) ? m_workers.find(lifetime) : nullptr;
+    if (worker)
+        lookAt(*worker);
+    return worker;
 }
 
 std::uint64_t RunSupervisor::tokenOf(const Worker& worker) const
@@ -232,32 +260,55 @@
 
 void RunSupervisor::tick(Step& step)
 {
-    std::vector<WorkerLifetime> expired;
-    for (auto& [lifetime, worker] : m_workers.all()) {
-        tickWorker(worker, step);
-        const bool isOver = worker.runs.empty() ? !worker.isListed : step.now > worker.latestLeaseExpiry;
-        if (isOver)
-            expired.push_back(lifetime);
+    if (step.now >= m_allLookedAt + fullLookInterval) {
+        m_allLookedAt = step.now;
+        for (auto& [lifetime, worker] : m_workers.all())
+            lookAt(worker);
     }
-    for (const WorkerLifetime& lifetime : expired) {
-        Worker* worker = m_workers.find(lifetime);
-        if (!worker)
-            continue;
-        if (worker->runs.empty())
-            forgetIfGone(lifetime);
-        else
-            declareRunsLost(*worker, "every lease has passed", step);
+    for (const WorkerLifetime& lifetime : m_agenda.takeDue(step.now, m_workers)) {
+        // The worker may have been forgotten during this tick.
+        if (Worker* worker = m_workers.find(lifetime))
+            tickWorker(*worker, step);
     }
 }
 
 void RunSupervisor::tickWorker(Worker& worker, Step& step)
 {
+    if (!worker.record.address.empty()) {
+        for (auto& [task, run] : worker.runs)
+            tickRun(worker, run, step);
+        if (step.now >= nextHoldAt(worker))
+            hold(worker, step);
+    }
+    m_agenda.add(worker, nextLookAt(worker));
+    if (!worker.runs.empty() && step.now > worker.latestLeaseExpiry)
+        declareRunsLost(worker, "every lease has passed", step);
+    else
+        forgetIfGone(WorkerLifetime(worker.record.lifetime));
+}
+
+TimePoint RunSupervisor::nextLookAt(const Worker& worker) const
+{
+    TimePoint next = TimePoint::max();
+    if (!worker.runs.empty())
+        next = worker.latestLeaseExpiry + Milliseconds(1);
     if (worker.record.address.empty())
-        return;
-    for (auto& [task, run] : worker.runs)
-        tickRun(worker, run, step);
-    if (!worker.isHoldInFlight && step.now >= worker.nextHoldAt)
-        hold(worker, step);
+        return next;
+    for (const auto& [task, run] : worker.runs)
+        next = std::min(next, nextOrderAt(run));
+    return std::min(next, nextHoldAt(worker));
+}
+
+// The condition of hold() under which it sends a request.
+TimePoint RunSupervisor::nextHoldAt(const Worker& worker)
+{
+    const bool isNeeded = worker.isListed || !worker.runs.empty();
+    if (worker.isHoldInFlight || !isNeeded)
+        return TimePoint::max();
+    if (worker.processedEnd > worker.storedEnd)
+        return std::max(worker.nextHoldAt, worker.holdSentAt + storeWait);
+    return isIdle(worker) ? std::max(worker.nextHoldAt, worker.holdSentAt + idleHoldInterval)
+                          : worker.nextHoldAt;
 }
 
 Milliseconds RunSupervisor::holdWait() const
@@ -272,15 +323,7 @@
 void RunSupervisor::hold(Worker& worker, Step& step)
 {
     const bool isStoring = worker.processedEnd > worker.storedEnd;
-    if (isStoring && step.now < worker.holdSentAt + storeWait)
-        return;
     const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
-    // A worker that has not answered its last hold request gets no runs, so it is asked until it answers.
-    const bool isIdle = worker.runs.empty() && worker.isConfirmed && !worker.unansweredHolds;
-    if (isIdle && !hasUnacknowledgedEnds && step.now < worker.holdSentAt + idleHoldInterval)
-        return;
-    if (!worker.isListed && worker.runs.empty())
-        return;
     const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
     // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
     // ends that the worker has just reported are acknowledged, because it was then still the same lifetime.
@@ -358,6 +401,7 @@
             applyEnd(worker, ended.run, ended.end, ended.checkpoint, step);
         const JobBook::Entry* entry = m_jobs.find(ended.run.task.job);
         worker.pendingEnds.push_back({ ended.sequence, ended.run.task.job, entry ? entry->change : 0 });
+        m_haveEndsToStore.insert(worker.record.lifetime);
     }
     advanceStoredEnd(worker);
 }
@@ -397,6 +441,7 @@
     Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
 {
     m_workers.detach(worker, run.task);
+    lookAt(worker);
     // A trial run may end without an end that the worker lists.
     if (worker.runs.empty())
         worker.health.trialAborted();
@@ -491,6 +536,7 @@
         run.stopAcceptedAt.reset();
         sendStop(next, m_workers.attach(next, std::move(run)), step);
     }
+    lookAt(next);
 }
 
 void RunSupervisor::declareRunsLost(Worker& worker, std::string_view reason, Step& step)
@@ -508,6 +554,7 @@
     }
     // The worker has to answer before it gets new runs.
     worker.isConfirmed = false;
+    lookAt(worker);
     forgetIfGone(WorkerLifetime(worker.record.lifetime));
 }
 
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -3,10 +3,12 @@
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
 #include "batch/reducer/step.h"
+#include "batch/workers/worker_agenda.h"
 #include "batch/workers/worker_pool.h"
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -57,7 +59,14 @@
     bool takeCapacityChanged() { return std::exchange(m_hasCapacityChanged, false); }
 
 private:
+    // Has the worker looked at on the next tick. Must be called whenever something about it changes that
+    // orders may depend on.
+    void lookAt(Worker& worker) { m_agenda.add(worker, TimePoint {}); }
     void tickWorker(Worker&, Step&);
+    // When the worker has to be looked at again if nothing about it changes.
+    TimePoint nextLookAt(const Worker&) const;
+    static TimePoint nextOrderAt(const LiveRun&);
+    static TimePoint nextHoldAt(const Worker&);
     void tickRun(Worker&, LiveRun&, Step&);
     void sendStart(Worker&, LiveRun&, Step&);
     void sendStop(Worker&, LiveRun&, Step&);
@@ -67,7 +76,7 @@
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
-    void advanceStoredEnd(Worker&) const;
+    void advanceStoredEnd(Worker&);
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
     void processActive(Worker&, const WorkerStatus&, Step&);
     void measureSpeed(Worker&, LiveRun&);
@@ -99,6 +108,9 @@
     WorkerLeaseSettings m_settings;
     std::uint64_t m_epoch = 0;
     TimePoint m_earlierLeadersActUntil {};
+    std::set<WorkerLifetime> m_haveEndsToStore; // workers with pending ends
+    WorkerAgenda m_agenda;
+    TimePoint m_allLookedAt {}; // when all workers were looked at
     bool m_hasCapacityChanged = false;
     StepRates m_stepRates;
     // Changes of the registry before this time were contained in earlier updates than the next one.
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -44,18 +44,21 @@
     return others;
 }
 
-void WorkerPool::update(const WorkerRecord& record, TimePoint now, std::optional<TimePoint> changedAfter)
+bool WorkerPool::update(const WorkerRecord& record, TimePoint now, std::optional<TimePoint> changedAfter)
 {
     for (const WorkerLifetime& other : otherLifetimes(record.lifetime))
         m_workers.at(other).isListed = false;
     const auto [position, isNew] = m_workers.try_emplace(record.lifetime);
     Worker& worker = position->second;
+    const bool isRelevant = isNew || !worker.isListed || worker.record.isDraining != record.isDraining
+        || worker.record.address != record.address;
     worker.record = record;
     worker.isListed = true;
     if (changedAfter)
         worker.changedAfter = changedAfter;
     if (isNew)
         worker.nextHoldAt = now;
+    return isRelevant;
 }
 
 std::vector<WorkerLifetime> WorkerPool::unlist(const WorkerId& id)
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -66,6 +66,7 @@
     TimePoint holdSentAt {};
     std::uint64_t holdAcknowledges = 0;
     TimePoint nextHoldAt {};
+    TimePoint dueAt = TimePoint::max(); // see WorkerAgenda
     int unansweredHolds = 0;
     TimePoint noPlacementUntil {}; // no placements until then: it had less free capacity than calculated
     std::map<TaskId, LiveRun> runs;
@@ -85,7 +86,8 @@
     Worker* find(const WorkerLifetime&);
     // Applies a registry entry. Other lifetimes of the worker are no longer listed, but they have not ended
     // for certain: the entry may be older than they are. `changedAfter`: if known, a time before the change.
-    void update(const WorkerRecord&, TimePoint now, std::optional<TimePoint> changedAfter = {});
+    // Returns whether orders to the worker may depend on what has changed.
+    bool update(const WorkerRecord&, TimePoint now, std::optional<TimePoint> changedAfter = {});
     // All lifetimes of the same worker but this one.
     std::vector<WorkerLifetime> otherLifetimes(const WorkerLifetime&) const;
     // Marks all lifetimes of the worker as not listed. Returns those that were listed before.
