--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -300,6 +300,9 @@
         CPPUNIT_ASSERT(outcomeOf(409, R"({"clockMs":5,"reason":"ticket"})") == OrderOutcome::Rejected);
         CPPUNIT_ASSERT(outcomeOf(421, "{}") == OrderOutcome::OtherLifetime);
         CPPUNIT_ASSERT(outcomeOf(503, "") == OrderOutcome::Rejected);
+        CPPUNIT_ASSERT(outcomeOf(400, "{}") == OrderOutcome::Rejected);
+        for (const int status : { 500, 502, 504, 302 })
+            CPPUNIT_ASSERT(outcomeOf(status, "{}") == OrderOutcome::Unknown);
         CPPUNIT_ASSERT(outcomeOf(200, "broken") == OrderOutcome::Unknown);
         OrderOutcome lost = OrderOutcome::Accepted;
         workers->stop({ m_worker, "10.0.0.1:80", { { JobId("5c0e"), 0, 0, 0 }, 1 }, 7 },
