Take no server error of the store for a refused commit

Cause: a commit that the store answered with 500, 502 or 504 counted as certainly not applied. A caller could so be told that its job was not accepted although its row may have been written. Change: only 4xx, and 503 as the platform's page says, mean that nothing was done. Test: testCommitAnswerOrFailureGivesOutcome fails without the change.

--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -386,6 +386,16 @@
         commit();
         m_client.answer(429, "");
         CPPUNIT_ASSERT(reply.outcome == CommitOutcome::Refused);
+        for (const int status : { 400, 403, 503 }) {
+            commit();
+            m_client.answer(status, "{}");
+            CPPUNIT_ASSERT(reply.outcome == CommitOutcome::Refused);
+        }
+        for (const int status : { 500, 502, 504 }) {
+            commit();
+            m_client.answer(status, "{}");
+            CPPUNIT_ASSERT(reply.outcome == CommitOutcome::Unknown);
+        }
         commit();
         m_client.fail(net::HttpErrorKind::NotSent);
         CPPUNIT_ASSERT(reply.outcome == CommitOutcome::Refused);
