--- /dev/null
+++ b/src/batch/workers/run_holds.cpp
@@ -0,0 +1,128 @@
+#include "batch/workers/run_supervisor.h"
+
+#include <algorithm>
+#include <string>
+
+// Sends hold requests, which read the state of a worker and renew its lease, and handles the answers.
+
+namespace anvilmoor::batch {
+
+namespace {
+
+// How long a worker delays its answer to a hold request while no run ends. Shorter waits renew leases more
+// often, so that runs survive a longer network partition. In a large fleet, the wait is longer, so that the
+// leader does not spend most of its CPU time on these requests.
+constexpr Milliseconds minHoldWait { 500 };
+constexpr std::int64_t maxHoldsPerSecond = 500;
+// A lease is renewed at least this often before it would expire.
+constexpr int minRenewalsPerLease = 6;
+// Replaces holdWait() while a stop is in progress, so that the freed capacity becomes known at once, and a
+// run that vanished without a reported end is detected soon after.
+constexpr Milliseconds stopWait { 120 };
+// Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
+// would answer at once with the same ends.
+constexpr Milliseconds storeWait { 200 };
+constexpr Milliseconds holdRetryDelay { 100 };
+// After this many consecutive unanswered hold requests, the worker's lease is not extended: the worker may
+// be gone.
+constexpr int unansweredUntilLost = 3;
+constexpr Milliseconds lostHoldInterval { 400 };
+// A worker without runs is asked for its clock at this interval: the estimate may lag by 4% of the time since
+// the last answer, and the lease of the next run is that much shorter.
+constexpr Milliseconds idleHoldInterval { 30'000 };
+
+// Whether the worker only has to be asked for its clock. A worker that has not answered its last hold request
+// gets no runs, so it is asked until it answers.
+bool isIdle(const Worker& worker)
+{
+    const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
+    return worker.runs.empty() && worker.isConfirmed && !worker.unansweredHolds && !hasUnacknowledgedEnds;
+}
+
+} // namespace
+
+// The condition of hold() under which it sends a request.
+TimePoint RunSupervisor::nextHoldAt(const Worker& worker)
+{
+    const bool isNeeded = worker.isListed || !worker.runs.empty();
+    if (worker.isHoldInFlight || !isNeeded)
+        return TimePoint::max();
+    if (worker.processedEnd > worker.storedEnd)
+        return std::max(worker.nextHoldAt, worker.holdSentAt + storeWait);
+    return isIdle(worker) ? std::max(worker.nextHoldAt, worker.holdSentAt + idleHoldInterval)
+                          : worker.nextHoldAt;
+}
+
+Milliseconds RunSupervisor::holdWait() const
+{
+    constexpr std::int64_t msPerSecond = 1'000;
+    const auto workers = static_cast<std::int64_t>(m_workers.all().size());
+    const Milliseconds spread(workers * msPerSecond / maxHoldsPerSecond);
+    const Milliseconds longest = m_settings.maxLease / minRenewalsPerLease;
+    return std::max(minHoldWait, std::min(spread, longest));
+}
+
+void RunSupervisor::hold(Worker& worker, Step& step)
+{
+    const bool isStoring = worker.processedEnd > worker.storedEnd;
+    const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
+    const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
+    // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
+    // ends that the worker has just reported are acknowledged, because it was then still the same lifetime.
+    const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds;
+    HoldWorker look { worker.record.lifetime, worker.record.address, tokenOf(worker),
+        mayAcknowledge ? worker.storedEnd : 0 };
+    const bool isWaiting = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+        return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
+    });
+    if (!worker.runs.empty() && worker.isConfirmed && !isLost) {
+        const Milliseconds lease = leaseFor(worker);
+        look.leaseUntil = worker.clock.at(step.now) + lease.count();
+        extendLease(worker, lease, step.now);
+        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait();
+    }
+    worker.isHoldInFlight = true;
+    worker.holdSentAt = step.now;
+    worker.holdAcknowledges = look.acknowledgedEnd;
+    step.emit(std::move(look));
+}
+
+void RunSupervisor::holdAnswered(const HoldAnswered& answer, Step& step)
+{
+    Worker* worker = addressee(answer.worker, answer.token);
+    if (!worker)
+        return;
+    worker->isHoldInFlight = false;
+    const bool isOther = answer.outcome == OrderOutcome::OtherLifetime
+        || (answer.outcome == OrderOutcome::Accepted && answer.status.startedAtMs
+            && answer.status.startedAtMs != answer.worker.startedAtMs);
+    if (isOther) {
+        endLifetime(*worker, "another lifetime answered a hold request", answer.status.startedAtMs, step);
+        return;
+    }
+    if (answer.outcome != OrderOutcome::Accepted) {
+        ++worker->unansweredHolds;
+        const bool isLost = worker->unansweredHolds >= unansweredUntilLost;
+        worker->nextHoldAt = step.now + (isLost ? lostHoldInterval : holdRetryDelay);
+        if (worker->unansweredHolds == unansweredUntilLost)
+            step.warn("worker.silent",
+                { { "worker", answer.worker.id.value() }, { "runs", std::to_string(worker->runs.size()) } });
+        return;
+    }
+    if (worker->unansweredHolds >= unansweredUntilLost)
+        step.record("worker.answers", { { "worker", answer.worker.id.value() } });
+    worker->unansweredHolds = 0;
+    worker->nextHoldAt = step.now;
+    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->holdAcknowledges);
+    if (!worker->isConfirmed) {
+        m_hasCapacityChanged = true;
+        endOtherLifetimes(answer.worker, step);
+    }
+    worker->isConfirmed = true;
+    worker->clock.note(answer.status.clock, step.now);
+    processEnds(*worker, answer.status.ended, step);
+    processActive(*worker, answer.status, step);
+    findVanished(*worker, answer.status, step);
+}
+
+} // namespace anvilmoor::batch
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -3,7 +3,6 @@
 #include "batch/workers/fencing_token.h"
 
 #include <algorithm>
-#include <map>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -20,40 +19,9 @@
 // runs is noticed only when the lease expires.
 constexpr Milliseconds drainingLease { 2'500 };
 
-// How long a worker delays its answer to a hold request while no run ends. Shorter waits renew leases more
-// often, so that runs survive a longer network partition. In a large fleet, the wait is longer, so that the
-// leader does not spend most of its CPU time on these requests.
-constexpr Milliseconds minHoldWait { 500 };
-constexpr std::int64_t maxHoldsPerSecond = 500;
-// A lease is renewed at least this often before it would expire.
-constexpr int minRenewalsPerLease = 6;
-// Replaces holdWait() while a stop is in progress, so that the freed capacity becomes known at once, and a
-// run that vanished without a reported end is detected soon after.
-constexpr Milliseconds stopWait { 120 };
-// Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
-// would answer at once with the same ends.
-constexpr Milliseconds storeWait { 200 };
-constexpr Milliseconds holdRetryDelay { 100 };
-// After this many consecutive unanswered hold requests, the worker's lease is not extended: the worker may
-// be gone.
-constexpr int unansweredUntilLost = 3;
-constexpr Milliseconds lostHoldInterval { 400 };
-// A worker without runs is asked for its clock at this interval: the estimate may lag by 4% of the time since
-// the last answer, and the lease of the next run is that much shorter.
-constexpr Milliseconds idleHoldInterval { 30'000 };
 // All workers are looked at this often, whatever the agenda says.
 constexpr Milliseconds fullLookInterval { 5'000 };
 
-// An order without an answer is carried out at most this much later.
-constexpr Milliseconds maxOrderDelay { 12'000 };
-
-// Whether a later lifetime of the worker may have received the start order, or may still receive it: orders
-// name the worker, but not its lifetime.
-bool mayStartInNextLifetime(const LiveRun& run)
-{
-    return run.phase != RunPhase::AwaitingCommit && (run.mayStartLate || !run.wasListed);
-}
-
 Milliseconds inRealTime(Milliseconds onWorkerClock)
 {
     return Milliseconds(static_cast<std::int64_t>(static_cast<double>(onWorkerClock.count()) / minClockRate))
@@ -79,14 +47,6 @@
     return "unknown";
 }
 
-// Whether the worker only has to be asked for its clock. A worker that has not answered its last hold request
-// gets no runs, so it is asked until it answers.
-bool isIdle(const Worker& worker)
-{
-    const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
-    return worker.runs.empty() && worker.isConfirmed && !worker.unansweredHolds && !hasUnacknowledgedEnds;
-}
-
 RunProgress progressOf(const JobProgress& job, int step)
 {
     const StepSpecification& specification = job.specificationOf(step);
@@ -299,90 +259,6 @@
     return std::min(next, nextHoldAt(worker));
 }
 
-// The condition of hold() under which it sends a request.
-TimePoint RunSupervisor::nextHoldAt(const Worker& worker)
-{
-    const bool isNeeded = worker.isListed || !worker.runs.empty();
-    if (worker.isHoldInFlight || !isNeeded)
-        return TimePoint::max();
-    if (worker.processedEnd > worker.storedEnd)
-        return std::max(worker.nextHoldAt, worker.holdSentAt + storeWait);
-    return isIdle(worker) ? std::max(worker.nextHoldAt, worker.holdSentAt + idleHoldInterval)
-                          : worker.nextHoldAt;
-}
-
-Milliseconds RunSupervisor::holdWait() const
-{
-    constexpr std::int64_t msPerSecond = 1'000;
-    const auto workers = static_cast<std::int64_t>(m_workers.all().size());
-    const Milliseconds spread(workers * msPerSecond / maxHoldsPerSecond);
-    const Milliseconds longest = m_settings.maxLease / minRenewalsPerLease;
-    return std::max(minHoldWait, std::min(spread, longest));
-}
-
-void RunSupervisor::hold(Worker& worker, Step& step)
-{
-    const bool isStoring = worker.processedEnd > worker.storedEnd;
-    const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
-    const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
-    // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
-    // ends that the worker has just reported are acknowledged, because it was then still the same lifetime.
-    const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds;
-    HoldWorker look { worker.record.lifetime, worker.record.address, tokenOf(worker),
-        mayAcknowledge ? worker.storedEnd : 0 };
-    const bool isWaiting = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
-        return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
-    });
-    if (!worker.runs.empty() && worker.isConfirmed && !isLost) {
-        const Milliseconds lease = leaseFor(worker);
-        look.leaseUntil = worker.clock.at(step.now) + lease.count();
-        extendLease(worker, lease, step.now);
-        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait();
-    }
-    worker.isHoldInFlight = true;
-    worker.holdSentAt = step.now;
-    worker.holdAcknowledges = look.acknowledgedEnd;
-    step.emit(std::move(look));
-}
-
-void RunSupervisor::holdAnswered(const HoldAnswered& answer, Step& step)
-{
-    Worker* worker = addressee(answer.worker, answer.token);
-    if (!worker)
-        return;
-    worker->isHoldInFlight = false;
-    const bool isOther = answer.outcome == OrderOutcome::OtherLifetime
-        || (answer.outcome == OrderOutcome::Accepted && answer.status.startedAtMs
-            && answer.status.startedAtMs != answer.worker.startedAtMs);
-    if (isOther) {
-        endLifetime(*worker, "another lifetime answered a hold request", answer.status.startedAtMs, step);
-        return;
-    }
-    if (answer.outcome != OrderOutcome::Accepted) {
-        ++worker->unansweredHolds;
-        const bool isLost = worker->unansweredHolds >= unansweredUntilLost;
-        worker->nextHoldAt = step.now + (isLost ? lostHoldInterval : holdRetryDelay);
-        if (worker->unansweredHolds == unansweredUntilLost)
-            step.warn("worker.silent",
-                { { "worker", answer.worker.id.value() }, { "runs", std::to_string(worker->runs.size()) } });
-        return;
-    }
-    if (worker->unansweredHolds >= unansweredUntilLost)
-        step.record("worker.answers", { { "worker", answer.worker.id.value() } });
-    worker->unansweredHolds = 0;
-    worker->nextHoldAt = step.now;
-    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->holdAcknowledges);
-    if (!worker->isConfirmed) {
-        m_hasCapacityChanged = true;
-        endOtherLifetimes(answer.worker, step);
-    }
-    worker->isConfirmed = true;
-    worker->clock.note(answer.status.clock, step.now);
-    processEnds(*worker, answer.status.ended, step);
-    processActive(*worker, answer.status, step);
-    findVanished(*worker, answer.status, step);
-}
-
 void RunSupervisor::processEnds(Worker& worker, std::span<const EndedRun> ends, Step& step)
 {
     for (const EndedRun& ended : ends) {
@@ -472,98 +348,4 @@
     stopAll(consequence.toStop, step);
 }
 
-void RunSupervisor::recordLifetimeEnd(
-    const Worker& worker, std::string_view reason, std::int64_t nextStartedAtMs, Step& step)
-{
-    std::map<RunPhase, int> phases;
-    int mayStartLate = 0;
-    for (const auto& [task, run] : worker.runs) {
-        ++phases[run.phase];
-        mayStartLate += run.mayStartLate;
-    }
-    step.warn("worker.lifetime_over",
-        { { "worker", worker.record.lifetime.id.value() },
-            { "born_ms", std::to_string(worker.record.lifetime.startedAtMs) },
-            { "next_born_ms", std::to_string(nextStartedAtMs) }, { "reason", std::string(reason) },
-            { "starting", std::to_string(phases[RunPhase::Starting]) },
-            { "running", std::to_string(phases[RunPhase::Running]) },
-            { "stopping", std::to_string(phases[RunPhase::Stopping]) },
-            { "may_start_late", std::to_string(mayStartLate) } });
-}
-
-void RunSupervisor::endOtherLifetimes(const WorkerLifetime& alive, Step& step)
-{
-    for (const WorkerLifetime& over : m_workers.otherLifetimes(alive)) {
-        Worker* worker = m_workers.find(over);
-        if (worker && !worker->runs.empty())
-            endLifetime(*worker, "another lifetime has answered", alive.startedAtMs, step);
-    }
-}
-
-void RunSupervisor::endLifetime(
-    Worker& worker, std::string_view reason, std::int64_t nextStartedAtMs, Step& step)
-{
-    recordLifetimeEnd(worker, reason, nextStartedAtMs, step);
-    worker.isListed = false;
-    if (nextStartedAtMs)
-        moveToNextLifetime(worker, nextStartedAtMs, step);
-    declareRunsLost(worker, reason, step);
-}
-
-// Moves the runs that the next lifetime may start, or has started, to that lifetime and stops them there.
-// They end once it has confirmed the stop, after which it rejects late start orders.
-void RunSupervisor::moveToNextLifetime(Worker& worker, std::int64_t nextStartedAtMs, Step& step)
-{
-    std::vector<LiveRun> moved;
-    for (const auto& [task, run] : worker.runs) {
-        if (mayStartInNextLifetime(run))
-            moved.push_back(run);
-    }
-    if (moved.empty())
-        return;
-    const WorkerLifetime lifetime { worker.record.lifetime.id, nextStartedAtMs };
-    Worker& next = m_workers.require(lifetime);
-    if (next.record.address.empty()) {
-        next.record = worker.record;
-        next.record.lifetime = lifetime;
-    }
-    // A deadline on the earlier lifetime's clock does not bound a lease of this one.
-    extendLease(next, maxOrderDelay + m_settings.maxLease, step.now);
-    for (LiveRun& run : moved) {
-        m_workers.detach(worker, run.id.task);
-        run.phase = RunPhase::Stopping;
-        run.acceptedAt.reset();
-        run.stopAcceptedAt.reset();
-        sendStop(next, m_workers.attach(next, std::move(run)), step);
-    }
-    lookAt(next);
-}
-
-void RunSupervisor::declareRunsLost(Worker& worker, std::string_view reason, Step& step)
-{
-    step.warn("worker.runs_lost",
-        { { "worker", worker.record.lifetime.id.value() },
-            { "born_ms", std::to_string(worker.record.lifetime.startedAtMs) },
-            { "reason", std::string(reason) }, { "runs", std::to_string(worker.runs.size()) } });
-    std::vector<RunId> runs;
-    for (const auto& [task, run] : worker.runs)
-        runs.push_back(run.id);
-    for (const RunId& run : runs) {
-        if (findRun(worker, run))
-            finish(worker, run, RunEnd::LeaseExpired, {}, step);
-    }
-    // The worker has to answer before it gets new runs.
-    worker.isConfirmed = false;
-    lookAt(worker);
-    forgetIfGone(WorkerLifetime(worker.record.lifetime));
-}
-
-void RunSupervisor::forgetIfGone(const WorkerLifetime& lifetime)
-{
-    const Worker* worker = m_workers.find(lifetime);
-    // An answer that is still due would be taken for one to a later request if the worker were listed again.
-    if (worker && !worker->isListed && worker->runs.empty() && !worker->isHoldInFlight)
-        m_workers.erase(lifetime);
-}
-
 } // namespace anvilmoor::batch
