Move the search for eviction candidates out of the placement round

It has a class of its own, which knows the runs and their costs but no queue. The victims of the round need not be kept any more: candidates are collected before the first eviction and updated after it.

--- a/src/batch/placement/eviction.cpp
+++ b/src/batch/placement/eviction.cpp
@@ -202,39 +202,6 @@
 
 } // namespace
 
-EvictionCandidates::EvictionCandidates(const CapacityView& view, std::vector<EvictionCandidate> candidates)
-    : m_candidates(std::move(candidates))
-    , m_byCandidate(m_candidates.size())
-    , m_byWorker(view.workers().size())
-    , m_freeable(view.workers().size())
-{
-    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
-        std::vector<Freed>& parts = m_byCandidate[i];
-        for (const auto& [lifetime, resources] : m_candidates[i].room) {
-            const auto worker = view.indexOf(lifetime);
-            if (!worker)
-                continue;
-            m_freeable[*worker] += resources;
-            const auto known = std::find_if(
-                parts.begin(), parts.end(), [&worker](const Freed& part) { return part.worker == *worker; });
-            if (known == parts.end())
-                parts.push_back({ i, *worker, resources });
-            else
-                known->resources += resources;
-        }
-        for (const Freed& part : parts)
-            m_byWorker[part.worker].push_back(part);
-    }
-}
-
-void EvictionCandidates::noteStopping(std::span<const std::size_t> candidates)
-{
-    for (const std::size_t candidate : candidates) {
-        m_candidates[candidate].runs.clear();
-        m_candidates[candidate].cost = 0;
-    }
-}
-
 std::optional<EvictionPlan> planEviction(
     const PlacementRequest& request, const CapacityView& view, const EvictionCandidates& candidates)
 {
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -23,26 +23,6 @@
 // partly idle for a while.
 constexpr int maxHolds = 2;
 
-// An accelerator counts as this many cores in the cost of lost work.
-constexpr double coresPerAccelerator = 8;
-
-// A run with checkpoints loses at most this much work by a stop: the time to restore it.
-constexpr double checkpointRestoreSeconds = 0.2;
-
-// A stopped run has to be placed again, so this share of its estimated duration is added to the cost of a
-// stop.
-constexpr double reschedulingCostShare = 0.2;
-// Each earlier eviction of the job raises the cost of a stop by this factor of the base cost.
-constexpr double repeatedEvictionPenalty = 1.0;
-// Less urgent work costs less to stop: runs below priority 1 have the weight 1.
-constexpr double weightOfPriorityOne = 3;
-
-double coresOf(const Resources& resources)
-{
-    return static_cast<double>(resources.cpuMillicores) / 1'000
-        + coresPerAccelerator * static_cast<double>(resources.accelerators);
-}
-
 std::int64_t acceleratorsOf(const AcceptedJob& job)
 {
     std::int64_t most = 0;
@@ -51,30 +31,6 @@
     return most;
 }
 
-// Identifies the runs of a gang. Refers to the job's id.
-struct GangKey {
-    std::string_view job;
-    int occurrence = 0;
-    int step = 0;
-
-    auto operator<=>(const GangKey&) const = default;
-};
-
-struct GangRuns {
-    EvictionCandidate all;
-    bool hasEndingRuns = false;
-    bool isStoppable = true;
-
-    void add(EvictionCandidate run, bool isRunStoppable)
-    {
-        hasEndingRuns |= run.runs.empty();
-        isStoppable &= isRunStoppable;
-        all.cost += run.cost;
-        all.runs.insert(all.runs.end(), run.runs.begin(), run.runs.end());
-        all.room.insert(all.room.end(), run.room.begin(), run.room.end());
-    }
-};
-
 } // namespace
 
 PlacementRound::PlacementRound(
@@ -102,7 +58,6 @@
     m_jobs = &jobs;
     m_unplaceable.clear();
     m_mostTasksWithinLocality.clear();
-    m_victims.clear();
     m_candidates.clear();
     m_lessUrgentUse.clear();
     m_stepTasksByWorker.clear();
@@ -347,30 +302,6 @@
     return position->second;
 }
 
-// Returns whether the run ends within the stop timeout without another stop order. Its resources may be
-// promised to the unit at hand: those reserved for other units are already deducted from the view.
-bool PlacementRound::endsWithinStopTimeout(const Worker& worker, const LiveRun& run, TimePoint now) const
-{
-    if (run.phase == RunPhase::Stopping || m_victims.contains(run.id))
-        return true;
-    const auto end = run.progress.expectedEnd();
-    return end && *end <= worker.clock.at(now) + m_stopTimeout.count();
-}
-
-// Returns the cost of stopping the run in core-seconds, weighted by priority: less urgent work costs less.
-double PlacementRound::evictionCost(const LiveRun& run, const StepSpecification& step, TimePoint now) const
-{
-    const TimePoint since = run.acceptedAt.value_or(now);
-    const double worked = static_cast<double>((now - since).count()) / 1'000;
-    const double lost = step.savesCheckpoints ? std::min(worked, checkpointRestoreSeconds) : worked;
-    const double estimate = static_cast<double>(step.estimatedDuration.count()) / 1'000;
-    const double weight = run.priority > 1 ? 1 : weightOfPriorityOne;
-    const auto stops = m_evictionCounts.find(run.id.task.job);
-    const int earlierStops = stops == m_evictionCounts.end() ? 0 : stops->second;
-    return weight * (lost + reschedulingCostShare * estimate) * coresOf(run.resources)
-        * (1 + repeatedEvictionPenalty * earlierStops);
-}
-
 EvictionCandidates& PlacementRound::candidatesFor(
     const CapacityView& view, const ServiceId& service, int priority, TimePoint now)
 {
@@ -378,46 +309,8 @@
     const auto known = m_candidates.find(key);
     if (known != m_candidates.end())
         return known->second;
-    return m_candidates.emplace(key, EvictionCandidates(view, findCandidates(service, priority, now)))
-        .first->second;
-}
-
-std::vector<EvictionCandidate> PlacementRound::findCandidates(
-    const ServiceId& service, int priority, TimePoint now) const
-{
-    std::vector<EvictionCandidate> result;
-    std::map<GangKey, GangRuns> gangs;
-    for (const auto& [lifetime, worker] : m_workers->all()) {
-        if (worker.record.service != service)
-            continue;
-        for (const auto& [task, run] : worker.runs) {
-            const JobBook::Entry* entry = m_jobs->find(task.job);
-            if (!entry)
-                continue;
-            const StepSpecification& step = entry->progress.specificationOf(task.step);
-            const bool isEndingSoon = endsWithinStopTimeout(worker, run, now);
-            const bool isStoppable
-                = run.phase != RunPhase::AwaitingCommit && (run.priority > priority || isEndingSoon);
-            EvictionCandidate candidate;
-            candidate.room.emplace_back(lifetime, run.resources);
-            if (!isEndingSoon) {
-                candidate.runs.push_back(run.id);
-                candidate.cost = evictionCost(run, step, now);
-            }
-            if (step.isGang)
-                gangs[{ task.job.value(), task.occurrence, task.step }].add(
-                    std::move(candidate), isStoppable);
-            else if (isStoppable)
-                result.push_back(std::move(candidate));
-        }
-    }
-    for (auto& [key, gang] : gangs) {
-        // A gang of which only some runs are ending is neither free to wait for nor to be stopped again.
-        const bool isPartlyEnding = gang.hasEndingRuns && !gang.all.runs.empty();
-        if (gang.isStoppable && !isPartlyEnding)
-            result.push_back(std::move(gang.all));
-    }
-    return result;
+    const EvictionCandidateFinder finder(*m_workers, *m_jobs, m_evictionCounts, m_stopTimeout, now);
+    return m_candidates.emplace(key, EvictionCandidates(view, finder.find(service, priority))).first->second;
 }
 
 bool PlacementRound::evictFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view,
@@ -434,7 +327,6 @@
         stopped.insert(victim.task.job);
     for (const JobId& job : stopped)
         ++m_evictionCounts[job];
-    m_victims.insert(plan->victims.begin(), plan->victims.end());
     if (!plan->victims.empty())
         outcome.evictions.push_back({ std::move(plan->victims), waiting.unit.job, plan->cost });
     Reservation reservation { std::move(plan->workers), request.perTask, terms.service,
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -113,15 +113,12 @@
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
     const std::vector<Resources>& lessUrgentUse(const CapacityView&, const ServiceId&, int priority);
     EvictionCandidates& candidatesFor(const CapacityView&, const ServiceId&, int priority, TimePoint now);
-    std::vector<EvictionCandidate> findCandidates(const ServiceId&, int priority, TimePoint now) const;
-    bool endsWithinStopTimeout(const Worker&, const LiveRun&, TimePoint now) const;
-    double evictionCost(const LiveRun&, const StepSpecification&, TimePoint now) const;
 
     const PlacementPolicy& m_placement;
     const QueueOrder& m_order;
     const Milliseconds m_stopTimeout;
     std::map<UnitKey, Reservation> m_reservations;
-    std::map<JobId, int> m_evictionCounts; // number of evictions per job
+    EvictionCounts m_evictionCounts;
     std::optional<TimePoint> m_urgentSeenAt; // last time with an unfinished job of priority 0
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
@@ -130,7 +127,6 @@
     // no search is made for them.
     std::map<Shape, int> m_unplaceable;
     std::map<Shape, int> m_mostTasksWithinLocality;
-    std::set<RunId> m_victims;
     using ServicePriority = std::pair<ServiceId, int>;
     // Runs that work of a priority may evict.
     std::map<ServicePriority, EvictionCandidates> m_candidates;
