Count room exactly in the bounded searches of a placement round

Found while reading the diff: the check of locality counted at most 64 tasks of a gang on one worker, so that a gang of many small tasks would have been spread over racks although it fits one; and tasks that use spare CPU were kept off workers whose counted CPU is overdrawn.

--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -1,5 +1,7 @@
 #include "batch/placement/packing_placement.h"
 
+#include "anvilmoor/batch/bounds.h"
+
 #include <algorithm>
 #include <limits>
 #include <numeric>
@@ -29,8 +31,8 @@
 
 int tasksThatFit(const PlacementRequest& request, const WorkerCapacity& worker, const Resources& room)
 {
-    // Most workers of a busy fleet have too little room even for one task.
-    if (!request.perTask.fitsIn(room))
+    // Most workers of a busy fleet have too few accelerators even for one task.
+    if (request.perTask.accelerators > 0 && request.perTask.accelerators > room.accelerators)
         return 0;
     if (!request.step.requiredLabel.empty() && !worker.hasLabel(request.step.requiredLabel))
         return 0;
@@ -49,7 +51,7 @@
 
 int mostTasksWithinLocality(const PlacementRequest& request, const CapacityView& view)
 {
-    const PlacementRequest wide { request.step, request.perTask, maxTasksCountedPerWorker };
+    const PlacementRequest wide { request.step, request.perTask, maxTasksPerStep };
     const bool needsOneRack = request.step.isGang && request.step.needsOneRack;
     int total = 0;
     int most = 0;
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(testSmallTaskFillsUsedWorkerBeforeIdleOne);
     CPPUNIT_TEST(testSingleRackGangTakesRackWithLeastCapacityLeft);
     CPPUNIT_TEST(testGangThatFitsNoRackIsPlacedOnlyWithRelaxedLocality);
+    CPPUNIT_TEST(testLargeGangOfSmallTasksCountsAsFittingItsRack);
+    CPPUNIT_TEST(testTaskWithoutCpuFitsWorkerWithoutCpu);
     CPPUNIT_TEST(testTaskWithDataRackIsPlacedOnlyInThatRack);
     CPPUNIT_TEST(testTaskWithRequiredLabelIsPlacedOnlyOnMatchingWorker);
     CPPUNIT_TEST(testLimitPerWorkerCountsTasksOfTheSameRound);
@@ -172,6 +174,24 @@
         CPPUNIT_ASSERT(m_packing.place(request, view));
     }
 
+    void testLargeGangOfSmallTasksCountsAsFittingItsRack()
+    {
+        const CapacityView view = viewOf({ capacityOf(0, 0) });
+        const StepSpecification step = testing::makeGang(128, 0, true);
+        CPPUNIT_ASSERT_EQUAL(128, mostTasksWithinLocality(requestOf(step), view));
+    }
+
+    // Guards against tasks that use spare CPU being kept off workers whose CPU is promised to others.
+    void testTaskWithoutCpuFitsWorkerWithoutCpu()
+    {
+        WorkerCapacity worker = capacityOf(0, 0);
+        worker.room.cpuMillicores = -1'000;
+        StepSpecification step = testing::makeStep(1, 1);
+        step.usesSpareCpu = true;
+        const PlacementRequest request { step, step.countedPerTask() };
+        CPPUNIT_ASSERT_EQUAL(1, tasksThatFit(request, worker, worker.room));
+    }
+
     void testTaskWithDataRackIsPlacedOnlyInThatRack()
     {
         CapacityView view = viewOf({ capacityOf(0, 0, 2), capacityOf(1, 0) });
