Bound the pause after a placement turn

Found while reading the diff: the pause is twice the duration of the turn, which is taken from a clock that also counts suspension. A leader that was suspended for 0.9 s during a turn would have placed nothing for 1.8 s. Change: the pause is at most 0.5 s. Test: testTurnDuringWhichTheHostWasSuspendedIsFollowedByAShortPause fails without the change.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -19,6 +19,8 @@
 // A round starts at the earliest after this multiple of the duration of the previous one, so that placement
 // leaves at least half of the time to everything else.
 constexpr int placementIntervalFactor = 2;
+// Upper limit of that time. A round may appear long because the host was suspended during it.
+constexpr Milliseconds maxPlacementPause { 500 };
 // Maximum time between two placement rounds. Placement may also become possible through the passage of time
 // alone: an occurrence falls due, or a suspect worker is due for a trial.
 constexpr Milliseconds maxPlacementInterval { 250 };
@@ -354,7 +356,8 @@
 void Scheduler::placementTurn(const PlacementTurn& turn, Step& step)
 {
     m_isTurnRequested = false;
-    m_placementInterval = std::max(minPlacementInterval, turn.lastDuration * placementIntervalFactor);
+    m_placementInterval
+        = std::clamp(turn.lastDuration * placementIntervalFactor, minPlacementInterval, maxPlacementPause);
     if (m_isPlacementDue && !m_isSteppingDown && mayAct(step.now))
         place(step);
 }
--- a/test/batch_placement_turn_test.cpp
+++ b/test/batch_placement_turn_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(testFreeCapacityIsNotUsedBeforeTheTurn);
     CPPUNIT_TEST(testTurnIsRequestedOnceUntilItComes);
     CPPUNIT_TEST(testSlowTurnIsFollowedByAnEquallyLongPause);
+    CPPUNIT_TEST(testTurnDuringWhichTheHostWasSuspendedIsFollowedByAShortPause);
     CPPUNIT_TEST_SUITE_END();
 
     // The job is larger than the only worker, until a second worker is added.
@@ -103,6 +104,15 @@
         m_now += Milliseconds(1);
         CPPUNIT_ASSERT_EQUAL(1L, count<RequestPlacementTurn>(handle(change)));
     }
+
+    void testTurnDuringWhichTheHostWasSuspendedIsFollowedByAShortPause()
+    {
+        const WorkersUpdated change { false, { secondWorker() }, {}, m_now };
+        handle(change);
+        handle(PlacementTurn { Milliseconds(900) });
+        m_now += Milliseconds(600);
+        CPPUNIT_ASSERT_EQUAL(1L, count<RequestPlacementTurn>(handle(change)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchPlacementTurnTest);
