--- a/src/batch/workers/run_lifetimes.cpp
+++ b/src/batch/workers/run_lifetimes.cpp
@@ -87,7 +87,7 @@
         run.stopAcceptedAt.reset();
         sendStop(next, m_workers.attach(next, std::move(run)), step);
     }
-    lookAt(next);
+    markDue(next);
 }
 
 void RunSupervisor::declareRunsLost(Worker& worker, std::string_view reason, Step& step)
@@ -105,7 +105,7 @@
     }
     // The worker has to answer before it gets new runs.
     worker.isConfirmed = false;
-    lookAt(worker);
+    markDue(worker);
     forgetIfGone(WorkerLifetime(worker.record.lifetime));
 }
 
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -50,7 +50,7 @@
     }
     run->phase = RunPhase::Stopping;
     sendStop(*worker, *run, step);
-    lookAt(*worker);
+    markDue(*worker);
 }
 
 void RunSupervisor::stopAll(std::span<const RunId> runs, Step& step)
@@ -82,7 +82,7 @@
         }
         step.warn("run.start_timeout",
             { { "job", run.id.task.job.value() }, { "worker", worker.record.lifetime.id.value() } });
-        giveUpStart(worker, run, step);
+        abandonStart(worker, run, step);
         return;
     }
     if (run.phase != RunPhase::Stopping || run.stopAcceptedAt)
@@ -93,7 +93,7 @@
 
 // Stops a run that may start late or may have started. The other members of its gang are not kept waiting for
 // the confirmation of this stop, which may come only with the expiry of the lease.
-void RunSupervisor::giveUpStart(Worker& worker, LiveRun& run, Step& step)
+void RunSupervisor::abandonStart(Worker& worker, LiveRun& run, Step& step)
 {
     run.phase = RunPhase::Stopping;
     sendStop(worker, run, step);
@@ -153,7 +153,7 @@
     if (run.phase == RunPhase::Stopping)
         return;
     if (run.mayStartLate) {
-        giveUpStart(worker, run, step);
+        abandonStart(worker, run, step);
         return;
     }
     finish(worker, RunId(run.id), RunEnd::Stopped, {}, step);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -19,8 +19,8 @@
 // runs is noticed only when the lease expires.
 constexpr Milliseconds drainingLease { 2'500 };
 
-// All workers are looked at this often, whatever the agenda says.
-constexpr Milliseconds fullLookInterval { 5'000 };
+// All workers are visited this often, also those that are not due.
+constexpr Milliseconds fullVisitInterval { 5'000 };
 
 Milliseconds inRealTime(Milliseconds onWorkerClock)
 {
@@ -78,9 +78,9 @@
     m_epoch = epoch;
     m_earlierLeadersActUntil = earlierLeadersActUntil;
     m_registryKnownAt.reset();
-    m_agenda.clear();
-    m_haveEndsToStore.clear();
-    m_allLookedAt = {};
+    m_dueQueue.clear();
+    m_workersWithPendingEnds.clear();
+    m_allMarkedDueAt = {};
     for (auto& [lifetime, worker] : m_workers.all()) {
         worker.dueAt = TimePoint::max();
         extendLease(worker, m_settings.maxLease, earlierLeadersActUntil);
@@ -98,7 +98,7 @@
     live.acceptedAt = now;
     live.progress = progressOf(job, run.task.step);
     m_workers.attach(worker, std::move(live));
-    lookAt(worker);
+    markDue(worker);
 }
 
 void RunSupervisor::attach(const JobProgress& job, const PlacementUnit& unit,
@@ -116,7 +116,7 @@
         if (!worker.health.isTrusted())
             worker.health.trialStarted();
         m_workers.attach(worker, std::move(live));
-        lookAt(worker);
+        markDue(worker);
     }
 }
 
@@ -135,13 +135,13 @@
         live->phase = RunPhase::Starting;
         live->assignedAt = step.now;
         live->orderedAt = {};
-        lookAt(*worker);
+        markDue(*worker);
     }
 }
 
 void RunSupervisor::changesStored()
 {
-    std::erase_if(m_haveEndsToStore, [this](const WorkerLifetime& lifetime) {
+    std::erase_if(m_workersWithPendingEnds, [this](const WorkerLifetime& lifetime) {
         Worker* worker = m_workers.find(lifetime);
         if (worker)
             advanceStoredEnd(*worker);
@@ -158,7 +158,7 @@
             return;
         worker.storedEnd = end.sequence;
         worker.nextHoldAt = std::min(worker.nextHoldAt, worker.holdSentAt);
-        lookAt(worker);
+        markDue(worker);
         worker.pendingEnds.pop_front();
     }
 }
@@ -182,7 +182,7 @@
     // Which lifetime is alive is known only from its answer to a hold request.
     for (const WorkerRecord& record : update.changed) {
         if (m_workers.update(record, step.now, changedAfter))
-            lookAt(*m_workers.find(record.lifetime));
+            markDue(*m_workers.find(record.lifetime));
     }
     m_registryKnownAt = update.isComplete ? std::nullopt : std::optional(update.knownAt);
     m_hasCapacityChanged = true;
@@ -199,7 +199,7 @@
 {
     Worker* worker = token == fencingTokenOf(m_epoch, lifetime) ? m_workers.find(lifetime) : nullptr;
     if (worker)
-        lookAt(*worker);
+        markDue(*worker);
     return worker;
 }
 
@@ -220,12 +220,12 @@
 
 void RunSupervisor::tick(Step& step)
 {
-    if (step.now >= m_allLookedAt + fullLookInterval) {
-        m_allLookedAt = step.now;
+    if (step.now >= m_allMarkedDueAt + fullVisitInterval) {
+        m_allMarkedDueAt = step.now;
         for (auto& [lifetime, worker] : m_workers.all())
-            lookAt(worker);
+            markDue(worker);
     }
-    for (const WorkerLifetime& lifetime : m_agenda.takeDue(step.now, m_workers)) {
+    for (const WorkerLifetime& lifetime : m_dueQueue.takeDue(step.now, m_workers)) {
         // The worker may have been forgotten during this tick.
         if (Worker* worker = m_workers.find(lifetime))
             tickWorker(*worker, step);
@@ -240,14 +240,14 @@
         if (step.now >= nextHoldAt(worker))
             hold(worker, step);
     }
-    m_agenda.add(worker, nextLookAt(worker));
+    m_dueQueue.add(worker, nextDueAt(worker));
     if (!worker.runs.empty() && step.now > worker.latestLeaseExpiry)
         declareRunsLost(worker, "every lease has passed", step);
     else
         forgetIfGone(WorkerLifetime(worker.record.lifetime));
 }
 
-TimePoint RunSupervisor::nextLookAt(const Worker& worker) const
+TimePoint RunSupervisor::nextDueAt(const Worker& worker) const
 {
     TimePoint next = TimePoint::max();
     if (!worker.runs.empty())
@@ -277,7 +277,7 @@
             applyEnd(worker, ended.run, ended.end, ended.checkpoint, step);
         const JobBook::Entry* entry = m_jobs.find(ended.run.task.job);
         worker.pendingEnds.push_back({ ended.sequence, ended.run.task.job, entry ? entry->change : 0 });
-        m_haveEndsToStore.insert(worker.record.lifetime);
+        m_workersWithPendingEnds.insert(worker.record.lifetime);
     }
     advanceStoredEnd(worker);
 }
@@ -317,7 +317,7 @@
     Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
 {
     m_workers.detach(worker, run.task);
-    lookAt(worker);
+    markDue(worker);
     // A trial run may end without an end that the worker lists.
     if (worker.runs.empty())
         worker.health.trialAborted();
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -3,7 +3,7 @@
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
 #include "batch/reducer/step.h"
-#include "batch/workers/worker_agenda.h"
+#include "batch/workers/worker_due_queue.h"
 #include "batch/workers/worker_pool.h"
 
 #include <cstdint>
@@ -59,18 +59,18 @@
     bool takeCapacityChanged() { return std::exchange(m_hasCapacityChanged, false); }
 
 private:
-    // Has the worker looked at on the next tick. Must be called whenever something about it changes that
-    // orders may depend on.
-    void lookAt(Worker& worker) { m_agenda.add(worker, TimePoint {}); }
+    // Has the worker visited on the next tick. Must be called whenever something about it changes that orders
+    // may depend on.
+    void markDue(Worker& worker) { m_dueQueue.add(worker, TimePoint {}); }
     void tickWorker(Worker&, Step&);
-    // When the worker has to be looked at again if nothing about it changes.
-    TimePoint nextLookAt(const Worker&) const;
+    // When the worker has to be visited again if nothing about it changes.
+    TimePoint nextDueAt(const Worker&) const;
     static TimePoint nextOrderAt(const LiveRun&);
     static TimePoint nextHoldAt(const Worker&);
     void tickRun(Worker&, LiveRun&, Step&);
     void sendStart(Worker&, LiveRun&, Step&);
     void sendStop(Worker&, LiveRun&, Step&);
-    void giveUpStart(Worker&, LiveRun&, Step&);
+    void abandonStart(Worker&, LiveRun&, Step&);
     void hold(Worker&, Step&);
     Milliseconds holdWait() const;
     void extendLease(Worker&, Milliseconds, TimePoint now);
@@ -108,9 +108,9 @@
     WorkerLeaseSettings m_settings;
     std::uint64_t m_epoch = 0;
     TimePoint m_earlierLeadersActUntil {};
-    std::set<WorkerLifetime> m_haveEndsToStore; // workers with pending ends
-    WorkerAgenda m_agenda;
-    TimePoint m_allLookedAt {}; // when all workers were looked at
+    std::set<WorkerLifetime> m_workersWithPendingEnds; // workers with pending ends
+    WorkerDueQueue m_dueQueue;
+    TimePoint m_allMarkedDueAt {}; // when all workers were last marked
     bool m_hasCapacityChanged = false;
     StepRates m_stepRates;
     // Changes of the registry before this time were contained in earlier updates than the next one.
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -94,7 +94,7 @@
 {
     for (const WorkerLifetime& lifetime : m_workers.unlist(id)) {
         Worker* worker = m_workers.find(lifetime);
-        lookAt(*worker);
+        markDue(*worker);
         if (hasWithdrawnEntry(*worker, step.now))
             endLifetime(*worker, "worker withdrew its registry entry", 0, step);
     }
--- a/src/batch/workers/worker_due_queue.cpp
+++ b/src/batch/workers/worker_due_queue.cpp
@@ -1,8 +1,8 @@
-#include "batch/workers/worker_agenda.h"
+#include "batch/workers/worker_due_queue.h"
 
 namespace anvilmoor::batch {
 
-void WorkerAgenda::add(Worker& worker, TimePoint at)
+void WorkerDueQueue::add(Worker& worker, TimePoint at)
 {
     if (at >= worker.dueAt)
         return;
@@ -12,7 +12,7 @@
     worker.dueAt = at;
 }
 
-std::vector<WorkerLifetime> WorkerAgenda::takeDue(TimePoint now, WorkerPool& workers)
+std::vector<WorkerLifetime> WorkerDueQueue::takeDue(TimePoint now, WorkerPool& workers)
 {
     std::vector<WorkerLifetime> due;
     while (!m_due.empty() && m_due.begin()->first <= now) {
--- a/src/batch/workers/worker_due_queue.h
+++ b/src/batch/workers/worker_due_queue.h
@@ -8,12 +8,12 @@
 
 namespace anvilmoor::batch {
 
-// Tells which workers have to be looked at, so that a tick does not visit all of them.
-class WorkerAgenda {
+// Workers by the time at which they have to be visited next, so that a tick does not visit all of them.
+class WorkerDueQueue {
 public:
-    // Puts the worker on the agenda for the given time, unless it is due earlier.
+    // Makes the worker due at the given time, unless it is due earlier.
     void add(Worker&, TimePoint at);
-    // Removes the workers that are due from the agenda and returns them.
+    // Removes the workers that are due and returns them.
     std::vector<WorkerLifetime> takeDue(TimePoint now, WorkerPool&);
     void clear() { m_due.clear(); }
 
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -66,7 +66,7 @@
     TimePoint holdSentAt {};
     std::uint64_t holdAcknowledges = 0;
     TimePoint nextHoldAt {};
-    TimePoint dueAt = TimePoint::max(); // see WorkerAgenda
+    TimePoint dueAt = TimePoint::max(); // see WorkerDueQueue
     int unansweredHolds = 0;
     TimePoint noPlacementUntil {}; // no placements until then: it had less free capacity than calculated
     std::map<TaskId, LiveRun> runs;
--- a/test/batch_worker_due_queue_test.cpp
+++ b/test/batch_worker_due_queue_test.cpp
@@ -1,11 +1,11 @@
-#include "batch/workers/worker_agenda.h"
+#include "batch/workers/worker_due_queue.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace anvilmoor::batch {
 
-class BatchWorkerAgendaTest : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(BatchWorkerAgendaTest);
+class BatchWorkerDueQueueTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(BatchWorkerDueQueueTest);
     CPPUNIT_TEST(testOnlyDueWorkersAreTaken);
     CPPUNIT_TEST(testEarlierTimeReplacesLaterOne);
     CPPUNIT_TEST(testTakenWorkerIsNotTakenAgain);
@@ -16,16 +16,16 @@
     const WorkerLifetime m_first { WorkerId("first"), 1 };
     const WorkerLifetime m_second { WorkerId("second"), 1 };
     WorkerPool m_workers;
-    WorkerAgenda m_agenda;
+    WorkerDueQueue m_dueQueue;
 
     void add(const WorkerLifetime& lifetime, Milliseconds later)
     {
-        m_agenda.add(m_workers.require(lifetime), m_now + later);
+        m_dueQueue.add(m_workers.require(lifetime), m_now + later);
     }
 
     std::vector<WorkerLifetime> takeAfter(Milliseconds later)
     {
-        return m_agenda.takeDue(m_now + later, m_workers);
+        return m_dueQueue.takeDue(m_now + later, m_workers);
     }
 
 public:
@@ -64,6 +64,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerAgendaTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerDueQueueTest);
 
 } // namespace anvilmoor::batch
