--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(testRunOfDrainingWorkerWithUnreadableEntryIsNotDeclaredLost);
     CPPUNIT_TEST(testRunOfWorkerWhoseEntryIsRestoredContinues);
     CPPUNIT_TEST(testRemovedKeyIsRefusedAndRemovedQueueNotFound);
+    CPPUNIT_TEST(testRestartedDaemonsAcceptNoWithdrawnKey);
+    CPPUNIT_TEST(testRestartedDaemonsPlaceNothingOnWorkerThatLeft);
     CPPUNIT_TEST(testDaemonThatCannotConfirmConfigurationRefusesRequests);
     CPPUNIT_TEST(testOlderConfigurationIsIgnored);
     CPPUNIT_TEST(testWaitingJobsAreCounted);
@@ -598,6 +600,61 @@
         CPPUNIT_ASSERT_EQUAL(1, cluster.startsOf(job));
     }
 
+    static void restartAllDaemons(BatchCluster& cluster)
+    {
+        for (std::size_t daemon = 0; daemon < 3; ++daemon)
+            cluster.kill(daemon);
+        cluster.run(Milliseconds(300));
+        for (std::size_t daemon = 0; daemon < 3; ++daemon)
+            cluster.restart(daemon);
+    }
+
+    // Requests arrive from the moment at which the daemons are back, before they have read anything.
+    void testRestartedDaemonsAcceptNoWithdrawnKey()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 2);
+        cluster.run(Milliseconds(500));
+        batch::Configuration changed = BatchCluster::defaultConfiguration();
+        changed.version = 2;
+        changed.accounts.front().apiKeys.clear();
+        cluster.setConfiguration(changed);
+        cluster.run(Milliseconds(100));
+        restartAllDaemons(cluster);
+        for (std::size_t request = 0; request < 60; ++request) {
+            const JobId job = cluster.submit(request % 3, "small", { makeStep(1, 1) });
+            cluster.run(Milliseconds(20));
+            const auto answer = cluster.answerTo(job);
+            CPPUNIT_ASSERT(!answer || answer->kind != AnswerKind::Accepted);
+            CPPUNIT_ASSERT_EQUAL(0, cluster.startsOf(job));
+        }
+        cluster.submit(1, "small", { makeStep(1, 1) });
+        CPPUNIT_ASSERT(cluster.lastAnswer()->kind == AnswerKind::UnknownKey);
+    }
+
+    void testRestartedDaemonsPlaceNothingOnWorkerThatLeft()
+    {
+        BatchCluster cluster;
+        cluster.addWorkers(1, 2);
+        cluster.run(Milliseconds(500));
+        const JobId earlier = cluster.submit(1, "small", { makeStep(16, 1, Milliseconds(500)) });
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return isCompleted(cluster, earlier); }, oneMinute));
+        // The worker stays reachable, so that an order to it would be carried out.
+        cluster.unlist(cluster.worker(0).record.lifetime.id);
+        restartAllDaemons(cluster);
+        cluster.run(Milliseconds(200));
+        // More tasks than fit the other worker at the same time.
+        const JobId later = cluster.submit(1, "small", { makeStep(16, 1, Milliseconds(500)) });
+        const bool isDone = cluster.runUntil(
+            [&] {
+                CPPUNIT_ASSERT(cluster.worker(0).runs().empty());
+                return isCompleted(cluster, later);
+            },
+            oneMinute);
+        CPPUNIT_ASSERT(isDone);
+        requireNoViolation(cluster);
+    }
+
     void testRemovedKeyIsRefusedAndRemovedQueueNotFound()
     {
         BatchCluster cluster;
