--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -27,6 +27,7 @@
     int lastFailedRun = 0;
     std::string checkpoint; // for a gang: stored in its first task
     std::optional<Assignment> assignment;
+    int restoredRun = 0; // lastRun when the progress was read from the store; not stored itself
 };
 
 struct StepProgress {
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -108,10 +108,11 @@
 void Scheduler::beginLoading(Step& step)
 {
     m_claimedAt = step.now;
-    step.record("leader.claimed", { { "epoch", std::to_string(m_lease.epoch()) } });
+    m_epoch = m_lease.epoch();
+    step.record("leader.claimed", { { "epoch", std::to_string(m_epoch) } });
     m_phase = Phase::Loading;
     // An earlier leader acts for a lease duration after its last applied commit, which precedes this claim.
-    m_runs.begin(m_lease.epoch(), step.now + leaseDuration);
+    m_runs.begin(m_epoch, step.now + leaseDuration);
     step.emit(FollowLeaderTables { true });
     requestProgress(step);
     requestSpeeds(step);
@@ -206,7 +207,8 @@
 
 void Scheduler::leadershipLost(Step& step)
 {
-    step.warn("leader.lost", { { "epoch", std::to_string(m_lease.epoch()) } });
+    step.warn("leader.lost",
+        { { "epoch", std::to_string(m_epoch) }, { "stored_epoch", std::to_string(m_lease.epoch()) } });
     m_phase = Phase::Following;
     m_jobs = JobBook();
     m_workers = WorkerPool();
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -84,6 +84,7 @@
     PlacementRound m_placement;
     CommitPipeline m_pipeline;
     Phase m_phase = Phase::Following;
+    std::uint64_t m_epoch = 0; // of the latest leadership
     bool m_isSteppingDown = false;
     TimePoint m_claimedAt {};
     Milliseconds m_loadTimeout;
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -296,10 +296,7 @@
     for (const ActiveRun& active : status.active) {
         LiveRun* run = findRun(worker, active.run);
         if (!run) {
-            // The worker carried out a start order late, or an earlier leader started the run.
-            step.warn("run.unexpected",
-                { { "job", active.run.task.job.value() }, { "run", std::to_string(active.run.run) },
-                    { "worker", worker.record.lifetime.id.value() } });
+            recordUnexpected(worker, active.run, step);
             step.emit(StopRun { worker.record.lifetime, worker.record.address, active.run, tokenOf(worker) });
             continue;
         }
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -79,6 +79,7 @@
     void advanceStoredEnd(Worker&);
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
     void processActive(Worker&, const WorkerStatus&, Step&);
+    void recordUnexpected(const Worker&, const RunId&, Step&) const;
     void measureSpeed(Worker&, LiveRun&);
     void judgeProgress(Worker&, Step&);
     static void noteStarted(LiveRun&, TimePoint now);
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 
 // What the leader infers from status reports and registry changes, beyond the run ends that workers report:
 // vanished runs, worker speed, stalls and withdrawn workers.
@@ -14,8 +15,31 @@
 // remaining half interval allows for heartbeats that are not quite regular.
 constexpr double minHeartbeatsUntilExpiry = 2.5;
 
+// Whose start order led to a run that this leader does not expect on its worker. `task`: null if unknown.
+std::string_view sourceOf(const TaskProgress* task, int run)
+{
+    if (!task || run > task->lastRun)
+        return "no known assignment";
+    return run > task->restoredRun ? "late order of this leader" : "order of an earlier leader";
+}
+
 } // namespace
 
+void RunSupervisor::recordUnexpected(const Worker& worker, const RunId& run, Step& step) const
+{
+    const JobBook::Entry* entry = m_jobs.find(run.task.job);
+    const TaskProgress* task = entry ? entry->progress.find(run.task) : nullptr;
+    const Assignment assigned = task && task->assignment ? *task->assignment : Assignment {};
+    step.warn("run.unexpected",
+        { { "job", run.task.job.value() }, { "step", std::to_string(run.task.step) },
+            { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
+            { "worker", worker.record.lifetime.id.value() },
+            { "source", std::string(sourceOf(task, run.run)) },
+            { "assigned_run", std::to_string(assigned.run) },
+            { "assigned_worker", assigned.worker.id.value() },
+            { "is_done", task && task->isDone ? "yes" : "no" } });
+}
+
 // A run has ended without a reported end if the worker does not list it although it had confirmed the start,
 // or the stop, before the hold request was sent. An incomplete list of ends does not show this.
 void RunSupervisor::findVanished(Worker& worker, const WorkerStatus& status, Step& step)
