Let a leader order and judge nothing while it may not act

What callers could see: work stopped, or started again, by a leader that another one had replaced.

Cause: the permission to act was asked for by timers and placement, but not on the way from an answer of a worker, a change of the registry, a cancel request or the stored progress to an order or a judgement.

Change: answers of workers are kept until a commit is applied, which renews the permission, and discarded if another daemon leads; there is at most one for each order in flight. The registry only marks workers; their lifetimes end on the next tick, so workersUpdated() cannot send orders any more. Cancel requests and the end of loading wait for the permission.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -174,6 +174,9 @@
 {
     if (m_phase != Phase::Loading || !m_hasJobs || !m_hasWorkers || !m_loadedProgress)
         return;
+    // Adopted runs may have to be stopped at once.
+    if (!m_lease.mayAct(step.now))
+        return;
     for (const Row& row : *m_loadedProgress) {
         const JobId job(row.key.key);
         JobBook::Entry* entry = m_jobs.find(job);
@@ -201,6 +204,11 @@
     step.record("leader.loaded",
         { { "epoch", std::to_string(m_lease.epoch()) }, { "jobs", std::to_string(m_jobs.size()) },
             { "workers", std::to_string(m_workers.all().size()) } });
+    cancelRequestedJobs(step);
+}
+
+void Scheduler::cancelRequestedJobs(Step& step)
+{
     for (JobBook::Entry* entry : m_jobs.openEntries())
         cancelIfRequested(entry->progress.job().specification.id, step);
 }
@@ -208,13 +216,16 @@
 void Scheduler::leadershipLost(Step& step)
 {
     step.warn("leader.lost",
-        { { "epoch", std::to_string(m_epoch) }, { "stored_epoch", std::to_string(m_lease.epoch()) } });
+        { { "epoch", std::to_string(m_epoch) }, { "stored_epoch", std::to_string(m_lease.epoch()) },
+            { "discarded_answers", std::to_string(m_keptAnswers.size()) } });
     m_phase = Phase::Following;
     m_jobs = JobBook();
     m_workers = WorkerPool();
     m_placement.clear();
     m_batch.reset();
     m_removal.reset();
+    m_keptAnswers.clear();
+    m_hasKeptCancelRequests = false;
     m_hasJobs = false;
     m_hasWorkers = false;
     m_loadedProgress.reset();
@@ -258,6 +269,10 @@
     JobBook::Entry* entry = m_jobs.find(job);
     if (m_phase != Phase::Leading || !entry || entry->isUnreadable || !m_jobs.isCancelRequested(job))
         return;
+    if (!mayAct(step.now)) {
+        m_hasKeptCancelRequests = true;
+        return;
+    }
     const RunConsequence consequence = entry->progress.cancel();
     if (!consequence.newState)
         return;
@@ -271,16 +286,49 @@
 {
     if (m_phase == Phase::Following)
         return;
-    m_runs.workersUpdated(update, step);
+    m_runs.workersUpdated(update, step.now);
     m_hasWorkers = m_hasWorkers || update.isComplete;
     finishLoading(step);
 }
 
-void Scheduler::startAnswered(const StartAnswered& answer, Step& step) { m_runs.startAnswered(answer, step); }
+void Scheduler::startAnswered(const StartAnswered& answer, Step& step) { take(answer, step); }
 
-void Scheduler::stopAnswered(const StopAnswered& answer, Step& step) { m_runs.stopAnswered(answer, step); }
+void Scheduler::stopAnswered(const StopAnswered& answer, Step& step) { take(answer, step); }
 
-void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step) { m_runs.holdAnswered(answer, step); }
+void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step) { take(answer, step); }
+
+void Scheduler::take(WorkerAnswer answer, Step& step)
+{
+    // Orders are sent, and answered, only after loading.
+    if (m_phase != Phase::Leading)
+        return;
+    if (mayAct(step.now))
+        handle(answer, step);
+    else
+        m_keptAnswers.push_back(std::move(answer));
+}
+
+void Scheduler::handle(const WorkerAnswer& answer, Step& step)
+{
+    if (const auto* started = std::get_if<StartAnswered>(&answer))
+        m_runs.startAnswered(*started, step);
+    else if (const auto* stopped = std::get_if<StopAnswered>(&answer))
+        m_runs.stopAnswered(*stopped, step);
+    else if (const auto* held = std::get_if<HoldAnswered>(&answer))
+        m_runs.holdAnswered(*held, step);
+}
+
+void Scheduler::resumeActing(Step& step)
+{
+    finishLoading(step);
+    if (!mayAct(step.now))
+        return;
+    for (const WorkerAnswer& answer : std::exchange(m_keptAnswers, {}))
+        handle(answer, step);
+    if (std::exchange(m_hasKeptCancelRequests, false))
+        cancelRequestedJobs(step);
+    m_runs.tick(step);
+}
 
 // Removes the rows of one job at a time. A removal that is not confirmed is repeated on a later tick, which
 // is safe because removing a row twice has no further effect.
@@ -317,6 +365,7 @@
         return;
     case CommitPipeline::Result::Applied:
         batchApplied(step);
+        resumeActing(step);
         return;
     case CommitPipeline::Result::Released:
         leadershipLost(step);
@@ -338,8 +387,6 @@
     m_runs.changesStored();
     for (const JobBook::Changes::Job& job : batch.changes.jobs)
         m_runs.progressStored(job.id, job.change, step);
-    if (mayAct(step.now))
-        m_runs.tick(step);
 }
 
 void Scheduler::finishEvent(Step& step)
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -21,6 +22,9 @@
 // state that the previous leader stored, follows the job rows and the worker registry, and places tasks. Each
 // assignment is stored before the start order is sent to the worker, and each run end is stored before it is
 // acknowledged, because the worker then forgets it.
+//
+// After its permission to act has ended, the leader sends no order and judges no run or worker until a commit
+// is applied: another daemon may lead, and what workers report may be the effect of that daemon's orders.
 class Scheduler {
 public:
     Scheduler(
@@ -51,6 +55,7 @@
 
 private:
     enum class Phase { Following, Loading, Leading };
+    using WorkerAnswer = std::variant<StartAnswered, StopAnswered, HoldAnswered>;
 
     struct Batch {
         std::uint64_t number = 0;
@@ -63,6 +68,11 @@
     void beginLoading(Step&);
     void abandonLoading(Step&);
     void leadershipLost(Step&);
+    // Handles the answer, or keeps it until the leader may act again.
+    void take(WorkerAnswer, Step&);
+    void handle(const WorkerAnswer&, Step&);
+    // Called after each applied commit, which renews the permission to act unless its answer took too long.
+    void resumeActing(Step&);
     void requestProgress(Step&);
     void requestSpeeds(Step&);
     void restoreSpeeds(Step&);
@@ -70,6 +80,7 @@
     void finishLoading(Step&);
     void applyJobRow(const Row&, Step&);
     void cancelIfRequested(const JobId&, Step&);
+    void cancelRequestedJobs(Step&);
     void place(Step&);
     void commit(Step&);
     void batchApplied(Step&);
@@ -89,6 +100,10 @@
     TimePoint m_claimedAt {};
     Milliseconds m_loadTimeout;
     TimePoint m_noClaimUntil {};
+    // Answers that arrived while the leader was not allowed to act, oldest first: at most one to each order
+    // that was in flight, because no more orders are sent.
+    std::vector<WorkerAnswer> m_keptAnswers;
+    bool m_hasKeptCancelRequests = false;
     bool m_hasJobs = false;
     bool m_hasWorkers = false;
     std::optional<std::vector<Row>> m_loadedProgress;
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -163,7 +163,7 @@
     }
 }
 
-void RunSupervisor::workersUpdated(const WorkersUpdated& update, Step& step)
+void RunSupervisor::workersUpdated(const WorkersUpdated& update, TimePoint now)
 {
     std::vector<WorkerId> gone = update.removed;
     if (update.isComplete) {
@@ -176,12 +176,12 @@
         }
     }
     for (const WorkerId& id : gone)
-        workerGone(id, step);
+        workerGone(id, now);
     // A complete read tells neither when its entries have changed nor when those of the next update have.
     const auto changedAfter = update.isComplete ? std::nullopt : m_registryKnownAt;
     // Which lifetime is alive is known only from its answer to a hold request.
     for (const WorkerRecord& record : update.changed) {
-        if (m_workers.update(record, step.now, changedAfter))
+        if (m_workers.update(record, now, changedAfter))
             markDue(*m_workers.find(record.lifetime));
     }
     m_registryKnownAt = update.isComplete ? std::nullopt : std::optional(update.knownAt);
@@ -234,6 +234,10 @@
 
 void RunSupervisor::tickWorker(Worker& worker, Step& step)
 {
+    if (std::exchange(worker.isWithdrawn, false)) {
+        endLifetime(worker, "worker withdrew its registry entry", 0, step);
+        return;
+    }
     if (!worker.record.address.empty()) {
         for (auto& [task, run] : worker.runs)
             tickRun(worker, run, step);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -45,14 +45,15 @@
     // Called when more job changes are stored. Marks the run ends that led to them for acknowledgement.
     void changesStored();
 
-    void workersUpdated(const WorkersUpdated&, Step&);
+    void workersUpdated(const WorkersUpdated&, TimePoint now);
     void startAnswered(const StartAnswered&, Step&);
     void stopAnswered(const StopAnswered&, Step&);
     void holdAnswered(const HoldAnswered&, Step&);
     void stop(const RunId&, Step&);
     void stopAll(std::span<const RunId>, Step&);
 
-    // Sends the orders that are due. Called only by the daemon that holds the leader lease.
+    // Sends the orders that are due, and gives up runs that have certainly ended. Like the functions that
+    // take answers and stop runs, called only while the leader may act.
     void tick(Step&);
 
     // Whether a change since the last call may allow a waiting task to be placed. Resets the flag.
@@ -86,7 +87,7 @@
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, const WorkerStatus&, Step&);
     bool hasWithdrawnEntry(const Worker&, TimePoint now) const;
-    void workerGone(const WorkerId&, Step&);
+    void workerGone(const WorkerId&, TimePoint now);
     // Ends the run in the pool and in its job, and stops the runs that have become useless.
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
     void applyEnd(const Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -114,13 +114,13 @@
     return worker.record.isDraining && worker.changedAfter && now < *worker.changedAfter + minExpiry;
 }
 
-void RunSupervisor::workerGone(const WorkerId& id, Step& step)
+void RunSupervisor::workerGone(const WorkerId& id, TimePoint now)
 {
     for (const WorkerLifetime& lifetime : m_workers.unlist(id)) {
         Worker* worker = m_workers.find(lifetime);
+        // tick() ends the lifetime.
+        worker->isWithdrawn = hasWithdrawnEntry(*worker, now);
         markDue(*worker);
-        if (hasWithdrawnEntry(*worker, step.now))
-            endLifetime(*worker, "worker withdrew its registry entry", 0, step);
     }
 }
 
--- a/test/batch_leader_permission_test.cpp
+++ b/test/batch_leader_permission_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(testCancelRequestAfterPermissionEndedStopsNoRun);
     CPPUNIT_TEST(testProgressReadAfterPermissionEndedStopsNoRun);
     CPPUNIT_TEST(testInputReadWithoutPermissionIsHandledOnceItIsRenewed);
+    CPPUNIT_TEST(testAnswersReadWithoutPermissionAreDiscardedIfAnotherDaemonLeads);
     CPPUNIT_TEST_SUITE_END();
 
     const WorkerLifetime m_worker { WorkerId("w0-0"), 1 };
@@ -66,12 +67,27 @@
         return *found;
     }
 
-    bool isRecorded(std::string_view name) const
+    const RecordEvent* findRecord(std::string_view name) const
     {
-        return std::any_of(m_effects.begin(), m_effects.end(), [&](const Effect& effect) {
+        for (const Effect& effect : m_effects) {
             const auto* event = std::get_if<RecordEvent>(&effect);
-            return event && event->name == name;
-        });
+            if (event && event->name == name)
+                return event;
+        }
+        return nullptr;
+    }
+
+    bool isRecorded(std::string_view name) const { return findRecord(name); }
+
+    std::string fieldOf(std::string_view name, std::string_view field) const
+    {
+        const RecordEvent* event = findRecord(name);
+        CPPUNIT_ASSERT(event);
+        for (const auto& [key, value] : event->fields) {
+            if (key == field)
+                return value;
+        }
+        return {};
     }
 
     void applyCommit()
@@ -265,6 +281,21 @@
         handle(Tick {});
         CPPUNIT_ASSERT(!find<StopRun>());
     }
+
+    void testAnswersReadWithoutPermissionAreDiscardedIfAnotherDaemonLeads()
+    {
+        const HoldWorker hold = leadWithRun();
+        endPermission();
+        handle(answerTo(hold, { { { m_task, m_run.run + 1 }, {}, 1 } }));
+        const auto renewal = require<Commit>();
+        const LeaseRecord successor { "daemon-2/process-1", 2, 0, {}, 0 };
+        handle(CommitAnswered { renewal.operation,
+            { CommitOutcome::Conflict, 0, { { leaseKey(), encodeLease(successor), m_version + 1 } } } });
+        CPPUNIT_ASSERT(!find<StopRun>());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), fieldOf("leader.lost", "epoch"));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), fieldOf("leader.lost", "stored_epoch"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), fieldOf("leader.lost", "discarded_answers"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchLeaderPermissionTest);
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -607,6 +607,7 @@
     const WallTime wall { Milliseconds(1'700'000'000'000) + m_now.time_since_epoch() };
     const Event event { m_now, wall, m_random(), std::move(payload) };
     std::vector<Effect> effects = m_daemons[daemon].reducer->handle(event);
+    requirePermission(daemon, effects);
     if (!effects.empty() && randomShare() < disturbances.stepFreezeShare) {
         const Milliseconds frozenFor = randomTime(50, 4'000);
         freeze(daemon, frozenFor);
@@ -620,6 +621,23 @@
     carryOut(daemon, effects);
 }
 
+void BatchCluster::requirePermission(std::size_t daemon, const std::vector<Effect>& effects)
+{
+    if (m_now < m_daemons[daemon].mayActUntil)
+        return;
+    const std::set<std::string> judgements { "run.ended", "run.rejected", "run.unexpected",
+        "run.start_timeout", "worker.lifetime_over", "worker.runs_lost", "worker.silent", "job.ended",
+        "job.cancelled" };
+    for (const Effect& effect : effects) {
+        const auto* event = std::get_if<RecordEvent>(&effect);
+        if (event && judgements.contains(event->name))
+            addViolation(fmt::format("daemon {} records {} without permission to act", daemon, event->name));
+        if (std::holds_alternative<StartRun>(effect) || std::holds_alternative<StopRun>(effect)
+            || std::holds_alternative<HoldWorker>(effect))
+            addViolation(fmt::format("daemon {} sends an order without permission to act", daemon));
+    }
+}
+
 void BatchCluster::carryOut(std::size_t daemon, std::vector<Effect>& effects)
 {
     for (Effect& effect : effects) {
@@ -673,6 +691,18 @@
     }
 }
 
+CommitReply BatchCluster::perform(std::size_t daemon, int lifetime, const Commit& write, TimePoint sentAt)
+{
+    CommitReply reply = m_store.commit(write.transaction);
+    const auto& writes = write.transaction.writes;
+    const bool isRenewal = std::any_of(
+        writes.begin(), writes.end(), [](const Row& row) { return row.key == batch::leaseKey(); });
+    if (isRenewal && reply.outcome == batch::CommitOutcome::Applied && isLifetime(daemon, lifetime))
+        m_daemons[daemon].mayActUntil
+            = std::max(m_daemons[daemon].mayActUntil, sentAt + batch::leaseDuration);
+    return reply;
+}
+
 void BatchCluster::commit(std::size_t daemon, const Commit& write)
 {
     const int lifetime = m_daemons[daemon].lifetime;
@@ -682,14 +712,15 @@
     }
     const bool isLate = randomShare() < disturbances.lateCommitShare;
     if (isLate) {
-        at(m_now + randomTime(1'000, 6'000), [this, write] { m_store.commit(write.transaction); });
+        at(m_now + randomTime(1'000, 6'000),
+            [this, daemon, lifetime, write, sentAt = m_now] { perform(daemon, lifetime, write, sentAt); });
         deliver(daemon, lifetime, commitTimeout, CommitAnswered { write.operation });
         return;
     }
-    at(m_now + storeDelay / 2 + commitDelay, [this, daemon, lifetime, write] {
+    at(m_now + storeDelay / 2 + commitDelay, [this, daemon, lifetime, write, sentAt = m_now] {
         if (randomShare() < disturbances.freezeShare && isLifetime(daemon, lifetime))
             freeze(daemon, randomTime(50, 4'000));
-        CommitReply reply = m_store.commit(write.transaction);
+        CommitReply reply = perform(daemon, lifetime, write, sentAt);
         reply.answeredAt = storeClock();
         const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < lostCommitReplyShare;
         if (isLost)
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -15,7 +15,8 @@
 
 // Runs daemons, a store and workers in virtual time and injects faults on request. Checks at every start of a
 // run and at every acknowledged end: a task never has two runs at once and none after it is done, a step
-// never starts before the steps that it depends on, and a job that was refused never runs. The fake workers
+// never starts before the steps that it depends on, and a job that was refused never runs. Checks at every
+// event of a daemon that it orders and judges nothing after its permission to act has ended. The fake workers
 // let a gang work only while all of its members run.
 
 namespace anvilmoor::testing {
@@ -235,6 +236,7 @@
         bool areWorkersListed = false;
         std::uint64_t registrySeen = 0;
         TimePoint frozenUntil {};
+        TimePoint mayActUntil {}; // a lease duration after it sent its latest commit that the store applied
         int registryReads = 0; // increases whenever the daemon begins to follow the registry
         TimePoint registryAt {}; // when the latest registry update arrives; updates arrive in order
     };
@@ -263,9 +265,11 @@
     void at(TimePoint, std::function<void()>);
     void deliver(std::size_t daemon, int lifetime, Milliseconds delay, batch::EventPayload);
     void dispatch(std::size_t daemon, batch::EventPayload);
+    void requirePermission(std::size_t daemon, const std::vector<batch::Effect>&);
     void carryOut(std::size_t daemon, std::vector<batch::Effect>&);
     void execute(std::size_t daemon, batch::Effect&);
     void commit(std::size_t daemon, const batch::Commit&);
+    batch::CommitReply perform(std::size_t daemon, int lifetime, const batch::Commit&, TimePoint sentAt);
     std::shared_ptr<Call> call(std::size_t daemon, const batch::WorkerLifetime&,
         const batch::EventPayload& unanswered, Milliseconds timeout, double lateShare,
         const std::function<void(const std::shared_ptr<Call>&)>& execute);
