Check the permission to act again when an order is sent

A process that is suspended, or short of CPU time, between a decision and the sending sent its orders later, without asking whether it may still act: the time of the event was asked for only once. An order gate before the client of the workers now asks at the time of sending. An order that is not sent counts as unanswered. Orders in the connection of the client, or carried out late by the worker, are bounded by tokens and lease times, as before.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -48,12 +48,12 @@
     const RecordReader& records, telemetry::EventLog& log, telemetry::MetricsRegistry& metrics,
     BatchSettings settings)
     : m_store(store)
-    , m_workers(workers)
     , m_records(records)
     , m_log(log)
     , m_metrics(metrics)
     , m_loop(loop)
     , m_reducer(std::move(settings))
+    , m_workers(workers, m_reducer, now, loop, log)
     , m_random(std::random_device {}())
     , m_tickTimer(loop)
 {
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "batch/daemon/lateness_monitor.h"
+#include "batch/daemon/order_gate.h"
 #include "batch/daemon/ports.h"
 #include "batch/daemon/table_follower.h"
 #include "batch/reducer/batch_reducer.h"
@@ -63,12 +64,12 @@
     void onWorkerUpdate(const TableFollower::Update&);
 
     RowStore& m_store;
-    WorkerGateway& m_workers;
     const RecordReader& m_records;
     telemetry::EventLog& m_log;
     telemetry::MetricsRegistry& m_metrics;
     net::EventLoop& m_loop;
     BatchReducer m_reducer;
+    OrderGate m_workers;
     std::mt19937_64 m_random;
     Milliseconds m_lastTurnDuration { 0 };
     net::Timer m_tickTimer;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -49,6 +49,8 @@
     void finishEvent(Step&);
 
     bool isServing() const { return m_phase == Phase::Leading; }
+    // Whether the daemon may send orders, place tasks and answer for the stored state.
+    bool mayAct(TimePoint now) const;
     // Returns the stored state of a job, the only state that may be reported to callers. Returns nullopt if
     // the job is not known, or if this daemon is not a leader with a valid lease that has finished loading.
     std::optional<JobState> stateOf(const JobId&, TimePoint now) const;
@@ -63,8 +65,6 @@
     };
 
     bool mayClaim(TimePoint now) const;
-    // Whether the daemon may send orders, place tasks and answer for the stored state.
-    bool mayAct(TimePoint now) const;
     void beginLoading(Step&);
     void abandonLoading(Step&);
     void leadershipLost(Step&);
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -7,6 +7,7 @@
 #include "batch/leader/scheduler.h"
 #include "batch/placement/packing_placement.h"
 #include "batch/placement/queue_order.h"
+#include "batch/reducer/order_permission.h"
 #include "batch/store/leader_lease.h"
 
 #include <memory>
@@ -25,7 +26,7 @@
 
 // Dispatches each event to the modules that handle it and returns the resulting effects. All events of the
 // daemon pass through here. Does no I/O and reads no clock.
-class BatchReducer : private JobStateProvider {
+class BatchReducer : public OrderPermission, private JobStateProvider {
 public:
     explicit BatchReducer(BatchSettings);
 
@@ -34,6 +35,7 @@
     // Whether the platform's load balancer should send new connections to this daemon.
     bool isReady(TimePoint now) const;
     bool isLeader() const { return m_lease.isLeader(); }
+    bool mayOrder(TimePoint now) const override { return m_scheduler.mayAct(now); }
     bool isShuttingDown() const { return m_shutdownAt.has_value(); }
     const Configuration& configuration() const { return m_configuration.current(); }
 
