--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -167,6 +167,9 @@
         running += worker->runs().contains(task) ? 1 : 0;
     if (running > 1)
         addViolation(nameOf(order.run) + " starts while another run of its task is running");
+    const auto& [started, isFirst] = m_startedOn.emplace(order.run, order.worker.id);
+    if (!isFirst && started->second != order.worker.id)
+        addViolation(nameOf(order.run) + " starts, but another worker has started a run with its number");
     if (m_acknowledgedDone.contains(task))
         addViolation(nameOf(order.run) + " starts after its task was done");
     else if (const auto done = m_done.find(task); done != m_done.end())
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -15,10 +15,10 @@
 #include <vector>
 
 // Runs daemons, a store and workers in virtual time and injects faults on request. Checks at every start of a
-// run and at every acknowledged end: a task never has two runs at once and none after it is done, a step
-// never starts before the steps that it depends on, and a job that was refused never runs. Checks at every
-// event of a daemon that it orders and judges nothing after its permission to act has ended. The fake workers
-// let a gang work only while all of its members run.
+// run and at every acknowledged end: a task never has two runs at once and none after it is done, no two runs
+// have the same number, a step never starts before the steps that it depends on, and a job that was refused
+// never runs. Checks at every event of a daemon that it orders and judges nothing after its permission to act
+// has ended. The fake workers let a gang work only while all of its members run.
 
 namespace anvilmoor::testing {
 
@@ -248,6 +248,7 @@
     std::set<batch::TaskId> m_acknowledgedDone; // done, and acknowledged before the worker's lease expired
     // Ended as done before a later start of their task; a violation if such an end is acknowledged.
     std::set<batch::RunId> m_doneBeforeStart;
+    std::map<batch::RunId, WorkerId> m_startedOn;
     std::map<JobId, int> m_starts;
     std::map<JobId, TimePoint> m_firstStarts;
     std::set<JobId> m_refused; // answered NotAccepted before any start, and not Accepted since
