Copy an answer of a worker only if it has to be kept

Each answer to a hold request was copied into a variant, also while the leader may act. The cases of batch_leader_permission_test and batch_cluster_test pass as before.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -291,31 +291,47 @@
     finishLoading(step);
 }
 
-void Scheduler::startAnswered(const StartAnswered& answer, Step& step) { take(answer, step); }
-
-void Scheduler::stopAnswered(const StopAnswered& answer, Step& step) { take(answer, step); }
+void Scheduler::startAnswered(const StartAnswered& answer, Step& step)
+{
+    if (mayAct(step.now))
+        m_runs.startAnswered(answer, step);
+    else
+        keep(answer);
+}
 
-void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step) { take(answer, step); }
+void Scheduler::stopAnswered(const StopAnswered& answer, Step& step)
+{
+    if (mayAct(step.now))
+        m_runs.stopAnswered(answer, step);
+    else
+        keep(answer);
+}
 
-void Scheduler::take(WorkerAnswer answer, Step& step)
+void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step)
 {
-    // Orders are sent, and answered, only after loading.
-    if (m_phase != Phase::Leading)
-        return;
     if (mayAct(step.now))
-        handle(answer, step);
+        m_runs.holdAnswered(answer, step);
     else
+        keep(answer);
+}
+
+void Scheduler::keep(WorkerAnswer answer)
+{
+    // Before loading has finished, answers can only be to orders of an earlier leadership.
+    if (m_phase == Phase::Leading)
         m_keptAnswers.push_back(std::move(answer));
 }
 
-void Scheduler::handle(const WorkerAnswer& answer, Step& step)
+void Scheduler::handleKeptAnswers(Step& step)
 {
-    if (const auto* started = std::get_if<StartAnswered>(&answer))
-        m_runs.startAnswered(*started, step);
-    else if (const auto* stopped = std::get_if<StopAnswered>(&answer))
-        m_runs.stopAnswered(*stopped, step);
-    else if (const auto* held = std::get_if<HoldAnswered>(&answer))
-        m_runs.holdAnswered(*held, step);
+    for (const WorkerAnswer& answer : std::exchange(m_keptAnswers, {})) {
+        if (const auto* started = std::get_if<StartAnswered>(&answer))
+            m_runs.startAnswered(*started, step);
+        else if (const auto* stopped = std::get_if<StopAnswered>(&answer))
+            m_runs.stopAnswered(*stopped, step);
+        else if (const auto* held = std::get_if<HoldAnswered>(&answer))
+            m_runs.holdAnswered(*held, step);
+    }
 }
 
 void Scheduler::resumeActing(Step& step)
@@ -323,8 +339,7 @@
     finishLoading(step);
     if (!mayAct(step.now))
         return;
-    for (const WorkerAnswer& answer : std::exchange(m_keptAnswers, {}))
-        handle(answer, step);
+    handleKeptAnswers(step);
     if (std::exchange(m_hasKeptCancelRequests, false))
         cancelRequestedJobs(step);
     m_runs.tick(step);
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -68,9 +68,9 @@
     void beginLoading(Step&);
     void abandonLoading(Step&);
     void leadershipLost(Step&);
-    // Handles the answer, or keeps it until the leader may act again.
-    void take(WorkerAnswer, Step&);
-    void handle(const WorkerAnswer&, Step&);
+    // Keeps the answer until the leader may act again.
+    void keep(WorkerAnswer);
+    void handleKeptAnswers(Step&);
     // Called after each applied commit, which renews the permission to act unless its answer took too long.
     void resumeActing(Step&);
     void requestProgress(Step&);
