--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -91,6 +91,8 @@
     const JobProgress& job, const RunId& run, const WorkerLifetime& lifetime, TimePoint now)
 {
     Worker& worker = m_workers.require(lifetime);
+    // A start order of an earlier leader may still be under way, so the end of its lease is waited for.
+    worker.isWithdrawn = false;
     extendLease(worker, m_settings.maxLease, std::max(now, m_earlierLeadersActUntil));
     LiveRun live { run, job.specificationOf(run.task.step).countedPerTask(), job.job().terms.priority };
     live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
--- a/test/batch_leader_permission_test.cpp
+++ b/test/batch_leader_permission_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(testProgressReadAfterPermissionEndedStopsNoRun);
     CPPUNIT_TEST(testInputReadWithoutPermissionIsHandledOnceItIsRenewed);
     CPPUNIT_TEST(testAnswersReadWithoutPermissionAreDiscardedIfAnotherDaemonLeads);
+    CPPUNIT_TEST(testEntryWithdrawnWhileLoadingGivesUpNoAdoptedRun);
+    CPPUNIT_TEST(testEntryListedAgainBeforePermissionIsRenewedGivesUpNoRun);
     CPPUNIT_TEST_SUITE_END();
 
     const WorkerLifetime m_worker { WorkerId("w0-0"), 1 };
@@ -296,6 +298,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), fieldOf("leader.lost", "stored_epoch"));
         CPPUNIT_ASSERT_EQUAL(std::string("1"), fieldOf("leader.lost", "discarded_answers"));
     }
+
+    // Guards against a second run beside a start that an earlier leader's order may still lead to.
+    void testEntryWithdrawnWhileLoadingGivesUpNoAdoptedRun()
+    {
+        const OperationId progressRead = claimAndReadTables();
+        handle(WorkersUpdated { false, {}, {}, m_now });
+        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
+        handle(WorkersUpdated { false, {}, { m_worker.id }, m_now });
+        handle(ReadAnswered { progressRead, { true, progressWithAssignedRun() } });
+        CPPUNIT_ASSERT(isRecorded("leader.loaded"));
+        m_now += tickInterval;
+        handle(Tick {});
+        CPPUNIT_ASSERT(!isRecorded("run.ended"));
+    }
+
+    void testEntryListedAgainBeforePermissionIsRenewedGivesUpNoRun()
+    {
+        leadWithRun();
+        handle(WorkersUpdated { false, {}, {}, m_now });
+        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
+        endPermission();
+        handle(WorkersUpdated { false, {}, { m_worker.id }, m_now });
+        const auto renewal = require<Commit>();
+        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
+        handle(CommitAnswered { renewal.operation, { CommitOutcome::Applied, ++m_version } });
+        CPPUNIT_ASSERT(!isRecorded("worker.lifetime_over"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchLeaderPermissionTest);
