Finish no loading after the release of the lease was sent

Found in the review: progress that was read after the load timeout, with the release in flight, was logged as leader.loaded and reset the doubled timeout; no order was sent. testProgressReadAfterReleaseWasSentFinishesNoLoading fails without this change. The second new test covers all input between SIGTERM and the answer to the release.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -175,7 +175,7 @@
     if (m_phase != Phase::Loading || !m_hasJobs || !m_hasWorkers || !m_loadedProgress)
         return;
     // Adopted runs may have to be stopped at once.
-    if (!m_lease.mayAct(step.now))
+    if (!m_lease.mayAct(step.now) || m_pipeline.isReleasing())
         return;
     for (const Row& row : *m_loadedProgress) {
         const JobId job(row.key.key);
--- a/test/batch_leader_permission_test.cpp
+++ b/test/batch_leader_permission_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(testAnswersReadWithoutPermissionAreDiscardedIfAnotherDaemonLeads);
     CPPUNIT_TEST(testEntryWithdrawnWhileLoadingGivesUpNoAdoptedRun);
     CPPUNIT_TEST(testEntryListedAgainBeforePermissionIsRenewedGivesUpNoRun);
+    CPPUNIT_TEST(testProgressReadAfterReleaseWasSentFinishesNoLoading);
+    CPPUNIT_TEST(testInputReadAfterReleaseWasSentDecidesNothing);
     CPPUNIT_TEST_SUITE_END();
 
     const WorkerLifetime m_worker { WorkerId("w0-0"), 1 };
@@ -325,6 +327,36 @@
         handle(CommitAnswered { renewal.operation, { CommitOutcome::Applied, ++m_version } });
         CPPUNIT_ASSERT(!isRecorded("worker.lifetime_over"));
     }
+
+    void testProgressReadAfterReleaseWasSentFinishesNoLoading()
+    {
+        constexpr Milliseconds longerThanLoadTimeout { 2'500 };
+        const OperationId progressRead = claimAndReadTables();
+        const TimePoint claimedAt = m_now;
+        while (m_now < claimedAt + longerThanLoadTimeout && !isRecorded("leader.load_timeout")) {
+            m_now += tickInterval;
+            handle(Tick {});
+            if (find<Commit>() && !isRecorded("leader.load_timeout"))
+                applyCommit();
+        }
+        CPPUNIT_ASSERT(isRecorded("leader.load_timeout"));
+        handle(ReadAnswered { progressRead, { true, progressWithAssignedRun() } });
+        CPPUNIT_ASSERT(!isRecorded("leader.loaded"));
+    }
+
+    void testInputReadAfterReleaseWasSentDecidesNothing()
+    {
+        const HoldWorker hold = leadWithRun();
+        handle(ShutdownRequested {});
+        handle(Tick {});
+        CPPUNIT_ASSERT(find<Commit>());
+        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime });
+        requireNothingDecided();
+        requestCancel();
+        requireNothingDecided();
+        handle(PlacementTurn {});
+        requireNothingDecided();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchLeaderPermissionTest);
