--- a/src/batch/daemon/order_gate.cpp
+++ b/src/batch/daemon/order_gate.cpp
@@ -15,9 +15,9 @@
 {
 }
 
-bool OrderGate::mayOrder(std::string_view order, const WorkerLifetime& worker)
+bool OrderGate::checkPermission(std::string_view order, const WorkerLifetime& worker)
 {
-    if (m_permission.mayOrder(m_clock()))
+    if (m_permission.mayAct(m_clock()))
         return true;
     m_log.log(telemetry::LogLevel::Warning, "order.not_sent",
         { { "order", std::string(order) }, { "worker", worker.id.value() },
@@ -27,7 +27,7 @@
 
 void OrderGate::start(const StartRun& order, std::function<void(StartAnswered)> callback)
 {
-    if (mayOrder("start", order.worker)) {
+    if (checkPermission("start", order.worker)) {
         m_workers.start(order, std::move(callback));
         return;
     }
@@ -37,7 +37,7 @@
 
 void OrderGate::stop(const StopRun& order, std::function<void(StopAnswered)> callback)
 {
-    if (mayOrder("stop", order.worker)) {
+    if (checkPermission("stop", order.worker)) {
         m_workers.stop(order, std::move(callback));
         return;
     }
@@ -47,7 +47,7 @@
 
 void OrderGate::hold(const HoldWorker& order, std::function<void(HoldAnswered)> callback)
 {
-    if (mayOrder("hold", order.worker)) {
+    if (checkPermission("hold", order.worker)) {
         m_workers.hold(order, std::move(callback));
         return;
     }
--- a/src/batch/daemon/order_gate.h
+++ b/src/batch/daemon/order_gate.h
@@ -10,9 +10,9 @@
 
 namespace anvilmoor::batch {
 
-// Forwards orders to workers if the daemon may send orders at this moment. The process may have been
+// Hands orders to the client of the workers if the daemon may act at that moment. The process may have been
 // suspended, or short of CPU time, since it decided on an order, so that another daemon may lead. Orders that
-// are not sent are answered as Unknown.
+// are not handed over are answered as Unknown.
 class OrderGate : public WorkerGateway {
 public:
     // The clock must be the one on which the permission is based.
@@ -24,7 +24,8 @@
     void hold(const HoldWorker&, std::function<void(HoldAnswered)>) override;
 
 private:
-    bool mayOrder(std::string_view order, const WorkerLifetime&);
+    // Logs the order if it must not be sent.
+    bool checkPermission(std::string_view order, const WorkerLifetime&);
 
     WorkerGateway& m_workers;
     const OrderPermission& m_permission;
--- a/src/batch/jobs/job_codec.cpp
+++ b/src/batch/jobs/job_codec.cpp
@@ -87,7 +87,7 @@
 {
     TaskProgress task { row.at(0).get<bool>(), ordinal(row.at(1)), ordinal(row.at(2)), ordinal(row.at(3)),
         row.at(4).get<std::string>(), std::nullopt };
-    task.restoredRun = task.lastRun;
+    task.lastRunWhenRestored = task.lastRun;
     if (row.size() > 5) {
         const WorkerLifetime worker { WorkerId(row.at(6).get<std::string>()), row.at(7).get<std::int64_t>() };
         task.assignment = Assignment { worker, ordinal(row.at(5)) };
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -27,7 +27,7 @@
     int lastFailedRun = 0;
     std::string checkpoint; // for a gang: stored in its first task
     std::optional<Assignment> assignment;
-    int restoredRun = 0; // lastRun when the progress was read from the store; not stored itself
+    int lastRunWhenRestored = 0; // lastRun as read from the store; 0 if this daemon has not read it
 };
 
 struct StepProgress {
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -334,7 +334,7 @@
     }
 }
 
-void Scheduler::resumeActing(Step& step)
+void Scheduler::leaseRenewed(Step& step)
 {
     finishLoading(step);
     if (!mayAct(step.now))
@@ -380,7 +380,7 @@
         return;
     case CommitPipeline::Result::Applied:
         batchApplied(step);
-        resumeActing(step);
+        leaseRenewed(step);
         return;
     case CommitPipeline::Result::Released:
         leadershipLost(step);
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -23,8 +23,9 @@
 // assignment is stored before the start order is sent to the worker, and each run end is stored before it is
 // acknowledged, because the worker then forgets it.
 //
-// After its permission to act has ended, the leader sends no order and judges no run or worker until a commit
-// is applied: another daemon may lead, and what workers report may be the effect of that daemon's orders.
+// After its permission to act has ended, the leader sends no order, and declares no run ended and no worker
+// lost, until a commit is applied: another daemon may lead, and what workers report may be the effect of that
+// daemon's orders.
 class Scheduler {
 public:
     Scheduler(
@@ -48,7 +49,6 @@
     // allowed.
     void finishEvent(Step&);
 
-    bool isServing() const { return m_phase == Phase::Leading; }
     // Whether the daemon may send orders, place tasks and answer for the stored state.
     bool mayAct(TimePoint now) const;
     // Returns the stored state of a job, the only state that may be reported to callers. Returns nullopt if
@@ -72,7 +72,7 @@
     void keep(WorkerAnswer);
     void handleKeptAnswers(Step&);
     // Called after each applied commit, which renews the permission to act unless its answer took too long.
-    void resumeActing(Step&);
+    void leaseRenewed(Step&);
     void requestProgress(Step&);
     void requestSpeeds(Step&);
     void restoreSpeeds(Step&);
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -35,7 +35,7 @@
     // Whether the platform's load balancer should send new connections to this daemon.
     bool isReady(TimePoint now) const;
     bool isLeader() const { return m_lease.isLeader(); }
-    bool mayOrder(TimePoint now) const override { return m_scheduler.mayAct(now); }
+    bool mayAct(TimePoint now) const override { return m_scheduler.mayAct(now); }
     bool isShuttingDown() const { return m_shutdownAt.has_value(); }
     const Configuration& configuration() const { return m_configuration.current(); }
 
--- a/src/batch/reducer/order_permission.h
+++ b/src/batch/reducer/order_permission.h
@@ -9,7 +9,7 @@
 public:
     virtual ~OrderPermission() = default;
 
-    virtual bool mayOrder(TimePoint now) const = 0;
+    virtual bool mayAct(TimePoint now) const = 0;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -92,7 +92,7 @@
 {
     Worker& worker = m_workers.require(lifetime);
     // A start order of an earlier leader may still be under way, so the end of its lease is waited for.
-    worker.isWithdrawn = false;
+    worker.isWithdrawalPending = false;
     extendLease(worker, m_settings.maxLease, std::max(now, m_earlierLeadersActUntil));
     LiveRun live { run, job.specificationOf(run.task.step).countedPerTask(), job.job().terms.priority };
     live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
@@ -236,7 +236,7 @@
 
 void RunSupervisor::tickWorker(Worker& worker, Step& step)
 {
-    if (std::exchange(worker.isWithdrawn, false)) {
+    if (std::exchange(worker.isWithdrawalPending, false)) {
         endLifetime(worker, "worker withdrew its registry entry", 0, step);
         return;
     }
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -20,7 +20,7 @@
 {
     if (!task || run > task->lastRun)
         return "no known assignment";
-    return run > task->restoredRun ? "late order of this leader" : "order of an earlier leader";
+    return run > task->lastRunWhenRestored ? "late order of this leader" : "order of an earlier leader";
 }
 
 } // namespace
@@ -119,7 +119,7 @@
     for (const WorkerLifetime& lifetime : m_workers.unlist(id)) {
         Worker* worker = m_workers.find(lifetime);
         // tick() ends the lifetime.
-        worker->isWithdrawn = hasWithdrawnEntry(*worker, now);
+        worker->isWithdrawalPending = hasWithdrawnEntry(*worker, now);
         markDue(*worker);
     }
 }
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -54,7 +54,7 @@
         || worker.record.address != record.address;
     worker.record = record;
     worker.isListed = true;
-    worker.isWithdrawn = false;
+    worker.isWithdrawalPending = false;
     if (changedAfter)
         worker.changedAfter = changedAfter;
     if (isNew)
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -52,7 +52,7 @@
 struct Worker {
     WorkerRecord record;
     bool isListed = false; // in the worker registry
-    bool isWithdrawn = false; // has withdrawn its registry entry, so that this lifetime is over
+    bool isWithdrawalPending = false; // has withdrawn its registry entry; the next tick ends this lifetime
     std::optional<TimePoint> changedAfter; // its registry entry has changed after this time
     bool isConfirmed = false; // has answered this leader, and therefore rejects orders of earlier leaders
     RemoteClockEstimate clock;
--- a/test/batch_leader_permission_test.cpp
+++ b/test/batch_leader_permission_test.cpp
@@ -26,10 +26,10 @@
     CPPUNIT_TEST(testProgressReadAfterPermissionEndedStopsNoRun);
     CPPUNIT_TEST(testInputReadWithoutPermissionIsHandledOnceItIsRenewed);
     CPPUNIT_TEST(testAnswersReadWithoutPermissionAreDiscardedIfAnotherDaemonLeads);
-    CPPUNIT_TEST(testEntryWithdrawnWhileLoadingGivesUpNoAdoptedRun);
     CPPUNIT_TEST(testEntryListedAgainBeforePermissionIsRenewedGivesUpNoRun);
-    CPPUNIT_TEST(testProgressReadAfterReleaseWasSentFinishesNoLoading);
+    CPPUNIT_TEST(testEntryWithdrawnWhileLoadingGivesUpNoAdoptedRun);
     CPPUNIT_TEST(testInputReadAfterReleaseWasSentDecidesNothing);
+    CPPUNIT_TEST(testProgressReadAfterReleaseWasSentFinishesNoLoading);
     CPPUNIT_TEST_SUITE_END();
 
     const WorkerLifetime m_worker { WorkerId("w0-0"), 1 };
@@ -301,6 +301,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1"), fieldOf("leader.lost", "discarded_answers"));
     }
 
+    void testEntryListedAgainBeforePermissionIsRenewedGivesUpNoRun()
+    {
+        leadWithRun();
+        handle(WorkersUpdated { false, {}, {}, m_now });
+        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
+        endPermission();
+        handle(WorkersUpdated { false, {}, { m_worker.id }, m_now });
+        const auto renewal = require<Commit>();
+        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
+        handle(CommitAnswered { renewal.operation, { CommitOutcome::Applied, ++m_version } });
+        CPPUNIT_ASSERT(!isRecorded("worker.lifetime_over"));
+    }
+
     // Guards against a second run beside a start that an earlier leader's order may still lead to.
     void testEntryWithdrawnWhileLoadingGivesUpNoAdoptedRun()
     {
@@ -315,17 +328,18 @@
         CPPUNIT_ASSERT(!isRecorded("run.ended"));
     }
 
-    void testEntryListedAgainBeforePermissionIsRenewedGivesUpNoRun()
+    void testInputReadAfterReleaseWasSentDecidesNothing()
     {
-        leadWithRun();
-        handle(WorkersUpdated { false, {}, {}, m_now });
-        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
-        endPermission();
-        handle(WorkersUpdated { false, {}, { m_worker.id }, m_now });
-        const auto renewal = require<Commit>();
-        handle(WorkersUpdated { false, { workerRecord(true) }, {}, m_now });
-        handle(CommitAnswered { renewal.operation, { CommitOutcome::Applied, ++m_version } });
-        CPPUNIT_ASSERT(!isRecorded("worker.lifetime_over"));
+        const HoldWorker hold = leadWithRun();
+        handle(ShutdownRequested {});
+        handle(Tick {});
+        CPPUNIT_ASSERT(find<Commit>());
+        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime });
+        requireNothingDecided();
+        requestCancel();
+        requireNothingDecided();
+        handle(PlacementTurn {});
+        requireNothingDecided();
     }
 
     void testProgressReadAfterReleaseWasSentFinishesNoLoading()
@@ -343,20 +357,6 @@
         handle(ReadAnswered { progressRead, { true, progressWithAssignedRun() } });
         CPPUNIT_ASSERT(!isRecorded("leader.loaded"));
     }
-
-    void testInputReadAfterReleaseWasSentDecidesNothing()
-    {
-        const HoldWorker hold = leadWithRun();
-        handle(ShutdownRequested {});
-        handle(Tick {});
-        CPPUNIT_ASSERT(find<Commit>());
-        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime });
-        requireNothingDecided();
-        requestCancel();
-        requireNothingDecided();
-        handle(PlacementTurn {});
-        requireNothingDecided();
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchLeaderPermissionTest);
--- a/test/batch_order_gate_test.cpp
+++ b/test/batch_order_gate_test.cpp
@@ -30,7 +30,7 @@
 
 class PermissionUntil : public OrderPermission {
 public:
-    bool mayOrder(TimePoint now) const override { return now < end; }
+    bool mayAct(TimePoint now) const override { return now < end; }
 
     TimePoint end {};
 };
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -455,12 +455,15 @@
 CommitReply BatchCluster::perform(std::size_t daemon, int lifetime, const Commit& write, TimePoint sentAt)
 {
     CommitReply reply = m_store.commit(write.transaction);
-    const auto& writes = write.transaction.writes;
-    const bool isRenewal = std::any_of(
-        writes.begin(), writes.end(), [](const Row& row) { return row.key == batch::leaseKey(); });
-    if (isRenewal && reply.outcome == batch::CommitOutcome::Applied && isLifetime(daemon, lifetime))
-        m_daemons[daemon].mayActUntil
-            = std::max(m_daemons[daemon].mayActUntil, sentAt + batch::leaseDuration);
+    if (reply.outcome != CommitOutcome::Applied || !isLifetime(daemon, lifetime))
+        return reply;
+    for (const Row& row : write.transaction.writes) {
+        if (row.key != leaseKey())
+            continue;
+        const bool isRelease = batch::decodeLease(row.value).value().holder.empty();
+        TimePoint& mayActUntil = m_daemons[daemon].mayActUntil;
+        mayActUntil = isRelease ? m_now : std::max(mayActUntil, sentAt + batch::leaseDuration);
+    }
     return reply;
 }
 
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -16,9 +16,9 @@
 
 // Runs daemons, a store and workers in virtual time and injects faults on request. Checks at every start of a
 // run and at every acknowledged end: a task never has two runs at once and none after it is done, no two runs
-// have the same number, a step never starts before the steps that it depends on, and a job that was refused
-// never runs. Checks at every event of a daemon that it orders and judges nothing after its permission to act
-// has ended. The fake workers let a gang work only while all of its members run.
+// of a task have the same number, a step never starts before the steps that it depends on, and a job that was
+// refused never runs. Checks at every event of a daemon that it sends no order, and declares nothing ended,
+// after its permission to act has ended. The fake workers let a gang work only while all of its members run.
 
 namespace anvilmoor::testing {
 
