--- a/review/standins/site.cpp
+++ b/review/standins/site.cpp
@@ -330,6 +330,8 @@
             entry["gang"] = true;
         if (step.antiAffinity)
             entry["antiAffinity"] = step.antiAffinity;
+        if (!step.subtask.dataRack.empty())
+            entry["affinity"] = step.subtask.dataRack;
         if (step.subtask.savesCheckpoints)
             entry["checkpointing"] = true;
         if (number)
--- a/review/standins/workers.cpp
+++ b/review/standins/workers.cpp
@@ -36,6 +36,8 @@
     room.gpu -= sign * need.gpu;
 }
 
+std::string rackName(int rack) { return "r1-" + std::to_string(rack); }
+
 } // namespace
 
 void RunLedger::describe(const std::string& job, int step, SubtaskShape shape)
@@ -130,7 +132,7 @@
 Worker::Worker(std::string id, int rack, std::string service, WorkerShape shape, WorkerLimits limits,
     Store& store, RunLedger& ledger)
     : m_id(std::move(id))
-    , m_rack(rack)
+    , m_rack(rackName(rack))
     , m_service(std::move(service))
     , m_shape(shape)
     , m_limits(limits)
@@ -159,8 +161,8 @@
         entry = { { "service", m_service }, { "address", m_server->address() }, { "zone", "steyr-north" },
             { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldRemainingMs", 0 },
             { "capacity", { { "cpu", m_shape.cpu }, { "memMb", m_shape.memMb }, { "gpu", m_shape.gpu } } },
-            { "labels", Json::array({ "a", "r1-" + std::to_string(m_rack) }) }, { "born", m_bornMs },
-            { "clockMs", clock() }, { "seq", ++m_sequence } };
+            { "labels", Json::array({ "a", m_rack }) }, { "born", m_bornMs }, { "clockMs", clock() },
+            { "seq", ++m_sequence } };
     }
     m_store.put("servers", m_id, entry);
 }
@@ -279,7 +281,7 @@
         return jsonAnswer(503, Json { { "clockMs", clock() } }.dump());
     if (!takeToken(call))
         return refuse("fence");
-    const auto shape = m_ledger.find(task);
+    auto shape = m_ledger.find(task);
     if (!shape)
         return jsonAnswer(400, Json { { "clockMs", clock() }, { "error", "unknown subtask" } }.dump());
     const auto present = m_runs.find(task);
@@ -295,6 +297,8 @@
         return refuse("old");
     if (!fits(shape->need, m_free))
         return refuse("room");
+    if (!shape->dataRack.empty() && shape->dataRack != m_rack)
+        shape->workMs *= m_limits.farFactor;
     take(m_free, shape->need, 1);
     const auto checkpoint = call.value("lastCheckpoint", std::string());
     const std::int64_t held
--- a/review/standins/workers.h
+++ b/review/standins/workers.h
@@ -29,6 +29,7 @@
     WorkerShape need;
     std::int64_t workMs = 0;
     bool savesCheckpoints = false;
+    std::string dataRack {}; // on any other rack, the work takes farFactor times as long; empty: on none
 };
 
 // All subtasks that run, over all workers. Sees when one subtask runs twice at the same time.
@@ -76,6 +77,7 @@
     std::int64_t stopMs = 100; // below stopTimeoutMs
     std::int64_t checkpointMs = 2'000; // work between two checkpoints
     std::int64_t restoreMs = 600; // before a run that resumes works again
+    std::int64_t farFactor = 3;
     std::int64_t heartbeatMs = 1'500;
 };
 
@@ -126,7 +128,7 @@
     HttpMessage refuse(const char* reason) const;
 
     std::string m_id;
-    int m_rack = 0;
+    std::string m_rack;
     std::string m_service;
     WorkerShape m_shape;
     WorkerLimits m_limits;
