--- a/review/standins/site.cpp
+++ b/review/standins/site.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
@@ -26,7 +27,8 @@
 constexpr int metricsPort = 9464; // as in the deploy file
 constexpr const char* host = "nony24.example";
 constexpr const char* service = "huvo11a";
-constexpr const char* apiKey = "d4a3hwrr6x73d3zji9n7";
+// Of the two tenants.
+constexpr std::array<const char*, 2> apiKeys { "d4a3hwrr6x73d3zji9n7", "8kq2mb5ctv61w0ylpx3s" };
 constexpr int clientTimeoutMs = 3'000;
 constexpr int clientRetries = 4;
 
@@ -74,6 +76,10 @@
             { "priority", priority }, { "service", service }, { "maxAttempts", 2 }, { "stretch", stretch },
             { "public", false } };
     };
+    const auto tenant = [](const char* name, const char* key) {
+        return Json { { "name", name }, { "apiKeys", Json::array({ key }) }, { "priority", 1 },
+            { "guaranteed", { { "gpu", 120 } } } };
+    };
     return { { "version", 7 },
         { "routes",
             Json::array({ route("r-quote", "/q0/", 0, 300, 1.5), route("r-coil", "/q1/", 1, 1'000, 3.0),
@@ -85,9 +91,7 @@
         { "limits",
             { { "maxHeaderBytes", 16'384 }, { "maxBodyBytes", 262'144 }, { "headerTimeoutMs", 3'000 },
                 { "idleTimeoutMs", 15'000 } } },
-        { "tenants",
-            Json::array({ { { "name", "kaje80" }, { "apiKeys", Json::array({ apiKey }) }, { "priority", 1 },
-                { "guaranteed", { { "gpu", 120 } } } } }) } };
+        { "tenants", Json::array({ tenant("kaje80", apiKeys[0]), tenant("wubo41", apiKeys[1]) }) } };
 }
 
 // The value of a field in a log line, which is a JSON object.
@@ -160,8 +164,8 @@
         + number("stopTimeoutMs", m_bounds.stopTimeoutMs)
         + "gangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\n"
         + "early_ms = 250\nfinish_s = 14\nstatus_s = 120\nfarFactor = 3\ncheckpointS = 2\n"
-        + "restoreMs = 100\nreclaimMs = 2700\n[platform]\naddress = \"" + m_store.addressFor(index)
-        + "\"\nform = \"table\"\nwritesPerS = 600\nreadsPerS = 2000\ntxMs = 5.0\n"
+        + "restoreMs = 100\n" + number("reclaimMs", m_bounds.reclaimMs) + "[platform]\naddress = \""
+        + m_store.addressFor(index) + "\"\nform = \"table\"\nwritesPerS = 600\nreadsPerS = 2000\ntxMs = 5.0\n"
         + "partitionWritesS = 200\nrowBytes = 65536\nacross = false\nhistoryS = 20\n";
 }
 
@@ -350,8 +354,9 @@
         const std::string text = body.dump();
         m_record.write("client: POST " + pathOf(priority, job) + " to daemon " + std::to_string(at) + ", "
             + std::to_string(text.size()) + " bytes" + (text.size() <= 600 ? ": " + text : std::string()));
-        status = callOnce(
-            m_daemons->frontOf(at), { "POST", pathOf(priority, job), host, apiKey, text, clientTimeoutMs })
+        status = callOnce(m_daemons->frontOf(at),
+            { "POST", pathOf(priority, job), host, apiKeys[static_cast<std::size_t>(shape.tenant)], text,
+                clientTimeoutMs })
                      .status;
         m_record.write("client: POST " + pathOf(priority, job) + " answered " + std::to_string(status));
         if (status && status != 502 && status != 504)
@@ -363,7 +368,7 @@
 std::string Site::stateOf(const std::string& job, int priority, int daemon)
 {
     const HttpMessage answer = callOnce(m_daemons->frontOf(daemon % m_daemons->count()),
-        { "GET", pathOf(priority, job), host, apiKey, "", clientTimeoutMs });
+        { "GET", pathOf(priority, job), host, apiKeys[0], "", clientTimeoutMs });
     const Json body = Json::parse(answer.body, nullptr, false);
     const std::string state
         = answer.status == 200 && body.is_object() ? body.value("state", std::string()) : std::string();
@@ -376,7 +381,7 @@
 {
     const std::string path = pathOf(priority, "");
     const HttpMessage answer
-        = callOnce(m_daemons->frontOf(daemon), { "GET", path, host, apiKey, "", clientTimeoutMs });
+        = callOnce(m_daemons->frontOf(daemon), { "GET", path, host, apiKeys[0], "", clientTimeoutMs });
     const Json body = Json::parse(answer.body, nullptr, false);
     const int count = answer.status == 200 && body.is_object() ? body.value("queuedCount", 0) : -1;
     m_record.write("client: GET " + path + " at daemon " + std::to_string(daemon) + " answered "
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -31,6 +31,7 @@
     std::int64_t finishMs = 14'000; // finish_s
     std::int64_t visibleMs = 3'000; // visible_ms
     int linkMbps = 1'000;
+    std::int64_t reclaimMs = 2'700;
 };
 
 // The daemons of the deploy file, as processes on loopback addresses of their own.
@@ -90,6 +91,7 @@
     int repeats = 0;
     std::int64_t intervalMs = 0; // the first occurrence is due at once
     std::size_t specBytes = 0; // at least
+    int tenant = 0; // 0 or 1
 };
 
 // A small deployment: the store, the workers of one service, the daemons, and clients of two tenants.
--- a/review/standins/workers.cpp
+++ b/review/standins/workers.cpp
@@ -36,6 +36,13 @@
     room.gpu -= sign * need.gpu;
 }
 
+// From -most to most, always the same for a subtask.
+std::int64_t unevennessOf(const std::string& task, int most)
+{
+    const auto spread = static_cast<std::size_t>(2 * most + 1);
+    return static_cast<std::int64_t>(std::hash<std::string> {}(task) % spread) - most;
+}
+
 std::string rackName(int rack) { return "r1-" + std::to_string(rack); }
 
 } // namespace
@@ -299,6 +306,7 @@
         return refuse("room");
     if (!shape->dataRack.empty() && shape->dataRack != m_rack)
         shape->workMs *= m_limits.farFactor;
+    shape->workMs += shape->workMs * unevennessOf(task, shape->unevenPercent) / percentOfAll;
     take(m_free, shape->need, 1);
     const auto checkpoint = call.value("lastCheckpoint", std::string());
     const std::int64_t held
--- a/review/standins/workers.h
+++ b/review/standins/workers.h
@@ -30,6 +30,7 @@
     std::int64_t workMs = 0;
     bool savesCheckpoints = false;
     std::string dataRack {}; // on any other rack, the work takes farFactor times as long; empty: on none
+    int unevenPercent = 0; // by how much the work of single subtasks is more or less
 };
 
 // All subtasks that run, over all workers. Sees when one subtask runs twice at the same time.
