--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,11 +1,13 @@
 #include "../standins/site.h"
 
 #include <algorithm>
+#include <atomic>
 #include <string>
-#include <utility>
+#include <thread>
 #include <vector>
 
-// Jobs whose start an unhealthy worker refuses wait again, but the leader no longer counts them as waiting.
+// The leader is killed while many jobs wait. Until the next leader has read the jobs, it states and stores
+// that none waits.
 
 namespace {
 
@@ -13,14 +15,19 @@
 
 constexpr int readyTimeoutMs = 15'000;
 constexpr int workers = 48;
-constexpr int unhealthy = 4; // share 0.083 of the workers
-constexpr std::int64_t waitMs = 10'000;
+constexpr int waitingJobs = 2'000;
+constexpr std::size_t specBytes = 2'400; // the mean of the site file
+constexpr int clients = 6;
+constexpr std::int64_t watchMs = 5'000;
 
 // The sheet of steyrtal-orders-large: 8 GPUs, 128 cores, 256 GB.
 constexpr WorkerShape worker { 128'000, 262'144, 8 };
 
-// A job of one subtask that takes all GPUs of a worker.
-JobShape plan(std::int64_t workMs) { return { 1, { { 1, { { 52'000, 150'000, 8 }, workMs }, workMs } } }; }
+std::string nameOf(int number)
+{
+    const std::string digits = std::to_string(1'000'000 + number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
 
 int play()
 {
@@ -29,45 +36,55 @@
     shape.worker = worker;
     shape.bounds.maxHoldMs = 10'000;
     shape.bounds.stopTimeoutMs = 900;
+    shape.bounds.linkMbps = 100;
+    shape.store.linkMbps = 100;
     Site site(shape);
     if (!site.awaitReady(readyTimeoutMs))
         return exitCannotRun;
-    if (hasTrouble()) {
-        for (int i = 0; i < unhealthy; ++i)
-            site.fleet().workers()[static_cast<std::size_t>(i)]->setHealthy(false);
-    }
-    // Without the disruption, all workers are full, so that jobs wait as well.
-    const int busy = hasTrouble() ? workers - unhealthy : workers;
-    for (int i = 0; i < busy; ++i)
-        site.submit("00000000000001" + std::to_string(10 + i), plan(60'000), i % site.daemons().count());
-    const bool isFull = Site::await(15'000, [&] { return site.ledger().running() == busy; });
-    if (!isFull)
+    // Fills all workers, so that the jobs after it wait.
+    const JobShape filling { 2, { { workers, { { 11'000, 16'000, 8 }, 110'000 }, 110'000 } } };
+    site.submit(nameOf(-1), filling);
+    if (!Site::await(15'000, [&] { return site.ledger().running() == workers; }))
         return exitCannotRun;
-    std::vector<std::string> waiting;
-    for (int i = 0; i < unhealthy; ++i) {
-        const std::string job = "00000000000000" + std::to_string(10 + i);
-        site.ledger().recordRunsOf(job);
-        if (site.submit(job, plan(6'800), i % site.daemons().count()) == 200)
-            waiting.push_back(job);
+    JobShape plan { 2, { { 1, { { 11'000, 16'000, 1 }, 6'100 }, 6'100 } } };
+    plan.specBytes = specBytes;
+    std::atomic<int> next { 0 };
+    std::atomic<int> accepted { 0 };
+    std::vector<std::thread> threads;
+    for (int client = 0; client < clients; ++client) {
+        threads.emplace_back([&, client] {
+            for (int number = next++; number < waitingJobs; number = next++)
+                accepted += site.submit(nameOf(number), plan, client) == 200;
+        });
     }
-    const std::int64_t acceptedAt = steadyMs();
+    for (std::thread& thread : threads)
+        thread.join();
+    site.record().write("accepted: " + std::to_string(accepted));
+    const std::int64_t dueMs = shape.bounds.visibleMs + 2'000;
+    Site::sleepMs(dueMs + 1'000);
+    const int leader = site.daemons().leader();
+    if (leader < 0)
+        return exitCannotRun;
+    if (hasTrouble())
+        site.daemons().signal(leader, SIGKILL);
     bool isBroken = false;
-    while (steadyMs() < acceptedAt + waitMs) {
-        Site::sleepMs(1'000);
-        const bool isDue = steadyMs() > acceptedAt + shape.bounds.visibleMs + 2'000;
+    const std::int64_t end = steadyMs() + watchMs;
+    while (steadyMs() < end) {
         for (int daemon = 0; daemon < site.daemons().count(); ++daemon) {
-            const int stated = site.queuedCountOf(1, daemon);
-            const auto isUnbegun = [&](const std::string& job) { return site.ledger().startedOf(job) == 0; };
-            const auto unbegun = static_cast<int>(std::count_if(waiting.begin(), waiting.end(), isUnbegun));
-            if (!isDue || stated < 0 || 2 * stated >= unbegun)
+            if (hasTrouble() && daemon == leader)
+                continue;
+            const int stated = site.queuedCountOf(2, daemon);
+            const int unbegun = accepted - site.ledger().startedBetween(nameOf(0), nameOf(waitingJobs));
+            if (stated < 0 || 2 * stated >= unbegun)
                 continue;
             site.record().write("MIXED: " + std::to_string(unbegun) + " jobs were accepted over "
-                + std::to_string(shape.bounds.visibleMs + 2'000) + " ms ago and haven't begun, and daemon "
-                + std::to_string(daemon) + " states " + std::to_string(stated));
+                + std::to_string(dueMs) + " ms ago and haven't begun, and daemon " + std::to_string(daemon)
+                + " states " + std::to_string(stated));
             isBroken = true;
         }
+        Site::sleepMs(50);
     }
-    site.daemons().recordEvents({ "leader.claimed", "leader.loaded", "leader.lost", "run.rejected" }, 20);
+    site.daemons().recordEvents({ "leader.claimed", "leader.loaded", "leader.lost" }, 20);
     return isBroken ? exitBroken : exitHeld;
 }
 
--- a/review/standins/workers.cpp
+++ b/review/standins/workers.cpp
@@ -284,8 +284,6 @@
 {
     const auto task = call.at("task").get<std::string>();
     const int run = call.at("run").get<int>();
-    if (!m_isHealthy)
-        return jsonAnswer(503, Json { { "clockMs", clock() } }.dump());
     if (!takeToken(call))
         return refuse("fence");
     auto shape = m_ledger.find(task);
--- a/review/standins/workers.h
+++ b/review/standins/workers.h
@@ -89,8 +89,6 @@
     ~Worker();
 
     const std::string& id() const { return m_id; }
-    // While it is unhealthy, the worker answers each start with 503 and does nothing.
-    void setHealthy(bool isHealthy) { m_isHealthy = isHealthy; }
     // Writes the entry in the registry.
     void beat();
     // Share of the resource of which most is in use.
@@ -147,7 +145,6 @@
     std::map<std::string, int> m_lastEnded; // highest run stopped or ended, by subtask
     std::vector<End> m_ends; // not acknowledged yet
     std::int64_t m_lastEnd = 0;
-    std::atomic<bool> m_isHealthy { true };
     std::int64_t m_sequence = 0;
     std::unique_ptr<HttpServer> m_server;
 };
