Bound the row with a job's progress, whatever the job's size

Cause: a job's progress is one row, which held every task of every occurrence that had been due, done ones too. Above rowBytes the store answers 400 to the commit. The leader repeated that commit until its lease ended, and the next leader loaded the same state and failed in the same way. The other daemons' commits could not go on either, as all changes share the leader's commit.

Change: what is done takes at most one bit a task, completed occurrences are kept as ranges, what has not begun takes nothing, and each worker is named once. Occurrences open only while at most 20,000 tasks of the job are open. Placement assigns no more tasks of a job than its row has room for (ProgressBudget); checkpoints that do not fit are left out. A commit holds at most 256 KB of rows. Rows of the earlier format are read, and written smaller. Daemons that know only the earlier format reject the new one and leave the job alone.

--- a/include/anvilmoor/batch/bounds.h
+++ b/include/anvilmoor/batch/bounds.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/time.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 // Ranges of the numbers in bodies, entries and rows that other programs write. Within them, the arithmetic of
@@ -11,6 +12,8 @@
 namespace anvilmoor::batch {
 
 constexpr int maxTasksPerStep = 10'000;
+// Of one job, in all occurrences that are open at the same time.
+constexpr std::size_t maxOpenTasks = 20'000;
 constexpr int maxOccurrences = 100'000;
 // Of a run, an attempt or a priority.
 constexpr int maxOrdinal = 1'000'000'000;
--- a/include/anvilmoor/batch/rows.h
+++ b/include/anvilmoor/batch/rows.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -42,6 +43,13 @@
     std::vector<RowKey> removals;
 };
 
+// Limits of the store. It refuses a transaction beyond any of them, however often it is sent.
+struct StoreLimits {
+    std::size_t rowBytes = 65'536; // of a value
+    std::size_t transactionEntries = 100; // expected versions, writes and removals together
+    std::size_t transactionBytes = 1'000'000; // of the encoded request
+};
+
 enum class CommitOutcome {
     Applied,
     Conflict, // not applied; the reply contains the current rows
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -1,6 +1,7 @@
 #include "batch/intake/job_intake.h"
 
 #include "batch/jobs/job_codec.h"
+#include "batch/jobs/progress_codec.h"
 #include "batch/store/tables.h"
 
 #include <algorithm>
--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -1,6 +1,7 @@
 #include "batch/jobs/job_book.h"
 
 #include "batch/store/tables.h"
+#include "batch/store/transaction_size.h"
 
 #include <utility>
 
@@ -89,18 +90,22 @@
     m_expired.insert(job);
 }
 
-JobBook::Changes JobBook::collectChanges(std::size_t limit) const
+JobBook::Changes JobBook::collectChanges(const ChangeLimits& limits) const
 {
     Changes changes;
+    std::size_t bytes = 0;
     for (const auto& [change, job] : m_changed) {
-        if (changes.writes.size() >= limit)
-            return changes;
         const JobProgress& progress = m_entries.at(job).progress;
+        Row row { progressKey(job), progress.encodeProgress(limits.rowBytes) };
+        bytes += encodedBytes(row);
+        const bool isFull = changes.writes.size() >= limits.rows || bytes > limits.bytes;
+        if (isFull && !changes.writes.empty())
+            return changes;
         changes.jobs.push_back({ job, change, progress.state() });
-        changes.writes.push_back({ progressKey(job), progress.encodeProgress() });
+        changes.writes.push_back(std::move(row));
     }
     for (const JobId& job : m_expired) {
-        if (changes.writes.size() + changes.removals.size() >= limit)
+        if (changes.writes.size() + changes.removals.size() >= limits.rows)
             return changes;
         changes.expired.push_back(job);
         changes.removals.push_back(progressKey(job));
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/rows.h"
 #include "batch/jobs/job_progress.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,6 +18,14 @@
 // How long callers can query a job's state after its end. The platform requires 120 s.
 constexpr Milliseconds jobRetention { 150'000 };
 
+// Upper limits of the changes that are stored together. A single change is always within the limit of bytes,
+// unless its row is as large.
+struct ChangeLimits {
+    std::size_t rows = 1;
+    std::size_t bytes = StoreLimits {}.transactionBytes; // encoded, see transaction_size.h
+    std::size_t rowBytes = StoreLimits {}.rowBytes;
+};
+
 // The leader's view of all jobs. Tracks which jobs have changes that are not stored yet.
 class JobBook {
 public:
@@ -70,7 +79,7 @@
         std::vector<Row> writes;
         std::vector<RowKey> removals;
     };
-    Changes collectChanges(std::size_t limit) const;
+    Changes collectChanges(const ChangeLimits&) const;
     // Marks these changes as stored.
     void noteStored(const Changes&);
     bool hasChanges() const { return !m_changed.empty(); }
--- a/src/batch/jobs/job_codec.cpp
+++ b/src/batch/jobs/job_codec.cpp
@@ -1,7 +1,6 @@
 #include "batch/jobs/job_codec.h"
 
 #include "anvilmoor/batch/bounds.h"
-#include "batch/jobs/job_progress.h"
 #include "batch/store/message_pack.h"
 
 #include <fmt/format.h>
@@ -45,11 +44,6 @@
 
 std::int64_t resourceAmount(const Json& value) { return integerIn(value, 0, maxResourceAmount); }
 
-JobState jobState(const Json& value)
-{
-    return static_cast<JobState>(integerIn(value, 0, static_cast<int>(JobState::Cancelled)));
-}
-
 StepSpecification decodeStep(const Json& row, std::size_t number)
 {
     StepSpecification step;
@@ -72,59 +66,6 @@
     return step;
 }
 
-Json encodeTask(const TaskProgress& task)
-{
-    Json row = Json::array({ task.isDone, task.lastRun, task.failures, task.lastFailedRun, task.checkpoint });
-    if (task.assignment) {
-        row.push_back(task.assignment->run);
-        row.push_back(task.assignment->worker.id.value());
-        row.push_back(task.assignment->worker.startedAtMs);
-    }
-    return row;
-}
-
-TaskProgress decodeTask(const Json& row)
-{
-    TaskProgress task { row.at(0).get<bool>(), ordinal(row.at(1)), ordinal(row.at(2)), ordinal(row.at(3)),
-        row.at(4).get<std::string>(), std::nullopt };
-    task.lastRunWhenRestored = task.lastRun;
-    if (row.size() > 5) {
-        const WorkerLifetime worker { WorkerId(row.at(6).get<std::string>()), row.at(7).get<std::int64_t>() };
-        task.assignment = Assignment { worker, ordinal(row.at(5)) };
-    }
-    return task;
-}
-
-Json encodeOccurrence(const std::vector<StepProgress>& steps)
-{
-    Json rows = Json::array();
-    for (const StepProgress& step : steps) {
-        Json tasks = Json::array();
-        for (const TaskProgress& task : step.tasks)
-            tasks.push_back(encodeTask(task));
-        rows.push_back(std::move(tasks));
-    }
-    return rows;
-}
-
-std::vector<StepProgress> decodeOccurrence(const Json& rows)
-{
-    std::vector<StepProgress> steps;
-    for (const Json& tasks : rows) {
-        StepProgress step;
-        for (const Json& task : tasks)
-            step.tasks.push_back(decodeTask(task));
-        steps.push_back(std::move(step));
-    }
-    return steps;
-}
-
-bool hasShapeOf(const std::vector<StepProgress>& steps, const std::vector<StepProgress>& expected)
-{
-    return std::equal(steps.begin(), steps.end(), expected.begin(), expected.end(),
-        [](const StepProgress& a, const StepProgress& b) { return a.tasks.size() == b.tasks.size(); });
-}
-
 } // namespace
 
 std::string encodeJob(const AcceptedJob& job)
@@ -163,45 +104,4 @@
     }
 }
 
-std::string JobProgress::encodeProgress() const
-{
-    Json occurrences = Json::array();
-    for (const auto& [number, steps] : m_occurrences)
-        occurrences.push_back(encodeOccurrence(steps));
-    return toMessagePack(Json::array({ static_cast<int>(m_state), m_hasBegun, std::move(occurrences) }));
-}
-
-std::optional<std::string> JobProgress::restoreProgress(std::string_view bytes)
-{
-    try {
-        const Json row = fromMessagePack(bytes);
-        const JobState state = jobState(row.at(0));
-        std::map<int, std::vector<StepProgress>> occurrences;
-        for (const Json& steps : row.at(2)) {
-            std::vector<StepProgress> occurrence = decodeOccurrence(steps);
-            if (!hasShapeOf(occurrence, emptyOccurrence()))
-                return "stored steps or task counts differ from those of the job";
-            occurrences.emplace(static_cast<int>(occurrences.size()), std::move(occurrence));
-        }
-        m_hasBegun = row.at(1).get<bool>();
-        m_state = state;
-        m_occurrences = std::move(occurrences);
-        m_assignments = static_cast<int>(assignedRuns().size());
-        return std::nullopt;
-    } catch (const std::exception& error) {
-        return fmt::format("cannot decode job progress row: {}", error.what());
-    }
-}
-
-tl::expected<JobState, RowCodecError> decodeJobState(std::string_view bytes)
-{
-    try {
-        const Json row = fromMessagePack(bytes);
-        return jobState(row.at(0));
-    } catch (const std::exception& error) {
-        return tl::unexpected(
-            RowCodecError { fmt::format("cannot decode job progress row: {}", error.what()) });
-    }
-}
-
 } // namespace anvilmoor::batch
--- a/src/batch/jobs/job_codec.h
+++ b/src/batch/jobs/job_codec.h
@@ -18,7 +18,4 @@
 std::string encodeJob(const AcceptedJob&);
 tl::expected<AcceptedJob, RowCodecError> decodeJob(std::string_view bytes);
 
-// Decodes only the state from a row that JobProgress::encodeProgress() wrote.
-tl::expected<JobState, RowCodecError> decodeJobState(std::string_view bytes);
-
 } // namespace anvilmoor::batch
--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -1,5 +1,8 @@
 #include "batch/jobs/job_progress.h"
 
+#include "anvilmoor/batch/bounds.h"
+#include "batch/jobs/progress_codec.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -19,51 +22,50 @@
 
 } // namespace
 
-bool StepProgress::isDone() const
-{
-    return std::all_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) { return task.isDone; });
-}
-
 JobProgress::JobProgress(AcceptedJob job)
     : m_job(std::move(job))
 {
-}
-
-std::vector<StepProgress> JobProgress::emptyOccurrence() const
-{
-    std::vector<StepProgress> steps;
     for (const StepSpecification& step : m_job.specification.steps)
-        steps.push_back({ std::vector<TaskProgress>(static_cast<std::size_t>(step.taskCount)) });
-    return steps;
+        m_tasksPerOccurrence += static_cast<std::size_t>(step.taskCount);
 }
 
 bool JobProgress::openDueOccurrences(WallTime now)
 {
-    if (isTerminal(m_state))
+    if (isTerminal(state()))
         return false;
     bool hasOpened = false;
     while (true) {
         const std::optional<WallTime> due = nextDue();
         if (!due || *due > now)
             return hasOpened;
-        m_occurrences.emplace(static_cast<int>(m_occurrences.size()), emptyOccurrence());
+        m_record.open.emplace(m_nextOccurrence, emptyOccurrence(m_job.specification));
+        skipKnownOccurrences();
         hasOpened = true;
     }
 }
 
+void JobProgress::skipKnownOccurrences()
+{
+    while (m_record.open.contains(m_nextOccurrence) || m_record.completed.contains(m_nextOccurrence))
+        m_nextOccurrence = m_record.completed.firstMissing(m_nextOccurrence + 1);
+}
+
+bool JobProgress::mayOpenAnother() const
+{
+    return m_record.open.empty() || (m_record.open.size() + 1) * m_tasksPerOccurrence <= maxOpenTasks;
+}
+
 std::optional<WallTime> JobProgress::nextDue() const
 {
-    const int next = static_cast<int>(m_occurrences.size());
-    if (next >= m_job.occurrenceCount())
+    if (m_nextOccurrence >= m_job.occurrenceCount() || !mayOpenAnother())
         return std::nullopt;
     // A job without a schedule is due regardless of the wall clocks of the hosts.
     if (!m_job.specification.schedule.occurrences)
         return WallTime::min();
-    return m_job.dueAt(next);
+    return m_job.dueAt(m_nextOccurrence);
 }
 
-bool JobProgress::isReady(
-    const std::vector<StepProgress>& occurrence, const StepSpecification& specification) const
+bool JobProgress::isReady(const OccurrenceProgress& occurrence, const StepSpecification& specification) const
 {
     return std::all_of(specification.dependsOn.begin(), specification.dependsOn.end(),
         [&](int earlier) { return occurrence[static_cast<std::size_t>(earlier)].isDone(); });
@@ -80,9 +82,9 @@
 std::vector<StepPosition> JobProgress::readySteps() const
 {
     std::vector<StepPosition> ready;
-    if (isTerminal(m_state))
+    if (isTerminal(m_record.state))
         return ready;
-    for (const auto& [occurrence, steps] : m_occurrences) {
+    for (const auto& [occurrence, steps] : m_record.open) {
         for (std::size_t step = 0; step < steps.size(); ++step) {
             const StepSpecification& specification = m_job.specification.steps[step];
             if (hasReadyUnit(steps[step], specification) && isReady(steps, specification))
@@ -105,7 +107,7 @@
 std::vector<PlacementUnit> JobProgress::unitsOf(const StepPosition& position, std::size_t limit) const
 {
     const StepProgress& progress
-        = m_occurrences.at(position.occurrence)[static_cast<std::size_t>(position.step)];
+        = m_record.open.at(position.occurrence)[static_cast<std::size_t>(position.step)];
     std::vector<PlacementUnit> units;
     const bool isGang = specificationOf(position.step).isGang;
     for (std::size_t index = 0; index < progress.tasks.size(); ++index) {
@@ -134,8 +136,8 @@
 
 const TaskProgress* JobProgress::find(const TaskId& task) const
 {
-    const auto occurrence = m_occurrences.find(task.occurrence);
-    if (occurrence == m_occurrences.end() || task.step < 0 || task.index < 0)
+    const auto occurrence = m_record.open.find(task.occurrence);
+    if (occurrence == m_record.open.end() || task.step < 0 || task.index < 0)
         return nullptr;
     if (static_cast<std::size_t>(task.step) >= occurrence->second.size())
         return nullptr;
@@ -145,11 +147,17 @@
     return &step.tasks[static_cast<std::size_t>(task.index)];
 }
 
+bool JobProgress::isDone(const TaskId& task) const
+{
+    const TaskProgress* progress = find(task);
+    return progress ? progress->isDone : m_record.completed.contains(task.occurrence);
+}
+
 StepProgress* JobProgress::stepOf(const TaskId& task)
 {
     if (!find(task))
         return nullptr;
-    return &m_occurrences.at(task.occurrence)[static_cast<std::size_t>(task.step)];
+    return &m_record.open.at(task.occurrence)[static_cast<std::size_t>(task.step)];
 }
 
 // Returns the task that stores the failures and the checkpoint: for a gang, its first task.
@@ -169,7 +177,7 @@
 
 void JobProgress::assign(const PlacementUnit& unit, std::span<const WorkerLifetime> workers)
 {
-    std::vector<StepProgress>& steps = m_occurrences.at(unit.occurrence);
+    std::vector<StepProgress>& steps = m_record.open.at(unit.occurrence);
     StepProgress& step = steps[static_cast<std::size_t>(unit.step)];
     for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
         TaskProgress& task = step.tasks[static_cast<std::size_t>(unit.tasks[i])];
@@ -177,9 +185,9 @@
         task.assignment = Assignment { workers[i], unit.run };
         ++m_assignments;
     }
-    m_hasBegun = true;
-    if (m_state == JobState::Pending)
-        m_state = JobState::Running;
+    m_record.hasBegun = true;
+    if (m_record.state == JobState::Pending)
+        m_record.state = JobState::Running;
 }
 
 void JobProgress::clearAssignment(TaskProgress& task)
@@ -203,8 +211,12 @@
         noteCheckpoint(run, checkpoint);
         clearAssignment(task);
     }
-    if (isTerminal(m_state) || task.isDone)
+    if (isTerminal(m_record.state))
         return consequence;
+    if (task.isDone) {
+        closeIfCompleted(run.task.occurrence);
+        return consequence;
+    }
     if (end == RunEnd::Done)
         endDone(*step, run, consequence);
     else if (end == RunEnd::Failed)
@@ -212,9 +224,21 @@
     // A gang makes progress only as a whole, so its remaining members are stopped.
     if (end != RunEnd::Done && !consequence.newState)
         consequence.toStop = gangMembers(run);
+    closeIfCompleted(run.task.occurrence);
     return consequence;
 }
 
+void JobProgress::closeIfCompleted(int occurrence)
+{
+    const auto open = m_record.open.find(occurrence);
+    const bool isCompleted = std::all_of(open->second.begin(), open->second.end(),
+        [](const StepProgress& step) { return step.isDone() && !step.hasAssignment(); });
+    if (!isCompleted)
+        return;
+    m_record.open.erase(open);
+    m_record.completed.add(occurrence);
+}
+
 // A late "done" of an earlier run also completes the task; the later run is then stopped.
 void JobProgress::endDone(StepProgress& step, const RunId& run, RunConsequence& consequence)
 {
@@ -251,7 +275,7 @@
     std::vector<RunId> members;
     if (!find(run.task) || !specificationOf(run.task.step).isGang)
         return members;
-    const StepProgress& step = m_occurrences.at(run.task.occurrence)[static_cast<std::size_t>(run.task.step)];
+    const StepProgress& step = m_record.open.at(run.task.occurrence)[static_cast<std::size_t>(run.task.step)];
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const auto& assignment = step.tasks[index].assignment;
         if (assignment && assignment->run == run.run)
@@ -262,31 +286,39 @@
 
 void JobProgress::finishIfAllDone(RunConsequence& consequence)
 {
-    if (static_cast<int>(m_occurrences.size()) < m_job.occurrenceCount())
+    const int known = static_cast<int>(m_record.open.size()) + m_record.completed.size();
+    if (known < m_job.occurrenceCount())
         return;
-    for (const auto& [number, steps] : m_occurrences) {
+    for (const auto& [number, steps] : m_record.open) {
         for (const StepProgress& step : steps) {
             if (!step.isDone())
                 return;
         }
     }
-    m_state = JobState::Completed;
-    consequence.newState = m_state;
+    m_record.state = JobState::Completed;
+    consequence.newState = m_record.state;
 }
 
 RunConsequence JobProgress::conclude(JobState state)
 {
-    m_state = state;
+    m_record.state = state;
     return { true, assignedRuns(), state };
 }
 
 RunConsequence JobProgress::cancel()
 {
-    if (isTerminal(m_state))
+    if (isTerminal(m_record.state))
         return {};
     return conclude(JobState::Cancelled);
 }
 
+RunConsequence JobProgress::fail()
+{
+    if (isTerminal(m_record.state))
+        return {};
+    return conclude(JobState::Failed);
+}
+
 void JobProgress::noteCheckpoint(const RunId& run, const std::string& checkpoint)
 {
     if (checkpoint.empty())
@@ -302,7 +334,7 @@
 std::vector<RunId> JobProgress::assignedRuns() const
 {
     std::vector<RunId> runs;
-    for (const auto& [occurrence, steps] : m_occurrences) {
+    for (const auto& [occurrence, steps] : m_record.open) {
         for (std::size_t step = 0; step < steps.size(); ++step) {
             const std::vector<TaskProgress>& tasks = steps[step].tasks;
             for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -317,4 +349,26 @@
     return runs;
 }
 
+std::string JobProgress::encodeProgress(std::size_t maxBytes) const
+{
+    return batch::encodeProgress(m_record, m_job.specification, maxBytes);
+}
+
+std::size_t JobProgress::bytesWithoutCheckpoints() const
+{
+    return progressBytesWithoutCheckpoints(m_record, m_job.specification);
+}
+
+std::optional<std::string> JobProgress::restoreProgress(std::string_view bytes)
+{
+    auto record = decodeProgress(bytes, m_job.specification);
+    if (!record)
+        return record.error().detail;
+    m_record = std::move(*record);
+    m_assignments = static_cast<int>(assignedRuns().size());
+    m_nextOccurrence = 0;
+    skipKnownOccurrences();
+    return std::nullopt;
+}
+
 } // namespace anvilmoor::batch
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -2,9 +2,10 @@
 
 #include "anvilmoor/batch/job.h"
 #include "anvilmoor/batch/worker.h"
+#include "batch/jobs/progress_record.h"
 
 #include <cstddef>
-#include <map>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -12,30 +13,6 @@
 
 namespace anvilmoor::batch {
 
-// A run of a task that may be active on a worker. It is stored before the order is sent to the worker.
-struct Assignment {
-    WorkerLifetime worker;
-    int run = 0;
-
-    bool operator==(const Assignment&) const = default;
-};
-
-struct TaskProgress {
-    bool isDone = false;
-    int lastRun = 0;
-    int failures = 0; // for a gang: counted in its first task, once per run
-    int lastFailedRun = 0;
-    std::string checkpoint; // for a gang: stored in its first task
-    std::optional<Assignment> assignment;
-    int lastRunWhenRestored = 0; // lastRun as read from the store; 0 if this daemon has not read it
-};
-
-struct StepProgress {
-    std::vector<TaskProgress> tasks;
-
-    bool isDone() const;
-};
-
 // Tasks to be placed together: a single task, or all tasks of a gang.
 struct PlacementUnit {
     JobId job;
@@ -65,14 +42,16 @@
     explicit JobProgress(AcceptedJob);
 
     const AcceptedJob& job() const { return m_job; }
-    JobState state() const { return m_state; }
+    JobState state() const { return m_record.state; }
     bool hasAssignments() const { return m_assignments > 0; }
     // False if no task has ever been assigned.
-    bool hasBegun() const { return m_hasBegun; }
+    bool hasBegun() const { return m_record.hasBegun; }
 
-    // Opens the occurrences that are due. Returns whether any was opened.
+    // Opens the occurrences that are due, as long as not too many tasks are open. Returns whether any was
+    // opened.
     bool openDueOccurrences(WallTime);
-    // The time at which the next occurrence is due; empty if all are open.
+    // The time at which the next occurrence is due; empty if there is none, or if it has to wait until others
+    // are completed.
     std::optional<WallTime> nextDue() const;
 
     // Steps whose dependencies are done and that have tasks to be placed.
@@ -87,8 +66,9 @@
     {
         return m_job.specification.steps[static_cast<std::size_t>(step)];
     }
-    // Null if there is no such task.
+    // Null if there is no such task, or if its occurrence is not open.
     const TaskProgress* find(const TaskId&) const;
+    bool isDone(const TaskId&) const;
     const std::string& checkpointOf(const TaskId&) const;
 
     // Assigns the unit's tasks to workers, in the same order.
@@ -99,24 +79,24 @@
     // Records the checkpoint of a run, which may still be active. Ignored if the run is not assigned.
     void noteCheckpoint(const RunId&, const std::string& checkpoint);
     RunConsequence cancel();
+    RunConsequence fail();
     std::vector<RunId> assignedRuns() const;
     // The assigned runs of the same start of a gang, including this one; empty if the task is not in a gang.
     std::vector<RunId> gangMembers(const RunId&) const;
 
-    std::string encodeProgress() const;
+    // See progress_codec.h.
+    std::string encodeProgress(std::size_t maxBytes = std::numeric_limits<std::size_t>::max()) const;
+    std::size_t bytesWithoutCheckpoints() const;
     // Returns an error message if the bytes are not progress of this job; the job is then unchanged.
     std::optional<std::string> restoreProgress(std::string_view bytes);
 
 private:
-    struct Location {
-        int occurrence = 0;
-        int step = 0;
-    };
-
-    std::vector<StepProgress> emptyOccurrence() const;
+    void skipKnownOccurrences();
+    void closeIfCompleted(int occurrence);
+    bool mayOpenAnother() const;
     std::vector<PlacementUnit> unitsOf(const StepPosition&, std::size_t limit) const;
     StepProgress* stepOf(const TaskId&);
-    bool isReady(const std::vector<StepProgress>&, const StepSpecification&) const;
+    bool isReady(const OccurrenceProgress&, const StepSpecification&) const;
     bool hasReadyUnit(const StepProgress&, const StepSpecification&) const;
     void clearAssignment(TaskProgress&);
     void endDone(StepProgress&, const RunId&, RunConsequence&);
@@ -126,10 +106,10 @@
     TaskProgress& representativeOf(StepProgress&, const TaskId&);
 
     AcceptedJob m_job;
-    JobState m_state = JobState::Pending;
-    bool m_hasBegun = false;
+    std::size_t m_tasksPerOccurrence = 0;
+    ProgressRecord m_record;
     int m_assignments = 0;
-    std::map<int, std::vector<StepProgress>> m_occurrences; // opened so far, by number
+    int m_nextOccurrence = 0; // the smallest number that is neither open nor completed
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -44,14 +44,24 @@
     return names;
 }
 
+// A commit also contains the lease row, which it expects and writes, and a row of speeds.
+ChangeLimits changeLimitsOf(const StoreLimits& store)
+{
+    constexpr std::size_t otherEntries = 3;
+    constexpr std::size_t otherBytes = 192 * 1'024;
+    return { std::min(maxRowsPerCommit, store.transactionEntries - otherEntries),
+        std::min(maxBytesPerCommit, store.transactionBytes - otherBytes), store.rowBytes };
+}
+
 } // namespace
 
 Scheduler::Scheduler(LeaderLease& lease, const Configuration& configuration, const PlacementPolicy& placement,
-    const QueueOrder& order, WorkerLeaseSettings settings)
+    const QueueOrder& order, WorkerLeaseSettings settings, const StoreLimits& storeLimits)
     : m_lease(lease)
     , m_configuration(configuration)
+    , m_changeLimits(changeLimitsOf(storeLimits))
     , m_runs(m_workers, m_jobs, settings)
-    , m_placement(placement, order, settings.stopTimeout)
+    , m_placement(placement, order, settings.stopTimeout, storeLimits)
     , m_pipeline(lease)
     , m_loadTimeout(initialLoadTimeout)
 {
@@ -458,7 +468,7 @@
 {
     if (m_pipeline.isBusy() || (!m_jobs.hasChanges() && !m_pipeline.isRenewalDue(step.now)))
         return;
-    Batch batch { ++m_lastBatch, m_jobs.collectChanges(maxRowsPerCommit) };
+    Batch batch { ++m_lastBatch, m_jobs.collectChanges(m_changeLimits) };
     CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
     addSpeedRow(commit, step.now);
     // noteStored() does not use the written rows, so they are not kept until the answer.
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -28,8 +28,8 @@
 // daemon's orders.
 class Scheduler {
 public:
-    Scheduler(
-        LeaderLease&, const Configuration&, const PlacementPolicy&, const QueueOrder&, WorkerLeaseSettings);
+    Scheduler(LeaderLease&, const Configuration&, const PlacementPolicy&, const QueueOrder&,
+        WorkerLeaseSettings, const StoreLimits&);
 
     void tick(Step&);
     // Places waiting tasks, if that is still due and allowed.
@@ -89,6 +89,7 @@
 
     LeaderLease& m_lease;
     const Configuration& m_configuration;
+    const ChangeLimits m_changeLimits;
     JobBook m_jobs;
     WorkerPool m_workers;
     RunSupervisor m_runs;
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -33,11 +33,12 @@
 
 } // namespace
 
-PlacementRound::PlacementRound(
-    const PlacementPolicy& placement, const QueueOrder& order, Milliseconds stopTimeout)
+PlacementRound::PlacementRound(const PlacementPolicy& placement, const QueueOrder& order,
+    Milliseconds stopTimeout, const StoreLimits& storeLimits)
     : m_placement(placement)
     , m_order(order)
     , m_stopTimeout(stopTimeout)
+    , m_storeLimits(storeLimits)
 {
 }
 
@@ -56,6 +57,8 @@
 {
     m_workers = &workers;
     m_jobs = &jobs;
+    m_budgets.clear();
+    m_longestWorkerId.reset();
     m_unplaceable.clear();
     m_mostTasksWithinLocality.clear();
     m_candidates.clear();
@@ -205,6 +208,26 @@
     smallest = std::min(smallest, tasks);
 }
 
+std::size_t PlacementRound::longestWorkerId()
+{
+    if (m_longestWorkerId)
+        return *m_longestWorkerId;
+    std::size_t longest = 0;
+    for (const auto& [lifetime, worker] : m_workers->all())
+        longest = std::max(longest, lifetime.id.value().size());
+    m_longestWorkerId = longest;
+    return longest;
+}
+
+ProgressBudget* PlacementRound::budgetOf(const JobProgress& job)
+{
+    const auto [position, isNew] = m_budgets.try_emplace(job.job().specification.id);
+    std::optional<ProgressBudget>& budget = position->second;
+    if (isNew && ProgressBudget::isNeeded(job, m_storeLimits.rowBytes, longestWorkerId()))
+        budget.emplace(job, m_storeLimits.rowBytes, longestWorkerId());
+    return budget ? &*budget : nullptr;
+}
+
 bool PlacementRound::placeUnit(
     const WaitingUnit& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
 {
@@ -217,6 +240,9 @@
     const bool isReserved = reservation != m_reservations.end();
     if (!isReserved && isKnownUnplaceable(shape, request.tasks))
         return false;
+    ProgressBudget* const budget = budgetOf(*waiting.job);
+    if (budget && !budget->admits(waiting.unit))
+        return false;
     if (isReserved)
         reserve(view, reservation->second, false);
     auto workers = placeWithHeadroom(waiting, request, view, now);
@@ -227,6 +253,8 @@
             for (const WorkerLifetime& worker : *workers)
                 ++m_stepTasksByWorker[stepKeyOf(waiting.unit)][worker];
         }
+        if (budget)
+            budget->take(waiting.unit);
         outcome.placed.push_back({ waiting.unit, std::move(*workers) });
         return true;
     }
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -2,6 +2,7 @@
 
 #include "anvilmoor/batch/configuration.h"
 #include "batch/jobs/job_book.h"
+#include "batch/jobs/progress_budget.h"
 #include "batch/placement/eviction.h"
 #include "batch/placement/placement_policy.h"
 #include "batch/placement/queue_order.h"
@@ -41,7 +42,8 @@
 class PlacementRound {
 public:
     // A run ends within `stopTimeout` after it was ordered to stop.
-    PlacementRound(const PlacementPolicy&, const QueueOrder&, Milliseconds stopTimeout);
+    PlacementRound(
+        const PlacementPolicy&, const QueueOrder&, Milliseconds stopTimeout, const StoreLimits& = {});
 
     PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
     // Discards all reservations and eviction counts.
@@ -99,6 +101,9 @@
     void applyReservations(Views&, TimePoint now);
     static void reserve(CapacityView&, const Reservation&, bool isTaken);
     PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime);
+    // Null if the row with the job's progress has room for all of its tasks.
+    ProgressBudget* budgetOf(const JobProgress&);
+    std::size_t longestWorkerId();
     // Returns whether the unit was placed.
     bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
@@ -117,12 +122,15 @@
     const PlacementPolicy& m_placement;
     const QueueOrder& m_order;
     const Milliseconds m_stopTimeout;
+    const StoreLimits m_storeLimits;
     std::map<UnitKey, Reservation> m_reservations;
     EvictionCounts m_evictionCounts;
     std::optional<TimePoint> m_urgentSeenAt; // last time with an unfinished job of priority 0
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
+    std::map<JobId, std::optional<ProgressBudget>> m_budgets;
+    std::optional<std::size_t> m_longestWorkerId; // in bytes
     // The smallest number of tasks of a shape that found no room. More tasks of it would not fit either, so
     // no search is made for them.
     std::map<Shape, int> m_unplaceable;
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -21,6 +21,7 @@
     Milliseconds claimDelay { 0 }; // longer on hosts that should become leader only if no other host does
     Milliseconds maxConfigurationAge { 4'000 }; // since the configuration was last confirmed
     WorkerLeaseSettings workerLeases;
+    StoreLimits storeLimits;
     Milliseconds shutdownGrace { 6'000 }; // time from SIGTERM to SIGKILL
 };
 
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -16,6 +16,9 @@
 
 // The platform accepts 100 entries per transaction, and the lease row takes one of them.
 constexpr std::size_t maxRowsPerCommit = 90;
+// Of the encoded rows. A host with a link of 20 Mbit/s sends them in a tenth of a second, well within the
+// lease.
+constexpr std::size_t maxBytesPerCommit = 256 * 1'024;
 
 // The changes that one commit of the leader stores in addition to the lease row.
 struct CommitBatch {
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -37,7 +37,7 @@
             { "source", std::string(sourceOf(task, run.run)) },
             { "assigned_run", std::to_string(assigned.run) },
             { "assigned_worker", assigned.worker.id.value() },
-            { "is_done", task && task->isDone ? "yes" : "no" } });
+            { "is_done", entry && entry->progress.isDone(run.task) ? "yes" : "no" } });
 }
 
 // A run has ended without a reported end if the worker does not list it although it had confirmed the start,
--- a/test/batch_foreign_row_test.cpp
+++ b/test/batch_foreign_row_test.cpp
@@ -1,5 +1,6 @@
 #include "batch/jobs/job_codec.h"
 #include "batch/jobs/job_progress.h"
+#include "batch/jobs/progress_codec.h"
 #include "batch/store/leader_lease.h"
 #include "batch/store/message_pack.h"
 #include "batch/workers/speed_rows.h"
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(testJobRowWithNumberOutOfRangeIsRejected);
     CPPUNIT_TEST(testJobRowWithTextThatIsNotUtf8IsRejected);
     CPPUNIT_TEST(testProgressRowWithNumberOutOfRangeIsRejected);
+    CPPUNIT_TEST(testProgressRowOfEarlierFormatWithNumberOutOfRangeIsRejected);
+    CPPUNIT_TEST(testProgressRowOfMoreOccurrencesOrTasksThanTheJobHasIsRejected);
     CPPUNIT_TEST(testLeaseRowWithNumberOutOfRangeIsRejected);
     CPPUNIT_TEST(testMutatedRowsAreDecodedOrRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -50,9 +53,28 @@
         const WorkerLifetime worker { WorkerId("w"), 7 };
         const PlacementUnit unit { validJob().specification.id, 0, 0, { 0 }, 1 };
         progress.assign(unit, std::vector<WorkerLifetime> { worker });
+        progress.runEnded({ { unit.job, 0, 0, 0 }, 1 }, RunEnd::Failed, "c");
+        progress.assign({ unit.job, 0, 0, { 0 }, 2 }, std::vector<WorkerLifetime> { worker });
         return progress.encodeProgress();
     }
 
+    // A row of the earlier format, in which each task stands with all of its fields.
+    static Json earlierProgress()
+    {
+        const Json waiting = Json::array({ false, 0, 0, 0, "" });
+        const Json assigned = Json::array({ false, 2, 1, 1, "c", 2, "w", 7 });
+        const Json steps
+            = Json::array({ Json::array({ assigned }), Json::array({ waiting, waiting, waiting }) });
+        return Json::array({ 1, true, Json::array({ steps }) });
+    }
+
+    static Json& earlierTaskOf(Json& progress) { return progress[2][0][0][0]; }
+
+    // The only task that has begun, and the only occurrence that is open.
+    static Json& taskOf(Json& progress) { return progress[6][0][1][1][0]; }
+    static Json& occurrenceOf(Json& progress) { return progress[6][0]; }
+    static Json& completedOf(Json& progress) { return progress[5]; }
+
     // Returns the job's row with the member at the path replaced.
     static std::string jobRowWith(const std::string& path, const Json& value)
     {
@@ -131,7 +153,10 @@
         for (const char* path : { "/0", "/1", "/2/0/7", "/6" })
             CPPUNIT_ASSERT_MESSAGE(path, !decodeJob(jobRowWith(path, "\xff\xfe")).has_value());
         Json progress = Json::from_msgpack(validProgress());
-        progress[2][0][0][0][4] = "\xff";
+        taskOf(progress)[5] = "\xff";
+        CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
+        progress = earlierProgress();
+        earlierTaskOf(progress)[4] = "\xff";
         CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
     }
 
@@ -143,14 +168,56 @@
             progress[0] = number;
             CPPUNIT_ASSERT_MESSAGE(number.dump(), !isProgress(toMessagePack(progress)));
             CPPUNIT_ASSERT(!decodeJobState(toMessagePack(progress)).has_value());
-            for (const std::size_t field : { 1U, 2U, 3U, 5U }) {
+            for (const std::size_t field : { 0U, 1U, 2U, 3U, 4U }) {
                 progress = Json::from_msgpack(validProgress());
-                progress[2][0][0][0][field] = number;
+                taskOf(progress)[field] = number;
+                CPPUNIT_ASSERT_MESSAGE(number.dump(), !isProgress(toMessagePack(progress)));
+            }
+            progress = Json::from_msgpack(validProgress());
+            occurrenceOf(progress)[0] = number;
+            CPPUNIT_ASSERT_MESSAGE(number.dump(), !isProgress(toMessagePack(progress)));
+            for (const std::size_t field : { 0U, 1U }) {
+                progress = Json::from_msgpack(validProgress());
+                completedOf(progress) = Json::array({ 0, 1 });
+                completedOf(progress)[field] = number;
+                CPPUNIT_ASSERT_MESSAGE(number.dump(), !isProgress(toMessagePack(progress)));
+            }
+        }
+    }
+
+    void testProgressRowOfEarlierFormatWithNumberOutOfRangeIsRejected()
+    {
+        CPPUNIT_ASSERT(isProgress(toMessagePack(earlierProgress())));
+        for (const Json& number : std::vector<Json> { -1, 2'147'483'647, 9'223'372'036'854'775'807 }) {
+            for (const std::size_t field : { 1U, 2U, 3U, 5U }) {
+                Json progress = earlierProgress();
+                earlierTaskOf(progress)[field] = number;
                 CPPUNIT_ASSERT_MESSAGE(number.dump(), !isProgress(toMessagePack(progress)));
             }
         }
     }
 
+    // Guards against a small row that makes the leader allocate memory for many tasks.
+    void testProgressRowOfMoreOccurrencesOrTasksThanTheJobHasIsRejected()
+    {
+        Json progress = Json::from_msgpack(validProgress());
+        completedOf(progress) = Json::array({ 0, 1 });
+        CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
+        progress = Json::from_msgpack(validProgress());
+        progress[6].push_back(occurrenceOf(progress));
+        CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
+        progress = Json::from_msgpack(validProgress());
+        occurrenceOf(progress).push_back(true);
+        occurrenceOf(progress).push_back(true);
+        CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
+        progress = Json::from_msgpack(validProgress());
+        taskOf(progress)[0] = 1;
+        CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
+        progress = earlierProgress();
+        progress[2].push_back(progress[2][0]);
+        CPPUNIT_ASSERT(!isProgress(toMessagePack(progress)));
+    }
+
     void testLeaseRowWithNumberOutOfRangeIsRejected()
     {
         const Json valid = Json::array({ "host/1", 3, 4, Json::object(), 5 });
@@ -170,10 +237,11 @@
         std::mt19937_64 random(18);
         const std::string job = encodeJob(validJob());
         const std::string progress = validProgress();
+        const std::string earlier = toMessagePack(earlierProgress());
         const std::string lease = encodeLease({ "host/1", 3, 4, { { "small", 2 } }, 5 });
         int accepted = 0;
         for (int round = 0; round < rounds; ++round) {
-            for (const std::string& row : { job, progress, lease })
+            for (const std::string& row : { job, progress, earlier, lease })
                 accepted += isAccepted(mutated(row, random));
             if (const auto decoded = decodeJob(mutated(job, random))) {
                 JobProgress restored(*decoded);
--- a/test/batch_job_book_test.cpp
+++ b/test/batch_job_book_test.cpp
@@ -28,7 +28,7 @@
         m_jobs.noteChange(entry, m_now);
     }
 
-    void storeAll() { m_jobs.noteStored(m_jobs.collectChanges(100)); }
+    void storeAll() { m_jobs.noteStored(m_jobs.collectChanges({ 100 })); }
 
 public:
     void testEndedJobExpiresAfterItsRetention()
@@ -53,10 +53,10 @@
     {
         end(addJob("a"));
         storeAll();
-        CPPUNIT_ASSERT(m_jobs.collectChanges(100).removals.empty());
+        CPPUNIT_ASSERT(m_jobs.collectChanges({ 100 }).removals.empty());
         m_jobs.noteRowsRemoved(JobId("a"));
         CPPUNIT_ASSERT(!m_jobs.findExpired(m_now + jobRetention));
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_jobs.collectChanges(100).removals.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, m_jobs.collectChanges({ 100 }).removals.size());
         storeAll();
         CPPUNIT_ASSERT(!m_jobs.find(JobId("a")));
     }
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -1,6 +1,7 @@
 #include "support/batch_cluster.h"
 
 #include "batch/jobs/job_codec.h"
+#include "batch/jobs/progress_codec.h"
 #include "batch/store/tables.h"
 
 #include <algorithm>
@@ -365,8 +366,7 @@
             daemon, m_daemons[daemon].lifetime, m_daemons[daemon].frozenUntil - m_now, std::move(payload));
         return;
     }
-    const WallTime wall { Milliseconds(1'700'000'000'000) + m_now.time_since_epoch() };
-    const Event event { m_now, wall, m_random(), std::move(payload) };
+    const Event event { m_now, wallTime(), m_random(), std::move(payload) };
     std::vector<Effect> effects = m_daemons[daemon].reducer->handle(event);
     requirePermission(daemon, effects);
     if (!effects.empty() && randomShare() < disturbances.stepFreezeShare) {
@@ -709,11 +709,22 @@
     dispatch(daemon, std::move(request));
 }
 
+WallTime BatchCluster::wallTime() const
+{
+    return WallTime(Milliseconds(1'700'000'000'000) + m_now.time_since_epoch());
+}
+
 JobId BatchCluster::submit(std::size_t daemon, const std::string& queue, std::vector<StepSpecification> steps,
     const std::string& key)
+{
+    return submitScheduled(daemon, queue, std::move(steps), {}, key);
+}
+
+JobId BatchCluster::submitScheduled(std::size_t daemon, const std::string& queue,
+    std::vector<StepSpecification> steps, Schedule schedule, const std::string& key)
 {
     const JobId job(fmt::format("{:016x}", ++m_lastJob));
-    JobSpecification specification { job, "payload", std::move(steps), {} };
+    JobSpecification specification { job, "payload", std::move(steps), schedule };
     m_jobs[job] = specification;
     request(daemon, CallerAction::Submit, queue, job, std::move(specification), key);
     return job;
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -73,6 +73,8 @@
     // or 2.
     JobId submit(std::size_t daemon, const std::string& queue, std::vector<batch::StepSpecification>,
         const std::string& key = "key-a");
+    JobId submitScheduled(std::size_t daemon, const std::string& queue, std::vector<batch::StepSpecification>,
+        batch::Schedule, const std::string& key = "key-a");
     void submitAgain(std::size_t daemon, const std::string& queue, const JobId&);
     void cancel(std::size_t daemon, const std::string& queue, const JobId&);
     void query(std::size_t daemon, const std::string& queue, const JobId&);
@@ -85,6 +87,8 @@
     void corruptLease();
     // The state in the store; Pending without a row.
     JobState stateOf(const JobId&) const;
+    FakeStore& store() { return m_store; }
+    WallTime wallTime() const;
     void setDuration(const JobId& job, Milliseconds duration) { m_durations[job] = duration; }
 
     void kill(std::size_t daemon);
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -6,10 +6,39 @@
 
 using namespace batch;
 
+// Bytes that a row takes in the body of a request beside its value, which is encoded as base64.
+constexpr std::size_t entryOverhead = 60;
+
+std::size_t sizeOf(const RowKey& key)
+{
+    return key.table.size() + key.part.size() + key.key.size() + entryOverhead;
+}
+
+std::size_t base64Size(const std::string& value) { return (value.size() + 2) / 3 * 4; }
+
 } // namespace
 
+bool FakeStore::isWithinLimits(const Transaction& transaction) const
+{
+    std::size_t bytes = 0;
+    for (const ExpectedVersion& expected : transaction.expected)
+        bytes += sizeOf(expected.key);
+    for (const Row& write : transaction.writes) {
+        if (write.value.size() > rowBytes)
+            return false;
+        bytes += sizeOf(write.key) + base64Size(write.value);
+    }
+    for (const RowKey& key : transaction.removals)
+        bytes += sizeOf(key);
+    const std::size_t entries
+        = transaction.expected.size() + transaction.writes.size() + transaction.removals.size();
+    return bytes <= transactionBytes && entries <= transactionEntries;
+}
+
 CommitReply FakeStore::commit(const Transaction& transaction)
 {
+    if (!isWithinLimits(transaction))
+        return { CommitOutcome::Refused };
     CommitReply reply { CommitOutcome::Applied };
     for (const ExpectedVersion& expected : transaction.expected) {
         const auto row = m_rows.find(expected.key);
--- a/test/support/fake_store.h
+++ b/test/support/fake_store.h
@@ -2,6 +2,7 @@
 
 #include "anvilmoor/batch/rows.h"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,6 +12,11 @@
 // The platform's store: versioned rows, and transactions that apply only if the expected versions match.
 class FakeStore {
 public:
+    // A transaction beyond any of these limits is refused, however often it is sent.
+    std::size_t rowBytes = 65'536;
+    std::size_t transactionBytes = 1'000'000;
+    std::size_t transactionEntries = 100;
+
     batch::CommitReply commit(const batch::Transaction&);
     std::vector<batch::Row> read(const batch::RowKey& from, const std::string& until) const;
     // Changes to the table after the version, deletions included.
@@ -19,6 +25,8 @@
     bool holds(const batch::RowKey& key) const { return m_rows.contains(key); }
 
 private:
+    bool isWithinLimits(const batch::Transaction&) const;
+
     std::map<batch::RowKey, batch::Row> m_rows;
     std::vector<batch::Row> m_history;
     batch::RowVersion m_version = 0;
