Let a write that the store never takes stop only what it belongs to

Cause: "refused now" and "will never be applied" were one outcome, which every writer answered by sending the same again.

The leader drops such a batch, checks with a commit of the lease row alone that the store takes commits at all, and then stores the jobs of that batch one by one. A job whose row is refused alone gets half the room; if its progress does not fit there, the job fails and its runs are stopped. A store that refuses everything fails no job. The writer of callers' rows sends the rows of such a transaction one by one too, answers 413 for those at fault, and keeps a transaction below the store's limit of bytes. A row that an earlier transaction may have stored is not given up.

--- a/include/anvilmoor/batch/rows.h
+++ b/include/anvilmoor/batch/rows.h
@@ -53,7 +53,8 @@
 enum class CommitOutcome {
     Applied,
     Conflict, // not applied; the reply contains the current rows
-    Refused, // certainly not applied
+    Refused, // certainly not applied; may be applied if it is sent again
+    Invalid, // certainly not applied, and refused again however often it is sent
     Unknown, // no answer: it may have been applied, or may still be applied
 };
 
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -2,6 +2,7 @@
 
 #include "batch/jobs/job_codec.h"
 #include "batch/jobs/progress_codec.h"
+#include "batch/jobs/storable_job.h"
 #include "batch/store/tables.h"
 
 #include <algorithm>
@@ -45,9 +46,12 @@
 
 } // namespace
 
-JobIntake::JobIntake(const ConfigurationView& configuration, const JobStateProvider& states)
+JobIntake::JobIntake(
+    const ConfigurationView& configuration, const JobStateProvider& states, const StoreLimits& storeLimits)
     : m_configuration(configuration)
     , m_states(states)
+    , m_storeLimits(storeLimits)
+    , m_writer(storeLimits)
 {
 }
 
@@ -88,9 +92,8 @@
         return;
     }
     if (!isJobId(id)) {
-        AnswerCaller malformed { request.caller, AnswerKind::Malformed };
-        malformed.detail = "the path does not end with a job id of 16 hexadecimal digits";
-        step.emit(std::move(malformed));
+        refuse(request, AnswerKind::Malformed, "the path does not end with a job id of 16 hexadecimal digits",
+            step);
         return;
     }
     switch (request.action) {
@@ -110,11 +113,12 @@
     const CallerRequest& caller, const QueueConfiguration& queue, const JobId& id, Step& step)
 {
     const std::size_t bodyLimit = m_configuration.current().maxBodyBytes;
-    if (!caller.problem.empty() || (bodyLimit && caller.bodyBytes > bodyLimit)) {
-        AnswerCaller refusal { caller.caller,
-            caller.problem.empty() ? AnswerKind::TooLarge : AnswerKind::Malformed };
-        refusal.detail = caller.problem;
-        step.emit(std::move(refusal));
+    if (!caller.problem.empty()) {
+        refuse(caller, AnswerKind::Malformed, caller.problem, step);
+        return;
+    }
+    if (bodyLimit && caller.bodyBytes > bodyLimit) {
+        refuse(caller, AnswerKind::TooLarge, fmt::format("the body has more than {} bytes", bodyLimit), step);
         return;
     }
     const ClientAccountConfiguration* account = m_configuration.findAccount(caller.apiKey);
@@ -122,16 +126,28 @@
     job.specification.id = id;
     job.terms = { queue.name, queue.service, account ? account->name : ClientAccountId(), queue.priority,
         queue.maxAttempts, queue.stretch, queue.latencyTarget };
+    Row row { jobKey(id), encodeJob(job) };
+    if (const auto reason = reasonNotStorable(job.specification, row, m_storeLimits)) {
+        refuse(caller, AnswerKind::TooLarge, *reason, step);
+        return;
+    }
     Request request { caller.caller, CallerAction::Submit, id };
     request.queue = queue.name;
     request.priority = queue.priority;
     request.account = job.terms.account;
     request.shape = shapeOf(job.specification);
-    request.row = Row { jobKey(id), encodeJob(job) };
+    request.row = std::move(row);
     request.answerBy = step.now + (caller.timeout.count() ? caller.timeout : defaultCallerTimeout);
     open(std::move(request), step);
 }
 
+void JobIntake::refuse(const CallerRequest& caller, AnswerKind kind, const std::string& detail, Step& step)
+{
+    AnswerCaller refusal { caller.caller, kind };
+    refusal.detail = detail;
+    step.emit(std::move(refusal));
+}
+
 void JobIntake::query(const CallerRequest& caller, const JobId& id, Step& step)
 {
     Request request { caller.caller, CallerAction::Query, id, Stage::ReadingProgress };
@@ -220,8 +236,25 @@
 
 void JobIntake::commitAnswered(const CommitAnswered& answered, Step& step)
 {
-    for (const RowWriter::Ticket ticket : m_writer.answered(answered, step))
+    const RowWriter::Result result = m_writer.answered(answered, step);
+    for (const RowWriter::Ticket ticket : result.stored)
         stored(ticket, step);
+    for (const RowWriter::Ticket ticket : result.rejected)
+        rejected(ticket, step);
+}
+
+void JobIntake::rejected(RequestId id, Step& step)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    const Request& request = found->second;
+    step.warn("request.row_rejected",
+        { { "job", request.job.value() }, { "bytes", std::to_string(request.row->value.size()) } });
+    AnswerCaller refusal { request.caller, AnswerKind::TooLarge };
+    refusal.detail = "the store does not take the job";
+    step.emit(std::move(refusal));
+    finish(id);
 }
 
 void JobIntake::stored(RequestId id, Step& step)
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -33,7 +33,7 @@
 // time.
 class JobIntake {
 public:
-    JobIntake(const ConfigurationView&, const JobStateProvider&);
+    JobIntake(const ConfigurationView&, const JobStateProvider&, const StoreLimits&);
 
     void requested(const CallerRequest&, Step&);
     void callerGone(const CallerGone&);
@@ -73,6 +73,7 @@
     // Null if the request was refused; the caller has then been answered.
     const QueueConfiguration* admit(const CallerRequest&, Step&) const;
     void submit(const CallerRequest&, const QueueConfiguration&, const JobId&, Step&);
+    static void refuse(const CallerRequest&, AnswerKind, const std::string& detail, Step&);
     void query(const CallerRequest&, const JobId&, Step&);
     void cancel(const CallerRequest&, const JobId&, Step&);
     static void recordAcceptance(const Request&, Step&);
@@ -80,6 +81,7 @@
     void store(RequestId, Request&, Step&);
     void read(RequestId, Request&, Step&);
     void stored(RequestId, Step&);
+    void rejected(RequestId, Step&);
     void progressRead(RequestId, Request&, const std::vector<Row>&, Step&);
     void jobRead(RequestId, Request&, bool exists, Step&);
     bool shouldAbandon(const Request&, TimePoint now) const;
@@ -88,6 +90,7 @@
 
     const ConfigurationView& m_configuration;
     const JobStateProvider& m_states;
+    const StoreLimits m_storeLimits;
     RowWriter m_writer;
     std::map<RequestId, Request> m_requests;
     std::map<OperationId, RequestId> m_reads;
--- a/src/batch/intake/row_writer.cpp
+++ b/src/batch/intake/row_writer.cpp
@@ -1,5 +1,7 @@
 #include "batch/intake/row_writer.h"
 
+#include "batch/store/transaction_size.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -21,6 +23,11 @@
 
 } // namespace
 
+RowWriter::RowWriter(const StoreLimits& limits)
+    : m_maxTransactionBytes(limits.transactionBytes)
+{
+}
+
 void RowWriter::write(Ticket ticket, Row row, bool mustBeNew, Step& step)
 {
     Part& part = m_parts[row.key.part];
@@ -43,7 +50,13 @@
 void RowWriter::send(Part& part, Step& step)
 {
     Transaction transaction;
+    std::size_t bytes = 0;
     while (!part.waiting.empty() && part.inFlight.size() < rowsPerTransaction) {
+        const Entry& next = part.waiting.front();
+        bytes += encodedBytes(next.row) + encodedBytes(next.row.key);
+        const bool isSeparate = next.isSuspect || (!part.inFlight.empty() && part.inFlight.front().isSuspect);
+        if (!part.inFlight.empty() && (isSeparate || bytes > m_maxTransactionBytes))
+            break;
         Entry entry = std::move(part.waiting.front());
         part.waiting.pop_front();
         if (entry.mustBeNew)
@@ -56,21 +69,27 @@
     step.emit(Commit { part.operation, std::move(transaction) });
 }
 
-std::vector<RowWriter::Ticket> RowWriter::answered(const CommitAnswered& answer, Step& step)
+RowWriter::Result RowWriter::answered(const CommitAnswered& answer, Step& step)
 {
-    std::vector<Ticket> stored;
+    Result result;
     const auto operation = m_operations.find(answer.operation);
     if (operation == m_operations.end())
-        return stored;
+        return result;
     Part& part = m_parts[operation->second];
     m_operations.erase(operation);
     std::vector<Entry> entries = std::exchange(part.inFlight, {});
     part.operation = 0;
+    if (answer.reply.outcome == CommitOutcome::Invalid) {
+        reject(part, std::move(entries), result);
+        delay(part, step);
+        return result;
+    }
     const bool isApplied = answer.reply.outcome == CommitOutcome::Applied;
     const bool isConflict = answer.reply.outcome == CommitOutcome::Conflict;
     for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+        entry->mayBeStored = entry->mayBeStored || answer.reply.outcome == CommitOutcome::Unknown;
         if (isApplied || (isConflict && isStored(answer.reply.current, entry->row.key)))
-            stored.push_back(entry->ticket);
+            result.stored.push_back(entry->ticket);
         else
             part.waiting.push_front(std::move(*entry));
     }
@@ -79,7 +98,20 @@
     else
         delay(part, step);
     sendIfDue(part, step);
-    return stored;
+    return result;
+}
+
+// A row that may be stored by an earlier transaction is not given up, but lets the others go first.
+void RowWriter::reject(Part& part, std::vector<Entry> entries, Result& result)
+{
+    const bool isAlone = entries.size() == 1;
+    for (Entry& entry : entries) {
+        entry.isSuspect = true;
+        if (isAlone && !entry.mayBeStored)
+            result.rejected.push_back(entry.ticket);
+        else
+            part.waiting.push_back(std::move(entry));
+    }
 }
 
 // Half of the delay is random, so that daemons refused at the same time do not retry at the same time.
--- a/src/batch/intake/row_writer.h
+++ b/src/batch/intake/row_writer.h
@@ -5,6 +5,7 @@
 #include "batch/reducer/step.h"
 #include "batch/store/operation_bits.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -16,17 +17,25 @@
 
 // Stores rows for callers. Each part of a table has at most one transaction in flight; rows that arrive
 // meanwhile are batched in the next one. A slow store thus receives a few large transactions instead of a
-// growing queue of small ones, and a store that refuses transactions is retried at increasing intervals.
+// growing queue of small ones, and a store that refuses transactions is retried at increasing intervals. If
+// the store will never apply a transaction, its rows are sent one by one, and those at fault are given up.
 class RowWriter {
 public:
     using Ticket = std::uint64_t;
 
+    struct Result {
+        std::vector<Ticket> stored;
+        std::vector<Ticket> rejected; // certainly not stored, and never will be
+    };
+
+    explicit RowWriter(const StoreLimits& = {});
+
     // If `mustBeNew`, a row that already exists is not overwritten and counts as stored.
     void write(Ticket, Row, bool mustBeNew, Step&);
     // No caller waits for the row any more. It may still be stored.
     void forget(Ticket);
-    // Handles the answer to a commit. Returns the tickets of the rows that are now stored.
-    std::vector<Ticket> answered(const CommitAnswered&, Step&);
+    // Handles the answer to a commit.
+    Result answered(const CommitAnswered&, Step&);
     void tick(Step&);
 
 private:
@@ -34,6 +43,8 @@
         Ticket ticket = 0;
         Row row;
         bool mustBeNew = false;
+        bool isSuspect = false; // was in a transaction that the store will never apply
+        bool mayBeStored = false; // was in a transaction without an answer
     };
     struct Part {
         std::deque<Entry> waiting;
@@ -46,7 +57,9 @@
     void send(Part&, Step&);
     void sendIfDue(Part&, Step&);
     static void delay(Part&, Step&);
+    static void reject(Part&, std::vector<Entry>, Result&);
 
+    const std::size_t m_maxTransactionBytes;
     std::map<std::string, Part> m_parts;
     std::map<OperationId, std::string> m_operations;
     OperationId m_lastOperation = 0;
--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -3,6 +3,7 @@
 #include "batch/store/tables.h"
 #include "batch/store/transaction_size.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -95,14 +96,23 @@
     Changes changes;
     std::size_t bytes = 0;
     for (const auto& [change, job] : m_changed) {
-        const JobProgress& progress = m_entries.at(job).progress;
-        Row row { progressKey(job), progress.encodeProgress(limits.rowBytes) };
+        const Entry& entry = m_entries.at(job);
+        if (entry.isSuspect && !changes.writes.empty())
+            return changes;
+        const std::size_t maxBytes = std::min(limits.rowBytes, entry.maxRowBytes);
+        Row row { progressKey(job), entry.progress.encodeProgress(maxBytes) };
+        if (row.value.size() > maxBytes) {
+            changes.unstorable.push_back(job);
+            continue;
+        }
         bytes += encodedBytes(row);
         const bool isFull = changes.writes.size() >= limits.rows || bytes > limits.bytes;
         if (isFull && !changes.writes.empty())
             return changes;
-        changes.jobs.push_back({ job, change, progress.state() });
+        changes.jobs.push_back({ job, change, entry.progress.state(), row.value.size() });
         changes.writes.push_back(std::move(row));
+        if (entry.isSuspect)
+            return changes;
     }
     for (const JobId& job : m_expired) {
         if (changes.writes.size() + changes.removals.size() >= limits.rows)
@@ -119,6 +129,7 @@
         Entry* entry = find(job.id);
         if (!entry)
             continue;
+        entry->isSuspect = false;
         entry->storedChange = job.change;
         entry->storedState = job.state;
         m_changed.erase(job.change);
@@ -131,6 +142,35 @@
     }
 }
 
+void JobBook::noteRejected(const Changes& changes)
+{
+    for (const Changes::Job& job : changes.jobs) {
+        Entry* entry = find(job.id);
+        if (!entry)
+            continue;
+        // A suspect is stored alone.
+        if (entry->isSuspect)
+            m_rejected = job;
+        entry->isSuspect = true;
+    }
+}
+
+std::optional<JobId> JobBook::shrinkRejected()
+{
+    if (!m_rejected)
+        return std::nullopt;
+    const Changes::Job rejected = *std::exchange(m_rejected, std::nullopt);
+    if (Entry* entry = find(rejected.id))
+        entry->maxRowBytes = rejected.rowBytes / 2;
+    return rejected.id;
+}
+
+void JobBook::noteUnwritable(const JobId& job)
+{
+    m_changed.erase(m_entries.at(job).change);
+    m_open.erase(job);
+}
+
 std::vector<JobBook::Entry*> JobBook::openEntries()
 {
     std::vector<Entry*> entries;
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +43,8 @@
         std::optional<TimePoint> endedAt;
         std::set<WorkerLifetime> failedOn; // workers on which one of its runs has failed
         bool isUnreadable = false; // its stored progress cannot be decoded
+        bool isSuspect = false; // the store has rejected a commit that contained its progress
+        std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); // halved when its row is rejected
 
         bool isStored() const { return storedChange >= change; }
     };
@@ -73,8 +76,10 @@
             JobId id;
             std::uint64_t change = 0;
             JobState state = JobState::Pending;
+            std::size_t rowBytes = 0;
         };
         std::vector<Job> jobs;
+        std::vector<JobId> unstorable; // not among `jobs`: their progress exceeds the size of a row
         std::vector<JobId> expired;
         std::vector<Row> writes;
         std::vector<RowKey> removals;
@@ -82,6 +87,14 @@
     Changes collectChanges(const ChangeLimits&) const;
     // Marks these changes as stored.
     void noteStored(const Changes&);
+    // The store will never apply a commit of these changes. Each of them is then stored alone, to find the
+    // one that is at fault.
+    void noteRejected(const Changes&);
+    // Must be called when the store has applied another commit after one was rejected. A job whose row was
+    // rejected alone has to do with a smaller row from now on. Returns that job.
+    std::optional<JobId> shrinkRejected();
+    // The store does not take even the smallest row of the job, so its changes are not stored any more.
+    void noteUnwritable(const JobId&);
     bool hasChanges() const { return !m_changed.empty(); }
 
     // Jobs that have not ended or still have assigned runs.
@@ -100,6 +113,7 @@
     std::set<std::pair<TimePoint, JobId>> m_ended; // by the time of the end; their job rows are still stored
     std::set<JobId> m_expired; // their job and cancel rows are removed, and their progress rows are not yet
     std::uint64_t m_lastChange = 0;
+    std::optional<Changes::Job> m_rejected; // rejected alone
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -148,7 +148,8 @@
 
 void Scheduler::addSpeedRow(CommitBatch& commit, TimePoint now)
 {
-    if (m_phase != Phase::Leading || now < m_speedsStoredAt + speedStoreInterval)
+    const bool isDue = now >= m_speedsStoredAt + speedStoreInterval;
+    if (m_phase != Phase::Leading || !isDue || !m_areSpeedsStored)
         return;
     m_speedsStoredAt = now;
     m_nextSpeedRow = (m_nextSpeedRow + 1) % speedRowCount(m_workers);
@@ -233,6 +234,8 @@
     m_workers = WorkerPool();
     m_placement.clear();
     m_batch.reset();
+    m_isProbeDue = false;
+    m_areSpeedsStored = true;
     m_removal.reset();
     m_keptAnswers.clear();
     m_hasKeptCancelRequests = false;
@@ -395,6 +398,9 @@
     case CommitPipeline::Result::Released:
         leadershipLost(step);
         return;
+    case CommitPipeline::Result::Rejected:
+        batchRejected(step);
+        return;
     case CommitPipeline::Result::LeaseLost:
         if (m_phase != Phase::Following)
             leadershipLost(step);
@@ -408,12 +414,46 @@
         return;
     const Batch batch = std::move(*m_batch);
     m_batch.reset();
+    if (std::exchange(m_isProbeDue, false)) {
+        if (const auto job = m_jobs.shrinkRejected())
+            step.warn("job.row_rejected", { { "job", job->value() } });
+    }
     m_jobs.noteStored(batch.changes);
     m_runs.changesStored();
     for (const JobBook::Changes::Job& job : batch.changes.jobs)
         m_runs.progressStored(job.id, job.change, step);
 }
 
+void Scheduler::batchRejected(Step& step)
+{
+    if (!m_batch)
+        return;
+    const Batch batch = std::move(*m_batch);
+    m_batch.reset();
+    m_isProbeDue = true;
+    m_areSpeedsStored = false;
+    m_jobs.noteRejected(batch.changes);
+    step.warn("store.batch_rejected",
+        { { "jobs", std::to_string(batch.changes.jobs.size()) },
+            { "removals", std::to_string(batch.changes.expired.size()) } });
+}
+
+void Scheduler::failUnstorable(const std::vector<JobId>& jobs, Step& step)
+{
+    for (const JobId& job : jobs) {
+        JobBook::Entry& entry = *m_jobs.find(job);
+        const RunConsequence consequence = entry.progress.fail();
+        step.warn("job.unstorable",
+            { { "job", job.value() }, { "runs", std::to_string(consequence.toStop.size()) } });
+        if (!consequence.newState) {
+            m_jobs.noteUnwritable(job);
+            continue;
+        }
+        m_jobs.noteChange(entry, step.now);
+        m_runs.stopAll(consequence.toStop, step);
+    }
+}
+
 void Scheduler::finishEvent(Step& step)
 {
     if (m_phase == Phase::Following || m_isSteppingDown)
@@ -468,7 +508,11 @@
 {
     if (m_pipeline.isBusy() || (!m_jobs.hasChanges() && !m_pipeline.isRenewalDue(step.now)))
         return;
-    Batch batch { ++m_lastBatch, m_jobs.collectChanges(m_changeLimits) };
+    Batch batch { ++m_lastBatch, {} };
+    if (!m_isProbeDue)
+        batch.changes = m_jobs.collectChanges(m_changeLimits);
+    if (mayAct(step.now))
+        failUnstorable(batch.changes.unstorable, step);
     CommitBatch commit { batch.number, batch.changes.writes, batch.changes.removals };
     addSpeedRow(commit, step.now);
     // noteStored() does not use the written rows, so they are not kept until the answer.
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -84,6 +84,9 @@
     void place(Step&);
     void commit(Step&);
     void batchApplied(Step&);
+    void batchRejected(Step&);
+    // Fails jobs whose progress the store cannot keep.
+    void failUnstorable(const std::vector<JobId>&, Step&);
     void removeExpired(Step&);
     void removalAnswered(const CommitAnswered&);
 
@@ -120,6 +123,10 @@
     Milliseconds m_placementInterval { 0 }; // between the starts of two placement turns
     std::optional<Batch> m_batch; // changes in the commit that is in flight
     std::uint64_t m_lastBatch = 0;
+    // The next commit stores the lease row only. It shows whether the store rejects all commits or only those
+    // with certain rows.
+    bool m_isProbeDue = false;
+    bool m_areSpeedsStored = true; // until the store rejects a commit
     struct Removal {
         JobId job;
         OperationId operation = 0;
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -27,7 +27,7 @@
     , m_lease(m_settings.daemonName, m_settings.claimDelay)
     , m_scheduler(m_lease, m_configuration.current(), m_placement, m_order, m_settings.workerLeases,
           m_settings.storeLimits)
-    , m_intake(m_configuration, *this)
+    , m_intake(m_configuration, *this, m_settings.storeLimits)
 {
 }
 
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -56,6 +56,7 @@
     InFlight inFlight;
     inFlight.purpose = purpose;
     inFlight.batch = batch.number;
+    inFlight.hasBatchRows = !batch.writes.empty() || !batch.removals.empty();
     inFlight.transaction.expected.push_back({ leaseKey(), m_lease.version() });
     inFlight.transaction.writes = std::move(batch.writes);
     // The lease row must be the last write: a resend rewrites the last one.
@@ -96,6 +97,10 @@
     case CommitOutcome::Unknown:
         m_inFlight->mayHaveBeenApplied = true;
         break;
+    case CommitOutcome::Invalid:
+        if (m_inFlight->hasBatchRows)
+            return rejected();
+        [[fallthrough]];
     case CommitOutcome::Refused:
         // A refused claim was certainly not applied. It is dropped, because another daemon may be able to
         // claim.
@@ -125,6 +130,14 @@
     return { Result::LeaseLost };
 }
 
+CommitPipeline::Answer CommitPipeline::rejected()
+{
+    const std::uint64_t batch = m_inFlight->batch;
+    m_inFlight.reset();
+    m_lease.skipSequence();
+    return { Result::Rejected, batch };
+}
+
 CommitPipeline::Answer CommitPipeline::applied(RowVersion version, TimePoint sentAt)
 {
     const InFlight done = std::move(*m_inFlight);
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -29,14 +29,15 @@
 
 // Sends commits for the holder of the lease, or for a daemon that claims it, one at a time. A commit without
 // an answer is sent again with its new send time. If the first copy was applied, the second one conflicts
-// with the lease record that the first one wrote, and the commit is recognised as applied.
+// with the lease record that the first one wrote, and the commit is recognised as applied. A commit with rows
+// that the store will never apply is dropped; one of the lease row alone is always valid, and sent again.
 class CommitPipeline {
 public:
-    enum class Result { None, Claimed, Applied, Released, LeaseLost };
+    enum class Result { None, Claimed, Applied, Released, LeaseLost, Rejected };
 
     struct Answer {
         Result result = Result::None;
-        std::uint64_t batch = 0; // if applied
+        std::uint64_t batch = 0; // if applied or rejected
     };
 
     explicit CommitPipeline(LeaderLease&);
@@ -62,6 +63,7 @@
         Purpose purpose = Purpose::Batch;
         LeaseRecord record;
         std::uint64_t batch = 0;
+        bool hasBatchRows = false;
         Transaction transaction;
         OperationId operation = 0;
         TimePoint firstSentAt {};
@@ -74,6 +76,7 @@
     Effect send(Purpose, LeaseRecord, CommitBatch, TimePoint now);
     Answer conflict(const CommitReply&, TimePoint now);
     Answer applied(RowVersion, TimePoint sentAt);
+    Answer rejected();
 
     LeaderLease& m_lease;
     std::optional<InFlight> m_inFlight;
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -81,6 +81,9 @@
     // Records that the commit of a record from next() or released() was applied; it was sent at `sentAt`.
     void committed(const LeaseRecord&, RowVersion, TimePoint sentAt);
     void noteStoreClock(StoreClock answeredAt, TimePoint now) { m_storeClock.note(answeredAt, now); }
+    // Gives up the sequence number of the next commit. Must be called before a commit that may have been
+    // applied is replaced by another one, so that they are not taken for the same.
+    void skipSequence() { ++m_record.sequence; }
     void markLost();
 
 private:
--- a/src/batch/workers/speed_rows.cpp
+++ b/src/batch/workers/speed_rows.cpp
@@ -15,8 +15,8 @@
 
 using Json = nlohmann::json;
 
-// An entry takes about 30 bytes, so a row stays below the store's limit of 64 KB by a factor of four.
-constexpr std::size_t workersPerRow = 500;
+// An entry takes up to 230 bytes, as an id has up to 200, so that a row stays below 64 KB.
+constexpr std::size_t workersPerRow = 250;
 // Speeds and weights are stored in hundredths.
 constexpr double scale = 100;
 constexpr double maxStored = 1'000'000;
--- a/test/batch_row_writer_test.cpp
+++ b/test/batch_row_writer_test.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(testRefusingStoreIsAskedAtGrowingIntervals);
     CPPUNIT_TEST(testForgottenRowIsNotSent);
     CPPUNIT_TEST(testSlowStoreTakesAllRowsOfABurst);
+    CPPUNIT_TEST(testRowThatTheStoreNeverTakesHoldsUpNoOther);
+    CPPUNIT_TEST(testRowThatMayBeStoredIsNotRejected);
+    CPPUNIT_TEST(testTransactionStaysWithinTheStoresLimitOfBytes);
     CPPUNIT_TEST_SUITE_END();
 
     RowWriter m_writer;
@@ -41,12 +44,30 @@
 
     const Commit& lastCommit() const { return std::get<Commit>(m_effects.back()); }
 
-    std::vector<RowWriter::Ticket> answer(OperationId operation, CommitReply reply)
+    RowWriter::Result resultOf(OperationId operation, CommitReply reply)
     {
         Step now = step();
         return m_writer.answered({ operation, std::move(reply) }, now);
     }
 
+    // Returns the rows that are stored. None may be rejected.
+    std::vector<RowWriter::Ticket> answer(OperationId operation, CommitReply reply)
+    {
+        RowWriter::Result result = resultOf(operation, std::move(reply));
+        CPPUNIT_ASSERT(result.rejected.empty());
+        return std::move(result.stored);
+    }
+
+    // Answers the next commit, which may be sent only after a delay.
+    RowWriter::Result answerNext(CommitOutcome outcome)
+    {
+        if (m_effects.empty()) {
+            m_now += Milliseconds(1'000);
+            tick();
+        }
+        return resultOf(lastCommit().operation, { outcome });
+    }
+
     void tick()
     {
         Step now = step();
@@ -138,6 +159,51 @@
         CPPUNIT_ASSERT(m_effects.empty());
     }
 
+    // Guards against a submission that is too large and is sent again with those of other callers until its
+    // caller's time is up.
+    void testRowThatTheStoreNeverTakesHoldsUpNoOther()
+    {
+        write("p", 1);
+        const OperationId first = lastCommit().operation;
+        for (const int number : { 2, 3, 4 })
+            write("p", number);
+        answer(first, { CommitOutcome::Applied });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, lastCommit().transaction.writes.size());
+        CPPUNIT_ASSERT(answer(lastCommit().operation, { CommitOutcome::Invalid }).empty());
+        CPPUNIT_ASSERT(answerNext(CommitOutcome::Applied).stored == std::vector<RowWriter::Ticket> { 2 });
+        CPPUNIT_ASSERT(answerNext(CommitOutcome::Invalid).rejected == std::vector<RowWriter::Ticket> { 3 });
+        CPPUNIT_ASSERT(answerNext(CommitOutcome::Applied).stored == std::vector<RowWriter::Ticket> { 4 });
+    }
+
+    // Guards against telling a caller that its job was not accepted although an earlier copy is stored.
+    void testRowThatMayBeStoredIsNotRejected()
+    {
+        write("p", 1);
+        CPPUNIT_ASSERT(answer(lastCommit().operation, { CommitOutcome::Unknown }).empty());
+        CPPUNIT_ASSERT(answerNext(CommitOutcome::Invalid).rejected.empty());
+        CPPUNIT_ASSERT(answerNext(CommitOutcome::Applied).stored == std::vector<RowWriter::Ticket> { 1 });
+    }
+
+    void testTransactionStaysWithinTheStoresLimitOfBytes()
+    {
+        write("p", 1);
+        const OperationId first = lastCommit().operation;
+        const std::string largest(StoreLimits {}.rowBytes, 'v');
+        for (RowWriter::Ticket ticket = 2; ticket < 32; ++ticket) {
+            Step now = step();
+            m_writer.write(ticket, { { "t", "p", "k" + std::to_string(ticket) }, largest }, true, now);
+        }
+        testing::FakeStore store;
+        answer(first, { CommitOutcome::Applied });
+        std::size_t stored = 0;
+        while (!m_effects.empty()) {
+            const CommitReply reply = store.commit(lastCommit().transaction);
+            CPPUNIT_ASSERT(reply.outcome == CommitOutcome::Applied);
+            stored += answer(lastCommit().operation, reply).size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 30 }, stored);
+    }
+
     // 60 callers within 1.2 s, and a store that takes 400 ms per transaction.
     void testSlowStoreTakesAllRowsOfABurst()
     {
