State the number of waiting jobs only while it is known

Cause: a leader that loads renews its lease, and each renewal stores the counts of its book of jobs, which is still empty, in place of those that the claim had kept. A count in the lease row had no age either: it was stated however long ago it was taken, also by leaders that only passed it on, by a leader that had no more news of the jobs, and by daemons that had lost the lease row.

Change: the row says when the jobs were counted, on the store's clock. A leader counts only once it has loaded, and while its feed of jobs answers; otherwise it keeps the row's counts with their time. Counts that do not fit into a row are not stated. Rows of earlier versions give no time, so their counts count as unknown.

--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds maxWaitWithoutStore { 1'000 };
 constexpr Milliseconds readRetryDelay { 40 };
 constexpr int maxDoublings = 4;
+// How long a caller waits for the number of waiting jobs, until the next leader knows it.
+constexpr Milliseconds maxWaitForCount { 1'000 };
 constexpr std::size_t jobIdLength = 16;
 constexpr std::size_t maxCachedEndStates = 4'096;
 
@@ -86,9 +88,7 @@
         return;
     const std::string id = request.path.substr(queue->pathPrefix.size());
     if (request.action == CallerAction::Query && id.empty()) {
-        AnswerCaller count { request.caller, AnswerKind::Count };
-        count.count = m_states.waitingJobs(queue->name);
-        step.emit(std::move(count));
+        count(request, *queue, step);
         return;
     }
     if (!isJobId(id)) {
@@ -171,6 +171,28 @@
     open(std::move(request), step);
 }
 
+void JobIntake::count(const CallerRequest& caller, const QueueConfiguration& queue, Step& step)
+{
+    Request request { caller.caller, CallerAction::Query, {}, Stage::AwaitingCount };
+    request.queue = queue.name;
+    if (answerCount(request, step))
+        return;
+    const Milliseconds timeout = caller.timeout.count() ? caller.timeout : defaultCallerTimeout;
+    request.answerBy = step.now + std::min(timeout, maxWaitForCount);
+    open(std::move(request), step);
+}
+
+bool JobIntake::answerCount(const Request& request, Step& step) const
+{
+    const auto waiting = m_states.waitingJobs(request.queue, step.now);
+    if (!waiting)
+        return false;
+    AnswerCaller answer { request.caller, AnswerKind::Count };
+    answer.count = *waiting;
+    step.emit(std::move(answer));
+    return true;
+}
+
 void JobIntake::open(Request request, Step& step)
 {
     const RequestId id = ++m_lastRequest;
@@ -179,7 +201,7 @@
     opened.answerBy -= answerMargin;
     if (opened.stage == Stage::Storing)
         store(id, opened, step);
-    else
+    else if (opened.stage != Stage::AwaitingCount)
         read(id, opened, step);
 }
 
@@ -331,18 +353,34 @@
 void JobIntake::tick(Step& step)
 {
     m_writer.tick(step);
+    std::vector<RequestId> answered;
     std::vector<RequestId> abandoned;
     for (auto& [id, request] : m_requests) {
         if (shouldAbandon(request, step.now))
             abandoned.push_back(id);
+        else if (request.stage == Stage::AwaitingCount && answerCount(request, step))
+            answered.push_back(id);
         else if (request.readAgainAt && step.now >= *request.readAgainAt)
             read(id, request, step);
     }
-    for (const RequestId id : abandoned) {
-        if (m_requests.at(id).answerBy != TimePoint::min())
-            answer(m_requests.at(id), AnswerKind::OutcomeUnknown, step);
+    for (const RequestId id : answered)
         finish(id);
+    for (const RequestId id : abandoned)
+        abandon(id, step);
+}
+
+void JobIntake::abandon(RequestId id, Step& step)
+{
+    const Request& request = m_requests.at(id);
+    const bool isCallerGone = request.answerBy == TimePoint::min();
+    if (!isCallerGone && request.stage == Stage::AwaitingCount) {
+        AnswerCaller unknown { request.caller, AnswerKind::CountUnknown };
+        unknown.detail = "the number of waiting jobs is not known at present";
+        step.emit(std::move(unknown));
+    } else if (!isCallerGone) {
+        answer(request, AnswerKind::OutcomeUnknown, step);
     }
+    finish(id);
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -23,8 +23,9 @@
 
     // Empty if the state is not known in this process and has to be read from the store.
     virtual std::optional<JobState> stateOf(const JobId&, TimePoint now) const = 0;
-    // Number of accepted jobs of the queue that have not begun, as last published by the leader.
-    virtual std::uint64_t waitingJobs(const std::string& queue) const = 0;
+    // Number of accepted jobs of the queue that have not begun, as last published by the leader. Empty if
+    // that is not known, or was too long ago.
+    virtual std::optional<std::uint64_t> waitingJobs(const std::string& queue, TimePoint now) const = 0;
 };
 
 // Serves callers on any daemon. A job is accepted once its row is stored, so that an accepted job survives
@@ -48,6 +49,7 @@
         Storing, // the job's row or the cancel request
         ReadingProgress,
         ReadingJob,
+        AwaitingCount, // of the waiting jobs
     };
 
     using RequestId = std::uint64_t;
@@ -58,8 +60,8 @@
         JobId job;
         Stage stage = Stage::Storing;
         std::optional<Row> row; // to be stored
+        std::string queue; // of a submission or a count
         // For the log event of a submission.
-        std::string queue;
         int priority = 0;
         ClientAccountId account;
         std::string shape;
@@ -76,6 +78,10 @@
     static void refuse(const CallerRequest&, AnswerKind, const std::string& detail, Step&);
     void query(const CallerRequest&, const JobId&, Step&);
     void cancel(const CallerRequest&, const JobId&, Step&);
+    void count(const CallerRequest&, const QueueConfiguration&, Step&);
+    // Returns false if the number is not known.
+    bool answerCount(const Request&, Step&) const;
+    void abandon(RequestId, Step&);
     static void recordAcceptance(const Request&, Step&);
     void open(Request, Step&);
     void store(RequestId, Request&, Step&);
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -25,6 +25,9 @@
 // alone: an occurrence falls due, or a suspect worker is due for a trial.
 constexpr Milliseconds maxPlacementInterval { 250 };
 constexpr Milliseconds readRetryDelay { 100 };
+// A leader that has had no answer about new jobs for longer does not know how many jobs wait. The store
+// answers after a second at the latest, also if there is nothing new.
+constexpr Milliseconds maxAgeOfJobs { 2'000 };
 // A leader that does not finish loading within this time releases the lease: a daemon with too little network
 // bandwidth or CPU time would otherwise hold the lease without scheduling anything. Loading takes about 0.3 s
 // with 350 workers. In case all daemons are too slow, each doubles its time-out after it expires, up to the
@@ -254,6 +257,7 @@
     for (const Row& row : update.rows)
         applyJobRow(row, step);
     m_hasJobs = m_hasJobs || update.isComplete;
+    m_jobsKnownAt = update.knownAt;
     m_isPlacementDue = true;
     finishLoading(step);
 }
@@ -518,7 +522,20 @@
     // noteStored() does not use the written rows, so they are not kept until the answer.
     batch.changes.writes.clear();
     m_batch = std::move(batch);
-    step.emit(m_pipeline.submit(std::move(commit), m_jobs.waitingJobs(), step.now));
+    step.emit(m_pipeline.submit(std::move(commit), waitingJobs(step.now), step.now));
+}
+
+WaitingJobs Scheduler::waitingJobs(TimePoint now) const
+{
+    if (m_phase != Phase::Leading || now > m_jobsKnownAt + maxAgeOfJobs)
+        return m_lease.record().waitingJobs;
+    WaitingJobs waiting { m_jobs.waitingJobs(), m_lease.storeClock(now) };
+    // The names of queues that were removed long ago are not bounded by the configuration.
+    constexpr std::size_t bytesPerQueue = 16;
+    std::size_t bytes = 0;
+    for (const auto& [queue, count] : waiting.byQueue)
+        bytes += queue.size() + bytesPerQueue;
+    return bytes <= m_changeLimits.rowBytes / 2 ? waiting : WaitingJobs {};
 }
 
 std::optional<JobState> Scheduler::stateOf(const JobId& job, TimePoint now) const
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -83,6 +83,9 @@
     void cancelRequestedJobs(Step&);
     void place(Step&);
     void commit(Step&);
+    // What the next commit states. A leader that does not know the numbers keeps those of the lease row, with
+    // their age.
+    WaitingJobs waitingJobs(TimePoint now) const;
     void batchApplied(Step&);
     void batchRejected(Step&);
     // Fails jobs whose progress the store cannot keep.
@@ -109,6 +112,7 @@
     std::vector<WorkerAnswer> m_keptAnswers;
     bool m_hasKeptCancelRequests = false;
     bool m_hasJobs = false;
+    TimePoint m_jobsKnownAt {}; // the job rows are known up to this time
     bool m_hasWorkers = false;
     std::optional<std::vector<Row>> m_loadedProgress;
     OperationId m_progressRead = 0;
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -18,6 +18,8 @@
 // the configuration every 0.6 s, or every second if it is slow. A daemon without a confirmation for longer
 // has most likely lost contact with the store, and another daemon can serve new connections better.
 constexpr Milliseconds readinessTimeout { 1'300 };
+// The platform allows the number of waiting jobs to be this old.
+constexpr Milliseconds maxAgeOfCount { 2'000 };
 
 } // namespace
 
@@ -50,11 +52,13 @@
     return m_scheduler.stateOf(job, now);
 }
 
-std::uint64_t BatchReducer::waitingJobs(const std::string& queue) const
+std::optional<std::uint64_t> BatchReducer::waitingJobs(const std::string& queue, TimePoint now) const
 {
-    const auto& counts = m_lease.record().waitingJobs;
-    const auto found = counts.find(queue);
-    return found == counts.end() ? 0 : found->second;
+    const WaitingJobs& waiting = m_lease.record().waitingJobs;
+    if (!waiting.countedAt || m_lease.storeClock(now) > waiting.countedAt + maxAgeOfCount.count())
+        return std::nullopt;
+    const auto found = waiting.byQueue.find(queue);
+    return found == waiting.byQueue.end() ? 0 : found->second;
 }
 
 void BatchReducer::on(const Tick&, Step& step)
--- a/src/batch/reducer/batch_reducer.h
+++ b/src/batch/reducer/batch_reducer.h
@@ -10,7 +10,9 @@
 #include "batch/reducer/order_permission.h"
 #include "batch/store/leader_lease.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,7 +44,7 @@
 
 private:
     std::optional<JobState> stateOf(const JobId&, TimePoint now) const override;
-    std::uint64_t waitingJobs(const std::string& queue) const override;
+    std::optional<std::uint64_t> waitingJobs(const std::string& queue, TimePoint now) const override;
 
     void on(const Tick&, Step&);
     void on(const PlacementTurn&, Step&);
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -45,8 +45,7 @@
     return send(Purpose::Release, m_lease.released(now), {}, now);
 }
 
-Effect CommitPipeline::submit(
-    CommitBatch batch, std::map<std::string, std::uint64_t> waitingJobs, TimePoint now)
+Effect CommitPipeline::submit(CommitBatch batch, WaitingJobs waitingJobs, TimePoint now)
 {
     return send(Purpose::Batch, m_lease.next(std::move(waitingJobs), now), std::move(batch), now);
 }
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -7,9 +7,7 @@
 #include "batch/store/operation_bits.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -51,7 +49,7 @@
 
     Effect claim(TimePoint now);
     Effect release(TimePoint now);
-    Effect submit(CommitBatch, std::map<std::string, std::uint64_t> waitingJobs, TimePoint now);
+    Effect submit(CommitBatch, WaitingJobs, TimePoint now);
     Answer answered(const CommitAnswered&, TimePoint now);
     // Sends the commit in flight again, if that is due.
     std::optional<Effect> resend(TimePoint now);
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -24,18 +24,21 @@
 
 std::string encodeLease(const LeaseRecord& record)
 {
-    return toMessagePack(nlohmann::json::array(
-        { record.holder, record.epoch, record.sequence, record.waitingJobs, record.sentAt }));
+    return toMessagePack(nlohmann::json::array({ record.holder, record.epoch, record.sequence,
+        record.waitingJobs.byQueue, record.sentAt, record.waitingJobs.countedAt }));
 }
 
 tl::expected<LeaseRecord, std::string> decodeLease(std::string_view bytes)
 {
     try {
-        // Rows written by earlier versions have no send time.
+        // Rows written by earlier versions lack the send time, or the time at which the jobs were counted.
         const auto row = fromMessagePack(bytes);
+        const auto clock = [&row](std::size_t field) {
+            return row.size() > field ? integerIn(row.at(field), 0, largestCounter) : StoreClock { 0 };
+        };
+        WaitingJobs waiting { row.at(3).get<std::map<std::string, std::uint64_t>>(), clock(5) };
         return LeaseRecord { row.at(0).get<std::string>(), counter(row.at(1)), counter(row.at(2)),
-            row.at(3).get<std::map<std::string, std::uint64_t>>(),
-            row.size() > 4 ? integerIn(row.at(4), 0, largestCounter) : StoreClock { 0 } };
+            std::move(waiting), clock(4) };
     } catch (const std::exception& error) {
         return tl::unexpected(fmt::format("cannot decode leader lease row: {}", error.what()));
     }
@@ -96,7 +99,7 @@
     return now >= std::max(endedAt, m_contactSince) + m_claimDelay;
 }
 
-LeaseRecord LeaderLease::next(std::map<std::string, std::uint64_t> waitingJobs, TimePoint now) const
+LeaseRecord LeaderLease::next(WaitingJobs waitingJobs, TimePoint now) const
 {
     const StoreClock sentAt = m_storeClock.at(now);
     if (m_isLeader)
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -25,12 +25,20 @@
 // A leader commits at least this often.
 constexpr Milliseconds leaseRenewalInterval { 350 };
 
+// Numbers of accepted jobs of which no task has begun.
+struct WaitingJobs {
+    std::map<std::string, std::uint64_t> byQueue; // 0 for queues that are missing
+    StoreClock countedAt = 0; // 0: they are not known
+
+    bool operator==(const WaitingJobs&) const = default;
+};
+
 // The row that names the leader. Every commit of the leader rewrites it.
 struct LeaseRecord {
     std::string holder; // empty: released
     std::uint64_t epoch = 0; // increases with each leader; workers refuse orders of a lower epoch
     std::uint64_t sequence = 0; // counts the leader's commits; identifies a commit whose answer was lost
-    std::map<std::string, std::uint64_t> waitingJobs; // number of accepted jobs that have not begun, by queue
+    WaitingJobs waitingJobs; // as counted by this leader or, until it has read all jobs, by an earlier one
     // When the commit was sent, or slightly earlier; 0: unknown. A daemon that has just started derives the
     // age of the lease from it.
     StoreClock sentAt = 0;
@@ -74,12 +82,14 @@
     const LeaseRecord& record() const { return m_record; }
 
     // The record that claims the lease or, for the leader, renews it. Its commit must expect version().
-    LeaseRecord next(std::map<std::string, std::uint64_t> waitingJobs, TimePoint now) const;
+    LeaseRecord next(WaitingJobs, TimePoint now) const;
     LeaseRecord released(TimePoint now) const;
     // The record with its send time updated, for sending the commit again.
     LeaseRecord withCurrentSendTime(LeaseRecord, TimePoint now) const;
     // Records that the commit of a record from next() or released() was applied; it was sent at `sentAt`.
     void committed(const LeaseRecord&, RowVersion, TimePoint sentAt);
+    // The store's clock at this time, or slightly earlier; 0: unknown.
+    StoreClock storeClock(TimePoint now) const { return m_storeClock.at(now); }
     void noteStoreClock(StoreClock answeredAt, TimePoint now) { m_storeClock.note(answeredAt, now); }
     // Gives up the sequence number of the next commit. Must be called before a commit that may have been
     // applied is replaced by another one, so that they are not taken for the same.
--- a/test/batch_foreign_row_test.cpp
+++ b/test/batch_foreign_row_test.cpp
@@ -220,10 +220,10 @@
 
     void testLeaseRowWithNumberOutOfRangeIsRejected()
     {
-        const Json valid = Json::array({ "host/1", 3, 4, Json::object(), 5 });
+        const Json valid = Json::array({ "host/1", 3, 4, Json::object(), 5, 6 });
         CPPUNIT_ASSERT(decodeLease(toMessagePack(valid)).has_value());
         for (const Json& number : std::vector<Json> { -1, 18'446'744'073'709'551'615U, 1e300 }) {
-            for (const std::size_t field : { 1U, 2U, 4U }) {
+            for (const std::size_t field : { 1U, 2U, 4U, 5U }) {
                 Json lease = valid;
                 lease[field] = number;
                 CPPUNIT_ASSERT_MESSAGE(number.dump(), !decodeLease(toMessagePack(lease)).has_value());
@@ -238,7 +238,7 @@
         const std::string job = encodeJob(validJob());
         const std::string progress = validProgress();
         const std::string earlier = toMessagePack(earlierProgress());
-        const std::string lease = encodeLease({ "host/1", 3, 4, { { "small", 2 } }, 5 });
+        const std::string lease = encodeLease({ "host/1", 3, 4, { { { "small", 2 } }, 6 }, 5 });
         int accepted = 0;
         for (int round = 0; round < rounds; ++round) {
             for (const std::string& row : { job, progress, earlier, lease })
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -354,6 +354,7 @@
         const auto record = decodeLease(row);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, record.value().epoch);
         CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, record.value().sentAt);
+        CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, record.value().waitingJobs.countedAt);
     }
 
     void testEpochRisesWithEachLeader()
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -319,9 +319,11 @@
         for (Row& row : m_store.read(start, {}))
             jobs.rows.push_back(std::move(row));
     }
-    daemon.jobsSeen = m_store.version();
-    daemon.areJobsListed = true;
-    deliver(index, lifetime, storeDelay, std::move(jobs));
+    if (!areJobsSilent) {
+        daemon.jobsSeen = m_store.version();
+        daemon.areJobsListed = true;
+        deliver(index, lifetime, storeDelay, std::move(jobs));
+    }
     if (!m_registry.empty()) {
         if (m_now >= daemon.registryAt)
             followRegistry(index);
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -105,6 +105,7 @@
     std::set<std::size_t> cutFromWorkers; // daemons
     std::set<std::size_t> cannotRead; // daemons whose large reads (ReadRows) fail
     bool isStoreDown = false;
+    bool areJobsSilent = false; // leaders get no answer to their requests for changed job rows
     Milliseconds commitDelay { 0 }; // added to the time of each commit
     double lostCommitReplyShare = 0; // share of commits that are applied, but whose reply is lost
     double lateOrderShare = 0; // share of orders without an answer that are executed 2 to 12 s later
