Count a job as begun only once a worker has started a task of it

Cause: assigning a task marked its job as begun for good, before any worker had answered. The count stated as known what was only ordered.

Change: the mark is set when a worker has accepted the start, or lists a run of the job as active or ended. It goes into the next row of the job; a leader that takes over before learns it from the worker's next list.

--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -185,7 +185,6 @@
         task.assignment = Assignment { workers[i], unit.run };
         ++m_assignments;
     }
-    m_record.hasBegun = true;
     if (m_record.state == JobState::Pending)
         m_record.state = JobState::Running;
 }
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -44,8 +44,11 @@
     const AcceptedJob& job() const { return m_job; }
     JobState state() const { return m_record.state; }
     bool hasAssignments() const { return m_assignments > 0; }
-    // False if no task has ever been assigned.
+    // Whether a worker has started one of its tasks, as far as is known.
     bool hasBegun() const { return m_record.hasBegun; }
+    // Must be called when a worker has confirmed a start, or lists a run as active or ended. The next row
+    // with the progress contains it; until then, another leader learns it from the worker.
+    void noteBegun() { m_record.hasBegun = true; }
 
     // Opens the occurrences that are due, as long as not too many tasks are open. Returns whether any was
     // opened.
--- a/src/batch/jobs/progress_record.h
+++ b/src/batch/jobs/progress_record.h
@@ -41,7 +41,7 @@
 // The progress of one job.
 struct ProgressRecord {
     JobState state = JobState::Pending;
-    bool hasBegun = false;
+    bool hasBegun = false; // a worker has started a task
     OccurrenceSet completed; // all tasks are done and none has an assignment
     std::map<int, OccurrenceProgress> open; // occurrences that were due and are not completed, by number
 };
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -121,6 +121,8 @@
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
         noteStarted(*run, step.now);
+        if (JobBook::Entry* entry = m_jobs.find(answer.run.task.job))
+            entry->progress.noteBegun();
         return;
     case OrderOutcome::Unknown:
         run->mayStartLate = true;
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -277,6 +277,8 @@
             worker.health.runFailed(step.now);
         else
             worker.health.trialAborted();
+        if (JobBook::Entry* job = m_jobs.find(ended.run.task.job))
+            job->progress.noteBegun();
         if (findRun(worker, ended.run))
             finish(worker, ended.run, ended.end, ended.checkpoint, step);
         else
@@ -310,8 +312,10 @@
         run->wasListed = true;
         run->progress.note({ active.percent, status.clock });
         measureSpeed(worker, *run);
-        if (JobBook::Entry* entry = m_jobs.find(active.run.task.job))
+        if (JobBook::Entry* entry = m_jobs.find(active.run.task.job)) {
+            entry->progress.noteBegun();
             entry->progress.noteCheckpoint(active.run, active.checkpoint);
+        }
     }
     judgeProgress(worker, step);
 }
--- a/test/batch_waiting_count_test.cpp
+++ b/test/batch_waiting_count_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(testCountThatLeadersOnlyPassOnIsNotStatedForLong);
     CPPUNIT_TEST(testLeaderThatDoesNotSeeNewJobsStatesNoCount);
     CPPUNIT_TEST(testCountIsAnsweredOnceNextLeaderKnowsIt);
+    CPPUNIT_TEST(testJobsWhoseStartWasRefusedAreCounted);
+    CPPUNIT_TEST(testJobWithStartedTaskIsNotCountedUnderNextLeader);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t jobs = 20;
@@ -119,6 +121,30 @@
             CPPUNIT_ASSERT_EQUAL(jobs, m_cluster.lastAnswer()->count);
         }
     }
+
+    // Guards against taking a job for begun because a task of it was assigned to a worker that refused it.
+    void testJobsWhoseStartWasRefusedAreCounted()
+    {
+        m_cluster.addWorkers(1, 2);
+        for (std::size_t worker = 0; worker < 2; ++worker)
+            m_cluster.worker(worker).behavior.refusalShare = 1;
+        submitJobs(jobs, 0);
+        m_cluster.run(Milliseconds(6'000));
+        requireNoWrongCount(Milliseconds(3'000));
+        CPPUNIT_ASSERT(countAt(1) == jobs);
+    }
+
+    // The first leader ends before it has stored that the task was started.
+    void testJobWithStartedTaskIsNotCountedUnderNextLeader()
+    {
+        m_cluster.addWorkers(1, 2);
+        const JobId job = m_cluster.submit(0, "small", { testing::makeStep(1, 1, Milliseconds(60'000)) });
+        CPPUNIT_ASSERT(m_cluster.runUntil([&] { return m_cluster.startsOf(job) == 1; }, Milliseconds(2'000)));
+        m_cluster.run(Milliseconds(20));
+        const std::size_t killed = killLeader();
+        m_cluster.run(Milliseconds(5'000));
+        CPPUNIT_ASSERT(countAt((killed + 1) % 3) == 0U);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchWaitingCountTest);
