--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -59,25 +59,19 @@
 
 const QueueConfiguration* JobIntake::admit(const CallerRequest& request, Step& step) const
 {
-    const auto refuse = [&](AnswerKind kind, std::string detail) -> const QueueConfiguration* {
-        step.record("request.refused",
-            { { "path", request.path }, { "reason", detail },
-                { "configuration", std::to_string(m_configuration.current().version) },
-                { "confirmed_ms_ago", std::to_string(m_configuration.age(step.now).count()) } });
-        AnswerCaller refusal { request.caller, kind };
-        refusal.detail = std::move(detail);
-        step.emit(std::move(refusal));
+    const auto refused = [&](AnswerKind kind, const std::string& detail) -> const QueueConfiguration* {
+        refuse(request, kind, detail, step);
         return nullptr;
     };
     if (!m_configuration.hasConfiguration())
-        return refuse(AnswerKind::NoConfiguration, "no configuration has been read yet");
+        return refused(AnswerKind::NoConfiguration, "no configuration has been read yet");
     if (!m_configuration.isConfirmed(step.now))
-        return refuse(AnswerKind::NoConfiguration, "the configuration cannot be confirmed at present");
+        return refused(AnswerKind::NoConfiguration, "the configuration cannot be confirmed at present");
     const QueueConfiguration* queue = m_configuration.findQueue(request.host, request.path);
     if (!queue)
-        return refuse(AnswerKind::NoSuchQueue, "no queue has this host and path");
+        return refused(AnswerKind::NoSuchQueue, "no queue has this host and path");
     if (!queue->isPublic && !m_configuration.findAccount(request.apiKey))
-        return refuse(AnswerKind::UnknownKey, "no client account has this key");
+        return refused(AnswerKind::UnknownKey, "no client account has this key");
     return queue;
 }
 
@@ -141,8 +135,13 @@
     open(std::move(request), step);
 }
 
-void JobIntake::refuse(const CallerRequest& caller, AnswerKind kind, const std::string& detail, Step& step)
+void JobIntake::refuse(
+    const CallerRequest& caller, AnswerKind kind, const std::string& detail, Step& step) const
 {
+    step.record("request.refused",
+        { { "path", caller.path }, { "reason", detail },
+            { "configuration", std::to_string(m_configuration.current().version) },
+            { "confirmed_ms_ago", std::to_string(m_configuration.age(step.now).count()) } });
     AnswerCaller refusal { caller.caller, kind };
     refusal.detail = detail;
     step.emit(std::move(refusal));
@@ -374,6 +373,9 @@
     const Request& request = m_requests.at(id);
     const bool isCallerGone = request.answerBy == TimePoint::min();
     if (!isCallerGone && request.stage == Stage::AwaitingCount) {
+        step.warn("request.count_unknown",
+            { { "queue", request.queue },
+                { "waited_ms", std::to_string((step.now - request.receivedAt).count()) } });
         AnswerCaller unknown { request.caller, AnswerKind::CountUnknown };
         unknown.detail = "the number of waiting jobs is not known at present";
         step.emit(std::move(unknown));
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -75,7 +75,7 @@
     // Null if the request was refused; the caller has then been answered.
     const QueueConfiguration* admit(const CallerRequest&, Step&) const;
     void submit(const CallerRequest&, const QueueConfiguration&, const JobId&, Step&);
-    static void refuse(const CallerRequest&, AnswerKind, const std::string& detail, Step&);
+    void refuse(const CallerRequest&, AnswerKind, const std::string& detail, Step&) const;
     void query(const CallerRequest&, const JobId&, Step&);
     void cancel(const CallerRequest&, const JobId&, Step&);
     void count(const CallerRequest&, const QueueConfiguration&, Step&);
