--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -64,6 +64,7 @@
         JobBook::Changes changes;
     };
 
+    static ChangeLimits changeLimitsOf(const StoreLimits&);
     bool mayClaim(TimePoint now) const;
     void beginLoading(Step&);
     void abandonLoading(Step&);
