--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -19,8 +19,8 @@
 // How long callers can query a job's state after its end. The platform requires 120 s.
 constexpr Milliseconds jobRetention { 150'000 };
 
-// Upper limits of the changes that are stored together. A single change is always within the limit of bytes,
-// unless its row is as large.
+// Upper limits of the changes that are stored together. The first one is stored even if it takes more than
+// `bytes`; no row takes more than `rowBytes`.
 struct ChangeLimits {
     std::size_t rows = 1;
     std::size_t bytes = StoreLimits {}.transactionBytes; // encoded, see transaction_size.h
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -128,6 +128,10 @@
         CPPUNIT_ASSERT(settings->shutdownGrace == Milliseconds(6'000));
         CPPUNIT_ASSERT(settings->maxWorkerLease == Milliseconds(6'000));
         CPPUNIT_ASSERT(settings->heartbeatInterval == Milliseconds(1'500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, settings->storeRowBytes);
+        const auto limited = settingsFrom(goodSettings() + "rowBytes = 16384\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 16'384 }, limited->storeRowBytes);
+        CPPUNIT_ASSERT(!settingsFrom(goodSettings() + "rowBytes = -1\n").has_value());
     }
 
     void testBadSettingsNameFieldAndReason()
