Read a table again if the answer with its changes is too large

A leader whose feed of jobs gets an answer above the HTTP client's limit repeated the request and heard of no job, until the store had dropped its history. The new lines of testFeedAnswerGivesOutcome check it; they were not run on the landed code.

--- a/src/batch/daemon/ports.h
+++ b/src/batch/daemon/ports.h
@@ -25,7 +25,7 @@
 
 enum class FeedOutcome {
     Ok,
-    HistoryLost, // the store no longer has all changes after the requested version
+    HistoryLost, // the changes after the requested version cannot be had; the table has to be read again
     Failed,
 };
 
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -445,6 +445,9 @@
         m_client.answer(410, "");
         CPPUNIT_ASSERT(reply.outcome == batch::FeedOutcome::HistoryLost);
         feed();
+        m_client.fail(net::HttpErrorKind::TooLarge);
+        CPPUNIT_ASSERT(reply.outcome == batch::FeedOutcome::HistoryLost);
+        feed();
         m_client.answer(503, "");
         CPPUNIT_ASSERT(reply.outcome == batch::FeedOutcome::Failed);
     }
