Log what a job waits for that could run and has nothing running

The leader now looks once a second for jobs that could run and have nothing running, and for those that have stood so for 2.5 s and do not simply wait for a full service it records job.waiting with the cause: by placing the job under ever stricter conditions, or from the phase of its assigned run. At most 16 jobs are examined and 5 lines written each 5 s, whatever the number of jobs (testNumberOfLinesIsBounded). No decision changes.

The tests of placement share the state of a leader with the new ones (test/support/leader_state.h); their checks are unchanged.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -50,6 +50,7 @@
     , m_changeLimits(changeLimitsOf(storeLimits))
     , m_runs(m_workers, m_jobs, settings)
     , m_placement(placement, order, settings.stopTimeout, storeLimits)
+    , m_waitingJobLog(m_jobs, m_workers, m_placement)
     , m_pipeline(lease)
     , m_loadTimeout(initialLoadTimeout)
 {
@@ -87,6 +88,7 @@
     if (mayAct(step.now)) {
         m_runs.tick(step);
         removeExpired(step);
+        m_waitingJobLog.tick(step);
     }
     if (step.now >= m_placedAt + maxPlacementInterval)
         m_isPlacementDue = true;
@@ -211,6 +213,7 @@
     m_jobs = JobBook();
     m_workers = WorkerPool();
     m_placement.clear();
+    m_waitingJobLog.clear();
     m_batch.reset();
     m_isProbeDue = false;
     m_areSpeedsStored = true;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/configuration.h"
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
+#include "batch/leader/waiting_job_log.h"
 #include "batch/placement/placement_round.h"
 #include "batch/reducer/step.h"
 #include "batch/store/commit_pipeline.h"
@@ -101,6 +102,7 @@
     WorkerPool m_workers;
     RunSupervisor m_runs;
     PlacementRound m_placement;
+    WaitingJobLog m_waitingJobLog;
     CommitPipeline m_pipeline;
     Phase m_phase = Phase::Following;
     std::uint64_t m_epoch = 0; // of the latest leadership
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -91,6 +91,16 @@
         m_workers[entry->first].room = entry->second;
 }
 
+namespace {
+
+WorkerCapacity capacityOf(const WorkerLifetime& lifetime, const Worker& worker)
+{
+    return { lifetime, worker.record.rack, worker.record.kind, worker.room(), worker.record.capacity,
+        !worker.health.isTrusted(), worker.speed.value(), worker.speed.band(), &worker };
+}
+
+} // namespace
+
 std::map<ServiceId, CapacityView> capacityOf(const WorkerPool& pool, TimePoint now)
 {
     std::map<ServiceId, CapacityView> services;
@@ -102,8 +112,20 @@
         const bool isOnTrial = !worker.health.isTrusted();
         if (isOnTrial && (!worker.health.isDueForTrial(now) || !worker.runs.empty()))
             continue;
-        services[worker.record.service].add({ lifetime, worker.record.rack, worker.record.kind, worker.room(),
-            worker.record.capacity, isOnTrial, worker.speed.value(), worker.speed.band(), &worker });
+        services[worker.record.service].add(capacityOf(lifetime, worker));
+    }
+    return services;
+}
+
+std::map<ServiceId, CapacityView> capacityWithClosedWorkers(const WorkerPool& pool)
+{
+    std::map<ServiceId, CapacityView> services;
+    for (const auto& [lifetime, worker] : pool.all()) {
+        if (!worker.isListed || worker.record.isDraining)
+            continue;
+        WorkerCapacity capacity = capacityOf(lifetime, worker);
+        capacity.isOnTrial = false;
+        services[worker.record.service].add(std::move(capacity));
     }
     return services;
 }
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -66,5 +66,8 @@
 
 // Returns the workers that accept new runs at the time `now`, grouped by service.
 std::map<ServiceId, CapacityView> capacityOf(const WorkerPool&, TimePoint now);
+// Like capacityOf(), but includes workers that get no new runs at present because they are silent, suspended
+// or stalled.
+std::map<ServiceId, CapacityView> capacityWithClosedWorkers(const WorkerPool&);
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -52,8 +52,7 @@
     return { unit.job, unit.occurrence, unit.step, 0 };
 }
 
-PlacementOutcome PlacementRound::run(JobBook& jobs, const WorkerPool& workers,
-    const Configuration& configuration, TimePoint now, WallTime wallTime)
+void PlacementRound::beginRound(JobBook& jobs, const WorkerPool& workers)
 {
     m_workers = &workers;
     m_jobs = &jobs;
@@ -64,6 +63,12 @@
     m_candidates.clear();
     m_lessUrgentUse.clear();
     m_stepTasksByWorker.clear();
+}
+
+PlacementOutcome PlacementRound::run(JobBook& jobs, const WorkerPool& workers,
+    const Configuration& configuration, TimePoint now, WallTime wallTime)
+{
+    beginRound(jobs, workers);
     m_heldWorkers.clear();
     m_holdCount = 0;
     std::erase_if(m_evictionCounts, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -6,6 +6,7 @@
 #include "batch/placement/eviction.h"
 #include "batch/placement/placement_policy.h"
 #include "batch/placement/queue_order.h"
+#include "batch/placement/wait_cause.h"
 #include "batch/workers/worker_pool.h"
 
 #include <compare>
@@ -46,6 +47,10 @@
         const PlacementPolicy&, const QueueOrder&, Milliseconds stopTimeout, const StoreLimits& = {});
 
     PlacementOutcome run(JobBook&, const WorkerPool&, const Configuration&, TimePoint now, WallTime wallTime);
+    // Why no unit of the job was placed in the last round. Some unit of the job must be waiting. Takes as
+    // long as several placements.
+    WaitCause waitCauseOf(
+        const JobBook::Entry&, JobBook&, const WorkerPool&, TimePoint now, WallTime wallTime);
     // Discards all reservations and eviction counts.
     void clear()
     {
@@ -96,6 +101,9 @@
 
     static UnitKey keyOf(const PlacementUnit&);
     static UnitKey stepKeyOf(const PlacementUnit&);
+    // Forgets what is known of the jobs and workers of an earlier round.
+    void beginRound(JobBook&, const WorkerPool&);
+    bool fits(const PlacementRequest&, CapacityView) const;
     std::vector<WaitingStep> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
     static Shape shapeOf(const WaitingUnit&, const PlacementRequest&);
     void applyReservations(Views&, TimePoint now);
