Keep no job waiting beside free room while the service is mostly free

Cause: placement kept units from free room by preferences without a bound in time.

Now a step that could have been placed in free room for 2 s, while at most 0.6 of the service's capacity is in use, is placed there, whatever its locality, headroom or holds say. Capacity counts all listed workers, so that closed ones do not make the service look full. A busy service keeps the preferences: there, a spread gang costs others three times its share.

Evidence: before, six of the new tests fail: testGangDoesNotWaitLongForItsRackWhileServiceIsMostlyFree, testGangsOfSameShapeDoNotWaitForEachOther..., testTasksDoNotWaitLongForRackOfTheirData..., testSmallJobDoesNotWaitLongForWorkersHeldForGang..., testSuspendedWorkersDoNotMakeServiceCountAsFull, testWaitBesideRoomCountsOnlyTimeWithRoom.

--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -23,6 +23,11 @@
 // partly idle for a while.
 constexpr int maxHolds = 2;
 
+// While the service is mostly free, a unit is kept from free room no longer than this.
+constexpr Milliseconds maxWaitBesideRoom { 2'000 };
+// The service is mostly free if at most this share of its capacity is in use.
+constexpr double mostlyFreeUtilization = 0.6;
+
 std::int64_t acceleratorsOf(const AcceptedJob& job)
 {
     std::int64_t most = 0;
@@ -63,6 +68,7 @@
     m_candidates.clear();
     m_lessUrgentUse.clear();
     m_stepTasksByWorker.clear();
+    m_sharesInUse.clear();
 }
 
 PlacementOutcome PlacementRound::run(JobBook& jobs, const WorkerPool& workers,
@@ -73,6 +79,7 @@
     m_holdCount = 0;
     std::erase_if(m_evictionCounts, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
+    m_earlierRoomSince = std::exchange(m_roomSince, {});
     std::vector<WaitingStep> waiting = collect(jobs, configuration, now, wallTime);
     if (waiting.empty())
         return outcome;
@@ -243,14 +250,19 @@
     const Shape shape = shapeOf(waiting, request);
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
-    if (!isReserved && isKnownUnplaceable(shape, request.tasks))
+    const bool isUnplaceable = !isReserved && isKnownUnplaceable(shape, request.tasks);
+    if (isUnplaceable && !isMostlyFree(waiting.job->job().terms.service))
         return false;
     ProgressBudget* const budget = budgetOf(*waiting.job);
     if (budget && !budget->admits(waiting.unit))
         return false;
     if (isReserved)
         reserve(view, reservation->second, false);
-    auto workers = placeWithHeadroom(waiting, request, view, now);
+    std::optional<std::vector<WorkerLifetime>> workers;
+    if (!isUnplaceable)
+        workers = placeWithHeadroom(waiting, request, view, now);
+    if (!workers)
+        workers = placeAnywhere(waiting, request, view, now);
     if (workers) {
         if (isReserved)
             m_reservations.erase(reservation);
@@ -263,10 +275,17 @@
         outcome.placed.push_back({ waiting.unit, std::move(*workers) });
         return true;
     }
-    if (isReserved) {
+    if (isReserved)
         reserve(view, reservation->second, true);
-        return false;
-    }
+    else if (!isUnplaceable)
+        makeRoomFor(waiting, request, view, outcome, now, wallTime);
+    return false;
+}
+
+// Evicts other work for an urgent unit that does not fit, or keeps workers for a gang.
+void PlacementRound::makeRoomFor(const WaitingUnit& waiting, const PlacementRequest& request,
+    CapacityView& view, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
+{
     // Late work gains little from an eviction, so it may evict only if it is guaranteed.
     const AcceptedJob& job = waiting.job->job();
     const bool isInTime
@@ -278,8 +297,39 @@
     // Excluded workers and a limit per worker apply to this job only.
     const bool isDecidedByShape = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
     if (!hasMadeRoom && isDecidedByShape)
-        noteUnplaceable(shape, request.tasks);
-    return false;
+        noteUnplaceable(shapeOf(waiting, request), request.tasks);
+}
+
+// Places a unit that has been kept from free room for long, regardless of its locality, of headroom and of
+// workers that are held for gangs.
+std::optional<std::vector<WorkerLifetime>> PlacementRound::placeAnywhere(
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
+{
+    if (!isMostlyFree(waiting.job->job().terms.service))
+        return std::nullopt;
+    PlacementRequest anywhere = request;
+    anywhere.mayRelaxLocality = true;
+    const std::vector<Resources> rooms = view.rooms();
+    auto workers = m_placement.place(anywhere, view);
+    if (!workers)
+        return std::nullopt;
+    const UnitKey step = stepKeyOf(waiting.unit);
+    const auto earlier = m_earlierRoomSince.find(step);
+    const TimePoint since = earlier == m_earlierRoomSince.end() ? now : earlier->second;
+    m_roomSince.emplace(step, since);
+    if (now >= since + maxWaitBesideRoom)
+        return workers;
+    view.setRooms(rooms);
+    return std::nullopt;
+}
+
+// Counts workers that get no new runs at present as well: a few of them in use do not make a service full.
+bool PlacementRound::isMostlyFree(const ServiceId& service)
+{
+    const auto [share, isNew] = m_sharesInUse.try_emplace(service);
+    if (isNew)
+        share->second = shareInUse(*m_workers, service);
+    return share->second <= mostlyFreeUtilization;
 }
 
 // Keeps less urgent work off some idle workers in each rack, so that urgent gangs can start without
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -40,6 +40,9 @@
 // Considers all waiting units in queue order, places those that fit, and evicts other work to make room for
 // urgent units. Room made by an eviction stays reserved for its unit until the unit is placed or the
 // reservation expires. Reservations persist from one round to the next.
+//
+// Locality, headroom and workers held for gangs may keep a unit from free room. While the service is mostly
+// free, that ends after a short time: an accepted job does not wait beside room that nobody uses.
 class PlacementRound {
 public:
     // A run ends within `stopTimeout` after it was ordered to stop.
@@ -51,11 +54,12 @@
     // long as several placements.
     WaitCause waitCauseOf(
         const JobBook::Entry&, JobBook&, const WorkerPool&, TimePoint now, WallTime wallTime);
-    // Discards all reservations and eviction counts.
+    // Discards all that is known from earlier rounds.
     void clear()
     {
         m_reservations.clear();
         m_evictionCounts.clear();
+        m_roomSince.clear();
     }
 
 private:
@@ -123,6 +127,11 @@
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeWithHeadroom(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
+    std::optional<std::vector<WorkerLifetime>> placeAnywhere(
+        const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
+    bool isMostlyFree(const ServiceId&);
+    void makeRoomFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&,
+        TimePoint now, WallTime);
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
     const std::vector<Resources>& lessUrgentUse(const CapacityView&, const ServiceId&, int priority);
     EvictionCandidates& candidatesFor(const CapacityView&, const ServiceId&, int priority, TimePoint now);
@@ -134,6 +143,10 @@
     std::map<UnitKey, Reservation> m_reservations;
     EvictionCounts m_evictionCounts;
     std::optional<TimePoint> m_urgentSeenAt; // last time with an unfinished job of priority 0
+    // Since when a waiting step could have been placed in free room from which it was kept: as of this round,
+    // and of the round before. Keyed by stepKeyOf().
+    std::map<UnitKey, TimePoint> m_roomSince;
+    std::map<UnitKey, TimePoint> m_earlierRoomSince;
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
@@ -148,6 +161,7 @@
     std::map<ServicePriority, EvictionCandidates> m_candidates;
     // What runs of lower urgency use, by the view's index of the worker.
     std::map<ServicePriority, std::vector<Resources>> m_lessUrgentUse;
+    std::map<ServiceId, double> m_sharesInUse;
     std::set<WorkerLifetime> m_heldWorkers; // kept for waiting gangs, closed to less urgent work
     int m_holdCount = 0;
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -40,6 +40,13 @@
     CPPUNIT_TEST(testHeadroomIsNotKeptWhileServiceIsMostlyIdle);
     CPPUNIT_TEST(testJobInTimeIsPlacedBeforeLateJobOfSamePriority);
     CPPUNIT_TEST(testWaitingGangGetsRackDespiteManySmallTasks);
+    CPPUNIT_TEST(testGangDoesNotWaitLongForItsRackWhileServiceIsMostlyFree);
+    CPPUNIT_TEST(testGangsOfSameShapeDoNotWaitForEachOtherWhileServiceIsMostlyFree);
+    CPPUNIT_TEST(testTasksDoNotWaitLongForRackOfTheirDataWhileServiceIsMostlyFree);
+    CPPUNIT_TEST(testSmallJobDoesNotWaitLongForWorkersHeldForGangWhileServiceIsMostlyFree);
+    CPPUNIT_TEST(testSuspendedWorkersDoNotMakeServiceCountAsFull);
+    CPPUNIT_TEST(testGangWaitsForItsRackWhileServiceIsBusy);
+    CPPUNIT_TEST(testWaitBesideRoomCountsOnlyTimeWithRoom);
     CPPUNIT_TEST_SUITE_END();
 
     const PackingPlacement m_packing;
@@ -470,6 +477,135 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, placed);
         CPPUNIT_ASSERT(state.jobs.find(more)->progress.hasAssignments());
     }
+
+    // Places a task with this many accelerators on one worker of the rack, for good.
+    static void occupy(testing::LeaderState& state, PlacementRound& round, const char* rack, int accelerators)
+    {
+        StepSpecification step = testing::makeStep(1, accelerators, Seconds(600));
+        step.dataRack = rack;
+        state.addJob(fmt::format("filler-{}-{}", rack, accelerators).c_str(), 1, step);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, state.place(round).placed.size());
+    }
+
+    // Makes a round every quarter of a second. Returns how long it takes until the job is placed as a whole;
+    // nullopt if it is not within the limit.
+    static std::optional<Milliseconds> timeToPlacement(
+        testing::LeaderState& state, PlacementRound& round, const JobId& job, Milliseconds limit)
+    {
+        const TimePoint begin = state.now;
+        while (state.now <= begin + limit) {
+            state.place(round);
+            const JobProgress& progress = state.jobs.find(job)->progress;
+            if (progress.hasAssignments() && progress.readySteps().empty())
+                return state.now - begin;
+            state.advance(Milliseconds(250));
+        }
+        return std::nullopt;
+    }
+
+    static void requirePlacedSoon(testing::LeaderState& state, PlacementRound& round, const JobId& job)
+    {
+        const auto time = timeToPlacement(state, round, job, Milliseconds(2'500));
+        CPPUNIT_ASSERT(time.has_value());
+    }
+
+    // Guards against a gang that waits for a whole rack until its objective has passed, although it fits
+    // twice elsewhere.
+    void testGangDoesNotWaitLongForItsRackWhileServiceIsMostlyFree()
+    {
+        testing::LeaderState state;
+        state.addWorkers(6, 8);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (const char* rack : { "r0", "r1", "r2", "r3", "r4", "r5" })
+            occupy(state, round, rack, 1);
+        const JobId gang = state.addJob("gang", 1, testing::makeGang(8, 8, true, Seconds(10)));
+        requirePlacedSoon(state, round, gang);
+    }
+
+    void testGangsOfSameShapeDoNotWaitForEachOtherWhileServiceIsMostlyFree()
+    {
+        testing::LeaderState state;
+        state.addWorkers(6, 8);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (const char* rack : { "r0", "r1", "r2", "r3", "r4", "r5" })
+            occupy(state, round, rack, 1);
+        state.addJob("a-gang", 1, testing::makeGang(8, 8, true, Seconds(10)));
+        const JobId second = state.addJob("b-gang", 1, testing::makeGang(8, 8, true, Seconds(10)));
+        requirePlacedSoon(state, round, second);
+    }
+
+    void testTasksDoNotWaitLongForRackOfTheirDataWhileServiceIsMostlyFree()
+    {
+        testing::LeaderState state;
+        state.addWorkers(4, 2);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        occupy(state, round, "r1", 8);
+        occupy(state, round, "r1", 7);
+        StepSpecification step = testing::makeStep(4, 2, Seconds(60));
+        step.dataRack = "r1";
+        requirePlacedSoon(state, round, state.addJob("small", 2, step));
+    }
+
+    // Guards against workers that are kept for a gang, mostly free, as long as the gang has to wait.
+    void testSmallJobDoesNotWaitLongForWorkersHeldForGangWhileServiceIsMostlyFree()
+    {
+        testing::LeaderState state;
+        state.addWorkers(6, 8);
+        StepSpecification spread = testing::makeStep(48, 1, Seconds(600));
+        spread.maxTasksPerWorker = 1;
+        state.addJob("filler", 2, spread);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        state.place(round);
+        state.addJob("gang", 1, testing::makeGang(48, 8, false, Seconds(10)));
+        requirePlacedSoon(state, round, state.addJob("small", 2, testing::makeStep(4, 1)));
+    }
+
+    void testSuspendedWorkersDoNotMakeServiceCountAsFull()
+    {
+        testing::LeaderState state;
+        state.addWorkers(4, 3);
+        for (const int rack : { 2, 3 }) {
+            for (const int index : { 0, 1, 2 })
+                state.worker(rack, index).health.orderRefused(state.now + Seconds(60));
+        }
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (const char* rack : { "r0", "r1" }) {
+            for (const int accelerators : { 8, 7 })
+                occupy(state, round, rack, accelerators);
+        }
+        requirePlacedSoon(state, round, state.addJob("gang", 1, testing::makeGang(2, 8, true, Seconds(10))));
+    }
+
+    // A gang that is spread over racks uses the service for three times as long.
+    void testGangWaitsForItsRackWhileServiceIsBusy()
+    {
+        testing::LeaderState state;
+        state.addWorkers(4, 4);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (const char* rack : { "r0", "r1", "r2", "r3" }) {
+            for (const int accelerators : { 8, 7, 6 })
+                occupy(state, round, rack, accelerators);
+        }
+        const JobId gang = state.addJob("gang", 1, testing::makeGang(2, 8, true, Seconds(10)));
+        CPPUNIT_ASSERT(!timeToPlacement(state, round, gang, Seconds(10)));
+    }
+
+    void testWaitBesideRoomCountsOnlyTimeWithRoom()
+    {
+        testing::LeaderState state;
+        state.addWorkers(2, 2);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        occupy(state, round, "r0", 8);
+        occupy(state, round, "r0", 7);
+        occupy(state, round, "r1", 6);
+        StepSpecification step = testing::makeStep(1, 8, Seconds(60));
+        step.dataRack = "r0";
+        const JobId job = state.addJob("job", 1, step);
+        CPPUNIT_ASSERT(!timeToPlacement(state, round, job, Seconds(10)));
+        state.endTask({ JobId("filler-r1-6"), 0, 0, 0 });
+        CPPUNIT_ASSERT(!timeToPlacement(state, round, job, Milliseconds(1'750)));
+        requirePlacedSoon(state, round, job);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchPlacementTest);
