Search for free room only when the wait beside it begins and ends

With the service mostly free and many jobs waiting that fit nowhere, for example for a label whose workers are full, each round would have searched for each of them again. Shapes that fit nowhere are now remembered for the round, as they are for the usual search, and a step whose wait has begun is searched for again only when it is over.

--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -64,6 +64,7 @@
     m_budgets.clear();
     m_longestWorkerId.reset();
     m_unplaceable.clear();
+    m_unplaceableAnywhere.clear();
     m_mostTasksWithinLocality.clear();
     m_candidates.clear();
     m_lessUrgentUse.clear();
@@ -208,18 +209,25 @@
     return request.tasks > most->second;
 }
 
-bool PlacementRound::isKnownUnplaceable(const Shape& shape, int tasks) const
+bool PlacementRound::isKnownUnplaceable(const SmallestByShape& unplaceable, const Shape& shape, int tasks)
 {
-    const auto known = m_unplaceable.find(shape);
-    return known != m_unplaceable.end() && tasks >= known->second;
+    const auto known = unplaceable.find(shape);
+    return known != unplaceable.end() && tasks >= known->second;
 }
 
-void PlacementRound::noteUnplaceable(const Shape& shape, int tasks)
+void PlacementRound::noteUnplaceable(SmallestByShape& unplaceable, const Shape& shape, int tasks)
 {
-    int& smallest = m_unplaceable.try_emplace(shape, tasks).first->second;
+    int& smallest = unplaceable.try_emplace(shape, tasks).first->second;
     smallest = std::min(smallest, tasks);
 }
 
+// Excluded workers and a limit per worker apply to one job only.
+bool PlacementRound::isDecidedByShape(const WaitingUnit& waiting)
+{
+    const StepSpecification& step = waiting.job->specificationOf(waiting.unit.step);
+    return !step.maxTasksPerWorker && waiting.failedOn->empty();
+}
+
 std::size_t PlacementRound::longestWorkerId()
 {
     if (m_longestWorkerId)
@@ -250,7 +258,7 @@
     const Shape shape = shapeOf(waiting, request);
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
-    const bool isUnplaceable = !isReserved && isKnownUnplaceable(shape, request.tasks);
+    const bool isUnplaceable = !isReserved && isKnownUnplaceable(m_unplaceable, shape, request.tasks);
     if (isUnplaceable && !isMostlyFree(waiting.job->job().terms.service))
         return false;
     ProgressBudget* const budget = budgetOf(*waiting.job);
@@ -294,10 +302,8 @@
     if (request.tasks > 1 && job.terms.priority == 1)
         holdFor(waiting, request, view);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
-    // Excluded workers and a limit per worker apply to this job only.
-    const bool isDecidedByShape = !request.step.maxTasksPerWorker && waiting.failedOn->empty();
-    if (!hasMadeRoom && isDecidedByShape)
-        noteUnplaceable(shapeOf(waiting, request), request.tasks);
+    if (!hasMadeRoom && isDecidedByShape(waiting))
+        noteUnplaceable(m_unplaceable, shapeOf(waiting, request), request.tasks);
 }
 
 // Places a unit that has been kept from free room for long, regardless of its locality, of headroom and of
@@ -307,19 +313,27 @@
 {
     if (!isMostlyFree(waiting.job->job().terms.service))
         return std::nullopt;
-    PlacementRequest anywhere = request;
-    anywhere.mayRelaxLocality = true;
-    const std::vector<Resources> rooms = view.rooms();
-    auto workers = m_placement.place(anywhere, view);
-    if (!workers)
-        return std::nullopt;
     const UnitKey step = stepKeyOf(waiting.unit);
     const auto earlier = m_earlierRoomSince.find(step);
-    const TimePoint since = earlier == m_earlierRoomSince.end() ? now : earlier->second;
+    const bool isNew = earlier == m_earlierRoomSince.end();
+    const TimePoint since = isNew ? now : earlier->second;
+    const bool isDue = now >= since + maxWaitBesideRoom;
+    // Searches only when the wait begins and when it ends.
+    if (isNew || isDue) {
+        PlacementRequest anywhere = request;
+        anywhere.mayRelaxLocality = true;
+        const Shape shape = shapeOf(waiting, anywhere);
+        if (isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
+            return std::nullopt;
+        const std::vector<Resources> rooms = view.rooms();
+        auto workers = m_placement.place(anywhere, view);
+        if (!workers && isDecidedByShape(waiting))
+            noteUnplaceable(m_unplaceableAnywhere, shape, request.tasks);
+        if (!workers || isDue)
+            return workers;
+        view.setRooms(rooms);
+    }
     m_roomSince.emplace(step, since);
-    if (now >= since + maxWaitBesideRoom)
-        return workers;
-    view.setRooms(rooms);
     return std::nullopt;
 }
 
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -102,6 +102,9 @@
         bool operator<(const Shape& other) const { return key() < other.key(); }
     };
     using Views = std::map<ServiceId, CapacityView>;
+    // The smallest number of tasks of a shape that found no room. More tasks of it would not fit either, so
+    // no search is made for them.
+    using SmallestByShape = std::map<Shape, int>;
 
     static UnitKey keyOf(const PlacementUnit&);
     static UnitKey stepKeyOf(const PlacementUnit&);
@@ -120,8 +123,9 @@
     bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
     bool mustRelaxLocality(const PlacementRequest&, const Shape&, const CapacityView&);
-    bool isKnownUnplaceable(const Shape&, int tasks) const;
-    void noteUnplaceable(const Shape&, int tasks);
+    static bool isKnownUnplaceable(const SmallestByShape&, const Shape&, int tasks);
+    static void noteUnplaceable(SmallestByShape&, const Shape&, int tasks);
+    static bool isDecidedByShape(const WaitingUnit&);
     // Returns false if no eviction makes enough room.
     bool evictFor(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
@@ -152,9 +156,8 @@
     JobBook* m_jobs = nullptr;
     std::map<JobId, std::optional<ProgressBudget>> m_budgets;
     std::optional<std::size_t> m_longestWorkerId; // in bytes
-    // The smallest number of tasks of a shape that found no room. More tasks of it would not fit either, so
-    // no search is made for them.
-    std::map<Shape, int> m_unplaceable;
+    SmallestByShape m_unplaceable;
+    SmallestByShape m_unplaceableAnywhere; // neither with the preferences of placeAnywhere() left out
     std::map<Shape, int> m_mostTasksWithinLocality;
     using ServicePriority = std::pair<ServiceId, int>;
     // Runs that work of a priority may evict.
