--- a/src/batch/placement/wait_cause.cpp
+++ b/src/batch/placement/wait_cause.cpp
@@ -21,8 +21,8 @@
         return "workers held for a gang";
     case WaitCause::Headroom:
         return "headroom for urgent work";
-    case WaitCause::NextRound:
-        return "the next placement round";
+    case WaitCause::Turn:
+        return "its turn";
     }
     return "unknown";
 }
@@ -37,7 +37,7 @@
 {
     const std::vector<StepPosition> ready = entry.progress.readySteps();
     if (ready.empty())
-        return WaitCause::NextRound;
+        return WaitCause::Turn;
     beginRound(jobs, workers);
     const WaitingUnit waiting { entry.progress.firstUnitOf(ready.front()), &entry.progress, &entry.failedOn };
     const ServiceId& service = entry.progress.job().terms.service;
@@ -65,7 +65,7 @@
         if (!fits(asked, view))
             return WaitCause::HeldForGang;
     }
-    return placeWithHeadroom(waiting, asked, view, now) ? WaitCause::NextRound : WaitCause::Headroom;
+    return placeWithHeadroom(waiting, asked, view, now) ? WaitCause::Turn : WaitCause::Headroom;
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/wait_cause.h
+++ b/src/batch/placement/wait_cause.h
@@ -13,7 +13,7 @@
     ReservedRoom, // it fits only where room is reserved after an eviction
     HeldForGang, // it fits only on workers that are kept for a waiting gang
     Headroom, // it fits only on idle workers that are kept for urgent work
-    NextRound, // nothing keeps it from being placed
+    Turn, // it fits, unless work before it in the queue takes the room first
 };
 
 std::string_view nameOf(WaitCause);
