Wait for the leases of earlier leaders once, not from each takeover

Cause: a new leader knew nothing about the leases that earlier ones had granted, so it waited for the longest one from its own takeover, also on workers to which no leader could have granted a lease since long before.

The lease row now states by when, on the store's clock, all leases have expired that this leader (until its next commit) or an earlier one has granted. The reading is taken from the answer to a commit and counted from the sending of that commit, at the fastest rate, so it is never early; the next leader converts it with its estimate of the store's clock, which is never ahead. The row also lists workers with adopted runs that have not answered this leader, with the bound that held before it. A worker that may be listed, by the stored row or by a commit under way, is not confirmed, so it gets neither lease nor run. The wait is never longer than before; adopted workers have 3 s to answer in any case.

A claim states no time, because the leader may grant leases before its next commit; nor does a leader state one while a late order of its may still reach a worker's next lifetime. In both cases, and after a leader of an earlier version, the next one waits from its takeover as before. The first six fields of the row are unchanged.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -112,12 +112,26 @@
     step.record("leader.claimed", { { "epoch", std::to_string(m_epoch) } });
     m_phase = Phase::Loading;
     // An earlier leader acts for a lease duration after its last applied commit, which precedes this claim.
-    m_runs.begin(m_epoch, step.now + leaseDuration);
+    m_runs.begin(m_epoch, step.now + leaseDuration, earlierLeases(step.now));
     step.emit(FollowLeaderTables { true });
     requestProgress(step);
     requestSpeeds(step);
 }
 
+EarlierLeases Scheduler::earlierLeases(TimePoint now) const
+{
+    const auto boundOf = [this, now](StoreClock endsBy) {
+        return LeaseBound { endsBy, m_lease.timeOf(endsBy, now).value_or(TimePoint::max()) };
+    };
+    EarlierLeases earlier;
+    const StoreClock stored = m_pipeline.earlierLeasesEndBy();
+    // Earlier leaders act no longer than one whose last commit is sent now.
+    earlier.all = boundOf(stored ? stored : m_lease.leasesEndBy(now));
+    for (const auto& [worker, endsBy] : m_lease.record().silentWorkers)
+        earlier.silentWorkers.emplace(worker, boundOf(endsBy));
+    return earlier;
+}
+
 // Loading finishes without the speeds; they are applied when they arrive.
 void Scheduler::requestSpeeds(Step& step)
 {
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -68,6 +68,7 @@
     static ChangeLimits changeLimitsOf(const StoreLimits&);
     bool mayClaim(TimePoint now) const;
     void beginLoading(Step&);
+    EarlierLeases earlierLeases(TimePoint now) const;
     void abandonLoading(Step&);
     void leadershipLost(Step&);
     // Keeps the answer until the leader may act again.
--- a/src/batch/leader/scheduler_commits.cpp
+++ b/src/batch/leader/scheduler_commits.cpp
@@ -45,6 +45,8 @@
     // noteStored() does not use the written rows, so they are not kept until the answer.
     batch.changes.writes.clear();
     m_batch = std::move(batch);
+    if (m_phase == Phase::Leading)
+        m_lease.setWorkerLeases(m_runs.listSilentWorkers(step.now), m_runs.hasLaterLeases(step.now));
     step.emit(m_pipeline.submit(std::move(commit), waitingJobs(step.now), step.now));
 }
 
@@ -105,6 +107,7 @@
         beginLoading(step);
         return;
     case CommitPipeline::Result::Applied:
+        m_runs.commitApplied();
         batchApplied(step);
         leaseRenewed(step);
         return;
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -26,7 +26,7 @@
 BatchReducer::BatchReducer(BatchSettings settings)
     : m_settings(std::move(settings))
     , m_configuration(m_settings.maxConfigurationAge)
-    , m_lease(m_settings.daemonName, m_settings.claimDelay)
+    , m_lease(m_settings.daemonName, m_settings.claimDelay, longestLeaseInRealTime(m_settings.workerLeases))
     , m_scheduler(m_lease, m_configuration.current(), m_placement, m_order, m_settings.workerLeases,
           m_settings.storeLimits)
     , m_intake(m_configuration, *this, m_settings.storeLimits)
--- a/src/batch/store/commit_pipeline.cpp
+++ b/src/batch/store/commit_pipeline.cpp
@@ -38,7 +38,11 @@
 {
 }
 
-Effect CommitPipeline::claim(TimePoint now) { return send(Purpose::Claim, m_lease.next({}, now), {}, now); }
+Effect CommitPipeline::claim(TimePoint now)
+{
+    m_earlierLeasesEndBy = m_lease.record().leasesEndBy;
+    return send(Purpose::Claim, m_lease.next({}, now), {}, now);
+}
 
 Effect CommitPipeline::release(TimePoint now)
 {
@@ -87,7 +91,7 @@
 {
     if (!m_inFlight || answer.operation != m_inFlight->operation)
         return {};
-    m_lease.noteStoreClock(answer.reply.answeredAt, now);
+    m_lease.noteStoreClock(answer.reply.answeredAt, m_inFlight->lastSentAt, now);
     switch (answer.reply.outcome) {
     case CommitOutcome::Applied:
         return applied(answer.reply.version, m_inFlight->lastSentAt);
--- a/src/batch/store/commit_pipeline.h
+++ b/src/batch/store/commit_pipeline.h
@@ -48,6 +48,8 @@
     bool isRenewalDue(TimePoint now) const { return now >= m_lastSentAt + leaseRenewalInterval; }
 
     Effect claim(TimePoint now);
+    // What the record that the latest claim replaces states about the leases of workers.
+    StoreClock earlierLeasesEndBy() const { return m_earlierLeasesEndBy; }
     Effect release(TimePoint now);
     Effect submit(CommitBatch, WaitingJobs, TimePoint now);
     Answer answered(const CommitAnswered&, TimePoint now);
@@ -81,6 +83,7 @@
     OperationId m_lastOperation = 0;
     TimePoint m_lastSentAt {};
     TimePoint m_claimAgainAt {};
+    StoreClock m_earlierLeasesEndBy = 0;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "anvilmoor/batch/rows.h"
+#include "anvilmoor/batch/worker.h"
 #include "anvilmoor/time.h"
 #include "batch/clock/remote_clock_estimate.h"
 
@@ -33,6 +34,9 @@
     bool operator==(const WaitingJobs&) const = default;
 };
 
+// When the leases that leaders have granted to a worker have expired for certain; 0: unknown.
+using LeaseEnds = std::map<WorkerLifetime, StoreClock>;
+
 // The row that names the leader. Every commit of the leader rewrites it.
 struct LeaseRecord {
     std::string holder; // empty: released
@@ -42,6 +46,11 @@
     // When the commit was sent, or slightly earlier; 0: unknown. A daemon that has just started derives the
     // age of the lease from it.
     StoreClock sentAt = 0;
+    // By then every lease of a worker has expired that an earlier leader has granted, or this one until its
+    // next commit; 0: unknown.
+    StoreClock leasesEndBy = 0;
+    // Workers with stored runs to which this leader has granted no lease.
+    LeaseEnds silentWorkers;
 
     bool operator==(const LeaseRecord&) const = default;
 };
@@ -62,8 +71,8 @@
 class LeaderLease {
 public:
     // A candidate waits for `claimDelay` before it claims a free lease, and so leaves it to those with a
-    // shorter delay.
-    LeaderLease(DaemonName ownName, Milliseconds claimDelay);
+    // shorter delay. `workerLease`: longest lease that a leader grants to a worker, in real time; 0: unknown.
+    LeaderLease(DaemonName ownName, Milliseconds claimDelay, Milliseconds workerLease = Milliseconds(0));
 
     // Takes in the lease row from an answer of the store; empty if there is no such row. Outdated rows are
     // ignored.
@@ -90,7 +99,16 @@
     void committed(const LeaseRecord&, RowVersion, TimePoint sentAt);
     // The store's clock at this time, or slightly earlier; 0: unknown.
     StoreClock storeClock(TimePoint now) const { return m_storeClock.at(now); }
-    void noteStoreClock(StoreClock answeredAt, TimePoint now) { m_storeClock.note(answeredAt, now); }
+    // Records the store's clock in the answer to a commit.
+    void noteStoreClock(StoreClock answeredAt, TimePoint sentAt, TimePoint now);
+    // The latest time at which the store's clock shows this reading; empty if that is not known.
+    std::optional<TimePoint> timeOf(StoreClock, TimePoint now) const;
+    // By then on the store's clock, every lease has expired that a leader grants whose last applied commit is
+    // sent until now; 0: unknown.
+    StoreClock leasesEndBy(TimePoint now) const;
+    // Sets what the following records state about leases of workers. `hasLaterLeases`: some may end after
+    // leasesEndBy().
+    void setWorkerLeases(LeaseEnds silentWorkers, bool hasLaterLeases);
     // Gives up the sequence number of the next commit. Must be called before a commit that may have been
     // applied is replaced by another one, so that they are not taken for the same.
     void skipSequence() { ++m_record.sequence; }
@@ -101,7 +119,13 @@
 
     DaemonName m_name;
     Milliseconds m_claimDelay;
+    Milliseconds m_workerLease;
     RemoteClockEstimate m_storeClock;
+    // Reading of the store's clock after a commit was sent, and when it was sent.
+    StoreClock m_storeReading = 0;
+    TimePoint m_readingAskedAt {};
+    LeaseEnds m_silentWorkers;
+    bool m_hasLaterLeases = false;
     LeaseRecord m_record;
     RowVersion m_version = 0;
     bool m_hasObserved = false;
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -118,7 +118,11 @@
         m_hasCapacityChanged = true;
         endOtherLifetimes(answer.worker, step);
     }
-    worker->isConfirmed = true;
+    m_silentWorkers.answered(answer.worker);
+    // It gets leases and new runs once the lease row no longer lists it as silent.
+    worker->isConfirmed = !m_silentWorkers.mayBeListed(answer.worker);
+    if (!worker->isConfirmed)
+        worker->nextHoldAt = step.now + holdRetryDelay;
     worker->clock.note(answer.status.clock, step.now);
     processEnds(*worker, answer.status.ended, step);
     processActive(*worker, answer.status, step);
--- a/src/batch/workers/run_lifetimes.cpp
+++ b/src/batch/workers/run_lifetimes.cpp
@@ -56,6 +56,8 @@
 {
     recordLifetimeEnd(worker, reason, nextStartedAtMs, step);
     worker.isListed = false;
+    // The next leader shall wait for what the next lifetime may start.
+    m_silentWorkers.answered(worker.record.lifetime);
     if (nextStartedAtMs)
         moveToNextLifetime(worker, nextStartedAtMs, step);
     declareRunsLost(worker, reason, step);
@@ -80,6 +82,7 @@
     }
     // A deadline on the earlier lifetime's clock does not bound a lease of this one.
     extendLease(next, maxOrderDelay + m_settings.maxLease, step.now);
+    m_lateOrdersUntil = step.now + maxOrderDelay;
     for (LiveRun& run : moved) {
         m_workers.detach(worker, run.id.task);
         run.phase = RunPhase::Stopping;
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -19,6 +19,11 @@
 // runs is noticed only when the lease expires.
 constexpr Milliseconds drainingLease { 2'500 };
 
+// An adopted worker has this long to answer before its runs are declared lost: it is asked three times.
+constexpr Milliseconds minTimeToAnswer { 3'000 };
+// Workers that answer sooner are not listed as silent.
+constexpr Milliseconds usualTimeToAnswer { 500 };
+
 // All workers are visited this often, also those that are not due.
 constexpr Milliseconds fullVisitInterval { 5'000 };
 
@@ -73,9 +78,18 @@
 {
 }
 
-void RunSupervisor::begin(std::uint64_t epoch, TimePoint earlierLeadersActUntil)
+Milliseconds longestLeaseInRealTime(const WorkerLeaseSettings& settings)
+{
+    return inRealTime(settings.maxLease);
+}
+
+void RunSupervisor::begin(std::uint64_t epoch, TimePoint earlierLeadersActUntil, EarlierLeases earlierLeases)
 {
     m_epoch = epoch;
+    m_earlierLeases = std::move(earlierLeases);
+    m_silentWorkers.begin(m_earlierLeases);
+    m_adoptedAt.reset();
+    m_lateOrdersUntil = {};
     m_earlierLeadersActUntil = earlierLeadersActUntil;
     m_registryKnownAt.reset();
     m_dueQueue.clear();
@@ -93,7 +107,12 @@
     Worker& worker = m_workers.require(lifetime);
     // A start order of an earlier leader may still be under way, so the end of its lease is waited for.
     worker.isWithdrawalPending = false;
-    extendLease(worker, m_settings.maxLease, std::max(now, m_earlierLeadersActUntil));
+    const LeaseBound bound = m_earlierLeases.of(lifetime);
+    const TimePoint latest = std::max(now, m_earlierLeadersActUntil) + inRealTime(m_settings.maxLease);
+    const TimePoint expiry = std::min(latest, std::max(bound.latest, now + minTimeToAnswer));
+    worker.latestLeaseExpiry = std::max(worker.latestLeaseExpiry, expiry);
+    m_silentWorkers.add(lifetime, bound.endsBy);
+    m_adoptedAt = m_adoptedAt.value_or(now);
     LiveRun live { run, job.specificationOf(run.task.step).countedPerTask(), job.job().terms.priority };
     live.phase = isTerminal(job.state()) ? RunPhase::Stopping : RunPhase::Running;
     live.assignedAt = now;
@@ -122,6 +141,11 @@
     }
 }
 
+std::map<WorkerLifetime, StoreClock> RunSupervisor::listSilentWorkers(TimePoint now)
+{
+    return m_silentWorkers.list(m_adoptedAt && now >= *m_adoptedAt + usualTimeToAnswer);
+}
+
 void RunSupervisor::progressStored(const JobId& job, std::uint64_t change, Step& step)
 {
     const JobBook::Entry* entry = m_jobs.find(job);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
 #include "batch/reducer/step.h"
+#include "batch/workers/silent_workers.h"
 #include "batch/workers/worker_due_queue.h"
 #include "batch/workers/worker_pool.h"
 
@@ -24,6 +25,9 @@
     Milliseconds heartbeatInterval { 1'500 }; // between two updates of a worker's registry entry
 };
 
+// How long the longest lease lasts in real time at most: workers' clocks may be slow.
+Milliseconds longestLeaseInRealTime(const WorkerLeaseSettings&);
+
 // Manages each assigned run over its lifetime on the worker: starts it once its assignment is stored, renews
 // its lease, stops it, and processes its end or declares it lost. A task gets a new run only after its
 // previous run has certainly ended: the worker has reported the end, the worker's lifetime is over and its
@@ -33,8 +37,9 @@
     RunSupervisor(WorkerPool&, JobBook&, WorkerLeaseSettings);
 
     // Begins a new leadership; the attached runs come from stored assignments. Runs that earlier leaders
-    // started end at the latest with the leases that these leaders may grant until the given time.
-    void begin(std::uint64_t epoch, TimePoint earlierLeadersActUntil);
+    // started end at the latest with the leases that these leaders may grant until the given time, or at the
+    // times that the last of them has stored.
+    void begin(std::uint64_t epoch, TimePoint earlierLeadersActUntil, EarlierLeases earlierLeases = {});
     // Attaches a stored assignment.
     void adopt(const JobProgress&, const RunId&, const WorkerLifetime&, TimePoint now);
     // Attaches new assignments. The start orders are sent once the change is stored.
@@ -42,6 +47,12 @@
         std::uint64_t change, TimePoint now);
     // Called when the job's progress is stored up to this change.
     void progressStored(const JobId&, std::uint64_t change, Step&);
+    // What the next commit states about leases: silent workers, and whether a lease may last longer than the
+    // longest one from now.
+    std::map<WorkerLifetime, StoreClock> listSilentWorkers(TimePoint now);
+    bool hasLaterLeases(TimePoint now) const { return now < m_lateOrdersUntil; }
+    // Called when a commit is applied, before its effects are passed on.
+    void commitApplied() { m_silentWorkers.stored(); }
     // Called when more job changes are stored. Marks the run ends that led to them for acknowledgement.
     void changesStored();
 
@@ -111,6 +122,10 @@
     WorkerLeaseSettings m_settings;
     std::uint64_t m_epoch = 0;
     TimePoint m_earlierLeadersActUntil {};
+    EarlierLeases m_earlierLeases;
+    SilentWorkers m_silentWorkers;
+    std::optional<TimePoint> m_adoptedAt; // when the first stored assignment was attached
+    TimePoint m_lateOrdersUntil {}; // until then, late orders of this leader may be carried out
     std::set<WorkerLifetime> m_workersWithPendingEnds; // workers with pending ends
     WorkerDueQueue m_dueQueue;
     TimePoint m_allMarkedDueAt {}; // when all workers were last marked
--- a/test/batch_leader_lease_test.cpp
+++ b/test/batch_leader_lease_test.cpp
@@ -1,6 +1,7 @@
 #include "batch/reducer/batch_reducer.h"
 #include "batch/store/commit_pipeline.h"
 #include "batch/store/leader_lease.h"
+#include "batch/store/message_pack.h"
 #include "batch/store/tables.h"
 #include "support/batch_cluster.h"
 
@@ -28,6 +29,10 @@
     CPPUNIT_TEST(testLeaderActsOnTheFirstCopyIfTheSecondMeetsIt);
     CPPUNIT_TEST(testStoreClockIsNeverAheadWhateverTheAnswersTake);
     CPPUNIT_TEST(testRowOfAnEarlierVersionIsRead);
+    CPPUNIT_TEST(testRowBeginsWithTheFieldsOfEarlierVersions);
+    CPPUNIT_TEST(testRowWithLeasesOfWorkersIsReadAsWritten);
+    CPPUNIT_TEST(testStatedEndOfLeasesIsNotTooEarlyWhateverTheAnswersTake);
+    CPPUNIT_TEST(testClaimStatesNoEndOfLeases);
     CPPUNIT_TEST(testNobodyClaimsWithoutTheStore);
     CPPUNIT_TEST(testDelaysCountFromTheReturnOfTheStore);
     CPPUNIT_TEST(testAnyAnswerOfTheStoreCountsAsItsReturn);
@@ -355,6 +360,56 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 7 }, record.value().epoch);
         CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, record.value().sentAt);
         CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, record.value().waitingJobs.countedAt);
+        CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, record.value().leasesEndBy);
+        CPPUNIT_ASSERT(record.value().silentWorkers.empty());
+    }
+
+    static LeaseRecord recordWithLeases()
+    {
+        const WorkerLifetime worker { WorkerId("w0-0"), 1'765'000'000'000 };
+        return { "a", 7, 3, { { { "urgent", 2 } }, 90 }, 95, 12'000, { { worker, 11'000 } } };
+    }
+
+    void testRowBeginsWithTheFieldsOfEarlierVersions()
+    {
+        const auto row = fromMessagePack(encodeLease(recordWithLeases()));
+        const auto earlier = nlohmann::json::array({ "a", 7, 3, { { "urgent", 2 } }, 95, 90 });
+        CPPUNIT_ASSERT(row.size() > earlier.size());
+        for (std::size_t field = 0; field < earlier.size(); ++field)
+            CPPUNIT_ASSERT_EQUAL(earlier.at(field).dump(), row.at(field).dump());
+    }
+
+    void testRowWithLeasesOfWorkersIsReadAsWritten()
+    {
+        CPPUNIT_ASSERT(decodeLease(encodeLease(recordWithLeases())).value() == recordWithLeases());
+    }
+
+    // Guards against a next leader that takes runs for ended while their leases last.
+    void testStatedEndOfLeasesIsNotTooEarlyWhateverTheAnswersTake()
+    {
+        constexpr Milliseconds workerLease { 10'000 };
+        LeaderLease lease({ "a", "1" }, Milliseconds(0), workerLease);
+        CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, lease.leasesEndBy(m_now));
+        CPPUNIT_ASSERT(!lease.timeOf(storeClock(), m_now));
+        for (int i = 0; i < 200; ++i) {
+            const TimePoint sentAt = m_now;
+            m_now += Milliseconds(i * 29 % 701);
+            const StoreClock answeredAt = i % 7 ? storeClock() : 0;
+            m_now += Milliseconds(i * 37 % 251);
+            lease.noteStoreClock(answeredAt, sentAt, m_now);
+            if (!i)
+                continue;
+            const StoreClock end = storeClock() + (leaseDuration + workerLease).count();
+            CPPUNIT_ASSERT(lease.leasesEndBy(m_now) >= end);
+            CPPUNIT_ASSERT(lease.timeOf(end, m_now).value() >= m_now + leaseDuration + workerLease);
+        }
+    }
+
+    void testClaimStatesNoEndOfLeases()
+    {
+        Candidate first("a");
+        claimWithClock(first);
+        CPPUNIT_ASSERT_EQUAL(StoreClock { 0 }, first.lease.record().leasesEndBy);
     }
 
     void testEpochRisesWithEachLeader()
--- a/test/batch_repeated_run_delay_test.cpp
+++ b/test/batch_repeated_run_delay_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <random>
 
 namespace anvilmoor::testing {
 
@@ -31,6 +32,9 @@
     CPPUNIT_TEST(testRunOfLostWorkerIsRepeatedInTimeAfterThreeChangesOfLeader);
     CPPUNIT_TEST(testRunsAreRepeatedInTimeAfterAllDaemonsAndWorkersWereLost);
     CPPUNIT_TEST(testRunsAreRepeatedInTimeAfterOutageOfStoreWithoutLeader);
+    CPPUNIT_TEST(testRunOnWorkerThatAnswersAgainIsNotRepeatedByNextLeaderWhileItRuns);
+    CPPUNIT_TEST(testRunOnWorkerThatAnswersLeaderCutFromStoreIsNotRepeatedByNextLeaderWhileItRuns);
+    CPPUNIT_TEST(testRunsOnWorkersThatAnswerSomeLeadersAreNotRepeatedWhileTheyRun);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 6;
@@ -123,6 +127,63 @@
         requireRepeatedBy(lostAt + maxRepeatDelay);
     }
 
+    void replaceLeaderAndWaitForNext()
+    {
+        replaceLeader();
+        CPPUNIT_ASSERT(
+            m_cluster.runUntil([this] { return m_cluster.leader().has_value(); }, Milliseconds(5'000)));
+    }
+
+    // The worker answers the second leader only for these times, and the third one never. Returns whether the
+    // worker's lease was renewed.
+    bool renewLeaseBySecondLeader(Milliseconds answerTime, Milliseconds timeCutFromStore)
+    {
+        startJob();
+        FakeWorker& worker = workerWithRun();
+        worker.isReachable = false;
+        replaceLeaderAndWaitForNext();
+        advance(Milliseconds(5'000));
+        worker.isReachable = true;
+        advance(answerTime);
+        m_cluster.cutFromStore.insert(m_cluster.leader().value());
+        advance(timeCutFromStore);
+        worker.isReachable = false;
+        replaceLeaderAndWaitForNext();
+        m_cluster.cutFromStore.clear();
+        advance(Milliseconds(7'000));
+        const bool isRenewed = !worker.runs().empty();
+        advance(Milliseconds(10'000));
+        if (!m_cluster.violations().empty())
+            CPPUNIT_FAIL(fmt::format("{} ms: {}", answerTime.count(), m_cluster.violations().front()));
+        return isRenewed;
+    }
+
+    static void disturb(BatchCluster& cluster, std::mt19937_64& random)
+    {
+        const std::size_t daemon = random() % 3;
+        switch (random() % 6) {
+        case 0:
+        case 1:
+            if (const auto leader = cluster.leader()) {
+                cluster.kill(*leader);
+                cluster.run(Milliseconds(random() % 1'500));
+                cluster.restart(*leader);
+            }
+            return;
+        case 2:
+            cluster.healLinks();
+            return;
+        case 3:
+            cluster.isStoreDown = !cluster.isStoreDown && random() % 2;
+            return;
+        default:
+            for (std::size_t i = 0; i < workers; ++i) {
+                if (random() % 2)
+                    cluster.cutLink(daemon, i, random() % 2 ? LinkCut::Silent : LinkCut::AnswersLost);
+            }
+        }
+    }
+
     struct Expiring {
         TimePoint at;
         WorkerId worker;
@@ -191,6 +252,54 @@
         m_cluster.isStoreDown = false;
         requireRepeatedBy(lostAt + maxRepeatDelay);
     }
+
+    // Guards against a lease on a worker that the lease row still lists as silent.
+    void testRunOnWorkerThatAnswersAgainIsNotRepeatedByNextLeaderWhileItRuns()
+    {
+        constexpr Milliseconds longestAnswerTime { 1'000 };
+        bool isRenewed = false;
+        for (Milliseconds time { 0 }; time < longestAnswerTime; time += Milliseconds(20)) {
+            BatchRepeatedRunDelayTest trial;
+            isRenewed = trial.renewLeaseBySecondLeader(time, Milliseconds(0));
+        }
+        CPPUNIT_ASSERT(isRenewed);
+    }
+
+    // Guards against a lease granted while the commit that lists its worker no more is under way.
+    void testRunOnWorkerThatAnswersLeaderCutFromStoreIsNotRepeatedByNextLeaderWhileItRuns()
+    {
+        constexpr Milliseconds longestAnswerTime { 1'000 };
+        for (Milliseconds time { 0 }; time < longestAnswerTime; time += Milliseconds(20)) {
+            BatchRepeatedRunDelayTest trial;
+            trial.renewLeaseBySecondLeader(time, Milliseconds(600));
+        }
+    }
+
+    void testRunsOnWorkersThatAnswerSomeLeadersAreNotRepeatedWhileTheyRun()
+    {
+        constexpr int disturbances = 60;
+        const char* last = std::getenv("LEASE_SEEDS");
+        const std::uint64_t seeds = last ? std::stoull(last) : 12;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            BatchCluster cluster(3, seed);
+            std::mt19937_64 random(seed);
+            cluster.workerLeases.maxLease = longestLease;
+            for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+                cluster.kill(daemon);
+                cluster.restart(daemon);
+            }
+            cluster.addWorkers(2, workers / 2);
+            cluster.run(Milliseconds(2'000));
+            for (int job = 0; job < 10; ++job)
+                cluster.submit(job % 3, "small", { makeStep(1, 2, Milliseconds(2'000 + random() % 40'000)) });
+            for (int i = 0; i < disturbances; ++i) {
+                cluster.run(Milliseconds(100 + random() % 4'000));
+                disturb(cluster, random);
+            }
+            if (!cluster.violations().empty())
+                CPPUNIT_FAIL(fmt::format("seed {}: {}", seed, cluster.violations().front()));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchRepeatedRunDelayTest);
