--- a/src/batch/leader/scheduler_commits.cpp
+++ b/src/batch/leader/scheduler_commits.cpp
@@ -19,6 +19,8 @@
 // A leader that has had no answer about new jobs for longer does not know how many jobs wait. The store
 // answers after a second at the latest, also if there is nothing new.
 constexpr Milliseconds maxAgeOfJobs { 2'000 };
+// Each commit rewrites the lease row.
+constexpr std::size_t maxBytesOfSilentWorkers = 8 * 1'024;
 
 } // namespace
 
@@ -45,8 +47,11 @@
     // noteStored() does not use the written rows, so they are not kept until the answer.
     batch.changes.writes.clear();
     m_batch = std::move(batch);
-    if (m_phase == Phase::Leading)
-        m_lease.setWorkerLeases(m_runs.listSilentWorkers(step.now), m_runs.hasLaterLeases(step.now));
+    if (m_phase == Phase::Leading) {
+        const std::size_t maxBytes = std::min(maxBytesOfSilentWorkers, m_changeLimits.rowBytes / 4);
+        m_lease.setWorkerLeases(
+            m_runs.listSilentWorkers(maxBytes, step.now), m_runs.hasLaterLeases(step.now));
+    }
     step.emit(m_pipeline.submit(std::move(commit), waitingJobs(step.now), step.now));
 }
 
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -141,9 +141,9 @@
     }
 }
 
-std::map<WorkerLifetime, StoreClock> RunSupervisor::listSilentWorkers(TimePoint now)
+std::map<WorkerLifetime, StoreClock> RunSupervisor::listSilentWorkers(std::size_t maxBytes, TimePoint now)
 {
-    return m_silentWorkers.list(m_adoptedAt && now >= *m_adoptedAt + usualTimeToAnswer);
+    return m_silentWorkers.list(m_adoptedAt && now >= *m_adoptedAt + usualTimeToAnswer, maxBytes);
 }
 
 void RunSupervisor::progressStored(const JobId& job, std::uint64_t change, Step& step)
--- a/src/batch/workers/silent_workers.cpp
+++ b/src/batch/workers/silent_workers.cpp
@@ -1,15 +1,9 @@
 #include "batch/workers/silent_workers.h"
 
-#include <algorithm>
-#include <cstddef>
-
 namespace anvilmoor::batch {
 
 namespace {
 
-// Limits the size of the lease row, which each commit rewrites. An id has up to 200 bytes.
-constexpr std::size_t maxListed = 256;
-constexpr std::size_t maxListedBytes = 8 * 1'024;
 constexpr std::size_t bytesPerEntry = 24; // beside the id
 
 } // namespace
@@ -37,7 +31,7 @@
         m_silent.emplace(worker, leasesEndBy);
 }
 
-std::map<WorkerLifetime, StoreClock> SilentWorkers::list(bool mayListMore)
+std::map<WorkerLifetime, StoreClock> SilentWorkers::list(bool mayListMore, std::size_t maxBytes)
 {
     std::map<WorkerLifetime, StoreClock> listed;
     std::size_t bytes = 0;
@@ -45,7 +39,7 @@
         if (!mayListMore && !m_maybeListed.contains(worker))
             continue;
         bytes += worker.id.value().size() + bytesPerEntry;
-        if (listed.size() == maxListed || bytes > maxListedBytes)
+        if (bytes > maxBytes)
             break;
         listed.emplace(worker, leasesEndBy);
     }
--- a/src/batch/workers/silent_workers.h
+++ b/src/batch/workers/silent_workers.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/rows.h"
 #include "anvilmoor/batch/worker.h"
 
+#include <cstddef>
 #include <map>
 #include <set>
 
@@ -33,8 +34,9 @@
     void add(const WorkerLifetime&, StoreClock leasesEndBy);
     void answered(const WorkerLifetime& worker) { m_silent.erase(worker); }
 
-    // The workers that the next commit lists; the earlier commit has been answered.
-    std::map<WorkerLifetime, StoreClock> list(bool mayListMore);
+    // The workers that the next commit lists, in at most this many bytes; the earlier commit has been
+    // answered.
+    std::map<WorkerLifetime, StoreClock> list(bool mayListMore, std::size_t maxBytes);
     // The latest commit has been applied.
     void stored() { m_maybeListed = m_lastListed; }
     bool mayBeListed(const WorkerLifetime& worker) const { return m_maybeListed.contains(worker); }
