Let a daemon that can load get its turn to lead

What callers saw: nothing is placed for as long as some daemons cannot load, though another one could. In virtual time with six daemons, of which all but the one that claims last fail their large reads, nobody led for 300 s and more.

Cause: a daemon that had not loaded within 2 s waited 5 s and then claimed as before. With three or more such daemons the first one is back before the others have had their turn, and as each host has its own claim delay, the one with the longest delay never got the lease. A single daemon, on the other hand, waited 5 s for nobody.

Each load time-out since a daemon has last loaded now delays its claims of a free lease by 1 s more, which is longer than claim delays differ. So those that have failed less often go first, and nobody waits while no other claims.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -31,7 +31,10 @@
 // maximum.
 constexpr Milliseconds initialLoadTimeout { 2'000 };
 constexpr Milliseconds maxLoadTimeout { 16'000 };
-constexpr Milliseconds claimPauseAfterLoadTimeout { 5'000 };
+// For each of its load time-outs, up to the maximum, a daemon waits this much longer before it claims a free
+// lease: longer than any claim delays differ, so that those that have failed less often get their turn.
+constexpr Milliseconds claimDelayPerLoadTimeout { 1'000 };
+constexpr int maxDelayedLoadTimeouts = 5;
 
 std::string namesOf(std::span<const WorkerLifetime> workers)
 {
@@ -58,7 +61,8 @@
 
 bool Scheduler::mayClaim(TimePoint now) const
 {
-    return !m_isSteppingDown && now >= m_noClaimUntil && m_pipeline.mayClaim(now) && m_lease.isFree(now);
+    const Milliseconds delay = claimDelayPerLoadTimeout * std::min(m_loadTimeouts, maxDelayedLoadTimeouts);
+    return !m_isSteppingDown && m_pipeline.mayClaim(now) && m_lease.isFree(now, delay);
 }
 
 bool Scheduler::mayAct(TimePoint now) const
@@ -101,7 +105,7 @@
             { "has_jobs", m_hasJobs ? "yes" : "no" }, { "has_workers", m_hasWorkers ? "yes" : "no" },
             { "has_progress", m_loadedProgress ? "yes" : "no" } });
     m_loadTimeout = std::min(m_loadTimeout * 2, maxLoadTimeout);
-    m_noClaimUntil = step.now + claimPauseAfterLoadTimeout;
+    ++m_loadTimeouts;
     step.emit(m_pipeline.release(step.now));
 }
 
@@ -203,6 +207,7 @@
     m_loadedProgress.reset();
     m_phase = Phase::Leading;
     m_loadTimeout = initialLoadTimeout;
+    m_loadTimeouts = 0;
     m_speedsStoredAt = step.now;
     restoreSpeeds(step);
     m_isPlacementDue = true;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -110,7 +110,7 @@
     bool m_isSteppingDown = false;
     TimePoint m_claimedAt {};
     Milliseconds m_loadTimeout;
-    TimePoint m_noClaimUntil {};
+    int m_loadTimeouts = 0; // since this daemon has loaded last
     // Answers that arrived while the leader was not allowed to act, oldest first: at most one to each order
     // that was in flight, because no more orders are sent.
     std::vector<WorkerAnswer> m_keptAnswers;
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -114,14 +114,14 @@
 
 // After an outage of the store the lease has expired for all daemons. The claim delays then count from the
 // time at which the store answered again.
-bool LeaderLease::isFree(TimePoint now) const
+bool LeaderLease::isFree(TimePoint now, Milliseconds additionalDelay) const
 {
     const bool hasContact = now < m_answeredAt + storeContactTimeout;
     if (!m_hasObserved || m_isLeader || !hasContact)
         return false;
     const bool isReleased = m_record.holder.empty() || isHeldByPredecessor();
     const TimePoint endedAt = isReleased ? m_changedAt : m_changedAt + leaseDuration + leaseMargin;
-    return now >= std::max(endedAt, m_contactSince) + m_claimDelay;
+    return now >= std::max(endedAt, m_contactSince) + m_claimDelay + additionalDelay;
 }
 
 LeaseRecord LeaderLease::next(WaitingJobs waitingJobs, TimePoint now) const
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -80,8 +80,8 @@
     // Records that the store has answered a request of this daemon, about the lease row or any other.
     void noteAnswer(TimePoint now);
     // True if the lease has expired or been released, and this daemon has been in contact with the store for
-    // at least its claim delay since then.
-    bool isFree(TimePoint now) const;
+    // at least its claim delay and this additional one since then.
+    bool isFree(TimePoint now, Milliseconds additionalDelay = Milliseconds(0)) const;
 
     bool isLeader() const { return m_isLeader; }
     // A leader may send orders to workers only while this is true.
