--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -31,7 +31,10 @@
 // maximum.
 constexpr Milliseconds initialLoadTimeout { 2'000 };
 constexpr Milliseconds maxLoadTimeout { 16'000 };
-constexpr Milliseconds claimPauseAfterLoadTimeout { 5'000 };
+// For each of its load time-outs, up to the maximum, a daemon waits this much longer before it claims a free
+// lease: longer than any claim delays differ, so that those that have failed less often get their turn.
+constexpr Milliseconds claimDelayPerLoadTimeout { 1'000 };
+constexpr int maxDelayedLoadTimeouts = 5;
 
 std::string namesOf(std::span<const WorkerLifetime> workers)
 {
@@ -58,7 +61,8 @@
 
 bool Scheduler::mayClaim(TimePoint now) const
 {
-    return !m_isSteppingDown && now >= m_noClaimUntil && m_pipeline.mayClaim(now) && m_lease.isFree(now);
+    const Milliseconds delay = claimDelayPerLoadTimeout * std::min(m_loadTimeouts, maxDelayedLoadTimeouts);
+    return !m_isSteppingDown && m_pipeline.mayClaim(now) && m_lease.isFree(now, delay);
 }
 
 bool Scheduler::mayAct(TimePoint now) const
@@ -101,7 +105,7 @@
             { "has_jobs", m_hasJobs ? "yes" : "no" }, { "has_workers", m_hasWorkers ? "yes" : "no" },
             { "has_progress", m_loadedProgress ? "yes" : "no" } });
     m_loadTimeout = std::min(m_loadTimeout * 2, maxLoadTimeout);
-    m_noClaimUntil = step.now + claimPauseAfterLoadTimeout;
+    ++m_loadTimeouts;
     step.emit(m_pipeline.release(step.now));
 }
 
@@ -112,12 +116,26 @@
     step.record("leader.claimed", { { "epoch", std::to_string(m_epoch) } });
     m_phase = Phase::Loading;
     // An earlier leader acts for a lease duration after its last applied commit, which precedes this claim.
-    m_runs.begin(m_epoch, step.now + leaseDuration);
+    m_runs.begin(m_epoch, step.now + leaseDuration, earlierLeases(step.now));
     step.emit(FollowLeaderTables { true });
     requestProgress(step);
     requestSpeeds(step);
 }
 
+EarlierLeases Scheduler::earlierLeases(TimePoint now) const
+{
+    const auto boundOf = [this, now](StoreClock endsBy) {
+        return LeaseBound { endsBy, m_lease.timeOf(endsBy, now).value_or(TimePoint::max()) };
+    };
+    EarlierLeases earlier;
+    const StoreClock stored = m_pipeline.earlierLeasesEndBy();
+    // Earlier leaders act no longer than one whose last commit is sent now.
+    earlier.all = boundOf(stored ? stored : m_lease.leasesEndBy(now));
+    for (const auto& [worker, endsBy] : m_lease.record().silentWorkers)
+        earlier.silentWorkers.emplace(worker, boundOf(endsBy));
+    return earlier;
+}
+
 // Loading finishes without the speeds; they are applied when they arrive.
 void Scheduler::requestSpeeds(Step& step)
 {
@@ -189,6 +207,7 @@
     m_loadedProgress.reset();
     m_phase = Phase::Leading;
     m_loadTimeout = initialLoadTimeout;
+    m_loadTimeouts = 0;
     m_speedsStoredAt = step.now;
     restoreSpeeds(step);
     m_isPlacementDue = true;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -68,6 +68,7 @@
     static ChangeLimits changeLimitsOf(const StoreLimits&);
     bool mayClaim(TimePoint now) const;
     void beginLoading(Step&);
+    EarlierLeases earlierLeases(TimePoint now) const;
     void abandonLoading(Step&);
     void leadershipLost(Step&);
     // Keeps the answer until the leader may act again.
@@ -109,7 +110,7 @@
     bool m_isSteppingDown = false;
     TimePoint m_claimedAt {};
     Milliseconds m_loadTimeout;
-    TimePoint m_noClaimUntil {};
+    int m_loadTimeouts = 0; // since this daemon has loaded last
     // Answers that arrived while the leader was not allowed to act, oldest first: at most one to each order
     // that was in flight, because no more orders are sent.
     std::vector<WorkerAnswer> m_keptAnswers;
