Keep no worker closed for as long as a slow run lasts

Cause: a run without a whole percent in a tenth of its estimate lags, and so does one far below its former pace. A worker whose runs lag got nothing more, not even a trial run, until one of them advanced or all had ended. So a run that is merely slow closed its worker for as long as it lasted. Fix: - A stalled worker gets a trial run (or one gang) beside its runs after 3 s; each trial that stands still as well doubles the time. Placement uses it only for a unit that fits nowhere else. A worker on which everything stands still gets few runs that way. - If the trial is done, or a run advances after others were found lagging, those are slow and tell nothing about the worker. - The pace is judged over at least three percent at the run's own mean pace, so that pauses between two percent of a slow run are no standstill; its highest rate is taken from windows with at least three percent.

--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -75,6 +75,16 @@
     return hidden;
 }
 
+CapacityView::Hidden CapacityView::hideWorkersOnTrialBesideRuns()
+{
+    Hidden hidden;
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].isOnTrialBesideRuns())
+            hidden.emplace_back(index, std::exchange(m_workers[index].room, Resources {}));
+    }
+    return hidden;
+}
+
 void CapacityView::hide(const std::set<WorkerLifetime>& lifetimes, Hidden& hidden)
 {
     for (const WorkerLifetime& lifetime : lifetimes) {
@@ -109,8 +119,7 @@
             continue;
         if (worker.unansweredHolds || now < worker.noPlacementUntil)
             continue;
-        const bool isOnTrial = !worker.health.isTrusted();
-        if (isOnTrial && (!worker.health.isDueForTrial(now) || !worker.runs.empty()))
+        if (!worker.health.isTrusted() && !worker.health.isDueForTrial(now))
             continue;
         services[worker.record.service].add(capacityOf(lifetime, worker));
     }
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -21,12 +21,13 @@
     std::string kind;
     Resources room;
     Resources whole;
-    bool isOnTrial = false; // takes at most one task, which shows whether the worker has recovered
+    bool isOnTrial = false; // takes at most one unit, which shows whether the worker has recovered
     double speed = 1; // relative to other workers; 1 is typical
     int speedBand = 0; // see WorkerSpeed::band()
     const Worker* worker = nullptr; // null if the view was not built from a pool
 
     bool isIdle() const { return room == whole; }
+    bool isOnTrialBesideRuns() const { return isOnTrial && !isIdle(); }
     bool hasLabel(std::string_view label) const { return rack.value() == label || kind == label; }
 };
 
@@ -47,6 +48,9 @@
     // Sets the free resources of the `count` fastest idle workers of each rack to zero, until restore() is
     // called.
     Hidden hideIdleWorkers(std::size_t count);
+    // Sets the free resources of the workers to zero that would take a task on trial beside other runs, until
+    // restore() is called.
+    Hidden hideWorkersOnTrialBesideRuns();
     // Sets the free resources of the given workers to zero and adds them to the list for restore().
     void hide(const std::set<WorkerLifetime>&, Hidden&);
     void restore(const Hidden&);
--- a/src/batch/placement/packing_placement.cpp
+++ b/src/batch/placement/packing_placement.cpp
@@ -38,7 +38,7 @@
         return 0;
     if (request.excludedWorkers && request.excludedWorkers->contains(worker.lifetime))
         return 0;
-    int limit = worker.isOnTrial ? 1 : request.tasks;
+    int limit = request.tasks;
     if (request.step.maxTasksPerWorker) {
         const auto placed = request.stepTasksByWorker.find(worker.lifetime);
         const int present = placed == request.stepTasksByWorker.end() ? 0 : placed->second;
@@ -175,8 +175,20 @@
     return all;
 }
 
+// The runs of a worker that has to prove itself beside them seem to stand still, so a new run may, too.
 std::optional<std::vector<WorkerLifetime>> PackingPlacement::place(
     const PlacementRequest& request, CapacityView& view) const
+{
+    const CapacityView::Hidden hidden = view.hideWorkersOnTrialBesideRuns();
+    auto workers = placeOnWorkersWithRoom(request, view);
+    view.restore(hidden);
+    if (workers || hidden.empty())
+        return workers;
+    return placeOnWorkersWithRoom(request, view);
+}
+
+std::optional<std::vector<WorkerLifetime>> PackingPlacement::placeOnWorkersWithRoom(
+    const PlacementRequest& request, CapacityView& view)
 {
     if (request.tasks > 1 && request.step.needsOneRack) {
         // Selects the rack with room for the fewest tasks that still takes the whole gang. For urgent work,
--- a/src/batch/placement/packing_placement.h
+++ b/src/batch/placement/packing_placement.h
@@ -31,6 +31,8 @@
     // tasks.
     static int taskSlotsOn(const PlacementRequest&, const CapacityView&, std::span<const Fit>);
     static int slowestBand(std::span<const Fit> chosen);
+    static std::optional<std::vector<WorkerLifetime>> placeOnWorkersWithRoom(
+        const PlacementRequest&, CapacityView&);
     static std::vector<WorkerLifetime> take(
         const PlacementRequest&, CapacityView&, std::span<const Fit> chosen);
 };
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -1,6 +1,7 @@
 #include "batch/workers/run_progress.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilmoor::batch {
 
@@ -12,6 +13,8 @@
 // estimate is usually off by a factor of two at most.
 constexpr Milliseconds minWindow { 1'000 };
 constexpr int windowsPerEstimate = 10;
+// A window lasts at least as long as the run takes for this many percent on average.
+constexpr int minPercentPerWindow = 3;
 // A run lags below this fraction of its highest rate. Workers differ in speed by less than a factor of two,
 // and the rate of a single task varies by less than that over time.
 constexpr double laggingShare = 0.35;
@@ -39,22 +42,53 @@
     const bool isWaiting = m_mayWait && reading.percent <= 0;
     if (isWaiting || reading.percent >= 100) {
         m_windowStart.reset();
-        m_pace = Pace::Unknown;
+        setPace(Pace::Unknown, reading.at);
         return;
     }
-    if (!m_windowStart)
+    if (!m_windowStart) {
         m_windowStart = reading;
+        m_begin = reading;
+        m_risen = reading;
+    }
+    const bool hasRisen = reading.percent > m_risen.percent;
+    if (hasRisen)
+        m_risen = reading;
+    const bool hasShownPace = m_highestRate > 0;
+    if (hasRisen && !hasShownPace)
+        setPace(Pace::Advancing, reading.at);
     const WorkerClock elapsed = reading.at - m_windowStart->at;
-    if (elapsed < m_window.count())
+    if (elapsed < windowLength())
         return;
     const int advance = reading.percent - m_windowStart->percent;
     const double rate = static_cast<double>(advance) / static_cast<double>(elapsed);
     const bool isLagging = !advance || rate < laggingShare * m_highestRate;
-    m_pace = isLagging ? Pace::Lagging : Pace::Advancing;
-    m_highestRate = std::max(m_highestRate, rate);
+    setPace(isLagging ? Pace::Lagging : Pace::Advancing, reading.at);
+    if (!advance && !hasShownPace)
+        return;
+    // The rate over one or two percent may be far off.
+    if (advance >= minPercentPerWindow)
+        m_highestRate = std::max(m_highestRate, rate);
     m_windowStart = reading;
 }
 
+void RunProgress::setPace(Pace pace, WorkerClock at)
+{
+    if (std::exchange(m_pace, pace) != pace)
+        m_paceSince = at;
+}
+
+WorkerClock RunProgress::windowLength() const
+{
+    const int advance = m_risen.percent - m_begin.percent;
+    const WorkerClock forAdvance = advance ? (m_risen.at - m_begin.at) * minPercentPerWindow / advance : 0;
+    return std::max(WorkerClock { m_window.count() }, forAdvance);
+}
+
+bool RunProgress::advancesBeside(const RunProgress& lagging) const
+{
+    return m_pace == Pace::Advancing && m_windowStart && m_risen.at > lagging.m_paceSince;
+}
+
 std::optional<WorkerClock> RunProgress::expectedEnd() const
 {
     if (!m_first || m_last.percent <= m_first->percent)
--- a/src/batch/workers/run_progress.h
+++ b/src/batch/workers/run_progress.h
@@ -34,17 +34,24 @@
     // measured.
     std::optional<double> rate() const;
     Pace pace() const { return m_pace; }
+    // Whether the run is known to advance after the other one was found lagging.
+    bool advancesBeside(const RunProgress& lagging) const;
 
 private:
     void judgePace(const ProgressReading&);
+    void setPace(Pace, WorkerClock at);
+    WorkerClock windowLength() const;
 
     Milliseconds m_window { 1'000 };
     bool m_mayWait = false; // for the other members of its gang
     std::optional<ProgressReading> m_first; // the first reading above 0%
     ProgressReading m_last;
     std::optional<ProgressReading> m_windowStart;
+    ProgressReading m_begin; // the first reading that was judged
+    ProgressReading m_risen; // the reading at which the percentage last rose
     double m_highestRate = 0; // highest rate of all windows so far, in percent per millisecond
     Pace m_pace = Pace::Unknown;
+    WorkerClock m_paceSince = 0;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -115,7 +115,8 @@
         Worker& worker = m_workers.require(workers[i]);
         // The last lease of an idle worker may have expired, which must not end the new run.
         extendLease(worker, leaseFor(worker), now);
-        if (!worker.health.isTrusted())
+        live.isTrial = !worker.health.isTrusted();
+        if (live.isTrial)
             worker.health.trialStarted();
         m_workers.attach(worker, std::move(live));
         markDue(worker);
@@ -282,11 +283,9 @@
             continue;
         worker.processedEnd = ended.sequence;
         if (ended.end == RunEnd::Done)
-            worker.health.runSucceeded();
+            noteSuccess(worker, ended.run);
         else if (ended.end == RunEnd::Failed)
             worker.health.runFailed(step.now);
-        else
-            worker.health.trialAborted();
         if (JobBook::Entry* job = m_jobs.find(ended.run.task.job))
             job->progress.noteBegun();
         if (findRun(worker, ended.run))
@@ -333,10 +332,11 @@
 void RunSupervisor::finish(
     Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
 {
+    const LiveRun* live = findRun(worker, run);
+    const bool wasTrial = live && live->isTrial;
     m_workers.detach(worker, run.task);
     markDue(worker);
-    // A trial run may end without an end that the worker lists.
-    if (worker.runs.empty())
+    if (wasTrial || worker.runs.empty())
         worker.health.trialAborted();
     m_hasCapacityChanged = true;
     applyEnd(worker, run, end, checkpoint, step);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -83,6 +83,9 @@
     void recordUnexpected(const Worker&, const RunId&, Step&) const;
     void measureSpeed(Worker&, LiveRun&);
     void judgeProgress(Worker&, Step&);
+    // A completed trial run shows that the runs which lag beside it are slow, and not the worker.
+    void noteSuccess(Worker&, const RunId&);
+    static void markSlowRuns(Worker&);
     static void noteStarted(LiveRun&, TimePoint now);
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, const WorkerStatus&, Step&);
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <utility>
 
 // What the leader infers from status reports and registry changes, beyond the run ends that workers report:
 // vanished runs, worker speed, stalls and withdrawn workers.
@@ -84,21 +85,53 @@
     }
 }
 
-// A worker on which runs lag and none advances gets no new runs until one advances.
+void RunSupervisor::noteSuccess(Worker& worker, const RunId& run)
+{
+    const LiveRun* done = findRun(worker, run);
+    if (done && done->isTrial && worker.health.isStalled()) {
+        for (auto& [task, other] : worker.runs)
+            other.isSlow = other.isSlow || other.progress.pace() == RunProgress::Pace::Lagging;
+    }
+    worker.health.runSucceeded();
+}
+
+// A run that lags while another one advances is slow itself.
+void RunSupervisor::markSlowRuns(Worker& worker)
+{
+    for (auto& [task, run] : worker.runs) {
+        if (run.progress.pace() == RunProgress::Pace::Advancing)
+            run.isSlow = false;
+        if (run.progress.pace() != RunProgress::Pace::Lagging)
+            continue;
+        const RunProgress& lagging = run.progress;
+        const auto advances
+            = [&lagging](const auto& entry) { return entry.second.progress.advancesBeside(lagging); };
+        run.isSlow = run.isSlow || std::any_of(worker.runs.begin(), worker.runs.end(), advances);
+    }
+}
+
+// A worker on which runs lag and none advances gets no new runs, except for a trial run at a time, until one
+// advances.
 void RunSupervisor::judgeProgress(Worker& worker, Step& step)
 {
+    markSlowRuns(worker);
     int lagging = 0;
     int advancing = 0;
-    for (const auto& [task, run] : worker.runs) {
+    bool hasTrialStalled = false;
+    for (auto& [task, run] : worker.runs) {
         // A run makes no progress while it is being stopped.
-        if (run.phase == RunPhase::Stopping)
+        if (run.phase == RunPhase::Stopping || run.isSlow)
             continue;
-        lagging += run.progress.pace() == RunProgress::Pace::Lagging;
+        const bool isLagging = run.progress.pace() == RunProgress::Pace::Lagging;
+        lagging += isLagging;
         advancing += run.progress.pace() == RunProgress::Pace::Advancing;
+        hasTrialStalled = (isLagging && std::exchange(run.isTrial, false)) || hasTrialStalled;
     }
     const std::string& name = worker.record.lifetime.id.value();
     if (lagging && !advancing && worker.health.recordStall(step.now))
         step.warn("worker.stalled", { { "worker", name }, { "lagging", std::to_string(lagging) } });
+    else if (hasTrialStalled)
+        worker.health.trialStalled(step.now);
     if (advancing && worker.health.recordAdvance()) {
         step.record("worker.advances", { { "worker", name }, { "advancing", std::to_string(advancing) } });
         m_hasCapacityChanged = true;
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -2,13 +2,12 @@
 
 #include "anvilmoor/time.h"
 
-#include <utility>
-
 namespace anvilmoor::batch {
 
 // Judges a worker by the outcome of its runs and not by its own status reports: some workers report that they
 // are healthy although every run on them fails or stalls. A worker with several consecutive failures is
-// suspended, then gets a single run as a trial. The suspension grows each time the trial fails.
+// suspended, then gets a single run as a trial. So is a worker whose runs have stalled, even while it still
+// has them. The suspension grows each time the trial fails or stalls.
 class WorkerHealth {
 public:
     void runSucceeded();
@@ -17,19 +16,25 @@
     // does not, since the run itself may be at fault.
     void orderRefused(TimePoint now);
 
-    // None of the worker's runs advances. Returns whether the worker was not stalled before.
+    // None of the worker's runs advances. Returns whether the worker was not stalled before, and suspends it
+    // in that case.
     bool recordStall(TimePoint now);
+    // The trial run of a stalled worker does not advance either.
+    void trialStalled(TimePoint now);
     // A run advances. Returns whether the worker was stalled before.
-    bool recordAdvance() { return std::exchange(m_isStalled, false); }
+    bool recordAdvance();
 
     bool isTrusted() const { return !m_isSuspect && !m_isStalled; }
-    // Whether the worker is not trusted but may get one trial run that shows whether it has recovered.
+    bool isStalled() const { return m_isStalled; }
+    // Whether the worker is not trusted but may get one trial run, or the runs of one gang, that show whether
+    // it has recovered.
     bool isDueForTrial(TimePoint now) const;
     void trialStarted() { m_isOnTrial = true; }
     void trialAborted() { m_isOnTrial = false; }
 
 private:
     void suspect(TimePoint now);
+    void suspendStalled(TimePoint now);
 
     int m_consecutiveFailures = 0;
     int m_suspicions = 0;
@@ -37,7 +42,8 @@
     bool m_isOnTrial = false;
     TimePoint m_suspectUntil {};
     bool m_isStalled = false;
-    TimePoint m_stalledAt {}; // time of the last reported stall
+    int m_stalls = 0; // the first stall and those of trial runs since
+    TimePoint m_stalledUntil {};
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -38,6 +38,8 @@
     std::optional<TimePoint> stopAcceptedAt; // when the worker confirmed the stop order
     RunProgress progress;
     bool hasMeasuredSpeed = false;
+    bool isTrial = false; // shows whether its worker has recovered
+    bool isSlow = false; // it lags although its worker is sound, so its lag tells nothing about the worker
 };
 
 // A run end that was processed, and the job change that must be stored before it is acknowledged to the
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(testTaskWithRequiredLabelIsPlacedOnlyOnMatchingWorker);
     CPPUNIT_TEST(testLimitPerWorkerCountsTasksOfTheSameRound);
     CPPUNIT_TEST(testWorkerOnTrialGetsOneTask);
+    CPPUNIT_TEST(testWorkerOnTrialBesideRunsGetsTaskOnlyIfItFitsNowhereElse);
     CPPUNIT_TEST(testJobIsNotRetriedWhereItFailed);
     CPPUNIT_TEST(testJobThatFailedEverywhereIsRetriedAnywhere);
     CPPUNIT_TEST(testEvictionTakesCheapestWorker);
@@ -168,6 +169,22 @@
         CPPUNIT_ASSERT(!m_packing.place(requestOf(step), view));
     }
 
+    void testWorkerOnTrialBesideRunsGetsTaskOnlyIfItFitsNowhereElse()
+    {
+        WorkerCapacity stalled = testing::makeCapacity(0, 0, 4);
+        stalled.isOnTrial = true;
+        CapacityView view = viewOf({ stalled, testing::makeCapacity(0, 1) });
+        const StepSpecification step = testing::makeStep(1, 8);
+        const StepSpecification small = testing::makeStep(1, 2);
+        CPPUNIT_ASSERT(
+            m_packing.place(requestOf(step), view)->front() == testing::makeCapacity(0, 1).lifetime);
+        CPPUNIT_ASSERT(m_packing.place(requestOf(small), view)->front() == stalled.lifetime);
+        CPPUNIT_ASSERT(!m_packing.place(requestOf(small), view));
+        view.setRooms(std::vector<Resources> { stalled.room, view.workers()[1].whole });
+        CPPUNIT_ASSERT(
+            m_packing.place(requestOf(small), view)->front() == testing::makeCapacity(0, 1).lifetime);
+    }
+
     // Guards against a worker that fails every run and so uses up all attempts of a job that would succeed
     // elsewhere.
     void testJobIsNotRetriedWhereItFailed()
--- a/test/batch_run_progress_test.cpp
+++ b/test/batch_run_progress_test.cpp
@@ -19,9 +19,14 @@
     CPPUNIT_TEST(testGangMemberThatWaitsDoesNotLag);
     CPPUNIT_TEST(testFinishedMemberThatWaitsForItsGangDoesNotLag);
     CPPUNIT_TEST(testLongTaskIsGivenTimeToShowProgress);
+    CPPUNIT_TEST(testRunMuchSlowerThanEstimateAdvancesOnceItHasShownItsPace);
+    CPPUNIT_TEST(testSlowRunThatIsFollowedFromBetweenTwoPercentIsNotTakenForFast);
+    CPPUNIT_TEST(testRunMuchSlowerThanEstimateLagsOnceItStandsStill);
     CPPUNIT_TEST(testRunWithSteadyProgressIsAdvancing);
     CPPUNIT_TEST(testStalledWorkerIsTrustedAgainOnceSomethingAdvances);
     CPPUNIT_TEST(testStalledWorkerWithoutRunsGetsATrial);
+    CPPUNIT_TEST(testStalledWorkerIsDueForTrialWhileItsRunsStandStill);
+    CPPUNIT_TEST(testSuspensionDoublesWhileTrialsOfStalledWorkerStall);
     CPPUNIT_TEST(testWorkerWithFailuresIsNotTrustedDespiteProgress);
     CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +141,46 @@
         }
     }
 
+    // Guards against taking each pause between two percent for a standstill.
+    void testRunMuchSlowerThanEstimateAdvancesOnceItHasShownItsPace()
+    {
+        RunProgress run(Milliseconds(6'000), false);
+        WorkerClock at = 0;
+        advance(run, at, { 0, 0, 0, 0, 0, 0, 0 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
+        for (int percent = 1; percent < 20; ++percent) {
+            for (int reading = 0; reading < 8; ++reading) {
+                advance(run, at, { percent });
+                CPPUNIT_ASSERT(run.pace() == Pace::Advancing);
+            }
+        }
+    }
+
+    // A new leader follows runs that have already begun.
+    void testSlowRunThatIsFollowedFromBetweenTwoPercentIsNotTakenForFast()
+    {
+        RunProgress run(Milliseconds(6'000), false);
+        WorkerClock at = 0;
+        advance(run, at, { 40, 41, 41, 41, 41, 41, 41, 41, 41 });
+        for (int percent = 42; percent < 60; ++percent) {
+            for (int reading = 0; reading < 8; ++reading) {
+                advance(run, at, { percent });
+                CPPUNIT_ASSERT(run.pace() == Pace::Advancing);
+            }
+        }
+    }
+
+    void testRunMuchSlowerThanEstimateLagsOnceItStandsStill()
+    {
+        RunProgress run(Milliseconds(6'000), false);
+        WorkerClock at = 0;
+        for (int percent = 0; percent < 5; ++percent)
+            advance(run, at, { percent, percent });
+        for (int reading = 0; reading < 12; ++reading)
+            advance(run, at, { 4 });
+        CPPUNIT_ASSERT(run.pace() == Pace::Lagging);
+    }
+
     void testRunWithSteadyProgressIsAdvancing()
     {
         RunProgress run(Milliseconds(20'000), false);
@@ -172,6 +217,29 @@
         CPPUNIT_ASSERT(health.isTrusted());
     }
 
+    // Guards against closing a worker for as long as a slow run lasts.
+    void testStalledWorkerIsDueForTrialWhileItsRunsStandStill()
+    {
+        WorkerHealth health;
+        for (int second = 1; second <= 5; ++second)
+            health.recordStall(TimePoint(Seconds(second)));
+        CPPUNIT_ASSERT(health.isDueForTrial(TimePoint(Seconds(5))));
+    }
+
+    void testSuspensionDoublesWhileTrialsOfStalledWorkerStall()
+    {
+        WorkerHealth health;
+        health.recordStall(TimePoint(Seconds(1)));
+        health.trialStarted();
+        health.trialStalled(TimePoint(Seconds(6)));
+        CPPUNIT_ASSERT(!health.isDueForTrial(TimePoint(Seconds(11))));
+        CPPUNIT_ASSERT(health.isDueForTrial(TimePoint(Seconds(12))));
+        health.trialStarted();
+        health.trialStalled(TimePoint(Seconds(14)));
+        CPPUNIT_ASSERT(!health.isDueForTrial(TimePoint(Seconds(25))));
+        CPPUNIT_ASSERT(health.isDueForTrial(TimePoint(Seconds(26))));
+    }
+
     void testWorkerWithFailuresIsNotTrustedDespiteProgress()
     {
         WorkerHealth health;
