--- a/test/batch_hostile_platform_test.cpp
+++ b/test/batch_hostile_platform_test.cpp
@@ -1,8 +1,8 @@
 #include "support/batch_cluster.h"
+#include "support/seed_range.h"
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
-#include <cstdlib>
 #include <fmt/format.h>
 #include <functional>
 #include <random>
@@ -15,23 +15,6 @@
 constexpr std::size_t daemonCount = 4;
 constexpr int roundsPerSeed = 40;
 
-// The first and the last seed. HOSTILE_SEEDS=1-500 replaces those of the test.
-struct SeedRange {
-    std::uint64_t first = 1;
-    std::uint64_t last = 1;
-};
-
-SeedRange seedsOr(SeedRange seeds)
-{
-    const char* text = std::getenv("HOSTILE_SEEDS");
-    if (!text)
-        return seeds;
-    char* end = nullptr;
-    seeds.first = std::strtoull(text, &end, 10);
-    seeds.last = *end == '-' ? std::strtoull(end + 1, nullptr, 10) : seeds.first;
-    return seeds;
-}
-
 using Random = std::mt19937_64;
 using Disturbance = std::function<void(BatchCluster&, Random&)>;
 
@@ -417,7 +400,7 @@
 private:
     void search(const std::vector<Disturbance>& disturbances) const
     {
-        const SeedRange seeds = seedsOr({ 1, 8 });
+        const SeedRange seeds = seedsOr("HOSTILE_SEEDS", { 1, 8 });
         std::vector<std::string> findings;
         for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed) {
             if (const auto finding = play(seed, disturbances))
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -139,6 +139,27 @@
     }
 }
 
+void BatchCluster::slowDownFarRuns(double factor)
+{
+    for (const auto& worker : m_workers)
+        worker->slowdownOf = [this, factor](const RunId& run) { return isFar(run) ? factor : 1; };
+}
+
+bool BatchCluster::isFar(const RunId& run) const
+{
+    const StepSpecification& step = m_jobs.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
+    std::set<std::string> racks;
+    for (const auto& worker : m_workers) {
+        for (const auto& [task, each] : worker->runs()) {
+            const bool isSameGang
+                = task.job == run.task.job && task.step == run.task.step && each.id.run == run.run;
+            if (each.id == run || (step.needsOneRack && isSameGang))
+                racks.insert(worker->record.rack.value());
+        }
+    }
+    return racks.size() > 1 || (!step.dataRack.empty() && !racks.contains(step.dataRack));
+}
+
 void BatchCluster::setConfiguration(Configuration configuration)
 {
     m_configuration = std::move(configuration);
@@ -733,9 +754,10 @@
     return job;
 }
 
-void BatchCluster::submitAgain(std::size_t daemon, const std::string& queue, const JobId& job)
+void BatchCluster::submitAgain(
+    std::size_t daemon, const std::string& queue, const JobId& job, const std::string& key)
 {
-    request(daemon, CallerAction::Submit, queue, job, m_jobs.at(job), "key-a");
+    request(daemon, CallerAction::Submit, queue, job, m_jobs.at(job), key);
 }
 
 void BatchCluster::cancel(std::size_t daemon, const std::string& queue, const JobId& job)
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -62,6 +62,9 @@
     void addWorkers(int racks, int perRack);
     FakeWorker& worker(std::size_t index) { return *m_workers[index]; }
     std::size_t workerCount() const { return m_workers.size(); }
+    // From now on, runs of a gang that asks for one rack but is spread over several, and runs away from their
+    // data, take this many times as long.
+    void slowDownFarRuns(double factor);
     // Removes the worker's entry from the registry.
     void unlist(const WorkerId& id) { m_unlisted.insert(id); }
     // Overwrites the worker's registry entry with one that cannot be decoded, or restores it.
@@ -69,13 +72,15 @@
 
     void setConfiguration(batch::Configuration);
     static batch::Configuration defaultConfiguration();
+    const batch::JobSpecification& specificationOf(const JobId& job) const { return m_jobs.at(job); }
     // `queue` names a queue of the default configuration: "urgent", "gang" or "small", with priority 0, 1
     // or 2.
     JobId submit(std::size_t daemon, const std::string& queue, std::vector<batch::StepSpecification>,
         const std::string& key = "key-a");
     JobId submitScheduled(std::size_t daemon, const std::string& queue, std::vector<batch::StepSpecification>,
         batch::Schedule, const std::string& key = "key-a");
-    void submitAgain(std::size_t daemon, const std::string& queue, const JobId&);
+    void submitAgain(
+        std::size_t daemon, const std::string& queue, const JobId&, const std::string& key = "key-a");
     void cancel(std::size_t daemon, const std::string& queue, const JobId&);
     void query(std::size_t daemon, const std::string& queue, const JobId&);
     void count(std::size_t daemon, const std::string& queue);
@@ -211,6 +216,7 @@
     batch::StoreClock storeClock() const { return m_now.time_since_epoch().count() + 7'000'000; }
     bool canReachStore(std::size_t daemon) const;
     FakeWorker* find(const batch::WorkerLifetime&);
+    bool isFar(const batch::RunId&) const;
     FakeWorker* findAnyLifetime(const WorkerId&);
     void request(std::size_t daemon, batch::CallerAction, const std::string& queue, const JobId&,
         batch::JobSpecification, const std::string& key);
--- a/test/support/fake_worker.cpp
+++ b/test/support/fake_worker.cpp
@@ -173,6 +173,8 @@
                 ends.emplace_back(task, RunEnd::GangIncomplete);
             continue;
         }
+        if (!run.hasWorked && slowdownOf)
+            run.duration = std::chrono::duration_cast<Milliseconds>(run.duration * slowdownOf(run.id));
         run.hasWorked = true;
         run.worked += std::chrono::duration_cast<Milliseconds>(passed * speed);
         run.checkpoint = std::to_string(run.worked / checkpointInterval * checkpointInterval.count());
--- a/test/support/fake_worker.h
+++ b/test/support/fake_worker.h
@@ -59,6 +59,8 @@
     int acknowledgedUnread = 0; // ends forgotten because of an order for another lifetime
     WorkerBehavior behavior;
     double speed = 1; // progress per unit of time; 0: runs make no progress
+    // How many times as long a run takes, asked when it begins to work. Without it, no run takes longer.
+    std::function<double(const batch::RunId&)> slowdownOf;
     // How long a task has to work, and whether all members of a run's gang are running (true without a gang).
     std::function<Milliseconds(const batch::TaskId&)> durationOf;
     std::function<bool(const batch::RunId&)> isGangComplete;
