Keep the parts of the job table that a loading leader has read

Cause: a new leader reads the 8 parts of the job table at once, and read all of them again if one read failed. While the store fails a share p of the reads (refused, reset, slower than 1 s), an attempt succeeds with (1-p)^8: 0.4% for p = 0.5. A leader that has not loaded after 2 s gives the lease up, and the next one begins anew. Each attempt also takes 8 of the store's reads.

The feed continues from the oldest version of all parts, as before, and the table counts as known up to the earliest read. After a loss of history the parts are still read in one attempt: the leader removes rows meanwhile, and must not be told of them again.

--- a/src/batch/daemon/table_follower.cpp
+++ b/src/batch/daemon/table_follower.cpp
@@ -1,5 +1,6 @@
 #include "batch/daemon/table_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -20,6 +21,7 @@
     , m_callback(std::move(callback))
     , m_timer(loop)
 {
+    beginSnapshot();
     sendRequest();
 }
 
@@ -30,7 +32,7 @@
     if (m_hasSnapshot)
         requestChanges();
     else
-        readAllParts();
+        readMissingParts();
 }
 
 void TableFollower::sendRequestAfter(Milliseconds delay)
@@ -41,42 +43,70 @@
         sendRequest();
 }
 
-void TableFollower::readAllParts()
+void TableFollower::beginSnapshot()
 {
-    m_unreadParts = m_parts.size();
-    m_snapshot = { true };
-    for (const std::string& part : m_parts) {
+    m_hasSnapshot = false;
+    m_missingParts = m_parts;
+    m_snapshot = {};
+    m_snapshotKnownAt = TimePoint::max();
+}
+
+// Parts of the first snapshot that have been read are kept: while the store fails a share of the reads,
+// hardly any attempt reads all parts at once.
+void TableFollower::readMissingParts()
+{
+    const std::vector<std::string> parts = std::exchange(m_missingParts, {});
+    m_readsInFlight = parts.size();
+    for (const std::string& part : parts) {
         m_store.read({ m_table, part, {} }, {},
-            [this, isAlive = m_isAlive, sentAt = m_clock()](TableSnapshot snapshot) {
+            [this, isAlive = m_isAlive, part, sentAt = m_clock()](const TableSnapshot& read) {
                 if (*isAlive)
-                    onPartRead(std::move(snapshot), sentAt);
+                    onPartRead(part, read, sentAt);
             });
     }
 }
 
+void TableFollower::onPartRead(const std::string& part, const TableSnapshot& read, TimePoint sentAt)
+{
+    if (read.isOk)
+        addToSnapshot(read, sentAt);
+    else
+        m_missingParts.push_back(part);
+    if (--m_readsInFlight)
+        return;
+    m_isStoreReachable = m_missingParts.empty();
+    if (m_isStoreReachable) {
+        finishSnapshot();
+        return;
+    }
+    m_hasFailed = true;
+    // Rows that were read may have been removed since, by a leader that follows this table.
+    if (!m_isFirstSnapshot)
+        beginSnapshot();
+    sendRequestAfter(retryDelay);
+}
+
 // The feed continues from the oldest version of all parts: some changes may be reported twice, but none is
 // missed.
-void TableFollower::onPartRead(TableSnapshot part, TimePoint sentAt)
+void TableFollower::addToSnapshot(const TableSnapshot& part, TimePoint sentAt)
 {
     const bool isOldest = !m_snapshot.version || part.version < m_snapshot.version;
-    m_snapshot.isOk = m_snapshot.isOk && part.isOk;
     if (isOldest)
         m_snapshot.version = part.version;
     m_snapshot.rows.insert(m_snapshot.rows.end(), part.rows.begin(), part.rows.end());
-    if (--m_unreadParts)
-        return;
-    m_isStoreReachable = m_snapshot.isOk;
-    if (!m_snapshot.isOk) {
-        m_hasFailed = true;
-        sendRequestAfter(retryDelay);
-        return;
-    }
+    m_snapshot.answeredAt = part.answeredAt;
+    m_snapshotKnownAt = std::min(m_snapshotKnownAt, sentAt);
+}
+
+void TableFollower::finishSnapshot()
+{
     m_hasSnapshot = true;
+    m_isFirstSnapshot = false;
     m_version = m_snapshot.version;
-    m_knownAt = sentAt;
+    m_knownAt = m_snapshotKnownAt;
     const auto isAlive = m_isAlive;
-    m_callback(
-        { true, std::move(m_snapshot.rows), sentAt, part.answeredAt, std::exchange(m_hasFailed, false) });
+    m_callback({ true, std::move(m_snapshot.rows), m_knownAt, m_snapshot.answeredAt,
+        std::exchange(m_hasFailed, false) });
     if (*isAlive)
         sendRequestAfter(m_timing.pause);
 }
@@ -94,7 +124,7 @@
                 return;
             }
             if (reply.outcome == FeedOutcome::HistoryLost) {
-                m_hasSnapshot = false;
+                beginSnapshot();
                 sendRequestAfter(Milliseconds(0));
                 return;
             }
--- a/src/batch/daemon/table_follower.h
+++ b/src/batch/daemon/table_follower.h
@@ -41,22 +41,28 @@
 
 private:
     void sendRequest();
-    void readAllParts();
-    void onPartRead(TableSnapshot, TimePoint sentAt);
+    void beginSnapshot();
+    void readMissingParts();
+    void onPartRead(const std::string& part, const TableSnapshot&, TimePoint sentAt);
+    void addToSnapshot(const TableSnapshot& part, TimePoint sentAt);
+    void finishSnapshot();
     void requestChanges();
     void sendRequestAfter(Milliseconds);
 
     RowStore& m_store;
     std::string m_table;
     std::vector<std::string> m_parts;
-    std::size_t m_unreadParts = 0; // parts that the read in progress still waits for
+    std::size_t m_readsInFlight = 0;
+    std::vector<std::string> m_missingParts; // parts that the snapshot in progress still has to be read from
     TableSnapshot m_snapshot; // rows of the parts read so far
+    TimePoint m_snapshotKnownAt {}; // when the earliest of their reads was sent
     FollowTiming m_timing;
     Clock m_clock;
     Callback m_callback;
     net::Timer m_timer;
     RowVersion m_version = 0;
     TimePoint m_knownAt {};
+    bool m_isFirstSnapshot = true;
     bool m_hasSnapshot = false;
     bool m_isStoreReachable = false;
     bool m_hasFailed = false; // since the latest update
