Do not wait for runs whose start order was never sent

Cause: an order that was not sent, because the worker could not be connected to, counted as an order without an answer, which a worker may carry out up to 12 s later. The run was resent for 1.8 s, then stopped, and its end waited for until the longest lease had passed. An idle worker is asked only every 30 s, so until its entry expires it gets new runs though nobody is there.

Now OrderOutcome::NotSent says that no byte of the order has left (the HTTP client already knew, and never sends a call twice). A run of which no earlier order may still be carried out ends at once and its work is placed anew. The worker gets no new runs for 1 s and until it has answered. A run that may have been started is waited for as before.

--- a/include/anvilmoor/batch/worker.h
+++ b/include/anvilmoor/batch/worker.h
@@ -74,6 +74,7 @@
     InsufficientCapacity, // rejected because the worker lacks the capacity
     Outdated, // the worker knows of a newer leader or of a newer run
     OtherLifetime, // the worker has restarted; the order named an earlier lifetime
+    NotSent, // the worker could not be connected to, so the order had no effect and will have none
     Unknown, // no answer: it may have been executed, or may still be executed
 };
 
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -1,6 +1,8 @@
 #include "batch/workers/run_supervisor.h"
 
+#include <algorithm>
 #include <string>
+#include <string_view>
 
 // Sends start and stop orders to workers and handles the answers.
 
@@ -12,6 +14,22 @@
 // After the assignment is stored, start orders are resent for this long. Then the run is stopped instead.
 constexpr Milliseconds startTimeout { 1'800 };
 constexpr Milliseconds stopRetryDelay { 300 };
+// A worker that lacks capacity, or cannot be connected to, gets no new runs for this long.
+constexpr Milliseconds placementPause { 1'000 };
+
+std::string_view reasonOf(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::InsufficientCapacity:
+        return "room";
+    case OrderOutcome::Outdated:
+        return "outdated";
+    case OrderOutcome::NotSent:
+        return "not connected";
+    default:
+        return "unhealthy";
+    }
+}
 
 } // namespace
 
@@ -124,6 +142,9 @@
         if (JobBook::Entry* entry = m_jobs.find(answer.run.task.job))
             entry->progress.noteBegun();
         return;
+    case OrderOutcome::NotSent:
+        startNotSent(*worker, *run, step);
+        return;
     case OrderOutcome::Unknown:
         run->mayStartLate = true;
         return;
@@ -138,17 +159,26 @@
     }
 }
 
+// The worker has to answer before it gets new runs. A run of which no start order was sent is not waited for.
+void RunSupervisor::startNotSent(Worker& worker, LiveRun& run, Step& step)
+{
+    if (run.mayStartLate || run.acceptedAt)
+        return;
+    worker.unansweredHolds = std::max(worker.unansweredHolds, 1);
+    worker.nextHoldAt = step.now;
+    const RunId id = run.id;
+    rejected(worker, run, OrderOutcome::NotSent, step);
+    // It may be stopping, because another member of its gang has ended.
+    if (findRun(worker, id))
+        finish(worker, id, RunEnd::Stopped, {}, step);
+}
+
 void RunSupervisor::rejected(Worker& worker, LiveRun& run, OrderOutcome outcome, Step& step)
 {
-    constexpr Milliseconds placementPause { 1'000 };
     step.warn("run.rejected",
         { { "job", run.id.task.job.value() }, { "run", std::to_string(run.id.run) },
-            { "worker", worker.record.lifetime.id.value() },
-            { "reason",
-                outcome == OrderOutcome::InsufficientCapacity ? "room"
-                    : outcome == OrderOutcome::Outdated       ? "outdated"
-                                                              : "unhealthy" } });
-    if (outcome == OrderOutcome::InsufficientCapacity)
+            { "worker", worker.record.lifetime.id.value() }, { "reason", std::string(reasonOf(outcome)) } });
+    if (outcome == OrderOutcome::InsufficientCapacity || outcome == OrderOutcome::NotSent)
         worker.noPlacementUntil = step.now + placementPause;
     if (outcome == OrderOutcome::Rejected)
         worker.health.orderRefused(step.now);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -77,6 +77,7 @@
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
+    void startNotSent(Worker&, LiveRun&, Step&);
     void advanceStoredEnd(Worker&);
     void processEnds(Worker&, std::span<const EndedRun>, Step&);
     void processActive(Worker&, const WorkerStatus&, Step&);
--- a/test/batch_hostile_platform_test.cpp
+++ b/test/batch_hostile_platform_test.cpp
@@ -74,6 +74,12 @@
     }
 }
 
+void refuseConnections(BatchCluster& cluster, Random& random)
+{
+    FakeWorker& worker = cluster.worker(anyWorker(cluster, random));
+    worker.refusesConnections = !worker.refusesConnections && flip(random);
+}
+
 void replaceLeaders(BatchCluster& cluster, Random& random)
 {
     const std::size_t daemon = cluster.leader().value_or(anyDaemon(random));
@@ -161,6 +167,7 @@
         worker.isReachable = true;
         worker.isCutFromStore = false;
         worker.isFailing = false;
+        worker.refusesConnections = false;
         worker.record.isDraining = false;
         worker.behavior.refusalShare = 0;
     }
@@ -233,6 +240,7 @@
     CPPUNIT_TEST(testDisturbedCommitsViolateNoGuarantee);
     CPPUNIT_TEST(testFrozenDaemonsViolateNoGuarantee);
     CPPUNIT_TEST(testCutLinksViolateNoGuarantee);
+    CPPUNIT_TEST(testRefusedConnectionsViolateNoGuarantee);
     CPPUNIT_TEST(testReplacedLeadersViolateNoGuarantee);
     CPPUNIT_TEST(testRegistryChangesViolateNoGuarantee);
     CPPUNIT_TEST(testRestartedWorkersViolateNoGuarantee);
@@ -345,6 +353,10 @@
     }
     void testFrozenDaemonsViolateNoGuarantee() { search({ freezeDaemons, disturbAnswers }); }
     void testCutLinksViolateNoGuarantee() { search({ cutLinks }); }
+    void testRefusedConnectionsViolateNoGuarantee()
+    {
+        search({ refuseConnections, disturbAnswers, delayOrders, replaceLeaders });
+    }
     void testReplacedLeadersViolateNoGuarantee() { search({ replaceLeaders, disturbAnswers, cutLinks }); }
     void testRegistryChangesViolateNoGuarantee() { search({ disturbRegistry, disturbAnswers }); }
     void testRestartedWorkersViolateNoGuarantee() { search({ restartWorkers, disturbAnswers }); }
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -309,11 +309,17 @@
         for (const int status : { 500, 502, 504, 302 })
             CPPUNIT_ASSERT(outcomeOf(status, "{}") == OrderOutcome::Unknown);
         CPPUNIT_ASSERT(outcomeOf(200, "broken") == OrderOutcome::Unknown);
-        OrderOutcome lost = OrderOutcome::Accepted;
-        workers->stop({ m_worker, "10.0.0.1:80", { { JobId("5c0e"), 0, 0, 0 }, 1 }, 7 },
-            [&](const batch::StopAnswered& answer) { lost = answer.outcome; });
-        m_client.fail(net::HttpErrorKind::TimedOut);
-        CPPUNIT_ASSERT(lost == OrderOutcome::Unknown);
+        const auto outcomeOfFailure = [&](net::HttpErrorKind kind) {
+            OrderOutcome outcome = OrderOutcome::Accepted;
+            workers->stop({ m_worker, "10.0.0.1:80", { { JobId("5c0e"), 0, 0, 0 }, 1 }, 7 },
+                [&](const batch::StopAnswered& answer) { outcome = answer.outcome; });
+            m_client.fail(kind);
+            return outcome;
+        };
+        for (const auto kind :
+            { net::HttpErrorKind::TimedOut, net::HttpErrorKind::Lost, net::HttpErrorKind::Malformed })
+            CPPUNIT_ASSERT(outcomeOfFailure(kind) == OrderOutcome::Unknown);
+        CPPUNIT_ASSERT(outcomeOfFailure(net::HttpErrorKind::NotSent) == OrderOutcome::NotSent);
     }
 
     void testHoldAnswerListsActiveAndEndedRuns()
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -23,6 +23,17 @@
 constexpr Milliseconds registryInterval { 1'500 };
 constexpr Milliseconds registryExpiry = 3 * registryInterval;
 
+EventPayload withOutcome(EventPayload answer, OrderOutcome outcome)
+{
+    std::visit(
+        [outcome](auto& each) {
+            if constexpr (requires { each.outcome = outcome; })
+                each.outcome = outcome;
+        },
+        answer);
+    return answer;
+}
+
 std::string nameOf(const RunId& run)
 {
     return fmt::format("{}.{}.{}.{} run {}", run.task.job.value(), run.task.occurrence, run.task.step,
@@ -550,7 +561,12 @@
     at(m_now + timeout, [this, call, unanswered] { answer(call, unanswered); });
     if (isCut)
         return call;
-    at(m_now + delay, [this, call, execute] {
+    at(m_now + delay, [this, call, execute, unanswered] {
+        const FakeWorker* worker = findAnyLifetime(call->target.id);
+        if (worker && worker->refusesConnections) {
+            answer(call, withOutcome(unanswered, OrderOutcome::NotSent));
+            return;
+        }
         Link* link = linkOf(call->daemon, call->target.id);
         if (link && link->cut == LinkCut::HeldBack)
             link->heldBack.emplace_back([call, execute] { execute(call); });
--- a/test/support/fake_worker.h
+++ b/test/support/fake_worker.h
@@ -54,6 +54,7 @@
 
     batch::WorkerRecord record;
     bool isReachable = true; // by the daemons
+    bool refusesConnections = false; // orders are not sent
     bool isFailing = false; // every run ends as Failed at the next advance()
     bool isCutFromStore = false; // its registry entry is not renewed, and expires
     int acknowledgedUnread = 0; // ends forgotten because of an order for another lifetime
