--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -67,6 +67,8 @@
     void slowDownFarRuns(double factor);
     // Removes the worker's entry from the registry.
     void unlist(const WorkerId& id) { m_unlisted.insert(id); }
+    // Puts it back.
+    void list(const WorkerId& id) { m_unlisted.erase(id); }
     // Overwrites the worker's registry entry with one that cannot be decoded, or restores it.
     void setEntryReadable(const WorkerId& id, bool isReadable);
 
