--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -23,6 +23,17 @@
 constexpr Milliseconds registryInterval { 1'500 };
 constexpr Milliseconds registryExpiry = 3 * registryInterval;
 
+EventPayload withOutcome(EventPayload answer, OrderOutcome outcome)
+{
+    std::visit(
+        [outcome](auto& each) {
+            if constexpr (requires { each.outcome = outcome; })
+                each.outcome = outcome;
+        },
+        answer);
+    return answer;
+}
+
 std::string nameOf(const RunId& run)
 {
     return fmt::format("{}.{}.{}.{} run {}", run.task.job.value(), run.task.occurrence, run.task.step,
@@ -139,6 +150,27 @@
     }
 }
 
+void BatchCluster::slowDownFarRuns(double factor)
+{
+    for (const auto& worker : m_workers)
+        worker->slowdownOf = [this, factor](const RunId& run) { return isFar(run) ? factor : 1; };
+}
+
+bool BatchCluster::isFar(const RunId& run) const
+{
+    const StepSpecification& step = m_jobs.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
+    std::set<std::string> racks;
+    for (const auto& worker : m_workers) {
+        for (const auto& [task, each] : worker->runs()) {
+            const bool isSameGang
+                = task.job == run.task.job && task.step == run.task.step && each.id.run == run.run;
+            if (each.id == run || (step.needsOneRack && isSameGang))
+                racks.insert(worker->record.rack.value());
+        }
+    }
+    return racks.size() > 1 || (!step.dataRack.empty() && !racks.contains(step.dataRack));
+}
+
 void BatchCluster::setConfiguration(Configuration configuration)
 {
     m_configuration = std::move(configuration);
@@ -529,7 +561,12 @@
     at(m_now + timeout, [this, call, unanswered] { answer(call, unanswered); });
     if (isCut)
         return call;
-    at(m_now + delay, [this, call, execute] {
+    at(m_now + delay, [this, call, execute, unanswered] {
+        const FakeWorker* worker = findAnyLifetime(call->target.id);
+        if (worker && worker->refusesConnections) {
+            answer(call, withOutcome(unanswered, OrderOutcome::NotSent));
+            return;
+        }
         Link* link = linkOf(call->daemon, call->target.id);
         if (link && link->cut == LinkCut::HeldBack)
             link->heldBack.emplace_back([call, execute] { execute(call); });
@@ -733,9 +770,10 @@
     return job;
 }
 
-void BatchCluster::submitAgain(std::size_t daemon, const std::string& queue, const JobId& job)
+void BatchCluster::submitAgain(
+    std::size_t daemon, const std::string& queue, const JobId& job, const std::string& key)
 {
-    request(daemon, CallerAction::Submit, queue, job, m_jobs.at(job), "key-a");
+    request(daemon, CallerAction::Submit, queue, job, m_jobs.at(job), key);
 }
 
 void BatchCluster::cancel(std::size_t daemon, const std::string& queue, const JobId& job)
