--- a/bench/real_processes/gang_beside_free_room.cpp
+++ b/bench/real_processes/gang_beside_free_room.cpp
@@ -11,6 +11,7 @@
 
 using namespace review;
 
+constexpr int daemons = 6;
 constexpr int workersPerRack = 8;
 constexpr int racks = 6;
 constexpr int readyTimeoutMs = 15'000;
@@ -51,7 +52,7 @@
 int play()
 {
     Site::Shape shape;
-    shape.daemons = racks;
+    shape.daemons = daemons;
     shape.workersPerRack = workersPerRack;
     shape.workers = racks * workersPerRack;
     shape.worker = worker;
@@ -63,7 +64,7 @@
     std::vector<std::pair<std::string, int>> accepted;
     for (int rack = 0; rack < racks; ++rack) {
         const std::string job = "00000000000010a" + std::to_string(rack);
-        if (site.submit(job, longTask(rack), rack) != 200)
+        if (site.submit(job, longTask(rack), rack % daemons) != 200)
             return exitCannotRun;
         accepted.emplace_back(job, longTaskPriority);
     }
