Play short leaderships with cut links, lost workers and restarts

Two more mixes of the hostile platform's disturbances, aimed at the lease times in the lease row: leaders are killed, replaced on the same host or terminated every few seconds, while links are cut and answers, orders and commits are late.

--- a/test/batch_hostile_platform_test.cpp
+++ b/test/batch_hostile_platform_test.cpp
@@ -110,6 +110,25 @@
     }
 }
 
+// Replaces the leader at once on its own host, or leaves its host without a daemon for a while.
+void killLeader(BatchCluster& cluster, Random& random)
+{
+    for (std::size_t each = 0; each < daemonCount; ++each) {
+        if (!cluster.isRunning(each) && flip(random))
+            cluster.restart(each);
+    }
+    const auto leader = cluster.leader();
+    if (!leader || random() % 3 == 0)
+        return;
+    if (random() % 4 == 0) {
+        cluster.terminate(*leader);
+        return;
+    }
+    cluster.kill(*leader);
+    if (flip(random))
+        cluster.restart(*leader);
+}
+
 void failRuns(BatchCluster& cluster, Random& random)
 {
     FakeWorker& worker = cluster.worker(anyWorker(cluster, random));
@@ -246,6 +265,8 @@
     CPPUNIT_TEST(testRestartedWorkersViolateNoGuarantee);
     CPPUNIT_TEST(testWorkersRestartedUnderSameInstanceNameViolateNoGuarantee);
     CPPUNIT_TEST(testCombinedDisturbancesViolateNoGuarantee);
+    CPPUNIT_TEST(testShortLeadershipsAndSilentWorkersViolateNoGuarantee);
+    CPPUNIT_TEST(testShortLeadershipsAndRestartedWorkersViolateNoGuarantee);
     CPPUNIT_TEST(testLeasesOfLeaderWhoseLeaseRowWasOverwrittenAreWaitedFor);
     CPPUNIT_TEST(testLateOrdersToWorkersRestartedUnderSameInstanceNameViolateNoGuarantee);
     CPPUNIT_TEST(testLateHoldsOfWorkersRestartedUnderSameInstanceNameViolateNoGuarantee);
@@ -373,6 +394,18 @@
             disturbRegistry, restartWorkers });
     }
 
+    void testShortLeadershipsAndSilentWorkersViolateNoGuarantee()
+    {
+        search({ disturbAnswers, delayOrders, disturbCommits, cutLinks, cutLinks, cutLinks, cutLinks,
+            killLeader });
+    }
+
+    void testShortLeadershipsAndRestartedWorkersViolateNoGuarantee()
+    {
+        search({ delayOrders, disturbCommits, freezeDaemons, cutLinks, cutLinks, killLeader, disturbRegistry,
+            restartWorkers });
+    }
+
     // Guards against repeating a run while an earlier leader, cut off from the store, still renews its lease.
     void testLeasesOfLeaderWhoseLeaseRowWasOverwrittenAreWaitedFor()
     {
