--- a/test/batch_repeated_run_delay_test.cpp
+++ b/test/batch_repeated_run_delay_test.cpp
@@ -35,6 +35,9 @@
     CPPUNIT_TEST(testRunOnWorkerThatAnswersAgainIsNotRepeatedByNextLeaderWhileItRuns);
     CPPUNIT_TEST(testRunOnWorkerThatAnswersLeaderCutFromStoreIsNotRepeatedByNextLeaderWhileItRuns);
     CPPUNIT_TEST(testRunsOnWorkersThatAnswerSomeLeadersAreNotRepeatedWhileTheyRun);
+    CPPUNIT_TEST(testRunOfLostWorkerIsRepeatedInTimeAfterLeadersThatCannotLoad);
+    CPPUNIT_TEST(testRunOfLostWorkerIsRepeatedInTimeAfterLeadersLostSoonAfterClaim);
+    CPPUNIT_TEST(testRunOfLostWorkerIsRepeatedInTimeAfterLaterLossOfLeader);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t workers = 6;
@@ -253,6 +256,46 @@
         requireRepeatedBy(lostAt + maxRepeatDelay);
     }
 
+    // Guards against leaders that put off the end of leases although they have granted none.
+    void testRunOfLostWorkerIsRepeatedInTimeAfterLeadersThatCannotLoad()
+    {
+        startJob();
+        const TimePoint lostAt = m_cluster.now();
+        lose(workerWithRun());
+        m_cluster.cannotRead = { 0, 1, 2 };
+        replaceLeader();
+        advance(Milliseconds(8'000));
+        m_cluster.cannotRead.clear();
+        requireRepeatedBy(lostAt + maxRepeatDelay);
+    }
+
+    void testRunOfLostWorkerIsRepeatedInTimeAfterLeadersLostSoonAfterClaim()
+    {
+        startJob();
+        const TimePoint lostAt = m_cluster.now();
+        lose(workerWithRun());
+        replaceLeader();
+        for (int lost = 0; lost < 3; ++lost) {
+            while (!m_cluster.leader() && m_cluster.now() < lostAt + longestLease)
+                advance(Milliseconds(10));
+            advance(Milliseconds(300));
+            replaceLeader();
+        }
+        requireRepeatedBy(lostAt + maxRepeatDelay);
+    }
+
+    // The leader has asked the worker in vain, so it has granted it nothing since.
+    void testRunOfLostWorkerIsRepeatedInTimeAfterLaterLossOfLeader()
+    {
+        constexpr Milliseconds untilSilent { 3 * 1'200 };
+        startJob();
+        const TimePoint lostAt = m_cluster.now();
+        lose(workerWithRun());
+        advance(Milliseconds(9'000));
+        replaceLeader();
+        requireRepeatedBy(lostAt + untilSilent + maxRepeatDelay);
+    }
+
     // Guards against a lease on a worker that the lease row still lists as silent.
     void testRunOnWorkerThatAnswersAgainIsNotRepeatedByNextLeaderWhileItRuns()
     {
