Show jobs that wait beside room without a bound, and a gang that small tasks starve

The one of the gang contradicts testGangWaitsForItsRackWhileServiceIsBusy; the lead decides which holds.

--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <random>
 
 namespace anvilmoor::batch {
 
@@ -48,6 +49,10 @@
     CPPUNIT_TEST(testSuspendedWorkersDoNotMakeServiceCountAsFull);
     CPPUNIT_TEST(testGangWaitsForItsRackWhileServiceIsBusy);
     CPPUNIT_TEST(testWaitBesideRoomCountsOnlyTimeWithRoom);
+    CPPUNIT_TEST(testGangGetsItsWorkersDespiteSmallTasksWhileServiceIsMostlyFree);
+    CPPUNIT_TEST(testGangDoesNotWaitLongBesideRoomForItTwiceWhileServiceIsBusy);
+    CPPUNIT_TEST(testSmallJobDoesNotWaitLongBesideRoomForItTwiceWhileServiceIsBusy);
+    CPPUNIT_TEST(testJobDoesNotWaitLongForBusyWorkersBesideIdleOnesWhereItFailed);
     CPPUNIT_TEST_SUITE_END();
 
     const PackingPlacement m_packing;
@@ -607,6 +612,108 @@
         CPPUNIT_ASSERT(!timeToPlacement(state, round, gang, Seconds(10)));
     }
 
+    // Guards against a gang that is starved by less urgent tasks on the workers that are held for it.
+    void testGangGetsItsWorkersDespiteSmallTasksWhileServiceIsMostlyFree()
+    {
+        std::string times;
+        bool isLate = false;
+        for (unsigned seed = 1; seed <= 10; ++seed) {
+            const Milliseconds time = timeToGangAmongSmallTasks(seed);
+            isLate = isLate || time > Seconds(30);
+            times += fmt::format(" {}", time.count());
+        }
+        CPPUNIT_ASSERT_MESSAGE("ms until the gang was placed, 300000: never:" + times, !isLate);
+    }
+
+    // Half of the workers are full for good. Small tasks, of 2 to 9 s, come each 1.5 s on average. A gang
+    // needs the other half of the workers.
+    Milliseconds timeToGangAmongSmallTasks(unsigned seed)
+    {
+        testing::LeaderState state;
+        state.addWorkers(1, 8);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (int worker = 0; worker < 4; ++worker)
+            occupyAny(state, round, fmt::format("filler-{}", worker), 8);
+        std::mt19937_64 random(seed);
+        std::vector<std::pair<TimePoint, TaskId>> ends;
+        occupyAny(state, round, "small-first", 2);
+        ends.emplace_back(state.now + Seconds(4), TaskId { JobId("small-first"), 0, 0, 0 });
+        const JobId gang = state.addJob("gang", 1, testing::makeGang(4, 8, false, Seconds(10)));
+        int next = 0;
+        const TimePoint begin = state.now;
+        while (state.now < begin + Seconds(300)) {
+            if (random() % 6 == 0)
+                state.addJob(fmt::format("small-{}", next++).c_str(), 2, testing::makeStep(1, 2, Seconds(6)));
+            std::erase_if(ends, [&](const auto& end) {
+                if (end.first > state.now)
+                    return false;
+                state.endTask(end.second);
+                return true;
+            });
+            const PlacementOutcome outcome = state.place(round);
+            if (placedTasks(outcome, gang))
+                break;
+            for (const PlacementDecision& placed : outcome.placed)
+                ends.emplace_back(
+                    state.now + Milliseconds(2'000 + random() % 7'000), TaskId { placed.unit.job, 0, 0, 0 });
+            state.advance(Milliseconds(250));
+        }
+        return state.now - begin;
+    }
+
+    static void occupyAny(
+        testing::LeaderState& state, PlacementRound& round, const std::string& id, int accelerators)
+    {
+        const JobId job = state.addJob(id.c_str(), 0, testing::makeStep(1, accelerators, Seconds(600)));
+        const PlacementOutcome outcome = state.place(round);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, placedTasks(outcome, job));
+    }
+
+    void testGangDoesNotWaitLongBesideRoomForItTwiceWhileServiceIsBusy()
+    {
+        testing::LeaderState state;
+        state.addWorkers(4, 4);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (const char* rack : { "r0", "r1", "r2", "r3" }) {
+            for (const int accelerators : { 8, 7, 6 })
+                occupy(state, round, rack, accelerators);
+        }
+        requirePlacedSoon(state, round, state.addJob("gang", 1, testing::makeGang(2, 8, true, Seconds(10))));
+    }
+
+    void testSmallJobDoesNotWaitLongBesideRoomForItTwiceWhileServiceIsBusy()
+    {
+        testing::LeaderState state;
+        state.addWorkers(4, 4);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        for (const char* rack : { "r0", "r1", "r2", "r3" }) {
+            for (const int accelerators : { 8, 7, 6 })
+                occupy(state, round, rack, accelerators);
+        }
+        state.addJob("urgent", 0, testing::makeStep(1, 1, Seconds(600)));
+        state.place(round);
+        requirePlacedSoon(state, round, state.addJob("small", 2, testing::makeStep(1, 8)));
+    }
+
+    void testJobDoesNotWaitLongForBusyWorkersBesideIdleOnesWhereItFailed()
+    {
+        testing::LeaderState state;
+        state.addWorkers(1, 8);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        StepSpecification spread = testing::makeStep(8, 1, Seconds(600));
+        spread.maxTasksPerWorker = 1;
+        state.addJob("filler", 2, spread);
+        state.place(round);
+        const JobId job = state.addJob("job", 1, testing::makeStep(1, 8));
+        for (const int index : { 0, 1 }) {
+            const batch::LiveRun run = state.worker(0, index).runs.begin()->second;
+            state.endTask(run.id.task);
+            state.jobs.find(job)->failedOn.insert(state.worker(0, index).record.lifetime);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, state.idleWorkers());
+        CPPUNIT_ASSERT(timeToPlacement(state, round, job, Seconds(60)).has_value());
+    }
+
     void testWaitBesideRoomCountsOnlyTimeWithRoom()
     {
         testing::LeaderState state;
