Give a waiting gang's workers a bounded time for themselves, and end other waits beside free room

A hold is now closed for 10 s, open for 5 s to work that has waited beside free room, closed for 20 s, and so on up to 80 s. Workers on which the job has failed are avoided for 8 s.

A release and a repeated commit now state whether later leases are possible as of their own time, not of the commit before (by reading).

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -72,6 +72,9 @@
 
 void Scheduler::tick(Step& step)
 {
+    // A repeated commit and a release state it as well.
+    if (m_phase == Phase::Leading)
+        m_lease.setHasLaterLeases(m_runs.hasLaterLeases(step.now));
     if (auto repeated = m_pipeline.resend(step.now))
         step.emit(std::move(*repeated));
     if (m_phase == Phase::Following) {
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -25,9 +25,29 @@
 
 // While the service is mostly free, a unit is kept from free room no longer than this.
 constexpr Milliseconds maxWaitBesideRoom { 2'000 };
+// A job is kept from workers on which it has failed for longer: a faulty one would use up its attempts.
+constexpr Milliseconds maxWaitBesideFailedWorkers { 8'000 };
 // The service is mostly free if at most this share of its capacity is in use.
 constexpr double mostlyFreeUtilization = 0.6;
 
+// Workers held for a gang are closed to other work for this long at first, then open for a while to work that
+// has waited beside free room. Each time the gang still waits, they are closed for twice as long, up to the
+// maximum.
+constexpr Milliseconds firstClosedHold { 10'000 };
+constexpr Milliseconds maxClosedHold { 80'000 };
+constexpr Milliseconds openHold { 5'000 };
+
+// `age`: time since the workers were first held for the gang.
+bool isHoldClosed(Milliseconds age)
+{
+    Milliseconds closed = firstClosedHold;
+    while (age >= closed + openHold) {
+        age -= closed + openHold;
+        closed = std::min(closed * 2, maxClosedHold);
+    }
+    return age < closed;
+}
+
 std::int64_t acceleratorsOf(const AcceptedJob& job)
 {
     std::int64_t most = 0;
@@ -77,6 +97,7 @@
 {
     beginRound(jobs, workers);
     m_heldWorkers.clear();
+    m_closedWorkers.clear();
     m_holdCount = 0;
     std::erase_if(m_evictionCounts, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
@@ -87,11 +108,25 @@
     Views views = capacityOf(workers, now);
     applyReservations(views, now);
     m_order.sort(waiting, wallTime);
+    forgetHoldsOfOthers(waiting);
     for (const WaitingStep& step : waiting)
         placeStep(step, views, outcome, now, wallTime);
     return outcome;
 }
 
+// Forgets holds of gangs that do not wait any more.
+void PlacementRound::forgetHoldsOfOthers(std::span<const WaitingStep> waiting)
+{
+    std::map<UnitKey, TimePoint> heldSince;
+    for (const WaitingStep& step : waiting) {
+        const JobId& job = step.job->job().specification.id;
+        const auto held = m_heldSince.find({ job, step.position.occurrence, step.position.step, 0 });
+        if (held != m_heldSince.end())
+            heldSince.insert(*held);
+    }
+    m_heldSince = std::move(heldSince);
+}
+
 void PlacementRound::placeStep(
     const WaitingStep& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
 {
@@ -300,14 +335,13 @@
         = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
     const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
     if (request.tasks > 1 && job.terms.priority == 1)
-        holdFor(waiting, request, view);
+        holdFor(waiting, request, view, now);
     const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
     if (!hasMadeRoom && isDecidedByShape(waiting))
         noteUnplaceable(m_unplaceable, shapeOf(waiting, request), request.tasks);
 }
 
-// Places a unit that has been kept from free room for long, regardless of its locality, of headroom and of
-// workers that are held for gangs.
+// Places a unit that has been kept from free room for long, regardless of its locality and of headroom.
 std::optional<std::vector<WorkerLifetime>> PlacementRound::placeAnywhere(
     const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
 {
@@ -317,26 +351,45 @@
     const auto earlier = m_earlierRoomSince.find(step);
     const bool isNew = earlier == m_earlierRoomSince.end();
     const TimePoint since = isNew ? now : earlier->second;
-    const bool isDue = now >= since + maxWaitBesideRoom;
-    // Searches only when the wait begins and when it ends.
-    if (isNew || isDue) {
-        PlacementRequest anywhere = request;
-        anywhere.mayRelaxLocality = true;
-        const Shape shape = shapeOf(waiting, anywhere);
-        if (isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
-            return std::nullopt;
-        const std::vector<Resources> rooms = view.rooms();
-        auto workers = m_placement.place(anywhere, view);
-        if (!workers && isDecidedByShape(waiting))
-            noteUnplaceable(m_unplaceableAnywhere, shape, request.tasks);
-        if (!workers || isDue)
-            return workers;
-        view.setRooms(rooms);
+    const Milliseconds waited = now - since;
+    // The search is made only when the wait begins and when it may be over.
+    if (!isNew && waited < maxWaitBesideRoom) {
+        m_roomSince.emplace(step, since);
+        return std::nullopt;
+    }
+    PlacementRequest anywhere = request;
+    anywhere.mayRelaxLocality = true;
+    const std::vector<Resources> rooms = view.rooms();
+    Milliseconds maxWait = maxWaitBesideRoom;
+    auto workers = placeOnOpenWorkers(waiting, anywhere, view);
+    if (!workers && anywhere.excludedWorkers) {
+        anywhere.excludedWorkers = nullptr;
+        maxWait = maxWaitBesideFailedWorkers;
+        workers = placeOnOpenWorkers(waiting, anywhere, view);
     }
+    if (!workers || waited >= maxWait)
+        return workers;
+    view.setRooms(rooms);
     m_roomSince.emplace(step, since);
     return std::nullopt;
 }
 
+std::optional<std::vector<WorkerLifetime>> PlacementRound::placeOnOpenWorkers(
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view)
+{
+    const Shape shape = shapeOf(waiting, request);
+    if (isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
+        return std::nullopt;
+    CapacityView::Hidden hidden;
+    if (waiting.job->job().terms.priority > 1)
+        view.hide(m_closedWorkers, hidden);
+    auto workers = m_placement.place(request, view);
+    view.restore(hidden);
+    if (!workers && isDecidedByShape(waiting))
+        noteUnplaceable(m_unplaceableAnywhere, shape, request.tasks);
+    return workers;
+}
+
 // Counts workers that get no new runs at present as well: a few of them in use do not make a service full.
 bool PlacementRound::isMostlyFree(const ServiceId& service)
 {
@@ -369,7 +422,8 @@
 // Reserves workers for a waiting gang against less urgent work, so that the resources that become free there
 // are not taken by small tasks. Chooses workers on which the gang fits once their less urgent runs have
 // ended.
-void PlacementRound::holdFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view)
+void PlacementRound::holdFor(
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
 {
     if (m_holdCount >= maxHolds)
         return;
@@ -386,6 +440,9 @@
         return;
     ++m_holdCount;
     m_heldWorkers.insert(workers->begin(), workers->end());
+    const TimePoint since = m_heldSince.try_emplace(stepKeyOf(waiting.unit), now).first->second;
+    if (isHoldClosed(now - since))
+        m_closedWorkers.insert(workers->begin(), workers->end());
 }
 
 const std::vector<Resources>& PlacementRound::lessUrgentUse(
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -41,8 +42,8 @@
 // urgent units. Room made by an eviction stays reserved for its unit until the unit is placed or the
 // reservation expires. Reservations persist from one round to the next.
 //
-// Locality, headroom and workers held for gangs may keep a unit from free room. While the service is mostly
-// free, that ends after a short time: an accepted job does not wait beside room that nobody uses.
+// Locality, headroom, workers held for gangs and earlier failures of the job may keep a unit from free room.
+// While the service is mostly free, that ends after a bounded time.
 class PlacementRound {
 public:
     // A run ends within `stopTimeout` after it was ordered to stop.
@@ -60,6 +61,7 @@
         m_reservations.clear();
         m_evictionCounts.clear();
         m_roomSince.clear();
+        m_heldSince.clear();
     }
 
 private:
@@ -133,10 +135,13 @@
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     std::optional<std::vector<WorkerLifetime>> placeAnywhere(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
+    std::optional<std::vector<WorkerLifetime>> placeOnOpenWorkers(
+        const WaitingUnit&, const PlacementRequest&, CapacityView&);
     bool isMostlyFree(const ServiceId&);
     void makeRoomFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&,
         TimePoint now, WallTime);
-    void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&);
+    void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
+    void forgetHoldsOfOthers(std::span<const WaitingStep>);
     const std::vector<Resources>& lessUrgentUse(const CapacityView&, const ServiceId&, int priority);
     EvictionCandidates& candidatesFor(const CapacityView&, const ServiceId&, int priority, TimePoint now);
 
@@ -151,6 +156,8 @@
     // and of the round before. Keyed by stepKeyOf().
     std::map<UnitKey, TimePoint> m_roomSince;
     std::map<UnitKey, TimePoint> m_earlierRoomSince;
+    // Since when workers have been held for a waiting gang. Keyed by stepKeyOf().
+    std::map<UnitKey, TimePoint> m_heldSince;
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
@@ -166,6 +173,7 @@
     std::map<ServicePriority, std::vector<Resources>> m_lessUrgentUse;
     std::map<ServiceId, double> m_sharesInUse;
     std::set<WorkerLifetime> m_heldWorkers; // kept for waiting gangs, closed to less urgent work
+    std::set<WorkerLifetime> m_closedWorkers; // those of them that not even work that has waited long may use
     int m_holdCount = 0;
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
     std::map<UnitKey, std::map<WorkerLifetime, int>> m_stepTasksByWorker;
--- a/src/batch/store/leader_lease.cpp
+++ b/src/batch/store/leader_lease.cpp
@@ -151,8 +151,10 @@
 
 void LeaderLease::committed(const LeaseRecord& record, RowVersion version, TimePoint sentAt)
 {
-    if (!m_isLeader)
-        setWorkerLeases(record.silentWorkers, false);
+    if (!m_isLeader) {
+        m_silentWorkers = record.silentWorkers;
+        m_hasLaterLeases = false;
+    }
     m_record = record;
     m_version = version;
     m_confirmedAt = sentAt;
@@ -185,12 +187,6 @@
     return m_storeReading + (sinceReading + leaseDuration + m_workerLease).count() * fastestPercent / 100 + 1;
 }
 
-void LeaderLease::setWorkerLeases(LeaseEnds silentWorkers, bool hasLaterLeases)
-{
-    m_silentWorkers = std::move(silentWorkers);
-    m_hasLaterLeases = hasLaterLeases;
-}
-
 void LeaderLease::markLost() { m_isLeader = false; }
 
 } // namespace anvilmoor::batch
--- a/src/batch/store/leader_lease.h
+++ b/src/batch/store/leader_lease.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <utility>
 
 namespace anvilmoor::batch {
 
@@ -106,9 +107,10 @@
     // By then on the store's clock, every lease has expired that a leader grants whose last applied commit is
     // sent until now; 0: unknown.
     StoreClock leasesEndBy(TimePoint now) const;
-    // Sets what the following records state about leases of workers. `hasLaterLeases`: some may end after
+    // What the following records state about leases of workers. `hasLaterLeases`: some may end after
     // leasesEndBy().
-    void setWorkerLeases(LeaseEnds silentWorkers, bool hasLaterLeases);
+    void setSilentWorkers(LeaseEnds silentWorkers) { m_silentWorkers = std::move(silentWorkers); }
+    void setHasLaterLeases(bool hasLaterLeases) { m_hasLaterLeases = hasLaterLeases; }
     // Gives up the sequence number of the next commit. Must be called before a commit that may have been
     // applied is replaced by another one, so that they are not taken for the same.
     void skipSequence() { ++m_record.sequence; }
