Name what the list of silent workers does, and shorten the placement of a unit

Read as a newcomer: list() changed state, answered() was also called for a lifetime that is over, two functions had one name, and placeUnit() did the bookkeeping of what it had placed.

--- a/src/batch/leader/scheduler_commits.cpp
+++ b/src/batch/leader/scheduler_commits.cpp
@@ -49,7 +49,7 @@
     m_batch = std::move(batch);
     if (m_phase == Phase::Leading) {
         const std::size_t maxBytes = std::min(maxBytesOfSilentWorkers, m_changeLimits.rowBytes / 4);
-        m_lease.setSilentWorkers(m_runs.listSilentWorkers(maxBytes, step.now));
+        m_lease.setSilentWorkers(m_runs.silentWorkersOfNextCommit(maxBytes, step.now));
         m_lease.setHasLaterLeases(m_runs.hasLaterLeases(step.now));
     }
     step.emit(m_pipeline.submit(std::move(commit), waitingJobs(step.now), step.now));
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -5,6 +5,16 @@
 
 namespace anvilmoor::batch {
 
+namespace {
+
+WorkerCapacity makeCapacity(const WorkerLifetime& lifetime, const Worker& worker)
+{
+    return { lifetime, worker.record.rack, worker.record.kind, worker.room(), worker.record.capacity,
+        !worker.health.isTrusted(), worker.speed.value(), worker.speed.band(), &worker };
+}
+
+} // namespace
+
 void CapacityView::add(WorkerCapacity worker)
 {
     const std::size_t index = m_workers.size();
@@ -101,16 +111,6 @@
         m_workers[entry->first].room = entry->second;
 }
 
-namespace {
-
-WorkerCapacity capacityOf(const WorkerLifetime& lifetime, const Worker& worker)
-{
-    return { lifetime, worker.record.rack, worker.record.kind, worker.room(), worker.record.capacity,
-        !worker.health.isTrusted(), worker.speed.value(), worker.speed.band(), &worker };
-}
-
-} // namespace
-
 std::map<ServiceId, CapacityView> capacityOf(const WorkerPool& pool, TimePoint now)
 {
     std::map<ServiceId, CapacityView> services;
@@ -121,7 +121,7 @@
             continue;
         if (!worker.health.isTrusted() && !worker.health.isDueForTrial(now))
             continue;
-        services[worker.record.service].add(capacityOf(lifetime, worker));
+        services[worker.record.service].add(makeCapacity(lifetime, worker));
     }
     return services;
 }
@@ -132,7 +132,7 @@
     for (const auto& [lifetime, worker] : pool.all()) {
         if (!worker.isListed || worker.record.isDraining)
             continue;
-        WorkerCapacity capacity = capacityOf(lifetime, worker);
+        WorkerCapacity capacity = makeCapacity(lifetime, worker);
         capacity.isOnTrial = false;
         services[worker.record.service].add(std::move(capacity));
     }
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -307,15 +307,7 @@
     if (!workers)
         workers = placeAnywhere(waiting, request, view, now);
     if (workers) {
-        if (isReserved)
-            m_reservations.erase(reservation);
-        if (request.step.maxTasksPerWorker) {
-            for (const WorkerLifetime& worker : *workers)
-                ++m_stepTasksByWorker[stepKeyOf(waiting.unit)][worker];
-        }
-        if (budget)
-            budget->take(waiting.unit);
-        outcome.placed.push_back({ waiting.unit, std::move(*workers) });
+        notePlaced(waiting, std::move(*workers), outcome);
         return true;
     }
     if (isReserved)
@@ -325,6 +317,19 @@
     return false;
 }
 
+void PlacementRound::notePlaced(
+    const WaitingUnit& waiting, std::vector<WorkerLifetime> workers, PlacementOutcome& outcome)
+{
+    m_reservations.erase(keyOf(waiting.unit));
+    if (waiting.job->specificationOf(waiting.unit.step).maxTasksPerWorker) {
+        for (const WorkerLifetime& worker : workers)
+            ++m_stepTasksByWorker[stepKeyOf(waiting.unit)][worker];
+    }
+    if (ProgressBudget* const budget = budgetOf(*waiting.job))
+        budget->take(waiting.unit);
+    outcome.placed.push_back({ waiting.unit, std::move(workers) });
+}
+
 // Evicts other work for an urgent unit that does not fit, or keeps workers for a gang.
 void PlacementRound::makeRoomFor(const WaitingUnit& waiting, const PlacementRequest& request,
     CapacityView& view, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -138,6 +138,7 @@
     std::optional<std::vector<WorkerLifetime>> placeOnOpenWorkers(
         const WaitingUnit&, const PlacementRequest&, CapacityView&);
     bool isMostlyFree(const ServiceId&);
+    void notePlaced(const WaitingUnit&, std::vector<WorkerLifetime>, PlacementOutcome&);
     void makeRoomFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&,
         TimePoint now, WallTime);
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -118,7 +118,7 @@
         m_hasCapacityChanged = true;
         endOtherLifetimes(answer.worker, step);
     }
-    m_silentWorkers.answered(answer.worker);
+    m_silentWorkers.forget(answer.worker);
     // It gets leases and new runs once the lease row no longer lists it as silent.
     worker->isConfirmed = !m_silentWorkers.mayBeListed(answer.worker);
     if (!worker->isConfirmed)
--- a/src/batch/workers/run_lifetimes.cpp
+++ b/src/batch/workers/run_lifetimes.cpp
@@ -57,7 +57,7 @@
     recordLifetimeEnd(worker, reason, nextStartedAtMs, step);
     worker.isListed = false;
     // The next leader shall wait for what the next lifetime may start.
-    m_silentWorkers.answered(worker.record.lifetime);
+    m_silentWorkers.forget(worker.record.lifetime);
     if (nextStartedAtMs)
         moveToNextLifetime(worker, nextStartedAtMs, step);
     declareRunsLost(worker, reason, step);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -142,9 +142,10 @@
     }
 }
 
-std::map<WorkerLifetime, StoreClock> RunSupervisor::listSilentWorkers(std::size_t maxBytes, TimePoint now)
+std::map<WorkerLifetime, StoreClock> RunSupervisor::silentWorkersOfNextCommit(
+    std::size_t maxBytes, TimePoint now)
 {
-    return m_silentWorkers.list(m_adoptedAt && now >= *m_adoptedAt + usualTimeToAnswer, maxBytes);
+    return m_silentWorkers.beginCommit(m_adoptedAt && now >= *m_adoptedAt + usualTimeToAnswer, maxBytes);
 }
 
 void RunSupervisor::progressStored(const JobId& job, std::uint64_t change, Step& step)
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -49,7 +49,7 @@
     void progressStored(const JobId&, std::uint64_t change, Step&);
     // What the next commit states about leases: silent workers, and whether a lease may last longer than the
     // longest one from now.
-    std::map<WorkerLifetime, StoreClock> listSilentWorkers(std::size_t maxBytes, TimePoint now);
+    std::map<WorkerLifetime, StoreClock> silentWorkersOfNextCommit(std::size_t maxBytes, TimePoint now);
     bool hasLaterLeases(TimePoint now) const { return now < m_lateOrdersUntil; }
     // Called when a commit is applied, before its effects are passed on.
     void commitApplied() { m_silentWorkers.stored(); }
--- a/src/batch/workers/silent_workers.cpp
+++ b/src/batch/workers/silent_workers.cpp
@@ -31,7 +31,7 @@
         m_silent.emplace(worker, leasesEndBy);
 }
 
-std::map<WorkerLifetime, StoreClock> SilentWorkers::list(bool mayListMore, std::size_t maxBytes)
+std::map<WorkerLifetime, StoreClock> SilentWorkers::beginCommit(bool mayListMore, std::size_t maxBytes)
 {
     std::map<WorkerLifetime, StoreClock> listed;
     std::size_t bytes = 0;
--- a/src/batch/workers/silent_workers.h
+++ b/src/batch/workers/silent_workers.h
@@ -32,11 +32,12 @@
     void begin(const EarlierLeases&);
     // The worker has adopted runs, and has not answered yet.
     void add(const WorkerLifetime&, StoreClock leasesEndBy);
-    void answered(const WorkerLifetime& worker) { m_silent.erase(worker); }
+    // The worker has answered, or its lifetime is over.
+    void forget(const WorkerLifetime& worker) { m_silent.erase(worker); }
 
-    // The workers that the next commit lists, in at most this many bytes; the earlier commit has been
-    // answered.
-    std::map<WorkerLifetime, StoreClock> list(bool mayListMore, std::size_t maxBytes);
+    // Begins a commit, after the earlier one has been answered. Returns the workers that it lists, in at most
+    // this many bytes.
+    std::map<WorkerLifetime, StoreClock> beginCommit(bool mayListMore, std::size_t maxBytes);
     // The latest commit has been applied.
     void stored() { m_maybeListed = m_lastListed; }
     bool mayBeListed(const WorkerLifetime& worker) const { return m_maybeListed.contains(worker); }
--- a/test/batch_silent_workers_test.cpp
+++ b/test/batch_silent_workers_test.cpp
@@ -20,7 +20,7 @@
     const WorkerLifetime m_worker { WorkerId("w0-0"), 1 };
     SilentWorkers m_silent;
 
-    bool isListed(bool mayListMore) { return m_silent.list(mayListMore, maxBytes).contains(m_worker); }
+    bool isListed(bool mayListMore) { return m_silent.beginCommit(mayListMore, maxBytes).contains(m_worker); }
 
 public:
     void testWorkerThatAnswersMayBeListedUntilCommitWithoutItIsStored()
@@ -29,7 +29,7 @@
         CPPUNIT_ASSERT(!isListed(false));
         CPPUNIT_ASSERT(!m_silent.mayBeListed(m_worker));
         CPPUNIT_ASSERT(isListed(true));
-        m_silent.answered(m_worker);
+        m_silent.forget(m_worker);
         m_silent.stored();
         CPPUNIT_ASSERT(m_silent.mayBeListed(m_worker));
         CPPUNIT_ASSERT(!isListed(true));
@@ -45,7 +45,7 @@
         m_silent.add(m_worker, 5'000);
         CPPUNIT_ASSERT(isListed(false));
         m_silent.stored();
-        m_silent.answered(m_worker);
+        m_silent.forget(m_worker);
         CPPUNIT_ASSERT(!isListed(false));
         CPPUNIT_ASSERT(m_silent.mayBeListed(m_worker));
         m_silent.stored();
@@ -57,7 +57,7 @@
     {
         m_silent.add(m_worker, 5'000);
         CPPUNIT_ASSERT(isListed(true));
-        m_silent.answered(m_worker);
+        m_silent.forget(m_worker);
         CPPUNIT_ASSERT(!isListed(true));
         CPPUNIT_ASSERT(m_silent.mayBeListed(m_worker));
     }
@@ -70,7 +70,7 @@
             m_silent.add({ WorkerId("worker-" + std::to_string(i)), 1'765'000'000'000 + i }, 90'000'000'000);
         const LeaseRecord empty { "a/1", 1, 1 };
         LeaseRecord full = empty;
-        full.silentWorkers = m_silent.list(true, maxBytes);
+        full.silentWorkers = m_silent.beginCommit(true, maxBytes);
         CPPUNIT_ASSERT(!full.silentWorkers.empty());
         CPPUNIT_ASSERT(encodeLease(full).size() <= encodeLease(empty).size() + maxBytes);
     }
