--- a/src/batch/leader/waiting_job_log.cpp
+++ b/src/batch/leader/waiting_job_log.cpp
@@ -83,7 +83,7 @@
 }
 
 // At most maxExaminedJobs, beginning after those that were examined last.
-std::vector<JobId> WaitingJobLog::longestIdle(TimePoint now) const
+std::vector<JobId> WaitingJobLog::jobsToExamine(TimePoint now) const
 {
     std::vector<JobId> jobs;
     const auto add = [&](auto from, auto until) {
@@ -134,7 +134,7 @@
     noteIdleJobs(step);
     if (step.now < m_recordedAt + recordInterval)
         return;
-    const std::vector<JobId> examined = longestIdle(step.now);
+    const std::vector<JobId> examined = jobsToExamine(step.now);
     std::size_t recorded = 0;
     for (const JobId& job : examined) {
         m_lastExamined = job;
--- a/src/batch/leader/waiting_job_log.h
+++ b/src/batch/leader/waiting_job_log.h
@@ -33,7 +33,7 @@
 
     void noteIdleJobs(Step&);
     std::set<JobId> runningJobs() const;
-    std::vector<JobId> longestIdle(TimePoint now) const;
+    std::vector<JobId> jobsToExamine(TimePoint now) const;
     Obstacle obstacleOf(JobBook::Entry&, const Step&);
     Obstacle obstacleOfAssignment(const JobProgress&) const;
 
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -367,7 +367,7 @@
     const std::vector<Resources> rooms = view.rooms();
     Milliseconds maxWait = maxWaitBesideRoom;
     auto workers = placeOnOpenWorkers(waiting, anywhere, view);
-    if (!workers && anywhere.excludedWorkers) {
+    if (!workers && !waiting.failedOn->empty()) {
         anywhere.excludedWorkers = nullptr;
         maxWait = maxWaitBesideFailedWorkers;
         workers = placeOnOpenWorkers(waiting, anywhere, view);
