--- a/test/support/job_traffic.cpp
+++ b/test/support/job_traffic.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <fmt/format.h>
 
 namespace anvilmoor::testing {
@@ -30,19 +29,11 @@
 
 std::string keyOf(std::size_t account) { return fmt::format("key-{}", account); }
 
-QueueConfiguration makeQueue(
-    const std::string& name, int priority, int maxAttempts, double stretch, Milliseconds latencyTarget)
-{
-    return { name, "plan.example", "/" + name + "/", ServiceId("planner"), priority, maxAttempts, stretch,
-        latencyTarget };
-}
-
 Configuration makeConfiguration()
 {
     Configuration configuration;
     configuration.version = 1;
-    configuration.queues = { makeQueue("urgent", 0, 4, 1.5, Milliseconds(250)),
-        makeQueue("gang", 1, 2, 3, Milliseconds(1'000)), makeQueue("small", 2, 2, 3, Milliseconds(3'000)) };
+    configuration.queues = trafficQueues();
     for (std::size_t i = 0; i < guarantees.size(); ++i)
         configuration.accounts.push_back(
             { ClientAccountId(fmt::format("account-{}", i)), { keyOf(i) }, guarantees[i] });
@@ -53,9 +44,8 @@
 
 JobTraffic::JobTraffic(BatchCluster& cluster, std::uint64_t seed, double load, int racks, int workersPerRack)
     : m_cluster(cluster)
-    , m_random(seed)
+    , m_sampler(seed, racks)
     , m_load(load)
-    , m_racks(racks)
 {
     m_cluster.setConfiguration(makeConfiguration());
     addWorkers(racks, workersPerRack);
@@ -67,12 +57,12 @@
     m_cluster.addWorkers(racks, workersPerRack);
     m_cluster.slowDownFarRuns(farRunFactor);
     for (std::size_t i = 0; i < m_cluster.workerCount(); ++i)
-        m_cluster.worker(i).speed = workerSpeeds[m_random() % workerSpeeds.size()];
+        m_cluster.worker(i).speed = workerSpeeds[m_sampler.random()() % workerSpeeds.size()];
 }
 
 std::optional<std::size_t> JobTraffic::anyRunningDaemon()
 {
-    const std::size_t first = m_random() % daemonCount;
+    const std::size_t first = m_sampler.random()() % daemonCount;
     for (std::size_t i = 0; i < daemonCount; ++i) {
         const std::size_t daemon = (first + i) % daemonCount;
         if (m_cluster.isRunning(daemon))
@@ -81,42 +71,15 @@
     return std::nullopt;
 }
 
-double JobTraffic::draw(const SizeDistribution& size)
-{
-    const double sigma = std::sqrt(std::log(1 + size.relativeDeviation * size.relativeDeviation));
-    std::normal_distribution<> exponent(std::log(size.mean) - sigma * sigma / 2, sigma);
-    return std::min(size.max, std::exp(exponent(m_random)));
-}
-
-StepSpecification JobTraffic::drawStep(const TrafficClass& kind)
-{
-    StepSpecification step;
-    step.taskCount = std::max(1, static_cast<int>(std::lround(draw(kind.tasks))));
-    step.perTask = kind.perTask;
-    step.perTask.accelerators = kind.accelerators[m_random() % kind.accelerators.size()];
-    step.isGang = kind.isGang && step.taskCount > 1;
-    step.needsOneRack = step.isGang && randomShare() < kind.oneRackShare;
-    if (randomShare() < kind.dataRackShare)
-        step.dataRack = fmt::format("r{}", m_random() % static_cast<std::size_t>(m_racks));
-    return step;
-}
-
 void JobTraffic::submit(const TrafficClass& kind)
 {
-    constexpr double shortestEstimateMs = 100;
-    StepSpecification step = drawStep(kind);
-    const double workMs = draw(kind.workMs);
-    const double error = kind.estimateError * (2 * randomShare() - 1);
-    step.estimatedDuration
-        = Milliseconds(static_cast<std::int64_t>(std::max(shortestEstimateMs, workMs * (1 + error))));
-    // Some accounts have far more jobs than others.
-    const double account = randomShare() * randomShare() * static_cast<double>(guarantees.size());
-    const std::string key = keyOf(std::min(static_cast<std::size_t>(account), guarantees.size() - 1));
+    const SampledJob sampled = m_sampler.draw(kind);
+    const std::string key = keyOf(m_sampler.drawAccount(guarantees.size()));
     const auto daemon = anyRunningDaemon();
     if (!daemon)
         return;
-    const JobId job = m_cluster.submit(*daemon, kind.queue, { step }, key);
-    m_cluster.setDuration(job, Milliseconds(static_cast<std::int64_t>(workMs)));
+    const JobId job = m_cluster.submit(*daemon, kind.queue, { sampled.step }, key);
+    m_cluster.setDuration(job, sampled.work);
     m_jobs.push_back({ job, &kind, key });
 }
 
@@ -124,7 +87,7 @@
 {
     const double sliceInSeconds = static_cast<double>(slice.count()) / 1'000;
     for (const TrafficClass& kind : trafficClasses()) {
-        if (randomShare() < kind.jobsPerSecond * m_load * sliceInSeconds)
+        if (m_sampler.randomShare() < kind.jobsPerSecond * m_load * sliceInSeconds)
             submit(kind);
     }
 }
--- a/test/support/job_traffic.h
+++ b/test/support/job_traffic.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "support/batch_cluster.h"
+#include "support/job_sampler.h"
 
 #include <cstdint>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -12,26 +12,6 @@
 
 namespace anvilmoor::testing {
 
-// Sizes are drawn from a log-normal distribution that is cut off at `max`.
-struct SizeDistribution {
-    double mean = 1;
-    double relativeDeviation = 0;
-    double max = 1;
-};
-
-struct TrafficClass {
-    std::string queue;
-    double jobsPerSecond = 0; // at load 1
-    SizeDistribution tasks;
-    SizeDistribution workMs; // of each task
-    batch::Resources perTask;
-    std::vector<int> accelerators; // of each task; one is drawn
-    bool isGang = false;
-    double oneRackShare = 0; // share of the jobs that ask for one rack
-    double dataRackShare = 0; // share of the jobs that have their data in one rack
-    double estimateError = 0; // largest relative error of the estimated duration
-};
-
 // Submits jobs to random daemons. A caller whose request was not accepted, or who does not know its outcome,
 // repeats it.
 class JobTraffic {
@@ -56,16 +36,12 @@
 
     void addWorkers(int racks, int workersPerRack);
     void submit(const TrafficClass&);
-    batch::StepSpecification drawStep(const TrafficClass&);
-    double draw(const SizeDistribution&);
-    double randomShare() { return std::uniform_real_distribution<>(0, 1)(m_random); }
     // Null if no daemon is running.
     std::optional<std::size_t> anyRunningDaemon();
 
     BatchCluster& m_cluster;
-    std::mt19937_64 m_random;
+    JobSampler m_sampler;
     double m_load;
-    int m_racks;
     std::vector<Submission> m_jobs;
 };
 
