Say how long jobs of each size wait, and what passes those that wait longest

Callers saw large gangs not served, and neither logs nor metrics told how jobs of each size fare, nor why one waits on a full service. job.waiting_long names the three jobs that have waited longest, how much later work was placed before them and since when workers have been held for them; job.ended has the shape, the wait and the evicted runs; anvilmoor_job_wait_seconds the waits by priority and size. No decision changes.

--- a/include/anvilmoor/batch/effect.h
+++ b/include/anvilmoor/batch/effect.h
@@ -94,6 +94,13 @@
 // The last effect of a daemon that shuts down.
 struct StopDaemon { };
 
+// A job was placed for the first time.
+struct RecordWait {
+    int priority = 0;
+    int tasks = 0; // most tasks of the job that are placed together
+    Milliseconds wait { 0 }; // since its acceptance, or since it was due
+};
+
 enum class RecordLevel { Info, Warning };
 
 struct RecordEvent {
@@ -103,6 +110,6 @@
 };
 
 using Effect = std::variant<StartRun, StopRun, HoldWorker, Commit, ReadRows, FollowLeaderTables,
-    RequestPlacementTurn, AnswerCaller, StopDaemon, RecordEvent>;
+    RequestPlacementTurn, AnswerCaller, StopDaemon, RecordWait, RecordEvent>;
 
 } // namespace anvilmoor::batch
--- a/include/anvilmoor/batch/job.h
+++ b/include/anvilmoor/batch/job.h
@@ -56,6 +56,10 @@
     Schedule schedule;
 };
 
+// Describes a job's steps in the log. "4x8" is a step of four tasks with eight accelerators each; "g" marks a
+// gang, "r" a step that needs one rack.
+std::string describeShape(const JobSpecification&);
+
 // The configuration of the job's queue at the time the job was accepted.
 struct QueueTerms {
     std::string queue;
--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -2,7 +2,9 @@
 
 #include "batch/store/tables.h"
 
+#include <algorithm>
 #include <ctime>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -11,6 +13,8 @@
 namespace {
 
 // Confirms the configuration every 0.6 s and reports changes at once.
+// Less urgent queues share a time series.
+constexpr int highestPriorityLabel = 9;
 constexpr FollowTiming configurationTiming { Milliseconds(600), Milliseconds(0) };
 // The leader rewrites its lease row with every commit. A candidate only needs to see that the lease is still
 // renewed, not every single write: the row contains the store time at which it was sent, which gives its age.
@@ -32,6 +36,16 @@
     return "other";
 }
 
+// Numbers of tasks that are placed together, in bands, to bound the number of time series.
+std::string_view sizeBandOf(int tasks)
+{
+    if (tasks == 1)
+        return "1";
+    if (tasks < 8)
+        return "2-7";
+    return tasks < 32 ? "8-31" : "32 or more";
+}
+
 WallTime wallTime() { return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now()); }
 
 } // namespace
@@ -260,6 +274,17 @@
         m_loop.post(m_onStopped);
 }
 
+void BatchDaemon::carryOut(RecordWait& wait)
+{
+    const telemetry::Labels labels { { "priority",
+                                         std::to_string(std::min(wait.priority, highestPriorityLabel)) },
+        { "tasks", std::string(sizeBandOf(wait.tasks)) } };
+    m_metrics
+        .latency("anvilmoor_job_wait_seconds",
+            "Time until the first placement, by priority and by tasks that are placed together", labels)
+        .record(wait.wait);
+}
+
 void BatchDaemon::carryOut(RecordEvent& event)
 {
     m_metrics.counter("anvilmoor_events_total", "Events by name", { { "event", event.name } }).add();
--- a/src/batch/daemon/batch_daemon.h
+++ b/src/batch/daemon/batch_daemon.h
@@ -57,6 +57,7 @@
     void carryOut(RequestPlacementTurn&);
     void carryOut(AnswerCaller&);
     void carryOut(StopDaemon&);
+    void carryOut(RecordWait&);
     void carryOut(RecordEvent&);
     void followConfiguration();
     void followLease();
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -28,17 +28,6 @@
 constexpr std::size_t jobIdLength = 16;
 constexpr std::size_t maxCachedEndStates = 4'096;
 
-// Describes a job's steps in the log. "4x8" is a step of four tasks with eight accelerators each; "g" marks a
-// gang, "r" a step that needs one rack.
-std::string shapeOf(const JobSpecification& job)
-{
-    std::string shape;
-    for (const StepSpecification& step : job.steps)
-        shape += fmt::format("{}{}x{}{}{}", shape.empty() ? "" : "+", step.taskCount,
-            step.perTask.accelerators, step.isGang ? "g" : "", step.needsOneRack ? "r" : "");
-    return shape;
-}
-
 bool isJobId(std::string_view text)
 {
     return text.size() == jobIdLength && std::all_of(text.begin(), text.end(), [](char c) {
@@ -129,7 +118,7 @@
     request.queue = queue.name;
     request.priority = queue.priority;
     request.account = job.terms.account;
-    request.shape = shapeOf(job.specification);
+    request.shape = describeShape(job.specification);
     request.row = std::move(row);
     request.answerBy = step.now + (caller.timeout.count() ? caller.timeout : defaultCallerTimeout);
     open(std::move(request), step);
--- a/src/batch/jobs/job.cpp
+++ b/src/batch/jobs/job.cpp
@@ -1,6 +1,7 @@
 #include "anvilmoor/batch/job.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace anvilmoor::batch {
 
@@ -34,6 +35,15 @@
     return resources;
 }
 
+std::string describeShape(const JobSpecification& job)
+{
+    std::string shape;
+    for (const StepSpecification& step : job.steps)
+        shape += fmt::format("{}{}x{}{}{}", shape.empty() ? "" : "+", step.taskCount,
+            step.perTask.accelerators, step.isGang ? "g" : "", step.needsOneRack ? "r" : "");
+    return shape;
+}
+
 int AcceptedJob::occurrenceCount() const { return std::max(specification.schedule.occurrences, 1); }
 
 WallTime AcceptedJob::dueAt(int occurrence) const
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -42,6 +42,9 @@
         std::uint64_t storedChange = 0; // number of the latest change that is stored
         std::optional<TimePoint> endedAt;
         std::set<WorkerLifetime> failedOn; // workers on which one of its runs has failed
+        // What this leader has done for it.
+        std::optional<WallTime> firstPlacedAt;
+        int evictedRuns = 0;
         bool isUnreadable = false; // its stored progress cannot be decoded
         bool isSuspect = false; // the store has rejected a commit that contained its progress
         std::size_t maxRowBytes = std::numeric_limits<std::size_t>::max(); // halved when its row is rejected
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -54,6 +54,7 @@
     , m_runs(m_workers, m_jobs, settings)
     , m_placement(placement, order, settings.stopTimeout, storeLimits)
     , m_waitingJobLog(m_jobs, m_workers, m_placement)
+    , m_longWaitLog(m_jobs, m_placement)
     , m_pipeline(lease)
     , m_loadTimeout(initialLoadTimeout)
 {
@@ -96,6 +97,7 @@
         m_runs.tick(step);
         removeExpired(step);
         m_waitingJobLog.tick(step);
+        m_longWaitLog.tick(step);
     }
     if (step.now >= m_placedAt + maxPlacementInterval)
         m_isPlacementDue = true;
@@ -236,6 +238,7 @@
     m_workers = WorkerPool();
     m_placement.clear();
     m_waitingJobLog.clear();
+    m_longWaitLog.clear();
     m_batch.reset();
     m_isProbeDue = false;
     m_areSpeedsStored = true;
@@ -392,6 +395,8 @@
         = m_placement.run(m_jobs, m_workers, m_configuration, step.now, step.wallTime);
     for (const PlacementDecision& decision : outcome.placed) {
         JobBook::Entry* entry = m_jobs.find(decision.unit.job);
+        if (!entry->firstPlacedAt && !entry->progress.hasBegun())
+            noteFirstPlacement(*entry, step);
         entry->progress.assign(decision.unit, decision.workers);
         m_jobs.noteChange(*entry, step.now);
         m_runs.attach(entry->progress, decision.unit, decision.workers, entry->change, step.now);
@@ -401,15 +406,33 @@
                 { "tasks", std::to_string(decision.unit.tasks.size()) },
                 { "run", std::to_string(decision.unit.run) }, { "workers", namesOf(decision.workers) } });
     }
-    for (const Eviction& eviction : outcome.evictions) {
-        for (const RunId& victim : eviction.victims)
-            step.record("run.evicted",
-                { { "job", victim.task.job.value() }, { "step", std::to_string(victim.task.step) },
-                    { "task", std::to_string(victim.task.index) }, { "run", std::to_string(victim.run) },
-                    { "for_job", eviction.beneficiary.value() },
-                    { "cost", std::to_string(std::lround(eviction.cost)) } });
-        m_runs.stopAll(eviction.victims, step);
+    for (const Eviction& eviction : outcome.evictions)
+        stopVictims(eviction, step);
+}
+
+void Scheduler::noteFirstPlacement(JobBook::Entry& entry, Step& step)
+{
+    const AcceptedJob& job = entry.progress.job();
+    entry.firstPlacedAt = step.wallTime;
+    m_longWaitLog.notePlaced(job);
+    int tasks = 1;
+    for (const StepSpecification& each : job.specification.steps)
+        tasks = std::max(tasks, each.isGang ? each.taskCount : 1);
+    step.emit(RecordWait { job.terms.priority, tasks, step.wallTime - job.dueAt(0) });
+}
+
+void Scheduler::stopVictims(const Eviction& eviction, Step& step)
+{
+    for (const RunId& victim : eviction.victims) {
+        if (JobBook::Entry* entry = m_jobs.find(victim.task.job))
+            ++entry->evictedRuns;
+        step.record("run.evicted",
+            { { "job", victim.task.job.value() }, { "step", std::to_string(victim.task.step) },
+                { "task", std::to_string(victim.task.index) }, { "run", std::to_string(victim.run) },
+                { "for_job", eviction.beneficiary.value() },
+                { "cost", std::to_string(std::lround(eviction.cost)) } });
     }
+    m_runs.stopAll(eviction.victims, step);
 }
 
 std::optional<JobState> Scheduler::stateOf(const JobId& job, TimePoint now) const
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/configuration.h"
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
+#include "batch/leader/long_wait_log.h"
 #include "batch/leader/waiting_job_log.h"
 #include "batch/placement/placement_round.h"
 #include "batch/reducer/step.h"
@@ -85,6 +86,8 @@
     void cancelIfRequested(const JobId&, Step&);
     void cancelRequestedJobs(Step&);
     void place(Step&);
+    void noteFirstPlacement(JobBook::Entry&, Step&);
+    void stopVictims(const Eviction&, Step&);
     void commit(Step&);
     // What the next commit states. A leader that does not know the numbers keeps those of the lease row, with
     // their age.
@@ -104,6 +107,7 @@
     RunSupervisor m_runs;
     PlacementRound m_placement;
     WaitingJobLog m_waitingJobLog;
+    LongWaitLog m_longWaitLog;
     CommitPipeline m_pipeline;
     Phase m_phase = Phase::Following;
     std::uint64_t m_epoch = 0; // of the latest leadership
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -450,6 +450,12 @@
         m_closedWorkers.insert(workers->begin(), workers->end());
 }
 
+std::optional<TimePoint> PlacementRound::heldSince(const JobId& job, const StepPosition& position) const
+{
+    const auto held = m_heldSince.find({ job, position.occurrence, position.step, 0 });
+    return held == m_heldSince.end() ? std::nullopt : std::optional(held->second);
+}
+
 const std::vector<Resources>& PlacementRound::lessUrgentUse(
     const CapacityView& view, const ServiceId& service, int priority)
 {
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -55,6 +55,8 @@
     // long as several placements.
     WaitCause waitCauseOf(
         const JobBook::Entry&, JobBook&, const WorkerPool&, TimePoint now, WallTime wallTime);
+    // Since when workers have been held for the step; empty if none are.
+    std::optional<TimePoint> heldSince(const JobId&, const StepPosition&) const;
     // Discards all that is known from earlier rounds.
     void clear()
     {
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -58,13 +58,23 @@
     return { specification.estimatedDuration, specification.isGang };
 }
 
-void recordJobEnd(const AcceptedJob& job, JobState state, Step& step)
+// Until the job's first placement; empty if another leader placed it.
+std::string waitedMs(const JobBook::Entry& entry)
 {
+    if (!entry.firstPlacedAt)
+        return {};
+    return std::to_string((*entry.firstPlacedAt - entry.progress.job().dueAt(0)).count());
+}
+
+void recordJobEnd(const JobBook::Entry& entry, JobState state, Step& step)
+{
+    const AcceptedJob& job = entry.progress.job();
     const WallTime due = job.dueAt(job.occurrenceCount() - 1);
     step.record("job.ended",
         { { "job", job.specification.id.value() },
             { "state", state == JobState::Completed ? "completed" : "failed" },
-            { "priority", std::to_string(job.terms.priority) },
+            { "priority", std::to_string(job.terms.priority) }, { "shape", describeShape(job.specification) },
+            { "waited_ms", waitedMs(entry) }, { "evicted_runs", std::to_string(entry.evictedRuns) },
             { "took_ms", std::to_string((step.wallTime - due).count()) },
             { "objective_ms", std::to_string(job.objective().count()) } });
 }
@@ -386,7 +396,7 @@
                 { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
                 { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(end)) } });
     if (consequence.newState)
-        recordJobEnd(entry->progress.job(), *consequence.newState, step);
+        recordJobEnd(*entry, *consequence.newState, step);
     stopAll(consequence.toStop, step);
 }
 
