Give waiting steps holds that last, where room is expected to be free first

Callers saw the largest gangs of a queue not served on a full service. Cause: whatever fits was placed, so smaller and less urgent work took each accelerator that became free, and gangs of whole workers never found enough of them at once. The holds that should prevent this were two for the whole fleet whatever its size, kept off less urgent work only, were given to priority 1 only, were chosen anew in each round without regard to when the workers would be free, and were subject to headroom themselves.

Now any waiting step, in queue order, gets a hold on the workers where it is expected to fit first (RoomForecast, from the progress of the runs). A hold lasts until its step is placed and takes just the room that the step needs, against all work of the same or a lower urgency; more urgent work uses it only if it fits nowhere else. At most 0.12 of a service's workers are held, but one hold may take more; when the share does not suffice for a step, no step behind it gets a hold: else narrow gangs use it up. The choice is reconsidered every 0.5 s, as estimates are off. Headroom keeps a step from its hold for 0.5 s.

The cause 'workers held for a gang' in job.waiting is now 'room held for another job': single tasks have holds, too.

--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -19,10 +19,8 @@
 // Headroom is kept only if there has been unfinished urgent work within this time.
 constexpr Milliseconds urgentWorkWindow { 3'000 };
 
-// Maximum number of waiting gangs for which workers are held at the same time. Each hold leaves workers
-// partly idle for a while.
-constexpr int maxHolds = 2;
-
+// A step is kept from the room of its hold for the sake of headroom no longer than this.
+constexpr Milliseconds maxWaitForHeadroom { 500 };
 // While the service is mostly free, a unit is kept from free room no longer than this.
 constexpr Milliseconds maxWaitBesideRoom { 2'000 };
 // A job is kept from workers on which it has failed for longer: a faulty one would use up its attempts.
@@ -30,24 +28,6 @@
 // The service is mostly free if at most this share of its capacity is in use.
 constexpr double mostlyFreeUtilization = 0.6;
 
-// Workers held for a gang are closed to other work for this long at first, then open for a while to work that
-// has waited beside free room. Each time the gang still waits, they are closed for twice as long, up to the
-// maximum.
-constexpr Milliseconds firstClosedHold { 10'000 };
-constexpr Milliseconds maxClosedHold { 80'000 };
-constexpr Milliseconds openHold { 5'000 };
-
-// `age`: time since the workers were first held for the gang.
-bool isHoldClosed(Milliseconds age)
-{
-    Milliseconds closed = firstClosedHold;
-    while (age >= closed + openHold) {
-        age -= closed + openHold;
-        closed = std::min(closed * 2, maxClosedHold);
-    }
-    return age < closed;
-}
-
 std::int64_t acceleratorsOf(const AcceptedJob& job)
 {
     std::int64_t most = 0;
@@ -72,10 +52,7 @@
     return { unit.job, unit.occurrence, unit.step, unit.tasks.front() };
 }
 
-PlacementRound::UnitKey PlacementRound::stepKeyOf(const PlacementUnit& unit)
-{
-    return { unit.job, unit.occurrence, unit.step, 0 };
-}
+StepId PlacementRound::stepOf(const PlacementUnit& unit) { return { unit.job, unit.occurrence, unit.step }; }
 
 void PlacementRound::beginRound(JobBook& jobs, const WorkerPool& workers)
 {
@@ -87,7 +64,6 @@
     m_unplaceableAnywhere.clear();
     m_mostTasksWithinLocality.clear();
     m_candidates.clear();
-    m_lessUrgentUse.clear();
     m_stepTasksByWorker.clear();
     m_sharesInUse.clear();
 }
@@ -96,39 +72,26 @@
     const Configuration& configuration, TimePoint now, WallTime wallTime)
 {
     beginRound(jobs, workers);
-    m_heldWorkers.clear();
-    m_closedWorkers.clear();
-    m_holdCount = 0;
     std::erase_if(m_evictionCounts, [&jobs](const auto& entry) { return !jobs.find(entry.first); });
     PlacementOutcome outcome;
     m_earlierRoomSince = std::exchange(m_roomSince, {});
     std::vector<WaitingStep> waiting = collect(jobs, configuration, now, wallTime);
     if (waiting.empty())
         return outcome;
-    Views views = capacityOf(workers, now);
+    CapacityViews views = capacityOf(workers, now);
     applyReservations(views, now);
     m_order.sort(waiting, wallTime);
-    forgetHoldsOfOthers(waiting);
-    for (const WaitingStep& step : waiting)
-        placeStep(step, views, outcome, now, wallTime);
-    return outcome;
-}
-
-// Forgets holds of gangs that do not wait any more.
-void PlacementRound::forgetHoldsOfOthers(std::span<const WaitingStep> waiting)
-{
-    std::map<UnitKey, TimePoint> heldSince;
+    m_holds.beginRound(waiting, views);
+    m_forecast.emplace(jobs, m_stopTimeout, now);
     for (const WaitingStep& step : waiting) {
-        const JobId& job = step.job->job().specification.id;
-        const auto held = m_heldSince.find({ job, step.position.occurrence, step.position.step, 0 });
-        if (held != m_heldSince.end())
-            heldSince.insert(*held);
+        m_holds.applyUpTo(rankOf(step.isGuaranteed, step.job->job().terms.priority), views);
+        placeStep(step, views, outcome, now, wallTime);
     }
-    m_heldSince = std::move(heldSince);
+    return outcome;
 }
 
-void PlacementRound::placeStep(
-    const WaitingStep& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
+void PlacementRound::placeStep(const WaitingStep& waiting, CapacityViews& views, PlacementOutcome& outcome,
+    TimePoint now, WallTime wallTime)
 {
     // If the first unit does not fit, the others do not fit either, since they need the same resources. For
     // urgent steps all units are tried, because each of them may evict other work.
@@ -189,7 +152,7 @@
     }
 }
 
-void PlacementRound::applyReservations(Views& views, TimePoint now)
+void PlacementRound::applyReservations(CapacityViews& views, TimePoint now)
 {
     std::erase_if(m_reservations, [now](const auto& entry) { return now >= entry.second.until; });
     for (const auto& [key, reservation] : m_reservations)
@@ -214,7 +177,7 @@
     if (!waiting.failedOn->empty() && !couldEverFit(request, view))
         request.excludedWorkers = nullptr;
     if (step.maxTasksPerWorker) {
-        const auto placed = m_stepTasksByWorker.find(stepKeyOf(waiting.unit));
+        const auto placed = m_stepTasksByWorker.find(stepOf(waiting.unit));
         if (placed != m_stepTasksByWorker.end())
             request.stepTasksByWorker = placed->second;
         for (const RunId& run : waiting.job->assignedRuns()) {
@@ -283,54 +246,89 @@
     return budget ? &*budget : nullptr;
 }
 
-bool PlacementRound::placeUnit(
-    const WaitingUnit& waiting, Views& views, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
+bool PlacementRound::placeUnit(const WaitingUnit& waiting, CapacityViews& views, PlacementOutcome& outcome,
+    TimePoint now, WallTime wallTime)
 {
-    CapacityView& view = views[waiting.job->job().terms.service];
+    const ServiceId& service = waiting.job->job().terms.service;
+    CapacityView& view = views[service];
     if (view.workers().empty())
         return false;
     const PlacementRequest request = requestFor(waiting, view, wallTime);
-    const Shape shape = shapeOf(waiting, request);
     const auto reservation = m_reservations.find(keyOf(waiting.unit));
     const bool isReserved = reservation != m_reservations.end();
-    const bool isUnplaceable = !isReserved && isKnownUnplaceable(m_unplaceable, shape, request.tasks);
-    if (isUnplaceable && !isMostlyFree(waiting.job->job().terms.service))
-        return false;
+    const WorkerHold* const hold = m_holds.find(stepOf(waiting.unit));
+    const bool isUnplaceable
+        = !isReserved && !hold && isKnownUnplaceable(m_unplaceable, shapeOf(waiting, request), request.tasks);
     ProgressBudget* const budget = budgetOf(*waiting.job);
     if (budget && !budget->admits(waiting.unit))
         return false;
     if (isReserved)
         reserve(view, reservation->second, false);
-    std::optional<std::vector<WorkerLifetime>> workers;
-    if (!isUnplaceable)
-        workers = placeWithHeadroom(waiting, request, view, now);
-    if (!workers)
-        workers = placeAnywhere(waiting, request, view, now);
+    auto workers = findWorkers(waiting, request, hold, view, now, isUnplaceable);
     if (workers) {
         notePlaced(waiting, std::move(*workers), outcome);
         return true;
     }
     if (isReserved)
         reserve(view, reservation->second, true);
-    else if (!isUnplaceable)
+    else if (isUnplaceable)
+        holdFor(waiting, request, view, now);
+    else
         makeRoomFor(waiting, request, view, outcome, now, wallTime);
     return false;
 }
 
+std::optional<std::vector<WorkerLifetime>> PlacementRound::findWorkers(const WaitingUnit& waiting,
+    const PlacementRequest& request, const WorkerHold* hold, CapacityView& view, TimePoint now,
+    bool isUnplaceable)
+{
+    if (hold)
+        WorkerHolds::putBack(*hold, view);
+    std::optional<std::vector<WorkerLifetime>> workers;
+    if (!isUnplaceable)
+        workers = placeBesideHolds(waiting, request, view, now);
+    const bool mayFill = hold && now >= hold->since + maxWaitForHeadroom;
+    if (!workers && mayFill && WorkerHolds::fill(*hold, request, view))
+        workers = hold->workers;
+    if (!workers)
+        workers = placeAnywhere(waiting, request, view, now);
+    if (!workers && hold) {
+        WorkerHolds::take(*hold, view);
+        m_holds.reconsider(stepOf(waiting.unit), request, view, *m_forecast, now);
+    }
+    return workers;
+}
+
+// Urgent work leaves room that is held for other work alone if it fits elsewhere.
+std::optional<std::vector<WorkerLifetime>> PlacementRound::placeBesideHolds(
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now) const
+{
+    const WorkerHolds::Selection others = m_holds.unapplied(waiting.job->job().terms.service);
+    if (!others.empty()) {
+        WorkerHolds::take(others, view);
+        auto workers = placeWithHeadroom(waiting, request, view, now);
+        WorkerHolds::putBack(others, view);
+        if (workers)
+            return workers;
+    }
+    return placeWithHeadroom(waiting, request, view, now);
+}
+
 void PlacementRound::notePlaced(
     const WaitingUnit& waiting, std::vector<WorkerLifetime> workers, PlacementOutcome& outcome)
 {
     m_reservations.erase(keyOf(waiting.unit));
+    m_holds.erase(stepOf(waiting.unit));
     if (waiting.job->specificationOf(waiting.unit.step).maxTasksPerWorker) {
         for (const WorkerLifetime& worker : workers)
-            ++m_stepTasksByWorker[stepKeyOf(waiting.unit)][worker];
+            ++m_stepTasksByWorker[stepOf(waiting.unit)][worker];
     }
     if (ProgressBudget* const budget = budgetOf(*waiting.job))
         budget->take(waiting.unit);
     outcome.placed.push_back({ waiting.unit, std::move(workers) });
 }
 
-// Evicts other work for an urgent unit that does not fit, or keeps workers for a gang.
+// Evicts other work for an urgent unit that does not fit, or keeps workers for it.
 void PlacementRound::makeRoomFor(const WaitingUnit& waiting, const PlacementRequest& request,
     CapacityView& view, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
 {
@@ -339,10 +337,10 @@
     const bool isInTime
         = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
     const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
-    if (request.tasks > 1 && job.terms.priority == 1)
-        holdFor(waiting, request, view, now);
-    const bool hasMadeRoom = mayEvict && evictFor(waiting, request, view, outcome, now);
-    if (!hasMadeRoom && isDecidedByShape(waiting))
+    if (mayEvict && evictFor(waiting, request, view, outcome, now))
+        return;
+    holdFor(waiting, request, view, now);
+    if (isDecidedByShape(waiting))
         noteUnplaceable(m_unplaceable, shapeOf(waiting, request), request.tasks);
 }
 
@@ -352,7 +350,7 @@
 {
     if (!isMostlyFree(waiting.job->job().terms.service))
         return std::nullopt;
-    const UnitKey step = stepKeyOf(waiting.unit);
+    const StepId step = stepOf(waiting.unit);
     const auto earlier = m_earlierRoomSince.find(step);
     const bool isNew = earlier == m_earlierRoomSince.end();
     const TimePoint since = isNew ? now : earlier->second;
@@ -366,11 +364,11 @@
     anywhere.mayRelaxLocality = true;
     const std::vector<Resources> rooms = view.rooms();
     Milliseconds maxWait = maxWaitBesideRoom;
-    auto workers = placeOnOpenWorkers(waiting, anywhere, view);
+    auto workers = placeOnOpenWorkers(waiting, anywhere, view, now);
     if (!workers && !waiting.failedOn->empty()) {
         anywhere.excludedWorkers = nullptr;
         maxWait = maxWaitBesideFailedWorkers;
-        workers = placeOnOpenWorkers(waiting, anywhere, view);
+        workers = placeOnOpenWorkers(waiting, anywhere, view, now);
     }
     if (!workers || waited >= maxWait)
         return workers;
@@ -380,16 +378,16 @@
 }
 
 std::optional<std::vector<WorkerLifetime>> PlacementRound::placeOnOpenWorkers(
-    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view)
+    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
 {
     const Shape shape = shapeOf(waiting, request);
-    if (isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
+    const StepId own = stepOf(waiting.unit);
+    if (!m_holds.find(own) && isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
         return std::nullopt;
-    CapacityView::Hidden hidden;
-    if (waiting.job->job().terms.priority > 1)
-        view.hide(m_closedWorkers, hidden);
+    const WorkerHolds::Selection open = m_holds.open(waiting.job->job().terms.service, own, now);
+    WorkerHolds::putBack(open, view);
     auto workers = m_placement.place(request, view);
-    view.restore(hidden);
+    WorkerHolds::take(open, view);
     if (!workers && isDecidedByShape(waiting))
         noteUnplaceable(m_unplaceableAnywhere, shape, request.tasks);
     return workers;
@@ -417,54 +415,24 @@
     CapacityView::Hidden hidden;
     if (isRoomKept)
         hidden = view.hideIdleWorkers(keep);
-    if (priority > 1)
-        view.hide(m_heldWorkers, hidden);
     auto workers = m_placement.place(request, view);
     view.restore(hidden);
     return workers;
 }
 
-// Reserves workers for a waiting gang against less urgent work, so that the resources that become free there
-// are not taken by small tasks. Chooses workers on which the gang fits once their less urgent runs have
-// ended.
+// Keeps room for the unit, so that work behind it does not take the room as it becomes free.
 void PlacementRound::holdFor(
     const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
 {
-    if (m_holdCount >= maxHolds)
-        return;
-    const AcceptedJob& job = waiting.job->job();
-    const std::vector<Resources>& lessUrgent = lessUrgentUse(view, job.terms.service, job.terms.priority);
-    const std::vector<Resources> rooms = view.rooms();
-    for (std::size_t i = 0; i < lessUrgent.size(); ++i)
-        view.workers()[i].room += lessUrgent[i];
-    CapacityView::Hidden held;
-    view.hide(m_heldWorkers, held);
-    const auto workers = m_placement.place(request, view);
-    view.setRooms(rooms);
-    if (!workers)
-        return;
-    ++m_holdCount;
-    m_heldWorkers.insert(workers->begin(), workers->end());
-    const TimePoint since = m_heldSince.try_emplace(stepKeyOf(waiting.unit), now).first->second;
-    if (isHoldClosed(now - since))
-        m_closedWorkers.insert(workers->begin(), workers->end());
+    const QueueTerms& terms = waiting.job->job().terms;
+    m_holds.add(stepOf(waiting.unit), rankOf(waiting.isGuaranteed, terms.priority), request, terms.service,
+        view, *m_forecast, now);
 }
 
 std::optional<TimePoint> PlacementRound::heldSince(const JobId& job, const StepPosition& position) const
 {
-    const auto held = m_heldSince.find({ job, position.occurrence, position.step, 0 });
-    return held == m_heldSince.end() ? std::nullopt : std::optional(held->second);
-}
-
-const std::vector<Resources>& PlacementRound::lessUrgentUse(
-    const CapacityView& view, const ServiceId& service, int priority)
-{
-    const auto [position, isNew] = m_lessUrgentUse.try_emplace({ service, priority });
-    if (!isNew)
-        return position->second;
-    for (const WorkerCapacity& capacity : view.workers())
-        position->second.push_back(capacity.worker ? capacity.worker->usedBelow(priority) : Resources {});
-    return position->second;
+    const WorkerHold* const hold = m_holds.find({ job, position.occurrence, position.step });
+    return hold ? std::optional(hold->since) : std::nullopt;
 }
 
 EvictionCandidates& PlacementRound::candidatesFor(
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -6,14 +6,15 @@
 #include "batch/placement/eviction.h"
 #include "batch/placement/placement_policy.h"
 #include "batch/placement/queue_order.h"
+#include "batch/placement/room_forecast.h"
 #include "batch/placement/wait_cause.h"
+#include "batch/placement/worker_holds.h"
 #include "batch/workers/worker_pool.h"
 
 #include <compare>
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -42,8 +43,11 @@
 // urgent units. Room made by an eviction stays reserved for its unit until the unit is placed or the
 // reservation expires. Reservations persist from one round to the next.
 //
-// Locality, headroom, workers held for gangs and earlier failures of the job may keep a unit from free room.
-// While the service is mostly free, that ends after a bounded time.
+// A step that has to wait gets a hold on the workers where it will fit first (see WorkerHolds), so that work
+// behind it does not pass it for good.
+//
+// Locality, headroom, holds and earlier failures of the job may keep a unit from free room. While the service
+// is mostly free, that ends after a bounded time.
 class PlacementRound {
 public:
     // A run ends within `stopTimeout` after it was ordered to stop.
@@ -63,7 +67,7 @@
         m_reservations.clear();
         m_evictionCounts.clear();
         m_roomSince.clear();
-        m_heldSince.clear();
+        m_holds.clear();
     }
 
 private:
@@ -105,27 +109,26 @@
         }
         bool operator<(const Shape& other) const { return key() < other.key(); }
     };
-    using Views = std::map<ServiceId, CapacityView>;
     // The smallest number of tasks of a shape that found no room. More tasks of it would not fit either, so
     // no search is made for them.
     using SmallestByShape = std::map<Shape, int>;
 
     static UnitKey keyOf(const PlacementUnit&);
-    static UnitKey stepKeyOf(const PlacementUnit&);
+    static StepId stepOf(const PlacementUnit&);
     // Forgets what is known of the jobs and workers of an earlier round.
     void beginRound(JobBook&, const WorkerPool&);
     bool fits(const PlacementRequest&, CapacityView) const;
     std::vector<WaitingStep> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
     static Shape shapeOf(const WaitingUnit&, const PlacementRequest&);
-    void applyReservations(Views&, TimePoint now);
+    void applyReservations(CapacityViews&, TimePoint now);
     static void reserve(CapacityView&, const Reservation&, bool isTaken);
     PlacementRequest requestFor(const WaitingUnit&, const CapacityView&, WallTime);
     // Null if the row with the job's progress has room for all of its tasks.
     ProgressBudget* budgetOf(const JobProgress&);
     std::size_t longestWorkerId();
     // Returns whether the unit was placed.
-    bool placeUnit(const WaitingUnit&, Views&, PlacementOutcome&, TimePoint now, WallTime);
-    void placeStep(const WaitingStep&, Views&, PlacementOutcome&, TimePoint now, WallTime);
+    bool placeUnit(const WaitingUnit&, CapacityViews&, PlacementOutcome&, TimePoint now, WallTime);
+    void placeStep(const WaitingStep&, CapacityViews&, PlacementOutcome&, TimePoint now, WallTime);
     bool mustRelaxLocality(const PlacementRequest&, const Shape&, const CapacityView&);
     static bool isKnownUnplaceable(const SmallestByShape&, const Shape&, int tasks);
     static void noteUnplaceable(SmallestByShape&, const Shape&, int tasks);
@@ -138,14 +141,17 @@
     std::optional<std::vector<WorkerLifetime>> placeAnywhere(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeOnOpenWorkers(
-        const WaitingUnit&, const PlacementRequest&, CapacityView&);
+        const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
     bool isMostlyFree(const ServiceId&);
     void notePlaced(const WaitingUnit&, std::vector<WorkerLifetime>, PlacementOutcome&);
     void makeRoomFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&,
         TimePoint now, WallTime);
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
-    void forgetHoldsOfOthers(std::span<const WaitingStep>);
-    const std::vector<Resources>& lessUrgentUse(const CapacityView&, const ServiceId&, int priority);
+    // Room on the unit's own hold counts as free.
+    std::optional<std::vector<WorkerLifetime>> findWorkers(const WaitingUnit&, const PlacementRequest&,
+        const WorkerHold*, CapacityView&, TimePoint now, bool isUnplaceable);
+    std::optional<std::vector<WorkerLifetime>> placeBesideHolds(
+        const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     EvictionCandidates& candidatesFor(const CapacityView&, const ServiceId&, int priority, TimePoint now);
 
     const PlacementPolicy& m_placement;
@@ -156,11 +162,10 @@
     EvictionCounts m_evictionCounts;
     std::optional<TimePoint> m_urgentSeenAt; // last time with an unfinished job of priority 0
     // Since when a waiting step could have been placed in free room from which it was kept: as of this round,
-    // and of the round before. Keyed by stepKeyOf().
-    std::map<UnitKey, TimePoint> m_roomSince;
-    std::map<UnitKey, TimePoint> m_earlierRoomSince;
-    // Since when workers have been held for a waiting gang. Keyed by stepKeyOf().
-    std::map<UnitKey, TimePoint> m_heldSince;
+    // and of the round before.
+    std::map<StepId, TimePoint> m_roomSince;
+    std::map<StepId, TimePoint> m_earlierRoomSince;
+    WorkerHolds m_holds;
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
@@ -172,14 +177,10 @@
     using ServicePriority = std::pair<ServiceId, int>;
     // Runs that work of a priority may evict.
     std::map<ServicePriority, EvictionCandidates> m_candidates;
-    // What runs of lower urgency use, by the view's index of the worker.
-    std::map<ServicePriority, std::vector<Resources>> m_lessUrgentUse;
+    std::optional<RoomForecast> m_forecast;
     std::map<ServiceId, double> m_sharesInUse;
-    std::set<WorkerLifetime> m_heldWorkers; // kept for waiting gangs, closed to less urgent work
-    std::set<WorkerLifetime> m_closedWorkers; // those of them that not even work that has waited long may use
-    int m_holdCount = 0;
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
-    std::map<UnitKey, std::map<WorkerLifetime, int>> m_stepTasksByWorker;
+    std::map<StepId, std::map<WorkerLifetime, int>> m_stepTasksByWorker;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/queue_order.h
+++ b/src/batch/placement/queue_order.h
@@ -14,6 +14,8 @@
     const JobProgress* job = nullptr;
     const std::set<WorkerLifetime>* failedOn = nullptr; // workers on which the job has failed
     bool isGuaranteed = false; // covered by its client account's guarantee
+
+    StepId id() const { return { job->job().specification.id, position.occurrence, position.step }; }
 };
 
 // Determines the order in which waiting steps are placed.
--- a/src/batch/placement/wait_cause.cpp
+++ b/src/batch/placement/wait_cause.cpp
@@ -17,8 +17,8 @@
         return "its rack";
     case WaitCause::ReservedRoom:
         return "reserved room";
-    case WaitCause::HeldForGang:
-        return "workers held for a gang";
+    case WaitCause::HeldForOthers:
+        return "room held for another job";
     case WaitCause::Headroom:
         return "headroom for urgent work";
     case WaitCause::Turn:
@@ -59,12 +59,10 @@
     }
     if (!fits(asked, view))
         return WaitCause::ReservedRoom;
-    if (entry.progress.job().terms.priority > 1) {
-        CapacityView::Hidden hidden;
-        view.hide(m_heldWorkers, hidden);
-        if (!fits(asked, view))
-            return WaitCause::HeldForGang;
-    }
+    const int rank = rankOf(waiting.isGuaranteed, entry.progress.job().terms.priority);
+    WorkerHolds::take(m_holds.upTo(rank, service, stepOf(waiting.unit)), view);
+    if (!fits(asked, view))
+        return WaitCause::HeldForOthers;
     return placeWithHeadroom(waiting, asked, view, now) ? WaitCause::Turn : WaitCause::Headroom;
 }
 
--- a/src/batch/placement/wait_cause.h
+++ b/src/batch/placement/wait_cause.h
@@ -11,7 +11,7 @@
     JobRow, // the row with the job's progress has no room for another assignment
     Locality, // it fits only on other racks than it asks for
     ReservedRoom, // it fits only where room is reserved after an eviction
-    HeldForGang, // it fits only on workers that are kept for a waiting gang
+    HeldForOthers, // it fits only where room is kept for another waiting step
     Headroom, // it fits only on idle workers that are kept for urgent work
     Turn, // it fits, unless work before it in the queue takes the room first
 };
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -19,14 +19,6 @@
     return room;
 }
 
-Resources Worker::usedBelow(int priority) const
-{
-    Resources sum;
-    for (auto each = usedByPriority.upper_bound(priority); each != usedByPriority.end(); ++each)
-        sum += each->second;
-    return sum;
-}
-
 Worker* WorkerPool::find(const WorkerLifetime& lifetime)
 {
     const auto found = m_workers.find(lifetime);
@@ -96,7 +88,6 @@
 {
     detach(worker, run.id.task);
     worker.used += run.resources;
-    worker.usedByPriority[run.priority] += run.resources;
     const TaskId task = run.id.task;
     return worker.runs.insert_or_assign(task, std::move(run)).first->second;
 }
@@ -107,7 +98,6 @@
     if (found == worker.runs.end())
         return;
     worker.used -= found->second.resources;
-    worker.usedByPriority[found->second.priority] -= found->second.resources;
     worker.runs.erase(found);
 }
 
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -74,13 +74,10 @@
     TimePoint noPlacementUntil {}; // no placements until then: it had less free capacity than calculated
     std::map<TaskId, LiveRun> runs;
     Resources used;
-    std::map<int, Resources> usedByPriority;
     WorkerHealth health;
     WorkerSpeed speed;
 
     Resources room() const;
-    // What runs of a lower priority use, that is, of a higher number.
-    Resources usedBelow(int priority) const;
 };
 
 // All workers that are in the registry or may still have active runs.
