Order waiting work by acceptance, and bound the time that late work lets newer work pass

Callers saw gangs wait for 30 s and more while later jobs of their kind started. Cause, beside the holds: within a priority, the earliest objective deadline came first, from estimates that are off by up to 90%, so jobs that seemed long were passed by newer ones that seemed short; and late work came behind all work in time for as long as an overload lasted.

Now work below the highest priority is ordered by acceptance, in time before late as before; urgent work, which may evict, keeps its deadlines. Of each priority, the job that has waited longest comes first once it has waited for 15 s, one job at a time.

--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -1,6 +1,8 @@
 #include "batch/placement/queue_order.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -8,15 +10,21 @@
 
 namespace {
 
+constexpr Milliseconds maxTimeWithoutTurn { 15'000 };
+
 struct Rank {
     bool isNotGuaranteed = false;
     int priority = 0;
+    bool isNotLongestWaiting = true; // of the priority
     int lateness = 0; // 0: can meet its objective, 1: late, 2: too late to have any value
-    WallTime deadline {};
+    WallTime turn {}; // the deadline of urgent work, the acceptance of other work
     const JobId* job = nullptr;
     int step = 0;
 
-    auto key() const { return std::tie(isNotGuaranteed, priority, lateness, deadline, *job, step); }
+    auto key() const
+    {
+        return std::tie(isNotGuaranteed, priority, isNotLongestWaiting, lateness, turn, *job, step);
+    }
 };
 
 Rank rankOf(const WaitingStep& waiting, WallTime now)
@@ -27,8 +35,9 @@
     const WallTime start = job.dueAt(waiting.position.occurrence);
     const Milliseconds objective = job.objective();
     const Milliseconds remaining = waiting.job->specificationOf(waiting.position.step).estimatedDuration;
-    Rank rank { !waiting.isGuaranteed, job.terms.priority, 0, start + objective, &job.specification.id,
-        waiting.position.step };
+    const bool isUrgent = !job.terms.priority;
+    Rank rank { !waiting.isGuaranteed, job.terms.priority, true, 0, isUrgent ? start + objective : start,
+        &job.specification.id, waiting.position.step };
     if (now + remaining > start + objective)
         rank.lateness = 1;
     if (now + remaining > start + objective * worthlessAfter)
@@ -36,14 +45,37 @@
     return rank;
 }
 
+using Ranks = std::vector<std::pair<Rank, std::size_t>>;
+
+// Of each priority, the job that has waited longest gets the first turn if it has waited for very long. It
+// may be late, and newer work could pass it as long as an overload lasts.
+void putLongestWaitingFirst(Ranks& ranks, const std::vector<WaitingStep>& units, WallTime now)
+{
+    std::map<int, std::size_t> longest; // index into `ranks`, by priority
+    const auto since = [&](std::size_t rank) {
+        const WaitingStep& unit = units[ranks[rank].second];
+        return unit.job->job().dueAt(unit.position.occurrence);
+    };
+    for (std::size_t i = 0; i < ranks.size(); ++i) {
+        if (now < since(i) + maxTimeWithoutTurn)
+            continue;
+        const auto [known, isNew] = longest.try_emplace(ranks[i].first.priority, i);
+        if (!isNew && since(i) < since(known->second))
+            known->second = i;
+    }
+    for (const auto& [priority, index] : longest)
+        ranks[index].first.isNotLongestWaiting = false;
+}
+
 } // namespace
 
 void ObjectiveOrder::sort(std::vector<WaitingStep>& units, WallTime now) const
 {
-    std::vector<std::pair<Rank, std::size_t>> ranks;
+    Ranks ranks;
     ranks.reserve(units.size());
     for (std::size_t i = 0; i < units.size(); ++i)
         ranks.emplace_back(rankOf(units[i], now), i);
+    putLongestWaitingFirst(ranks, units, now);
     std::sort(ranks.begin(), ranks.end(),
         [](const auto& a, const auto& b) { return a.first.key() < b.first.key(); });
     std::vector<WaitingStep> sorted;
