Keep deadlines in the queue order, and keep what urgent work and a mostly free service need

Cause: a step's hold overrode headroom after 0.5 s, so that hardly any worker was left idle for urgent work. Headroom now keeps a step from its hold for 2 s, as it keeps it from free room, and up to 0.2 of the workers are held. Urgent work uses held room like any other: looking elsewhere first cost it fast workers.

A step that fits nowhere only for the room of other holds now also ends the giving of holds in its round: in a small service one stream of small holds kept a wide gang from ever getting one.

--- a/src/batch/jobs/job_progress.cpp
+++ b/src/batch/jobs/job_progress.cpp
@@ -348,6 +348,13 @@
     return runs;
 }
 
+bool JobProgress::isPartlyPlaced(const StepPosition& position) const
+{
+    const StepProgress& step = m_record.open.at(position.occurrence)[static_cast<std::size_t>(position.step)];
+    return std::any_of(step.tasks.begin(), step.tasks.end(),
+        [](const TaskProgress& task) { return task.isDone || task.assignment; });
+}
+
 std::string JobProgress::encodeProgress(std::size_t maxBytes) const
 {
     return batch::encodeProgress(m_record, m_job.specification, maxBytes);
--- a/src/batch/jobs/job_progress.h
+++ b/src/batch/jobs/job_progress.h
@@ -63,6 +63,8 @@
     std::vector<PlacementUnit> unitsOf(const StepPosition&) const;
     // The first of unitsOf(). There must be one.
     PlacementUnit firstUnitOf(const StepPosition&) const;
+    // Whether some tasks of the step have been placed or are done, and others wait.
+    bool isPartlyPlaced(const StepPosition&) const;
     // The units of all ready steps.
     std::vector<PlacementUnit> readyUnits() const;
     const StepSpecification& specificationOf(int step) const
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -19,9 +19,8 @@
 // Headroom is kept only if there has been unfinished urgent work within this time.
 constexpr Milliseconds urgentWorkWindow { 3'000 };
 
-// A step is kept from the room of its hold for the sake of headroom no longer than this.
-constexpr Milliseconds maxWaitForHeadroom { 500 };
-// While the service is mostly free, a unit is kept from free room no longer than this.
+// While the service is mostly free, a unit is kept from free room no longer than this; on a busier one, from
+// the room of its hold.
 constexpr Milliseconds maxWaitBesideRoom { 2'000 };
 // A job is kept from workers on which it has failed for longer: a faulty one would use up its attempts.
 constexpr Milliseconds maxWaitBesideFailedWorkers { 8'000 };
@@ -84,7 +83,7 @@
     m_holds.beginRound(waiting, views);
     m_forecast.emplace(jobs, m_stopTimeout, now);
     for (const WaitingStep& step : waiting) {
-        m_holds.applyUpTo(rankOf(step.isGuaranteed, step.job->job().terms.priority), views);
+        m_holds.applyUpTo(urgencyRank(step.isGuaranteed, step.job->job().terms.priority), views);
         placeStep(step, views, outcome, now, wallTime);
     }
     return outcome;
@@ -286,8 +285,8 @@
         WorkerHolds::putBack(*hold, view);
     std::optional<std::vector<WorkerLifetime>> workers;
     if (!isUnplaceable)
-        workers = placeBesideHolds(waiting, request, view, now);
-    const bool mayFill = hold && now >= hold->since + maxWaitForHeadroom;
+        workers = placeWithHeadroom(waiting, request, view, now);
+    const bool mayFill = hold && now >= hold->since + maxWaitBesideRoom;
     if (!workers && mayFill && WorkerHolds::fill(*hold, request, view))
         workers = hold->workers;
     if (!workers)
@@ -299,21 +298,6 @@
     return workers;
 }
 
-// Urgent work leaves room that is held for other work alone if it fits elsewhere.
-std::optional<std::vector<WorkerLifetime>> PlacementRound::placeBesideHolds(
-    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now) const
-{
-    const WorkerHolds::Selection others = m_holds.unapplied(waiting.job->job().terms.service);
-    if (!others.empty()) {
-        WorkerHolds::take(others, view);
-        auto workers = placeWithHeadroom(waiting, request, view, now);
-        WorkerHolds::putBack(others, view);
-        if (workers)
-            return workers;
-    }
-    return placeWithHeadroom(waiting, request, view, now);
-}
-
 void PlacementRound::notePlaced(
     const WaitingUnit& waiting, std::vector<WorkerLifetime> workers, PlacementOutcome& outcome)
 {
@@ -381,10 +365,12 @@
     const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
 {
     const Shape shape = shapeOf(waiting, request);
+    const QueueTerms& terms = waiting.job->job().terms;
     const StepId own = stepOf(waiting.unit);
     if (!m_holds.find(own) && isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
         return std::nullopt;
-    const WorkerHolds::Selection open = m_holds.open(waiting.job->job().terms.service, own, now);
+    const WorkerHolds::Selection open
+        = m_holds.open(terms.service, own, urgencyRank(waiting.isGuaranteed, terms.priority), now);
     WorkerHolds::putBack(open, view);
     auto workers = m_placement.place(request, view);
     WorkerHolds::take(open, view);
@@ -425,8 +411,8 @@
     const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
 {
     const QueueTerms& terms = waiting.job->job().terms;
-    m_holds.add(stepOf(waiting.unit), rankOf(waiting.isGuaranteed, terms.priority), request, terms.service,
-        view, *m_forecast, now);
+    m_holds.add(stepOf(waiting.unit), urgencyRank(waiting.isGuaranteed, terms.priority), request,
+        terms.service, view, *m_forecast, now);
 }
 
 std::optional<TimePoint> PlacementRound::heldSince(const JobId& job, const StepPosition& position) const
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -150,8 +150,6 @@
     // Room on the unit's own hold counts as free.
     std::optional<std::vector<WorkerLifetime>> findWorkers(const WaitingUnit&, const PlacementRequest&,
         const WorkerHold*, CapacityView&, TimePoint now, bool isUnplaceable);
-    std::optional<std::vector<WorkerLifetime>> placeBesideHolds(
-        const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now) const;
     EvictionCandidates& candidatesFor(const CapacityView&, const ServiceId&, int priority, TimePoint now);
 
     const PlacementPolicy& m_placement;
--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -10,20 +10,21 @@
 
 namespace {
 
-constexpr Milliseconds maxTimeWithoutTurn { 15'000 };
+// A job that has waited for longer than this gets the next turn of its priority.
+constexpr Milliseconds maxTimeWithoutTurn { 30'000 };
 
 struct Rank {
     bool isNotGuaranteed = false;
     int priority = 0;
     bool isNotLongestWaiting = true; // of the priority
     int lateness = 0; // 0: can meet its objective, 1: late, 2: too late to have any value
-    WallTime turn {}; // the deadline of urgent work, the acceptance of other work
+    WallTime deadline {};
     const JobId* job = nullptr;
     int step = 0;
 
     auto key() const
     {
-        return std::tie(isNotGuaranteed, priority, isNotLongestWaiting, lateness, turn, *job, step);
+        return std::tie(isNotGuaranteed, priority, isNotLongestWaiting, lateness, deadline, *job, step);
     }
 };
 
@@ -35,10 +36,9 @@
     const WallTime start = job.dueAt(waiting.position.occurrence);
     const Milliseconds objective = job.objective();
     const Milliseconds remaining = waiting.job->specificationOf(waiting.position.step).estimatedDuration;
-    const bool isUrgent = !job.terms.priority;
-    Rank rank { !waiting.isGuaranteed, job.terms.priority, true, 0, isUrgent ? start + objective : start,
-        &job.specification.id, waiting.position.step };
-    if (now + remaining > start + objective)
+    Rank rank { !waiting.isGuaranteed, job.terms.priority, true, 0, start + objective, &job.specification.id,
+        waiting.position.step };
+    if (now + remaining > start + objective && !waiting.job->isPartlyPlaced(waiting.position))
         rank.lateness = 1;
     if (now + remaining > start + objective * worthlessAfter)
         rank.lateness = 2;
@@ -47,8 +47,8 @@
 
 using Ranks = std::vector<std::pair<Rank, std::size_t>>;
 
-// Of each priority, the job that has waited longest gets the first turn if it has waited for very long. It
-// may be late, and newer work could pass it as long as an overload lasts.
+// Of each priority, the job that has waited longest gets the first turn if it has waited for very long. Work
+// in time, or with an earlier deadline, could pass it for as long as an overload lasts.
 void putLongestWaitingFirst(Ranks& ranks, const std::vector<WaitingStep>& units, WallTime now)
 {
     std::map<int, std::size_t> longest; // index into `ranks`, by priority
--- a/src/batch/placement/queue_order.h
+++ b/src/batch/placement/queue_order.h
@@ -27,9 +27,8 @@
 };
 
 // Puts guaranteed work first, then sorts by priority. Within a priority, a job that has waited for very long
-// comes first, one at a time; then jobs that can still meet their objective come before late ones. Among
-// these, the earliest objective deadline comes first for urgent work, and the earliest acceptance for other
-// work: estimates are too poor to let a job wait because others seem to be short.
+// comes first, one at a time; then jobs that can still meet their objective come before late ones; among
+// these, the earliest objective deadline comes first.
 class ObjectiveOrder : public QueueOrder {
 public:
     void sort(std::vector<WaitingStep>&, WallTime now) const override;
--- a/src/batch/placement/wait_cause.cpp
+++ b/src/batch/placement/wait_cause.cpp
@@ -59,7 +59,7 @@
     }
     if (!fits(asked, view))
         return WaitCause::ReservedRoom;
-    const int rank = rankOf(waiting.isGuaranteed, entry.progress.job().terms.priority);
+    const int rank = urgencyRank(waiting.isGuaranteed, entry.progress.job().terms.priority);
     WorkerHolds::take(m_holds.upTo(rank, service, stepOf(waiting.unit)), view);
     if (!fits(asked, view))
         return WaitCause::HeldForOthers;
--- a/src/batch/placement/worker_holds.cpp
+++ b/src/batch/placement/worker_holds.cpp
@@ -1,6 +1,7 @@
 #include "batch/placement/worker_holds.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -8,7 +9,7 @@
 namespace {
 
 // Share of a service's workers on which room is held at most. A single hold may take more.
-constexpr double maxHeldShare = 0.12;
+constexpr double maxHeldShare = 0.2;
 // Estimates are often wrong, so the choice of workers is made anew after this time.
 constexpr Milliseconds reconsiderationInterval { 500 };
 
@@ -17,6 +18,8 @@
 constexpr Milliseconds firstClosedTime { 10'000 };
 constexpr Milliseconds maxClosedTime { 80'000 };
 constexpr Milliseconds openTime { 5'000 };
+// Further holds of a service are open.
+constexpr std::size_t maxClosedHolds = 2;
 
 } // namespace
 
@@ -31,7 +34,7 @@
     return age < closed;
 }
 
-int rankOf(bool isGuaranteed, int priority) { return isGuaranteed ? 0 : priority + 1; }
+int urgencyRank(bool isGuaranteed, int priority) { return isGuaranteed ? 0 : priority + 1; }
 
 void WorkerHolds::beginRound(std::span<const WaitingStep> waiting, CapacityViews& views)
 {
@@ -50,7 +53,7 @@
             [&view](const WorkerLifetime& worker) { return view.find(worker); });
         if (!isComplete)
             continue;
-        hold.rank = rankOf(step.isGuaranteed, step.job->job().terms.priority);
+        hold.rank = urgencyRank(step.isGuaranteed, step.job->job().terms.priority);
         holds.emplace(step.id(), std::move(hold));
     }
     m_holds = std::move(holds);
@@ -68,6 +71,17 @@
     m_appliedRank = std::max(m_appliedRank, rank);
 }
 
+template <typename Predicate>
+WorkerHolds::Selection WorkerHolds::select(const ServiceId& service, Predicate isSelected) const
+{
+    Selection selection;
+    for (const auto& [step, hold] : m_holds) {
+        if (hold.service == service && isSelected(step, hold))
+            selection.push_back(&hold);
+    }
+    return selection;
+}
+
 bool WorkerHolds::isWithinShare(const WorkerHold& added, const CapacityView& view) const
 {
     std::set<WorkerLifetime> workers;
@@ -87,8 +101,13 @@
     if (m_holds.contains(step) || m_exhausted.contains(service))
         return;
     auto fit = forecast.earliestFit(request, view);
-    if (!fit)
+    if (!fit) {
+        // It may only be the room of other holds that the step lacks.
+        const bool hasOthers = !select(service, [](const auto&, const auto&) { return true; }).empty();
+        if (hasOthers && couldEverFit(request, view))
+            m_exhausted.insert(service);
         return;
+    }
     const auto known = m_heldSince.find(step);
     const TimePoint since = known == m_heldSince.end() ? now : known->second;
     WorkerHold hold { std::move(fit->workers), request.perTask, service, rank, since, now };
@@ -127,28 +146,21 @@
     return found == m_holds.end() ? nullptr : &found->second;
 }
 
-template <typename Predicate>
-WorkerHolds::Selection WorkerHolds::select(const ServiceId& service, Predicate isSelected) const
+WorkerHolds::Selection WorkerHolds::open(
+    const ServiceId& service, const StepId& own, int rank, TimePoint now) const
 {
-    Selection selection;
-    for (const auto& [step, hold] : m_holds) {
-        if (hold.service == service && isSelected(step, hold))
-            selection.push_back(&hold);
-    }
-    return selection;
-}
-
-WorkerHolds::Selection WorkerHolds::unapplied(const ServiceId& service) const
-{
-    return select(
-        service, [this](const StepId&, const WorkerHold& hold) { return hold.rank > m_appliedRank; });
-}
-
-WorkerHolds::Selection WorkerHolds::open(const ServiceId& service, const StepId& own, TimePoint now) const
-{
-    return select(service, [&](const StepId& step, const WorkerHold& hold) {
-        return step != own && hold.rank <= m_appliedRank && !hold.isClosed(now);
+    Selection selection = select(service, [&](const StepId& step, const WorkerHold&) { return step != own; });
+    std::sort(selection.begin(), selection.end(),
+        [](const WorkerHold* a, const WorkerHold* b) { return a->since < b->since; });
+    std::size_t closed = 0;
+    std::erase_if(selection, [&](const WorkerHold* hold) {
+        if (hold->rank > m_appliedRank)
+            return true;
+        const bool isKept = hold->rank < rank && hold->isClosed(now) && closed < maxClosedHolds;
+        closed += isKept ? 1 : 0;
+        return isKept;
     });
+    return selection;
 }
 
 WorkerHolds::Selection WorkerHolds::upTo(int rank, const ServiceId& service, const StepId& own) const
--- a/src/batch/placement/worker_holds.h
+++ b/src/batch/placement/worker_holds.h
@@ -19,17 +19,17 @@
     std::vector<WorkerLifetime> workers; // one per task
     Resources perTask;
     ServiceId service;
-    int rank = 0; // see rankOf()
+    int rank = 0; // see urgencyRank()
     TimePoint since {}; // when room was first kept for the step
     TimePoint chosenAt {};
 
-    // Closed holds are kept even from work that has waited long beside free room. Holds are open at times,
-    // so that such work does not wait for good.
+    // Closed holds are kept even from less urgent work that has waited long beside free room. Holds are open
+    // at times, so that such work does not wait for good.
     bool isClosed(TimePoint now) const;
 };
 
 // The urgency of work, most urgent first. Work may use room that is held for work of a higher rank.
-int rankOf(bool isGuaranteed, int priority);
+int urgencyRank(bool isGuaranteed, int priority);
 
 // The holds of waiting steps. A step has a hold until it is placed, whatever comes later, so that other work
 // does not take the room piece by piece as it becomes free. Holds are given in queue order, and only a
@@ -55,10 +55,9 @@
     // Null if the step has none.
     const WorkerHold* find(const StepId&) const;
     using Selection = std::vector<const WorkerHold*>;
-    // Those that are not applied yet.
-    Selection unapplied(const ServiceId&) const;
-    // Those that are applied and open, but not the step's own.
-    Selection open(const ServiceId&, const StepId&, TimePoint now) const;
+    // Those that are applied, but not the step's own, that a step of this rank need not leave alone once it
+    // has waited long beside free room: those of its own rank, and all but the two oldest closed ones.
+    Selection open(const ServiceId&, const StepId&, int rank, TimePoint now) const;
     // All up to this rank, but not the step's own.
     Selection upTo(int rank, const ServiceId&, const StepId&) const;
     // Take the room of holds out of a view, or put it back.
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(testGangsOfSameShapeDoNotWaitForEachOtherWhileServiceIsMostlyFree);
     CPPUNIT_TEST(testTasksDoNotWaitLongForRackOfTheirDataWhileServiceIsMostlyFree);
     CPPUNIT_TEST(testSmallJobIsPlacedBeforeGangWithLongWaitWhileServiceIsMostlyFree);
+    CPPUNIT_TEST(testGangIsPlacedBeforeWiderOneWithLongWaitWhileServiceIsMostlyFree);
     CPPUNIT_TEST(testSuspendedWorkersDoNotMakeServiceCountAsFull);
     CPPUNIT_TEST(testGangWaitsForItsRackWhileServiceIsBusy);
     CPPUNIT_TEST(testWaitBesideRoomCountsOnlyTimeWithRoom);
@@ -581,6 +582,21 @@
         CPPUNIT_ASSERT(timeToPlacement(state, round, small, Milliseconds(12'500)));
     }
 
+    // Guards against room that is held, mostly free, against work that is as urgent.
+    void testGangIsPlacedBeforeWiderOneWithLongWaitWhileServiceIsMostlyFree()
+    {
+        testing::LeaderState state;
+        state.addWorkers(6, 8);
+        StepSpecification spread = testing::makeStep(48, 1, Seconds(600));
+        spread.maxTasksPerWorker = 1;
+        state.addJob("filler", 2, spread);
+        PlacementRound round(m_packing, m_order, m_stopTimeout);
+        state.place(round);
+        state.addJob("a-wide", 1, testing::makeGang(48, 8, false, Seconds(10)));
+        requirePlacedSoon(
+            state, round, state.addJob("b-narrow", 1, testing::makeGang(2, 4, false, Seconds(10))));
+    }
+
     void testSuspendedWorkersDoNotMakeServiceCountAsFull()
     {
         testing::LeaderState state;
