Deny a job only if it can't be stored, also when the daemon ends

Callers saw: a daemon that gets SIGTERM while the store is slow answered 503, "never runs", to submissions whose rows it had sent. A client that then hands the work in under another id gets it done twice.

Cause: two owners of what is said to a caller. The process leaves its loop 0.35 s after its last decision, or at the latest 0.35 s before SIGKILL, with submissions still open. The intake, which knows that their rows are under way, was never told that the process ends; the destructor of the HTTP server then answered what it knows nothing of, with 503. The same server is used by anvilmoor-entry.

Change: - The intake answers all open requests (504, outcome unknown) before the daemon stops, and refuses later ones (503, ShuttingDown) without sending their rows. - A server that is destroyed, or whose client seems to be gone, answers 504 to what the handler has received. - RowWriter is the owner of what may be stored, by key instead of by attempt: a row in flight, or one that was stored or left without an answer in the last 15 s. No attempt to submit it is refused with 503, or given up as too large, meanwhile; it gets 504. Before, a second attempt was refused while the row of the first was under way.

testDestroyedServerAnswersOpenExchanges asked for 503 and so for the fault itself. It now asks for 504, as strictly.

--- a/include/anvilmoor/batch/effect.h
+++ b/include/anvilmoor/batch/effect.h
@@ -75,6 +75,7 @@
     NotAccepted, // the request was certainly not stored; the caller may retry
     OutcomeUnknown,
     NoConfiguration,
+    ShuttingDown, // the daemon accepts no more requests; another one does
     CountUnknown, // the number of waiting jobs is not known at present; the caller may ask again
 };
 
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -52,6 +52,8 @@
         refuse(request, kind, detail, step);
         return nullptr;
     };
+    if (m_isStopped)
+        return refused(AnswerKind::ShuttingDown, "this host is stopping; another one answers");
     if (!m_configuration.hasConfiguration())
         return refused(AnswerKind::NoConfiguration, "no configuration has been read yet");
     if (!m_configuration.isConfirmed(step.now))
@@ -124,9 +126,20 @@
     open(std::move(request), step);
 }
 
+bool JobIntake::mayBeStored(const CallerRequest& request, TimePoint now) const
+{
+    if (request.action != CallerAction::Submit || request.path.size() < jobIdLength)
+        return false;
+    const std::string id = request.path.substr(request.path.size() - jobIdLength);
+    return isJobId(id) && m_writer.mayBeStored(jobKey(JobId(id)), now);
+}
+
 void JobIntake::refuse(
     const CallerRequest& caller, AnswerKind kind, const std::string& detail, Step& step) const
 {
+    const bool deniesJob = kind == AnswerKind::NoConfiguration || kind == AnswerKind::ShuttingDown;
+    if (deniesJob && mayBeStored(caller, step.now))
+        kind = AnswerKind::OutcomeUnknown;
     step.record("request.refused",
         { { "path", caller.path }, { "reason", detail },
             { "configuration", std::to_string(m_configuration.current().version) },
@@ -357,6 +370,13 @@
         abandon(id, step);
 }
 
+void JobIntake::stop(Step& step)
+{
+    m_isStopped = true;
+    while (!m_requests.empty())
+        abandon(m_requests.begin()->first, step);
+}
+
 void JobIntake::abandon(RequestId id, Step& step)
 {
     const Request& request = m_requests.at(id);
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -41,6 +41,8 @@
     void commitAnswered(const CommitAnswered&, Step&);
     void readAnswered(const ReadAnswered&, Step&);
     void tick(Step&);
+    // Answers all open requests, as the process ends. Later requests are refused.
+    void stop(Step&);
 
     std::size_t openRequests() const { return m_requests.size(); }
 
@@ -72,6 +74,8 @@
         int failedReads = 0;
     };
 
+    // Whether this daemon may have stored the job that the request submits, for an earlier request.
+    bool mayBeStored(const CallerRequest&, TimePoint now) const;
     // Null if the request was refused; the caller has then been answered.
     const QueueConfiguration* admit(const CallerRequest&, Step&) const;
     void submit(const CallerRequest&, const QueueConfiguration&, const JobId&, Step&);
@@ -102,6 +106,7 @@
     std::map<OperationId, RequestId> m_reads;
     std::map<JobId, JobState> m_endStates; // of jobs known to have ended; these states are final
     RequestId m_lastRequest = 0;
+    bool m_isStopped = false;
     OperationId m_lastOperation = 0;
 };
 
--- a/src/batch/intake/row_writer.cpp
+++ b/src/batch/intake/row_writer.cpp
@@ -80,15 +80,18 @@
     std::vector<Entry> entries = std::exchange(part.inFlight, {});
     part.operation = 0;
     if (answer.reply.outcome == CommitOutcome::Invalid) {
-        reject(part, std::move(entries), result);
+        reject(part, std::move(entries), step.now, result);
         delay(part, step);
         return result;
     }
     const bool isApplied = answer.reply.outcome == CommitOutcome::Applied;
     const bool isConflict = answer.reply.outcome == CommitOutcome::Conflict;
     for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
-        entry->mayBeStored = entry->mayBeStored || answer.reply.outcome == CommitOutcome::Unknown;
-        if (isApplied || (isConflict && isStored(answer.reply.current, entry->row.key)))
+        const bool isEntryStored
+            = isApplied || (isConflict && isStored(answer.reply.current, entry->row.key));
+        if (isEntryStored || answer.reply.outcome == CommitOutcome::Unknown)
+            noteMayBeStored(entry->row.key, step.now);
+        if (isEntryStored)
             result.stored.push_back(entry->ticket);
         else
             part.waiting.push_front(std::move(*entry));
@@ -102,12 +105,12 @@
 }
 
 // A row that may be stored by an earlier transaction is not given up, but lets the others go first.
-void RowWriter::reject(Part& part, std::vector<Entry> entries, Result& result)
+void RowWriter::reject(Part& part, std::vector<Entry> entries, TimePoint now, Result& result)
 {
     const bool isAlone = entries.size() == 1;
     for (Entry& entry : entries) {
         entry.isSuspect = true;
-        if (isAlone && !entry.mayBeStored)
+        if (isAlone && !mayBeStored(entry.row.key, now))
             result.rejected.push_back(entry.ticket);
         else
             part.waiting.push_back(std::move(entry));
@@ -123,8 +126,39 @@
     part.sendAt = step.now + maxDelay / 2 + Milliseconds(static_cast<std::int64_t>(step.random % (half + 1)));
 }
 
+bool RowWriter::mayBeStored(const RowKey& key, TimePoint now) const
+{
+    const auto known = m_mayBeStored.find(key);
+    if (known != m_mayBeStored.end() && now < known->second + storageUncertainty)
+        return true;
+    const auto part = m_parts.find(key.part);
+    if (part == m_parts.end())
+        return false;
+    const std::vector<Entry>& inFlight = part->second.inFlight;
+    return std::any_of(
+        inFlight.begin(), inFlight.end(), [&key](const Entry& entry) { return entry.row.key == key; });
+}
+
+void RowWriter::noteMayBeStored(const RowKey& key, TimePoint now)
+{
+    m_mayBeStored[key] = now;
+    m_mayBeStoredByTime.emplace_back(now, key);
+}
+
+void RowWriter::forgetOldRows(TimePoint now)
+{
+    while (!m_mayBeStoredByTime.empty() && now >= m_mayBeStoredByTime.front().first + storageUncertainty) {
+        const auto& [time, key] = m_mayBeStoredByTime.front();
+        const auto known = m_mayBeStored.find(key);
+        if (known != m_mayBeStored.end() && known->second == time)
+            m_mayBeStored.erase(known);
+        m_mayBeStoredByTime.pop_front();
+    }
+}
+
 void RowWriter::tick(Step& step)
 {
+    forgetOldRows(step.now);
     for (auto& [name, part] : m_parts)
         sendIfDue(part, step);
 }
--- a/src/batch/intake/row_writer.h
+++ b/src/batch/intake/row_writer.h
@@ -11,10 +11,14 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilmoor::batch {
 
+// The store performs a transaction without an answer within this time, if at all.
+constexpr Milliseconds storageUncertainty { 15'000 };
+
 // Stores rows for callers. Each part of a table has at most one transaction in flight; rows that arrive
 // meanwhile are batched in the next one. A slow store thus receives a few large transactions instead of a
 // growing queue of small ones, and a store that refuses transactions is retried at increasing intervals. If
@@ -34,6 +38,9 @@
     void write(Ticket, Row, bool mustBeNew, Step&);
     // No caller waits for the row any more. It may still be stored.
     void forget(Ticket);
+    // Whether a row with this key was sent and is stored, or may be stored at any time, as far as this writer
+    // knows. Covers the last `storageUncertainty`.
+    bool mayBeStored(const RowKey&, TimePoint now) const;
     // Handles the answer to a commit.
     Result answered(const CommitAnswered&, Step&);
     void tick(Step&);
@@ -44,7 +51,6 @@
         Row row;
         bool mustBeNew = false;
         bool isSuspect = false; // was in a transaction that the store will never apply
-        bool mayBeStored = false; // was in a transaction without an answer
     };
     struct Part {
         std::deque<Entry> waiting;
@@ -57,11 +63,17 @@
     void send(Part&, Step&);
     void sendIfDue(Part&, Step&);
     static void delay(Part&, Step&);
-    static void reject(Part&, std::vector<Entry>, Result&);
+    void reject(Part&, std::vector<Entry>, TimePoint now, Result&);
+    void noteMayBeStored(const RowKey&, TimePoint now);
+    void forgetOldRows(TimePoint now);
 
     const std::size_t m_maxTransactionBytes;
     std::map<std::string, Part> m_parts;
     std::map<OperationId, std::string> m_operations;
+    // Rows that are stored, or were in a transaction without an answer, with the time of the last such
+    // answer.
+    std::map<RowKey, TimePoint> m_mayBeStored;
+    std::deque<std::pair<TimePoint, RowKey>> m_mayBeStoredByTime; // oldest first
     OperationId m_lastOperation = 0;
 };
 
--- a/src/batch/reducer/batch_reducer.cpp
+++ b/src/batch/reducer/batch_reducer.cpp
@@ -72,6 +72,7 @@
     if (!isDone && step.now < *m_shutdownAt + m_settings.shutdownGrace - shutdownMargin)
         return;
     m_hasStopped = true;
+    m_intake.stop(step);
     step.emit(StopDaemon {});
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -20,8 +20,8 @@
 };
 
 // Creates a server that listens at once. The handler is called from the loop. An exchange that the handler
-// releases without an answer is answered with 500. Destroying the server answers open exchanges with 503 and
-// closes all connections.
+// releases without an answer is answered with 500. Destroying the server answers open exchanges with 504, as
+// only the handler knows whether their requests have an effect, and closes all connections.
 tl::expected<std::unique_ptr<HttpServer>, NetError> makeHttpServer(
     EventLoop&, const SocketAddress&, HttpHandler, HttpServerLimits = {});
 
--- a/src/net/server_core.cpp
+++ b/src/net/server_core.cpp
@@ -208,6 +208,7 @@
     *release = { this, state.get(), connection };
 
     if (m_isAbandoned) {
+        // The handler never gets this request, so it has no effect.
         state->answer({ 503, {}, "the server is stopping" }, true);
         return;
     }
@@ -283,7 +284,7 @@
     m_stallCheckTimer.reset();
     const auto open = m_exchanges;
     for (const auto& [exchange, connection] : open)
-        exchange->answer({ 503, {}, "the server is stopping" }, true);
+        exchange->answer(outcomeUnknown("the server stopped before the outcome was known"), true);
     for (const auto& [socket, connection] : m_connections) {
         const int descriptor = descriptorOf(connection->tcp);
         if (descriptor >= 0)
--- a/src/net/server_core.h
+++ b/src/net/server_core.h
@@ -26,7 +26,8 @@
     std::size_t exchangesInFlight() const { return m_exchanges.size(); }
     std::size_t openConnections() const { return m_connections.size(); }
     void stopAccepting();
-    // Answers open exchanges with 503, closes the listener and all connections, and then deletes the core.
+    // Answers open exchanges with outcomeUnknown(), closes the listener and all connections, and then deletes
+    // the core.
     void abandon();
 
 private:
--- a/src/net/server_exchange.cpp
+++ b/src/net/server_exchange.cpp
@@ -46,6 +46,8 @@
         return "Internal Server Error";
     case 503:
         return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
     default:
         return status < 400 ? "Success" : "Error";
     }
@@ -75,6 +77,8 @@
 
 } // namespace
 
+HttpResponse outcomeUnknown(std::string reason) { return { 504, {}, std::move(reason) }; }
+
 ExchangeState::ExchangeState(h2o_req_t* raw, EventLoop& loop, int socket)
     : m_pending(raw)
     , m_loop(loop)
@@ -117,7 +121,7 @@
     const std::function<void()> callback = std::exchange(m_onClientGone, nullptr);
     // h2o does not read from the socket while a request is open, so it does not detect the close. The failed
     // write of this answer makes it close the connection.
-    answer({ 400, {}, "the client closed the connection" }, true);
+    answer(outcomeUnknown("the client closed the connection"), true);
     if (callback)
         callback();
 }
--- a/src/net/server_exchange.h
+++ b/src/net/server_exchange.h
@@ -7,9 +7,14 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace anvilmoor::net {
 
+// The answer (504) to a request that the handler has received and will not answer. It may have an effect, so
+// no status may be used that denies it.
+HttpResponse outcomeUnknown(std::string reason);
+
 // The state of one request in the server. Destroyed when both h2o has released the request and the handler
 // has released its exchange.
 class ExchangeState : public std::enable_shared_from_this<ExchangeState> {
