Keep a cancelled job from running, whatever copy of it is stored later

Cause: a cancel request for a job that is not stored left no trace, while the job's row could still be on its way. Related: the row of a cancel request was removed with the rows of its ended job, however recent it was, and an unconditional removal that the store performs late took a newer request with it.

Change: - A cancel request is stored before it is answered, also with 410. The leader cancels any job with such a request, so it binds all daemons, later leaders and late transactions. - The leader keeps each for 150 s after it read it, whether its job is stored or not, and then removes those without a job, up to 30 a transaction, one transaction at a time. A job's rows stay as long. Removals are conditional. - A daemon stores at most 2,048 requests for unknown jobs in 150 s; more are refused with 503. - RowWriter sends no row whose request was answered, or whose time is up (the process may have been suspended). So the requests need not outlive an outage of the store. - RowCleanup, out of Scheduler, holds what removes rows.

--- a/include/anvilmoor/batch/effect.h
+++ b/include/anvilmoor/batch/effect.h
@@ -76,6 +76,7 @@
     OutcomeUnknown,
     NoConfiguration,
     ShuttingDown, // the daemon accepts no more requests; another one does
+    TooManyCancels, // of jobs that are not stored; the caller may ask again
     CountUnknown, // the number of waiting jobs is not known at present; the caller may ask again
 };
 
--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -1,5 +1,6 @@
 #include "batch/intake/job_intake.h"
 
+#include "batch/jobs/cancel_requests.h"
 #include "batch/jobs/job_codec.h"
 #include "batch/jobs/progress_codec.h"
 #include "batch/jobs/storable_job.h"
@@ -27,6 +28,9 @@
 constexpr Milliseconds maxWaitForCount { 1'000 };
 constexpr std::size_t jobIdLength = 16;
 constexpr std::size_t maxCachedEndStates = 4'096;
+// Cancel requests for jobs that are not stored, within their retention. Each is a row in the store and in the
+// leader's memory.
+constexpr std::size_t maxUnknownCancels = 2'048;
 
 bool isJobId(std::string_view text)
 {
@@ -209,7 +213,8 @@
 void JobIntake::store(RequestId id, Request& request, Step& step)
 {
     request.stage = Stage::Storing;
-    m_writer.write(id, *request.row, request.action == CallerAction::Submit, step);
+    const bool mustBeNew = request.action == CallerAction::Submit;
+    m_writer.write(id, *request.row, mustBeNew, request.answerBy, step);
 }
 
 void JobIntake::read(RequestId id, Request& request, Step& step)
@@ -289,7 +294,8 @@
     const bool isSubmission = request.action == CallerAction::Submit;
     if (isSubmission)
         recordAcceptance(request, step);
-    answer(request, isSubmission ? AnswerKind::Accepted : AnswerKind::Cancelled, step);
+    const AnswerKind cancelled = request.isUnknownJob ? AnswerKind::NoSuchJob : AnswerKind::Cancelled;
+    answer(request, isSubmission ? AnswerKind::Accepted : cancelled, step);
     finish(id);
 }
 
@@ -336,15 +342,37 @@
 
 void JobIntake::jobRead(RequestId id, Request& request, bool exists, Step& step)
 {
-    if (exists && request.action == CallerAction::Cancel) {
-        request.row = Row { cancelKey(request.job), "cancel" };
-        store(id, request, step);
+    if (request.action == CallerAction::Cancel) {
+        storeCancel(id, request, exists, step);
         return;
     }
     answer(request, exists ? AnswerKind::State : AnswerKind::NoSuchJob, step, JobState::Pending);
     finish(id);
 }
 
+void JobIntake::storeCancel(RequestId id, Request& request, bool isJobStored, Step& step)
+{
+    if (!isJobStored && !admitsUnknownCancel(step.now)) {
+        step.warn("request.too_many_cancels", { { "job", request.job.value() } });
+        answer(request, AnswerKind::TooManyCancels, step);
+        finish(id);
+        return;
+    }
+    request.isUnknownJob = !isJobStored;
+    request.row = Row { cancelKey(request.job), "cancel" };
+    store(id, request, step);
+}
+
+bool JobIntake::admitsUnknownCancel(TimePoint now)
+{
+    while (!m_unknownCancels.empty() && now >= m_unknownCancels.front() + cancelRetention)
+        m_unknownCancels.pop_front();
+    if (m_unknownCancels.size() >= maxUnknownCancels)
+        return false;
+    m_unknownCancels.push_back(now);
+    return true;
+}
+
 bool JobIntake::shouldAbandon(const Request& request, TimePoint now) const
 {
     const bool isSlow = now >= request.receivedAt + maxWaitWithoutStore;
--- a/src/batch/intake/job_intake.h
+++ b/src/batch/intake/job_intake.h
@@ -8,6 +8,7 @@
 #include "batch/store/operation_bits.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -32,6 +33,9 @@
 // the loss of any daemon. Only the store decides whether a job exists: a caller receives "not accepted" or
 // "no such job" only on the basis of an answer of the store, and "unknown" if the store does not answer in
 // time.
+//
+// A cancel request is stored before it is answered, also if no such job is stored: a copy of the job may
+// still be under way to the store, from any daemon, and must not run.
 class JobIntake {
 public:
     JobIntake(const ConfigurationView&, const JobStateProvider&, const StoreLimits&);
@@ -62,6 +66,7 @@
         JobId job;
         Stage stage = Stage::Storing;
         std::optional<Row> row; // to be stored
+        bool isUnknownJob = false; // of a cancel request: no such job is stored
         std::string queue; // of a submission or a count
         // For the log event of a submission.
         int priority = 0;
@@ -94,6 +99,9 @@
     void rejected(RequestId, Step&);
     void progressRead(RequestId, Request&, const std::vector<Row>&, Step&);
     void jobRead(RequestId, Request&, bool exists, Step&);
+    void storeCancel(RequestId, Request&, bool isJobStored, Step&);
+    // Returns false if too many cancel requests for unknown jobs are in force.
+    bool admitsUnknownCancel(TimePoint now);
     bool shouldAbandon(const Request&, TimePoint now) const;
     static void answer(const Request&, AnswerKind, Step&, JobState = JobState::Pending);
     void finish(RequestId);
@@ -106,6 +114,7 @@
     std::map<OperationId, RequestId> m_reads;
     std::map<JobId, JobState> m_endStates; // of jobs known to have ended; these states are final
     RequestId m_lastRequest = 0;
+    std::deque<TimePoint> m_unknownCancels; // those that may still be in force, oldest first
     bool m_isStopped = false;
     OperationId m_lastOperation = 0;
 };
--- a/src/batch/intake/row_writer.cpp
+++ b/src/batch/intake/row_writer.cpp
@@ -28,22 +28,29 @@
 {
 }
 
-void RowWriter::write(Ticket ticket, Row row, bool mustBeNew, Step& step)
+void RowWriter::write(Ticket ticket, Row row, bool mustBeNew, TimePoint sendBefore, Step& step)
 {
     Part& part = m_parts[row.key.part];
-    part.waiting.push_back({ ticket, std::move(row), mustBeNew });
+    part.waiting.push_back({ ticket, std::move(row), mustBeNew, sendBefore });
     sendIfDue(part, step);
 }
 
 void RowWriter::forget(Ticket ticket)
 {
-    for (auto& [name, part] : m_parts)
+    for (auto& [name, part] : m_parts) {
         std::erase_if(part.waiting, [ticket](const Entry& entry) { return entry.ticket == ticket; });
+        for (Entry& entry : part.inFlight)
+            entry.isForgotten = entry.isForgotten || entry.ticket == ticket;
+    }
 }
 
 void RowWriter::sendIfDue(Part& part, Step& step)
 {
-    if (!part.operation && !part.waiting.empty() && step.now >= part.sendAt)
+    if (part.operation || step.now < part.sendAt)
+        return;
+    // The process may have been suspended since these rows came.
+    std::erase_if(part.waiting, [&step](const Entry& entry) { return step.now >= entry.sendBefore; });
+    if (!part.waiting.empty())
         send(part, step);
 }
 
@@ -93,7 +100,7 @@
             noteMayBeStored(entry->row.key, step.now);
         if (isEntryStored)
             result.stored.push_back(entry->ticket);
-        else
+        else if (!entry->isForgotten)
             part.waiting.push_front(std::move(*entry));
     }
     if (isApplied || isConflict)
@@ -109,6 +116,8 @@
 {
     const bool isAlone = entries.size() == 1;
     for (Entry& entry : entries) {
+        if (entry.isForgotten)
+            continue;
         entry.isSuspect = true;
         if (isAlone && !mayBeStored(entry.row.key, now))
             result.rejected.push_back(entry.ticket);
--- a/src/batch/intake/row_writer.h
+++ b/src/batch/intake/row_writer.h
@@ -34,9 +34,11 @@
 
     explicit RowWriter(const StoreLimits& = {});
 
-    // If `mustBeNew`, a row that already exists is not overwritten and counts as stored.
-    void write(Ticket, Row, bool mustBeNew, Step&);
-    // No caller waits for the row any more. It may still be stored.
+    // If `mustBeNew`, a row that already exists is not overwritten and counts as stored. The row is not sent
+    // at or after `sendBefore`.
+    void write(Ticket, Row, bool mustBeNew, TimePoint sendBefore, Step&);
+    // No caller waits for the row any more, so it is not sent again. It may still be stored by a transaction
+    // that was sent before.
     void forget(Ticket);
     // Whether a row with this key was sent and is stored, or may be stored at any time, as far as this writer
     // knows. Covers the last `storageUncertainty`.
@@ -50,6 +52,8 @@
         Ticket ticket = 0;
         Row row;
         bool mustBeNew = false;
+        TimePoint sendBefore {};
+        bool isForgotten = false; // while in flight
         bool isSuspect = false; // was in a transaction that the store will never apply
     };
     struct Part {
--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -30,7 +30,35 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-void JobBook::requestCancel(const JobId& job) { m_cancelRequests.insert(job); }
+void JobBook::requestCancel(const JobId& job, RowVersion version, TimePoint now)
+{
+    m_cancelRequests.note(job, version, now);
+}
+
+std::vector<JobId> JobBook::findUnusedCancelRequests(TimePoint now, std::size_t limit) const
+{
+    std::vector<JobId> unused;
+    for (const JobId& job : m_cancelRequests.expired(now)) {
+        const bool isInSamePart = unused.empty() || cancelKey(job).part == cancelKey(unused.front()).part;
+        if (!m_entries.contains(job) && isInSamePart)
+            unused.push_back(job);
+        if (unused.size() >= limit)
+            break;
+    }
+    return unused;
+}
+
+void JobBook::noteCancelRequestRemoved(const JobId& job)
+{
+    if (!m_entries.contains(job))
+        m_cancelRequests.erase(job);
+}
+
+void JobBook::keepCancelRequest(const JobId& job, TimePoint now)
+{
+    if (m_cancelRequests.contains(job))
+        m_cancelRequests.note(job, m_cancelRequests.versionOf(job), now);
+}
 
 void JobBook::noteChange(Entry& entry, TimePoint now)
 {
@@ -76,7 +104,7 @@
     for (const auto& [endedAt, job] : m_ended) {
         if (now < endedAt + jobRetention)
             return std::nullopt;
-        if (mayBeRemoved(m_entries.at(job)))
+        if (mayBeRemoved(m_entries.at(job)) && !m_cancelRequests.isInForce(job, now))
             return job;
     }
     return std::nullopt;
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "anvilmoor/batch/rows.h"
+#include "batch/jobs/cancel_requests.h"
 #include "batch/jobs/job_progress.h"
 
 #include <cstddef>
@@ -59,16 +60,25 @@
     // Called if the entry's stored progress cannot be decoded. Its tasks may be running or done, so the job
     // is neither placed nor changed.
     void noteUnreadable(Entry&);
-    // Records a cancel request, which may be read before its job.
-    void requestCancel(const JobId&);
+    // Records a cancel request, which may be read before its job. `version`: of its row.
+    void requestCancel(const JobId&, RowVersion version, TimePoint now);
     bool isCancelRequested(const JobId& job) const { return m_cancelRequests.contains(job); }
+    // Of the row of the job's cancel request; 0 without one.
+    RowVersion cancelVersionOf(const JobId& job) const { return m_cancelRequests.versionOf(job); }
+    // Returns cancel requests that need not stay in force and whose jobs are not known, all in one part of
+    // the table.
+    std::vector<JobId> findUnusedCancelRequests(TimePoint now, std::size_t limit) const;
+    void noteCancelRequestRemoved(const JobId&);
+    // Must be called when the store holds a row of the job that keeps the request from being removed.
+    void keepCancelRequest(const JobId&, TimePoint now);
 
     // Must be called after an entry's progress has been restored from the store.
     void noteRestored(Entry&, TimePoint now);
     // Must be called after each change of an entry's progress.
     void noteChange(Entry&, TimePoint now);
     // Returns a job whose retention has expired and whose job and cancel rows are still stored. These rows
-    // must be removed before the progress row, because a job without progress would run again.
+    // must be removed before the progress row, because a job without progress would run again. A job stays
+    // while a cancel request for it has to stay in force.
     std::optional<JobId> findExpired(TimePoint now) const;
     // Must be called when the job and cancel rows of an expired job have been removed.
     void noteRowsRemoved(const JobId&);
@@ -111,7 +121,7 @@
 
     std::unordered_map<JobId, Entry> m_entries;
     std::set<JobId> m_open;
-    std::set<JobId> m_cancelRequests;
+    CancelRequests m_cancelRequests;
     std::map<std::uint64_t, JobId> m_changed; // keyed by the number of the latest change
     std::set<std::pair<TimePoint, JobId>> m_ended; // by the time of the end; their job rows are still stored
     std::set<JobId> m_expired; // their job and cancel rows are removed, and their progress rows are not yet
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -56,6 +56,7 @@
     , m_waitingJobLog(m_jobs, m_workers, m_placement)
     , m_longWaitLog(m_jobs, m_placement)
     , m_pipeline(lease)
+    , m_cleanup(m_jobs)
     , m_loadTimeout(initialLoadTimeout)
 {
 }
@@ -95,7 +96,7 @@
         requestProgress(step);
     if (mayAct(step.now)) {
         m_runs.tick(step);
-        removeExpired(step);
+        m_cleanup.tick(step);
         m_waitingJobLog.tick(step);
         m_longWaitLog.tick(step);
     }
@@ -242,7 +243,7 @@
     m_batch.reset();
     m_isProbeDue = false;
     m_areSpeedsStored = true;
-    m_removal.reset();
+    m_cleanup.clear();
     m_keptAnswers.clear();
     m_hasKeptCancelRequests = false;
     m_hasJobs = false;
@@ -271,7 +272,7 @@
     if (row.isDeleted || !name)
         return;
     if (name->kind == JobRowKind::CancelRequest) {
-        m_jobs.requestCancel(name->job);
+        m_jobs.requestCancel(name->job, row.version, step.now);
         cancelIfRequested(name->job, step);
         return;
     }
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -4,6 +4,7 @@
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
 #include "batch/leader/long_wait_log.h"
+#include "batch/leader/row_cleanup.h"
 #include "batch/leader/waiting_job_log.h"
 #include "batch/placement/placement_round.h"
 #include "batch/reducer/step.h"
@@ -96,8 +97,6 @@
     void batchRejected(Step&);
     // Fails jobs whose progress the store cannot keep.
     void failUnstorable(const std::vector<JobId>&, Step&);
-    void removeExpired(Step&);
-    void removalAnswered(const CommitAnswered&);
 
     LeaderLease& m_lease;
     const Configuration& m_configuration;
@@ -109,6 +108,7 @@
     WaitingJobLog m_waitingJobLog;
     LongWaitLog m_longWaitLog;
     CommitPipeline m_pipeline;
+    RowCleanup m_cleanup;
     Phase m_phase = Phase::Following;
     std::uint64_t m_epoch = 0; // of the latest leadership
     bool m_isSteppingDown = false;
@@ -139,12 +139,6 @@
     // with certain rows.
     bool m_isProbeDue = false;
     bool m_areSpeedsStored = true; // until the store rejects a commit
-    struct Removal {
-        JobId job;
-        OperationId operation = 0;
-    };
-    std::optional<Removal> m_removal; // removal of an expired job's rows that is in flight
-    OperationId m_lastRemoval = 0;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/leader/scheduler_commits.cpp
+++ b/src/batch/leader/scheduler_commits.cpp
@@ -78,33 +78,10 @@
     commit.writes.push_back(encodeSpeeds(m_workers, m_nextSpeedRow));
 }
 
-// Removes the rows of one job at a time. A removal that is not confirmed is repeated on a later tick, which
-// is safe because removing a row twice has no further effect.
-void Scheduler::removeExpired(Step& step)
-{
-    if (m_removal)
-        return;
-    const auto job = m_jobs.findExpired(step.now);
-    if (!job)
-        return;
-    m_removal = Removal { *job, ++m_lastRemoval | removalOperationBit };
-    step.emit(Commit { m_removal->operation, { {}, {}, { jobKey(*job), cancelKey(*job) } } });
-}
-
-void Scheduler::removalAnswered(const CommitAnswered& answer)
-{
-    const JobId job = m_removal->job;
-    m_removal.reset();
-    if (answer.reply.outcome == CommitOutcome::Applied)
-        m_jobs.noteRowsRemoved(job);
-}
-
 void Scheduler::commitAnswered(const CommitAnswered& answer, Step& step)
 {
-    if (m_removal && answer.operation == m_removal->operation) {
-        removalAnswered(answer);
+    if (m_cleanup.answered(answer, step.now))
         return;
-    }
     switch (m_pipeline.answered(answer, step.now).result) {
     case CommitPipeline::Result::None:
         return;
--- a/test/batch_row_writer_test.cpp
+++ b/test/batch_row_writer_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(testUnansweredRowsAreSentAgain);
     CPPUNIT_TEST(testRefusingStoreIsAskedAtGrowingIntervals);
     CPPUNIT_TEST(testForgottenRowIsNotSent);
+    CPPUNIT_TEST(testForgottenRowInFlightIsNotSentAgain);
+    CPPUNIT_TEST(testRowIsNotSentAfterItsTime);
     CPPUNIT_TEST(testSlowStoreTakesAllRowsOfABurst);
     CPPUNIT_TEST(testRowThatTheStoreNeverTakesHoldsUpNoOther);
     CPPUNIT_TEST(testRowThatMayBeStoredIsNotRejected);
@@ -39,7 +41,8 @@
     void write(const char* part, int number)
     {
         Step now = step();
-        m_writer.write(static_cast<RowWriter::Ticket>(number), rowOf(part, number), true, now);
+        m_writer.write(
+            static_cast<RowWriter::Ticket>(number), rowOf(part, number), true, TimePoint::max(), now);
     }
 
     const Commit& lastCommit() const { return std::get<Commit>(m_effects.back()); }
@@ -159,6 +162,35 @@
         CPPUNIT_ASSERT(m_effects.empty());
     }
 
+    // Guards against a job that is stored long after its caller was told that the outcome is unknown
+    // (review/7).
+    void testForgottenRowInFlightIsNotSentAgain()
+    {
+        for (const CommitOutcome outcome :
+            { CommitOutcome::Unknown, CommitOutcome::Refused, CommitOutcome::Invalid }) {
+            write("p", 1);
+            const OperationId first = lastCommit().operation;
+            m_writer.forget(1);
+            CPPUNIT_ASSERT(answer(first, { outcome }).empty());
+            m_now += Milliseconds(5'000);
+            tick();
+            CPPUNIT_ASSERT(m_effects.empty());
+        }
+    }
+
+    // Guards against the same after the process was suspended.
+    void testRowIsNotSentAfterItsTime()
+    {
+        Step now = step();
+        m_writer.write(1, rowOf("p", 1), true, m_now + Milliseconds(3'000), now);
+        const OperationId first = lastCommit().operation;
+        m_now += Milliseconds(60'000);
+        CPPUNIT_ASSERT(answer(first, { CommitOutcome::Refused }).empty());
+        m_now += Milliseconds(1'000);
+        tick();
+        CPPUNIT_ASSERT(m_effects.empty());
+    }
+
     // Guards against a submission that is too large and is sent again with those of other callers until its
     // caller's time is up.
     void testRowThatTheStoreNeverTakesHoldsUpNoOther()
@@ -191,7 +223,8 @@
         const std::string largest(StoreLimits {}.rowBytes, 'v');
         for (RowWriter::Ticket ticket = 2; ticket < 32; ++ticket) {
             Step now = step();
-            m_writer.write(ticket, { { "t", "p", "k" + std::to_string(ticket) }, largest }, true, now);
+            const Row row { { "t", "p", "k" + std::to_string(ticket) }, largest };
+            m_writer.write(ticket, row, true, TimePoint::max(), now);
         }
         testing::FakeStore store;
         answer(first, { CommitOutcome::Applied });
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -205,7 +205,8 @@
             { AnswerKind::NoSuchJob, 410 }, { AnswerKind::NoSuchQueue, 404 }, { AnswerKind::UnknownKey, 401 },
             { AnswerKind::Malformed, 400 }, { AnswerKind::TooLarge, 413 }, { AnswerKind::NotAccepted, 429 },
             { AnswerKind::OutcomeUnknown, 504 }, { AnswerKind::NoConfiguration, 503 },
-            { AnswerKind::ShuttingDown, 503 }, { AnswerKind::CountUnknown, 503 } };
+            { AnswerKind::ShuttingDown, 503 }, { AnswerKind::TooManyCancels, 503 },
+            { AnswerKind::CountUnknown, 503 } };
         for (const auto& [kind, status] : expected)
             CPPUNIT_ASSERT_EQUAL(status, encodeAnswer({ 1, kind }).status);
         const auto state = encodeAnswer({ 1, AnswerKind::State, batch::JobState::Completed });
