Keep no work waiting for held room while the service is mostly free

Cause: a hold was closed to less urgent work for 10 s, then open for 5 s, closed for 20 s, and so on, without regard to when its step could start. So whether a job waited depended on the moment at which it came: the times only moved the fault. Closing was the one way to keep a gang from being starved by what is let in.

Change: on a service of which at most 0.6 is in use, all holds are open to work that has waited beside free room for 2 s. What then runs in room that is held for a more urgent step (BackfillRuns) is stopped as soon as that lets the step start. The room is then the step's alone for the time of a stop and 0.3 s, and forecasts take such runs to be stopped at once, so that holds don't move away from them. There are no closed times that a leader could begin anew. On a fuller service nothing changes: no work gets into held room there, so no backfill begins.

testGangGetsItsWorkersDespiteSmallTasksWhileServiceIsMostlyFree now carries out the evictions that a round asks for; its traffic and its bound are as before.

--- a/src/batch/placement/eviction_candidates.cpp
+++ b/src/batch/placement/eviction_candidates.cpp
@@ -98,6 +98,18 @@
 }
 
 std::vector<EvictionCandidate> EvictionCandidateFinder::find(const ServiceId& service, int priority) const
+{
+    return findIf(service, [priority](const LiveRun& run) { return run.priority > priority; });
+}
+
+std::vector<EvictionCandidate> EvictionCandidateFinder::findAmong(
+    const ServiceId& service, const std::set<RunId>& runs) const
+{
+    return findIf(service, [&runs](const LiveRun& run) { return runs.contains(run.id); });
+}
+
+std::vector<EvictionCandidate> EvictionCandidateFinder::findIf(
+    const ServiceId& service, const Predicate& mayBeStopped) const
 {
     std::vector<EvictionCandidate> result;
     std::map<GangKey, GangRuns> gangs;
@@ -112,7 +124,7 @@
             EvictionCandidate candidate = candidateOf(worker, run, step);
             const bool isEndingSoon = candidate.runs.empty();
             const bool isStoppable
-                = run.phase != RunPhase::AwaitingCommit && (run.priority > priority || isEndingSoon);
+                = run.phase != RunPhase::AwaitingCommit && (mayBeStopped(run) || isEndingSoon);
             if (step.isGang)
                 gangs[{ task.job.value(), task.occurrence, task.step }].add(
                     std::move(candidate), isStoppable);
--- a/src/batch/placement/eviction_candidates.h
+++ b/src/batch/placement/eviction_candidates.h
@@ -5,7 +5,9 @@
 #include "batch/workers/worker_pool.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -57,9 +59,14 @@
     EvictionCandidateFinder(
         const WorkerPool&, const JobBook&, const EvictionCounts&, Milliseconds stopTimeout, TimePoint now);
 
+    // Less urgent runs than work of the priority.
     std::vector<EvictionCandidate> find(const ServiceId&, int priority) const;
+    // Among the given runs.
+    std::vector<EvictionCandidate> findAmong(const ServiceId&, const std::set<RunId>&) const;
 
 private:
+    using Predicate = std::function<bool(const LiveRun&)>;
+    std::vector<EvictionCandidate> findIf(const ServiceId&, const Predicate& mayBeStopped) const;
     EvictionCandidate candidateOf(const Worker&, const LiveRun&, const StepSpecification&) const;
     bool endsWithinStopTimeout(const Worker&, const LiveRun&) const;
     double cost(const LiveRun&, const StepSpecification&) const;
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -22,6 +22,8 @@
 // While the service is mostly free, a unit is kept from free room no longer than this; on a busier one, from
 // the room of its hold.
 constexpr Milliseconds maxWaitBesideRoom { 2'000 };
+// A step for which backfill was stopped has this much longer than a stop takes until it must have started.
+constexpr Milliseconds startMargin { 300 };
 // A job is kept from workers on which it has failed for longer: a faulty one would use up its attempts.
 constexpr Milliseconds maxWaitBesideFailedWorkers { 8'000 };
 // The service is mostly free if at most this share of its capacity is in use.
@@ -81,14 +83,26 @@
     applyReservations(views, now);
     m_order.sort(waiting, wallTime);
     m_holds.beginRound(waiting, views);
-    m_forecast.emplace(jobs, m_stopTimeout, now);
+    m_backfill.beginRound(workers, m_holds);
+    m_forecast.reset();
     for (const WaitingStep& step : waiting) {
-        m_holds.applyUpTo(urgencyRank(step.isGuaranteed, step.job->job().terms.priority), views);
+        const int rank = urgencyRank(step.isGuaranteed, step.job->job().terms.priority);
+        m_holds.applyUpTo(rank, views);
+        makeForecast(rank, now);
         placeStep(step, views, outcome, now, wallTime);
     }
     return outcome;
 }
 
+// Steps of different ranks may stop different runs. Their forecast is the same if there is no backfill.
+void PlacementRound::makeForecast(int rank, TimePoint now)
+{
+    if (m_forecast && (rank == m_forecastRank || m_backfill.isEmpty()))
+        return;
+    m_forecast.emplace(*m_jobs, m_backfill.stoppableBy(rank), m_stopTimeout, now);
+    m_forecastRank = rank;
+}
+
 void PlacementRound::placeStep(const WaitingStep& waiting, CapacityViews& views, PlacementOutcome& outcome,
     TimePoint now, WallTime wallTime)
 {
@@ -265,7 +279,7 @@
         reserve(view, reservation->second, false);
     auto workers = findWorkers(waiting, request, hold, view, now, isUnplaceable);
     if (workers) {
-        notePlaced(waiting, std::move(*workers), outcome);
+        notePlaced(waiting, std::move(*workers), view, outcome);
         return true;
     }
     if (isReserved)
@@ -298,11 +312,12 @@
     return workers;
 }
 
-void PlacementRound::notePlaced(
-    const WaitingUnit& waiting, std::vector<WorkerLifetime> workers, PlacementOutcome& outcome)
+void PlacementRound::notePlaced(const WaitingUnit& waiting, std::vector<WorkerLifetime> workers,
+    CapacityView& view, PlacementOutcome& outcome)
 {
     m_reservations.erase(keyOf(waiting.unit));
     m_holds.erase(stepOf(waiting.unit));
+    noteBackfill(waiting, workers, view);
     if (waiting.job->specificationOf(waiting.unit.step).maxTasksPerWorker) {
         for (const WorkerLifetime& worker : workers)
             ++m_stepTasksByWorker[stepOf(waiting.unit)][worker];
@@ -323,6 +338,8 @@
     const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
     if (mayEvict && evictFor(waiting, request, view, outcome, now))
         return;
+    if (stopBackfillFor(waiting, request, view, outcome, now))
+        return;
     holdFor(waiting, request, view, now);
     if (isDecidedByShape(waiting))
         noteUnplaceable(m_unplaceable, shapeOf(waiting, request), request.tasks);
@@ -369,8 +386,7 @@
     const StepId own = stepOf(waiting.unit);
     if (!m_holds.find(own) && isKnownUnplaceable(m_unplaceableAnywhere, shape, request.tasks))
         return std::nullopt;
-    const WorkerHolds::Selection open
-        = m_holds.open(terms.service, own, urgencyRank(waiting.isGuaranteed, terms.priority), now);
+    const WorkerHolds::Selection open = m_holds.open(terms.service, own, now);
     WorkerHolds::putBack(open, view);
     auto workers = m_placement.place(request, view);
     WorkerHolds::take(open, view);
@@ -379,6 +395,46 @@
     return workers;
 }
 
+// Room that is missing now, after the unit was placed, is held for other steps.
+void PlacementRound::noteBackfill(
+    const WaitingUnit& waiting, std::span<const WorkerLifetime> workers, CapacityView& view)
+{
+    const int rank = urgencyRank(waiting.isGuaranteed, waiting.job->job().terms.priority);
+    std::vector<StepId> lenders;
+    for (const WorkerLifetime& lifetime : workers) {
+        const WorkerCapacity* worker = view.find(lifetime);
+        if (!worker || Resources().fitsIn(worker->room))
+            continue;
+        const std::vector<StepId> steps = m_holds.moreUrgentOn(lifetime, rank);
+        lenders.insert(lenders.end(), steps.begin(), steps.end());
+    }
+    m_backfill.add(waiting.unit, rank, workers, std::move(lenders));
+}
+
+bool PlacementRound::stopBackfillFor(const WaitingUnit& waiting, const PlacementRequest& request,
+    CapacityView& view, PlacementOutcome& outcome, TimePoint now)
+{
+    const StepId step = stepOf(waiting.unit);
+    const WorkerHold* const hold = m_holds.find(step);
+    if (!hold || m_backfill.isEmpty())
+        return false;
+    const QueueTerms& terms = waiting.job->job().terms;
+    const std::set<RunId> stoppable
+        = m_backfill.stoppableBy(urgencyRank(waiting.isGuaranteed, terms.priority));
+    if (stoppable.empty())
+        return false;
+    const EvictionCandidateFinder finder(*m_workers, *m_jobs, m_evictionCounts, m_stopTimeout, now);
+    WorkerHolds::putBack(*hold, view);
+    auto plan
+        = planEviction(request, view, EvictionCandidates(view, finder.findAmong(terms.service, stoppable)));
+    if (plan) {
+        addEviction(waiting, *plan, outcome);
+        m_holds.makeExclusive(step, std::move(plan->workers), now + m_stopTimeout + startMargin, now);
+    }
+    WorkerHolds::take(*hold, view);
+    return plan.has_value();
+}
+
 // Counts workers that get no new runs at present as well: a few of them in use do not make a service full.
 bool PlacementRound::isMostlyFree(const ServiceId& service)
 {
@@ -432,6 +488,17 @@
     return m_candidates.emplace(key, EvictionCandidates(view, finder.find(service, priority))).first->second;
 }
 
+void PlacementRound::addEviction(const WaitingUnit& waiting, EvictionPlan& plan, PlacementOutcome& outcome)
+{
+    std::set<JobId> stopped;
+    for (const RunId& victim : plan.victims)
+        stopped.insert(victim.task.job);
+    for (const JobId& job : stopped)
+        ++m_evictionCounts[job];
+    if (!plan.victims.empty())
+        outcome.evictions.push_back({ std::move(plan.victims), waiting.unit.job, plan.cost });
+}
+
 bool PlacementRound::evictFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view,
     PlacementOutcome& outcome, TimePoint now)
 {
@@ -441,13 +508,7 @@
     if (!plan)
         return false;
     candidates.noteStopping(plan->candidates);
-    std::set<JobId> stopped;
-    for (const RunId& victim : plan->victims)
-        stopped.insert(victim.task.job);
-    for (const JobId& job : stopped)
-        ++m_evictionCounts[job];
-    if (!plan->victims.empty())
-        outcome.evictions.push_back({ std::move(plan->victims), waiting.unit.job, plan->cost });
+    addEviction(waiting, *plan, outcome);
     Reservation reservation { std::move(plan->workers), request.perTask, terms.service,
         now + reservationTimeout };
     reserve(view, reservation, true);
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/configuration.h"
 #include "batch/jobs/job_book.h"
 #include "batch/jobs/progress_budget.h"
+#include "batch/placement/backfill_runs.h"
 #include "batch/placement/eviction.h"
 #include "batch/placement/placement_policy.h"
 #include "batch/placement/queue_order.h"
@@ -15,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -47,7 +49,8 @@
 // behind it does not pass it for good.
 //
 // Locality, headroom, holds and earlier failures of the job may keep a unit from free room. While the service
-// is mostly free, that ends after a bounded time.
+// is mostly free, that ends after a bounded time. What then runs in room that is held for a more urgent step
+// is stopped when that lets the step start (see BackfillRuns).
 class PlacementRound {
 public:
     // A run ends within `stopTimeout` after it was ordered to stop.
@@ -68,6 +71,7 @@
         m_evictionCounts.clear();
         m_roomSince.clear();
         m_holds.clear();
+        m_backfill.clear();
     }
 
 private:
@@ -142,8 +146,14 @@
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
     std::optional<std::vector<WorkerLifetime>> placeOnOpenWorkers(
         const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
+    void noteBackfill(const WaitingUnit&, std::span<const WorkerLifetime>, CapacityView&);
+    // Stops backfill if the step can then start on what was held for it. Returns false if it can't.
+    bool stopBackfillFor(
+        const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&, TimePoint now);
+    void addEviction(const WaitingUnit&, EvictionPlan&, PlacementOutcome&);
+    void makeForecast(int rank, TimePoint now);
     bool isMostlyFree(const ServiceId&);
-    void notePlaced(const WaitingUnit&, std::vector<WorkerLifetime>, PlacementOutcome&);
+    void notePlaced(const WaitingUnit&, std::vector<WorkerLifetime>, CapacityView&, PlacementOutcome&);
     void makeRoomFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&,
         TimePoint now, WallTime);
     void holdFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, TimePoint now);
@@ -164,6 +174,7 @@
     std::map<StepId, TimePoint> m_roomSince;
     std::map<StepId, TimePoint> m_earlierRoomSince;
     WorkerHolds m_holds;
+    BackfillRuns m_backfill;
     // State of the current round.
     const WorkerPool* m_workers = nullptr;
     JobBook* m_jobs = nullptr;
@@ -176,6 +187,7 @@
     // Runs that work of a priority may evict.
     std::map<ServicePriority, EvictionCandidates> m_candidates;
     std::optional<RoomForecast> m_forecast;
+    int m_forecastRank = 0;
     std::map<ServiceId, double> m_sharesInUse;
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
     std::map<StepId, std::map<WorkerLifetime, int>> m_stepTasksByWorker;
--- a/src/batch/placement/room_forecast.cpp
+++ b/src/batch/placement/room_forecast.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <numeric>
-#include <set>
+#include <utility>
 
 namespace anvilmoor::batch {
 
@@ -14,8 +14,10 @@
 
 } // namespace
 
-RoomForecast::RoomForecast(const JobBook& jobs, Milliseconds stopTimeout, TimePoint now)
+RoomForecast::RoomForecast(
+    const JobBook& jobs, std::set<RunId> stoppable, Milliseconds stopTimeout, TimePoint now)
     : m_jobs(jobs)
+    , m_stoppable(std::move(stoppable))
     , m_stopTimeout(stopTimeout)
     , m_now(now)
 {
@@ -23,7 +25,7 @@
 
 std::optional<TimePoint> RoomForecast::expectedEnd(const Worker& worker, const LiveRun& run) const
 {
-    if (run.phase == RunPhase::Stopping)
+    if (run.phase == RunPhase::Stopping || m_stoppable.contains(run.id))
         return m_now + m_stopTimeout;
     const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
     if (!entry)
--- a/src/batch/placement/room_forecast.h
+++ b/src/batch/placement/room_forecast.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,8 +20,9 @@
         TimePoint at {};
     };
 
-    // A run ends within `stopTimeout` after it was ordered to stop.
-    RoomForecast(const JobBook&, Milliseconds stopTimeout, TimePoint now);
+    // A run ends within `stopTimeout` after it was ordered to stop. The stoppable runs are taken to be
+    // stopped now.
+    RoomForecast(const JobBook&, std::set<RunId> stoppable, Milliseconds stopTimeout, TimePoint now);
 
     // Returns nullopt if the unit would not fit even after the end of all runs. Room that the view lacks for
     // other reasons than runs stays taken.
@@ -47,6 +49,7 @@
     std::optional<TimePoint> expectedEnd(const Worker&, const LiveRun&) const;
 
     const JobBook& m_jobs;
+    const std::set<RunId> m_stoppable;
     const Milliseconds m_stopTimeout;
     const TimePoint m_now;
     std::map<const Worker*, std::vector<RunEndTime>> m_runEnds;
--- a/src/batch/placement/worker_holds.cpp
+++ b/src/batch/placement/worker_holds.cpp
@@ -13,27 +13,8 @@
 // Estimates are often wrong, so the choice of workers is made anew after this time.
 constexpr Milliseconds reconsiderationInterval { 500 };
 
-// A hold is closed for this long at first, then open for a while. Each time the step still waits, it is
-// closed for twice as long, up to the maximum.
-constexpr Milliseconds firstClosedTime { 10'000 };
-constexpr Milliseconds maxClosedTime { 80'000 };
-constexpr Milliseconds openTime { 5'000 };
-// Further holds of a service are open.
-constexpr std::size_t maxClosedHolds = 2;
-
 } // namespace
 
-bool WorkerHold::isClosed(TimePoint now) const
-{
-    Milliseconds age = now - since;
-    Milliseconds closed = firstClosedTime;
-    while (age >= closed + openTime) {
-        age -= closed + openTime;
-        closed = std::min(closed * 2, maxClosedTime);
-    }
-    return age < closed;
-}
-
 int urgencyRank(bool isGuaranteed, int priority) { return isGuaranteed ? 0 : priority + 1; }
 
 void WorkerHolds::beginRound(std::span<const WaitingStep> waiting, CapacityViews& views)
@@ -146,21 +127,32 @@
     return found == m_holds.end() ? nullptr : &found->second;
 }
 
-WorkerHolds::Selection WorkerHolds::open(
-    const ServiceId& service, const StepId& own, int rank, TimePoint now) const
+WorkerHolds::Selection WorkerHolds::open(const ServiceId& service, const StepId& own, TimePoint now) const
 {
-    Selection selection = select(service, [&](const StepId& step, const WorkerHold&) { return step != own; });
-    std::sort(selection.begin(), selection.end(),
-        [](const WorkerHold* a, const WorkerHold* b) { return a->since < b->since; });
-    std::size_t closed = 0;
-    std::erase_if(selection, [&](const WorkerHold* hold) {
-        if (hold->rank > m_appliedRank)
-            return true;
-        const bool isKept = hold->rank < rank && hold->isClosed(now) && closed < maxClosedHolds;
-        closed += isKept ? 1 : 0;
-        return isKept;
+    return select(service, [&](const StepId& step, const WorkerHold& hold) {
+        return step != own && hold.rank <= m_appliedRank && now >= hold.exclusiveUntil;
     });
-    return selection;
+}
+
+std::vector<StepId> WorkerHolds::moreUrgentOn(const WorkerLifetime& worker, int rank) const
+{
+    std::vector<StepId> steps;
+    for (const auto& [step, hold] : m_holds) {
+        const bool holdsWorker
+            = std::find(hold.workers.begin(), hold.workers.end(), worker) != hold.workers.end();
+        if (hold.rank < rank && holdsWorker)
+            steps.push_back(step);
+    }
+    return steps;
+}
+
+void WorkerHolds::makeExclusive(
+    const StepId& step, std::vector<WorkerLifetime> workers, TimePoint until, TimePoint now)
+{
+    WorkerHold& hold = m_holds.at(step);
+    hold.workers = std::move(workers);
+    hold.chosenAt = now;
+    hold.exclusiveUntil = until;
 }
 
 WorkerHolds::Selection WorkerHolds::upTo(int rank, const ServiceId& service, const StepId& own) const
--- a/src/batch/placement/worker_holds.h
+++ b/src/batch/placement/worker_holds.h
@@ -22,10 +22,7 @@
     int rank = 0; // see urgencyRank()
     TimePoint since {}; // when room was first kept for the step
     TimePoint chosenAt {};
-
-    // Closed holds are kept even from less urgent work that has waited long beside free room. Holds are open
-    // at times, so that such work does not wait for good.
-    bool isClosed(TimePoint now) const;
+    TimePoint exclusiveUntil {}; // until then, the step is about to start, and no other work may use the room
 };
 
 // The urgency of work, most urgent first. Work may use room that is held for work of a higher rank.
@@ -49,15 +46,22 @@
     // Moves the hold of a step that still does not fit if other room is expected to be free sooner. The view
     // must not contain the room of the hold, and does not contain it afterwards either.
     void reconsider(const StepId&, const PlacementRequest&, CapacityView&, RoomForecast&, TimePoint now);
+    // Moves the step's hold to these workers, where the step is about to start. No other work may use the
+    // room before the given time.
+    void makeExclusive(const StepId&, std::vector<WorkerLifetime>, TimePoint until, TimePoint now);
     void erase(const StepId& step) { m_holds.erase(step); }
     void clear();
 
     // Null if the step has none.
     const WorkerHold* find(const StepId&) const;
     using Selection = std::vector<const WorkerHold*>;
-    // Those that are applied, but not the step's own, that a step of this rank need not leave alone once it
-    // has waited long beside free room: those of its own rank, and all but the two oldest closed ones.
-    Selection open(const ServiceId&, const StepId&, int rank, TimePoint now) const;
+    // Those that are applied, but not the step's own, and that it need not leave alone once it has waited
+    // long beside free room.
+    Selection open(const ServiceId&, const StepId&, TimePoint now) const;
+    // The steps of a lower rank that hold room on the worker.
+    std::vector<StepId> moreUrgentOn(const WorkerLifetime&, int rank) const;
+    // Whether the step has a hold, or had one and still waits.
+    bool isWaiting(const StepId& step) const { return m_heldSince.contains(step); }
     // All up to this rank, but not the step's own.
     Selection upTo(int rank, const ServiceId&, const StepId&) const;
     // Take the room of holds out of a view, or put it back.
--- a/test/batch_placement_test.cpp
+++ b/test/batch_placement_test.cpp
@@ -4,6 +4,7 @@
 #include "support/batch_cluster.h"
 #include "support/leader_state.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <random>
@@ -668,6 +669,8 @@
             const PlacementOutcome outcome = state.place(round);
             if (placedTasks(outcome, gang))
                 break;
+            state.stopEvicted(outcome);
+            std::erase_if(ends, [&](const auto& end) { return isStopped(outcome, end.second); });
             for (const PlacementDecision& placed : outcome.placed)
                 ends.emplace_back(
                     state.now + Milliseconds(2'000 + random() % 7'000), TaskId { placed.unit.job, 0, 0, 0 });
@@ -676,6 +679,15 @@
         return state.now - begin;
     }
 
+    static bool isStopped(const PlacementOutcome& outcome, const TaskId& task)
+    {
+        return std::any_of(
+            outcome.evictions.begin(), outcome.evictions.end(), [&task](const Eviction& eviction) {
+                return std::any_of(eviction.victims.begin(), eviction.victims.end(),
+                    [&task](const RunId& victim) { return victim.task == task; });
+            });
+    }
+
     static void occupyAny(
         testing::LeaderState& state, PlacementRound& round, const std::string& id, int accelerators)
     {
--- a/test/support/leader_state.cpp
+++ b/test/support/leader_state.cpp
@@ -72,12 +72,22 @@
     return outcome;
 }
 
-void LeaderState::endTask(const TaskId& task)
+void LeaderState::stopEvicted(const PlacementOutcome& outcome)
+{
+    for (const Eviction& eviction : outcome.evictions) {
+        for (const RunId& victim : eviction.victims)
+            end(victim.task, RunEnd::Stopped);
+    }
+}
+
+void LeaderState::endTask(const TaskId& task) { end(task, RunEnd::Done); }
+
+void LeaderState::end(const TaskId& task, RunEnd how)
 {
     JobProgress& progress = jobs.find(task.job)->progress;
     const Assignment assignment = *progress.find(task)->assignment;
     pool.detach(*pool.find(assignment.worker), task);
-    progress.runEnded({ task, assignment.run }, RunEnd::Done, {});
+    progress.runEnded({ task, assignment.run }, how, {});
 }
 
 void LeaderState::advance(Milliseconds duration)
--- a/test/support/leader_state.h
+++ b/test/support/leader_state.h
@@ -25,6 +25,8 @@
     JobId addJob(const char* id, int priority, batch::StepSpecification, const char* account = "account-a",
         Milliseconds age = Milliseconds(0));
     batch::PlacementOutcome place(batch::PlacementRound&);
+    // Ends the evicted runs as stopped.
+    void stopEvicted(const batch::PlacementOutcome&);
     // Ends a run of the task as done.
     void endTask(const batch::TaskId&);
     void advance(Milliseconds duration);
@@ -41,6 +43,7 @@
 
 private:
     void attach(const batch::PlacementDecision&);
+    void end(const batch::TaskId&, batch::RunEnd);
 };
 
 } // namespace anvilmoor::testing
