Don't remove cancel requests again that are gone

Found by reading the new removal: after a removal whose answer was lost, the leader expected a version of a row that no longer exists, and sent the same removal on each tick, and no other. It now takes the conflict's rows: a request that is gone needs no removal, and a newer one, or one whose job it hasn't read, stays for another retention.

Evidence: three of the four cases of batch_row_cleanup_test fail before. The fourth guards the condition on the job.

--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -48,17 +48,7 @@
     return unused;
 }
 
-void JobBook::noteCancelRequestRemoved(const JobId& job)
-{
-    if (!m_entries.contains(job))
-        m_cancelRequests.erase(job);
-}
-
-void JobBook::keepCancelRequest(const JobId& job, TimePoint now)
-{
-    if (m_cancelRequests.contains(job))
-        m_cancelRequests.note(job, m_cancelRequests.versionOf(job), now);
-}
+void JobBook::noteCancelRequestRemoved(const JobId& job) { m_cancelRequests.erase(job); }
 
 void JobBook::noteChange(Entry& entry, TimePoint now)
 {
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -69,8 +69,6 @@
     // the table.
     std::vector<JobId> findUnusedCancelRequests(TimePoint now, std::size_t limit) const;
     void noteCancelRequestRemoved(const JobId&);
-    // Must be called when the store holds a row of the job that keeps the request from being removed.
-    void keepCancelRequest(const JobId&, TimePoint now);
 
     // Must be called after an entry's progress has been restored from the store.
     void noteRestored(Entry&, TimePoint now);
--- a/src/batch/leader/row_cleanup.cpp
+++ b/src/batch/leader/row_cleanup.cpp
@@ -3,6 +3,7 @@
 #include "batch/store/operation_bits.h"
 #include "batch/store/tables.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmoor::batch {
@@ -13,6 +14,14 @@
 // expected versions of its row and of its job's.
 constexpr std::size_t maxCancelRequestsPerRemoval = 30;
 
+// 0 if the row is not among them, or does not exist.
+RowVersion versionOf(const RowKey& key, std::span<const Row> rows)
+{
+    const auto found
+        = std::find_if(rows.begin(), rows.end(), [&key](const Row& row) { return row.key == key; });
+    return found == rows.end() ? 0 : found->version;
+}
+
 } // namespace
 
 RowCleanup::RowCleanup(JobBook& jobs)
@@ -60,19 +69,31 @@
     const Removal removal = std::move(*m_removal);
     m_removal.reset();
     for (const JobId& job : removal.jobs) {
-        const bool isApplied = answer.reply.outcome == CommitOutcome::Applied;
-        if (isApplied && removal.kind == Kind::JobRows)
-            m_jobs.noteRowsRemoved(job);
-        else if (isApplied)
-            m_jobs.noteCancelRequestRemoved(job);
-    }
-    // A job row that this leader has not read yet, or cannot read, keeps the cancel request.
-    for (const Row& row : answer.reply.current) {
-        const auto name = parseJobKey(row.key.key);
-        if (row.version && name && name->kind == JobRowKind::Submission)
-            m_jobs.keepCancelRequest(name->job, now);
+        if (answer.reply.outcome == CommitOutcome::Applied)
+            noteRemoved(removal.kind, job);
+        else if (answer.reply.outcome == CommitOutcome::Conflict)
+            noteCurrent(job, answer.reply.current, now);
     }
     return true;
 }
 
+void RowCleanup::noteRemoved(Kind kind, const JobId& job)
+{
+    if (kind == Kind::JobRows)
+        m_jobs.noteRowsRemoved(job);
+    else
+        m_jobs.noteCancelRequestRemoved(job);
+}
+
+void RowCleanup::noteCurrent(const JobId& job, std::span<const Row> current, TimePoint now)
+{
+    const RowVersion cancel = versionOf(cancelKey(job), current);
+    // An earlier removal without an answer has been performed.
+    if (!cancel)
+        m_jobs.noteCancelRequestRemoved(job);
+    // A job row that this leader has not read yet, or cannot read, keeps the cancel request.
+    else if (cancel != m_jobs.cancelVersionOf(job) || versionOf(jobKey(job), current))
+        m_jobs.requestCancel(job, cancel, now);
+}
+
 } // namespace anvilmoor::batch
--- a/src/batch/leader/row_cleanup.h
+++ b/src/batch/leader/row_cleanup.h
@@ -5,6 +5,7 @@
 #include "batch/reducer/step.h"
 
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -32,6 +33,9 @@
 
     void send(Kind, std::vector<JobId>, Step&);
     Transaction transactionFor(const Removal&) const;
+    void noteRemoved(Kind, const JobId&);
+    // The store has other rows than the removal expected.
+    void noteCurrent(const JobId&, std::span<const Row> current, TimePoint now);
 
     JobBook& m_jobs;
     std::optional<Removal> m_removal; // in flight
