Don't close workers for tasks that last until their job is cancelled

Cause: a worker on which three runs in a row have failed gets one trial run at a time, until a run ends as done. A task that lasts until its job is cancelled never does, so its worker stayed closed for good; the same for as long as a trial run of hours takes. And the failures of such tasks, which may fail at any time, say nothing about the worker.

Change: failures of lasting tasks don't count against the worker (their job still avoids it); a trial run that has gone on for 10 s without a failure ends the trial, after which one more failure suspends the worker again; the percentage that lasting tasks report, 0 until they are ready and then 100, isn't taken for progress, so it can't show a stall.

--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -311,6 +311,13 @@
     return std::min(next, nextHoldAt(worker));
 }
 
+// A run that lasts until its job is cancelled may fail at any time, which tells nothing about its worker.
+bool RunSupervisor::runsUntilCancelled(const TaskId& task) const
+{
+    const JobBook::Entry* entry = m_jobs.find(task.job);
+    return entry && entry->progress.specificationOf(task.step).runsUntilCancelled;
+}
+
 void RunSupervisor::processEnds(Worker& worker, std::span<const EndedRun> ends, Step& step)
 {
     for (const EndedRun& ended : ends) {
@@ -319,7 +326,7 @@
         worker.processedEnd = ended.sequence;
         if (ended.end == RunEnd::Done)
             noteSuccess(worker, ended.run);
-        else if (ended.end == RunEnd::Failed)
+        else if (ended.end == RunEnd::Failed && !runsUntilCancelled(ended.run.task))
             worker.health.runFailed(step.now);
         if (JobBook::Entry* job = m_jobs.find(ended.run.task.job))
             job->progress.noteBegun();
@@ -354,7 +361,9 @@
         }
         noteStarted(*run, step.now);
         run->wasListed = true;
-        run->progress.note({ active.percent, status.clock });
+        // These report whether they are ready, not how much of their work is done.
+        if (!runsUntilCancelled(active.run.task))
+            run->progress.note({ active.percent, status.clock });
         measureSpeed(worker, *run);
         if (JobBook::Entry* entry = m_jobs.find(active.run.task.job)) {
             entry->progress.noteBegun();
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -95,6 +95,9 @@
     void recordUnexpected(const Worker&, const RunId&, Step&) const;
     void measureSpeed(Worker&, LiveRun&);
     void judgeProgress(Worker&, Step&);
+    // Ends trials whose run has gone on for long: it may never end.
+    void endLongTrials(Worker&, Step&);
+    bool runsUntilCancelled(const TaskId&) const;
     // A completed trial run shows that the runs which lag beside it are slow, and not the worker.
     void noteSuccess(Worker&, const RunId&);
     static void markSlowRuns(Worker&);
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -16,6 +16,9 @@
 // remaining half interval allows for heartbeats that are not quite regular.
 constexpr double minHeartbeatsUntilExpiry = 2.5;
 
+// A trial run that has gone on for this long shows that its worker runs things.
+constexpr Milliseconds maxTrialTime { 10'000 };
+
 // Whose start order led to a run that this leader does not expect on its worker. `task`: null if unknown.
 std::string_view sourceOf(const TaskProgress* task, int run)
 {
@@ -110,11 +113,26 @@
     }
 }
 
+void RunSupervisor::endLongTrials(Worker& worker, Step& step)
+{
+    for (auto& [task, run] : worker.runs) {
+        const bool isLagging = run.progress.pace() == RunProgress::Pace::Lagging;
+        const bool isLong = run.acceptedAt && step.now >= *run.acceptedAt + maxTrialTime;
+        if (!run.isTrial || run.phase != RunPhase::Running || !isLong || isLagging)
+            continue;
+        run.isTrial = false;
+        worker.health.trialPassed();
+        m_hasCapacityChanged = true;
+        step.record("worker.trial_passed", { { "worker", worker.record.lifetime.id.value() } });
+    }
+}
+
 // A worker on which runs lag and none advances gets no new runs, except for a trial run at a time, until one
 // advances.
 void RunSupervisor::judgeProgress(Worker& worker, Step& step)
 {
     markSlowRuns(worker);
+    endLongTrials(worker, step);
     int lagging = 0;
     int advancing = 0;
     bool hasTrialStalled = false;
--- a/src/batch/workers/worker_health.cpp
+++ b/src/batch/workers/worker_health.cpp
@@ -49,6 +49,14 @@
     return std::exchange(m_isStalled, false);
 }
 
+void WorkerHealth::trialPassed()
+{
+    m_consecutiveFailures = failuresUntilSuspect - 1;
+    m_isSuspect = false;
+    m_isOnTrial = false;
+    m_isStalled = false;
+}
+
 void WorkerHealth::suspendStalled(TimePoint now)
 {
     m_isOnTrial = false;
--- a/src/batch/workers/worker_health.h
+++ b/src/batch/workers/worker_health.h
@@ -31,6 +31,9 @@
     bool isDueForTrial(TimePoint now) const;
     void trialStarted() { m_isOnTrial = true; }
     void trialAborted() { m_isOnTrial = false; }
+    // The trial run has gone on for long without a failure. The worker is trusted again, but the next failure
+    // suspends it.
+    void trialPassed();
 
 private:
     void suspect(TimePoint now);
