Doubt all kept connections to an address once a call on one times out

Cause: the client keeps up to 256 idle connections to an address and prefers them to new ones. A silent one looks usable, and a time-out closed only its own connection, so each request of a follower could meet the next silent one.

Change: a call that was sent and times out closes the idle connections to its address, but for those that had a response within the last 100 ms.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+// A connection that has had a response within this time is taken to work.
+constexpr Milliseconds recentResponse { 100 };
+
 HttpError errorOf(HttpErrorKind kind, std::string detail) { return { kind, std::move(detail) }; }
 
 bool isFramingHeader(const HttpHeader& header)
@@ -73,6 +76,7 @@
         std::unique_ptr<ClientConnection> connection;
         std::unique_ptr<Timer> timer;
         std::uint64_t id = 0;
+        TimePoint since {}; // when the last response arrived
     };
 
     struct ConnectionPool {
@@ -105,6 +109,7 @@
     void complete(HttpCallId, HttpResult, bool isReusable);
     void keepIdle(const AddressKey&, std::unique_ptr<ClientConnection>);
     void closeIdle(const AddressKey&, std::uint64_t id);
+    void closeUnprovenIdle(const AddressKey&);
     void eraseIfUnused(const AddressKey&);
 
     EventLoop& m_loop;
@@ -220,6 +225,8 @@
         return;
     const Call& call = found->second;
     const bool isSent = call.connection && call.connection->hasBegunSending();
+    if (isSent)
+        closeUnprovenIdle(keyOf(call.address));
     complete(id,
         tl::unexpected(errorOf(isSent ? HttpErrorKind::TimedOut : HttpErrorKind::NotSent,
             isSent                ? "no complete response before the timeout of the call"
@@ -292,7 +299,7 @@
     auto timer = std::make_unique<Timer>(m_loop);
     timer->startOnce(m_limits.idleTimeout, [this, key, id] { closeIdle(key, id); });
     timer->unref();
-    pool.idle.push_back({ std::move(connection), std::move(timer), id });
+    pool.idle.push_back({ std::move(connection), std::move(timer), id, m_loop.now() });
 }
 
 void SocketClient::closeIdle(const AddressKey& key, std::uint64_t id)
@@ -304,6 +311,14 @@
     eraseIfUnused(key);
 }
 
+// What has made one connection silent may have done so to all that were open. They look usable, and each call
+// on one of them would have to time out.
+void SocketClient::closeUnprovenIdle(const AddressKey& key)
+{
+    const TimePoint latest = m_loop.now() - recentResponse;
+    std::erase_if(m_pools[key].idle, [latest](const Idle& idle) { return idle.since < latest; });
+}
+
 void SocketClient::eraseIfUnused(const AddressKey& key)
 {
     const auto pool = m_pools.find(key);
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(testCallIsNotSentWhenQueueIsFull);
     CPPUNIT_TEST(testCallThatTimesOutInQueueIsNotSent);
     CPPUNIT_TEST(testCallToSilentServerTimesOutAndConnectionIsNotReused);
+    CPPUNIT_TEST(testTimeoutClosesIdleConnectionsToTheSameAddress);
     CPPUNIT_TEST(testAnswerThatArrivedWhileTheLoopWasBusyIsRead);
     CPPUNIT_TEST(testCallIsLostAndNotResentWhenConnectionClosesBeforeResponse);
     CPPUNIT_TEST(testInvalidResponsesAreErrors);
@@ -131,6 +132,28 @@
         CPPUNIT_ASSERT_EQUAL(2, silent.connections());
     }
 
+    // Guards against one timeout for each connection that was kept, after all of them went silent at once
+    // (review/9).
+    void testTimeoutClosesIdleConnectionsToTheSameAddress()
+    {
+        constexpr std::size_t connections = 4;
+        std::size_t answered = 0;
+        serveHeld();
+        for (std::size_t i = 0; i < connections; ++i)
+            m_client->call(server(), {}, longTimeout, [&](const HttpResult&) { ++answered; });
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return m_held.size() == connections; }));
+        for (const auto& exchange : m_held)
+            exchange->respond({});
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return answered == connections; }));
+        CPPUNIT_ASSERT_EQUAL(connections, m_server->openConnections());
+        // The server answers no more.
+        const TimePoint begin = m_loop->now();
+        CPPUNIT_ASSERT(HttpErrorKind::TimedOut == errorOf(call(server(), {}, answerTimeout)));
+        m_held.clear();
+        CPPUNIT_ASSERT(runUntil(*m_loop, [&] { return !m_server->openConnections(); }));
+        CPPUNIT_ASSERT(m_loop->now() - begin < HttpClientLimits {}.idleTimeout);
+    }
+
     // A daemon that was busy or suspended must not take a host that has answered for silent.
     void testAnswerThatArrivedWhileTheLoopWasBusyIsRead()
     {
