Split off how a placement round makes room

No code changed but its place. A comment in batch_daemon.cpp is back at its constant. batch_placement_test (40), batch_held_room_test (8) and batch_passed_over_job_test (11) pass.

--- a/src/batch/daemon/batch_daemon.cpp
+++ b/src/batch/daemon/batch_daemon.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-// Confirms the configuration every 0.6 s and reports changes at once.
 // Less urgent queues share a time series.
 constexpr int highestPriorityLabel = 9;
+// Confirms the configuration every 0.6 s and reports changes at once.
 constexpr FollowTiming configurationTiming { Milliseconds(600), Milliseconds(0) };
 // The leader rewrites its lease row with every commit. A candidate only needs to see that the lease is still
 // renewed, not every single write: the row contains the store time at which it was sent, which gives its age.
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// How long room is reserved for the unit for which runs were evicted. Evicted runs have ended once they are
-// stopped; room that is still not free after this time is offered to all units again.
-constexpr Milliseconds reservationTimeout { 2'500 };
-
 // Number of idle workers per rack that are kept free from work of priority 1; twice as many are kept free
 // from work of lower priority.
 constexpr int headroomPerPriority = 2;
@@ -22,8 +18,6 @@
 // While the service is mostly free, a unit is kept from free room no longer than this; on a busier one, from
 // the room of its hold.
 constexpr Milliseconds maxWaitBesideRoom { 2'000 };
-// A step for which backfill was stopped has this much longer than a stop takes until it must have started.
-constexpr Milliseconds startMargin { 300 };
 // A job is kept from workers on which it has failed for longer: a faulty one would use up its attempts.
 constexpr Milliseconds maxWaitBesideFailedWorkers { 8'000 };
 // The service is mostly free if at most this share of its capacity is in use.
@@ -327,24 +321,6 @@
     outcome.placed.push_back({ waiting.unit, std::move(workers) });
 }
 
-// Evicts other work for an urgent unit that does not fit, or keeps workers for it.
-void PlacementRound::makeRoomFor(const WaitingUnit& waiting, const PlacementRequest& request,
-    CapacityView& view, PlacementOutcome& outcome, TimePoint now, WallTime wallTime)
-{
-    // Late work gains little from an eviction, so it may evict only if it is guaranteed.
-    const AcceptedJob& job = waiting.job->job();
-    const bool isInTime
-        = wallTime + request.step.estimatedDuration < job.dueAt(waiting.unit.occurrence) + job.objective();
-    const bool mayEvict = !job.terms.priority && (waiting.isGuaranteed || isInTime);
-    if (mayEvict && evictFor(waiting, request, view, outcome, now))
-        return;
-    if (stopBackfillFor(waiting, request, view, outcome, now))
-        return;
-    holdFor(waiting, request, view, now);
-    if (isDecidedByShape(waiting))
-        noteUnplaceable(m_unplaceable, shapeOf(waiting, request), request.tasks);
-}
-
 // Places a unit that has been kept from free room for long, regardless of its locality and of headroom.
 std::optional<std::vector<WorkerLifetime>> PlacementRound::placeAnywhere(
     const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
@@ -395,46 +371,6 @@
     return workers;
 }
 
-// Room that is missing now, after the unit was placed, is held for other steps.
-void PlacementRound::noteBackfill(
-    const WaitingUnit& waiting, std::span<const WorkerLifetime> workers, CapacityView& view)
-{
-    const int rank = urgencyRank(waiting.isGuaranteed, waiting.job->job().terms.priority);
-    std::vector<StepId> lenders;
-    for (const WorkerLifetime& lifetime : workers) {
-        const WorkerCapacity* worker = view.find(lifetime);
-        if (!worker || Resources().fitsIn(worker->room))
-            continue;
-        const std::vector<StepId> steps = m_holds.moreUrgentOn(lifetime, rank);
-        lenders.insert(lenders.end(), steps.begin(), steps.end());
-    }
-    m_backfill.add(waiting.unit, rank, workers, std::move(lenders));
-}
-
-bool PlacementRound::stopBackfillFor(const WaitingUnit& waiting, const PlacementRequest& request,
-    CapacityView& view, PlacementOutcome& outcome, TimePoint now)
-{
-    const StepId step = stepOf(waiting.unit);
-    const WorkerHold* const hold = m_holds.find(step);
-    if (!hold || m_backfill.isEmpty())
-        return false;
-    const QueueTerms& terms = waiting.job->job().terms;
-    const std::set<RunId> stoppable
-        = m_backfill.stoppableBy(urgencyRank(waiting.isGuaranteed, terms.priority));
-    if (stoppable.empty())
-        return false;
-    const EvictionCandidateFinder finder(*m_workers, *m_jobs, m_evictionCounts, m_stopTimeout, now);
-    WorkerHolds::putBack(*hold, view);
-    auto plan
-        = planEviction(request, view, EvictionCandidates(view, finder.findAmong(terms.service, stoppable)));
-    if (plan) {
-        addEviction(waiting, *plan, outcome);
-        m_holds.makeExclusive(step, std::move(plan->workers), now + m_stopTimeout + startMargin, now);
-    }
-    WorkerHolds::take(*hold, view);
-    return plan.has_value();
-}
-
 // Counts workers that get no new runs at present as well: a few of them in use do not make a service full.
 bool PlacementRound::isMostlyFree(const ServiceId& service)
 {
@@ -462,58 +398,10 @@
     return workers;
 }
 
-// Keeps room for the unit, so that work behind it does not take the room as it becomes free.
-void PlacementRound::holdFor(
-    const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view, TimePoint now)
-{
-    const QueueTerms& terms = waiting.job->job().terms;
-    m_holds.add(stepOf(waiting.unit), urgencyRank(waiting.isGuaranteed, terms.priority), request,
-        terms.service, view, *m_forecast, now);
-}
-
 std::optional<TimePoint> PlacementRound::heldSince(const JobId& job, const StepPosition& position) const
 {
     const WorkerHold* const hold = m_holds.find({ job, position.occurrence, position.step });
     return hold ? std::optional(hold->since) : std::nullopt;
 }
 
-EvictionCandidates& PlacementRound::candidatesFor(
-    const CapacityView& view, const ServiceId& service, int priority, TimePoint now)
-{
-    const ServicePriority key(service, priority);
-    const auto known = m_candidates.find(key);
-    if (known != m_candidates.end())
-        return known->second;
-    const EvictionCandidateFinder finder(*m_workers, *m_jobs, m_evictionCounts, m_stopTimeout, now);
-    return m_candidates.emplace(key, EvictionCandidates(view, finder.find(service, priority))).first->second;
-}
-
-void PlacementRound::addEviction(const WaitingUnit& waiting, EvictionPlan& plan, PlacementOutcome& outcome)
-{
-    std::set<JobId> stopped;
-    for (const RunId& victim : plan.victims)
-        stopped.insert(victim.task.job);
-    for (const JobId& job : stopped)
-        ++m_evictionCounts[job];
-    if (!plan.victims.empty())
-        outcome.evictions.push_back({ std::move(plan.victims), waiting.unit.job, plan.cost });
-}
-
-bool PlacementRound::evictFor(const WaitingUnit& waiting, const PlacementRequest& request, CapacityView& view,
-    PlacementOutcome& outcome, TimePoint now)
-{
-    const QueueTerms& terms = waiting.job->job().terms;
-    EvictionCandidates& candidates = candidatesFor(view, terms.service, terms.priority, now);
-    auto plan = planEviction(request, view, candidates);
-    if (!plan)
-        return false;
-    candidates.noteStopping(plan->candidates);
-    addEviction(waiting, *plan, outcome);
-    Reservation reservation { std::move(plan->workers), request.perTask, terms.service,
-        now + reservationTimeout };
-    reserve(view, reservation, true);
-    m_reservations.emplace(keyOf(waiting.unit), std::move(reservation));
-    return true;
-}
-
 } // namespace anvilmoor::batch
