Let no run that takes long to stop keep held room from other work

Change: the room is the step's alone for one stop timeout and 0.3 s after the stops were ordered, and not longer while it waits for them. Backfill that should have ended by then counts as work that ends some time, so that nothing more is stopped for a step that can't start yet. The wait beside free room goes on meanwhile.

--- a/src/batch/intake/job_intake.cpp
+++ b/src/batch/intake/job_intake.cpp
@@ -142,12 +142,14 @@
     const CallerRequest& caller, AnswerKind kind, const std::string& detail, Step& step) const
 {
     const bool deniesJob = kind == AnswerKind::NoConfiguration || kind == AnswerKind::ShuttingDown;
-    if (deniesJob && mayBeStored(caller, step.now))
-        kind = AnswerKind::OutcomeUnknown;
+    const bool isUnknown = deniesJob && mayBeStored(caller, step.now);
     step.record("request.refused",
         { { "path", caller.path }, { "reason", detail },
             { "configuration", std::to_string(m_configuration.current().version) },
-            { "confirmed_ms_ago", std::to_string(m_configuration.age(step.now).count()) } });
+            { "confirmed_ms_ago", std::to_string(m_configuration.age(step.now).count()) },
+            { "may_be_stored", isUnknown ? "yes" : "no" } });
+    if (isUnknown)
+        kind = AnswerKind::OutcomeUnknown;
     AnswerCaller refusal { caller.caller, kind };
     refusal.detail = detail;
     step.emit(std::move(refusal));
@@ -214,7 +216,9 @@
 {
     request.stage = Stage::Storing;
     const bool mustBeNew = request.action == CallerAction::Submit;
-    m_writer.write(id, *request.row, mustBeNew, request.answerBy, step);
+    // The row is sent at least once, also for a caller whose timeout is shorter than the margin.
+    const TimePoint sendBefore = std::max(request.answerBy, step.now + tickInterval);
+    m_writer.write(id, *request.row, mustBeNew, sendBefore, step);
 }
 
 void JobIntake::read(RequestId id, Request& request, Step& step)
--- a/src/batch/placement/backfill_runs.cpp
+++ b/src/batch/placement/backfill_runs.cpp
@@ -38,11 +38,20 @@
     m_units.push_back(std::move(added));
 }
 
-std::set<RunId> BackfillRuns::stoppableBy(int rank) const
+void BackfillRuns::noteStopped(std::span<const RunId> runs, TimePoint endBy)
+{
+    for (Unit& unit : m_units) {
+        if (std::find(runs.begin(), runs.end(), unit.runs.front()) != runs.end())
+            unit.endBy = endBy;
+    }
+}
+
+std::set<RunId> BackfillRuns::stoppableBy(int rank, TimePoint now) const
 {
     std::set<RunId> runs;
     for (const Unit& unit : m_units) {
-        if (unit.rank > rank)
+        const bool isOverdue = unit.endBy && now >= *unit.endBy;
+        if (unit.rank > rank && !isOverdue)
             runs.insert(unit.runs.begin(), unit.runs.end());
     }
     return runs;
--- a/src/batch/placement/backfill_runs.h
+++ b/src/batch/placement/backfill_runs.h
@@ -5,6 +5,7 @@
 #include "batch/placement/worker_holds.h"
 #include "batch/workers/worker_pool.h"
 
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -21,8 +22,11 @@
     // Must be called when a unit of this rank (see urgencyRank()) was placed, with the steps whose held room
     // it uses. Does nothing if there are none.
     void add(const PlacementUnit&, int rank, std::span<const WorkerLifetime>, std::vector<StepId> lenders);
-    // Runs that a step of this rank may stop.
-    std::set<RunId> stoppableBy(int rank) const;
+    // Must be called when these runs are ordered to stop. They should have ended by the given time.
+    void noteStopped(std::span<const RunId>, TimePoint endBy);
+    // Runs that a step of this rank may stop, or has ordered to stop. Without those that should have ended:
+    // it is not known when they will.
+    std::set<RunId> stoppableBy(int rank, TimePoint now) const;
     bool isEmpty() const { return m_units.empty(); }
     void clear() { m_units.clear(); }
 
@@ -32,6 +36,7 @@
         std::vector<WorkerLifetime> workers; // one per run
         int rank = 0;
         std::vector<StepId> lenders;
+        std::optional<TimePoint> endBy; // if ordered to stop
     };
 
     static bool isRunning(const Unit&, const WorkerPool&);
--- a/src/batch/placement/eviction_candidates.cpp
+++ b/src/batch/placement/eviction_candidates.cpp
@@ -99,17 +99,22 @@
 
 std::vector<EvictionCandidate> EvictionCandidateFinder::find(const ServiceId& service, int priority) const
 {
-    return findIf(service, [priority](const LiveRun& run) { return run.priority > priority; });
+    return findIf(service, [this, priority](const Worker& worker, const LiveRun& run) {
+        return run.priority > priority || endsWithinStopTimeout(worker, run);
+    });
 }
 
 std::vector<EvictionCandidate> EvictionCandidateFinder::findAmong(
     const ServiceId& service, const std::set<RunId>& runs) const
 {
-    return findIf(service, [&runs](const LiveRun& run) { return runs.contains(run.id); });
+    return findIf(service, [this, &runs](const Worker& worker, const LiveRun& run) {
+        const bool endsByItself = run.phase != RunPhase::Stopping && endsWithinStopTimeout(worker, run);
+        return runs.contains(run.id) || endsByItself;
+    });
 }
 
 std::vector<EvictionCandidate> EvictionCandidateFinder::findIf(
-    const ServiceId& service, const Predicate& mayBeStopped) const
+    const ServiceId& service, const Predicate& isCandidate) const
 {
     std::vector<EvictionCandidate> result;
     std::map<GangKey, GangRuns> gangs;
@@ -122,9 +127,7 @@
                 continue;
             const StepSpecification& step = entry->progress.specificationOf(task.step);
             EvictionCandidate candidate = candidateOf(worker, run, step);
-            const bool isEndingSoon = candidate.runs.empty();
-            const bool isStoppable
-                = run.phase != RunPhase::AwaitingCommit && (mayBeStopped(run) || isEndingSoon);
+            const bool isStoppable = run.phase != RunPhase::AwaitingCommit && isCandidate(worker, run);
             if (step.isGang)
                 gangs[{ task.job.value(), task.occurrence, task.step }].add(
                     std::move(candidate), isStoppable);
--- a/src/batch/placement/eviction_candidates.h
+++ b/src/batch/placement/eviction_candidates.h
@@ -59,14 +59,14 @@
     EvictionCandidateFinder(
         const WorkerPool&, const JobBook&, const EvictionCounts&, Milliseconds stopTimeout, TimePoint now);
 
-    // Less urgent runs than work of the priority.
+    // Less urgent runs than work of the priority, and runs that end within the stop timeout anyway.
     std::vector<EvictionCandidate> find(const ServiceId&, int priority) const;
-    // Among the given runs.
+    // The given runs, and runs that end by themselves within the stop timeout.
     std::vector<EvictionCandidate> findAmong(const ServiceId&, const std::set<RunId>&) const;
 
 private:
-    using Predicate = std::function<bool(const LiveRun&)>;
-    std::vector<EvictionCandidate> findIf(const ServiceId&, const Predicate& mayBeStopped) const;
+    using Predicate = std::function<bool(const Worker&, const LiveRun&)>;
+    std::vector<EvictionCandidate> findIf(const ServiceId&, const Predicate&) const;
     EvictionCandidate candidateOf(const Worker&, const LiveRun&, const StepSpecification&) const;
     bool endsWithinStopTimeout(const Worker&, const LiveRun&) const;
     double cost(const LiveRun&, const StepSpecification&) const;
--- a/src/batch/placement/placement_evictions.cpp
+++ b/src/batch/placement/placement_evictions.cpp
@@ -109,16 +109,19 @@
         return false;
     const QueueTerms& terms = waiting.job->job().terms;
     const std::set<RunId> stoppable
-        = m_backfill.stoppableBy(urgencyRank(waiting.isGuaranteed, terms.priority));
+        = m_backfill.stoppableBy(urgencyRank(waiting.isGuaranteed, terms.priority), now);
     if (stoppable.empty())
         return false;
     const EvictionCandidateFinder finder(*m_workers, *m_jobs, m_evictionCounts, m_stopTimeout, now);
     WorkerHolds::putBack(*hold, view);
     auto plan
         = planEviction(request, view, EvictionCandidates(view, finder.findAmong(terms.service, stoppable)));
-    if (plan) {
+    // Not renewed while it waits for earlier stops: a run may take long to end.
+    if (plan && !plan->victims.empty()) {
+        const TimePoint startBy = now + m_stopTimeout + startMargin;
+        m_backfill.noteStopped(plan->victims, startBy);
         addEviction(waiting, *plan, outcome);
-        m_holds.makeExclusive(step, std::move(plan->workers), now + m_stopTimeout + startMargin, now);
+        m_holds.makeExclusive(step, std::move(plan->workers), startBy, now);
     }
     WorkerHolds::take(*hold, view);
     return plan.has_value();
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -93,7 +93,7 @@
 {
     if (m_forecast && (rank == m_forecastRank || m_backfill.isEmpty()))
         return;
-    m_forecast.emplace(*m_jobs, m_backfill.stoppableBy(rank), m_stopTimeout, now);
+    m_forecast.emplace(*m_jobs, m_backfill.stoppableBy(rank, now), m_stopTimeout, now);
     m_forecastRank = rank;
 }
 
@@ -347,10 +347,12 @@
         maxWait = maxWaitBesideFailedWorkers;
         workers = placeOnOpenWorkers(waiting, anywhere, view, now);
     }
-    if (!workers || waited >= maxWait)
+    if (workers && waited >= maxWait)
         return workers;
+    // The wait goes on while another step may be about to take the room.
+    if (workers || m_holds.hasExclusive(waiting.job->job().terms.service, now))
+        m_roomSince.emplace(step, since);
     view.setRooms(rooms);
-    m_roomSince.emplace(step, since);
     return std::nullopt;
 }
 
--- a/src/batch/placement/worker_holds.cpp
+++ b/src/batch/placement/worker_holds.cpp
@@ -134,6 +134,13 @@
     });
 }
 
+bool WorkerHolds::hasExclusive(const ServiceId& service, TimePoint now) const
+{
+    return std::any_of(m_holds.begin(), m_holds.end(), [&](const auto& entry) {
+        return entry.second.service == service && now < entry.second.exclusiveUntil;
+    });
+}
+
 std::vector<StepId> WorkerHolds::moreUrgentOn(const WorkerLifetime& worker, int rank) const
 {
     std::vector<StepId> steps;
--- a/src/batch/placement/worker_holds.h
+++ b/src/batch/placement/worker_holds.h
@@ -58,6 +58,8 @@
     // Those that are applied, but not the step's own, and that it need not leave alone once it has waited
     // long beside free room.
     Selection open(const ServiceId&, const StepId&, TimePoint now) const;
+    // Whether a step of the service is about to start, so that no other work may use its room.
+    bool hasExclusive(const ServiceId&, TimePoint now) const;
     // The steps of a lower rank that hold room on the worker.
     std::vector<StepId> moreUrgentOn(const WorkerLifetime&, int rank) const;
     // Whether the step has a hold, or had one and still waits.
--- a/test/batch_held_room_test.cpp
+++ b/test/batch_held_room_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(testNoJobWaitsForSeveralGangs);
     CPPUNIT_TEST(testNoJobWaitsWhenLeaderChangesBetweenGangs);
     CPPUNIT_TEST(testNoJobWaitsWhileGangWaitsForGood);
+    CPPUNIT_TEST(testNoJobWaitsForRunsThatTakeLongToStop);
     CPPUNIT_TEST(testGangStartsOnceRunsBeforeItHaveEnded);
     CPPUNIT_TEST(testGangsStartOnceRunsBeforeThemHaveEnded);
     CPPUNIT_TEST(testStoppedJobsCompleteAfterGang);
@@ -153,6 +154,16 @@
         requireNoIdleJob();
     }
 
+    // Guards against room that is kept for the gang alone for as long as a stop takes.
+    void testNoJobWaitsForRunsThatTakeLongToStop()
+    {
+        submitGang();
+        for (std::size_t i = 0; i < m_cluster.workerCount(); ++i)
+            m_cluster.worker(i).behavior.maxStopTime = Milliseconds(20'000);
+        play(seconds(60));
+        requireNoIdleJob();
+    }
+
     // Guards against a gang that waits for less urgent work that was let into the room that is held for it.
     void testGangStartsOnceRunsBeforeItHaveEnded()
     {
