--- a/src/batch/jobs/cancel_requests.cpp
+++ b/src/batch/jobs/cancel_requests.cpp
@@ -30,15 +30,4 @@
     return known != m_requests.end() && now < known->second.notedAt + cancelRetention;
 }
 
-std::vector<JobId> CancelRequests::expired(TimePoint now) const
-{
-    std::vector<JobId> jobs;
-    for (const auto& [notedAt, job] : m_byTime) {
-        if (now < notedAt + cancelRetention)
-            break;
-        jobs.push_back(job);
-    }
-    return jobs;
-}
-
 } // namespace anvilmoor::batch
--- a/src/batch/jobs/cancel_requests.h
+++ b/src/batch/jobs/cancel_requests.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <set>
 #include <utility>
-#include <vector>
 
 namespace anvilmoor::batch {
 
@@ -26,8 +25,9 @@
     // Of the request's row; 0 without a request.
     RowVersion versionOf(const JobId&) const;
     bool isInForce(const JobId&, TimePoint now) const;
-    // Those that need not stay in force any more, oldest first.
-    std::vector<JobId> expired(TimePoint now) const;
+    // All of them with the time when they were last noted, oldest first.
+    using ByTime = std::set<std::pair<TimePoint, JobId>>;
+    const ByTime& byTime() const { return m_byTime; }
 
 private:
     struct Request {
@@ -36,7 +36,7 @@
     };
 
     std::map<JobId, Request> m_requests;
-    std::set<std::pair<TimePoint, JobId>> m_byTime;
+    ByTime m_byTime;
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -38,12 +38,13 @@
 std::vector<JobId> JobBook::findUnusedCancelRequests(TimePoint now, std::size_t limit) const
 {
     std::vector<JobId> unused;
-    for (const JobId& job : m_cancelRequests.expired(now)) {
-        const bool isInSamePart = unused.empty() || cancelKey(job).part == cancelKey(unused.front()).part;
-        if (!m_entries.contains(job) && isInSamePart)
-            unused.push_back(job);
-        if (unused.size() >= limit)
+    for (const auto& [notedAt, job] : m_cancelRequests.byTime()) {
+        if (now < notedAt + cancelRetention || unused.size() >= limit)
             break;
+        if (m_entries.contains(job))
+            continue;
+        if (unused.empty() || cancelKey(job).part == cancelKey(unused.front()).part)
+            unused.push_back(job);
     }
     return unused;
 }
