Log how far a lost run was, and up to where its worker's ends were read

The log could not tell an end that was never read from one that was read and not stored, or from a lifetime that was given up too early.

worker.draining states the time that a worker has left; worker.lifetime_over states the last hold request, the ends read, stored and acknowledged, and the furthest run; run.ended states how much of the run was done when it was last reported. One line for each drain, lifetime and run, as before. No decision changes.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -307,7 +307,7 @@
 {
     if (m_phase == Phase::Following)
         return;
-    m_runs.workersUpdated(update, step.now);
+    m_runs.workersUpdated(update, step);
     m_hasWorkers = m_hasWorkers || update.isComplete;
     finishLoading(step);
 }
--- a/src/batch/workers/run_lifetimes.cpp
+++ b/src/batch/workers/run_lifetimes.cpp
@@ -1,5 +1,6 @@
 #include "batch/workers/run_supervisor.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -28,9 +29,11 @@
 {
     std::map<RunPhase, int> phases;
     int mayStartLate = 0;
+    int furthestPercent = 0;
     for (const auto& [task, run] : worker.runs) {
         ++phases[run.phase];
         mayStartLate += run.mayStartLate;
+        furthestPercent = std::max(furthestPercent, run.progress.lastPercent());
     }
     step.warn("worker.lifetime_over",
         { { "worker", worker.record.lifetime.id.value() },
@@ -39,7 +42,14 @@
             { "starting", std::to_string(phases[RunPhase::Starting]) },
             { "running", std::to_string(phases[RunPhase::Running]) },
             { "stopping", std::to_string(phases[RunPhase::Stopping]) },
-            { "may_start_late", std::to_string(mayStartLate) } });
+            { "may_start_late", std::to_string(mayStartLate) },
+            { "furthest_percent", std::to_string(furthestPercent) },
+            { "is_hold_open", worker.isHoldInFlight ? "yes" : "no" },
+            { "hold_sent_ms_ago", std::to_string((step.now - worker.holdSentAt).count()) },
+            { "unanswered_holds", std::to_string(worker.unansweredHolds) },
+            { "ends_read", std::to_string(worker.processedEnd) },
+            { "ends_stored", std::to_string(worker.storedEnd) },
+            { "ends_acknowledged", std::to_string(worker.acknowledgedEnd) } });
 }
 
 void RunSupervisor::endOtherLifetimes(const WorkerLifetime& alive, Step& step)
--- a/src/batch/workers/run_progress.h
+++ b/src/batch/workers/run_progress.h
@@ -28,6 +28,8 @@
 
     void note(const ProgressReading&);
 
+    // Completed share of its work when the worker last reported it.
+    int lastPercent() const { return m_last.percent; }
     // When the run completes if it continues at its mean rate. Empty if unknown.
     std::optional<WorkerClock> expectedEnd() const;
     // Fraction of its work that the run completes per second. Empty until it has advanced far enough to be
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -201,7 +201,7 @@
     }
 }
 
-void RunSupervisor::workersUpdated(const WorkersUpdated& update, TimePoint now)
+void RunSupervisor::workersUpdated(const WorkersUpdated& update, Step& step)
 {
     if (update.isAfterFailure)
         forgetEntryChanges();
@@ -216,18 +216,32 @@
         }
     }
     for (const WorkerId& id : gone)
-        workerGone(id, now);
+        workerGone(id, step.now);
     // A complete read tells neither when its entries have changed nor when those of the next update have.
     const auto changedAfter = update.isComplete ? std::nullopt : m_registryKnownAt;
     // Which lifetime is alive is known only from its answer to a hold request.
     for (const WorkerRecord& record : update.changed) {
-        if (m_workers.update(record, now, changedAfter))
-            markDue(*m_workers.find(record.lifetime));
+        const Worker* known = m_workers.find(record.lifetime);
+        const bool wasDraining = known && known->record.isDraining;
+        const bool isRelevant = m_workers.update(record, step.now, changedAfter);
+        Worker& worker = *m_workers.find(record.lifetime);
+        if (isRelevant)
+            markDue(worker);
+        if (record.isDraining && !wasDraining)
+            recordDrain(worker, step);
     }
     m_registryKnownAt = update.isComplete ? std::nullopt : std::optional(update.knownAt);
     m_hasCapacityChanged = true;
 }
 
+void RunSupervisor::recordDrain(const Worker& worker, Step& step)
+{
+    step.record("worker.draining",
+        { { "worker", worker.record.lifetime.id.value() },
+            { "remaining_ms", std::to_string(worker.record.remaining.count()) },
+            { "runs", std::to_string(worker.runs.size()) } });
+}
+
 // Entries may also have expired while the store was away, so when they last changed tells nothing.
 void RunSupervisor::forgetEntryChanges()
 {
@@ -333,7 +347,7 @@
         if (findRun(worker, ended.run))
             finish(worker, ended.run, ended.end, ended.checkpoint, step);
         else
-            applyEnd(worker, ended.run, ended.end, ended.checkpoint, step);
+            applyEnd(worker, ended, 0, step);
         const JobBook::Entry* entry = m_jobs.find(ended.run.task.job);
         worker.pendingEnds.push_back({ ended.sequence, ended.run.task.job, entry ? entry->change : 0 });
         m_workersWithPendingEnds.insert(worker.record.lifetime);
@@ -378,32 +392,34 @@
 {
     const LiveRun* live = findRun(worker, run);
     const bool wasTrial = live && live->isTrial;
+    const int lastPercent = live ? live->progress.lastPercent() : 0;
     m_workers.detach(worker, run.task);
     markDue(worker);
     if (wasTrial || worker.runs.empty())
         worker.health.trialAborted();
     m_hasCapacityChanged = true;
-    applyEnd(worker, run, end, checkpoint, step);
+    applyEnd(worker, { 0, run, end, checkpoint }, lastPercent, step);
 }
 
-void RunSupervisor::applyEnd(
-    const Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
+void RunSupervisor::applyEnd(const Worker& worker, const EndedRun& ended, int lastPercent, Step& step)
 {
+    const RunId& run = ended.run;
     JobBook::Entry* entry = m_jobs.find(run.task.job);
     if (!entry)
         return;
-    const RunConsequence consequence = entry->progress.runEnded(run, end, checkpoint);
+    const RunConsequence consequence = entry->progress.runEnded(run, ended.end, ended.checkpoint);
     if (!consequence.isKnown)
         return;
     m_jobs.noteChange(*entry, step.now);
     m_hasCapacityChanged = true;
-    if (end == RunEnd::Failed)
+    if (ended.end == RunEnd::Failed)
         entry->failedOn.insert(worker.record.lifetime);
-    if (end != RunEnd::Done)
+    if (ended.end != RunEnd::Done)
         step.record("run.ended",
             { { "job", run.task.job.value() }, { "step", std::to_string(run.task.step) },
                 { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
-                { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(end)) } });
+                { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(ended.end)) },
+                { "last_percent", std::to_string(lastPercent) } });
     if (consequence.newState)
         recordJobEnd(*entry, *consequence.newState, step);
     stopAll(consequence.toStop, step);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -56,7 +56,7 @@
     // Called when more job changes are stored. Marks the run ends that led to them for acknowledgement.
     void changesStored();
 
-    void workersUpdated(const WorkersUpdated&, TimePoint now);
+    void workersUpdated(const WorkersUpdated&, Step&);
     void startAnswered(const StartAnswered&, Step&);
     void stopAnswered(const StopAnswered&, Step&);
     void holdAnswered(const HoldAnswered&, Step&);
@@ -104,12 +104,14 @@
     static void noteStarted(LiveRun&, TimePoint now);
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, const WorkerStatus&, Step&);
+    static void recordDrain(const Worker&, Step&);
     bool hasWithdrawnEntry(const Worker&, TimePoint now) const;
     void workerGone(const WorkerId&, TimePoint now);
     void forgetEntryChanges();
     // Ends the run in the pool and in its job, and stops the runs that have become useless.
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
-    void applyEnd(const Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
+    // `lastPercent`: completed share of the run's work when it was last reported; 0 if unknown.
+    void applyEnd(const Worker&, const EndedRun&, int lastPercent, Step&);
     // Called when this lifetime of the worker has answered first, so that the runs of all others have ended.
     void endOtherLifetimes(const WorkerLifetime&, Step&);
     // Called when the worker has restarted or left. `nextStartedAtMs`: start of the lifetime that answered
--- a/test/batch_unexpected_run_test.cpp
+++ b/test/batch_unexpected_run_test.cpp
@@ -61,7 +61,7 @@
         Step step(event, m_effects);
         WorkerRecord record { m_worker, "10.0.0.1:80", ServiceId("planner"), AvailabilityZoneId("north"),
             { 128'000, 256'000, 8 } };
-        m_runs.workersUpdated({ true, { record }, {}, m_now }, step.now);
+        m_runs.workersUpdated({ true, { record }, {}, m_now }, step);
         m_runs.holdAnswered({ m_worker, fencingTokenOf(epoch, m_worker), OrderOutcome::Accepted,
                                 { 1'000, m_worker.startedAtMs, { { { m_task, run }, {}, 1 } }, {} } },
             step);
--- a/test/batch_worker_hold_test.cpp
+++ b/test/batch_worker_hold_test.cpp
@@ -52,7 +52,7 @@
     {
         WorkerRecord record { m_worker, "10.0.0.1:80", ServiceId("planner"), AvailabilityZoneId("north"),
             { 128'000, 256'000, 8 } };
-        perform([&](Step& step) { m_runs.workersUpdated({ true, { record }, {}, m_now }, step.now); });
+        perform([&](Step& step) { m_runs.workersUpdated({ true, { record }, {}, m_now }, step); });
     }
 
     void confirmWorker()
@@ -111,7 +111,7 @@
         m_runs.begin(epoch, m_now);
         listWorker();
         CPPUNIT_ASSERT(isHoldSentOnTick());
-        perform([&](Step& step) { m_runs.workersUpdated({ false, {}, { m_worker.id }, m_now }, step.now); });
+        perform([&](Step& step) { m_runs.workersUpdated({ false, {}, { m_worker.id }, m_now }, step); });
         CPPUNIT_ASSERT(!isHoldSentOnTick());
         listWorker();
         CPPUNIT_ASSERT(!isHoldSentOnTick());
--- a/test/batch_worker_lease_test.cpp
+++ b/test/batch_worker_lease_test.cpp
@@ -51,7 +51,7 @@
         m_runs.begin(epoch, m_now);
         WorkerRecord record { m_worker, "10.0.0.1:80", ServiceId("planner"), AvailabilityZoneId("north"),
             { 128'000, 256'000, 8 } };
-        perform([&](Step& step) { m_runs.workersUpdated({ true, { record }, {}, m_now }, step.now); });
+        perform([&](Step& step) { m_runs.workersUpdated({ true, { record }, {}, m_now }, step); });
     }
 
     // Assigns the only task of a job to the worker, as a stored assignment of an earlier leader.
