Stop the runs of draining workers while their ends can still be read

Cause: nothing read the time that a draining worker has left. Its runs went on until it was gone. A run that ends within the last milliseconds is listed in an answer to the open hold request, and the worker leaves before the answer arrives. The leader then knows only that the worker has left, gives the run up and starts the task again.

Change: DrainPolicy decides for each run of a draining worker. A run that certainly ends in time goes on. One that can't is stopped, at once if the rest of its work would be lost, else as late as the stop timeout allows. A gang is stopped as one. The moment at which the worker may leave is computed on the worker's own clock, from the time at which it wrote its entry, so a late reading of the registry doesn't shift it. Hold requests return in time for the decision.

Why this works: when a worker leaves no sooner than announced, each of its runs has ended, and the end has been read, stop timeout and 200 ms included; so nothing is left whose end could be unknown.

Existing cases that need runs to go on while a worker drains now announce a long time; before, their workers stated that no time was left.

--- a/include/anvilmoor/batch/worker.h
+++ b/include/anvilmoor/batch/worker.h
@@ -36,6 +36,7 @@
     RackId rack;
     bool isDraining = false;
     Milliseconds remaining { 0 }; // minimum time for which a draining worker stays available
+    WorkerClock writtenAt = 0; // when the worker wrote this record; 0: not stated
 };
 
 enum class RunEnd {
--- /dev/null
+++ b/src/batch/workers/drain_policy.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "anvilmoor/time.h"
+#include "batch/workers/run_progress.h"
+
+#include <optional>
+
+namespace anvilmoor::batch {
+
+// What the decision whether to stop a run depends on.
+struct DrainingRun {
+    std::optional<TimeToEnd> timeToEnd; // empty: unknown, or it lasts until it is stopped
+    bool savesCheckpoints = false; // a stop loses none of its work
+};
+
+// Decides when the runs of a draining worker are stopped. How a run ended can't be learned from a worker that
+// has left, so each run has to end, and its end has to be read and stored, while the worker is sure to be
+// there.
+class DrainPolicy {
+public:
+    // `stopTimeout`: longest time that a worker takes to stop a run.
+    explicit DrainPolicy(Milliseconds stopTimeout);
+
+    // `leavesAt`: when the worker may leave at the earliest.
+    bool shouldStop(const DrainingRun&, TimePoint leavesAt, TimePoint now) const;
+    // When a run that is not to be stopped yet has to be judged again if nothing else changes.
+    TimePoint nextDecisionAt(TimePoint leavesAt, TimePoint now) const;
+
+private:
+    // The end of a run that is stopped later may not be read.
+    TimePoint lastStopAt(TimePoint leavesAt) const;
+
+    Milliseconds m_stopTimeout;
+};
+
+} // namespace anvilmoor::batch
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -62,9 +62,24 @@
     return std::max(minHoldWait, std::min(spread, longest));
 }
 
+// The progress of a draining worker's runs has to be known when it decides whether they are stopped.
+Milliseconds RunSupervisor::holdWaitOf(const Worker& worker, TimePoint now) const
+{
+    if (worker.processedEnd > worker.storedEnd)
+        return Milliseconds(0);
+    const bool isStopping = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
+        return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
+    });
+    const Milliseconds wait = isStopping ? stopWait : holdWait();
+    const auto leavesAt = mayLeaveAt(worker, now);
+    if (!leavesAt)
+        return wait;
+    const TimePoint decisionAt = m_drainPolicy.nextDecisionAt(*leavesAt, now);
+    return decisionAt > now ? std::min(wait, decisionAt - now) : wait;
+}
+
 void RunSupervisor::hold(Worker& worker, Step& step)
 {
-    const bool isStoring = worker.processedEnd > worker.storedEnd;
     const bool hasUnacknowledgedEnds = worker.storedEnd > worker.acknowledgedEnd;
     const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
     // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
@@ -72,14 +87,11 @@
     const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds;
     HoldWorker look { worker.record.lifetime, worker.record.address, tokenOf(worker),
         mayAcknowledge ? worker.storedEnd : 0 };
-    const bool isWaiting = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
-        return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
-    });
     if (!worker.runs.empty() && worker.isConfirmed && !isLost) {
         const Milliseconds lease = leaseFor(worker);
         look.leaseUntil = worker.clock.at(step.now) + lease.count();
         extendLease(worker, lease, step.now);
-        look.wait = isStoring ? Milliseconds(0) : isWaiting ? stopWait : holdWait();
+        look.wait = holdWaitOf(worker, step.now);
     }
     worker.isHoldInFlight = true;
     worker.holdSentAt = step.now;
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -85,6 +85,7 @@
     : m_workers(workers)
     , m_jobs(jobs)
     , m_settings(settings)
+    , m_drainPolicy(settings.stopTimeout)
 {
 }
 
@@ -234,14 +235,6 @@
     m_hasCapacityChanged = true;
 }
 
-void RunSupervisor::recordDrain(const Worker& worker, Step& step)
-{
-    step.record("worker.draining",
-        { { "worker", worker.record.lifetime.id.value() },
-            { "remaining_ms", std::to_string(worker.record.remaining.count()) },
-            { "runs", std::to_string(worker.runs.size()) } });
-}
-
 // Entries may also have expired while the store was away, so when they last changed tells nothing.
 void RunSupervisor::forgetEntryChanges()
 {
@@ -301,19 +294,20 @@
         return;
     }
     if (!worker.record.address.empty()) {
+        stopDrainedRuns(worker, step);
         for (auto& [task, run] : worker.runs)
             tickRun(worker, run, step);
         if (step.now >= nextHoldAt(worker))
             hold(worker, step);
     }
-    m_dueQueue.add(worker, nextDueAt(worker));
+    m_dueQueue.add(worker, nextDueAt(worker, step.now));
     if (!worker.runs.empty() && step.now > worker.latestLeaseExpiry)
         declareRunsLost(worker, "every lease has passed", step);
     else
         forgetIfGone(WorkerLifetime(worker.record.lifetime));
 }
 
-TimePoint RunSupervisor::nextDueAt(const Worker& worker) const
+TimePoint RunSupervisor::nextDueAt(const Worker& worker, TimePoint now) const
 {
     TimePoint next = TimePoint::max();
     if (!worker.runs.empty())
@@ -322,6 +316,9 @@
         return next;
     for (const auto& [task, run] : worker.runs)
         next = std::min(next, nextOrderAt(run));
+    const auto leavesAt = mayLeaveAt(worker, now);
+    if (leavesAt && !worker.runs.empty())
+        next = std::min(next, m_drainPolicy.nextDecisionAt(*leavesAt, now));
     return std::min(next, nextHoldAt(worker));
 }
 
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -3,6 +3,7 @@
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
 #include "batch/reducer/step.h"
+#include "batch/workers/drain_policy.h"
 #include "batch/workers/silent_workers.h"
 #include "batch/workers/worker_due_queue.h"
 #include "batch/workers/worker_pool.h"
@@ -76,15 +77,22 @@
     void markDue(Worker& worker) { m_dueQueue.add(worker, TimePoint {}); }
     void tickWorker(Worker&, Step&);
     // When the worker has to be visited again if nothing about it changes.
-    TimePoint nextDueAt(const Worker&) const;
+    TimePoint nextDueAt(const Worker&, TimePoint now) const;
     static TimePoint nextOrderAt(const LiveRun&);
     static TimePoint nextHoldAt(const Worker&);
     void tickRun(Worker&, LiveRun&, Step&);
+    // Stops the runs of a draining worker that may not end while it is there.
+    void stopDrainedRuns(Worker&, Step&);
+    bool shouldStopForDrain(const Worker&, const LiveRun&, TimePoint leavesAt, TimePoint now);
+    static std::optional<TimePoint> mayLeaveAt(const Worker&, TimePoint now);
+    std::optional<TimeToEnd> timeToEnd(const Worker&, const LiveRun&, TimePoint now);
+    static void recordDrain(const Worker&, Step&);
     void sendStart(Worker&, LiveRun&, Step&);
     void sendStop(Worker&, LiveRun&, Step&);
     void abandonStart(Worker&, LiveRun&, Step&);
     void hold(Worker&, Step&);
     Milliseconds holdWait() const;
+    Milliseconds holdWaitOf(const Worker&, TimePoint now) const;
     void extendLease(Worker&, Milliseconds, TimePoint now);
     Milliseconds leaseFor(const Worker&) const;
     void rejected(Worker&, LiveRun&, OrderOutcome, Step&);
@@ -104,7 +112,6 @@
     static void noteStarted(LiveRun&, TimePoint now);
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
     void findVanished(Worker&, const WorkerStatus&, Step&);
-    static void recordDrain(const Worker&, Step&);
     bool hasWithdrawnEntry(const Worker&, TimePoint now) const;
     void workerGone(const WorkerId&, TimePoint now);
     void forgetEntryChanges();
@@ -129,6 +136,7 @@
     WorkerPool& m_workers;
     JobBook& m_jobs;
     WorkerLeaseSettings m_settings;
+    DrainPolicy m_drainPolicy;
     std::uint64_t m_epoch = 0;
     TimePoint m_earlierLeadersActUntil {};
     EarlierLeases m_earlierLeases;
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -156,8 +156,8 @@
     }
 }
 
-// If the entry of a draining worker disappears before it can have expired, the worker has withdrawn it, which
-// it does only after its runs have ended. Not known if the store has been away since the entry's last change.
+// If the entry of a draining worker disappears before it can have expired, the worker has left, which ends
+// all that runs there. Not known if the store has been away since the entry's last change.
 bool RunSupervisor::hasWithdrawnEntry(const Worker& worker, TimePoint now) const
 {
     const auto minExpiry
--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -558,7 +558,7 @@
         runUntilStarted(cluster, job);
         cluster.run(Milliseconds(300));
         FakeWorker& leaving = workerOf(cluster, job);
-        leaving.record.isDraining = true;
+        leaving.drain(oneMinute);
         cluster.run(Milliseconds(1'000));
         leaving.leave();
         cluster.unlist(leaving.record.lifetime.id);
@@ -576,7 +576,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(4'000)) });
         runUntilStarted(cluster, job);
         FakeWorker& worker = workerOf(cluster, job);
-        worker.record.isDraining = true;
+        worker.drain(oneMinute);
         cluster.run(Milliseconds(1'000));
         cluster.setEntryReadable(worker.record.lifetime.id, false);
         requireCompleted(cluster, job);
--- a/test/batch_hostile_platform_test.cpp
+++ b/test/batch_hostile_platform_test.cpp
@@ -155,7 +155,8 @@
         break;
     case 3:
     case 4:
-        worker.record.isDraining = true;
+        // Its runs go on until it is removed, as those of a worker that leaves before the announced time.
+        worker.drain(Milliseconds(60'000));
         break;
     case 5:
         if (worker.record.isDraining && worker.isReachable)
--- a/test/batch_run_progress_test.cpp
+++ b/test/batch_run_progress_test.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(testExpectedEndFollowsTheRateOfProgress);
     CPPUNIT_TEST(testExpectedEndIsUnknownWithoutProgress);
     CPPUNIT_TEST(testExpectedEndDoesNotCountTheWaitForTheGang);
+    CPPUNIT_TEST(testTimeToEndIsBoundedOnceTheRunHasAdvanced);
+    CPPUNIT_TEST(testTimeToEndIsUnknownWhileTheRunLags);
     CPPUNIT_TEST(testRateIsKnownOnceTheRunHasAdvancedFarEnough);
     CPPUNIT_TEST(testRunThatStopsAdvancingLags);
     CPPUNIT_TEST(testRunThatBecomesMuchSlowerLags);
@@ -51,6 +53,32 @@
         CPPUNIT_ASSERT_EQUAL(WorkerClock { 5'600 }, run.expectedEnd().value());
     }
 
+    void testTimeToEndIsBoundedOnceTheRunHasAdvanced()
+    {
+        RunProgress run;
+        run.note({ 10, 1'000 });
+        run.note({ 14, 1'400 });
+        CPPUNIT_ASSERT(!run.timeToEnd(1'400));
+        run.note({ 40, 4'000 });
+        const TimeToEnd left = run.timeToEnd(4'500).value();
+        CPPUNIT_ASSERT(left.shortest < Milliseconds(5'500));
+        CPPUNIT_ASSERT(left.shortest > Milliseconds(4'000));
+        CPPUNIT_ASSERT(left.longest > Milliseconds(5'500));
+        CPPUNIT_ASSERT(left.longest < Milliseconds(7'500));
+        run.note({ 100, 9'500 });
+        CPPUNIT_ASSERT(run.timeToEnd(9'500)->longest == Milliseconds(0));
+    }
+
+    void testTimeToEndIsUnknownWhileTheRunLags()
+    {
+        RunProgress run(Milliseconds(10'000), false);
+        WorkerClock at = 0;
+        advance(run, at, { 5, 10, 15, 20, 25, 30 });
+        CPPUNIT_ASSERT(run.timeToEnd(at));
+        advance(run, at, { 30, 30, 30, 30, 30 });
+        CPPUNIT_ASSERT(!run.timeToEnd(at));
+    }
+
     // No end may be predicted for a run that has stopped making progress.
     void testExpectedEndIsUnknownWithoutProgress()
     {
--- a/test/batch_worker_lease_test.cpp
+++ b/test/batch_worker_lease_test.cpp
@@ -132,7 +132,7 @@
         testing::BatchCluster cluster;
         const JobId job = startJob(cluster);
         testing::FakeWorker& worker = workerWithRun(cluster);
-        worker.record.isDraining = true;
+        worker.drain(2 * longTerm);
         cluster.run(longTerm);
         worker.isReachable = false;
         requireRepeatedWithoutViolation(cluster, job);
--- a/test/batch_worker_lifetime_test.cpp
+++ b/test/batch_worker_lifetime_test.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(testStartCarriedOutLateAfterLeaseExpiryIsNoSecondRun);
     CPPUNIT_TEST_SUITE_END();
 
+    // Runs on a worker with this much time left are not stopped.
+    static constexpr Milliseconds longDrain { 60'000 };
+
     static void requireNoViolation(const BatchCluster& cluster, const std::string& variant)
     {
         if (!cluster.violations().empty())
@@ -129,7 +132,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(8'000)) });
         cluster.run(Milliseconds(500));
         FakeWorker& draining = workerOf(cluster, job);
-        draining.record.isDraining = true;
+        draining.drain(longDrain);
         cluster.run(Milliseconds(500));
         cluster.isRegistrySilent = true;
         followSilentRegistry(cluster, Milliseconds(3'400));
@@ -152,7 +155,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(8'000)) });
         cluster.run(Milliseconds(500));
         FakeWorker& draining = workerOf(cluster, job);
-        draining.record.isDraining = true;
+        draining.drain(longDrain);
         cluster.run(Milliseconds(500));
         cluster.isRegistrySilent = true;
         cluster.run(Milliseconds(1'500));
@@ -175,7 +178,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(5'000)) });
         cluster.run(Milliseconds(500));
         FakeWorker& draining = workerOf(cluster, job);
-        draining.record.isDraining = true;
+        draining.drain(longDrain);
         cluster.run(Milliseconds(500));
         cluster.isRegistrySilent = true;
         followSilentRegistry(cluster, Milliseconds(1'600));
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -243,7 +243,8 @@
     static std::string goodEntry()
     {
         return R"({"service":"huvo","address":"10.128.0.9:8080","zone":"north","state":"draining",)"
-               R"("capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"born":1700,"seq":4})";
+               R"("capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"born":1700,"seq":4,)"
+               R"("clockMs":482113,"remainingMs":4000})";
     }
 
     void testWorkerEntryIsDecoded()
@@ -252,6 +253,8 @@
         CPPUNIT_ASSERT(worker.has_value());
         CPPUNIT_ASSERT(worker->lifetime == (batch::WorkerLifetime { WorkerId("i-7f"), 1700 }));
         CPPUNIT_ASSERT(worker->isDraining);
+        CPPUNIT_ASSERT(worker->remaining == Milliseconds(4'000));
+        CPPUNIT_ASSERT_EQUAL(batch::WorkerClock { 482'113 }, worker->writtenAt);
         CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), worker->rack.value());
         CPPUNIT_ASSERT(worker->capacity == (batch::Resources { 16000, 32768, 8 }));
     }
--- a/test/platform_registry_test.cpp
+++ b/test/platform_registry_test.cpp
@@ -133,6 +133,8 @@
                 CPPUNIT_ASSERT(decode(remaining)->remaining == Milliseconds(0));
             else
                 requireRejected(remaining, "remainingMs");
+            requireRejected(
+                entryWith("10.0.0.1:80", "\"born\":1700,\"clockMs\":" + number, goodCapacity()), "clockMs");
             for (const char* field : { "cpu", "memMb", "gpu" })
                 requireRejected(
                     entryWith("10.0.0.1:80", R"("born":1700)", fmt::format(R"({{"{}":{}}})", field, number)),
--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -144,7 +144,8 @@
                 recordAcknowledgement(ended, hasLeaseExpired);
             };
             worker->randomShare = [this] { return randomShare(); };
-            worker->onEnd = [this](const RunId& run, RunEnd how) { recordEnd(run, how); };
+            worker->onEnd = [this, id = worker->record.lifetime.id](
+                                const RunId& run, RunEnd how) { recordEnd(id, run, how); };
             m_workers.push_back(std::move(worker));
         }
     }
@@ -207,6 +208,8 @@
         addViolation(nameOf(order.run) + " starts after its task was done");
     else if (const auto done = m_done.find(task); done != m_done.end())
         m_doneBeforeStart.insert({ task, done->second });
+    if (m_doneOnLeaving.contains(task))
+        addViolation(nameOf(order.run) + " starts after its task was done on a worker that drained");
     if (m_refused.contains(task.job))
         addViolation(nameOf(order.run) + " starts though its job was refused");
     const JobSpecification& job = m_jobs.at(task.job);
@@ -218,18 +221,23 @@
     }
 }
 
-void BatchCluster::recordEnd(const RunId& run, RunEnd how)
+void BatchCluster::recordEnd(const WorkerId& worker, const RunId& run, RunEnd how)
 {
     if (how != RunEnd::Done)
         return;
+    const auto noteDone = [&](const TaskId& task) {
+        m_done[task] = run.run;
+        if (m_leaving.contains(worker))
+            m_doneOnLeaving.insert(task);
+    };
+    noteDone(run.task);
     const StepSpecification& step = m_jobs.at(run.task.job).steps[static_cast<std::size_t>(run.task.step)];
-    m_done[run.task] = run.run;
     if (!step.isGang)
         return;
     // One member that is done ends the whole gang as done.
-    m_done[{ run.task.job, run.task.occurrence, run.task.step, -1 }] = run.run;
+    noteDone({ run.task.job, run.task.occurrence, run.task.step, -1 });
     for (int index = 0; index < step.taskCount; ++index)
-        m_done[{ run.task.job, run.task.occurrence, run.task.step, index }] = run.run;
+        noteDone({ run.task.job, run.task.occurrence, run.task.step, index });
 }
 
 void BatchCluster::recordAcknowledgement(const EndedRun& ended, bool hasLeaseExpired)
@@ -317,6 +325,19 @@
     return !isStoreDown && !cutFromStore.contains(daemon);
 }
 
+void BatchCluster::drainAndLeave(std::size_t index, Milliseconds remaining)
+{
+    const WorkerId id = m_workers[index]->record.lifetime.id;
+    m_workers[index]->drain(remaining);
+    m_leaving.insert(id);
+    at(m_now + remaining, [this, index, id] {
+        for (const auto& [task, run] : m_workers[index]->runs())
+            addViolation(nameOf(run.id) + " is cut off as its worker leaves at the announced time");
+        m_workers[index]->leave();
+        unlist(id);
+    });
+}
+
 void BatchCluster::setEntryReadable(const WorkerId& id, bool isReadable)
 {
     if (isReadable)
@@ -643,7 +664,8 @@
     }
     at(m_now + call->answerDelay, [this, call, payload] {
         const Link* link = linkOf(call->daemon, call->target.id);
-        if (!(link && link->cut))
+        const bool hasLeft = m_leaving.contains(call->target.id) && !recipient(*call);
+        if (!(link && link->cut) && !hasLeft)
             answer(call, payload);
     });
 }
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -65,6 +65,9 @@
     // From now on, runs of a gang that asks for one rack but is spread over several, and runs away from their
     // data, take this many times as long.
     void slowDownFarRuns(double factor);
+    // The worker drains, and leaves as soon as it may. Answers that are still on their way are lost. Nothing
+    // must be running there any more, and a task that was done there must not start again.
+    void drainAndLeave(std::size_t worker, Milliseconds remaining);
     // Removes the worker's entry from the registry.
     void unlist(const WorkerId& id) { m_unlisted.insert(id); }
     // Puts it back.
@@ -223,7 +226,7 @@
     void request(std::size_t daemon, batch::CallerAction, const std::string& queue, const JobId&,
         batch::JobSpecification, const std::string& key);
     void recordStart(const batch::StartRun&);
-    void recordEnd(const batch::RunId&, batch::RunEnd);
+    void recordEnd(const WorkerId&, const batch::RunId&, batch::RunEnd);
     void recordAcknowledgement(const batch::EndedRun&, bool hasLeaseExpired);
     void addViolation(const std::string&);
 
@@ -263,6 +266,8 @@
     // Ended as done before a later start of their task; a violation if such an end is acknowledged.
     std::set<batch::RunId> m_doneBeforeStart;
     std::map<batch::RunId, WorkerId> m_startedOn;
+    std::set<WorkerId> m_leaving; // by drainAndLeave()
+    std::set<batch::TaskId> m_doneOnLeaving; // done on one of these workers
     std::map<JobId, int> m_starts;
     std::map<JobId, TimePoint> m_firstStarts;
     std::set<JobId> m_refused; // answered NotAccepted before any start, and not Accepted since
--- a/test/support/fake_worker.cpp
+++ b/test/support/fake_worker.cpp
@@ -200,6 +200,13 @@
     record.lifetime.startedAtMs += restartTime.count();
 }
 
+void FakeWorker::drain(Milliseconds remaining)
+{
+    record.isDraining = true;
+    record.remaining = remaining;
+    record.writtenAt = clock();
+}
+
 void FakeWorker::leave()
 {
     m_runs.clear();
--- a/test/support/fake_worker.h
+++ b/test/support/fake_worker.h
@@ -39,6 +39,8 @@
 
     // Drops all runs without reporting their ends, and becomes unreachable.
     void leave();
+    // Announces that the worker leaves no sooner than after this time.
+    void drain(Milliseconds remaining);
 
     struct Run {
         batch::RunId id;
