Take no registry entry for one that is written in the future, and wake no worker whose runs are all stopped

The estimate of a worker's clock lags, so an entry that has just arrived may seem to be written later: the time that remains counts from now at most. A draining worker past its last decision was visited with each tick. Found on reading the change; batch_drain_test, batch_drain_policy_test, batch_worker_lifetime_test and batch_cluster_test pass.

--- a/src/batch/workers/drain_policy.cpp
+++ b/src/batch/workers/drain_policy.cpp
@@ -34,7 +34,10 @@
 
 TimePoint DrainPolicy::nextDecisionAt(TimePoint leavesAt, TimePoint now) const
 {
-    return now < lastStopAt(leavesAt) ? lastStopAt(leavesAt) : leavesAt - endReportTime;
+    if (now < lastStopAt(leavesAt))
+        return lastStopAt(leavesAt);
+    const TimePoint lastEndAt = leavesAt - endReportTime;
+    return now < lastEndAt ? lastEndAt : TimePoint::max();
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/drain_policy.h
+++ b/src/batch/workers/drain_policy.h
@@ -23,7 +23,8 @@
 
     // `leavesAt`: when the worker may leave at the earliest.
     bool shouldStop(const DrainingRun&, TimePoint leavesAt, TimePoint now) const;
-    // When a run that is not to be stopped yet has to be judged again if nothing else changes.
+    // When a run that is not to be stopped yet has to be judged again if nothing else changes. The latest
+    // time if no run may go on.
     TimePoint nextDecisionAt(TimePoint leavesAt, TimePoint now) const;
 
 private:
--- a/src/batch/workers/run_drains.cpp
+++ b/src/batch/workers/run_drains.cpp
@@ -15,8 +15,9 @@
     const WorkerClock clock = worker.clock.at(now);
     if (!record.isDraining || !clock)
         return std::nullopt;
+    // The estimate of the clock may be behind the time of the entry.
     if (record.writtenAt)
-        return now + Milliseconds(record.writtenAt - clock) + record.remaining;
+        return now + Milliseconds(std::min<WorkerClock>(record.writtenAt - clock, 0)) + record.remaining;
     // The remaining time may have passed since the entry was written.
     return worker.changedAfter ? *worker.changedAfter + record.remaining : now;
 }
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -72,10 +72,7 @@
     });
     const Milliseconds wait = isStopping ? stopWait : holdWait();
     const auto leavesAt = mayLeaveAt(worker, now);
-    if (!leavesAt)
-        return wait;
-    const TimePoint decisionAt = m_drainPolicy.nextDecisionAt(*leavesAt, now);
-    return decisionAt > now ? std::min(wait, decisionAt - now) : wait;
+    return leavesAt ? std::min(wait, m_drainPolicy.nextDecisionAt(*leavesAt, now) - now) : wait;
 }
 
 void RunSupervisor::hold(Worker& worker, Step& step)
--- a/test/batch_drain_policy_test.cpp
+++ b/test/batch_drain_policy_test.cpp
@@ -78,7 +78,9 @@
     void testNextDecisionIsAtTheLastStopAndThenAtTheLastRead()
     {
         CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, m_leavesAt - Seconds(5)) == m_lastStopAt);
-        CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, m_lastStopAt) == m_leavesAt - Milliseconds(200));
+        const TimePoint lastEndAt = m_leavesAt - Milliseconds(200);
+        CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, m_lastStopAt) == lastEndAt);
+        CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, lastEndAt) == TimePoint::max());
     }
 };
 
