Judge a spared run again until its worker may leave, and each gang once

A gang is judged once for each worker. - The 200 ms for reading an end equalled the pause between requests while earlier ends are being stored; 300 ms now. - A changed entry of a draining worker did not have the worker visited at once. - No test covered entries that do not state when they were written; earliestDeparture() has tests of its own.

--- a/bench/batch_control_benchmark.cpp
+++ b/bench/batch_control_benchmark.cpp
@@ -70,7 +70,7 @@
     void updateRegistry()
     {
         const WorkersUpdated update { false, { nextWorker().record }, {}, m_now };
-        perform([&](Step& step) { m_runs.workersUpdated(update, step.now); });
+        perform([&](Step& step) { m_runs.workersUpdated(update, step); });
     }
 
     void listRegistry()
@@ -78,7 +78,7 @@
         WorkersUpdated update { true, {}, {}, m_now };
         for (const auto& [lifetime, worker] : m_workers.all())
             update.changed.push_back(worker.record);
-        perform([&](Step& step) { m_runs.workersUpdated(update, step.now); });
+        perform([&](Step& step) { m_runs.workersUpdated(update, step); });
     }
 
     std::size_t runs() const
--- a/src/batch/workers/drain_policy.cpp
+++ b/src/batch/workers/drain_policy.cpp
@@ -1,14 +1,32 @@
 #include "batch/workers/drain_policy.h"
 
+#include <algorithm>
+
 namespace anvilmoor::batch {
 
 namespace {
 
-// Until the end of a run is read and stored, or an order to stop it has arrived.
-constexpr Milliseconds endReportTime { 200 };
+// Until the end of a run is read and stored, or an order to stop it has arrived. While earlier ends are being
+// stored, a worker is only asked each 200 ms.
+constexpr Milliseconds endReportTime { 300 };
+// A run that is spared at the last stop is judged again this often, as it may become slower.
+constexpr Milliseconds recheckInterval { 120 };
 
 } // namespace
 
+std::optional<TimePoint> earliestDeparture(const Worker& worker, TimePoint now)
+{
+    const WorkerRecord& record = worker.record;
+    const WorkerClock clock = worker.clock.at(now);
+    if (!record.isDraining || !clock)
+        return std::nullopt;
+    // The estimate of the clock may be behind the time of the entry.
+    if (record.writtenAt)
+        return now + Milliseconds(std::min<WorkerClock>(record.writtenAt - clock, 0)) + record.remaining;
+    // Without a known age of the entry, all of the remaining time may have passed.
+    return worker.changedAfter ? *worker.changedAfter + record.remaining : now;
+}
+
 DrainPolicy::DrainPolicy(Milliseconds stopTimeout)
     : m_stopTimeout(stopTimeout)
 {
@@ -37,7 +55,7 @@
     if (now < lastStopAt(leavesAt))
         return lastStopAt(leavesAt);
     const TimePoint lastEndAt = leavesAt - endReportTime;
-    return now < lastEndAt ? lastEndAt : TimePoint::max();
+    return now < lastEndAt ? std::min(now + recheckInterval, lastEndAt) : TimePoint::max();
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/drain_policy.h
+++ b/src/batch/workers/drain_policy.h
@@ -2,11 +2,16 @@
 
 #include "anvilmoor/time.h"
 #include "batch/workers/run_progress.h"
+#include "batch/workers/worker_pool.h"
 
 #include <optional>
 
 namespace anvilmoor::batch {
 
+// When a draining worker leaves at the earliest. Empty if it doesn't drain, or hasn't told this leader its
+// clock.
+std::optional<TimePoint> earliestDeparture(const Worker&, TimePoint now);
+
 // What the decision whether to stop a run depends on.
 struct DrainingRun {
     std::optional<TimeToEnd> timeToEnd; // empty: unknown, or it lasts until it is stopped
--- a/src/batch/workers/run_drains.cpp
+++ b/src/batch/workers/run_drains.cpp
@@ -1,6 +1,7 @@
 #include "batch/workers/run_supervisor.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -8,20 +9,6 @@
 
 namespace anvilmoor::batch {
 
-// Empty until the worker has told this leader its clock.
-std::optional<TimePoint> RunSupervisor::mayLeaveAt(const Worker& worker, TimePoint now)
-{
-    const WorkerRecord& record = worker.record;
-    const WorkerClock clock = worker.clock.at(now);
-    if (!record.isDraining || !clock)
-        return std::nullopt;
-    // The estimate of the clock may be behind the time of the entry.
-    if (record.writtenAt)
-        return now + Milliseconds(std::min<WorkerClock>(record.writtenAt - clock, 0)) + record.remaining;
-    // The remaining time may have passed since the entry was written.
-    return worker.changedAfter ? *worker.changedAfter + record.remaining : now;
-}
-
 // A gang ends with its slowest member. Empty if unknown.
 std::optional<TimeToEnd> RunSupervisor::timeToEnd(const Worker& worker, const LiveRun& run, TimePoint now)
 {
@@ -41,26 +28,34 @@
     return slowest;
 }
 
-bool RunSupervisor::shouldStopForDrain(
-    const Worker& worker, const LiveRun& run, TimePoint leavesAt, TimePoint now)
+std::vector<RunId> RunSupervisor::runsToStopForDrain(const Worker& worker, TimePoint leavesAt, TimePoint now)
 {
-    const JobBook::Entry* entry = m_jobs.find(run.id.task.job);
-    if (!entry || run.phase == RunPhase::Stopping)
-        return false;
-    const bool savesCheckpoints = entry->progress.specificationOf(run.id.task.step).savesCheckpoints;
-    return m_drainPolicy.shouldStop({ timeToEnd(worker, run, now), savesCheckpoints }, leavesAt, now);
+    std::vector<RunId> due;
+    std::map<StepId, bool> gangVerdicts; // the members of a gang are judged alike
+    for (const auto& [task, run] : worker.runs) {
+        const JobBook::Entry* entry = m_jobs.find(task.job);
+        if (!entry || run.phase == RunPhase::Stopping)
+            continue;
+        const StepSpecification& step = entry->progress.specificationOf(task.step);
+        const StepId stepId { task.job, task.occurrence, task.step };
+        const auto verdict = gangVerdicts.find(stepId);
+        const bool isDue = verdict != gangVerdicts.end()
+            ? verdict->second
+            : m_drainPolicy.shouldStop({ timeToEnd(worker, run, now), step.savesCheckpoints }, leavesAt, now);
+        if (step.isGang)
+            gangVerdicts.emplace(stepId, isDue);
+        if (isDue)
+            due.push_back(run.id);
+    }
+    return due;
 }
 
 void RunSupervisor::stopDrainedRuns(Worker& worker, Step& step)
 {
-    const auto leavesAt = mayLeaveAt(worker, step.now);
+    const auto leavesAt = earliestDeparture(worker, step.now);
     if (!leavesAt || worker.runs.empty())
         return;
-    std::vector<RunId> due;
-    for (const auto& [task, run] : worker.runs) {
-        if (shouldStopForDrain(worker, run, *leavesAt, step.now))
-            due.push_back(run.id);
-    }
+    const std::vector<RunId> due = runsToStopForDrain(worker, *leavesAt, step.now);
     if (due.empty())
         return;
     step.record("worker.drained_runs_stopped",
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -71,7 +71,7 @@
         return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
     });
     const Milliseconds wait = isStopping ? stopWait : holdWait();
-    const auto leavesAt = mayLeaveAt(worker, now);
+    const auto leavesAt = earliestDeparture(worker, now);
     return leavesAt ? std::min(wait, m_drainPolicy.nextDecisionAt(*leavesAt, now) - now) : wait;
 }
 
--- a/src/batch/workers/run_progress.h
+++ b/src/batch/workers/run_progress.h
@@ -13,7 +13,7 @@
     WorkerClock at = 0;
 };
 
-// Bounds of the time until a run ends.
+// The time until a run ends, if its rate stays about what it was.
 struct TimeToEnd {
     Milliseconds shortest { 0 };
     Milliseconds longest { 0 };
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -316,7 +316,7 @@
         return next;
     for (const auto& [task, run] : worker.runs)
         next = std::min(next, nextOrderAt(run));
-    const auto leavesAt = mayLeaveAt(worker, now);
+    const auto leavesAt = earliestDeparture(worker, now);
     if (leavesAt && !worker.runs.empty())
         next = std::min(next, m_drainPolicy.nextDecisionAt(*leavesAt, now));
     return std::min(next, nextHoldAt(worker));
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -83,8 +83,7 @@
     void tickRun(Worker&, LiveRun&, Step&);
     // Stops the runs of a draining worker that may not end while it is there.
     void stopDrainedRuns(Worker&, Step&);
-    bool shouldStopForDrain(const Worker&, const LiveRun&, TimePoint leavesAt, TimePoint now);
-    static std::optional<TimePoint> mayLeaveAt(const Worker&, TimePoint now);
+    std::vector<RunId> runsToStopForDrain(const Worker&, TimePoint leavesAt, TimePoint now);
     std::optional<TimeToEnd> timeToEnd(const Worker&, const LiveRun&, TimePoint now);
     static void recordDrain(const Worker&, Step&);
     void sendStart(Worker&, LiveRun&, Step&);
--- a/src/batch/workers/worker_pool.cpp
+++ b/src/batch/workers/worker_pool.cpp
@@ -43,7 +43,7 @@
     const auto [position, isNew] = m_workers.try_emplace(record.lifetime);
     Worker& worker = position->second;
     const bool isRelevant = isNew || !worker.isListed || worker.record.isDraining != record.isDraining
-        || worker.record.address != record.address;
+        || worker.record.address != record.address || record.isDraining;
     worker.record = record;
     worker.isListed = true;
     worker.isWithdrawalPending = false;
--- a/test/batch_drain_policy_test.cpp
+++ b/test/batch_drain_policy_test.cpp
@@ -4,7 +4,8 @@
 
 namespace anvilmoor::batch {
 
-// Tests when a run of a draining worker is stopped. The worker stops a run within 900 ms.
+// Tests when a draining worker may leave, and when its runs are stopped. The worker stops a run within 900
+// ms.
 class BatchDrainPolicyTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(BatchDrainPolicyTest);
     CPPUNIT_TEST(testRunThatCertainlyEndsInTimeIsNotStopped);
@@ -13,12 +14,29 @@
     CPPUNIT_TEST(testRunWithCheckpointsIsStoppedAsLateAsPossible);
     CPPUNIT_TEST(testRunOfUnknownProgressIsStoppedAsLateAsPossible);
     CPPUNIT_TEST(testEveryRunIsStoppedOnceItsEndMayNotBeRead);
-    CPPUNIT_TEST(testNextDecisionIsAtTheLastStopAndThenAtTheLastRead);
+    CPPUNIT_TEST(testNextDecisionIsAtTheLastStopAndThenAtShortIntervals);
+    CPPUNIT_TEST(testDepartureIsComputedOnTheWorkersClock);
+    CPPUNIT_TEST(testEntryIsNotTakenForWrittenInTheFuture);
+    CPPUNIT_TEST(testEntryOfUnknownTimeIsAsOldAsItMayBe);
+    CPPUNIT_TEST(testDepartureIsUnknownWithoutDrainOrClock);
     CPPUNIT_TEST_SUITE_END();
 
     const DrainPolicy m_policy { Milliseconds(900) };
     const TimePoint m_leavesAt { Seconds(100) };
-    const TimePoint m_lastStopAt = m_leavesAt - Milliseconds(1'100);
+    const TimePoint m_lastStopAt = m_leavesAt - Milliseconds(1'200);
+
+    const TimePoint m_now { Seconds(50) };
+
+    // Its clock shows 7,000 ms, and its entry states that 4,000 ms are left.
+    Worker drainingWorker(WorkerClock entryWrittenAt) const
+    {
+        Worker worker;
+        worker.record.isDraining = true;
+        worker.record.remaining = Milliseconds(4'000);
+        worker.record.writtenAt = entryWrittenAt;
+        worker.clock.note(7'000, m_now);
+        return worker;
+    }
 
     bool shouldStop(const DrainingRun& run, TimePoint now) const
     {
@@ -48,8 +66,8 @@
     void testRunThatCannotEndInTimeIsStoppedAtOnce()
     {
         const TimePoint early = m_leavesAt - Milliseconds(3'000);
-        CPPUNIT_ASSERT(shouldStop(runThatEndsIn(Milliseconds(2'801), Milliseconds(4'000)), early));
-        CPPUNIT_ASSERT(!shouldStop(runThatEndsIn(Milliseconds(2'800), Milliseconds(4'000)), early));
+        CPPUNIT_ASSERT(shouldStop(runThatEndsIn(Milliseconds(2'701), Milliseconds(4'000)), early));
+        CPPUNIT_ASSERT(!shouldStop(runThatEndsIn(Milliseconds(2'700), Milliseconds(4'000)), early));
     }
 
     void testRunWithCheckpointsIsStoppedAsLateAsPossible()
@@ -70,18 +88,47 @@
     void testEveryRunIsStoppedOnceItsEndMayNotBeRead()
     {
         const DrainingRun overdue = runThatEndsIn(Milliseconds(0), Milliseconds(0));
-        CPPUNIT_ASSERT(!shouldStop(overdue, m_leavesAt - Milliseconds(201)));
-        CPPUNIT_ASSERT(shouldStop(overdue, m_leavesAt - Milliseconds(200)));
+        CPPUNIT_ASSERT(!shouldStop(overdue, m_leavesAt - Milliseconds(301)));
+        CPPUNIT_ASSERT(shouldStop(overdue, m_leavesAt - Milliseconds(300)));
         CPPUNIT_ASSERT(shouldStop(overdue, m_leavesAt + Seconds(10)));
     }
 
-    void testNextDecisionIsAtTheLastStopAndThenAtTheLastRead()
+    void testNextDecisionIsAtTheLastStopAndThenAtShortIntervals()
     {
         CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, m_leavesAt - Seconds(5)) == m_lastStopAt);
-        const TimePoint lastEndAt = m_leavesAt - Milliseconds(200);
-        CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, m_lastStopAt) == lastEndAt);
+        const TimePoint lastEndAt = m_leavesAt - Milliseconds(300);
+        CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, m_lastStopAt) == m_lastStopAt + Milliseconds(120));
+        CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, lastEndAt - Milliseconds(1)) == lastEndAt);
         CPPUNIT_ASSERT(m_policy.nextDecisionAt(m_leavesAt, lastEndAt) == TimePoint::max());
     }
+
+    void testDepartureIsComputedOnTheWorkersClock()
+    {
+        CPPUNIT_ASSERT(earliestDeparture(drainingWorker(6'500), m_now) == m_now + Milliseconds(3'500));
+    }
+
+    void testEntryIsNotTakenForWrittenInTheFuture()
+    {
+        CPPUNIT_ASSERT(earliestDeparture(drainingWorker(7'050), m_now) == m_now + Milliseconds(4'000));
+    }
+
+    void testEntryOfUnknownTimeIsAsOldAsItMayBe()
+    {
+        Worker worker = drainingWorker(0);
+        CPPUNIT_ASSERT(earliestDeparture(worker, m_now) == m_now);
+        worker.changedAfter = m_now - Milliseconds(300);
+        CPPUNIT_ASSERT(earliestDeparture(worker, m_now) == m_now + Milliseconds(3'700));
+    }
+
+    void testDepartureIsUnknownWithoutDrainOrClock()
+    {
+        Worker worker = drainingWorker(6'500);
+        worker.clock = {};
+        CPPUNIT_ASSERT(!earliestDeparture(worker, m_now));
+        worker = drainingWorker(6'500);
+        worker.record.isDraining = false;
+        CPPUNIT_ASSERT(!earliestDeparture(worker, m_now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchDrainPolicyTest);
