Look up the workers of a job in BatchCluster

Three fixtures had a lookup of their own. workersOf() fails the test if no worker runs the job; before, the lookup of all workers in batch_drain_test returned none then. A declaration without a definition, find(), is gone.

--- a/test/batch_cluster_test.cpp
+++ b/test/batch_cluster_test.cpp
@@ -74,19 +74,6 @@
             cluster.runUntil([&] { return cluster.firstStart(job).has_value(); }, Milliseconds(5'000)));
     }
 
-    // Returns a worker that has a run of the job.
-    static FakeWorker& workerOf(BatchCluster& cluster, const JobId& job)
-    {
-        for (std::size_t i = 0; i < cluster.workerCount(); ++i) {
-            for (const auto& [task, run] : cluster.worker(i).runs()) {
-                if (task.job == job)
-                    return cluster.worker(i);
-            }
-        }
-        CPPUNIT_FAIL("no worker runs the job");
-        return cluster.worker(0);
-    }
-
 public:
     void testAcceptedJobCompletesWithoutFaults()
     {
@@ -334,7 +321,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(20'000)) });
         runUntilStarted(cluster, job);
         cluster.run(Milliseconds(300));
-        workerOf(cluster, job).isReachable = false;
+        cluster.workerOf(job).isReachable = false;
         cluster.run(Milliseconds(5'000));
         CPPUNIT_ASSERT_EQUAL(1, cluster.startsOf(job));
         cluster.run(Milliseconds(6'000));
@@ -350,7 +337,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(2, 1, Milliseconds(3'000)) });
         runUntilStarted(cluster, job);
         cluster.run(Milliseconds(300));
-        workerOf(cluster, job).restart();
+        cluster.workerOf(job).restart();
         requireCompleted(cluster, job, Milliseconds(8'000));
     }
 
@@ -455,7 +442,7 @@
         cluster.run(Milliseconds(500));
         const JobId stuck = cluster.submit(1, "small", { makeStep(1, 2, Milliseconds(5'000)) });
         runUntilStarted(cluster, stuck);
-        FakeWorker& stalled = workerOf(cluster, stuck);
+        FakeWorker& stalled = cluster.workerOf(stuck);
         stalled.speed = 0;
         cluster.run(Milliseconds(3'000));
         // By free capacity alone, placement would prefer the stalled worker to the idle one.
@@ -484,7 +471,7 @@
         cluster.run(Milliseconds(3'000));
         const JobId job = cluster.submit(2, "urgent", { makeStep(1, 8) });
         runUntilStarted(cluster, job);
-        CPPUNIT_ASSERT(&workerOf(cluster, job) == &cluster.worker(2));
+        CPPUNIT_ASSERT(&cluster.workerOf(job) == &cluster.worker(2));
     }
 
     // The platform requires guaranteed work to start within 2.7 s of its acceptance.
@@ -557,7 +544,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(30'000)) });
         runUntilStarted(cluster, job);
         cluster.run(Milliseconds(300));
-        FakeWorker& leaving = workerOf(cluster, job);
+        FakeWorker& leaving = cluster.workerOf(job);
         leaving.drain(oneMinute);
         cluster.run(Milliseconds(1'000));
         leaving.leave();
@@ -575,7 +562,7 @@
         cluster.run(Milliseconds(500));
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(4'000)) });
         runUntilStarted(cluster, job);
-        FakeWorker& worker = workerOf(cluster, job);
+        FakeWorker& worker = cluster.workerOf(job);
         worker.drain(oneMinute);
         cluster.run(Milliseconds(1'000));
         cluster.setEntryReadable(worker.record.lifetime.id, false);
@@ -590,7 +577,7 @@
         cluster.run(Milliseconds(500));
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(20'000)) });
         runUntilStarted(cluster, job);
-        const WorkerId worker = workerOf(cluster, job).record.lifetime.id;
+        const WorkerId worker = cluster.workerOf(job).record.lifetime.id;
         cluster.setEntryReadable(worker, false);
         cluster.run(Milliseconds(3'000));
         cluster.kill(*cluster.leader());
--- a/test/batch_drain_test.cpp
+++ b/test/batch_drain_test.cpp
@@ -1,6 +1,5 @@
 #include "support/batch_cluster.h"
 
-#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 #include <random>
@@ -45,25 +44,6 @@
             cluster.runUntil([&] { return cluster.startsOf(job) >= starts; }, Milliseconds(10'000)));
     }
 
-    static std::vector<std::size_t> workersOf(BatchCluster& cluster, const JobId& job)
-    {
-        std::vector<std::size_t> workers;
-        for (std::size_t i = 0; i < cluster.workerCount(); ++i) {
-            const auto& runs = cluster.worker(i).runs();
-            const auto isOfJob = [&job](const auto& entry) { return entry.first.job == job; };
-            if (std::any_of(runs.begin(), runs.end(), isOfJob))
-                workers.push_back(i);
-        }
-        return workers;
-    }
-
-    static std::size_t workerOf(BatchCluster& cluster, const JobId& job)
-    {
-        const std::vector<std::size_t> workers = workersOf(cluster, job);
-        CPPUNIT_ASSERT_MESSAGE("no worker runs the job", !workers.empty());
-        return workers.front();
-    }
-
     static void requireCompleted(BatchCluster& cluster, const JobId& job, const std::string& variant)
     {
         const bool isCompleted = cluster.runUntil(
@@ -100,7 +80,7 @@
     {
         runUntilStarts(cluster, job, 1);
         cluster.run(untilEnd - notice + Milliseconds(offsetMs));
-        cluster.drainAndLeave(workerOf(cluster, job), notice);
+        cluster.drainAndLeave(cluster.workersOf(job).front(), notice);
     }
 
 public:
@@ -123,7 +103,7 @@
             const JobId job = cluster.submit(1, "gang", { makeGang(2, 8, false, Milliseconds(3'000)) });
             runUntilStarts(cluster, job, 2);
             cluster.run(Milliseconds(3'000 + offset) - notice);
-            for (const std::size_t worker : workersOf(cluster, job))
+            for (const std::size_t worker : cluster.workersOf(job))
                 cluster.drainAndLeave(worker, notice);
             requireCompleted(cluster, job, fmt::format("offset {} ms", offset));
         }
@@ -136,7 +116,7 @@
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(5'000)) });
         runUntilStarts(cluster, job, 1);
         cluster.run(Milliseconds(3'800));
-        cluster.drainAndLeave(workerOf(cluster, job), notice);
+        cluster.drainAndLeave(cluster.workersOf(job).front(), notice);
         requireCompleted(cluster, job, "fits");
         CPPUNIT_ASSERT_EQUAL(1, cluster.startsOf(job));
     }
@@ -149,7 +129,7 @@
         runUntilStarts(cluster, job, 1);
         cluster.run(Milliseconds(3'000));
         const TimePoint drainedAt = cluster.now();
-        cluster.drainAndLeave(workerOf(cluster, job), Milliseconds(8'000));
+        cluster.drainAndLeave(cluster.workersOf(job).front(), Milliseconds(8'000));
         runUntilStarts(cluster, job, 2);
         CPPUNIT_ASSERT(cluster.now() < drainedAt + stopTimeout + Milliseconds(300));
         requireCompleted(cluster, job, "does not fit");
@@ -166,7 +146,7 @@
         runUntilStarts(cluster, job, 1);
         cluster.run(Milliseconds(3'000));
         const TimePoint drainedAt = cluster.now();
-        cluster.drainAndLeave(workerOf(cluster, job), Milliseconds(8'000));
+        cluster.drainAndLeave(cluster.workersOf(job).front(), Milliseconds(8'000));
         runUntilStarts(cluster, job, 2);
         CPPUNIT_ASSERT(cluster.now() >= drainedAt + Milliseconds(8'000) - stopTimeout - Milliseconds(300));
         CPPUNIT_ASSERT(cluster.now() < drainedAt + Milliseconds(8'000));
@@ -183,7 +163,7 @@
         runUntilStarts(cluster, job, 2);
         cluster.run(Milliseconds(2'000));
         const TimePoint drainedAt = cluster.now();
-        cluster.drainAndLeave(workerOf(cluster, job), Milliseconds(4'000));
+        cluster.drainAndLeave(cluster.workersOf(job).front(), Milliseconds(4'000));
         runUntilStarts(cluster, job, 4);
         CPPUNIT_ASSERT(cluster.now() < drainedAt + stopTimeout + Milliseconds(300));
         requireCompleted(cluster, job, "gang");
@@ -200,7 +180,7 @@
         runUntilStarts(cluster, job, 1);
         cluster.run(Milliseconds(1'000));
         const TimePoint drainedAt = cluster.now();
-        cluster.drainAndLeave(workerOf(cluster, job), notice);
+        cluster.drainAndLeave(cluster.workersOf(job).front(), notice);
         runUntilStarts(cluster, job, 2);
         CPPUNIT_ASSERT(cluster.now() < drainedAt + notice);
         CPPUNIT_ASSERT(cluster.violations().empty());
@@ -214,7 +194,7 @@
             const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(6'000)) });
             runUntilStarts(cluster, job, 1);
             cluster.run(Milliseconds(2'000 + offset));
-            cluster.drainAndLeave(workerOf(cluster, job), 2 * notice);
+            cluster.drainAndLeave(cluster.workersOf(job).front(), 2 * notice);
             cluster.run(Milliseconds(200));
             cluster.kill(*cluster.leader());
             requireCompleted(cluster, job, fmt::format("offset {} ms", offset));
--- a/test/batch_worker_lifetime_test.cpp
+++ b/test/batch_worker_lifetime_test.cpp
@@ -42,19 +42,6 @@
         }
     }
 
-    // Returns a worker that has a run of the job.
-    static FakeWorker& workerOf(BatchCluster& cluster, const JobId& job)
-    {
-        for (std::size_t i = 0; i < cluster.workerCount(); ++i) {
-            for (const auto& [task, run] : cluster.worker(i).runs()) {
-                if (task.job == job)
-                    return cluster.worker(i);
-            }
-        }
-        CPPUNIT_FAIL("no worker runs the job");
-        return cluster.worker(0);
-    }
-
     // Sends registry updates without any change for this long, as a follower does.
     static void followSilentRegistry(BatchCluster& cluster, Milliseconds duration)
     {
@@ -98,7 +85,7 @@
                 cluster.run(Milliseconds(400));
                 cluster.lateOrderShare = 0;
                 cluster.run(Milliseconds(700));
-                workerOf(cluster, job).restart();
+                cluster.workerOf(job).restart();
                 requireCompleted(cluster, job, fmt::format("refuses {}, seed {}", refuses, seed));
             }
         }
@@ -131,7 +118,7 @@
         cluster.run(Milliseconds(500));
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(8'000)) });
         cluster.run(Milliseconds(500));
-        FakeWorker& draining = workerOf(cluster, job);
+        FakeWorker& draining = cluster.workerOf(job);
         draining.drain(longDrain);
         cluster.run(Milliseconds(500));
         cluster.isRegistrySilent = true;
@@ -154,7 +141,7 @@
         cluster.run(Milliseconds(500));
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(8'000)) });
         cluster.run(Milliseconds(500));
-        FakeWorker& draining = workerOf(cluster, job);
+        FakeWorker& draining = cluster.workerOf(job);
         draining.drain(longDrain);
         cluster.run(Milliseconds(500));
         cluster.isRegistrySilent = true;
@@ -177,7 +164,7 @@
         cluster.run(Milliseconds(3'000));
         const JobId job = cluster.submit(1, "small", { makeStep(1, 1, Milliseconds(5'000)) });
         cluster.run(Milliseconds(500));
-        FakeWorker& draining = workerOf(cluster, job);
+        FakeWorker& draining = cluster.workerOf(job);
         draining.drain(longDrain);
         cluster.run(Milliseconds(500));
         cluster.isRegistrySilent = true;
@@ -203,7 +190,7 @@
                 cluster.run(Milliseconds(400));
                 cluster.lateOrderShare = 0;
                 cluster.run(Milliseconds(700));
-                FakeWorker& restarted = workerOf(cluster, job);
+                FakeWorker& restarted = cluster.workerOf(job);
                 restarted.leave();
                 cluster.run(Milliseconds(8'500));
                 restarted.restart();
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -62,6 +62,10 @@
     void addWorkers(int racks, int perRack);
     FakeWorker& worker(std::size_t index) { return *m_workers[index]; }
     std::size_t workerCount() const { return m_workers.size(); }
+    // Indexes of the workers that have a run of the job. Fails the test if there is none.
+    std::vector<std::size_t> workersOf(const JobId&) const;
+    // The first of them.
+    FakeWorker& workerOf(const JobId& job) { return worker(workersOf(job).front()); }
     // From now on, runs of a gang that asks for one rack but is spread over several, and runs away from their
     // data, take this many times as long.
     void slowDownFarRuns(double factor);
@@ -220,7 +224,6 @@
     // The store's own clock; its epoch differs from that of the daemons' clock.
     batch::StoreClock storeClock() const { return m_now.time_since_epoch().count() + 7'000'000; }
     bool canReachStore(std::size_t daemon) const;
-    FakeWorker* find(const batch::WorkerLifetime&);
     bool isFar(const batch::RunId&) const;
     FakeWorker* findAnyLifetime(const WorkerId&);
     void request(std::size_t daemon, batch::CallerAction, const std::string& queue, const JobId&,
--- a/test/support/batch_cluster_workers.cpp
+++ b/test/support/batch_cluster_workers.cpp
@@ -1,6 +1,8 @@
 #include "support/batch_cluster.h"
 #include "support/batch_cluster_parts.h"
 
+#include <algorithm>
+#include <cppunit/TestAssert.h>
 #include <fmt/format.h>
 #include <utility>
 
@@ -90,6 +92,20 @@
     return nullptr;
 }
 
+std::vector<std::size_t> BatchCluster::workersOf(const JobId& job) const
+{
+    const auto isOfJob = [&job](const auto& entry) { return entry.first.job == job; };
+    std::vector<std::size_t> workers;
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        const auto& runs = m_workers[i]->runs();
+        if (std::any_of(runs.begin(), runs.end(), isOfJob))
+            workers.push_back(i);
+    }
+    if (workers.empty())
+        CPPUNIT_FAIL(fmt::format("no worker runs job {}", job.value()));
+    return workers;
+}
+
 void BatchCluster::drainAndLeave(std::size_t index, Milliseconds remaining)
 {
     const WorkerId id = m_workers[index]->record.lifetime.id;
