--- a/test/support/batch_cluster.cpp
+++ b/test/support/batch_cluster.cpp
@@ -126,6 +126,15 @@
 
 void BatchCluster::restart(std::size_t daemon) { start(daemon); }
 
+void BatchCluster::restartAllDaemons()
+{
+    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon)
+        kill(daemon);
+    run(Milliseconds(300));
+    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon)
+        restart(daemon);
+}
+
 void BatchCluster::terminate(std::size_t daemon) { dispatch(daemon, ShutdownRequested {}); }
 
 std::optional<std::size_t> BatchCluster::leader() const
--- a/test/support/batch_cluster.h
+++ b/test/support/batch_cluster.h
@@ -107,6 +107,8 @@
 
     void kill(std::size_t daemon);
     void restart(std::size_t daemon);
+    // Kills all daemons at once, and restarts them 300 ms later.
+    void restartAllDaemons();
     void terminate(std::size_t daemon);
     bool isRunning(std::size_t daemon) const { return m_daemons[daemon].reducer != nullptr; }
     std::optional<std::size_t> leader() const;
