Move the kept worker answers and the load time-out out of the scheduler

KeptAnswers holds the answers that arrive while the leader may not act, and LoadTimeout the limit on loading and the claim delay that follows from expired limits. No change of behaviour.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -25,16 +25,6 @@
 // alone: an occurrence falls due, or a suspect worker is due for a trial.
 constexpr Milliseconds maxPlacementInterval { 250 };
 constexpr Milliseconds readRetryDelay { 100 };
-// A leader that does not finish loading within this time releases the lease: a daemon with too little network
-// bandwidth or CPU time would otherwise hold the lease without scheduling anything. Loading takes about 0.3 s
-// with 350 workers. In case all daemons are too slow, each doubles its time-out after it expires, up to the
-// maximum.
-constexpr Milliseconds initialLoadTimeout { 2'000 };
-constexpr Milliseconds maxLoadTimeout { 16'000 };
-// For each of its load time-outs, up to the maximum, a daemon waits this much longer before it claims a free
-// lease: longer than any claim delays differ, so that those that have failed less often get their turn.
-constexpr Milliseconds claimDelayPerLoadTimeout { 1'000 };
-constexpr int maxDelayedLoadTimeouts = 5;
 
 std::string namesOf(std::span<const WorkerLifetime> workers)
 {
@@ -57,14 +47,13 @@
     , m_longWaitLog(m_jobs, m_placement)
     , m_pipeline(lease)
     , m_cleanup(m_jobs)
-    , m_loadTimeout(initialLoadTimeout)
+    , m_keptAnswers(m_runs)
 {
 }
 
 bool Scheduler::mayClaim(TimePoint now) const
 {
-    const Milliseconds delay = claimDelayPerLoadTimeout * std::min(m_loadTimeouts, maxDelayedLoadTimeouts);
-    return !m_isSteppingDown && m_pipeline.mayClaim(now) && m_lease.isFree(now, delay);
+    return !m_isSteppingDown && m_pipeline.mayClaim(now) && m_lease.isFree(now, m_loadTimeout.claimDelay());
 }
 
 bool Scheduler::mayAct(TimePoint now) const
@@ -88,7 +77,7 @@
         step.emit(m_pipeline.release(step.now));
         return;
     }
-    if (m_phase == Phase::Loading && !m_pipeline.isBusy() && step.now >= m_claimedAt + m_loadTimeout) {
+    if (m_phase == Phase::Loading && !m_pipeline.isBusy() && m_loadTimeout.isOver(step.now)) {
         abandonLoading(step);
         return;
     }
@@ -107,17 +96,17 @@
 void Scheduler::abandonLoading(Step& step)
 {
     step.warn("leader.load_timeout",
-        { { "epoch", std::to_string(m_lease.epoch()) }, { "limit_ms", std::to_string(m_loadTimeout.count()) },
+        { { "epoch", std::to_string(m_lease.epoch()) },
+            { "limit_ms", std::to_string(m_loadTimeout.limit().count()) },
             { "has_jobs", m_hasJobs ? "yes" : "no" }, { "has_workers", m_hasWorkers ? "yes" : "no" },
             { "has_progress", m_loadedProgress ? "yes" : "no" } });
-    m_loadTimeout = std::min(m_loadTimeout * 2, maxLoadTimeout);
-    ++m_loadTimeouts;
+    m_loadTimeout.noteExpired();
     step.emit(m_pipeline.release(step.now));
 }
 
 void Scheduler::beginLoading(Step& step)
 {
-    m_claimedAt = step.now;
+    m_loadTimeout.begin(step.now);
     m_epoch = m_lease.epoch();
     step.record("leader.claimed", { { "epoch", std::to_string(m_epoch) } });
     m_phase = Phase::Loading;
@@ -212,8 +201,7 @@
     }
     m_loadedProgress.reset();
     m_phase = Phase::Leading;
-    m_loadTimeout = initialLoadTimeout;
-    m_loadTimeouts = 0;
+    m_loadTimeout.noteLoaded();
     m_speedsStoredAt = step.now;
     restoreSpeeds(step);
     m_isPlacementDue = true;
@@ -340,19 +328,7 @@
 {
     // Before loading has finished, answers can only be to orders of an earlier leadership.
     if (m_phase == Phase::Leading)
-        m_keptAnswers.push_back(std::move(answer));
-}
-
-void Scheduler::handleKeptAnswers(Step& step)
-{
-    for (const WorkerAnswer& answer : std::exchange(m_keptAnswers, {})) {
-        if (const auto* started = std::get_if<StartAnswered>(&answer))
-            m_runs.startAnswered(*started, step);
-        else if (const auto* stopped = std::get_if<StopAnswered>(&answer))
-            m_runs.stopAnswered(*stopped, step);
-        else if (const auto* held = std::get_if<HoldAnswered>(&answer))
-            m_runs.holdAnswered(*held, step);
-    }
+        m_keptAnswers.keep(std::move(answer));
 }
 
 void Scheduler::leaseRenewed(Step& step)
@@ -360,7 +336,7 @@
     finishLoading(step);
     if (!mayAct(step.now))
         return;
-    handleKeptAnswers(step);
+    m_keptAnswers.deliver(step);
     if (std::exchange(m_hasKeptCancelRequests, false))
         cancelRequestedJobs(step);
     m_runs.tick(step);
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -3,6 +3,8 @@
 #include "anvilmoor/batch/configuration.h"
 #include "anvilmoor/batch/event.h"
 #include "batch/jobs/job_book.h"
+#include "batch/leader/kept_answers.h"
+#include "batch/leader/load_timeout.h"
 #include "batch/leader/long_wait_log.h"
 #include "batch/leader/row_cleanup.h"
 #include "batch/leader/waiting_job_log.h"
@@ -16,7 +18,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace anvilmoor::batch {
@@ -60,7 +61,6 @@
 
 private:
     enum class Phase { Following, Loading, Leading };
-    using WorkerAnswer = std::variant<StartAnswered, StopAnswered, HoldAnswered>;
 
     struct Batch {
         std::uint64_t number = 0;
@@ -75,7 +75,6 @@
     void leadershipLost(Step&);
     // Keeps the answer until the leader may act again.
     void keep(WorkerAnswer);
-    void handleKeptAnswers(Step&);
     // Called after each applied commit, which renews the permission to act unless its answer took too long.
     void leaseRenewed(Step&);
     void requestProgress(Step&);
@@ -112,12 +111,8 @@
     Phase m_phase = Phase::Following;
     std::uint64_t m_epoch = 0; // of the latest leadership
     bool m_isSteppingDown = false;
-    TimePoint m_claimedAt {};
-    Milliseconds m_loadTimeout;
-    int m_loadTimeouts = 0; // since this daemon has loaded last
-    // Answers that arrived while the leader was not allowed to act, oldest first: at most one to each order
-    // that was in flight, because no more orders are sent.
-    std::vector<WorkerAnswer> m_keptAnswers;
+    LoadTimeout m_loadTimeout;
+    KeptAnswers m_keptAnswers;
     bool m_hasKeptCancelRequests = false;
     bool m_hasJobs = false;
     TimePoint m_jobsKnownAt {}; // the job rows are known up to this time
