Keep one piece for name checks, reading of job rows and the noise limit

The configuration decoder built the reader of a section in three places to check a name; two replies looked a job up and decoded it; both noise policies had the same limitDb(), which is now the default of NoisePolicy (tests still override it). No change of behaviour. configuration_*_test, job_scheduler_test, daemon_test, noise_test, reclaim_test, job_placement_test, naive_baselines_test and fault_matrix_test pass.

--- a/src/configuration/configuration_document.cpp
+++ b/src/configuration/configuration_document.cpp
@@ -40,12 +40,6 @@
         && name.front() != '-' && name.back() != '-';
 }
 
-void checkName(DocumentReader& reader, const std::string& name)
-{
-    if (!isValidName(name))
-        reader.addProblem(name, nameRule);
-}
-
 class DocumentDecoder {
 public:
     explicit DocumentDecoder(const Json& document)
@@ -74,6 +68,15 @@
     }
 
 private:
+    // Checks the name of an entry of a top-level table.
+    void checkName(const std::string& section, const std::string& name)
+    {
+        if (isValidName(name))
+            return;
+        DocumentReader reader(m_root.table(section), section, m_problems);
+        reader.addProblem(name, nameRule);
+    }
+
     void readDefaults()
     {
         DocumentReader worker(m_root.table("worker"), "worker", m_problems);
@@ -124,8 +127,7 @@
     AvailabilityZoneConfiguration readZone(const std::string& name, const Json& table)
     {
         DocumentReader reader(table, "zones." + name, m_problems);
-        DocumentReader parent(m_root.table("zones"), "zones", m_problems);
-        checkName(parent, name);
+        checkName("zones", name);
 
         AvailabilityZoneConfiguration zone;
         zone.id = AvailabilityZoneId(name);
@@ -193,8 +195,7 @@
     ServiceConfiguration readService(const std::string& name, const Json& table)
     {
         DocumentReader reader(table, "services." + name, m_problems);
-        DocumentReader parent(m_root.table("services"), "services", m_problems);
-        checkName(parent, name);
+        checkName("services", name);
 
         ServiceConfiguration service;
         service.id = ServiceId(name);
@@ -224,8 +225,7 @@
     ClientAccountConfiguration readAccount(const std::string& name, const Json& table)
     {
         DocumentReader reader(table, "accounts." + name, m_problems);
-        DocumentReader parent(m_root.table("accounts"), "accounts", m_problems);
-        checkName(parent, name);
+        checkName("accounts", name);
 
         constexpr double minShare = 0.001;
         ClientAccountConfiguration account;
--- a/src/jobs/job_requests.cpp
+++ b/src/jobs/job_requests.cpp
@@ -22,6 +22,13 @@
     return done ? done : findPresentRow(reply, jobRowKey(job));
 }
 
+// Returns nullopt if the job has no row, or one that cannot be read.
+std::optional<JobRecord> findJob(const TableReply& reply, const JobId& job)
+{
+    const TableRow* row = findJobRow(reply, job);
+    return row ? decodeJob(row->value) : std::nullopt;
+}
+
 } // namespace
 
 JobRequests::JobRequests(const DaemonSettings& settings, const JobAdmission& admission, JobStore& own,
@@ -354,8 +361,7 @@
             refuse(call, RefusalKind::Unavailable, "the table is unreachable; ask again", step);
         return;
     }
-    const TableRow* row = findJobRow(reply, call.job);
-    const std::optional<JobRecord> record = row ? decodeJob(row->value) : std::nullopt;
+    const std::optional<JobRecord> record = findJob(reply, call.job);
     if (!record) {
         refuseMissing(call, step);
         return;
@@ -387,8 +393,7 @@
         refuse(call, RefusalKind::Unavailable, "the table is unreachable; the job was not cancelled", step);
         return;
     }
-    const TableRow* row = findJobRow(reply, call.job);
-    std::optional<JobRecord> record = row ? decodeJob(row->value) : std::nullopt;
+    std::optional<JobRecord> record = findJob(reply, call.job);
     if (!record) {
         refuseMissing(call, step);
         return;
--- a/src/noise/counting_noise.cpp
+++ b/src/noise/counting_noise.cpp
@@ -34,11 +34,6 @@
         activeAccelerators(inventory) * powerOfDb(inventory.workers().front().noise.acceleratorDb));
 }
 
-double CountingNoise::limitDb(const RoomConfiguration& room, SecondOfWeek localTime) const
-{
-    return isLessonWithin(room, localTime, noiseLead) ? room.limitDb : 0;
-}
-
 bool CountingNoise::allowsStart(const ZoneInventory& inventory, const RoomConfiguration& room,
     std::span<const GangMember> members, SecondOfWeek localTime) const
 {
--- a/src/noise/counting_noise.h
+++ b/src/noise/counting_noise.h
@@ -13,7 +13,6 @@
     explicit CountingNoise(int cap);
 
     double estimateDb(const ZoneInventory&) const override;
-    double limitDb(const RoomConfiguration&, SecondOfWeek localTime) const override;
     bool allowsStart(const ZoneInventory&, const RoomConfiguration&, std::span<const GangMember>,
         SecondOfWeek localTime) const override;
     std::vector<NoiseAction> plan(
--- a/src/noise/noise_policy.h
+++ b/src/noise/noise_policy.h
@@ -30,7 +30,7 @@
     virtual double estimateDb(const ZoneInventory&) const = 0;
 
     // Limit in dB of a lesson that is in progress or begins within noiseLead; 0 if there is none.
-    virtual double limitDb(const RoomConfiguration&, SecondOfWeek localTime) const = 0;
+    virtual double limitDb(const RoomConfiguration&, SecondOfWeek localTime) const;
 
     // True if the limit permits these members to become active now.
     virtual bool allowsStart(const ZoneInventory&, const RoomConfiguration&, std::span<const GangMember>,
--- a/src/noise/sound_power_noise.cpp
+++ b/src/noise/sound_power_noise.cpp
@@ -167,11 +167,6 @@
     return dbOfPower(totalPower(inventory));
 }
 
-double SoundPowerNoise::limitDb(const RoomConfiguration& room, SecondOfWeek localTime) const
-{
-    return isLessonWithin(room, localTime, noiseLead) ? room.limitDb : 0;
-}
-
 bool SoundPowerNoise::allowsStart(const ZoneInventory& inventory, const RoomConfiguration& room,
     std::span<const GangMember> members, SecondOfWeek localTime) const
 {
--- a/src/noise/sound_power_noise.h
+++ b/src/noise/sound_power_noise.h
@@ -15,7 +15,6 @@
 class SoundPowerNoise : public NoisePolicy {
 public:
     double estimateDb(const ZoneInventory&) const override;
-    double limitDb(const RoomConfiguration&, SecondOfWeek localTime) const override;
     bool allowsStart(const ZoneInventory&, const RoomConfiguration&, std::span<const GangMember>,
         SecondOfWeek localTime) const override;
     std::vector<NoiseAction> plan(
