Name the scheduler's members after what they hold

Private names only; log fields are unchanged. batch_leader_permission, cluster, leader_lease, load_turns, withdrawn_job, kept_answers and load_timeout tests pass.

--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -24,7 +24,7 @@
 // Maximum time between two placement rounds. Placement may also become possible through the passage of time
 // alone: an occurrence falls due, or a suspect worker is due for a trial.
 constexpr Milliseconds maxPlacementInterval { 250 };
-constexpr Milliseconds readRetryDelay { 100 };
+constexpr Milliseconds progressReadRetryDelay { 100 };
 
 std::string namesOf(std::span<const WorkerLifetime> workers)
 {
@@ -81,7 +81,7 @@
         abandonLoading(step);
         return;
     }
-    if (m_phase == Phase::Loading && m_retryReadAt && step.now >= *m_retryReadAt)
+    if (m_phase == Phase::Loading && m_retryProgressReadAt && step.now >= *m_retryProgressReadAt)
         requestProgress(step);
     if (mayAct(step.now)) {
         m_runs.tick(step);
@@ -98,7 +98,7 @@
     step.warn("leader.load_timeout",
         { { "epoch", std::to_string(m_lease.epoch()) },
             { "limit_ms", std::to_string(m_loadTimeout.limit().count()) },
-            { "has_jobs", m_hasJobs ? "yes" : "no" }, { "has_workers", m_hasWorkers ? "yes" : "no" },
+            { "has_jobs", m_hasAllJobRows ? "yes" : "no" }, { "has_workers", m_hasAllWorkers ? "yes" : "no" },
             { "has_progress", m_loadedProgress ? "yes" : "no" } });
     m_loadTimeout.noteExpired();
     step.emit(m_pipeline.release(step.now));
@@ -134,10 +134,10 @@
 // Loading finishes without the speeds; they are applied when they arrive.
 void Scheduler::requestSpeeds(Step& step)
 {
-    m_speedRead = (m_speedRead + 1) | speedReadBit;
+    m_speedReadOperation = (m_speedReadOperation + 1) | speedReadBit;
     RowKey first = speedKey(0);
     first.key.clear();
-    step.emit(ReadRows { m_speedRead, std::move(first), {} });
+    step.emit(ReadRows { m_speedReadOperation, std::move(first), {} });
 }
 
 void Scheduler::restoreSpeeds(Step& step)
@@ -151,23 +151,23 @@
 
 void Scheduler::requestProgress(Step& step)
 {
-    m_retryReadAt.reset();
-    m_progressRead = (m_progressRead + 1) | progressReadBit;
-    step.emit(ReadRows { m_progressRead, progressKey(JobId()), {} });
+    m_retryProgressReadAt.reset();
+    m_progressReadOperation = (m_progressReadOperation + 1) | progressReadBit;
+    step.emit(ReadRows { m_progressReadOperation, progressKey(JobId()), {} });
 }
 
 void Scheduler::readAnswered(const ReadAnswered& answer, Step& step)
 {
-    if (m_phase != Phase::Following && answer.operation == m_speedRead) {
+    if (m_phase != Phase::Following && answer.operation == m_speedReadOperation) {
         m_loadedSpeeds = answer.reply.rows;
         if (m_phase == Phase::Leading)
             restoreSpeeds(step);
         return;
     }
-    if (m_phase != Phase::Loading || answer.operation != m_progressRead)
+    if (m_phase != Phase::Loading || answer.operation != m_progressReadOperation)
         return;
     if (!answer.reply.isOk) {
-        m_retryReadAt = step.now + readRetryDelay;
+        m_retryProgressReadAt = step.now + progressReadRetryDelay;
         return;
     }
     m_loadedProgress = answer.reply.rows;
@@ -176,7 +176,7 @@
 
 void Scheduler::finishLoading(Step& step)
 {
-    if (m_phase != Phase::Loading || !m_hasJobs || !m_hasWorkers || !m_loadedProgress)
+    if (m_phase != Phase::Loading || !m_hasAllJobRows || !m_hasAllWorkers || !m_loadedProgress)
         return;
     // Adopted runs may have to be stopped at once.
     if (!m_lease.mayAct(step.now) || m_pipeline.isReleasing())
@@ -228,17 +228,17 @@
     m_placement.clear();
     m_waitingJobLog.clear();
     m_longWaitLog.clear();
-    m_batch.reset();
+    m_batchInFlight.reset();
     m_isProbeDue = false;
-    m_areSpeedsStored = true;
+    m_shouldStoreSpeeds = true;
     m_cleanup.clear();
     m_keptAnswers.clear();
     m_hasKeptCancelRequests = false;
-    m_hasJobs = false;
-    m_hasWorkers = false;
+    m_hasAllJobRows = false;
+    m_hasAllWorkers = false;
     m_loadedProgress.reset();
     m_loadedSpeeds.clear();
-    m_retryReadAt.reset();
+    m_retryProgressReadAt.reset();
     step.emit(FollowLeaderTables { false });
 }
 
@@ -248,7 +248,7 @@
         return;
     for (const Row& row : update.rows)
         applyJobRow(row, step);
-    m_hasJobs = m_hasJobs || update.isComplete;
+    m_hasAllJobRows = m_hasAllJobRows || update.isComplete;
     m_jobsKnownAt = update.knownAt;
     m_isPlacementDue = true;
     finishLoading(step);
@@ -296,7 +296,7 @@
     if (m_phase == Phase::Following)
         return;
     m_runs.workersUpdated(update, step);
-    m_hasWorkers = m_hasWorkers || update.isComplete;
+    m_hasAllWorkers = m_hasAllWorkers || update.isComplete;
     finishLoading(step);
 }
 
@@ -305,7 +305,7 @@
     if (mayAct(step.now))
         m_runs.startAnswered(answer, step);
     else
-        keep(answer);
+        keepAnswer(answer);
 }
 
 void Scheduler::stopAnswered(const StopAnswered& answer, Step& step)
@@ -313,7 +313,7 @@
     if (mayAct(step.now))
         m_runs.stopAnswered(answer, step);
     else
-        keep(answer);
+        keepAnswer(answer);
 }
 
 void Scheduler::holdAnswered(const HoldAnswered& answer, Step& step)
@@ -321,10 +321,10 @@
     if (mayAct(step.now))
         m_runs.holdAnswered(answer, step);
     else
-        keep(answer);
+        keepAnswer(answer);
 }
 
-void Scheduler::keep(WorkerAnswer answer)
+void Scheduler::keepAnswer(WorkerAnswer answer)
 {
     // Before loading has finished, answers can only be to orders of an earlier leadership.
     if (m_phase == Phase::Leading)
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -74,7 +74,7 @@
     void abandonLoading(Step&);
     void leadershipLost(Step&);
     // Keeps the answer until the leader may act again.
-    void keep(WorkerAnswer);
+    void keepAnswer(WorkerAnswer);
     // Called after each applied commit, which renews the permission to act unless its answer took too long.
     void leaseRenewed(Step&);
     void requestProgress(Step&);
@@ -114,13 +114,13 @@
     LoadTimeout m_loadTimeout;
     KeptAnswers m_keptAnswers;
     bool m_hasKeptCancelRequests = false;
-    bool m_hasJobs = false;
+    bool m_hasAllJobRows = false;
     TimePoint m_jobsKnownAt {}; // the job rows are known up to this time
-    bool m_hasWorkers = false;
+    bool m_hasAllWorkers = false;
     std::optional<std::vector<Row>> m_loadedProgress;
-    OperationId m_progressRead = 0;
-    std::optional<TimePoint> m_retryReadAt;
-    OperationId m_speedRead = 0;
+    OperationId m_progressReadOperation = 0;
+    std::optional<TimePoint> m_retryProgressReadAt;
+    OperationId m_speedReadOperation = 0;
     std::vector<Row> m_loadedSpeeds; // applied to the workers once loading is finished
     std::size_t m_nextSpeedRow = 0;
     TimePoint m_speedsStoredAt {};
@@ -128,12 +128,12 @@
     TimePoint m_placedAt {};
     bool m_isTurnRequested = false;
     Milliseconds m_placementInterval { 0 }; // between the starts of two placement turns
-    std::optional<Batch> m_batch; // changes in the commit that is in flight
+    std::optional<Batch> m_batchInFlight;
     std::uint64_t m_lastBatch = 0;
     // The next commit stores the lease row only. It shows whether the store rejects all commits or only those
     // with certain rows.
     bool m_isProbeDue = false;
-    bool m_areSpeedsStored = true; // until the store rejects a commit
+    bool m_shouldStoreSpeeds = true; // until the store rejects a commit
 };
 
 } // namespace anvilmoor::batch
--- a/src/batch/leader/scheduler_commits.cpp
+++ b/src/batch/leader/scheduler_commits.cpp
@@ -46,7 +46,7 @@
     addSpeedRow(commit, step.now);
     // noteStored() does not use the written rows, so they are not kept until the answer.
     batch.changes.writes.clear();
-    m_batch = std::move(batch);
+    m_batchInFlight = std::move(batch);
     if (m_phase == Phase::Leading) {
         const std::size_t maxBytes = std::min(maxBytesOfSilentWorkers, m_changeLimits.rowBytes / 4);
         m_lease.setSilentWorkers(m_runs.silentWorkersOfNextCommit(maxBytes, step.now));
@@ -71,7 +71,7 @@
 void Scheduler::addSpeedRow(CommitBatch& commit, TimePoint now)
 {
     const bool isDue = now >= m_speedsStoredAt + speedStoreInterval;
-    if (m_phase != Phase::Leading || !isDue || !m_areSpeedsStored)
+    if (m_phase != Phase::Leading || !isDue || !m_shouldStoreSpeeds)
         return;
     m_speedsStoredAt = now;
     m_nextSpeedRow = (m_nextSpeedRow + 1) % speedRowCount(m_workers);
@@ -108,10 +108,10 @@
 
 void Scheduler::batchApplied(Step& step)
 {
-    if (!m_batch)
+    if (!m_batchInFlight)
         return;
-    const Batch batch = std::move(*m_batch);
-    m_batch.reset();
+    const Batch batch = std::move(*m_batchInFlight);
+    m_batchInFlight.reset();
     if (std::exchange(m_isProbeDue, false)) {
         if (const auto job = m_jobs.shrinkRejected())
             step.warn("job.row_rejected", { { "job", job->value() } });
@@ -124,12 +124,12 @@
 
 void Scheduler::batchRejected(Step& step)
 {
-    if (!m_batch)
+    if (!m_batchInFlight)
         return;
-    const Batch batch = std::move(*m_batch);
-    m_batch.reset();
+    const Batch batch = std::move(*m_batchInFlight);
+    m_batchInFlight.reset();
     m_isProbeDue = true;
-    m_areSpeedsStored = false;
+    m_shouldStoreSpeeds = false;
     m_jobs.noteRejected(batch.changes);
     step.warn("store.batch_rejected",
         { { "jobs", std::to_string(batch.changes.jobs.size()) },
