Stop fewer runs that would have ended, and read the ends of draining workers sooner

A run may become slower than its mean rate by a twentieth, not by a seventh, before it is taken to end too late; it is judged again each 120 ms. The 300 ms for reading an end go back to 200: while earlier ends of a draining worker are being stored, it is asked each 50 ms instead, which is what the longer time was for.

--- a/src/batch/workers/drain_policy.cpp
+++ b/src/batch/workers/drain_policy.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// Until the end of a run is read and stored, or an order to stop it has arrived. While earlier ends are being
-// stored, a worker is only asked each 200 ms.
-constexpr Milliseconds endReportTime { 300 };
+// Until the end of a run is read and stored, or an order to stop it has arrived.
+constexpr Milliseconds endReportTime { 200 };
 // A run that is spared at the last stop is judged again this often, as it may become slower.
 constexpr Milliseconds recheckInterval { 120 };
 
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -22,6 +22,8 @@
 // Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
 // would answer at once with the same ends.
 constexpr Milliseconds storeWait { 200 };
+// The same for a draining worker, whose next ends have to be read before it leaves.
+constexpr Milliseconds drainingStoreWait { 50 };
 constexpr Milliseconds holdRetryDelay { 100 };
 // After this many consecutive unanswered hold requests, the worker's lease is not extended: the worker may
 // be gone.
@@ -47,8 +49,9 @@
     const bool isNeeded = worker.isListed || !worker.runs.empty();
     if (worker.isHoldInFlight || !isNeeded)
         return TimePoint::max();
+    const Milliseconds pause = worker.record.isDraining ? drainingStoreWait : storeWait;
     if (worker.processedEnd > worker.storedEnd)
-        return std::max(worker.nextHoldAt, worker.holdSentAt + storeWait);
+        return std::max(worker.nextHoldAt, worker.holdSentAt + pause);
     return isIdle(worker) ? std::max(worker.nextHoldAt, worker.holdSentAt + idleHoldInterval)
                           : worker.nextHoldAt;
 }
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -20,8 +20,9 @@
 // A run lags below this fraction of its highest rate. Workers differ in speed by less than a factor of two,
 // and the rate of a single task varies by less than that over time.
 constexpr double laggingShare = 0.35;
-// Allowance for changes of a run's rate, as a share of its mean rate so far.
-constexpr double rateAllowance = 0.15;
+// By how much the rest of a run may be faster or slower than its mean rate so far.
+constexpr double fasterRate = 1.15;
+constexpr double slowerRate = 0.95;
 
 } // namespace
 
@@ -115,8 +116,8 @@
         const auto fromLastReading = static_cast<std::int64_t>(std::max(percentLeft, 0.0) / percentPerMs);
         return Milliseconds(std::max<std::int64_t>(m_last.at + fromLastReading - now, 0));
     };
-    const double highestRate = (advance + 1) / elapsed * (1 + rateAllowance);
-    const double lowestRate = (advance - 1) / elapsed * (1 - rateAllowance);
+    const double highestRate = (advance + 1) / elapsed * fasterRate;
+    const double lowestRate = (advance - 1) / elapsed * slowerRate;
     return TimeToEnd {
         .shortest = untilEnd(99 - m_last.percent, highestRate),
         .longest = untilEnd(100 - m_last.percent, lowestRate),
