--- a/test/support/batch_cluster_workers.cpp
+++ b/test/support/batch_cluster_workers.cpp
@@ -12,6 +12,12 @@
 
 using namespace batch;
 
+namespace {
+
+constexpr Milliseconds announcementRetryInterval { 50 };
+
+} // namespace
+
 void BatchCluster::addWorkers(int racks, int perRack)
 {
     for (int rack = 0; rack < racks; ++rack) {
@@ -108,14 +114,23 @@
 
 void BatchCluster::drainAndLeave(std::size_t index, Milliseconds remaining)
 {
+    // The time that is announced begins when the store has accepted the announcement.
+    if (isStoreDown) {
+        at(m_now + announcementRetryInterval, [this, index, remaining] { drainAndLeave(index, remaining); });
+        return;
+    }
     const WorkerId id = m_workers[index]->record.lifetime.id;
     m_workers[index]->drain(remaining);
+    if (!m_registry.empty())
+        m_registry[index] = { m_workers[index]->record, ++m_registryVersion, m_now };
     m_leaving.insert(id);
     at(m_now + remaining, [this, index, id] {
         for (const auto& [task, run] : m_workers[index]->runs())
             addViolation(nameOf(run.id) + " is cut off as its worker leaves at the announced time");
         m_workers[index]->leave();
         unlist(id);
+        if (!m_registry.empty())
+            removeWorker(index);
     });
 }
 
