--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -22,7 +22,7 @@
 constexpr double laggingShare = 0.35;
 // By how much the rest of a run may be faster or slower than its mean rate so far.
 constexpr double fasterRate = 1.15;
-constexpr double slowerRate = 0.95;
+constexpr double slowerRate = 0.85;
 
 } // namespace
 
