Log late answers of draining workers, and when runs were stopped

The log could not tell an end that was not read because an answer was late from one of a run that was spared and became slower.

worker.slow_answer: an answer of a draining worker that is 60 ms or more late, or missing; only while it has runs, so at most one line for each order to a worker in its last seconds. run.ended says when the run was stopped and when the worker confirmed the stop. No decision changes.

--- a/src/batch/workers/run_drains.cpp
+++ b/src/batch/workers/run_drains.cpp
@@ -3,12 +3,20 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // Ends the runs of draining workers while these can still report how the runs ended.
 
 namespace anvilmoor::batch {
 
+namespace {
+
+// Longer than the round trip to a worker in another availability zone.
+constexpr Milliseconds slowAnswerTime { 60 };
+
+} // namespace
+
 // A gang ends with its slowest member. Empty if unknown.
 std::optional<TimeToEnd> RunSupervisor::timeToEnd(const Worker& worker, const LiveRun& run, TimePoint now)
 {
@@ -69,6 +77,23 @@
     }
 }
 
+// Answers of a worker that is about to leave are the last chance to read how its runs have ended.
+void RunSupervisor::recordSlowAnswer(
+    const Worker& worker, std::string_view order, TimePoint expectedAt, OrderOutcome outcome, Step& step)
+{
+    const Milliseconds late = step.now - expectedAt;
+    const auto leavesAt = earliestDeparture(worker, step.now);
+    if (!leavesAt || worker.runs.empty() || late < slowAnswerTime)
+        return;
+    step.warn("worker.slow_answer",
+        { { "worker", worker.record.lifetime.id.value() }, { "order", std::string(order) },
+            { "late_ms", std::to_string(late.count()) },
+            { "has_answer",
+                outcome == OrderOutcome::Unknown || outcome == OrderOutcome::NotSent ? "no" : "yes" },
+            { "runs", std::to_string(worker.runs.size()) },
+            { "remaining_ms", std::to_string((*leavesAt - step.now).count()) } });
+}
+
 void RunSupervisor::recordDrain(const Worker& worker, Step& step)
 {
     step.record("worker.draining",
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -95,6 +95,7 @@
     }
     worker.isHoldInFlight = true;
     worker.holdSentAt = step.now;
+    worker.holdWait = look.wait;
     worker.holdAcknowledges = look.acknowledgedEnd;
     step.emit(std::move(look));
 }
@@ -105,6 +106,7 @@
     if (!worker)
         return;
     worker->isHoldInFlight = false;
+    recordSlowAnswer(*worker, "hold", worker->holdSentAt + worker->holdWait, answer.outcome, step);
     const bool isOther = answer.outcome == OrderOutcome::OtherLifetime
         || (answer.outcome == OrderOutcome::Accepted && answer.status.startedAtMs
             && answer.status.startedAtMs != answer.worker.startedAtMs);
--- a/src/batch/workers/run_lifetimes.cpp
+++ b/src/batch/workers/run_lifetimes.cpp
@@ -97,6 +97,7 @@
         m_workers.detach(worker, run.id.task);
         run.phase = RunPhase::Stopping;
         run.acceptedAt.reset();
+        run.stopOrderedAt.reset();
         run.stopAcceptedAt.reset();
         sendStop(next, m_workers.attach(next, std::move(run)), step);
     }
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -51,6 +51,7 @@
 {
     run.isOrderInFlight = true;
     run.orderedAt = step.now;
+    run.stopOrderedAt = run.stopOrderedAt.value_or(step.now);
     step.emit(StopRun { worker.record.lifetime, worker.record.address, run.id, tokenOf(worker) });
 }
 
@@ -197,6 +198,7 @@
     LiveRun* run = worker ? takeAnswer(*worker, answer.run, answer.clock, step.now) : nullptr;
     if (!run)
         return;
+    recordSlowAnswer(*worker, "stop", run->orderedAt, answer.outcome, step);
     if (answer.outcome == OrderOutcome::OtherLifetime)
         endLifetime(*worker, "another lifetime answered a stop order", 0, step);
     else if (answer.outcome == OrderOutcome::Accepted && !run->stopAcceptedAt)
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -52,6 +52,25 @@
     return "unknown";
 }
 
+// Empty if it has not happened.
+std::string msAgo(const std::optional<TimePoint>& time, TimePoint now)
+{
+    return time ? std::to_string((now - *time).count()) : std::string();
+}
+
+// `live`: null if the run was not expected on this worker.
+void recordRunEnd(const Worker& worker, const EndedRun& ended, const LiveRun* live, Step& step)
+{
+    const RunId& run = ended.run;
+    step.record("run.ended",
+        { { "job", run.task.job.value() }, { "step", std::to_string(run.task.step) },
+            { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
+            { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(ended.end)) },
+            { "last_percent", std::to_string(live ? live->progress.lastPercent() : 0) },
+            { "stop_sent_ms_ago", live ? msAgo(live->stopOrderedAt, step.now) : std::string() },
+            { "stop_confirmed_ms_ago", live ? msAgo(live->stopAcceptedAt, step.now) : std::string() } });
+}
+
 RunProgress progressOf(const JobProgress& job, int step)
 {
     const StepSpecification& specification = job.specificationOf(step);
@@ -344,7 +363,7 @@
         if (findRun(worker, ended.run))
             finish(worker, ended.run, ended.end, ended.checkpoint, step);
         else
-            applyEnd(worker, ended, 0, step);
+            applyEnd(worker, ended, nullptr, step);
         const JobBook::Entry* entry = m_jobs.find(ended.run.task.job);
         worker.pendingEnds.push_back({ ended.sequence, ended.run.task.job, entry ? entry->change : 0 });
         m_workersWithPendingEnds.insert(worker.record.lifetime);
@@ -387,18 +406,17 @@
 void RunSupervisor::finish(
     Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint, Step& step)
 {
-    const LiveRun* live = findRun(worker, run);
-    const bool wasTrial = live && live->isTrial;
-    const int lastPercent = live ? live->progress.lastPercent() : 0;
+    const LiveRun* found = findRun(worker, run);
+    const auto live = found ? std::optional(*found) : std::nullopt;
     m_workers.detach(worker, run.task);
     markDue(worker);
-    if (wasTrial || worker.runs.empty())
+    if ((live && live->isTrial) || worker.runs.empty())
         worker.health.trialAborted();
     m_hasCapacityChanged = true;
-    applyEnd(worker, { 0, run, end, checkpoint }, lastPercent, step);
+    applyEnd(worker, { 0, run, end, checkpoint }, live ? &*live : nullptr, step);
 }
 
-void RunSupervisor::applyEnd(const Worker& worker, const EndedRun& ended, int lastPercent, Step& step)
+void RunSupervisor::applyEnd(const Worker& worker, const EndedRun& ended, const LiveRun* live, Step& step)
 {
     const RunId& run = ended.run;
     JobBook::Entry* entry = m_jobs.find(run.task.job);
@@ -412,11 +430,7 @@
     if (ended.end == RunEnd::Failed)
         entry->failedOn.insert(worker.record.lifetime);
     if (ended.end != RunEnd::Done)
-        step.record("run.ended",
-            { { "job", run.task.job.value() }, { "step", std::to_string(run.task.step) },
-                { "task", std::to_string(run.task.index) }, { "run", std::to_string(run.run) },
-                { "worker", worker.record.lifetime.id.value() }, { "end", std::string(nameOf(ended.end)) },
-                { "last_percent", std::to_string(lastPercent) } });
+        recordRunEnd(worker, ended, live, step);
     if (consequence.newState)
         recordJobEnd(*entry, *consequence.newState, step);
     stopAll(consequence.toStop, step);
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -86,6 +86,9 @@
     std::vector<RunId> runsToStopForDrain(const Worker&, TimePoint leavesAt, TimePoint now);
     std::optional<TimeToEnd> timeToEnd(const Worker&, const LiveRun&, TimePoint now);
     static void recordDrain(const Worker&, Step&);
+    // `expectedAt`: when the answer would have arrived without any delay.
+    static void recordSlowAnswer(
+        const Worker&, std::string_view order, TimePoint expectedAt, OrderOutcome, Step&);
     void sendStart(Worker&, LiveRun&, Step&);
     void sendStop(Worker&, LiveRun&, Step&);
     void abandonStart(Worker&, LiveRun&, Step&);
@@ -116,8 +119,8 @@
     void forgetEntryChanges();
     // Ends the run in the pool and in its job, and stops the runs that have become useless.
     void finish(Worker&, const RunId&, RunEnd, const std::string& checkpoint, Step&);
-    // `lastPercent`: completed share of the run's work when it was last reported; 0 if unknown.
-    void applyEnd(const Worker&, const EndedRun&, int lastPercent, Step&);
+    // `live`: what was known of the run; null if it was not expected on this worker.
+    void applyEnd(const Worker&, const EndedRun&, const LiveRun* live, Step&);
     // Called when this lifetime of the worker has answered first, so that the runs of all others have ended.
     void endOtherLifetimes(const WorkerLifetime&, Step&);
     // Called when the worker has restarted or left. `nextStartedAtMs`: start of the lifetime that answered
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -35,6 +35,7 @@
     bool mayStartLate = false; // a start order was not answered, so the worker may still carry it out
     bool wasListed = false; // this lifetime of the worker has listed it as active
     std::optional<TimePoint> acceptedAt; // when the worker confirmed the start
+    std::optional<TimePoint> stopOrderedAt; // when the first stop order was sent
     std::optional<TimePoint> stopAcceptedAt; // when the worker confirmed the stop order
     RunProgress progress;
     bool hasMeasuredSpeed = false;
@@ -67,6 +68,7 @@
     std::uint64_t acknowledgedEnd = 0;
     bool isHoldInFlight = false;
     TimePoint holdSentAt {};
+    Milliseconds holdWait { 0 }; // the worker may wait this long before it answers
     std::uint64_t holdAcknowledges = 0;
     TimePoint nextHoldAt {};
     TimePoint dueAt = TimePoint::max(); // see WorkerDueQueue
