Ask a draining worker again beside an overdue request, and repeat its stop orders soon

Change: if a draining worker with runs is 60 ms late with an answer, it is asked again on another connection; up to three requests are open. Answers carry the number of their request, so that an outrun one adds ends, but says nothing about what is active. A stop order to a draining worker is sent once more after 60 ms. Nothing changes for others.

New cases of batch_worker_hold_test. Tests that answer hold requests by hand repeat the number of the request; their assertions are unchanged.

--- a/bench/batch_control_benchmark.cpp
+++ b/bench/batch_control_benchmark.cpp
@@ -63,7 +63,8 @@
             OrderOutcome::Accepted, { 1'000, worker.record.lifetime.startedAtMs } };
         for (const auto& [task, run] : worker.runs)
             answer.status.active.push_back({ run.id, {}, 50 });
-        worker.isHoldInFlight = true;
+        answer.number = ++worker.lastHold;
+        worker.openHolds.push_back({ .number = answer.number });
         perform([&](Step& step) { m_runs.holdAnswered(answer, step); });
     }
 
--- a/include/anvilmoor/batch/effect.h
+++ b/include/anvilmoor/batch/effect.h
@@ -42,6 +42,7 @@
     std::uint64_t acknowledgedEnd = 0; // the worker may discard ended runs up to this sequence number
     std::optional<WorkerClock> leaseUntil;
     Milliseconds wait { 0 }; // long poll: the worker waits this long for a run to end
+    std::uint64_t number = 0; // of this request to the worker, repeated in the answer
 };
 
 struct Commit {
--- a/include/anvilmoor/batch/event.h
+++ b/include/anvilmoor/batch/event.h
@@ -114,6 +114,7 @@
     std::uint64_t token = 0; // fencing token of the order
     OrderOutcome outcome = OrderOutcome::Unknown;
     WorkerStatus status; // valid only if the order was accepted
+    std::uint64_t number = 0; // of the request
 };
 
 using EventPayload
--- a/src/batch/daemon/order_gate.cpp
+++ b/src/batch/daemon/order_gate.cpp
@@ -51,9 +51,9 @@
         m_workers.hold(order, std::move(callback));
         return;
     }
-    m_loop.post([answer = HoldAnswered { order.worker, order.token }, callback = std::move(callback)] {
-        callback(answer);
-    });
+    m_loop.post(
+        [answer = HoldAnswered { .worker = order.worker, .token = order.token, .number = order.number },
+            callback = std::move(callback)] { callback(answer); });
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -1,6 +1,7 @@
 #include "batch/workers/run_supervisor.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 
 // Sends hold requests, which read the state of a worker and renew its lease, and handles the answers.
@@ -29,6 +30,10 @@
 // be gone.
 constexpr int unansweredUntilLost = 3;
 constexpr Milliseconds lostHoldInterval { 400 };
+// A draining worker whose answer is this late is asked again beside the open request, as it may leave before
+// a lost packet is sent again.
+constexpr Milliseconds overdueTime { 60 };
+constexpr std::size_t maxOpenHolds = 3;
 // A worker without runs is asked for its clock at this interval: the estimate may lag by 4% of the time since
 // the last answer, and the lease of the next run is that much shorter.
 constexpr Milliseconds idleHoldInterval { 30'000 };
@@ -41,14 +46,38 @@
     return worker.runs.empty() && worker.isConfirmed && !worker.unansweredHolds && !hasUnacknowledgedEnds;
 }
 
+// Empty if the request is not known.
+std::optional<OpenHold> takeOpenHold(Worker& worker, std::uint64_t number)
+{
+    const auto found = std::find_if(worker.openHolds.begin(), worker.openHolds.end(),
+        [number](const OpenHold& open) { return open.number == number; });
+    if (found == worker.openHolds.end())
+        return std::nullopt;
+    const OpenHold open = *found;
+    worker.openHolds.erase(found);
+    return open;
+}
+
+// When another request may be sent beside the open ones.
+TimePoint nextHoldBesideOpenOnesAt(const Worker& worker)
+{
+    const bool mayLeave = worker.record.isDraining && worker.isConfirmed && !worker.runs.empty();
+    const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
+    if (!mayLeave || isLost || worker.openHolds.size() >= maxOpenHolds)
+        return TimePoint::max();
+    return worker.openHolds.back().sentAt + worker.openHolds.back().wait + overdueTime;
+}
+
 } // namespace
 
 // The condition of hold() under which it sends a request.
 TimePoint RunSupervisor::nextHoldAt(const Worker& worker)
 {
     const bool isNeeded = worker.isListed || !worker.runs.empty();
-    if (worker.isHoldInFlight || !isNeeded)
+    if (!isNeeded)
         return TimePoint::max();
+    if (!worker.openHolds.empty())
+        return nextHoldBesideOpenOnesAt(worker);
     const Milliseconds pause = worker.record.isDraining ? drainingStoreWait : storeWait;
     if (worker.processedEnd > worker.storedEnd)
         return std::max(worker.nextHoldAt, worker.holdSentAt + pause);
@@ -84,29 +113,28 @@
     const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
     // The next lifetime of the worker numbers its ends anew and would forget ends that were never read. Only
     // ends that the worker has just reported are acknowledged, because it was then still the same lifetime.
-    const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds;
+    const bool mayAcknowledge = hasUnacknowledgedEnds && !worker.unansweredHolds && worker.openHolds.empty();
     HoldWorker look { worker.record.lifetime, worker.record.address, tokenOf(worker),
         mayAcknowledge ? worker.storedEnd : 0 };
+    look.number = ++worker.lastHold;
     if (!worker.runs.empty() && worker.isConfirmed && !isLost) {
         const Milliseconds lease = leaseFor(worker);
         look.leaseUntil = worker.clock.at(step.now) + lease.count();
         extendLease(worker, lease, step.now);
         look.wait = holdWaitOf(worker, step.now);
     }
-    worker.isHoldInFlight = true;
+    worker.openHolds.push_back({ look.number, step.now, look.wait, look.acknowledgedEnd });
     worker.holdSentAt = step.now;
-    worker.holdWait = look.wait;
-    worker.holdAcknowledges = look.acknowledgedEnd;
     step.emit(std::move(look));
 }
 
 void RunSupervisor::holdAnswered(const HoldAnswered& answer, Step& step)
 {
     Worker* worker = addressee(answer.worker, answer.token);
-    if (!worker)
+    const auto open = worker ? takeOpenHold(*worker, answer.number) : std::nullopt;
+    if (!open)
         return;
-    worker->isHoldInFlight = false;
-    recordSlowAnswer(*worker, "hold", worker->holdSentAt + worker->holdWait, answer.outcome, step);
+    recordSlowAnswer(*worker, "hold", open->sentAt + open->wait, answer.outcome, step);
     const bool isOther = answer.outcome == OrderOutcome::OtherLifetime
         || (answer.outcome == OrderOutcome::Accepted && answer.status.startedAtMs
             && answer.status.startedAtMs != answer.worker.startedAtMs);
@@ -114,20 +142,23 @@
         endLifetime(*worker, "another lifetime answered a hold request", answer.status.startedAtMs, step);
         return;
     }
+    const bool isOutrun = open->number < worker->lastAnsweredHold;
     if (answer.outcome != OrderOutcome::Accepted) {
-        ++worker->unansweredHolds;
-        const bool isLost = worker->unansweredHolds >= unansweredUntilLost;
-        worker->nextHoldAt = step.now + (isLost ? lostHoldInterval : holdRetryDelay);
-        if (worker->unansweredHolds == unansweredUntilLost)
-            step.warn("worker.silent",
-                { { "worker", answer.worker.id.value() }, { "runs", std::to_string(worker->runs.size()) } });
+        if (!isOutrun)
+            holdUnanswered(*worker, step);
         return;
     }
     if (worker->unansweredHolds >= unansweredUntilLost)
         step.record("worker.answers", { { "worker", answer.worker.id.value() } });
     worker->unansweredHolds = 0;
     worker->nextHoldAt = step.now;
-    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->holdAcknowledges);
+    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, open->acknowledgedEnd);
+    // A later answer has told what is active since.
+    if (isOutrun) {
+        processEnds(*worker, answer.status.ended, step);
+        return;
+    }
+    worker->lastAnsweredHold = open->number;
     if (!worker->isConfirmed) {
         m_hasCapacityChanged = true;
         endOtherLifetimes(answer.worker, step);
@@ -140,7 +171,18 @@
     worker->clock.note(answer.status.clock, step.now);
     processEnds(*worker, answer.status.ended, step);
     processActive(*worker, answer.status, step);
-    findVanished(*worker, answer.status, step);
+    findVanished(*worker, answer.status, open->sentAt, step);
+}
+
+void RunSupervisor::holdUnanswered(Worker& worker, Step& step)
+{
+    ++worker.unansweredHolds;
+    const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
+    worker.nextHoldAt = step.now + (isLost ? lostHoldInterval : holdRetryDelay);
+    if (worker.unansweredHolds == unansweredUntilLost)
+        step.warn("worker.silent",
+            { { "worker", worker.record.lifetime.id.value() },
+                { "runs", std::to_string(worker.runs.size()) } });
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/run_lifetimes.cpp
+++ b/src/batch/workers/run_lifetimes.cpp
@@ -44,7 +44,7 @@
             { "stopping", std::to_string(phases[RunPhase::Stopping]) },
             { "may_start_late", std::to_string(mayStartLate) },
             { "furthest_percent", std::to_string(furthestPercent) },
-            { "is_hold_open", worker.isHoldInFlight ? "yes" : "no" },
+            { "is_hold_open", worker.openHolds.empty() ? "no" : "yes" },
             { "hold_sent_ms_ago", std::to_string((step.now - worker.holdSentAt).count()) },
             { "unanswered_holds", std::to_string(worker.unansweredHolds) },
             { "ends_read", std::to_string(worker.processedEnd) },
@@ -127,7 +127,7 @@
 {
     const Worker* worker = m_workers.find(lifetime);
     // An answer that is still due would be taken for one to a later request if the worker were listed again.
-    if (worker && !worker->isListed && worker->runs.empty() && !worker->isHoldInFlight)
+    if (worker && !worker->isListed && worker->runs.empty() && worker->openHolds.empty())
         m_workers.erase(lifetime);
 }
 
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -14,9 +14,18 @@
 // After the assignment is stored, start orders are resent for this long. Then the run is stopped instead.
 constexpr Milliseconds startTimeout { 1'800 };
 constexpr Milliseconds stopRetryDelay { 300 };
+// A stop order to a draining worker is sent once more if it is not confirmed by then: if a packet was lost,
+// it might arrive too late.
+constexpr Milliseconds stopOverdueTime { 60 };
 // A worker that lacks capacity, or cannot be connected to, gets no new runs for this long.
 constexpr Milliseconds placementPause { 1'000 };
 
+bool mayRepeatStop(const Worker& worker, const LiveRun& run)
+{
+    const bool isUnconfirmed = run.phase == RunPhase::Stopping && run.stopOrderedAt && !run.stopAcceptedAt;
+    return isUnconfirmed && worker.record.isDraining && !run.isStopRepeated;
+}
+
 std::string_view reasonOf(OrderOutcome outcome)
 {
     switch (outcome) {
@@ -79,10 +88,10 @@
 }
 
 // The conditions of tickRun().
-TimePoint RunSupervisor::nextOrderAt(const LiveRun& run)
+TimePoint RunSupervisor::nextOrderAt(const Worker& worker, const LiveRun& run)
 {
     if (run.isOrderInFlight)
-        return TimePoint::max();
+        return mayRepeatStop(worker, run) ? run.orderedAt + stopOverdueTime : TimePoint::max();
     if (run.phase == RunPhase::Starting)
         return run.orderedAt + startRetryDelay;
     if (run.phase == RunPhase::Stopping && !run.stopAcceptedAt)
@@ -92,8 +101,13 @@
 
 void RunSupervisor::tickRun(Worker& worker, LiveRun& run, Step& step)
 {
-    if (run.isOrderInFlight)
+    if (run.isOrderInFlight) {
+        if (mayRepeatStop(worker, run) && step.now >= run.orderedAt + stopOverdueTime) {
+            run.isStopRepeated = true;
+            sendStop(worker, run, step);
+        }
         return;
+    }
     if (run.phase == RunPhase::Starting && step.now >= run.orderedAt + startRetryDelay) {
         if (step.now < run.assignedAt + startTimeout) {
             sendStart(worker, run, step);
--- a/src/batch/workers/run_supervisor.cpp
+++ b/src/batch/workers/run_supervisor.cpp
@@ -334,7 +334,7 @@
     if (worker.record.address.empty())
         return next;
     for (const auto& [task, run] : worker.runs)
-        next = std::min(next, nextOrderAt(run));
+        next = std::min(next, nextOrderAt(worker, run));
     const auto leavesAt = earliestDeparture(worker, now);
     if (leavesAt && !worker.runs.empty())
         next = std::min(next, m_drainPolicy.nextDecisionAt(*leavesAt, now));
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -78,7 +78,7 @@
     void tickWorker(Worker&, Step&);
     // When the worker has to be visited again if nothing about it changes.
     TimePoint nextDueAt(const Worker&, TimePoint now) const;
-    static TimePoint nextOrderAt(const LiveRun&);
+    static TimePoint nextOrderAt(const Worker&, const LiveRun&);
     static TimePoint nextHoldAt(const Worker&);
     void tickRun(Worker&, LiveRun&, Step&);
     // Stops the runs of a draining worker that may not end while it is there.
@@ -93,6 +93,7 @@
     void sendStop(Worker&, LiveRun&, Step&);
     void abandonStart(Worker&, LiveRun&, Step&);
     void hold(Worker&, Step&);
+    static void holdUnanswered(Worker&, Step&);
     Milliseconds holdWait() const;
     Milliseconds holdWaitOf(const Worker&, TimePoint now) const;
     void extendLease(Worker&, Milliseconds, TimePoint now);
@@ -113,7 +114,8 @@
     static void markSlowRuns(Worker&);
     static void noteStarted(LiveRun&, TimePoint now);
     LiveRun* takeAnswer(Worker&, const RunId&, WorkerClock, TimePoint now);
-    void findVanished(Worker&, const WorkerStatus&, Step&);
+    // `askedAt`: when the request was sent that the status answers.
+    void findVanished(Worker&, const WorkerStatus&, TimePoint askedAt, Step&);
     bool hasWithdrawnEntry(const Worker&, TimePoint now) const;
     void workerGone(const WorkerId&, TimePoint now);
     void forgetEntryChanges();
--- a/src/batch/workers/run_watch.cpp
+++ b/src/batch/workers/run_watch.cpp
@@ -46,7 +46,7 @@
 
 // A run has ended without a reported end if the worker does not list it although it had confirmed the start,
 // or the stop, before the hold request was sent. An incomplete list of ends does not show this.
-void RunSupervisor::findVanished(Worker& worker, const WorkerStatus& status, Step& step)
+void RunSupervisor::findVanished(Worker& worker, const WorkerStatus& status, TimePoint askedAt, Step& step)
 {
     if (status.mayHaveMoreEnds)
         return;
@@ -58,7 +58,7 @@
             continue;
         const auto& confirmedAt
             = run.phase == RunPhase::Stopping && run.stopAcceptedAt ? run.stopAcceptedAt : run.acceptedAt;
-        if (confirmedAt && *confirmedAt < worker.holdSentAt && run.phase != RunPhase::Starting)
+        if (confirmedAt && *confirmedAt < askedAt && run.phase != RunPhase::Starting)
             vanished.push_back(run.id);
     }
     for (const RunId& run : vanished)
--- a/src/batch/workers/worker_pool.h
+++ b/src/batch/workers/worker_pool.h
@@ -32,6 +32,7 @@
     TimePoint assignedAt {};
     TimePoint orderedAt {}; // time of the last start or stop order
     bool isOrderInFlight = false;
+    bool isStopRepeated = false; // before the first stop order was answered or timed out
     bool mayStartLate = false; // a start order was not answered, so the worker may still carry it out
     bool wasListed = false; // this lifetime of the worker has listed it as active
     std::optional<TimePoint> acceptedAt; // when the worker confirmed the start
@@ -51,6 +52,14 @@
     std::uint64_t change = 0; // number of the job change; 0: nothing has to be stored
 };
 
+// A hold request that has not been answered yet.
+struct OpenHold {
+    std::uint64_t number = 0;
+    TimePoint sentAt {};
+    Milliseconds wait { 0 }; // the worker may wait this long before it answers
+    std::uint64_t acknowledgedEnd = 0;
+};
+
 // The leader's view of one lifetime of a worker.
 struct Worker {
     WorkerRecord record;
@@ -66,10 +75,10 @@
     std::uint64_t storedEnd = 0; // run ends up to this one are stored and may be acknowledged
     std::deque<PendingEnd> pendingEnds; // processed and not stored yet, oldest first
     std::uint64_t acknowledgedEnd = 0;
-    bool isHoldInFlight = false;
-    TimePoint holdSentAt {};
-    Milliseconds holdWait { 0 }; // the worker may wait this long before it answers
-    std::uint64_t holdAcknowledges = 0;
+    std::vector<OpenHold> openHolds; // oldest first
+    std::uint64_t lastHold = 0; // number of the last hold request
+    std::uint64_t lastAnsweredHold = 0; // number of the latest request that the worker has answered
+    TimePoint holdSentAt {}; // the last one
     TimePoint nextHoldAt {};
     TimePoint dueAt = TimePoint::max(); // see WorkerDueQueue
     int unansweredHolds = 0;
--- a/test/batch_kept_answers_test.cpp
+++ b/test/batch_kept_answers_test.cpp
@@ -41,8 +41,10 @@
 
     void keepHold(OrderOutcome outcome)
     {
+        const std::uint64_t number = ++worker().lastHold;
+        worker().openHolds.push_back({ .number = number });
         m_answers.keep(
-            HoldAnswered { m_lifetime, m_token, outcome, { 1'000, m_lifetime.startedAtMs, {}, {} } });
+            HoldAnswered { m_lifetime, m_token, outcome, { 1'000, m_lifetime.startedAtMs, {}, {} }, number });
     }
 
     void deliver()
--- a/test/batch_leader_permission_test.cpp
+++ b/test/batch_leader_permission_test.cpp
@@ -139,7 +139,7 @@
     HoldAnswered answerTo(const HoldWorker& hold, std::vector<ActiveRun> active) const
     {
         return { hold.worker, hold.token, OrderOutcome::Accepted,
-            { m_now.time_since_epoch().count(), m_worker.startedAtMs, std::move(active), {} } };
+            { m_now.time_since_epoch().count(), m_worker.startedAtMs, std::move(active), {} }, hold.number };
     }
 
     // Leads and adopts the run, which the worker lists. Returns the next hold request, which is in flight.
@@ -209,7 +209,7 @@
     {
         const HoldWorker hold = leadWithRun();
         endPermission();
-        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime });
+        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime, {}, hold.number });
         requireNothingDecided();
         renewPermission();
         CPPUNIT_ASSERT(isRecorded("worker.lifetime_over"));
@@ -334,7 +334,7 @@
         handle(ShutdownRequested {});
         handle(Tick {});
         CPPUNIT_ASSERT(find<Commit>());
-        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime });
+        handle(HoldAnswered { hold.worker, hold.token, OrderOutcome::OtherLifetime, {}, hold.number });
         requireNothingDecided();
         requestCancel();
         requireNothingDecided();
--- a/test/batch_placement_turn_test.cpp
+++ b/test/batch_placement_turn_test.cpp
@@ -60,8 +60,9 @@
             return order && order->worker == second.lifetime;
         });
         CPPUNIT_ASSERT(hold != effects.end());
-        return handle(HoldAnswered { second.lifetime, std::get<HoldWorker>(*hold).token,
-            OrderOutcome::Accepted, { 1'000, second.lifetime.startedAtMs } });
+        const auto& order = std::get<HoldWorker>(*hold);
+        return handle(HoldAnswered { second.lifetime, order.token, OrderOutcome::Accepted,
+            { 1'000, second.lifetime.startedAtMs }, order.number });
     }
 
 public:
--- a/test/batch_unexpected_run_test.cpp
+++ b/test/batch_unexpected_run_test.cpp
@@ -62,8 +62,11 @@
         WorkerRecord record { m_worker, "10.0.0.1:80", ServiceId("planner"), AvailabilityZoneId("north"),
             { 128'000, 256'000, 8 } };
         m_runs.workersUpdated({ true, { record }, {}, m_now }, step);
-        m_runs.holdAnswered({ m_worker, fencingTokenOf(epoch, m_worker), OrderOutcome::Accepted,
-                                { 1'000, m_worker.startedAtMs, { { { m_task, run }, {}, 1 } }, {} } },
+        Worker& worker = *m_workers.find(m_worker);
+        worker.openHolds.push_back({ .number = ++worker.lastHold });
+        m_runs.holdAnswered(
+            { m_worker, fencingTokenOf(epoch, m_worker), OrderOutcome::Accepted,
+                { 1'000, m_worker.startedAtMs, { { { m_task, run }, {}, 1 } }, {} }, worker.lastHold },
             step);
         for (const Effect& effect : m_effects) {
             const auto* record = std::get_if<RecordEvent>(&effect);
--- a/test/batch_worker_hold_test.cpp
+++ b/test/batch_worker_hold_test.cpp
@@ -14,6 +14,9 @@
     CPPUNIT_TEST(testWorkerThatMissedAHoldIsAskedAgainAfterItsOnlyRunWasWithdrawn);
     CPPUNIT_TEST(testWorkerThatIsListedAgainHasOneHoldInFlight);
     CPPUNIT_TEST(testBusyWorkersOfLargeFleetAreAskedLessOften);
+    CPPUNIT_TEST(testDrainingWorkerThatAnswersLateIsAskedBesideTheOpenRequest);
+    CPPUNIT_TEST(testAnswerThatWasOutrunEndsNoRunThatStartedSince);
+    CPPUNIT_TEST(testStopOrderThatADrainingWorkerDoesNotConfirmSoonIsRepeatedOnce);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t epoch = 7;
@@ -44,14 +47,17 @@
     {
         const WorkerClock clock = m_now.time_since_epoch().count();
         const HoldAnswered answer { m_worker, fencingTokenOf(epoch, m_worker), outcome,
-            { clock, m_worker.startedAtMs } };
+            { clock, m_worker.startedAtMs }, m_workers.find(m_worker)->lastHold };
         perform([&](Step& step) { m_runs.holdAnswered(answer, step); });
     }
 
-    void listWorker()
+    void listWorker(bool isDraining = false)
     {
         WorkerRecord record { m_worker, "10.0.0.1:80", ServiceId("planner"), AvailabilityZoneId("north"),
             { 128'000, 256'000, 8 } };
+        record.isDraining = isDraining;
+        record.remaining = Seconds(60);
+        record.writtenAt = m_now.time_since_epoch().count();
         perform([&](Step& step) { m_runs.workersUpdated({ true, { record }, {}, m_now }, step); });
     }
 
@@ -87,6 +93,26 @@
         return progress.assignedRuns().front();
     }
 
+    void drainWithRun()
+    {
+        confirmWorker();
+        attachRun();
+        listWorker(true);
+    }
+
+    // Returns the effects of this type of the next tick after this time.
+    template <typename Order> std::vector<Order> ordersAfter(Milliseconds time)
+    {
+        m_now += time;
+        perform([&](Step& step) { m_runs.tick(step); });
+        std::vector<Order> orders;
+        for (const Effect& effect : m_effects) {
+            if (const auto* order = std::get_if<Order>(&effect))
+                orders.push_back(*order);
+        }
+        return orders;
+    }
+
 public:
     // Guards against a worker that gets no runs for the rest of the leadership.
     void testWorkerThatMissedAHoldIsAskedAgainAfterItsOnlyRunWasWithdrawn()
@@ -133,6 +159,50 @@
         // Several requests may be lost before the lease expires.
         CPPUNIT_ASSERT(5 * inLargeFleet < WorkerLeaseSettings().maxLease);
     }
+
+    // Guards against ends that are lost with a worker that leaves before a lost packet is sent again.
+    void testDrainingWorkerThatAnswersLateIsAskedBesideTheOpenRequest()
+    {
+        drainWithRun();
+        const auto first = ordersAfter<HoldWorker>(Milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
+        CPPUNIT_ASSERT(ordersAfter<HoldWorker>(first.front().wait + Milliseconds(50)).empty());
+        const auto second = ordersAfter<HoldWorker>(Milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.size());
+        CPPUNIT_ASSERT(second.front().number != first.front().number);
+    }
+
+    // Guards against runs that are given up because an old status doesn't list them yet.
+    void testAnswerThatWasOutrunEndsNoRunThatStartedSince()
+    {
+        drainWithRun();
+        const HoldWorker first = ordersAfter<HoldWorker>(Milliseconds(20)).front();
+        LiveRun& run = m_workers.find(m_worker)->runs.begin()->second;
+        run.phase = RunPhase::Running;
+        run.acceptedAt = m_now + Milliseconds(1);
+        const HoldWorker second = ordersAfter<HoldWorker>(first.wait + Milliseconds(80)).front();
+        const WorkerClock clock = m_now.time_since_epoch().count();
+        const std::uint64_t token = fencingTokenOf(epoch, m_worker);
+        const HoldAnswered listsRun { m_worker, token, OrderOutcome::Accepted,
+            { clock, m_worker.startedAtMs, { { run.id, {}, 1 } } }, second.number };
+        const HoldAnswered old { m_worker, token, OrderOutcome::Accepted, { clock, m_worker.startedAtMs },
+            first.number };
+        perform([&](Step& step) { m_runs.holdAnswered(listsRun, step); });
+        perform([&](Step& step) { m_runs.holdAnswered(old, step); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_workers.find(m_worker)->runs.size());
+    }
+
+    // Guards against runs that go on until their worker leaves because one stop order is late.
+    void testStopOrderThatADrainingWorkerDoesNotConfirmSoonIsRepeatedOnce()
+    {
+        drainWithRun();
+        m_workers.find(m_worker)->runs.begin()->second.phase = RunPhase::Running;
+        const RunId run = m_workers.find(m_worker)->runs.begin()->second.id;
+        perform([&](Step& step) { m_runs.stop(run, step); });
+        CPPUNIT_ASSERT(ordersAfter<StopRun>(Milliseconds(50)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), ordersAfter<StopRun>(Milliseconds(20)).size());
+        CPPUNIT_ASSERT(ordersAfter<StopRun>(Milliseconds(200)).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchWorkerHoldTest);
--- a/test/batch_worker_lease_test.cpp
+++ b/test/batch_worker_lease_test.cpp
@@ -82,7 +82,7 @@
                     continue;
                 lastLease = hold->leaseUntil.value_or(lastLease);
                 const HoldAnswered answer { m_worker, fencingTokenOf(epoch, m_worker), OrderOutcome::Accepted,
-                    { workerClock(), m_worker.startedAtMs, active, {} } };
+                    { workerClock(), m_worker.startedAtMs, active, {} }, hold->number };
                 std::vector<Effect> ignored;
                 const Event event { m_now, {}, 1, Tick {} };
                 Step step(event, ignored);
--- a/test/batch_worker_stall_test.cpp
+++ b/test/batch_worker_stall_test.cpp
@@ -59,8 +59,10 @@
         for (const TimePoint end = m_now + duration; m_now < end; m_now += reportInterval) {
             m_percent += percentPerReport;
             const WorkerClock clock = m_now.time_since_epoch().count();
+            Worker& worker = *m_workers.find(m_worker);
+            worker.openHolds.push_back({ .number = ++worker.lastHold });
             const HoldAnswered answer { m_worker, fencingTokenOf(epoch, m_worker), OrderOutcome::Accepted,
-                { clock, m_worker.startedAtMs, { { run, {}, m_percent } } } };
+                { clock, m_worker.startedAtMs, { { run, {}, m_percent } } }, worker.lastHold };
             perform([&](Step& step) { m_runs.holdAnswered(answer, step); });
         }
     }
--- a/test/support/batch_cluster_calls.cpp
+++ b/test/support/batch_cluster_calls.cpp
@@ -111,7 +111,8 @@
 
 void BatchCluster::hold(std::size_t daemon, const HoldWorker& holdOrder)
 {
-    call(daemon, holdOrder.worker, HoldAnswered { holdOrder.worker, holdOrder.token },
+    call(daemon, holdOrder.worker,
+        HoldAnswered { .worker = holdOrder.worker, .token = holdOrder.token, .number = holdOrder.number },
         holdOrder.wait + orderTimeout, disturbances.lateHoldShare,
         [this, holdOrder](const std::shared_ptr<Call>& call) {
             FakeWorker* worker = recipient(*call);
--- a/test/support/fake_worker.cpp
+++ b/test/support/fake_worker.cpp
@@ -123,7 +123,8 @@
 
 HoldAnswered FakeWorker::status(const HoldWorker& order) const
 {
-    HoldAnswered answer { order.worker, order.token, outcomeFor(order.worker, order.token) };
+    HoldAnswered answer { order.worker, order.token, outcomeFor(order.worker, order.token), {},
+        order.number };
     if (answer.outcome != OrderOutcome::Accepted)
         return answer;
     answer.status.clock = clock();
