Stop every run of a draining worker while the stop is certain to end and to be read

Cause: a run of a draining worker that seemed to end in time, at 0.85 of its rate, was not stopped at the last moment at which a stop is certain to end in time. If it became slower, or another order stopped it meanwhile, it was stopped too late, and was at 94 to 100% of its work as its worker left. A run in that state that is done in the last milliseconds ends unread. An estimate was taken for a guarantee.

Change: at the last moment for a certain stop, every run is stopped. Before that, a run without checkpoints that cannot end until then is stopped at once, as its further work would be lost; it was judged by a later time. Hold requests near the departure wait 120 ms at most, so that a late answer is noticed. The upper bound of a run's end, which an estimate cannot give, is removed, and so are the repeated judgements.

--- a/src/batch/workers/drain_policy.cpp
+++ b/src/batch/workers/drain_policy.cpp
@@ -8,8 +8,6 @@
 
 // Until the end of a run is read and stored, or an order to stop it has arrived.
 constexpr Milliseconds endReportTime { 200 };
-// A run that is spared at the last stop is judged again this often, as it may become slower.
-constexpr Milliseconds recheckInterval { 120 };
 
 } // namespace
 
@@ -38,23 +36,17 @@
 
 bool DrainPolicy::shouldStop(const DrainingRun& run, TimePoint leavesAt, TimePoint now) const
 {
-    const Milliseconds timeLeft = leavesAt - endReportTime - now;
-    if (timeLeft <= Milliseconds(0))
-        return true;
-    if (run.timeToEnd && run.timeToEnd->longest <= timeLeft)
-        return false;
+    // A run that seems certain to end in time may still become slower, and then end unread.
     if (now >= lastStopAt(leavesAt))
         return true;
-    // All further work of a run that cannot end in time is lost, unless it saves checkpoints.
-    return !run.savesCheckpoints && run.timeToEnd && run.timeToEnd->shortest > timeLeft;
+    // All further work of a run that cannot end until then is lost, unless it saves checkpoints.
+    const Milliseconds timeLeft = lastStopAt(leavesAt) - now;
+    return !run.savesCheckpoints && run.shortestTimeToEnd && *run.shortestTimeToEnd > timeLeft;
 }
 
 TimePoint DrainPolicy::nextDecisionAt(TimePoint leavesAt, TimePoint now) const
 {
-    if (now < lastStopAt(leavesAt))
-        return lastStopAt(leavesAt);
-    const TimePoint lastEndAt = leavesAt - endReportTime;
-    return now < lastEndAt ? std::min(now + recheckInterval, lastEndAt) : TimePoint::max();
+    return now < lastStopAt(leavesAt) ? lastStopAt(leavesAt) : TimePoint::max();
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/workers/drain_policy.h
+++ b/src/batch/workers/drain_policy.h
@@ -14,7 +14,7 @@
 
 // What the decision whether to stop a run depends on.
 struct DrainingRun {
-    std::optional<TimeToEnd> timeToEnd; // empty: unknown, or it lasts until it is stopped
+    std::optional<Milliseconds> shortestTimeToEnd; // empty: unknown, or it lasts until it is stopped
     bool savesCheckpoints = false; // a stop loses none of its work
 };
 
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -18,7 +18,8 @@
 // A lease is renewed at least this often before it would expire.
 constexpr int minRenewalsPerLease = 6;
 // Replaces holdWait() while a stop is in progress, so that the freed capacity becomes known at once, and a
-// run that vanished without a reported end is detected soon after.
+// run that vanished without a reported end is detected soon after. Also before a worker may leave, so that a
+// late answer is noticed soon.
 constexpr Milliseconds stopWait { 120 };
 // Pause between hold requests while run ends are not stored yet: they cannot be acknowledged, so the worker
 // would answer at once with the same ends.
@@ -99,12 +100,14 @@
 {
     if (worker.processedEnd > worker.storedEnd)
         return Milliseconds(0);
+    const auto leavesAt = earliestDeparture(worker, now);
+    const auto decideAt = leavesAt ? m_drainPolicy.nextDecisionAt(*leavesAt, now) : TimePoint::max();
     const bool isStopping = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
         return entry.second.phase == RunPhase::Stopping && entry.second.stopAcceptedAt;
     });
-    const Milliseconds wait = isStopping ? stopWait : holdWait();
-    const auto leavesAt = earliestDeparture(worker, now);
-    return leavesAt ? std::min(wait, m_drainPolicy.nextDecisionAt(*leavesAt, now) - now) : wait;
+    const bool mayLeaveSoon = leavesAt && decideAt == TimePoint::max();
+    const Milliseconds wait = isStopping || mayLeaveSoon ? stopWait : holdWait();
+    return std::min(wait, decideAt - now);
 }
 
 void RunSupervisor::hold(Worker& worker, Step& step)
--- a/src/batch/workers/run_progress.cpp
+++ b/src/batch/workers/run_progress.cpp
@@ -10,7 +10,7 @@
 // Progress is reported in whole percent: over 20 percent, the error of the rate is at most 5%.
 constexpr int minPercentForRate = 20;
 // Below this advance, the error of the mean rate is too large to bound the rest of the run.
-constexpr int minPercentForBounds = 5;
+constexpr int minPercentForBound = 5;
 // The pace is judged over windows of a tenth of the estimated duration, but of at least this length. The
 // estimate is usually off by a factor of two at most.
 constexpr Milliseconds minWindow { 1'000 };
@@ -20,9 +20,8 @@
 // A run lags below this fraction of its highest rate. Workers differ in speed by less than a factor of two,
 // and the rate of a single task varies by less than that over time.
 constexpr double laggingShare = 0.35;
-// By how much the rest of a run may be faster or slower than its mean rate so far.
+// By how much the rest of a run may be faster than its mean rate so far.
 constexpr double fasterRate = 1.15;
-constexpr double slowerRate = 0.85;
 
 } // namespace
 
@@ -103,25 +102,19 @@
     return m_last.at + elapsed * (100 - m_last.percent) / advance;
 }
 
-std::optional<TimeToEnd> RunProgress::timeToEnd(WorkerClock now) const
+std::optional<Milliseconds> RunProgress::shortestTimeToEnd(WorkerClock now) const
 {
     if (!m_first || m_pace == Pace::Lagging)
         return std::nullopt;
-    // Whole percent are reported, so the true advance may be one percent more or less.
+    // Whole percent are reported, so the true advance may be one percent more.
     const int advance = m_last.percent - m_first->percent;
     const auto elapsed = static_cast<double>(m_last.at - m_first->at);
-    if (advance < minPercentForBounds || elapsed <= 0)
+    if (advance < minPercentForBound || elapsed <= 0)
         return std::nullopt;
-    const auto untilEnd = [&](double percentLeft, double percentPerMs) {
-        const auto fromLastReading = static_cast<std::int64_t>(std::max(percentLeft, 0.0) / percentPerMs);
-        return Milliseconds(std::max<std::int64_t>(m_last.at + fromLastReading - now, 0));
-    };
     const double highestRate = (advance + 1) / elapsed * fasterRate;
-    const double lowestRate = (advance - 1) / elapsed * slowerRate;
-    return TimeToEnd {
-        .shortest = untilEnd(99 - m_last.percent, highestRate),
-        .longest = untilEnd(100 - m_last.percent, lowestRate),
-    };
+    const int percentLeft = std::max(99 - m_last.percent, 0);
+    const auto fromLastReading = static_cast<std::int64_t>(percentLeft / highestRate);
+    return Milliseconds(std::max<std::int64_t>(m_last.at + fromLastReading - now, 0));
 }
 
 std::optional<double> RunProgress::rate() const
--- a/src/batch/workers/run_progress.h
+++ b/src/batch/workers/run_progress.h
@@ -13,12 +13,6 @@
     WorkerClock at = 0;
 };
 
-// The time until a run ends, if its rate stays about what it was.
-struct TimeToEnd {
-    Milliseconds shortest { 0 };
-    Milliseconds longest { 0 };
-};
-
 // Derives the expected end, the rate and the pace of one run from the progress that its worker reports.
 class RunProgress {
 public:
@@ -38,9 +32,9 @@
     int lastPercent() const { return m_last.percent; }
     // When the run completes if it continues at its mean rate. Empty if unknown.
     std::optional<WorkerClock> expectedEnd() const;
-    // How long the run takes to complete from this time of its worker's clock. Empty if it has not advanced
-    // far enough to be bounded, or lags.
-    std::optional<TimeToEnd> timeToEnd(WorkerClock now) const;
+    // The run takes at least this long to complete from this time of its worker's clock, unless it becomes
+    // much faster. Empty if it has not advanced far enough to tell, or lags.
+    std::optional<Milliseconds> shortestTimeToEnd(WorkerClock now) const;
     // Fraction of its work that the run completes per second. Empty until it has advanced far enough to be
     // measured.
     std::optional<double> rate() const;
--- a/src/batch/workers/run_supervisor.h
+++ b/src/batch/workers/run_supervisor.h
@@ -84,7 +84,7 @@
     // Stops the runs of a draining worker that may not end while it is there.
     void stopDrainedRuns(Worker&, Step&);
     std::vector<RunId> runsToStopForDrain(const Worker&, TimePoint leavesAt, TimePoint now);
-    std::optional<TimeToEnd> timeToEnd(const Worker&, const LiveRun&, TimePoint now);
+    std::optional<Milliseconds> shortestTimeToEnd(const Worker&, const LiveRun&, TimePoint now);
     static void recordDrain(const Worker&, Step&);
     // `expectedAt`: when the answer would have arrived without any delay.
     static void recordSlowAnswer(
