Take a worker's departure for as early as its slow clock allows

The age of a registry entry was read on the worker's clock, which may be 2% slow, and taken for real time, in which the announced time passes. After 30 s of one entry, stops came 600 ms late. Platforms that renew the entry every 1.5 s bound the error to 30 ms.

--- a/src/batch/clock/remote_clock_estimate.cpp
+++ b/src/batch/clock/remote_clock_estimate.cpp
@@ -14,8 +14,7 @@
 RemoteClock RemoteClockEstimate::at(TimePoint now) const
 {
     // Assuming the slowest rate keeps the estimate from running ahead.
-    constexpr std::int64_t slowestPercent = 98;
-    return m_reading ? m_reading + (now - m_readAt).count() * slowestPercent / 100 : 0;
+    return m_reading ? m_reading + (now - m_readAt).count() * slowestClockPercent / 100 : 0;
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/clock/remote_clock_estimate.h
+++ b/src/batch/clock/remote_clock_estimate.h
@@ -9,6 +9,9 @@
 // Milliseconds on the steady clock of another process, such as StoreClock or WorkerClock; 0: not reported.
 using RemoteClock = std::int64_t;
 
+// Lowest rate of such a clock.
+constexpr std::int64_t slowestClockPercent = 98;
+
 // Estimates the clock of another process from the readings in its answers. The estimate is never ahead of
 // that clock, whose rate may differ by up to 2%. It lags behind by at most the transit time of the fastest
 // recent answer and 4% of the time since then.
--- a/src/batch/workers/drain_policy.cpp
+++ b/src/batch/workers/drain_policy.cpp
@@ -9,6 +9,14 @@
 // Until the end of a run is read and stored, or an order to stop it has arrived.
 constexpr Milliseconds endReportTime { 200 };
 
+// The remaining time of an entry passes in real time, but its age is read on a clock that may be slow. The
+// estimate of that clock may be behind the time of the entry.
+Milliseconds longestRealTime(WorkerClock elapsed)
+{
+    return Milliseconds(
+        (std::max<WorkerClock>(elapsed, 0) * 100 + slowestClockPercent - 1) / slowestClockPercent);
+}
+
 } // namespace
 
 std::optional<TimePoint> earliestDeparture(const Worker& worker, TimePoint now)
@@ -17,9 +25,8 @@
     const WorkerClock clock = worker.clock.at(now);
     if (!record.isDraining || !clock)
         return std::nullopt;
-    // The estimate of the clock may be behind the time of the entry.
     if (record.writtenAt)
-        return now + Milliseconds(std::min<WorkerClock>(record.writtenAt - clock, 0)) + record.remaining;
+        return now - longestRealTime(clock - record.writtenAt) + record.remaining;
     // Without a known age of the entry, all of the remaining time may have passed.
     return worker.changedAfter ? *worker.changedAfter + record.remaining : now;
 }
--- a/test/batch_drain_test.cpp
+++ b/test/batch_drain_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(testRunThatBecomesSlowerNearItsEndIsNotRepeated);
     CPPUNIT_TEST(testRunThatCannotEndInTimeIsStoppedAtOnce);
     CPPUNIT_TEST(testRunWithCheckpointsWorksUntilItsWorkerHasToStopIt);
+    CPPUNIT_TEST(testRunOfWorkerWithSlowClockIsStoppedInTimeAfterLongNotice);
     CPPUNIT_TEST(testGangIsStoppedAsOneBeforeAMemberIsLost);
     CPPUNIT_TEST(testLastingTaskMovesBeforeItsWorkerLeaves);
     CPPUNIT_TEST(testLeaderThatLoadsDuringDrainRepeatsNoDoneRun);
@@ -177,6 +178,20 @@
         CPPUNIT_ASSERT(cluster.now() < drainedAt + Milliseconds(19'500));
     }
 
+    void testRunOfWorkerWithSlowClockIsStoppedInTimeAfterLongNotice()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            BatchCluster cluster(3, seed);
+            startCluster(cluster, 2);
+            batch::StepSpecification step = makeStep(4, 1, Milliseconds(40'000));
+            step.savesCheckpoints = true;
+            const JobId job = cluster.submit(1, "small", { step });
+            runUntilStarts(cluster, job, 4);
+            cluster.drainAndLeave(cluster.workersOf(job).front(), Milliseconds(30'000));
+            requireCompleted(cluster, job, fmt::format("seed {}", seed));
+        }
+    }
+
     void testGangIsStoppedAsOneBeforeAMemberIsLost()
     {
         BatchCluster cluster;
