--- a/src/batch/workers/drain_policy.h
+++ b/src/batch/workers/drain_policy.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "anvilmoor/time.h"
-#include "batch/workers/run_progress.h"
 #include "batch/workers/worker_pool.h"
 
 #include <optional>
 
 namespace anvilmoor::batch {
 
+// An answer of a draining worker that is this late is asked for again beside the open request: the worker may
+// leave before a lost packet is sent again. Longer than a round trip to another availability zone.
+constexpr Milliseconds overdueAnswerTime { 60 };
+
 // When a draining worker leaves at the earliest. Empty if it doesn't drain, or hasn't told this leader its
 // clock.
 std::optional<TimePoint> earliestDeparture(const Worker&, TimePoint now);
--- a/src/batch/workers/run_drains.cpp
+++ b/src/batch/workers/run_drains.cpp
@@ -10,13 +10,6 @@
 
 namespace anvilmoor::batch {
 
-namespace {
-
-// Longer than the round trip to a worker in another availability zone.
-constexpr Milliseconds slowAnswerTime { 60 };
-
-} // namespace
-
 // A gang ends with its slowest member. Empty if unknown.
 std::optional<Milliseconds> RunSupervisor::shortestTimeToEnd(
     const Worker& worker, const LiveRun& run, TimePoint now)
@@ -84,7 +77,7 @@
 {
     const Milliseconds late = step.now - expectedAt;
     const auto leavesAt = earliestDeparture(worker, step.now);
-    if (!leavesAt || worker.runs.empty() || late < slowAnswerTime)
+    if (!leavesAt || worker.runs.empty() || late < overdueAnswerTime)
         return;
     step.warn("worker.slow_answer",
         { { "worker", worker.record.lifetime.id.value() }, { "order", std::string(order) },
--- a/src/batch/workers/run_holds.cpp
+++ b/src/batch/workers/run_holds.cpp
@@ -31,9 +31,7 @@
 // be gone.
 constexpr int unansweredUntilLost = 3;
 constexpr Milliseconds lostHoldInterval { 400 };
-// A draining worker whose answer is this late is asked again beside the open request, as it may leave before
-// a lost packet is sent again.
-constexpr Milliseconds overdueTime { 60 };
+// To one draining worker, see overdueAnswerTime.
 constexpr std::size_t maxOpenHolds = 3;
 // A worker without runs is asked for its clock at this interval: the estimate may lag by 4% of the time since
 // the last answer, and the lease of the next run is that much shorter.
@@ -66,7 +64,7 @@
     const bool isLost = worker.unansweredHolds >= unansweredUntilLost;
     if (!mayLeave || isLost || worker.openHolds.size() >= maxOpenHolds)
         return TimePoint::max();
-    return worker.openHolds.back().sentAt + worker.openHolds.back().wait + overdueTime;
+    return worker.openHolds.back().sentAt + worker.openHolds.back().wait + overdueAnswerTime;
 }
 
 } // namespace
--- a/src/batch/workers/run_orders.cpp
+++ b/src/batch/workers/run_orders.cpp
@@ -14,12 +14,10 @@
 // After the assignment is stored, start orders are resent for this long. Then the run is stopped instead.
 constexpr Milliseconds startTimeout { 1'800 };
 constexpr Milliseconds stopRetryDelay { 300 };
-// A stop order to a draining worker is sent once more if it is not confirmed by then: if a packet was lost,
-// it might arrive too late.
-constexpr Milliseconds stopOverdueTime { 60 };
 // A worker that lacks capacity, or cannot be connected to, gets no new runs for this long.
 constexpr Milliseconds placementPause { 1'000 };
 
+// Whether the stop order may be sent once more before it is answered or has timed out.
 bool mayRepeatStop(const Worker& worker, const LiveRun& run)
 {
     const bool isUnconfirmed = run.phase == RunPhase::Stopping && run.stopOrderedAt && !run.stopAcceptedAt;
@@ -91,7 +89,7 @@
 TimePoint RunSupervisor::nextOrderAt(const Worker& worker, const LiveRun& run)
 {
     if (run.isOrderInFlight)
-        return mayRepeatStop(worker, run) ? run.orderedAt + stopOverdueTime : TimePoint::max();
+        return mayRepeatStop(worker, run) ? run.orderedAt + overdueAnswerTime : TimePoint::max();
     if (run.phase == RunPhase::Starting)
         return run.orderedAt + startRetryDelay;
     if (run.phase == RunPhase::Stopping && !run.stopAcceptedAt)
@@ -102,7 +100,7 @@
 void RunSupervisor::tickRun(Worker& worker, LiveRun& run, Step& step)
 {
     if (run.isOrderInFlight) {
-        if (mayRepeatStop(worker, run) && step.now >= run.orderedAt + stopOverdueTime) {
+        if (mayRepeatStop(worker, run) && step.now >= run.orderedAt + overdueAnswerTime) {
             run.isStopRepeated = true;
             sendStop(worker, run, step);
         }
