Count jobs by size and record who uses an overloaded service

Change: the job book counts jobs and served jobs by queue and size class. While a step gets no hold for lack of the share that may be held, each 2 s one line service.overloaded (use by priority, held workers) and one line queue.sizes for each queue. The cores of an accelerator are defined once, in job_size. The tests' leader now notes each change of a job, as the scheduler does.

--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -15,6 +15,7 @@
     if (!isNew)
         return nullptr;
     m_open.insert(id);
+    recount(position->second);
     return &position->second;
 }
 
@@ -57,21 +58,49 @@
     m_changed.erase(entry.change);
     entry.change = ++m_lastChange;
     m_changed.emplace(entry.change, job);
+    recount(entry);
     noteEnd(entry, now);
 }
 
 void JobBook::noteRestored(Entry& entry, TimePoint now)
 {
     entry.storedState = entry.progress.state();
+    recount(entry);
     noteEnd(entry, now);
 }
 
 void JobBook::noteUnreadable(Entry& entry)
 {
     entry.isUnreadable = true;
+    setCounted(entry, std::nullopt);
     m_open.erase(entry.progress.job().specification.id);
 }
 
+namespace {
+
+std::optional<bool> isServed(const JobProgress& progress)
+{
+    if (progress.job().specification.schedule.occurrences || progress.state() == JobState::Cancelled)
+        return std::nullopt;
+    return progress.hasAssignments() || isTerminal(progress.state());
+}
+
+} // namespace
+
+void JobBook::recount(Entry& entry) { setCounted(entry, isServed(entry.progress)); }
+
+void JobBook::setCounted(Entry& entry, std::optional<bool> isServed)
+{
+    if (entry.isCountedAsServed == isServed)
+        return;
+    const std::string& queue = entry.progress.job().terms.queue;
+    if (entry.isCountedAsServed)
+        m_sizeCounts.remove(queue, entry.sizeClass, *entry.isCountedAsServed);
+    if (isServed)
+        m_sizeCounts.add(queue, entry.sizeClass, *isServed);
+    entry.isCountedAsServed = isServed;
+}
+
 void JobBook::noteEnd(Entry& entry, TimePoint now)
 {
     if (!isTerminal(entry.progress.state()))
@@ -154,6 +183,8 @@
         m_changed.erase(job.change);
     }
     for (const JobId& job : changes.expired) {
+        if (Entry* entry = find(job))
+            setCounted(*entry, std::nullopt);
         m_entries.erase(job);
         m_expired.erase(job);
         m_open.erase(job);
--- a/src/batch/jobs/job_book.h
+++ b/src/batch/jobs/job_book.h
@@ -3,6 +3,8 @@
 #include "anvilmoor/batch/rows.h"
 #include "batch/jobs/cancel_requests.h"
 #include "batch/jobs/job_progress.h"
+#include "batch/jobs/job_size.h"
+#include "batch/jobs/size_counts.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,10 +36,13 @@
     struct Entry {
         explicit Entry(AcceptedJob job)
             : progress(std::move(job))
+            , sizeClass(sizeClassOf(progress.job().specification))
         {
         }
 
         JobProgress progress;
+        int sizeClass = 0;
+        std::optional<bool> isCountedAsServed; // empty if not in sizeCounts()
         JobState storedState = JobState::Pending; // the only state reported to callers
         std::uint64_t change = 0; // number of the latest change
         std::uint64_t storedChange = 0; // number of the latest change that is stored
@@ -111,14 +116,22 @@
     // Jobs that have not ended or still have assigned runs.
     std::vector<Entry*> openEntries();
     std::map<std::string, std::uint64_t> waitingJobs() const;
+    // Counts the jobs that are or were waiting for their first placement. A job is served while it has runs,
+    // and once it has ended other than by a cancel request. Jobs with a schedule are not counted: most of the
+    // time they wait for their next due time.
+    const SizeCounts& sizeCounts() const { return m_sizeCounts; }
     std::size_t size() const { return m_entries.size(); }
 
 private:
     void noteEnd(Entry&, TimePoint now);
+    // Must be called after each change of the entry's progress.
+    void recount(Entry&);
+    void setCounted(Entry&, std::optional<bool> isServed);
     bool mayBeRemoved(const Entry&) const;
 
     std::unordered_map<JobId, Entry> m_entries;
     std::set<JobId> m_open;
+    SizeCounts m_sizeCounts;
     CancelRequests m_cancelRequests;
     std::map<std::uint64_t, JobId> m_changed; // keyed by the number of the latest change
     std::set<std::pair<TimePoint, JobId>> m_ended; // by the time of the end; their job rows are still stored
--- a/src/batch/leader/scheduler.cpp
+++ b/src/batch/leader/scheduler.cpp
@@ -45,6 +45,7 @@
     , m_placement(placement, order, settings.stopTimeout, storeLimits)
     , m_waitingJobLog(m_jobs, m_workers, m_placement)
     , m_longWaitLog(m_jobs, m_placement)
+    , m_overloadLog(m_jobs, m_workers, m_placement)
     , m_pipeline(lease)
     , m_cleanup(m_jobs)
     , m_keptAnswers(m_runs)
@@ -88,6 +89,7 @@
         m_cleanup.tick(step);
         m_waitingJobLog.tick(step);
         m_longWaitLog.tick(step);
+        m_overloadLog.tick(step);
     }
     if (step.now >= m_placedAt + maxPlacementInterval)
         m_isPlacementDue = true;
--- a/src/batch/leader/scheduler.h
+++ b/src/batch/leader/scheduler.h
@@ -6,6 +6,7 @@
 #include "batch/leader/kept_answers.h"
 #include "batch/leader/load_timeout.h"
 #include "batch/leader/long_wait_log.h"
+#include "batch/leader/overload_log.h"
 #include "batch/leader/row_cleanup.h"
 #include "batch/leader/waiting_job_log.h"
 #include "batch/placement/placement_round.h"
@@ -106,6 +107,7 @@
     PlacementRound m_placement;
     WaitingJobLog m_waitingJobLog;
     LongWaitLog m_longWaitLog;
+    OverloadLog m_overloadLog;
     CommitPipeline m_pipeline;
     RowCleanup m_cleanup;
     Phase m_phase = Phase::Following;
--- a/src/batch/placement/capacity_view.cpp
+++ b/src/batch/placement/capacity_view.cpp
@@ -139,21 +139,4 @@
     return services;
 }
 
-double shareInUse(const WorkerPool& pool, const ServiceId& service)
-{
-    Resources used;
-    Resources whole;
-    for (const auto& [lifetime, worker] : pool.all()) {
-        if (!worker.isListed || worker.record.service != service)
-            continue;
-        used += worker.used;
-        whole += worker.record.capacity;
-    }
-    const auto share = [](std::int64_t part, std::int64_t of) {
-        return of ? static_cast<double>(part) / static_cast<double>(of) : 0;
-    };
-    return std::max({ share(used.cpuMillicores, whole.cpuMillicores), share(used.memoryMb, whole.memoryMb),
-        share(used.accelerators, whole.accelerators) });
-}
-
 } // namespace anvilmoor::batch
--- a/src/batch/placement/capacity_view.h
+++ b/src/batch/placement/capacity_view.h
@@ -73,8 +73,5 @@
 // Like capacityOf(), but includes workers that get no new runs at present because they are silent, suspended
 // or stalled.
 std::map<ServiceId, CapacityView> capacityWithClosedWorkers(const WorkerPool&);
-// Returns the share of the service's capacity that runs on listed workers use: of the resource that is used
-// most.
-double shareInUse(const WorkerPool&, const ServiceId&);
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/eviction_candidates.cpp
+++ b/src/batch/placement/eviction_candidates.cpp
@@ -1,5 +1,7 @@
 #include "batch/placement/eviction_candidates.h"
 
+#include "batch/jobs/job_size.h"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -8,9 +10,6 @@
 
 namespace {
 
-// An accelerator counts as this many cores in the cost of lost work.
-constexpr double coresPerAccelerator = 8;
-
 // A run with checkpoints loses at most this much work by a stop: the time to restore it.
 constexpr double checkpointRestoreSeconds = 0.2;
 
@@ -22,12 +21,6 @@
 // Less urgent work costs less to stop: runs below priority 1 have the weight 1.
 constexpr double weightOfPriorityOne = 3;
 
-double coresOf(const Resources& resources)
-{
-    return static_cast<double>(resources.cpuMillicores) / 1'000
-        + coresPerAccelerator * static_cast<double>(resources.accelerators);
-}
-
 // Identifies the runs of a gang. Refers to the job's id.
 struct GangKey {
     std::string_view job;
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -1,5 +1,7 @@
 #include "batch/placement/placement_round.h"
 
+#include "batch/placement/service_use.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -71,8 +73,10 @@
     PlacementOutcome outcome;
     m_earlierRoomSince = std::exchange(m_roomSince, {});
     std::vector<WaitingStep> waiting = collect(jobs, configuration, now, wallTime);
-    if (waiting.empty())
+    if (waiting.empty()) {
+        m_holds.clear();
         return outcome;
+    }
     CapacityViews views = capacityOf(workers, now);
     applyReservations(views, now);
     m_order.sort(waiting, wallTime);
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -64,6 +64,9 @@
         const JobBook::Entry&, JobBook&, const WorkerPool&, TimePoint now, WallTime wallTime);
     // Since when workers have been held for the step; empty if none are.
     std::optional<TimePoint> heldSince(const JobId&, const StepPosition&) const;
+    // Services where a step got no hold in the last round for lack of the share that may be held.
+    const std::set<ServiceId>& servicesWithoutMoreHolds() const { return m_holds.exhausted(); }
+    std::size_t heldWorkers(const ServiceId& service) const { return m_holds.heldWorkers(service); }
     // Discards all that is known from earlier rounds.
     void clear()
     {
--- a/src/batch/placement/worker_holds.cpp
+++ b/src/batch/placement/worker_holds.cpp
@@ -63,13 +63,21 @@
     return selection;
 }
 
-bool WorkerHolds::isWithinShare(const WorkerHold& added, const CapacityView& view) const
+std::set<WorkerLifetime> WorkerHolds::workersHeldIn(const ServiceId& service) const
 {
     std::set<WorkerLifetime> workers;
     for (const auto& [step, hold] : m_holds) {
-        if (hold.service == added.service)
+        if (hold.service == service)
             workers.insert(hold.workers.begin(), hold.workers.end());
     }
+    return workers;
+}
+
+std::size_t WorkerHolds::heldWorkers(const ServiceId& service) const { return workersHeldIn(service).size(); }
+
+bool WorkerHolds::isWithinShare(const WorkerHold& added, const CapacityView& view) const
+{
+    std::set<WorkerLifetime> workers = workersHeldIn(added.service);
     if (workers.empty())
         return true;
     workers.insert(added.workers.begin(), added.workers.end());
@@ -119,6 +127,7 @@
 {
     m_holds.clear();
     m_heldSince.clear();
+    m_exhausted.clear();
 }
 
 const WorkerHold* WorkerHolds::find(const StepId& step) const
--- a/src/batch/placement/worker_holds.h
+++ b/src/batch/placement/worker_holds.h
@@ -62,6 +62,10 @@
     bool hasExclusive(const ServiceId&, TimePoint now) const;
     // The steps of a lower rank that hold room on the worker.
     std::vector<StepId> moreUrgentOn(const WorkerLifetime&, int rank) const;
+    // Services where a step of the round got no hold for lack of the share that may be held.
+    const std::set<ServiceId>& exhausted() const { return m_exhausted; }
+    // Number of workers on which room is held.
+    std::size_t heldWorkers(const ServiceId&) const;
     // Whether the step has a hold, or had one and still waits.
     bool isWaiting(const StepId& step) const { return m_heldSince.contains(step); }
     // All up to this rank, but not the step's own.
@@ -78,12 +82,13 @@
     static constexpr int nothingApplied = -1;
 
     bool isWithinShare(const WorkerHold&, const CapacityView&) const;
+    std::set<WorkerLifetime> workersHeldIn(const ServiceId&) const;
     template <typename Predicate> Selection select(const ServiceId&, Predicate) const;
 
     std::map<StepId, WorkerHold> m_holds;
     std::map<StepId, TimePoint> m_heldSince; // of steps that wait, also while their hold is chosen anew
     int m_appliedRank = nothingApplied;
-    std::set<ServiceId> m_exhausted; // services whose share was too small for a step in this round
+    std::set<ServiceId> m_exhausted;
 };
 
 } // namespace anvilmoor::batch
--- a/test/support/leader_state.cpp
+++ b/test/support/leader_state.cpp
@@ -52,8 +52,10 @@
 
 void LeaderState::attach(const PlacementDecision& decision)
 {
-    JobProgress& progress = jobs.find(decision.unit.job)->progress;
+    JobBook::Entry& entry = *jobs.find(decision.unit.job);
+    JobProgress& progress = entry.progress;
     progress.assign(decision.unit, decision.workers);
+    jobs.noteChange(entry, now);
     for (std::size_t i = 0; i < decision.workers.size(); ++i) {
         const RunId run { { decision.unit.job, 0, decision.unit.step, decision.unit.tasks[i] },
             decision.unit.run };
@@ -84,10 +86,11 @@
 
 void LeaderState::end(const TaskId& task, RunEnd how)
 {
-    JobProgress& progress = jobs.find(task.job)->progress;
-    const Assignment assignment = *progress.find(task)->assignment;
+    JobBook::Entry& entry = *jobs.find(task.job);
+    const Assignment assignment = *entry.progress.find(task)->assignment;
     pool.detach(*pool.find(assignment.worker), task);
-    progress.runEnded({ task, assignment.run }, how, {});
+    entry.progress.runEnded({ task, assignment.run }, how, {});
+    jobs.noteChange(entry, now);
 }
 
 void LeaderState::advance(Milliseconds duration)
--- a/test/support/placement_play.cpp
+++ b/test/support/placement_play.cpp
@@ -1,5 +1,6 @@
 #include "support/placement_play.h"
 
+#include "batch/jobs/job_size.h"
 #include "support/leader_state.h"
 
 #include <algorithm>
@@ -20,15 +21,8 @@
 constexpr Milliseconds startDelay { 100 };
 constexpr int farRunFactor = 3;
 constexpr std::array slownesses { 1.0, 1.0, 1.3 };
-constexpr double coresPerAccelerator = 8;
 constexpr WallTime wallBegin { Seconds(1'000) };
 
-double coresOf(const Resources& resources)
-{
-    return static_cast<double>(resources.cpuMillicores) / 1'000
-        + coresPerAccelerator * static_cast<double>(resources.accelerators);
-}
-
 double seconds(Milliseconds duration) { return static_cast<double>(duration.count()) / 1'000; }
 
 // Whether the gang would fit into a rack of idle workers.
