Place jobs of the sizes that are served least before others of their priority

Cause: within a priority, turns go by lateness and deadline. In an overload a gang that needs many whole workers gets no hold while it is in time, becomes late, and then each new job in time passes it, while smaller jobs fit somewhere before.

Change: within a priority, the size that is served least relative to its queue comes first, in fifths of the queue's share; guaranteed work keeps its order. The counts come from the job rows, so the next leader has them, too.

--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -144,8 +144,9 @@
             if (isGuaranteed)
                 left -= need;
         }
+        const double servedShare = jobs.sizeCounts().relativeServedShare(job.terms.queue, entry->sizeClass);
         for (const StepPosition& position : entry->progress.readySteps())
-            waiting.push_back({ position, &entry->progress, &entry->failedOn, isGuaranteed });
+            waiting.push_back({ position, &entry->progress, &entry->failedOn, isGuaranteed, servedShare });
     }
     return waiting;
 }
--- a/src/batch/placement/queue_order.cpp
+++ b/src/batch/placement/queue_order.cpp
@@ -13,10 +13,22 @@
 // A job that has waited for longer than this gets the next turn of its priority.
 constexpr Milliseconds maxTimeWithoutTurn { 30'000 };
 
+// Sizes that are served nearly as often as their queue, or more often, share the highest level.
+constexpr int servedLevels = 5;
+
+int servedLevelOf(const WaitingStep& waiting)
+{
+    constexpr int highest = servedLevels - 1;
+    if (waiting.isGuaranteed)
+        return highest;
+    return std::min(static_cast<int>(waiting.relativeServedShare * servedLevels), highest);
+}
+
 struct Rank {
     bool isNotGuaranteed = false;
     int priority = 0;
     bool isNotLongestWaiting = true; // of the priority
+    int servedLevel = 0;
     int lateness = 0; // 0: can meet its objective, 1: late, 2: too late to have any value
     WallTime deadline {};
     const JobId* job = nullptr;
@@ -24,7 +36,8 @@
 
     auto key() const
     {
-        return std::tie(isNotGuaranteed, priority, isNotLongestWaiting, lateness, deadline, *job, step);
+        return std::tie(
+            isNotGuaranteed, priority, isNotLongestWaiting, servedLevel, lateness, deadline, *job, step);
     }
 };
 
@@ -36,8 +49,8 @@
     const WallTime start = job.dueAt(waiting.position.occurrence);
     const Milliseconds objective = job.objective();
     const Milliseconds remaining = waiting.job->specificationOf(waiting.position.step).estimatedDuration;
-    Rank rank { !waiting.isGuaranteed, job.terms.priority, true, 0, start + objective, &job.specification.id,
-        waiting.position.step };
+    Rank rank { !waiting.isGuaranteed, job.terms.priority, true, servedLevelOf(waiting), 0, start + objective,
+        &job.specification.id, waiting.position.step };
     if (now + remaining > start + objective && !waiting.job->isPartlyPlaced(waiting.position))
         rank.lateness = 1;
     if (now + remaining > start + objective * worthlessAfter)
