Bound what less urgent work uses while a more urgent step waits without a hold

Cause: once the share of workers that may be held is used up, a step gets no hold, but everything behind it, of whatever urgency, was still placed wherever it fitted. So beyond the share, room filled from the back of the queue.

Change: while a step waits without a hold, work of lower priorities may use 0.15 of the service at most. A service that is mostly free and tasks that last until cancelled are exempt. waitCauseOf names the cause.

--- a/src/batch/placement/placement_evictions.cpp
+++ b/src/batch/placement/placement_evictions.cpp
@@ -43,6 +43,8 @@
     const QueueTerms& terms = waiting.job->job().terms;
     m_holds.add(stepOf(waiting.unit), urgencyRank(waiting.isGuaranteed, terms.priority), request,
         terms.service, view, *m_forecast, now);
+    if (m_holds.exhausted().contains(terms.service))
+        m_lessUrgentShare.noteWaitingWithoutHold(terms.service, terms.priority);
 }
 
 EvictionCandidates& PlacementRound::candidatesFor(
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -63,6 +63,7 @@
     m_candidates.clear();
     m_stepTasksByWorker.clear();
     m_sharesInUse.clear();
+    m_lessUrgentShare.beginRound(workers);
 }
 
 PlacementOutcome PlacementRound::run(JobBook& jobs, const WorkerPool& workers,
@@ -83,6 +84,7 @@
     m_holds.beginRound(waiting, views);
     m_backfill.beginRound(workers, m_holds);
     m_forecast.reset();
+    m_beyondShare.clear();
     for (const WaitingStep& step : waiting) {
         const int rank = urgencyRank(step.isGuaranteed, step.job->job().terms.priority);
         m_holds.applyUpTo(rank, views);
@@ -171,6 +173,15 @@
         reserve(views[reservation.service], reservation, true);
 }
 
+Resources PlacementRound::resourcesOf(const WaitingUnit& waiting)
+{
+    const Resources perTask = waiting.job->specificationOf(waiting.unit.step).countedPerTask();
+    Resources sum;
+    for (std::size_t i = 0; i < waiting.unit.tasks.size(); ++i)
+        sum += perTask;
+    return sum;
+}
+
 PlacementRound::Shape PlacementRound::shapeOf(const WaitingUnit& waiting, const PlacementRequest& request)
 {
     return { waiting.job->job().terms.service.value(), request.perTask, request.step.needsOneRack,
@@ -274,6 +285,10 @@
     ProgressBudget* const budget = budgetOf(*waiting.job);
     if (budget && !budget->admits(waiting.unit))
         return false;
+    if (!isWithinLessUrgentShare(waiting, request)) {
+        m_beyondShare.insert(stepOf(waiting.unit));
+        return false;
+    }
     if (isReserved)
         reserve(view, reservation->second, false);
     auto workers = findWorkers(waiting, request, hold, view, now, isUnplaceable);
@@ -323,6 +338,8 @@
     }
     if (ProgressBudget* const budget = budgetOf(*waiting.job))
         budget->take(waiting.unit);
+    const QueueTerms& terms = waiting.job->job().terms;
+    m_lessUrgentShare.notePlaced(terms.service, terms.priority, resourcesOf(waiting));
     outcome.placed.push_back({ waiting.unit, std::move(workers) });
 }
 
@@ -378,6 +395,15 @@
     return workers;
 }
 
+// Steps that last until they are cancelled are exempt: the wait would have no end.
+bool PlacementRound::isWithinLessUrgentShare(const WaitingUnit& waiting, const PlacementRequest& request)
+{
+    const QueueTerms& terms = waiting.job->job().terms;
+    if (request.step.runsUntilCancelled || isMostlyFree(terms.service))
+        return true;
+    return m_lessUrgentShare.admits(terms.service, terms.priority, resourcesOf(waiting));
+}
+
 // Counts workers that get no new runs at present as well: a few of them in use do not make a service full.
 bool PlacementRound::isMostlyFree(const ServiceId& service)
 {
--- a/src/batch/placement/placement_round.h
+++ b/src/batch/placement/placement_round.h
@@ -5,6 +5,7 @@
 #include "batch/jobs/progress_budget.h"
 #include "batch/placement/backfill_runs.h"
 #include "batch/placement/eviction.h"
+#include "batch/placement/less_urgent_share.h"
 #include "batch/placement/placement_policy.h"
 #include "batch/placement/queue_order.h"
 #include "batch/placement/room_forecast.h"
@@ -46,7 +47,8 @@
 // reservation expires. Reservations persist from one round to the next.
 //
 // A step that has to wait gets a hold on the workers where it will fit first (see WorkerHolds), so that work
-// behind it does not pass it for good.
+// behind it does not pass it for good. While no more room may be held, less urgent work may use a bounded
+// share of the service only.
 //
 // Locality, headroom, holds and earlier failures of the job may keep a unit from free room. While the service
 // is mostly free, that ends after a bounded time. What then runs in room that is held for a more urgent step
@@ -126,6 +128,7 @@
     void beginRound(JobBook&, const WorkerPool&);
     bool fits(const PlacementRequest&, CapacityView) const;
     std::vector<WaitingStep> collect(JobBook&, const Configuration&, TimePoint now, WallTime);
+    static Resources resourcesOf(const WaitingUnit&); // of all its tasks
     static Shape shapeOf(const WaitingUnit&, const PlacementRequest&);
     void applyReservations(CapacityViews&, TimePoint now);
     static void reserve(CapacityView&, const Reservation&, bool isTaken);
@@ -156,6 +159,7 @@
     void addEviction(const WaitingUnit&, EvictionPlan&, PlacementOutcome&);
     void makeForecast(int rank, TimePoint now);
     bool isMostlyFree(const ServiceId&);
+    bool isWithinLessUrgentShare(const WaitingUnit&, const PlacementRequest&);
     void notePlaced(const WaitingUnit&, std::vector<WorkerLifetime>, CapacityView&, PlacementOutcome&);
     void makeRoomFor(const WaitingUnit&, const PlacementRequest&, CapacityView&, PlacementOutcome&,
         TimePoint now, WallTime);
@@ -192,6 +196,8 @@
     std::optional<RoomForecast> m_forecast;
     int m_forecastRank = 0;
     std::map<ServiceId, double> m_sharesInUse;
+    LessUrgentShare m_lessUrgentShare;
+    std::set<StepId> m_beyondShare; // steps that the share for less urgent work has kept from a placement
     // Number of tasks placed in this round per worker, for steps with a limit per worker.
     std::map<StepId, std::map<WorkerLifetime, int>> m_stepTasksByWorker;
 };
--- a/src/batch/placement/wait_cause.cpp
+++ b/src/batch/placement/wait_cause.cpp
@@ -21,6 +21,8 @@
         return "room held for another job";
     case WaitCause::Headroom:
         return "headroom for urgent work";
+    case WaitCause::LessUrgentShare:
+        return "the share for less urgent work";
     case WaitCause::Turn:
         return "its turn";
     }
@@ -63,7 +65,9 @@
     WorkerHolds::take(m_holds.upTo(rank, service, stepOf(waiting.unit)), view);
     if (!fits(asked, view))
         return WaitCause::HeldForOthers;
-    return placeWithHeadroom(waiting, asked, view, now) ? WaitCause::Turn : WaitCause::Headroom;
+    if (!placeWithHeadroom(waiting, asked, view, now))
+        return WaitCause::Headroom;
+    return m_beyondShare.contains(stepOf(waiting.unit)) ? WaitCause::LessUrgentShare : WaitCause::Turn;
 }
 
 } // namespace anvilmoor::batch
--- a/src/batch/placement/wait_cause.h
+++ b/src/batch/placement/wait_cause.h
@@ -13,6 +13,7 @@
     ReservedRoom, // it fits only where room is reserved after an eviction
     HeldForOthers, // it fits only where room is kept for another waiting step
     Headroom, // it fits only on idle workers that are kept for urgent work
+    LessUrgentShare, // it fits, but less urgent work may not use more while more urgent work waits
     Turn, // it fits, unless work before it in the queue takes the room first
 };
 
