--- a/src/batch/placement/worker_holds.cpp
+++ b/src/batch/placement/worker_holds.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Share of a service's workers on which room is held at most. A single hold may take more.
-constexpr double maxHeldShare = 0.2;
+constexpr double maxHeldShare = 0.35;
 // Estimates are often wrong, so the choice of workers is made anew after this time.
 constexpr Milliseconds reconsiderationInterval { 500 };
 
--- a/src/batch/placement/worker_holds.h
+++ b/src/batch/placement/worker_holds.h
@@ -30,7 +30,7 @@
 
 // The holds of waiting steps. A step has a hold until it is placed, whatever comes later, so that other work
 // does not take the room piece by piece as it becomes free. Holds are given in queue order, and only a
-// small share of a service is held, because held room stays idle until the last of it is free. Once a step
+// bounded share of a service is held, because held room stays idle until the last of it is free. Once a step
 // gets no hold for lack of that share, no step behind it gets one in the same round: narrow steps would
 // otherwise leave nothing for a wide one.
 class WorkerHolds {
