Admit less urgent units within their share whatever their size

Seen on reading the bound on less urgent work afresh: a unit was refused if the share would not hold it as well, so a gang that needs more than 0.15 of a service could not start for as long as more urgent work waited without a hold.

Change: a unit is admitted while less than the share is in use, so the share may be exceeded by one unit. A job whose row the store does not take is not counted by size any more.

Test: testLessUrgentGangWiderThanShareIsPlaced fails without the change (0 tasks placed instead of 58).

--- a/src/batch/jobs/job_book.cpp
+++ b/src/batch/jobs/job_book.cpp
@@ -8,6 +8,18 @@
 
 namespace anvilmoor::batch {
 
+namespace {
+
+// Empty if the job is not counted.
+std::optional<bool> servedStateOf(const JobProgress& progress)
+{
+    if (progress.job().specification.schedule.occurrences || progress.state() == JobState::Cancelled)
+        return std::nullopt;
+    return progress.hasAssignments() || isTerminal(progress.state());
+}
+
+} // namespace
+
 JobBook::Entry* JobBook::add(AcceptedJob job)
 {
     const JobId id = job.specification.id;
@@ -76,18 +88,7 @@
     m_open.erase(entry.progress.job().specification.id);
 }
 
-namespace {
-
-std::optional<bool> isServed(const JobProgress& progress)
-{
-    if (progress.job().specification.schedule.occurrences || progress.state() == JobState::Cancelled)
-        return std::nullopt;
-    return progress.hasAssignments() || isTerminal(progress.state());
-}
-
-} // namespace
-
-void JobBook::recount(Entry& entry) { setCounted(entry, isServed(entry.progress)); }
+void JobBook::recount(Entry& entry) { setCounted(entry, servedStateOf(entry.progress)); }
 
 void JobBook::setCounted(Entry& entry, std::optional<bool> isServed)
 {
@@ -217,8 +218,10 @@
 
 void JobBook::noteUnwritable(const JobId& job)
 {
-    m_changed.erase(m_entries.at(job).change);
+    Entry& entry = m_entries.at(job);
+    m_changed.erase(entry.change);
     m_open.erase(job);
+    setCounted(entry, std::nullopt);
 }
 
 std::vector<JobBook::Entry*> JobBook::openEntries()
--- a/src/batch/leader/overload_log.cpp
+++ b/src/batch/leader/overload_log.cpp
@@ -3,6 +3,7 @@
 #include "batch/placement/service_use.h"
 
 #include <fmt/format.h>
+#include <set>
 #include <string>
 
 namespace anvilmoor::batch {
--- a/src/batch/placement/less_urgent_share.cpp
+++ b/src/batch/placement/less_urgent_share.cpp
@@ -21,14 +21,13 @@
         m_bounds.emplace(service, Bound { priority, useOf(*m_workers, service) });
 }
 
-bool LessUrgentShare::admits(const ServiceId& service, int priority, const Resources& needed)
+bool LessUrgentShare::admits(const ServiceId& service, int priority) const
 {
     const auto bound = m_bounds.find(service);
     if (bound == m_bounds.end() || priority <= bound->second.priority)
         return true;
-    Resources used = bound->second.use.fromPriority(priority);
-    used += needed;
-    return dominantShare(used, bound->second.use.whole) <= maxShare;
+    const ServiceUse& use = bound->second.use;
+    return dominantShare(use.fromPriority(priority), use.whole) < maxShare;
 }
 
 void LessUrgentShare::notePlaced(const ServiceId& service, int priority, const Resources& resources)
--- a/src/batch/placement/less_urgent_share.h
+++ b/src/batch/placement/less_urgent_share.h
@@ -17,8 +17,9 @@
     void beginRound(const WorkerPool&);
     // A step of the priority waits without a hold, for lack of the share that may be held.
     void noteWaitingWithoutHold(const ServiceId&, int priority);
-    // Returns whether work of the priority that needs these resources may be placed.
-    bool admits(const ServiceId&, int priority, const Resources& needed);
+    // Returns whether a unit of the priority may be placed. Its size does not matter, so the share may be
+    // exceeded by one unit: a wide gang would never be admitted otherwise.
+    bool admits(const ServiceId&, int priority) const;
     // Must be called when work was placed in this round.
     void notePlaced(const ServiceId&, int priority, const Resources&);
 
--- a/src/batch/placement/placement_round.cpp
+++ b/src/batch/placement/placement_round.cpp
@@ -325,7 +325,7 @@
     const QueueTerms& terms = waiting.job->job().terms;
     if (request.step.runsUntilCancelled || isMostlyFree(terms.service))
         return true;
-    return m_lessUrgentShare.admits(terms.service, terms.priority, resourcesOf(waiting));
+    return m_lessUrgentShare.admits(terms.service, terms.priority);
 }
 
 // Counts workers that get no new runs at present as well: a few of them in use do not make a service full.
--- a/test/batch_less_urgent_share_test.cpp
+++ b/test/batch_less_urgent_share_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(testTasksOfGangsPriorityAreNotBounded);
     CPPUNIT_TEST(testLastingTasksAreNotBounded);
     CPPUNIT_TEST(testBoundedTasksArePlacedAsOthersEnd);
+    CPPUNIT_TEST(testLessUrgentGangWiderThanShareIsPlaced);
     CPPUNIT_TEST(testBoundedTaskWaitsForShare);
     CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +113,14 @@
         CPPUNIT_ASSERT_EQUAL(3, placedOf(small));
     }
 
+    void testLessUrgentGangWiderThanShareIsPlaced()
+    {
+        fillWorkers(5);
+        addGangs(2);
+        const JobId wide = m_state.addJob("wide", 2, testing::makeGang(boundedAccelerators + 10, 1));
+        CPPUNIT_ASSERT_EQUAL(boundedAccelerators + 10, placedOf(wide));
+    }
+
     void testBoundedTaskWaitsForShare()
     {
         fillWorkers(5);
